--- /dev/null
+++ b/papayapier/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, run and keep batch jobs."""
--- /dev/null
+++ b/papayapier/batch/api.py
@@ -0,0 +1,41 @@
+"""Define what the batch package needs from the rest of the program."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from result import Result
+
+from papayapier.config.profiles import Profile
+from papayapier.errors import Refusal
+from papayapier.upstream.api import Reply
+
+
+class ItemCall(NamedTuple):
+    """Describe one batch item to be run; due_wall_ms is the job's due time on the wall clock.
+
+    still_allowed is asked immediately before every send to a replica, also before a resumed
+    stream: it is False once the lease is no longer held or the job is cancelled.
+    """
+
+    call_id: str
+    caller: str
+    profile: Profile
+    method: str
+    path: str
+    body: bytes
+    due_wall_ms: int
+    still_allowed: Callable[[], bool]
+
+
+class BatchDispatch(NamedTuple):
+    """Group the calls through which batch items reach replicas.
+
+    room tells how many more items of an upstream may be handed over now. run ends with the
+    whole answer or a refusal; it waits for capacity, gives way to online work and resumes by
+    itself. Cancelling the Deferred that wraps run stops the item at the replica. watch_room
+    registers a call for whenever room may have grown.
+    """
+
+    room: Callable[[str], int]
+    run: Callable[[ItemCall], Awaitable[Result[Reply, Refusal]]]
+    watch_room: Callable[[Callable[[], None]], None]
--- /dev/null
+++ b/papayapier/clock.py
@@ -0,0 +1,105 @@
+"""Tell and await time in whole milliseconds.
+
+Everything that decides by time takes a Clock, so that a test can drive it with
+twisted's task.Clock and never waits for real. Two readings exist because they fail
+differently: now() is monotonic and is the only one that leases and timeouts use; wall()
+may jump and is only for due times that callers state and for log lines.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, NewType, Protocol, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as TaskClock
+
+Millis = NewType("Millis", int)
+
+MS_PER_S: Final = 1000
+
+
+class Timer(Protocol):
+    """Describe a pending call."""
+
+    def cancel(self) -> None:
+        """Forget the call."""
+
+    def active(self) -> bool:
+        """Tell whether the call is still to come."""
+
+
+class Timers(Protocol):
+    """Describe the part of a twisted reactor that a Clock needs."""
+
+    def seconds(self) -> float:
+        """Return the reading in seconds."""
+
+    def callLater(self, delay: float, callable: Callable[..., Any]) -> Any:  # noqa: N802
+        """Run a call after a delay in seconds."""
+
+
+class Clock(NamedTuple):
+    """Hold the two readings of time and the timer source they belong to."""
+
+    timers: Timers
+    wall_source: Callable[[], float]
+
+    def now(self) -> Millis:
+        """Return monotonic milliseconds."""
+        return Millis(int(self.timers.seconds() * MS_PER_S))
+
+    def wall(self) -> Millis:
+        """Return milliseconds since the epoch."""
+        return Millis(int(self.wall_source() * MS_PER_S))
+
+    def call_later(self, delay_ms: float, call: Callable[[], object]) -> Timer:
+        """Run a call after a delay in milliseconds."""
+        timer: Timer = self.timers.callLater(max(0.0, delay_ms) / MS_PER_S, call)
+        return timer
+
+    def sleep(self, delay_ms: float) -> Deferred[None]:
+        """Return a Deferred that fires after a delay in milliseconds."""
+        done: Deferred[None] = Deferred(lambda _: timer.cancel())
+        timer = self.call_later(delay_ms, lambda: done.callback(None))
+        return done
+
+
+class FakeClock(NamedTuple):
+    """Pair a Clock with the timer source that a test advances."""
+
+    clock: Clock
+    source: TaskClock
+
+    def advance(self, delay_ms: float) -> None:
+        """Move time forward by milliseconds."""
+        self.source.advance(delay_ms / MS_PER_S)
+
+
+def real_clock() -> Clock:
+    """Make the clock of a running process."""
+    from twisted.internet import reactor
+
+    return Clock(_MonotonicTimers(cast(Timers, reactor)), time.time)
+
+
+class _MonotonicTimers:
+    """Schedule on the reactor, but read the monotonic clock.
+
+    The reactor's own seconds() is the wall clock. When an administrator or NTP sets it
+    back, a lease would look younger than it is, and two holders would run the same work.
+    """
+
+    def __init__(self, reactor: Timers) -> None:
+        self._reactor = reactor
+
+    def callLater(self, delay: float, callable: Callable[..., Any]) -> Any:  # noqa: N802
+        return self._reactor.callLater(delay, callable)
+
+    def seconds(self) -> float:
+        return time.monotonic()
+
+
+def fake_clock(wall_ms: int = 1_700_000_000_000) -> FakeClock:
+    """Make a clock that moves only when a test advances it."""
+    source = TaskClock()
+    return FakeClock(Clock(source, lambda: wall_ms / MS_PER_S + source.seconds()), source)
--- /dev/null
+++ b/papayapier/config/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, spread and apply profiles and configuration."""
--- /dev/null
+++ b/papayapier/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/papayapier/errors.py
@@ -0,0 +1,91 @@
+"""List every error kind there is, and the answer each one gets.
+
+A refusal states whether the request ran. NOT_RUN is a promise: nothing of the request
+reached an upstream or ever will. Whoever cannot prove that says UNKNOWN.
+"""
+
+from enum import Enum
+from typing import Final, NamedTuple
+
+
+class Outcome(Enum):
+    """Say what is known about the run of a refused request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Name each way in which a request, job or change can end without its result."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_PROFILE = "unknown_profile"
+    UNKNOWN_UPSTREAM = "unknown_upstream"
+    NOT_FOUND = "not_found"
+    TOO_LARGE = "too_large"
+    KEY_CONFLICT = "key_conflict"
+    VERSION_CONFLICT = "version_conflict"
+    STILL_RUNNING = "still_running"
+    OVERLOADED = "overloaded"
+    CALLER_LIMIT = "caller_limit"
+    DEADLINE = "deadline"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    BROKEN_ANSWER = "broken_answer"
+    STORE_UNAVAILABLE = "store_unavailable"
+    LEAVING = "leaving"
+    CANCELLED = "cancelled"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """Give the HTTP status of an error kind, and whether a later retry can help."""
+
+    status: int
+    retry: bool
+    description: str
+
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.BAD_REQUEST: Answer(400, False, "the request is malformed"),
+    ErrorKind.UNAUTHORIZED: Answer(401, False, "the key is missing or not known"),
+    ErrorKind.UNKNOWN_PROFILE: Answer(400, False, "no profile has this name"),
+    ErrorKind.UNKNOWN_UPSTREAM: Answer(404, False, "no upstream has this name"),
+    ErrorKind.NOT_FOUND: Answer(404, False, "the object does not exist"),
+    ErrorKind.TOO_LARGE: Answer(413, False, "the request is larger than allowed"),
+    ErrorKind.KEY_CONFLICT: Answer(409, False, "the idempotency key was used with other content"),
+    ErrorKind.VERSION_CONFLICT: Answer(409, False, "the object has changed meanwhile"),
+    ErrorKind.STILL_RUNNING: Answer(409, True, "the request with this key is still running"),
+    ErrorKind.OVERLOADED: Answer(429, True, "the wait would pass the due time"),
+    ErrorKind.CALLER_LIMIT: Answer(429, True, "the caller is over its limit"),
+    ErrorKind.DEADLINE: Answer(504, False, "the due time has passed"),
+    ErrorKind.NO_UPSTREAM: Answer(503, True, "no replica of the upstream can take the request"),
+    ErrorKind.UPSTREAM_FAILED: Answer(502, True, "the upstream failed"),
+    ErrorKind.BROKEN_ANSWER: Answer(502, True, "the upstream's answer was not whole"),
+    ErrorKind.STORE_UNAVAILABLE: Answer(503, True, "the platform's store does not answer"),
+    ErrorKind.LEAVING: Answer(503, True, "the instance is shutting down"),
+    ErrorKind.CANCELLED: Answer(499, False, "the caller went away"),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, False, "whether the request ran is not known"),
+    ErrorKind.INTERNAL: Answer(500, False, "an internal check failed"),
+}
+
+
+class Refusal(NamedTuple):
+    """Carry the reason why there is no result, and what is known about the run."""
+
+    kind: ErrorKind
+    outcome: Outcome
+    reason: str
+    retry_after_ms: int = 0
+
+
+def not_run(kind: ErrorKind, reason: str, retry_after_ms: int = 0) -> Refusal:
+    """Refuse a request that provably did not run."""
+    return Refusal(kind, Outcome.NOT_RUN, reason, retry_after_ms)
+
+
+def unknown(kind: ErrorKind, reason: str, retry_after_ms: int = 0) -> Refusal:
+    """Refuse a request that may have run."""
+    return Refusal(kind, Outcome.UNKNOWN, reason, retry_after_ms)
--- /dev/null
+++ b/papayapier/events.py
@@ -0,0 +1,101 @@
+"""List the numbered log events and write them through logbook.
+
+The number of an event never changes meaning, because operators search and alert by it.
+docs/EVENTS.md is made from this table; a test compares the two.
+Ranges: 1xx process, 2xx online, 3xx upstream, 4xx store, 5xx batch, 6xx configuration,
+7xx peers, 8xx orders, 9xx invariants.
+"""
+
+from enum import Enum
+from typing import Final, NamedTuple
+
+import logbook
+import msgspec
+
+LOGGER: Final = logbook.Logger("papayapier")
+
+
+class Level(Enum):
+    """Order events by how soon somebody should look."""
+
+    DEBUG = logbook.DEBUG
+    INFO = logbook.INFO
+    WARNING = logbook.WARNING
+    ERROR = logbook.ERROR
+
+
+class Event(NamedTuple):
+    """Describe one kind of log line."""
+
+    number: int
+    name: str
+    level: Level
+    text: str
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Log an event with the fields that identify its subject."""
+    LOGGER.log(event.level.value, event.text, extra={"event": event, "fields": fields})
+
+
+PROCESS_STARTED: Final = Event(101, "process_started", Level.INFO, "instance is serving")
+PROCESS_LEAVING: Final = Event(102, "process_leaving", Level.INFO, "planned stop has begun")
+PROCESS_STOPPED: Final = Event(103, "process_stopped", Level.INFO, "instance has stopped")
+PROCESS_PAUSED: Final = Event(104, "process_paused", Level.WARNING, "the process was paused")
+NOT_READY: Final = Event(105, "not_ready", Level.WARNING, "instance says it is not ready")
+READY: Final = Event(106, "ready", Level.INFO, "instance says it is ready")
+
+REQUEST_REFUSED: Final = Event(201, "request_refused", Level.INFO, "online request refused")
+REQUEST_RETRIED: Final = Event(202, "request_retried", Level.INFO, "online request sent again")
+CLAIM_UNKNOWN: Final = Event(203, "claim_unknown", Level.WARNING, "claimant is gone")
+CLAIM_ABANDONED: Final = Event(204, "claim_abandoned", Level.INFO, "claim given up before sending")
+CALLER_GONE: Final = Event(205, "caller_gone", Level.INFO, "caller closed its connection")
+
+REPLICA_EJECTED: Final = Event(301, "replica_ejected", Level.WARNING, "replica taken out of use")
+REPLICA_RETURNED: Final = Event(302, "replica_returned", Level.INFO, "replica back in use")
+REPLICA_LEAVING: Final = Event(303, "replica_leaving", Level.INFO, "replica gets no new work")
+CONNECTION_CONDEMNED: Final = Event(304, "connection_condemned", Level.WARNING, "connection closed")
+BROKEN_ANSWER: Final = Event(305, "broken_answer", Level.WARNING, "answer was not whole")
+REPLICA_ADDED: Final = Event(306, "replica_added", Level.INFO, "replica listed")
+REPLICA_REMOVED: Final = Event(307, "replica_removed", Level.INFO, "replica no longer listed")
+
+STORE_DOWN: Final = Event(401, "store_down", Level.WARNING, "store does not answer")
+STORE_UP: Final = Event(402, "store_up", Level.INFO, "store answers again")
+WRITE_READ_BACK: Final = Event(403, "write_read_back", Level.INFO, "lost answer settled by reading")
+WATCH_RESTARTED: Final = Event(404, "watch_restarted", Level.INFO, "watch lists again")
+
+PEER_UP: Final = Event(701, "peer_up", Level.INFO, "peer heard from")
+PEER_DOWN: Final = Event(702, "peer_down", Level.WARNING, "peer silent")
+PEER_REFUSED: Final = Event(
+    703, "peer_refused", Level.WARNING, "message from a peer not understood"
+)
+
+INVARIANT_BROKEN: Final = Event(901, "invariant_broken", Level.ERROR, "internal check failed")
+
+
+def all_events() -> list[Event]:
+    """Return every event, by number."""
+    found = [value for value in globals().values() if isinstance(value, Event)]
+    return sorted(found, key=lambda event: event.number)
+
+
+def format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    """Format a log record as one JSON line."""
+    event: Event = record.extra["event"]
+    line = {
+        "at_ms": int(record.time.timestamp() * 1000),
+        "event": event.number,
+        "name": event.name,
+        "level": event.level.name.lower(),
+        "text": record.message,
+        **record.extra["fields"],
+    }
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def format_text(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    """Format a log record as one line for people."""
+    event: Event = record.extra["event"]
+    fields = " ".join(f"{key}={value}" for key, value in record.extra["fields"].items())
+    stamp = record.time.strftime("%H:%M:%S.%f")[:-3]
+    return f"{stamp} {event.level.name:<7} {event.number} {event.name}: {record.message} {fields}"
--- /dev/null
+++ b/papayapier/load/__init__.py
@@ -0,0 +1,1 @@
+"""Generate load, run experiments and report them."""
--- /dev/null
+++ b/papayapier/metrics.py
@@ -0,0 +1,84 @@
+"""Define every metric in one place.
+
+A Metrics record has a registry of its own, so that several instances can live in one
+process (the demo, tests) without sharing counts.
+"""
+
+from typing import Final, NamedTuple
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+
+class Metrics(NamedTuple):
+    """Group the metrics of one instance; times are in seconds, as is the custom."""
+
+    registry: CollectorRegistry
+    requests: Counter
+    latency: Histogram
+    first_token: Histogram
+    queue_depth: Gauge
+    queue_wait: Histogram
+    refusals: Counter
+    retries: Counter
+    replica_in_flight: Gauge
+    replicas_usable: Gauge
+    batch_limit: Gauge
+    batch_yields: Counter
+    batch_items: Counter
+    batch_tokens: Counter
+    shards_held: Gauge
+    jobs_at_risk: Gauge
+    store_calls: Counter
+    store_bytes: Counter
+    peer_bytes: Counter
+    peer_messages: Counter
+    peers_live: Gauge
+    config_version: Gauge
+    config_age: Gauge
+    invariant_failures: Gauge
+
+
+def make_metrics() -> Metrics:
+    """Register the metrics of one instance."""
+    reg = CollectorRegistry()
+    name = "papayapier_"
+    return Metrics(
+        registry=reg,
+        requests=Counter(name + "requests", "Online requests", ["profile", "end"], registry=reg),
+        latency=_seconds(reg, name + "latency", "Time to the whole answer"),
+        first_token=_seconds(reg, name + "first_token", "Time to the first token"),
+        queue_depth=Gauge(name + "queue_depth", "Queued online requests", registry=reg),
+        queue_wait=_seconds(reg, name + "queue_wait", "Time in the queue"),
+        refusals=Counter(name + "refusals", "Refusals", ["kind", "outcome"], registry=reg),
+        retries=Counter(name + "retries", "Repeated sends", ["upstream"], registry=reg),
+        replica_in_flight=Gauge(
+            name + "replica_in_flight", "Open calls", ["replica", "work"], registry=reg
+        ),
+        replicas_usable=Gauge(
+            name + "replicas_usable", "Usable replicas", ["upstream"], registry=reg
+        ),
+        batch_limit=Gauge(name + "batch_limit", "Batch limit", ["replica"], registry=reg),
+        batch_yields=Counter(name + "batch_yields", "Streams given up to online", registry=reg),
+        batch_items=Counter(name + "batch_items", "Items completed", ["end"], registry=reg),
+        batch_tokens=Counter(name + "batch_tokens", "Tokens of completed items", registry=reg),
+        shards_held=Gauge(name + "shards_held", "Shard leases held", registry=reg),
+        jobs_at_risk=Gauge(name + "jobs_at_risk", "Jobs likely to miss their due", registry=reg),
+        store_calls=Counter(name + "store_calls", "Store calls", ["call", "end"], registry=reg),
+        store_bytes=Counter(name + "store_bytes", "Store bytes", ["direction"], registry=reg),
+        peer_bytes=Counter(name + "peer_bytes", "Peer bytes", ["direction"], registry=reg),
+        peer_messages=Counter(
+            name + "peer_messages", "Peer messages", ["kind", "direction"], registry=reg
+        ),
+        peers_live=Gauge(name + "peers_live", "Peers heard from", registry=reg),
+        config_version=Gauge(name + "config_version", "Version in force", registry=reg),
+        config_age=Gauge(
+            name + "config_age", "Seconds since configuration was fresh", registry=reg
+        ),
+        invariant_failures=Gauge(name + "invariant_failures", "Broken promises", registry=reg),
+    )
+
+
+def _seconds(reg: CollectorRegistry, name: str, text: str) -> Histogram:
+    return Histogram(name + "_seconds", text, ["work"], buckets=LATENCY_BUCKETS, registry=reg)
--- /dev/null
+++ b/papayapier/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own instances."""
--- /dev/null
+++ b/papayapier/peer/messages.py
@@ -0,0 +1,113 @@
+"""Define the messages between the system's own instances.
+
+On the wire a message is a msgpack array: the kind's number, then its fields. Numbers are
+never reused, and fields are only added at the end with a default, so that two releases can
+run side by side during an upgrade.
+"""
+
+from typing import Final, NamedTuple
+
+
+class ReplicaUse(NamedTuple):
+    """Tell how many calls the sender has open at one replica."""
+
+    replica: str
+    online: int
+    batch: int
+
+
+class Heartbeat(NamedTuple):
+    """Tell that the sender lives, what it applies and what it has open.
+
+    boot is drawn at process start, so that a restarted instance is told from a paused one.
+    """
+
+    instance: str
+    boot: int
+    state: str
+    config_version: int
+    uses: list[ReplicaUse] = []
+
+
+class ConfigPush(NamedTuple):
+    """Carry one accepted configuration object; version is the store's."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+class ConfigAsk(NamedTuple):
+    """Ask for every configuration object newer than a version."""
+
+    ask_id: int
+    newer_than: int
+
+
+class ConfigTell(NamedTuple):
+    """Answer ConfigAsk."""
+
+    ask_id: int
+    objects: list[ConfigPush]
+
+
+class ClaimAsk(NamedTuple):
+    """Ask the writer of a claim what has become of it."""
+
+    ask_id: int
+    key: str
+
+
+class ClaimTell(NamedTuple):
+    """Answer ClaimAsk; state is "running", "done", "abandoned" or "no_record"."""
+
+    ask_id: int
+    key: str
+    state: str
+
+
+class ShardsReleased(NamedTuple):
+    """Tell peers that leases were given back, so that they need not wait for expiry."""
+
+    shards: list[int]
+
+
+class LoadReports(NamedTuple):
+    """Share load reports, so that one instance per data centre polls each replica.
+
+    Each report is (replica, running, waiting, slots, step time in ms, age in ms).
+    """
+
+    reports: list[tuple[str, int, int, int, float, int]]
+
+
+class JobChanged(NamedTuple):
+    """Tell peers to read a job's record again: it is new, cancelled or done."""
+
+    job_id: str
+    version: int
+
+
+Message = (
+    Heartbeat
+    | ConfigPush
+    | ConfigAsk
+    | ConfigTell
+    | ClaimAsk
+    | ClaimTell
+    | ShardsReleased
+    | LoadReports
+    | JobChanged
+)
+
+KINDS: Final[dict[int, type[Message]]] = {
+    1: Heartbeat,
+    2: ConfigPush,
+    3: ConfigAsk,
+    4: ConfigTell,
+    5: ClaimAsk,
+    6: ClaimTell,
+    7: ShardsReleased,
+    8: LoadReports,
+    9: JobChanged,
+}
--- /dev/null
+++ b/papayapier/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide, without I/O: state, event and time in, decisions out."""
--- /dev/null
+++ b/papayapier/settings.py
@@ -0,0 +1,137 @@
+"""Read an instance's settings: JSON with comments, checked completely at load.
+
+Settings are what one process must know to start. Everything that operators change while
+the system runs is configuration (config/), kept in the platform's store.
+"""
+
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+from result import Err, Result
+
+from papayapier import codec
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Ip = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
+PositiveMs = Annotated[int, Meta(ge=1, le=86_400_000)]
+Positive = Annotated[int, Meta(ge=1, le=1_000_000_000)]
+
+
+class InstanceSettings(NamedTuple):
+    """Identify this instance; peers and the balancer reach it at host."""
+
+    id: Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+    data_centre: str
+    region: str
+    host: Ip = "127.0.0.1"
+
+
+class PlatformSettings(NamedTuple):
+    """Locate the platform's object API."""
+
+    host: Ip
+    port: Port
+    timeout_ms: PositiveMs = 2_000
+    reads_per_s: Positive = 200
+    writes_per_s: Positive = 60
+
+
+class KeyEntry(NamedTuple):
+    """Map the SHA-256 of a key (hex) to the name of its holder."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    key_sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class EntrySettings(NamedTuple):
+    """Set the callers' address and bounds; with no callers listed, any caller may come."""
+
+    port: Port = 8080
+    max_body_bytes: Positive = 4_000_000
+    max_queued: Positive = 2_000
+    callers: tuple[KeyEntry, ...] = ()
+
+
+class OperatorSettings(NamedTuple):
+    """Set the operators' address, separate from the callers'."""
+
+    port: Port = 8081
+    operators: tuple[KeyEntry, ...] = ()
+
+
+class PeerSettings(NamedTuple):
+    """Set the address and pace of the protocol between instances."""
+
+    port: Port = 8082
+    heartbeat_ms: PositiveMs = 500
+    silent_after_ms: PositiveMs = 2_000
+
+
+class UpstreamSettings(NamedTuple):
+    """Set the timers towards upstreams."""
+
+    connect_timeout_ms: PositiveMs = 500
+    first_byte_ms: PositiveMs = 10_000
+    progress_ms: PositiveMs = 2_000
+    load_poll_ms: PositiveMs = 100
+
+
+class BatchSettings(NamedTuple):
+    """Set how batch jobs are kept and run."""
+
+    shards: Annotated[int, Meta(ge=1, le=4096)] = 32
+    lease_ms: PositiveMs = 6_000
+    renew_ms: PositiveMs = 2_000
+    chunk_items: Annotated[int, Meta(ge=1, le=10_000)] = 1_000
+    item_attempts: Annotated[int, Meta(ge=1, le=20)] = 3
+    retention_ms: Positive = 604_800_000
+    max_items: Positive = 750_000
+    result_buffer_bytes: Positive = 16_000_000
+
+
+class ConfigSettings(NamedTuple):
+    """Set how configuration spreads; data_folder may be empty."""
+
+    poll_ms: PositiveMs = 2_000
+    watch_ms: PositiveMs = 10_000
+    stale_after_ms: PositiveMs = 30_000
+    data_folder: str = ""
+
+
+class DrainSettings(NamedTuple):
+    """Set the pace of a planned stop."""
+
+    balancer_lag_ms: PositiveMs = 3_000
+    limit_ms: PositiveMs = 120_000
+
+
+class LogSettings(NamedTuple):
+    """Choose the form and lowest level of log lines."""
+
+    form: Annotated[str, Meta(pattern="^(json|text)$")] = "json"
+    level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+class Settings(NamedTuple):
+    """Hold everything that one process must know to start."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    entry: EntrySettings = EntrySettings()
+    operator: OperatorSettings = OperatorSettings()
+    peer: PeerSettings = PeerSettings()
+    upstream: UpstreamSettings = UpstreamSettings()
+    batch: BatchSettings = BatchSettings()
+    config: ConfigSettings = ConfigSettings()
+    drain: DrainSettings = DrainSettings()
+    log: LogSettings = LogSettings()
+
+
+def load(path: Path) -> Result[Settings, str]:
+    """Read and check a settings file; the error names file, field and reason."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return Err(f"{path}: cannot be read: {exc}")
+    return codec.from_commented_json(text, Settings).map_err(lambda why: f"{path}: {why}")
--- /dev/null
+++ b/papayapier/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, model engines and plain services."""
--- /dev/null
+++ b/papayapier/store/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform: objects, watches, the instance list and the weight store."""
--- /dev/null
+++ b/papayapier/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to upstreams: model engines and plain services."""
