--- /dev/null
+++ b/papayapier/entry/answers.py
@@ -0,0 +1,54 @@
+"""Write answers and refusals to HTTP requests, in one form for callers and operators."""
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from papayapier import codec
+from papayapier.clock import MS_PER_S
+from papayapier.errors import ANSWERS, Outcome, Refusal
+
+if TYPE_CHECKING:
+    from twisted.web.iweb import IRequest
+
+JSON_TYPE: Final = b"application/json"
+
+
+class ErrorBody(NamedTuple):
+    """Tell a caller what was refused; outcome is "not_run" or "unknown"."""
+
+    kind: str
+    outcome: str
+    reason: str
+    retry_after_ms: int
+
+
+class RefusalBody(NamedTuple):
+    """Wrap the error as OpenAI-style clients expect it."""
+
+    error: ErrorBody
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Encode a refusal as JSON."""
+    kind, outcome, reason, retry_after_ms = refusal
+    return codec.to_json(RefusalBody(ErrorBody(kind.value, outcome.value, reason, retry_after_ms)))
+
+
+def refuse(request: "IRequest", refusal: Refusal) -> bytes:
+    """Set the status and headers of a refusal and return its body."""
+    answer = ANSWERS[refusal.kind]
+    request.setResponseCode(answer.status)
+    request.setHeader(b"Content-Type", JSON_TYPE)
+    if answer.retry:
+        seconds = max(1, -(-refusal.retry_after_ms // MS_PER_S))
+        request.setHeader(b"Retry-After", str(seconds).encode())
+    # A client library that repeats by status alone must not repeat what may have run.
+    if refusal.outcome is Outcome.UNKNOWN:
+        request.setHeader(b"X-Should-Retry", b"false")
+    return refusal_body(refusal)
+
+
+def reply_json(request: "IRequest", value: object, status: int = 200) -> bytes:
+    """Set the status and headers of a JSON answer and return its body."""
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Type", JSON_TYPE)
+    return codec.to_json(value)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -26,7 +26,7 @@
     boot: int
     state: str
     config_version: int
-    uses: list[ReplicaUse] = []
+    uses: tuple[ReplicaUse, ...] = ()
 
 
 class ConfigPush(NamedTuple):
