--- /dev/null
+++ b/papayapier/policy/loads.py
@@ -0,0 +1,190 @@
+"""Keep what this instance knows of the load on each replica, and estimate what it is now.
+
+A replica's report is old when it arrives. Until the next one comes, every instance that
+believes it sends to the same idle-looking replica, and the replica is flooded (a herd). So
+an estimate is the report plus every change that we know to be newer than the report: our
+own sends and ends at their time, and the peers' open calls as they tell them. A peer tells
+a total now and then; its change is spread evenly over the time since it last told.
+Without a fresh report the estimate is the sum of the calls known to be open.
+"""
+
+from collections import deque
+from collections.abc import Collection, Sequence
+from typing import Final, NamedTuple
+
+from papayapier.peer.messages import ReplicaUse
+from papayapier.upstream.api import Load, Replica
+
+REPORT_LAG_MS: Final = 200
+REPORT_STALE_MS: Final = 2_000
+ASSUMED_SLOTS: Final = 8
+
+
+class _Step(NamedTuple):
+    """Hold a change of the open calls that happened between two times."""
+
+    begin: int
+    end: int
+    change: int
+
+
+class _Row:
+    """Hold what is known of one replica."""
+
+    __slots__ = ("batch", "load", "online", "peer_batch", "peer_online", "peers", "since", "steps")
+
+    def __init__(self) -> None:
+        self.load: Load | None = None
+        self.online = 0
+        self.batch = 0
+        self.peers: dict[str, tuple[int, int, int]] = {}
+        self.peer_online = 0
+        self.peer_batch = 0
+        self.steps: deque[_Step] = deque()
+        self.since = 0.0
+
+
+class LoadBook:
+    """Track the open calls and load reports of every listed replica."""
+
+    def __init__(self, report_lag_ms: int = REPORT_LAG_MS) -> None:
+        self._lag_ms = report_lag_ms
+        self._rows: dict[str, _Row] = {}
+        self._listed: dict[str, list[Replica]] = {}
+        self._open: dict[str, list[Replica]] = {}
+        self._peer_told: dict[str, tuple[int, frozenset[str]]] = {}
+
+    def on_listed(self, replicas: Sequence[Replica], leaving: Collection[str]) -> None:
+        """Take the instance list's replicas; those leaving get nothing new."""
+        self._listed = {}
+        self._open = {}
+        for replica in replicas:
+            self._listed.setdefault(replica.upstream, []).append(replica)
+            self._open.setdefault(replica.upstream, [])
+            if replica.id not in leaving:
+                self._open[replica.upstream].append(replica)
+        self._forget_unlisted({replica.id for replica in replicas})
+
+    def on_report(self, replica_id: str, load: Load) -> None:
+        """Take a load report."""
+        row = self._row(replica_id)
+        row.load = load
+        taken = load.at_ms - self._lag_ms
+        while row.steps and row.steps[0].end <= taken:
+            row.steps.popleft()
+        row.since = sum(_part_after(step, taken) for step in row.steps)
+
+    def on_sent(self, replica_id: str, batch: bool, now: int) -> None:
+        """Count a call that this instance has opened."""
+        self._count(replica_id, batch, 1, now)
+
+    def on_done(self, replica_id: str, batch: bool, now: int) -> None:
+        """Count the end of a call that this instance had opened."""
+        self._count(replica_id, batch, -1, now)
+
+    def on_peer_uses(self, peer: str, uses: Sequence[ReplicaUse], now: int) -> None:
+        """Take all the open calls of a peer; a replica not named has none."""
+        told_at, named_before = self._peer_told.get(peer, (now, frozenset()))
+        named = frozenset(use.replica for use in uses)
+        for use in uses:
+            self._set_peer(peer, use, told_at, now)
+        for gone in named_before - named:
+            self._set_peer(peer, ReplicaUse(gone, 0, 0), told_at, now)
+        self._peer_told[peer] = (now, named)
+
+    def on_peer_gone(self, peer: str) -> None:
+        """Forget the open calls of a peer."""
+        now, named = self._peer_told.pop(peer, (0, frozenset()))
+        for replica_id in named:
+            self._set_peer(peer, ReplicaUse(replica_id, 0, 0), now, now)
+
+    def estimate(self, replica_id: str, now: int) -> float:
+        """Estimate the calls running and waiting at a replica."""
+        row = self._rows.get(replica_id)
+        if row is None:
+            return 0.0
+        own = row.online + row.batch
+        load = row.load
+        if load is None or now - load.at_ms > REPORT_STALE_MS:
+            return float(own + row.peer_online + row.peer_batch)
+        return max(float(own), load.running + load.waiting + row.since)
+
+    def online_at(self, replica_id: str) -> int:
+        """Return the online calls known to be open, ours and the peers'."""
+        row = self._rows.get(replica_id)
+        return row.online + row.peer_online if row else 0
+
+    def batch_at(self, replica_id: str) -> int:
+        """Return the batch calls known to be open, ours and the peers'."""
+        row = self._rows.get(replica_id)
+        return row.batch + row.peer_batch if row else 0
+
+    def own(self, replica_id: str) -> ReplicaUse:
+        """Return the calls that this instance has open."""
+        row = self._rows.get(replica_id)
+        return (
+            ReplicaUse(replica_id, row.online, row.batch) if row else ReplicaUse(replica_id, 0, 0)
+        )
+
+    def slots(self, replica_id: str) -> int:
+        """Return how many calls a replica runs at once."""
+        row = self._rows.get(replica_id)
+        return row.load.slots if row and row.load and row.load.slots > 0 else ASSUMED_SLOTS
+
+    def replicas(self, upstream: str) -> list[Replica]:
+        """Return the listed replicas of an upstream, leaving ones included."""
+        return self._listed.get(upstream, [])
+
+    def usable(self, upstream: str, now: int) -> list[Replica]:
+        """Return the replicas of an upstream that may get new work."""
+        return self._open.get(upstream, [])
+
+    def uses(self) -> list[ReplicaUse]:
+        """Return this instance's open calls for a heartbeat."""
+        rows = self._rows.items()
+        return [
+            ReplicaUse(key, row.online, row.batch) for key, row in rows if row.online + row.batch
+        ]
+
+    def _row(self, replica_id: str) -> _Row:
+        row = self._rows.get(replica_id)
+        if row is None:
+            row = self._rows[replica_id] = _Row()
+        return row
+
+    def _count(self, replica_id: str, batch: bool, change: int, now: int) -> None:
+        row = self._row(replica_id)
+        if batch:
+            row.batch += change
+        else:
+            row.online += change
+        row.steps.append(_Step(now, now, change))
+        row.since += change
+
+    def _set_peer(self, peer: str, use: ReplicaUse, told_at: int, now: int) -> None:
+        row = self._row(use.replica)
+        online, batch, _ = row.peers.pop(peer, (0, 0, 0))
+        row.peer_online += use.online - online
+        row.peer_batch += use.batch - batch
+        if use.online or use.batch:
+            row.peers[peer] = (use.online, use.batch, now)
+        change = use.online + use.batch - online - batch
+        if change == 0 or row.load is None:
+            return
+        step = _Step(told_at, now, change)
+        row.steps.append(step)
+        row.since += _part_after(step, row.load.at_ms - self._lag_ms)
+
+    def _forget_unlisted(self, listed: set[str]) -> None:
+        for replica_id in [key for key in self._rows if key not in listed]:
+            row = self._rows[replica_id]
+            if row.online + row.batch == 0:
+                del self._rows[replica_id]
+
+
+def _part_after(step: _Step, taken: int) -> float:
+    if step.begin >= taken:
+        return float(step.change)
+    if step.end <= taken:
+        return 0.0
+    return step.change * (step.end - taken) / (step.end - step.begin)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,84 @@
+"""Test the basic answers of every policy module."""
+
+import random
+
+from papayapier.config.profiles import BatchRule, RetryRule
+from papayapier.errors import Outcome
+from papayapier.policy.admission import AdmissionQueue, Waiting
+from papayapier.policy.batch_share import BatchShare
+from papayapier.policy.deadlines import JobLoad, at_risk, order
+from papayapier.policy.drain import Drain, DrainPlan
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.policy.retries import GiveUp, Retry, RetryBudget, decide
+from papayapier.policy.routing import RouteRequest, choose
+from papayapier.upstream.api import Failure, FailureKind, Load, Replica, Sent
+
+REPLICAS = [Replica(f"r{i}", "model", "127.0.0.1", 1, "dc1") for i in range(3)]
+
+
+def test_routing_avoids_the_loaded_and_the_leaving() -> None:
+    book = LoadBook()
+    book.on_listed(REPLICAS, leaving={"r2"})
+    book.on_report("r0", Load(30, 0, 32, 7.0, 1_000))
+    book.on_report("r1", Load(0, 0, 32, 5.0, 1_000))
+    req = RouteRequest("model", "", "dc1")
+    rand = random.Random(1)
+    assert {choose(book, Outliers(), req, rand, 1_000) for _ in range(20)} == {"r1"}
+
+
+def test_the_queue_starts_and_expires_each_ticket_once() -> None:
+    queue = AdmissionQueue(10)
+    for ticket in range(4):
+        entry = Waiting(ticket, "caller", "model", "chat", "normal", 1_000, 1.0, 0)
+        assert queue.offer(entry, 0).is_ok()
+    assert queue.leave(2)
+    assert not queue.leave(2)
+    taken = queue.take(0, lambda upstream: True)
+    assert taken is not None and taken.ticket == 0
+    assert [entry.ticket for entry in queue.expired(1_000)] == [1, 3]
+    assert queue.depth() == 0
+
+
+def test_a_non_idempotent_call_is_repeated_only_when_nothing_was_sent() -> None:
+    unsent = Failure(FailureKind.CONNECT, Sent.NO, "refused")
+    sent = Failure(FailureKind.CUT, Sent.MAYBE, "reset")
+    rule, budget, rand = RetryRule(), RetryBudget(), random.Random(1)
+    first = decide(unsent, False, 1, rule, 9_000, 0, budget, upstream="m", rand=rand)
+    assert isinstance(first, Retry)
+    second = decide(sent, False, 2, rule, 9_000, 0, budget, upstream="m", rand=rand)
+    assert isinstance(second, GiveUp)
+    assert second.refusal.outcome is Outcome.UNKNOWN
+
+
+def test_batch_gives_up_streams_when_online_comes() -> None:
+    book, share = LoadBook(), BatchShare("i1")
+    book.on_listed(REPLICAS, leaving=())
+    book.on_report("r0", Load(0, 0, 32, 5.0, 0))
+    share.set_upstream("r0", "model")
+    share.set_rule("model", BatchRule())
+    opened = share.room("r0", book, 0)
+    assert 0 < opened < 32
+    for _ in range(opened):
+        book.on_sent("r0", batch=True, now=0)
+    for _ in range(16):
+        book.on_sent("r0", batch=False, now=1)
+    assert share.room("r0", book, 1) == 0
+    assert share.to_yield("r0", book, 1) > 0
+
+
+def test_jobs_are_ordered_by_slack() -> None:
+    jobs = [JobLoad("a", "x", 9_000, 5), JobLoad("b", "x", 4_000, 5), JobLoad("c", "x", 1_000, 0)]
+    assert order(jobs, 0) == ["b", "a"]
+    assert at_risk(jobs[1], 0.001, 0)
+    assert not at_risk(jobs[1], 1.0, 0)
+
+
+def test_a_planned_stop_serves_through_the_balancers_lag() -> None:
+    drain = Drain(DrainPlan(balancer_lag_ms=3_000, limit_ms=60_000))
+    drain.leave(0)
+    assert drain.tick(1_000, 0) == "leaving"
+    assert drain.accepts()
+    assert drain.tick(3_000, 2) == "draining"
+    assert not drain.accepts()
+    assert drain.tick(4_000, 0) == "stopped"
