--- /dev/null
+++ b/papayapier/load/answer.py
@@ -0,0 +1,171 @@
+"""Decide what a response is: a whole and own answer, a refusal, or something broken.
+
+No I/O here: the client feeds status and bytes, and asks for the verdict at the end.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Final, NamedTuple, TypedDict
+
+import msgspec
+
+from papayapier.load.mix import Request
+
+OK_STATUS: Final = 200
+DATA: Final = b"data:"
+DONE: Final = b"[DONE]"
+
+
+class End(Enum):
+    """Name each way in which a request ends, as its caller sees it.
+
+    WRONG is an answer that is not the request's own or not whole, and yet passed as good.
+    CUT is a connection that ended early, which a caller can tell. LEFT is the caller's own
+    going away.
+    """
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    WRONG = "wrong"
+    CUT = "cut"
+    HUNG = "hung"
+    LEFT = "left"
+
+
+class Verdict(NamedTuple):
+    """Hold what became of a request; kind and outcome are those of a refusal."""
+
+    end: End
+    kind: str = ""
+    outcome: str = ""
+    reason: str = ""
+    retry_after_ms: int = 0
+    tokens: int = 0
+
+
+class RefusalBody(TypedDict, total=False):
+    """Name the fields of a refusal that callers read."""
+
+    kind: str
+    outcome: str
+    reason: str
+    retry_after_ms: int
+
+
+class Message(TypedDict, total=False):
+    """Name the text of a choice."""
+
+    content: str
+
+
+class Choice(TypedDict, total=False):
+    """Name the fields of one choice, whole or streamed."""
+
+    message: Message
+    delta: Message
+    finish_reason: str | None
+
+
+class Document(TypedDict, total=False):
+    """Name the fields read of any JSON answer."""
+
+    choices: list[Choice]
+    error: RefusalBody
+    echo: str
+
+
+ExpectedText = Callable[[str, int], str]
+
+_DECODER: Final = msgspec.json.Decoder(Document)
+
+
+class StreamReader:
+    """Read server-sent events as they arrive."""
+
+    __slots__ = ("_rest", "document", "finished", "parts", "whole")
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.parts: list[str] = []
+        self.finished = False
+        self.whole = False
+        self.document: Document | None = None
+
+    def feed(self, data: bytes) -> int:
+        """Take bytes in and return how many tokens they completed."""
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        before = len(self.parts)
+        for line in lines:
+            if line.startswith(DATA):
+                self._event(line[len(DATA) :].strip())
+        return len(self.parts) - before
+
+    def _event(self, payload: bytes) -> None:
+        if payload == DONE:
+            self.whole = self.finished
+            return
+        document = decode(payload)
+        if document is None or "error" in document:
+            self.document = document
+            return
+        for choice in document.get("choices", []):
+            if text := choice.get("delta", {}).get("content", ""):
+                self.parts.append(text)
+            if choice.get("finish_reason"):
+                self.finished = True
+
+
+def decode(payload: bytes) -> Document | None:
+    """Return the JSON document of an answer, or None when it is not one."""
+    try:
+        return _DECODER.decode(payload)
+    except msgspec.MsgspecError:
+        return None
+
+
+def judge(req: Request, status: int, body: bytes, expected: ExpectedText) -> Verdict:
+    """Judge an answer that came in one piece."""
+    document = decode(body)
+    if document is None:
+        return Verdict(End.WRONG, reason=f"status {status}, body is not json")
+    if "error" in document:
+        return _refusal(document["error"], status)
+    if status != OK_STATUS:
+        return Verdict(End.WRONG, reason=f"status {status} without an error")
+    if req.cls.kind == "service":
+        return _judge_echo(req, document)
+    choices = document.get("choices", [])
+    text = choices[0].get("message", {}).get("content", "") if choices else ""
+    return _judge_text(req, text, expected)
+
+
+def judge_stream(req: Request, reader: StreamReader, expected: ExpectedText) -> Verdict:
+    """Judge a stream whose response ended cleanly."""
+    if reader.document is not None and "error" in reader.document:
+        return _refusal(reader.document["error"], OK_STATUS)
+    if not reader.whole:
+        return Verdict(End.CUT, reason="the stream has no end mark", tokens=len(reader.parts))
+    return _judge_text(req, "".join(reader.parts), expected)
+
+
+def _judge_echo(req: Request, document: Document) -> Verdict:
+    if document.get("echo") != req.body_sha256():
+        return Verdict(End.WRONG, reason="the service's echo is of another body")
+    return Verdict(End.WHOLE)
+
+
+def _judge_text(req: Request, text: str, expected: ExpectedText) -> Verdict:
+    wanted = expected(req.prompt, req.max_tokens)
+    if text.split() != wanted.split():
+        return Verdict(End.WRONG, reason=f"the text differs: {text[:60]!r}, not {wanted[:60]!r}")
+    return Verdict(End.WHOLE, tokens=req.max_tokens)
+
+
+def _refusal(error: RefusalBody, status: int) -> Verdict:
+    kind = error.get("kind", "")
+    outcome = error.get("outcome", "")
+    reason = error.get("reason", "")
+    if not kind or outcome not in ("not_run", "unknown"):
+        return Verdict(End.WRONG, reason=f"status {status}, refusal without kind and outcome")
+    return Verdict(End.REFUSED, kind, outcome, reason, error.get("retry_after_ms", 0))
--- /dev/null
+++ b/papayapier/load/client.py
@@ -0,0 +1,240 @@
+"""Send one request to an instance and time its answer.
+
+Latency counts from the intended send time. An open loop whose own sending falls behind
+(a busy client, a stalled connection) would otherwise start the clock late and hide the
+wait ("coordinated omission"). How far sending fell behind is reported beside it, since a
+slow client makes the whole measurement void.
+
+The pool never makes a request wait: it opens a connection when none is idle.
+"""
+
+from typing import Any, Final, NamedTuple, cast
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError, ConnectionClosed, ConnectionLost
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import (  # type: ignore[attr-defined]
+    Agent,
+    HTTPConnectionPool,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseDone,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+
+from papayapier.clock import Clock
+from papayapier.load.answer import End, ExpectedText, StreamReader, Verdict, judge, judge_stream
+from papayapier.load.mix import Request
+
+US_PER_S: Final = 1_000_000
+CONNECT_TIMEOUT_S: Final = 5
+IDLE_PER_HOST: Final = 256
+IDLE_TIMEOUT_S: Final = 20
+
+BROKEN_CONNECTION: Final = (
+    ConnectError,
+    ConnectionClosed,
+    ConnectionLost,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+
+
+class Timing(NamedTuple):
+    """Hold the times of a request in microseconds, all from its intended send time.
+
+    first_us is -1 without a token. gaps_us are the times between tokens.
+    """
+
+    lag_us: int
+    first_us: int
+    total_us: int
+    gaps_us: list[int]
+
+
+class Answered(NamedTuple):
+    """Hold what became of one request, and when."""
+
+    verdict: Verdict
+    timing: Timing
+
+
+class Client(NamedTuple):
+    """Hold what is needed to send requests."""
+
+    clock: Clock
+    agent: Agent
+    pool: HTTPConnectionPool
+    expected: ExpectedText
+    give_up_ms: int
+
+
+def make_client(
+    clock: Clock, expected: ExpectedText, give_up_ms: int, *, fresh_connections: bool
+) -> Client:
+    """Make a client with its own connection pool."""
+    from twisted.internet import reactor
+
+    # Any: twisted's own annotations of these two are incomplete.
+    pool: Any = cast(Any, HTTPConnectionPool)(reactor, persistent=not fresh_connections)
+    pool.maxPersistentPerHost = IDLE_PER_HOST
+    pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+    pool.retryAutomatically = False
+    agent = cast(Any, Agent)(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+    return Client(clock, agent, pool, expected, give_up_ms)
+
+
+def now_us(clock: Clock) -> int:
+    """Return the monotonic reading in microseconds: gaps between tokens are a few ms."""
+    return int(clock.timers.seconds() * US_PER_S)
+
+
+async def send(client: Client, target: str, req: Request, intended_us: int) -> Answered:
+    """Send a request to "HOST:PORT" and return what became of it; never fails."""
+    started_us = now_us(client.clock)
+    receiver = _Receiver(req, client, intended_us)
+    work = Deferred.fromCoroutine(_exchange(client, target, req, receiver))
+    ended = _Stop()
+    timers = [client.clock.call_later(client.give_up_ms, lambda: ended.by(End.HUNG, work))]
+    if req.leave_after_ms >= 0:
+        timers.append(client.clock.call_later(req.leave_after_ms, lambda: ended.by(End.LEFT, work)))
+    try:
+        verdict = await work
+    except CancelledError:
+        verdict = Verdict(ended.end, reason="no answer in time")
+    except BROKEN_CONNECTION as exc:
+        verdict = Verdict(ended.end, reason=f"{type(exc).__name__}: {exc}")
+    for timer in timers:
+        if timer.active():
+            timer.cancel()
+    total_us = now_us(client.clock) - intended_us
+    lag_us = started_us - intended_us
+    return Answered(verdict, Timing(lag_us, receiver.first_us, total_us, receiver.gaps_us))
+
+
+class _Stop:
+    """Remember why a request was cancelled; until then its failure is a cut connection."""
+
+    def __init__(self) -> None:
+        self.end = End.CUT
+
+    def by(self, end: End, work: "Deferred[Verdict]") -> None:
+        self.end = end
+        work.cancel()
+
+
+async def _exchange(client: Client, target: str, req: Request, receiver: "_Receiver") -> Verdict:
+    url = f"http://{target}{req.path}".encode()
+    response: Any = await client.agent.request(
+        b"POST", url, _headers(req), cast(IBodyProducer, BytesBody(req.body))
+    )
+    receiver.status = response.code
+    receiver.streams = _is_stream(response)
+    response.deliverBody(receiver)
+    await receiver.done
+    own_id = response.headers.getRawHeaders(b"x-request-id", [])
+    if own_id and own_id[0] != req.request_id.encode():
+        return Verdict(End.WRONG, reason=f"the answer names request {own_id[0]!r}")
+    return receiver.verdict()
+
+
+def _headers(req: Request) -> Headers:
+    fields = {
+        "Content-Type": "application/json",
+        "X-Request-Id": req.request_id,
+        "X-Papayapier-Caller": req.caller,
+    }
+    if req.cls.profile:
+        fields["X-Papayapier-Profile"] = req.cls.profile
+    if req.key:
+        fields["Idempotency-Key"] = req.key
+    if req.cls.due_ms:
+        fields["X-Papayapier-Due-Ms"] = str(req.cls.due_ms)
+    return Headers({name: [value] for name, value in fields.items()})
+
+
+def _is_stream(response: Any) -> bool:
+    kinds = response.headers.getRawHeaders(b"content-type", [b""])
+    return bool(kinds[0].startswith(b"text/event-stream"))
+
+
+class _Receiver(Protocol):
+    """Collect one response body and note when its tokens came."""
+
+    def __init__(self, req: Request, client: Client, intended_us: int) -> None:
+        self._req = req
+        self._client = client
+        self._intended_us = intended_us
+        self._last_us = -1
+        self._body: list[bytes] = []
+        self._reader = StreamReader()
+        self.status = 0
+        self.streams = False
+        self.first_us = -1
+        self.gaps_us: list[int] = []
+        self.done: Deferred[None] = Deferred(self._abort)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self.streams:
+            self._body.append(data)
+            return
+        tokens = self._reader.feed(data)
+        if not tokens:
+            return
+        at_us = now_us(self._client.clock)
+        if self._last_us >= 0:
+            self.gaps_us.append(at_us - self._last_us)
+        else:
+            self.first_us = at_us - self._intended_us
+        # Tokens that came in one read came without a gap between them.
+        self.gaps_us.extend([0] * (tokens - 1))
+        self._last_us = at_us
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self.done.called:
+            return
+        if isinstance(reason.value, ResponseDone):
+            self.done.callback(None)
+        else:
+            self.done.errback(reason)
+
+    def verdict(self) -> Verdict:
+        """Judge the whole body."""
+        if self.streams:
+            return judge_stream(self._req, self._reader, self._client.expected)
+        return judge(self._req, self.status, b"".join(self._body), self._client.expected)
+
+    def _abort(self, _cancelled: "Deferred[None]") -> None:
+        """Close the connection: a caller that goes away does not read the rest."""
+        abort = getattr(self.transport, "abortConnection", None)
+        if abort is not None:
+            abort()
+
+
+class BytesBody:
+    """Produce a request body that is already in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> "Deferred[None]":  # noqa: N802
+        consumer.write(self._body)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything was written at once."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything was written at once."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything was written at once."""
--- /dev/null
+++ b/papayapier/load/runner.py
@@ -0,0 +1,147 @@
+"""Run the phases of an experiment in one open loop.
+
+Arrivals never wait for answers. A request belongs to the phase in which it was meant to be
+sent, also when its answer comes during the next one, so figures are summarised only after
+the last answer.
+"""
+
+import random
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any, Final, NamedTuple
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from papayapier.clock import Clock
+from papayapier.load.answer import End
+from papayapier.load.arrivals import US_PER_MS, arrival_times_us
+from papayapier.load.client import Answered, Client, now_us, send
+from papayapier.load.mix import Mix, Request
+from papayapier.load.results import ClassResult, Tally
+from papayapier.load.scenario import Experiment, Phase
+
+Pick = Callable[[], str]
+Sent = Callable[[Request, str, Answered], None]
+
+SETTLING: Final = "(settling)"
+RESENT: Final = "(resent)"
+
+
+class Around(NamedTuple):
+    """Group what happens around a phase: before its arrivals, when counting starts, and after.
+
+    Each gets the phase; the composition adds jobs, faults and profile changes here.
+    """
+
+    before: Callable[[Phase], Deferred[None]]
+    counting: Callable[[Phase], Deferred[None]]
+    after: Callable[[Phase], Deferred[None]]
+
+
+class Run:
+    """Hold the state of one run."""
+
+    def __init__(
+        self,
+        exp: Experiment,
+        clock: Clock,
+        client: Client,
+        pick: Pick,
+        run_id: str,
+        seed: int,
+        observe: Sent,
+    ) -> None:
+        self._exp = exp
+        self._clock = clock
+        self._client = client
+        self._pick = pick
+        self._run_id = run_id
+        self._seed = seed
+        self._observe = observe
+        self._tallies: dict[tuple[str, str], Tally] = {}
+        self._open: set[Deferred[None]] = set()
+        self.failures: list[str] = []
+
+    async def all_phases(self, around: Around) -> list[ClassResult]:
+        """Run every phase of every round and return the figures by phase and class."""
+        for round_no in range(self._exp.rounds):
+            for phase in self._exp.phases:
+                await around.before(phase)
+                await self._phase(phase, round_no, around)
+        while self._open:
+            await gatherResults(list(self._open))
+        return self._results()
+
+    async def _phase(self, phase: Phase, round_no: int, around: Around) -> None:
+        """Send the arrivals of one phase."""
+        shape = random.Random(f"shape {self._seed} {round_no}")
+        words = random.Random(f"words {self._seed} {round_no} {phase.name}")
+        at = self._exp.phases.index(phase)
+        mix = Mix(self._exp.classes, f"{self._run_id}-{round_no}-{at}", shape, words)
+        times = arrival_times_us(phase, random.Random(f"times {self._seed} {round_no}"))
+        start_us = now_us(self._clock)
+        counting = self._clock.sleep(phase.settle_ms)
+        counting.addCallback(lambda _: around.counting(phase))
+        counting.addErrback(self._note_failure)
+        arriving = self._arrive(phase, times, start_us, mix)
+        await arriving
+        await counting
+        remaining_ms = phase.ms - (now_us(self._clock) - start_us) / US_PER_MS
+        if remaining_ms > 0:
+            await self._clock.sleep(remaining_ms)
+        await around.after(phase)
+
+    async def _arrive(self, phase: Phase, times: Iterator[int], start_us: int, mix: Mix) -> None:
+        """Send each request at its time, or at once when its time has passed."""
+        settle_us = phase.settle_ms * US_PER_MS
+        for at_us in times:
+            wait_us = start_us + at_us - now_us(self._clock)
+            if wait_us > 0:
+                await self._clock.sleep(wait_us / US_PER_MS)
+            counted = phase.name if at_us >= settle_us else SETTLING
+            self._start(counted, mix.draw(), start_us + at_us)
+
+    def _start(self, phase: str, req: Request, intended_us: int) -> None:
+        self._keep(self._one(phase, req, intended_us))
+        if req.resend_after_ms >= 0:
+            self._keep(self._resend(req))
+
+    def _keep(self, work: Coroutine[Deferred[Any], Any, None]) -> None:
+        """Start a piece of work that the run's end waits for."""
+        done = Deferred.fromCoroutine(work)
+        done.addErrback(self._note_failure)
+        self._open.add(done)
+        done.addBoth(lambda _: self._open.discard(done))
+
+    async def _one(self, phase: str, req: Request, intended_us: int) -> None:
+        target = self._pick()
+        got = await send(self._client, target, req, intended_us)
+        self._tally(phase, req.cls.name).add(req, got)
+        self._observe(req, target, got)
+
+    async def _resend(self, req: Request) -> None:
+        """Send a request again as a caller does that believes it failed: new id, same key."""
+        await self._clock.sleep(req.resend_after_ms)
+        again = req._replace(request_id=f"{req.request_id}-again", resend_after_ms=-1)
+        self._start(RESENT, again, now_us(self._clock))
+
+    def _tally(self, phase: str, name: str) -> Tally:
+        return self._tallies.setdefault((phase, name), Tally(phase, name))
+
+    def _note_failure(self, failure: object) -> None:
+        """Keep a failure of the load tool itself: its figures are then not to be trusted."""
+        self.failures.append(str(failure))
+
+    def _results(self) -> list[ClassResult]:
+        return [
+            self._tallies[phase.name, cls.name].result(
+                (phase.ms - phase.settle_ms) * self._exp.rounds
+            )
+            for phase in self._exp.phases
+            for cls in self._exp.classes
+            if (phase.name, cls.name) in self._tallies
+        ]
+
+
+def wrong_answers(results: list[ClassResult]) -> int:
+    """Return how many answers were passed as good and were not the caller's own or whole."""
+    return sum(result.ends.get(End.WRONG.value, 0) for result in results)
--- /dev/null
+++ b/papayapier/load/scenario.py
@@ -0,0 +1,188 @@
+"""Read an experiment file: what is sent, when, beside which jobs, under which faults.
+
+An experiment is JSON with comments. Its phases run one after the other in one run, so that
+a comparison between them is made on the same processes; rounds repeats the whole sequence,
+so that a slow change of the machine falls on every phase alike.
+"""
+
+from pathlib import Path
+from typing import Annotated, Any, Final, Literal, NamedTuple
+
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from papayapier import codec
+from papayapier.config.profiles import Name, Profile, Share
+
+Ms = Annotated[int, Meta(ge=0, le=86_400_000)]
+PositiveMs = Annotated[int, Meta(ge=1, le=86_400_000)]
+Rate = Annotated[float, Meta(ge=0.0, le=100_000.0)]
+Factor = Annotated[float, Meta(gt=0.0, le=1_000.0)]
+Count = Annotated[int, Meta(ge=0, le=10_000_000)]
+Positive = Annotated[int, Meta(ge=1, le=10_000_000)]
+
+PLATFORM: Final = "platform"
+
+
+class Lengths(NamedTuple):
+    """Describe a length distribution: log-normal around a median, cut at both ends."""
+
+    median: Positive
+    sigma: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.0
+    min: Positive = 1
+    max: Positive = 4_096
+
+
+class Callers(NamedTuple):
+    """Describe who sends; the first caller sends heavy_share, the others share the rest."""
+
+    number: Positive = 1
+    heavy_share: Share = 0.0
+
+
+class Misuse(NamedTuple):
+    """Describe what real callers also do: send again with the same key, or go away."""
+
+    resend_share: Share = 0.0
+    resend_after_ms: Ms = 0
+    leave_share: Share = 0.0
+    leave_after_ms: Ms = 0
+
+
+class RequestClass(NamedTuple):
+    """Describe one class of online requests; weight is its part of the arrivals.
+
+    A "chat" class posts to /v1/chat/completions, a "service" class posts body_bytes to
+    path. keyed gives each request an idempotency key of its own.
+    """
+
+    name: Name
+    kind: Literal["chat", "service"]
+    profile: str
+    weight: Factor = 1.0
+    model: str = ""
+    path: str = ""
+    body_bytes: Positive = 200
+    prompt_words: Lengths = Lengths(median=50)
+    prefix_words: Count = 0
+    max_tokens: Lengths = Lengths(median=20)
+    stream: bool = False
+    idempotent: bool = True
+    keyed: bool = False
+    due_ms: Ms = 0
+    callers: Callers = Callers()
+    misuse: Misuse = Misuse()
+
+
+class Step(NamedTuple):
+    """Set the arrival rate from a time of the phase on."""
+
+    at_ms: Ms
+    rate_per_s: Rate
+
+
+class Burst(NamedTuple):
+    """Multiply the arrival rate for a short time."""
+
+    at_ms: Ms
+    ms: PositiveMs
+    factor: Factor
+
+
+class Job(NamedTuple):
+    """Describe a batch job of similar items; due_ms 0 leaves the due time to the profile."""
+
+    name: Name
+    profile: str
+    items: Positive
+    model: str = ""
+    prompt_words: Lengths = Lengths(median=50)
+    max_tokens: Lengths = Lengths(median=50)
+    due_ms: Ms = 0
+
+
+class Fault(NamedTuple):
+    """Post switches to a stand-in (a replica's id, or "platform") at a time of the phase."""
+
+    at_ms: Ms
+    target: str
+    control: dict[str, Any]
+
+
+class Phase(NamedTuple):
+    """Describe one part of the run; its first settle_ms are sent but not counted."""
+
+    name: str
+    ms: PositiveMs
+    rate_per_s: Rate
+    settle_ms: Ms = 2_000
+    steps: tuple[Step, ...] = ()
+    bursts: tuple[Burst, ...] = ()
+    jobs: tuple[str, ...] = ()
+    profiles: tuple[Profile, ...] = ()
+    faults: tuple[Fault, ...] = ()
+
+
+class Experiment(NamedTuple):
+    """Hold one experiment; a request without an answer after give_up_ms counts as hung."""
+
+    name: Name
+    classes: tuple[RequestClass, ...]
+    phases: tuple[Phase, ...]
+    description: str = ""
+    seed: int = 1
+    rounds: Positive = 1
+    give_up_ms: PositiveMs = 30_000
+    fresh_connections: bool = False
+    profiles: tuple[Profile, ...] = ()
+    jobs: tuple[Job, ...] = ()
+
+
+def load(path: Path) -> Result[Experiment, str]:
+    """Read and check an experiment file; the error names file, field and reason."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return Err(f"{path}: cannot be read: {exc}")
+    return parse(text).map_err(lambda why: f"{path}: {why}")
+
+
+def parse(text: str) -> Result[Experiment, str]:
+    """Decode and check an experiment; the error starts with the field at fault."""
+    return codec.from_commented_json(text, Experiment).and_then(_check)
+
+
+def _check(exp: Experiment) -> Result[Experiment, str]:
+    """Check what spans several fields."""
+    for found in (_class_error(exp), _phase_error(exp)):
+        if found:
+            return Err(found)
+    return Ok(exp)
+
+
+def _class_error(exp: Experiment) -> str:
+    if not exp.classes:
+        return "classes: at least one is needed"
+    for at, cls in enumerate(exp.classes):
+        if cls.kind == "service" and not cls.path.startswith("/"):
+            return f"classes[{at}].path: a service class needs a path that starts with a slash"
+        if cls.misuse.resend_share and not cls.keyed:
+            return f"classes[{at}].misuse.resend_share: only keyed requests can be sent again"
+    return _repeated("classes", [cls.name for cls in exp.classes])
+
+
+def _phase_error(exp: Experiment) -> str:
+    if not exp.phases:
+        return "phases: at least one is needed"
+    known = {job.name for job in exp.jobs}
+    for at, phase in enumerate(exp.phases):
+        if phase.settle_ms >= phase.ms:
+            return f"phases[{at}].settle_ms: must be shorter than the phase"
+        if missing := sorted(set(phase.jobs) - known):
+            return f"phases[{at}].jobs: no job has the name {missing[0]!r}"
+    return _repeated("phases", [phase.name for phase in exp.phases])
+
+
+def _repeated(field: str, names: list[str]) -> str:
+    twice = sorted({name for name in names if names.count(name) > 1})
+    return f"{field}: the name {twice[0]!r} stands twice" if twice else ""
