Add the protocol between instances over pynng

Cause: instances must know who lives, what is in force elsewhere and what became of a claim. Change: one Pull0 per instance and one Push0 per peer on the reactor; a pure roster that decides who is live; heartbeats, early ones within a rate of bytes; ask and answer by id. Each direction has its own connection, so the receiver tells the sender in its heartbeats whom it does not hear, and either side dials anew. Frames of a newer release with more fields are cut to the known ones. The commit also carries the added configuration fields in peer/messages.py that were being written at the same time.

--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -1,8 +1,8 @@
 """Define the messages between the system's own instances.
 
-On the wire a message is a msgpack array: the kind's number, then its fields. Numbers are
-never reused, and fields are only added at the end with a default, so that two releases can
-run side by side during an upgrade.
+On the wire a message is a msgpack array: the kind's number, the sender, then the array of
+its fields (see wire). Numbers are never reused, and fields are only added at the end with a
+default, so that two releases can run side by side during an upgrade.
 """
 
 from typing import Final, NamedTuple
@@ -20,6 +20,8 @@
     """Tell that the sender lives, what it applies and what it has open.
 
     boot is drawn at process start, so that a restarted instance is told from a paused one.
+    config_digest shows what config_version cannot: an object missing below the highest.
+    unheard names the peers whose own heartbeats do not arrive at the sender.
     """
 
     instance: str
@@ -27,6 +29,19 @@
     state: str
     config_version: int
     uses: tuple[ReplicaUse, ...] = ()
+    config_digest: int = 0
+    unheard: tuple[str, ...] = ()
+
+
+class Hello(NamedTuple):
+    """Introduce the sender on a new connection, so that the receiver can dial it."""
+
+    instance: str
+    boot: int
+    host: str
+    peer_port: int
+    data_centre: str
+    region: str
 
 
 class ConfigPush(NamedTuple):
@@ -38,17 +53,26 @@
 
 
 class ConfigAsk(NamedTuple):
-    """Ask for every configuration object newer than a version."""
+    """Ask for configuration objects: those in differing buckets, or all newer ones.
+
+    buckets holds the asker's digest of each bucket of keys; when empty, newer_than decides.
+    """
 
     ask_id: int
     newer_than: int
+    buckets: tuple[int, ...] = ()
 
 
 class ConfigTell(NamedTuple):
-    """Answer ConfigAsk."""
+    """Answer ConfigAsk, in several parts where it is long.
+
+    complete tells whether the sender itself has ever had the whole configuration.
+    """
 
     ask_id: int
     objects: list[ConfigPush]
+    more: bool = False
+    complete: bool = False
 
 
 class ClaimAsk(NamedTuple):
@@ -98,6 +122,7 @@
     | ShardsReleased
     | LoadReports
     | JobChanged
+    | Hello
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -110,4 +135,5 @@
     7: ShardsReleased,
     8: LoadReports,
     9: JobChanged,
+    10: Hello,
 }
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -61,11 +61,18 @@
 
 
 class PeerSettings(NamedTuple):
-    """Set the address and pace of the protocol between instances."""
+    """Set the address and pace of the protocol between instances.
+
+    An early heartbeat goes out when open calls changed by early_calls, at most one per
+    early_ms, and as long as heartbeats stay within bytes_per_s on average.
+    """
 
     port: Port = 8082
     heartbeat_ms: PositiveMs = 500
     silent_after_ms: PositiveMs = 2_000
+    early_ms: PositiveMs = 20
+    early_calls: Positive = 2
+    bytes_per_s: Positive = 2_500
 
 
 class UpstreamSettings(NamedTuple):
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,262 @@
+"""Test the protocol between instances."""
+
+from random import Random
+
+import msgspec
+from result import Err, Ok
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.trial.unittest import TestCase
+
+from papayapier.clock import Millis, real_clock
+from papayapier.metrics import make_metrics
+from papayapier.peer import wire
+from papayapier.peer.hub import Identity, PeerError, PeerHub
+from papayapier.peer.messages import ClaimAsk, ClaimTell, Heartbeat, Hello, Message, ReplicaUse
+from papayapier.peer.pacing import ByteBudget, use_distance
+from papayapier.peer.roster import Change, Noted, Redial, Roster
+from papayapier.settings import PeerSettings
+from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
+
+SILENT_MS = 2_000
+
+
+def member(name: str, port: int = 9000, state: str = LIVE) -> Member:
+    return Member(name, ENTRY, "", "127.0.0.1", 0, port, "dc-a", "local", state)
+
+
+def beat(name: str, boot: int = 1, state: str = LIVE, unheard: tuple[str, ...] = ()) -> Heartbeat:
+    return Heartbeat(name, boot, state, 0, (), 0, unheard)
+
+
+def at(ms: int) -> Millis:
+    return Millis(ms)
+
+
+class TestWire:
+    def test_round_trip(self) -> None:
+        message = Heartbeat("a", 7, LIVE, 3, (ReplicaUse("lm-1", 2, 1),), 5, ("b",))
+        assert wire.decode(wire.encode("a", message)) == Ok(wire.Frame("a", message))
+
+    def test_newer_release_adds_fields(self) -> None:
+        # Symptom: during an upgrade all instances of the other release look dead.
+        # Sequence: a newer release sends a heartbeat with one more field, also in its uses.
+        # Cause: a strict decoder refuses an array that is longer than it knows.
+        body = ["a", 7, LIVE, 3, [["lm-1", 2, 1, "new"]], 5, ["b"], {"new": 1}]
+        frame = wire.decode(msgspec.msgpack.encode([1, "a", body, "later"]))
+        expected = Heartbeat("a", 7, LIVE, 3, (ReplicaUse("lm-1", 2, 1),), 5, ("b",))
+        assert frame == Ok(wire.Frame("a", expected))
+
+    def test_refuses_what_it_cannot_read(self) -> None:
+        assert isinstance(wire.decode(b"\xc1junk"), Err)
+        assert wire.decode(msgspec.msgpack.encode([999, "a", []])) == Err("unknown kind 999 from a")
+        assert isinstance(wire.decode(msgspec.msgpack.encode([1, "a", ["a", "x"]])), Err)
+
+
+class TestRoster:
+    def roster(self, *names: str) -> Roster:
+        roster = Roster("me", SILENT_MS)
+        roster.set_members([member(name) for name in names], at(0))
+        return roster
+
+    def test_live_only_after_first_heartbeat(self) -> None:
+        roster = self.roster("b")
+        assert roster.live() == ["me"]
+        assert roster.heard("b", beat("b"), at(10)) == [Noted("b", Change.UP)]
+        assert roster.live() == ["b", "me"]
+
+    def test_silent_peer_is_down_and_dialled_again(self) -> None:
+        # Symptom: a peer counts as dead for ever although it serves.
+        # Sequence: its open connection goes silent; new ones would work.
+        # Cause: something between the two ends has forgotten the connection.
+        roster = self.roster("b")
+        roster.heard("b", beat("b"), at(500))
+        for now in range(1000, 2500, 500):
+            assert roster.tick(at(now)) == []
+        assert roster.tick(at(2500)) == [Noted("b", Change.DOWN), Redial("b")]
+        assert roster.tick(at(3000)) == []
+        assert roster.unheard(at(3000)) == ("b",)
+        assert roster.tick(at(3500)) == []
+        assert roster.tick(at(4000)) == []
+        assert roster.tick(at(4500)) == [Redial("b")]
+        assert roster.heard("b", beat("b"), at(4600)) == [Noted("b", Change.UP)]
+
+    def test_own_direction_silent(self) -> None:
+        # Symptom: a peer says it does not hear us, while we hear it.
+        # Sequence: only our connection to it went silent.
+        # Cause: each direction has its own connection; the sender notices nothing by itself.
+        roster = self.roster("b")
+        assert roster.heard("b", beat("b", unheard=("me",)), at(1000)) == [Noted("b", Change.UP)]
+        assert roster.heard("b", beat("b", unheard=("me",)), at(2000)) == [Redial("b")]
+        assert roster.heard("b", beat("b", unheard=("me",)), at(2500)) == []
+
+    def test_empty_list_after_outage(self) -> None:
+        # Symptom: every instance takes itself for the only one and takes over all work.
+        # Sequence: platform outage longer than the list keeps reports; first list is empty.
+        # Cause: the list forgets instances that could not report; they still live.
+        roster = self.roster("b", "c")
+        roster.heard("b", beat("b"), at(100))
+        assert roster.set_members([], at(200)) == [Noted("c", Change.GONE)]
+        assert roster.live() == ["b", "me"]
+        for now in range(500, 2000, 500):
+            roster.tick(at(now))
+        steps = roster.tick(at(2100))
+        assert Noted("b", Change.GONE) in steps
+        assert roster.live() == ["me"]
+
+    def test_paused_process_does_not_judge(self) -> None:
+        # Symptom: after a pause an instance drops all its peers and owns everything.
+        # Sequence: SIGSTOP for 8 s, SIGCONT; the timer runs before the sockets are read.
+        # Cause: the peers' heartbeats are unread, not missing.
+        roster = self.roster("b")
+        roster.heard("b", beat("b"), at(100))
+        roster.tick(at(500))
+        assert roster.tick(at(8_500)) == []
+        assert roster.live() == ["b", "me"]
+
+    def test_restart_and_leaving_are_noticed(self) -> None:
+        roster = self.roster("b")
+        roster.heard("b", beat("b", boot=1), at(100))
+        assert roster.heard("b", beat("b", boot=2), at(200)) == [Noted("b", Change.RESTARTED)]
+        steps = roster.set_members([member("b", state=LEAVING)], at(300))
+        assert steps == [Noted("b", Change.LEAVING)]
+        assert roster.live() == ["me"]
+
+    def test_moved_peer_is_dialled_at_its_new_address(self) -> None:
+        roster = self.roster("b")
+        assert roster.set_members([member("b", port=9001)], at(100)) == [Redial("b")]
+
+    def test_hello_replaces_a_missing_list(self) -> None:
+        # Symptom: an instance restarted during a platform outage knows no peer to ask.
+        # Sequence: it has no list; its peers know its address and dial it.
+        # Cause: addresses come only from the list.
+        roster = self.roster()
+        assert roster.hello(Hello("b", 1, "127.0.0.1", 9000, "dc-a", "local"), at(5)) == [
+            Redial("b")
+        ]
+        roster.heard("b", beat("b"), at(10))
+        assert roster.live() == ["b", "me"]
+
+
+class TestPacing:
+    def test_use_distance_counts_online_calls(self) -> None:
+        before = [ReplicaUse("x", 2, 5), ReplicaUse("y", 1, 0)]
+        assert use_distance(before, [ReplicaUse("x", 4, 0), ReplicaUse("z", 3, 0)]) == 6
+
+    def test_budget_allows_bursts_and_bounds_the_average(self) -> None:
+        budget = ByteBudget(100, at(0))
+        assert budget.has(1000, at(0))
+        budget.spend(1500, at(0))
+        assert not budget.has(1, at(5_000))
+        assert budget.has(100, at(6_000))
+
+
+class TestHub(TestCase):
+    timeout = 60
+
+    def setUp(self) -> None:
+        self.hubs: dict[str, PeerHub] = {}
+        self.ports: dict[str, int] = {}
+        self.metrics = {name: make_metrics() for name in "abc"}
+
+    def tearDown(self) -> None:
+        for hub in self.hubs.values():
+            hub.close()
+
+    def start(self, name: str, port: int = 0, boot: int = 1) -> PeerHub:
+        cfg = PeerSettings(port=port, heartbeat_ms=20, silent_after_ms=400)
+        me = Identity(name, boot, "127.0.0.1", "dc-a", "local")
+        rand = Random(name)
+        hub = PeerHub(
+            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand
+        )
+        self.hubs[name] = hub
+        self.ports[name] = hub.start().unwrap()
+        return hub
+
+    def introduce(self) -> None:
+        members = [member(name, port) for name, port in self.ports.items()]
+        for hub in self.hubs.values():
+            hub.set_members(members)
+
+    def when_live(self, hub: PeerHub, names: list[str]) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+
+        def look() -> None:
+            if hub.live() == names and not done.called:
+                done.callback(None)
+
+        hub.on_change(look)
+        look()
+        return done
+
+    async def all_live(self, *names: str) -> None:
+        for name in names:
+            await self.when_live(self.hubs[name], sorted(names))
+
+    def test_three_meet_and_one_is_lost(self) -> Deferred[None]:
+        async def run() -> None:
+            for name in "abc":
+                self.start(name)
+            self.introduce()
+            await self.all_live("a", "b", "c")
+            self.hubs.pop("c").close()
+            await self.all_live("a", "b")
+            assert [view.up for view in self.hubs["a"].views()] == [True, False]
+
+        return Deferred.fromCoroutine(run())
+
+    def test_ask_and_timeout(self) -> Deferred[None]:
+        async def run() -> None:
+            a, b = self.start("a"), self.start("b")
+            self.introduce()
+            await self.all_live("a", "b")
+
+            def answer(sender: str, message: Message) -> None:
+                assert isinstance(message, ClaimAsk)
+                if message.key == "known":
+                    b.tell(sender, ClaimTell(message.ask_id, message.key, "running"))
+
+            b.subscribe(ClaimAsk, answer)
+            told = await a.ask("b", lambda ask_id: ClaimAsk(ask_id, "known"), 30_000)
+            assert isinstance(told.unwrap(), ClaimTell)
+            lost = await a.ask("b", lambda ask_id: ClaimAsk(ask_id, "other"), 1)
+            assert lost == Err(PeerError.TIMEOUT)
+            nobody = await a.ask("z", lambda ask_id: ClaimAsk(ask_id, "k"), 1)
+            assert nobody == Err(PeerError.NO_PEER)
+
+        return Deferred.fromCoroutine(run())
+
+    def test_restarted_without_a_list_finds_its_peers(self) -> Deferred[None]:
+        async def run() -> None:
+            self.start("a")
+            self.start("b")
+            self.introduce()
+            await self.all_live("a", "b")
+            self.hubs.pop("b").close()
+            await self.when_live(self.hubs["a"], ["a"])
+            again = self.start("b", port=self.ports["b"], boot=2)
+            await self.when_live(again, ["a", "b"])
+            await self.when_live(self.hubs["a"], ["a", "b"])
+
+        return Deferred.fromCoroutine(run())
+
+    def test_unknown_kind_is_counted_not_fatal(self) -> Deferred[None]:
+        async def run() -> None:
+            a, b = self.start("a"), self.start("b")
+            self.introduce()
+            await self.all_live("a", "b")
+
+            def answer(sender: str, message: Message) -> None:
+                assert isinstance(message, ClaimAsk)
+                b.tell(sender, ClaimTell(message.ask_id, message.key, "done"))
+
+            a._receive(msgspec.msgpack.encode([999, "b", []]))
+            b.subscribe(ClaimAsk, answer)
+            outcome = await a.ask("b", lambda ask_id: ClaimAsk(ask_id, "k"), 30_000)
+            assert outcome.is_ok()
+            labels = {"kind": "refused", "direction": "received"}
+            registry = self.metrics["a"].registry
+            assert registry.get_sample_value("papayapier_peer_messages_total", labels) == 1
+
+        return Deferred.fromCoroutine(run())
