Write the dispatch, the callers' routes, the command line and the demo, not yet wired

Cause: the thin path needs them beside the packages that are being written. Measurement: none, the composition root is still missing.

--- /dev/null
+++ b/misc/make_docs.py
@@ -0,0 +1,117 @@
+"""Write the reference pages that are made from the code: events, errors and settings.
+
+python3 -m misc.make_docs           write the pages
+python3 -m misc.make_docs --check   fail if a page differs from the code
+"""
+
+import sys
+from pathlib import Path
+from typing import Any, Final, NamedTuple, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from papayapier import codec, errors, events, settings
+
+DOCS: Final = Path(__file__).resolve().parent.parent / "docs"
+MADE: Final = "This page is made from the code by `python3 -m misc.make_docs`."
+
+
+class Page(NamedTuple):
+    """Hold one page."""
+
+    name: str
+    text: str
+
+
+def pages() -> list[Page]:
+    """Make all pages."""
+    return [Page("EVENTS.md", events_page()), Page("SETTINGS.md", settings_page())]
+
+
+def events_page() -> str:
+    """Make the catalogue of log events and error kinds."""
+    lines = [
+        "# Log events and error kinds",
+        "",
+        MADE,
+        "Numbers never change meaning. 1xx process, 2xx online, 3xx upstream, 4xx store, 5xx",
+        "batch, 6xx configuration, 7xx peers, 8xx orders, 9xx invariants.",
+        "",
+        "| number | name | level | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    for event in events.all_events():
+        level = event.level.name.lower()
+        lines.append(f"| {event.number} | {event.name} | {level} | {event.text} |")
+    lines += [
+        "",
+        "## Error kinds",
+        "",
+        "A refusal states its kind and whether the request ran (`not_run` or `unknown`).",
+        "",
+        "| kind | HTTP status | a later retry can help | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    for kind, answer in errors.ANSWERS.items():
+        retry = "yes" if answer.retry else "no"
+        lines.append(f"| {kind.value} | {answer.status} | {retry} | {answer.description} |")
+    return "\n".join(lines) + "\n"
+
+
+def settings_page() -> str:
+    """Make the reference of an instance's settings."""
+    lines = ["# Settings", "", MADE, ""]
+    lines += [
+        "One JSON file with comments per instance; `papayapier check FILE` checks it.",
+        "A key without a default is required.",
+    ]
+    sections = get_type_hints(settings.Settings, include_extras=True)
+    for name, section in sections.items():
+        lines += ["", f"## `{name}`", "", (section.__doc__ or "").strip(), ""]
+        lines += ["| key | type | default |", "| --- | --- | --- |"]
+        lines += [_row(section, key) for key in section._fields]
+    return "\n".join(lines) + "\n"
+
+
+def _row(section: Any, key: str) -> str:
+    hint = get_type_hints(section, include_extras=True)[key]
+    default = "required"
+    if key in section._field_defaults:
+        default = "`" + codec.to_json(section._field_defaults[key]).decode() + "`"
+    return f"| `{key}` | {_type_name(hint)} | {default} |"
+
+
+def _type_name(hint: Any) -> str:
+    if hasattr(hint, "__metadata__"):
+        return f"{_type_name(get_args(hint)[0])}{_bounds(hint.__metadata__)}"
+    if get_origin(hint) is tuple:
+        part = get_args(hint)[0]
+        keys = ", ".join(f"`{name}`" for name in getattr(part, "_fields", ()))
+        return f"list of {{{keys}}}"
+    return str(getattr(hint, "__name__", hint))
+
+
+def _bounds(metadata: tuple[Any, ...]) -> str:
+    meta = next(part for part in metadata if isinstance(part, msgspec.Meta))
+    if meta.pattern:
+        return " `" + meta.pattern.replace("|", "\\|") + "`"
+    if meta.ge is not None:
+        return f" {meta.ge} to {meta.le}"
+    return ""
+
+
+def main(args: list[str]) -> int:
+    """Write the pages, or compare them with what is there."""
+    stale = 0
+    for page in pages():
+        path = DOCS / page.name
+        if "--check" not in args:
+            path.write_text(page.text, encoding="utf-8")
+        elif not path.exists() or path.read_text(encoding="utf-8") != page.text:
+            print(f"{path.name} differs from the code: run python3 -m misc.make_docs")
+            stale += 1
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/papayapier/dispatch/api.py
@@ -0,0 +1,54 @@
+"""Define what passes between the entry, the dispatch and the policies."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from papayapier.clock import Clock
+from papayapier.config.profiles import Profile
+from papayapier.metrics import Metrics
+from papayapier.policy.admission import AdmissionQueue
+from papayapier.policy.batch_share import BatchShare
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.policy.retries import RetryBudget
+from papayapier.upstream.api import Token, Upstreams
+
+
+class OnlineRequest(NamedTuple):
+    """Describe one online request; due_ms is on the monotonic clock.
+
+    call_id names the work and stays the same when the work is sent again, so that an
+    upstream can tell a second run; each send has a request id of its own. generates tells a
+    model engine's call from a plain service's. prefix is the start of the prompt.
+    """
+
+    call_id: str
+    caller: str
+    profile: Profile
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    generates: bool
+    prefix: str
+    due_ms: int
+
+
+OnToken = Callable[[Token], None]
+
+
+class DispatchDeps(NamedTuple):
+    """Group what the dispatch of one instance works with."""
+
+    clock: Clock
+    rand: random.Random
+    data_centre: str
+    book: LoadBook
+    outliers: Outliers
+    queue: AdmissionQueue
+    budget: RetryBudget
+    share: BatchShare
+    upstreams: Upstreams
+    metrics: Metrics
+    live_instances: Callable[[], int]
--- /dev/null
+++ b/papayapier/dispatch/attempts.py
@@ -0,0 +1,212 @@
+"""Send one online request to replicas until it has an answer or may not be sent again.
+
+The rule that matters is what may be said at the end. A request is refused as not_run only
+when no send of it, however early, can have reached a replica; one send of unknown fate makes
+the whole request unknown, whatever the later sends did.
+
+A stream that breaks off is resumed on another replica from the tokens already received, when
+the profile is idempotent; the caller sees one stream.
+"""
+
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from papayapier import events
+from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
+from papayapier.invariants import Promise, check
+from papayapier.policy.retries import GiveUp, Retry, decide
+from papayapier.policy.routing import RouteRequest, choose
+from papayapier.upstream.api import Call, Failure, Replica, Reply, Sent, Token
+from papayapier.upstream.engine_calls import streaming_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from papayapier.dispatch.api import DispatchDeps, OnlineRequest, OnToken
+
+SAME_REPLICA_AGAIN: Final[frozenset[str]] = frozenset()
+
+
+class _Progress:
+    """Keep what one request has sent and received over all its attempts."""
+
+    __slots__ = ("attempts", "excluded", "first_token_ms", "fresh", "maybe_sent", "parts")
+
+    def __init__(self, fresh: bool) -> None:
+        self.attempts = 0
+        self.excluded = SAME_REPLICA_AGAIN
+        self.first_token_ms = 0
+        self.fresh = fresh
+        self.maybe_sent = False
+        self.parts: list[str] = []
+
+    def text(self) -> str:
+        return "".join(self.parts)
+
+
+async def send_until_answered(
+    deps: "DispatchDeps",
+    req: "OnlineRequest",
+    on_token: "OnToken",
+    before_send: "Callable[[str], None]",
+) -> Result[Reply, Refusal]:
+    """Return the whole answer, or a refusal that is true about every send made."""
+    # A kept connection may have been closed by the replica unnoticed. A second send then
+    # is safe only for idempotent work, so the rest pays for a new connection.
+    progress = _Progress(fresh=not req.profile.idempotent)
+    deps.budget.on_request(req.profile.upstream, deps.clock.now())
+    while True:
+        replica = _pick(deps, req, progress.excluded)
+        if replica is None:
+            reason = f"upstream {req.profile.upstream} has no usable replica"
+            return Err(_true(progress, not_run(ErrorKind.NO_UPSTREAM, reason, 1000)))
+        before_send(replica.id)
+        sent = await _send_once(deps, req, replica, progress, on_token)
+        if isinstance(sent, Ok):
+            return Ok(_joined(sent.ok_value, progress))
+        failure = sent.err_value
+        earlier = Sent.MAYBE if progress.maybe_sent else Sent.NO
+        progress.maybe_sent = progress.maybe_sent or failure.sent is Sent.MAYBE
+        decision = decide(
+            failure,
+            req.profile.idempotent,
+            progress.attempts,
+            req.profile.retry,
+            req.due_ms,
+            deps.clock.now(),
+            deps.budget,
+            req.profile.upstream,
+            deps.rand,
+            earlier,
+        )
+        if isinstance(decision, GiveUp):
+            return Err(_true(progress, decision.refusal))
+        await _before_retry(deps, req, replica, decision, progress)
+
+
+def _pick(deps: "DispatchDeps", req: "OnlineRequest", excluded: frozenset[str]) -> Replica | None:
+    upstream = req.profile.upstream
+    route = RouteRequest(upstream, req.prefix, deps.data_centre, excluded, False)
+    now = deps.clock.now()
+    chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
+    if chosen is None and excluded:
+        # Every replica has failed this request once; the least bad one may have recovered.
+        route = route._replace(exclude=SAME_REPLICA_AGAIN)
+        chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
+    if chosen is None:
+        return None
+    return next(replica for replica in deps.book.replicas(upstream) if replica.id == chosen)
+
+
+async def _send_once(
+    deps: "DispatchDeps",
+    req: "OnlineRequest",
+    replica: Replica,
+    progress: _Progress,
+    on_token: "OnToken",
+) -> Result[Reply, Failure]:
+    progress.attempts += 1
+    check(
+        req.profile.idempotent or not progress.maybe_sent,
+        Promise.AT_MOST_ONCE,
+        call=req.call_id,
+        replica=replica.id,
+    )
+    started = deps.clock.now()
+    deps.book.on_sent(replica.id, False, started)
+    deps.outliers.on_start(replica.id, started)
+
+    call = _call(req, progress)
+
+    def receive(token: Token) -> None:
+        if not progress.first_token_ms:
+            progress.first_token_ms = deps.clock.now() - started
+        progress.parts.append(token.text)
+        on_token(_with_call_id(token, req, call))
+
+    try:
+        sent = await deps.upstreams.send(replica, call, receive)
+    finally:
+        deps.book.on_done(replica.id, False, deps.clock.now())
+    _learn(deps, replica, sent)
+    return sent
+
+
+def _call(req: "OnlineRequest", progress: _Progress) -> Call:
+    body = req.body
+    if req.generates:
+        body = streaming_body(req.body, progress.text())
+    return Call(
+        call_id=req.call_id,
+        request_id=_request_id(req, progress.attempts),
+        method=req.method,
+        path=req.path,
+        body=body,
+        content_type=req.content_type,
+        stream=req.generates,
+        due_ms=req.due_ms,
+        fresh=progress.fresh,
+        plain=not req.generates,
+    )
+
+
+def _request_id(req: "OnlineRequest", attempt: int) -> str:
+    """Name one send. A late answer to an earlier send must not match a later one."""
+    return req.call_id if attempt == 1 else f"{req.call_id}-{attempt}"
+
+
+def _with_call_id(token: Token, req: "OnlineRequest", call: Call) -> Token:
+    """Keep one id in the caller's stream, also after it was resumed under another."""
+    if call.request_id == req.call_id:
+        return token
+    data = token.data.replace(call.request_id.encode(), req.call_id.encode(), 1)
+    return token._replace(data=data)
+
+
+def _learn(deps: "DispatchDeps", replica: Replica, sent: Result[Reply, Failure]) -> None:
+    """Tell the policies how a send ended."""
+    now = deps.clock.now()
+    if isinstance(sent, Err):
+        deps.outliers.on_end(replica.id, False, None, now)
+        return
+    reply = sent.ok_value
+    deps.outliers.on_end(replica.id, True, float(reply.first_token_ms), now)
+    if reply.load is not None:
+        deps.book.on_report(replica.id, reply.load)
+    if reply.tokens > 1:
+        gap = (reply.total_ms - reply.first_token_ms) / (reply.tokens - 1)
+        deps.share.on_online_signal(replica.id, float(reply.first_token_ms), gap, now)
+
+
+async def _before_retry(
+    deps: "DispatchDeps",
+    req: "OnlineRequest",
+    replica: Replica,
+    decision: Retry,
+    progress: _Progress,
+) -> None:
+    events.emit(events.REQUEST_RETRIED, call=req.call_id, replica=replica.id)
+    deps.metrics.retries.labels(req.profile.upstream).inc()
+    progress.fresh = progress.fresh or decision.fresh_connection
+    if decision.exclude:
+        progress.excluded = progress.excluded | {replica.id}
+    await deps.clock.sleep(decision.after_ms)
+
+
+def _joined(reply: Reply, progress: _Progress) -> Reply:
+    """Make one answer of the parts that several attempts gave."""
+    if progress.attempts == 1:
+        return reply
+    return reply._replace(
+        text=progress.text() or reply.text,
+        tokens=len(progress.parts) or reply.tokens,
+        first_token_ms=progress.first_token_ms or reply.first_token_ms,
+    )
+
+
+def _true(progress: _Progress, refusal: Refusal) -> Refusal:
+    """Correct a refusal's outcome by what every attempt may have done."""
+    if progress.maybe_sent and refusal.outcome is Outcome.NOT_RUN:
+        return refusal._replace(outcome=Outcome.UNKNOWN)
+    return refusal
--- /dev/null
+++ b/papayapier/dispatch/online.py
@@ -0,0 +1,185 @@
+"""Queue online requests, start them in the order the admission policy gives, and end them.
+
+The queue's owner is OnlineDispatch; a request waits on a Deferred of its own. Whatever ends
+the wait (start, refusal, caller gone) first takes the ticket out of the queue, so that
+"not run" cannot be contradicted by a later start.
+"""
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.dispatch.attempts import send_until_answered
+from papayapier.errors import ErrorKind, Refusal, not_run
+from papayapier.invariants import Promise, check
+from papayapier.policy.admission import Waiting
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from papayapier.clock import Timer
+    from papayapier.dispatch.api import DispatchDeps, OnlineRequest, OnToken
+    from papayapier.upstream.api import Reply
+
+TICK_MS: Final = 10
+ONE_REQUEST: Final = 1.0
+
+Admission = Result[None, Refusal]
+
+
+class _Waiter(NamedTuple):
+    """Hold who waits for one ticket."""
+
+    fired: Deferred[Admission]
+    profile: str
+
+
+class OnlineDispatch:
+    """Own the queued and running online requests of one instance."""
+
+    def __init__(self, deps: "DispatchDeps", before_send: "Callable[[str], None]") -> None:
+        self._deps = deps
+        self._before_send = before_send
+        self._waiters: dict[int, _Waiter] = {}
+        self._next_ticket = 1
+        self._pumping = False
+        self._timer: Timer | None = None
+        self._running = 0
+
+    def under_way(self) -> int:
+        """Return how many requests are queued or running."""
+        return self._running + len(self._waiters)
+
+    def queued_under(self, profile: str) -> int:
+        """Return how many queued requests use a profile."""
+        return sum(1 for waiter in self._waiters.values() if waiter.profile == profile)
+
+    async def run(
+        self,
+        req: "OnlineRequest",
+        on_token: "OnToken",
+        claim: "Callable[[], Awaitable[Result[None, Refusal]]] | None" = None,
+    ) -> "Result[Reply, Refusal]":
+        """Return the whole answer of a request, or the refusal it gets.
+
+        claim, if given, runs after admission and before the first send; its refusal ends the
+        request unsent.
+        """
+        admitted = await self._admit(req)
+        if isinstance(admitted, Err):
+            return admitted
+        upstream = req.profile.upstream
+        started = self._deps.clock.now()
+        self._deps.queue.on_started(upstream, ONE_REQUEST, started)
+        self._running += 1
+        try:
+            if claim is not None:
+                claimed = await claim()
+                if isinstance(claimed, Err):
+                    return claimed
+            return await send_until_answered(self._deps, req, on_token, self._before_send)
+        finally:
+            self._running -= 1
+            now = self._deps.clock.now()
+            self._deps.queue.on_ended(upstream, ONE_REQUEST, started, now)
+            self.pump()
+
+    async def _admit(self, req: "OnlineRequest") -> Admission:
+        now = self._deps.clock.now()
+        if now >= req.due_ms:
+            return Err(not_run(ErrorKind.DEADLINE, "the due time has passed"))
+        waiting = self._waiting(req, now)
+        offered = self._deps.queue.offer(waiting, now)
+        if isinstance(offered, Err):
+            return offered
+        ticket = waiting.ticket
+        waiter: Deferred[Admission] = Deferred(lambda _: self._leave(ticket))
+        self._waiters[ticket] = _Waiter(waiter, req.profile.name)
+        self.pump()
+        admitted = await waiter
+        waited_s = (self._deps.clock.now() - now) / 1000
+        self._deps.metrics.queue_wait.labels(req.profile.name).observe(waited_s)
+        return admitted
+
+    def _waiting(self, req: "OnlineRequest", now: int) -> Waiting:
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        return Waiting(
+            ticket=ticket,
+            caller=req.caller,
+            upstream=req.profile.upstream,
+            profile=req.profile.name,
+            urgency=req.profile.urgency,
+            due_ms=req.due_ms,
+            cost=ONE_REQUEST,
+            enqueued_ms=now,
+        )
+
+    def _leave(self, ticket: int) -> None:
+        """Take a request whose caller has gone out of the queue."""
+        self._deps.queue.leave(ticket)
+        self._waiters.pop(ticket, None)
+
+    def pump(self) -> None:
+        """Start and refuse whatever can be started or must be refused now."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            self._refuse_expired()
+            self._start_ready()
+        finally:
+            self._pumping = False
+        self._deps.metrics.queue_depth.set(self._deps.queue.depth())
+        self._keep_ticking()
+
+    def _refuse_expired(self) -> None:
+        now = self._deps.clock.now()
+        for waiting in self._deps.queue.expired(now):
+            waiter = self._waiters.pop(waiting.ticket, None)
+            check(waiter is not None, Promise.NOT_RUN_TRUE, ticket=waiting.ticket)
+            if waiter is not None:
+                waiter.fired.callback(Err(_late(waiting, now)))
+
+    def _start_ready(self) -> None:
+        while True:
+            waiting = self._deps.queue.take(self._deps.clock.now(), self._can_start)
+            if waiting is None:
+                return
+            self._waiters.pop(waiting.ticket).fired.callback(Ok(None))
+
+    def _can_start(self, upstream: str) -> bool:
+        """Tell whether some replica could run one more online request at once.
+
+        Engines queue in order of arrival and know no priorities. A request that waits in
+        an engine can no longer be overtaken by an urgent one, so it waits here instead.
+        Batch streams do not count, since they give way.
+        """
+        book = self._deps.book
+        now = self._deps.clock.now()
+        return any(
+            book.estimate(replica.id, now) - book.batch_at(replica.id) < book.slots(replica.id)
+            for replica in book.usable(upstream, now)
+            if not self._deps.outliers.ejected(replica.id, now)
+        )
+
+    def _keep_ticking(self) -> None:
+        if self._timer is None and self._waiters:
+            self._timer = self._deps.clock.call_later(TICK_MS, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.pump()
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
+def _late(waiting: Waiting, now: int) -> Refusal:
+    if now >= waiting.due_ms:
+        return not_run(ErrorKind.DEADLINE, "the due time has passed in the queue")
+    reason = "the wait would pass the due time"
+    return not_run(ErrorKind.OVERLOADED, reason, now - waiting.enqueued_ms)
--- /dev/null
+++ b/papayapier/entry/online_routes.py
@@ -0,0 +1,236 @@
+"""Serve callers' online requests: chat, completions, models and plain services.
+
+A request keeps one identity (its call id) from here to the upstream. It is made from the
+caller and the Idempotency-Key when there is one, so that the same work sent again through
+another instance is recognised; otherwise it is drawn at random.
+"""
+
+import uuid
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+import xxhash
+from klein import Klein
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier import events
+from papayapier.dispatch.api import OnlineRequest
+from papayapier.dispatch.lanes import ENGINE_PATHS
+from papayapier.entry.answers import refuse, reply_json
+from papayapier.entry.chat import ChatAnswer
+from papayapier.errors import ErrorKind, Refusal, not_run
+from papayapier.upstream.engine_calls import parse_generation
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from twisted.web.iweb import IRequest
+
+    from papayapier.clock import Clock
+    from papayapier.config.profiles import Profile
+    from papayapier.dispatch.api import OnToken
+    from papayapier.entry.callers import CallerAuth
+    from papayapier.metrics import Metrics
+    from papayapier.upstream.api import Reply
+
+DEFAULT_PROFILE: Final = "default"
+SERVICES: Final = "/services/"
+
+RunOnline = "Callable[[OnlineRequest, str, OnToken], Awaitable[Result[Reply, Refusal]]]"
+
+
+class OnlineDeps(NamedTuple):
+    """Group what the online routes need; run takes the request, its key and a token callback."""
+
+    clock: "Clock"
+    metrics: "Metrics"
+    auth: "CallerAuth"
+    max_body_bytes: int
+    profile: "Callable[[str], Profile | None]"
+    upstream_names: "Callable[[], list[str]]"
+    run: "Callable[[OnlineRequest, str, OnToken], Awaitable[Result[Reply, Refusal]]]"
+    refusing: "Callable[[], Refusal | None]"
+
+
+class _Head(NamedTuple):
+    """Hold what the headers of a request say."""
+
+    caller: str
+    profile: "Profile"
+    key: str
+    due_ms: int
+    call_id: str
+
+
+class ModelEntry(NamedTuple):
+    """Name one model in the OpenAI-style list."""
+
+    id: str
+    object: str = "model"
+
+
+class ModelList(NamedTuple):
+    """List models as OpenAI-style clients expect."""
+
+    data: list[ModelEntry]
+    object: str = "list"
+
+
+def add_online_routes(app: Klein, deps: OnlineDeps) -> None:
+    """Add the callers' online routes to an app."""
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    def chat(request: "IRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(_generate(deps, request, ENGINE_PATHS[0]))
+
+    @app.route("/v1/completions", methods=["POST"])
+    def completions(request: "IRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(_generate(deps, request, ENGINE_PATHS[1]))
+
+    @app.route("/v1/models", methods=["GET"])
+    def models(request: "IRequest") -> bytes:
+        return reply_json(request, ModelList([ModelEntry(n) for n in deps.upstream_names()]))
+
+    @app.route(SERVICES + "<name>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
+    @app.route(SERVICES + "<name>/<path:rest>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
+    def service(request: "IRequest", name: str, rest: str = "") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(_service(deps, request, name, rest))
+
+
+async def _generate(deps: OnlineDeps, request: "IRequest", path: str) -> bytes | None:
+    head = _read_head(deps, request)
+    if isinstance(head, Err):
+        return _refused(deps, request, "", head.err_value)
+    body: bytes = request.content.read()  # type: ignore[attr-defined]
+    parsed = parse_generation(body)
+    if isinstance(parsed, Err):
+        refusal = not_run(ErrorKind.BAD_REQUEST, parsed.err_value)
+        return _refused(deps, request, head.ok_value.profile.name, refusal)
+    answer = ChatAnswer(request, path, parsed.ok_value.model, parsed.ok_value.stream)
+    req = _online(head.ok_value, "POST", path, body, "application/json")
+    req = req._replace(generates=True, prefix=parsed.ok_value.prefix)
+    done = await _run(deps, request, req, head.ok_value.key, answer.on_token)
+    if isinstance(done, Err):
+        return _refused(deps, request, req.profile.name, done.err_value, answer)
+    return answer.finish(req.call_id, done.ok_value)
+
+
+async def _service(deps: OnlineDeps, request: "IRequest", name: str, rest: str) -> bytes | None:
+    head = _read_head(deps, request)
+    if isinstance(head, Err):
+        return _refused(deps, request, "", head.err_value)
+    profile = head.ok_value.profile
+    if profile.upstream != name:
+        reason = f"profile {profile.name} is for upstream {profile.upstream}, not {name}"
+        return _refused(deps, request, profile.name, not_run(ErrorKind.BAD_REQUEST, reason))
+    body: bytes = request.content.read()  # type: ignore[attr-defined]
+    path = _service_path(request, name)
+    content_type = request.getHeader("content-type") or "application/octet-stream"
+    req = _online(head.ok_value, request.method.decode(), path, body, content_type)
+    done = await _run(deps, request, req, head.ok_value.key, lambda _: None)
+    if isinstance(done, Err):
+        return _refused(deps, request, profile.name, done.err_value)
+    reply = done.ok_value
+    request.setResponseCode(reply.status)
+    request.setHeader(b"Content-Type", reply.content_type.encode())
+    return reply.body
+
+
+def _service_path(request: "IRequest", name: str) -> str:
+    """Return what follows the service's name, with the query as it came."""
+    uri: str = request.uri.decode("ascii", "replace")
+    rest = uri[len(SERVICES) + len(name) :]
+    return rest if rest.startswith("/") else "/" + rest
+
+
+def _online(head: _Head, method: str, path: str, body: bytes, content_type: str) -> OnlineRequest:
+    return OnlineRequest(
+        call_id=head.call_id,
+        caller=head.caller,
+        profile=head.profile,
+        method=method,
+        path=path,
+        body=body,
+        content_type=content_type,
+        generates=False,
+        prefix="",
+        due_ms=head.due_ms,
+    )
+
+
+def _read_head(deps: OnlineDeps, request: "IRequest") -> Result[_Head, Refusal]:
+    refusal = deps.refusing()
+    if refusal is not None:
+        return Err(refusal)
+    length = request.getHeader("content-length") or "0"
+    if length.isdigit() and int(length) > deps.max_body_bytes:
+        reason = f"the body is over {deps.max_body_bytes} bytes"
+        return Err(not_run(ErrorKind.TOO_LARGE, reason))
+    caller = deps.auth(request)
+    if isinstance(caller, Err):
+        return caller
+    name = request.getHeader("x-papayapier-profile") or DEFAULT_PROFILE
+    profile = deps.profile(name)
+    if profile is None:
+        reason = f"X-Papayapier-Profile: no profile is named {name}"
+        return Err(not_run(ErrorKind.UNKNOWN_PROFILE, reason))
+    due = _due_ms(deps, request, profile)
+    if isinstance(due, Err):
+        return due
+    key = request.getHeader("idempotency-key") or ""
+    call_id = _call_id(caller.ok_value, key)
+    request.setHeader(b"X-Papayapier-Call", call_id.encode())
+    request.setHeader(b"X-Request-Id", (request.getHeader("x-request-id") or call_id).encode())
+    return Ok(_Head(caller.ok_value, profile, key, due.ok_value, call_id))
+
+
+def _due_ms(deps: OnlineDeps, request: "IRequest", profile: "Profile") -> Result[int, Refusal]:
+    """Return when the answer is due: the caller may ask for less time than the profile."""
+    now = deps.clock.now()
+    stated = request.getHeader("x-papayapier-due-ms")
+    if stated is None:
+        return Ok(now + profile.due_ms)
+    if not stated.isdigit():
+        reason = f"X-Papayapier-Due-Ms: expected whole milliseconds, got {stated}"
+        return Err(not_run(ErrorKind.BAD_REQUEST, reason))
+    return Ok(now + min(int(stated), profile.due_ms))
+
+
+def _call_id(caller: str, key: str) -> str:
+    if not key:
+        return uuid.uuid4().hex
+    return xxhash.xxh3_128_hexdigest(f"{caller}\n{key}")
+
+
+async def _run(
+    deps: OnlineDeps, request: "IRequest", req: OnlineRequest, key: str, on_token: "OnToken"
+) -> Result["Reply", Refusal]:
+    started = deps.clock.now()
+    done = await deps.run(req, key, on_token)
+    if isinstance(done, Ok):
+        profile = req.profile.name
+        deps.metrics.requests.labels(profile, "answered").inc()
+        deps.metrics.latency.labels(profile).observe((deps.clock.now() - started) / 1000)
+        deps.metrics.first_token.labels(profile).observe(done.ok_value.first_token_ms / 1000)
+    return done
+
+
+def _refused(
+    deps: OnlineDeps,
+    request: "IRequest",
+    profile: str,
+    refusal: Refusal,
+    answer: ChatAnswer | None = None,
+) -> bytes | None:
+    deps.metrics.requests.labels(profile, "refused").inc()
+    deps.metrics.refusals.labels(refusal.kind.value, refusal.outcome.value).inc()
+    events.emit(
+        events.REQUEST_REFUSED,
+        profile=profile,
+        kind=refusal.kind.value,
+        outcome=refusal.outcome.value,
+        reason=refusal.reason,
+    )
+    if answer is not None and answer.started:
+        return answer.break_off(refusal)
+    return refuse(request, refusal)
--- /dev/null
+++ b/papayapier/main.py
@@ -0,0 +1,152 @@
+"""Parse the command line and run one command.
+
+Every command is a function from its parsed arguments to an exit code: 0 for success, 1 for a
+failure while running, 2 for wrong input. Commands are registered by the package that owns
+them; nothing heavy is imported before it is known which command runs.
+"""
+
+import argparse
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Final
+
+from result import Err
+
+from papayapier import VERSION
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+Command = Callable[[argparse.Namespace], int]
+
+DESCRIPTION: Final = """\
+Serve online and batch inference on one fleet. Operators write named profiles (how urgent,
+when due, idempotent or not); services pick one per request or job."""
+
+
+def run() -> None:
+    """Run the program with the arguments of the process."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def main(args: Sequence[str]) -> int:
+    """Run the command that the arguments name; return its exit code."""
+    options = make_parser().parse_args(args)
+    command: Command = options.command
+    return command(options)
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Build the parser of the whole command line."""
+    parser = argparse.ArgumentParser(prog="papayapier", description=DESCRIPTION)
+    parser.add_argument("--version", action="version", version=f"papayapier {VERSION}")
+    commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
+    _add_serve(commands)
+    _add_check(commands)
+    _add_demo(commands)
+    _add_standin(commands)
+    from papayapier.load.command import add_load_command
+    from papayapier.operate import add_operator_commands
+
+    add_operator_commands(commands)
+    add_load_command(commands)
+    return parser
+
+
+def _add_serve(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    parser = commands.add_parser(
+        "serve",
+        help="run one entry instance",
+        description="Run one entry instance until SIGTERM, which begins a graceful shutdown.",
+    )
+    parser.add_argument("--settings", type=Path, required=True, help="JSON file with comments")
+    parser.set_defaults(command=_serve)
+
+
+def _serve(options: argparse.Namespace) -> int:
+    from papayapier import settings
+    from papayapier.serve import serve
+
+    loaded = settings.load(options.settings)
+    if isinstance(loaded, Err):
+        return _usage(loaded.err_value)
+    return serve(loaded.ok_value)
+
+
+def _add_check(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    parser = commands.add_parser(
+        "check",
+        help="check a settings file",
+        description="Check a settings file and name the first field at fault.",
+    )
+    parser.add_argument("file", type=Path, help="JSON file with comments")
+    parser.add_argument("--json", action="store_true", help="print the settings in full")
+    parser.set_defaults(command=_check)
+
+
+def _check(options: argparse.Namespace) -> int:
+    from papayapier import codec, settings
+
+    loaded = settings.load(options.file)
+    if isinstance(loaded, Err):
+        return _usage(loaded.err_value)
+    if options.json:
+        print(codec.to_json(loaded.ok_value).decode())
+    else:
+        print(f"{options.file}: ok")
+    return EXIT_OK
+
+
+def _add_demo(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    parser = commands.add_parser(
+        "demo",
+        help="run the whole system on this machine for a minute",
+        description="Run stand-ins, one entry instance, online requests and a batch job in one "
+        "process, and check the promises. Exits with 1 if one was broken.",
+    )
+    parser.add_argument("--stay", action="store_true", help="keep it up and print curl lines")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the random choices")
+    parser.add_argument("--requests", type=int, default=200, help="online requests to send")
+    parser.add_argument("--items", type=int, default=300, help="items of the batch job")
+    parser.add_argument("--json", action="store_true", help="print the result as JSON")
+    parser.set_defaults(command=_demo)
+
+
+def _demo(options: argparse.Namespace) -> int:
+    from papayapier.demo import DemoOptions, demo
+
+    return demo(
+        DemoOptions(options.stay, options.seed, options.requests, options.items, options.json)
+    )
+
+
+def _add_standin(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    parser = commands.add_parser(
+        "standin",
+        help="run stand-ins of the platform, model engines and plain services",
+        description="Run stand-ins for tests and measurements until SIGTERM. The first line "
+        "printed is a JSON object with their addresses.",
+    )
+    parser.add_argument("--platform-port", type=int, default=0, help="0 picks a free one")
+    parser.add_argument("--no-platform", action="store_true", help="register with another one")
+    parser.add_argument("--engines", type=int, default=0, help="how many model engines")
+    parser.add_argument("--engine-name", default="lm", help="upstream name of the engines")
+    parser.add_argument("--services", type=int, default=0, help="how many plain services")
+    parser.add_argument("--service-name", default="gate", help="upstream name of the services")
+    parser.add_argument("--data-centres", default="dc-a,dc-b,dc-c", help="assigned in turn")
+    parser.add_argument("--first", type=int, default=1, help="number of the first replica")
+    parser.add_argument("--params", type=Path, help="JSON file with comments of parameters")
+    parser.set_defaults(command=_standin)
+
+
+def _standin(options: argparse.Namespace) -> int:
+    from papayapier.standin.command import run_standin
+
+    return run_standin(options)
+
+
+def _usage(message: str) -> int:
+    print(f"papayapier: {message}", file=sys.stderr)
+    return EXIT_USAGE
