--- /dev/null
+++ b/papayapier/upstream/answers.py
@@ -0,0 +1,112 @@
+"""Check that what a replica sent is the whole answer to the call, and read it.
+
+An answer names its call twice: in the header X-Request-Id and, from a model engine, in the
+field id of the body and of every piece of a stream. An answer to another call, or part of
+one, would be worse for the caller than none, so any doubt ends in a Fault.
+"""
+
+from typing import Final, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from result import Err, Ok, Result
+from twisted.web.http_headers import Headers
+
+from papayapier.upstream.api import FailureKind, Load
+from papayapier.upstream.exchange import Fault
+
+REQUEST_ID: Final = b"X-Request-Id"
+LOAD: Final = b"X-Load"
+
+
+class Message(TypedDict):
+    """Hold the message of a chat answer."""
+
+    content: str | None
+
+
+class Choice(TypedDict):
+    """Hold one choice of a whole answer: chat has message, completions have text."""
+
+    finish_reason: str | None
+    message: NotRequired[Message]
+    text: NotRequired[str]
+
+
+class Usage(TypedDict):
+    """Hold the counts of an answer."""
+
+    completion_tokens: int
+
+
+class WholeAnswer(TypedDict):
+    """Hold a JSON answer."""
+
+    id: str
+    choices: list[Choice]
+    usage: NotRequired[Usage | None]
+
+
+class Parsed(NamedTuple):
+    """Hold what is read from a JSON answer."""
+
+    text: str
+    tokens: int
+    finish_reason: str
+
+
+_WHOLE: Final = msgspec.json.Decoder(WholeAnswer)
+
+
+def wrong_header_id(headers: Headers, request_id: str) -> Fault | None:
+    """Check the id in the header; one that is missing cannot be matched."""
+    found = header_text(headers, REQUEST_ID)
+    if found == request_id:
+        return None
+    return wrong_id(found, request_id)
+
+
+def wrong_id(found: str, request_id: str) -> Fault:
+    """Say that an answer belongs to another request."""
+    return Fault(FailureKind.WRONG_ID, f"answer has id {found!r}, not {request_id!r}")
+
+
+def parse_whole(body: bytes, request_id: str) -> Result[Parsed, Fault]:
+    """Read the JSON answer of an engine."""
+    try:
+        answer = _WHOLE.decode(body)
+    except msgspec.MsgspecError as exc:
+        return Err(Fault(FailureKind.BROKEN, f"answer cannot be read: {exc}"))
+    if answer["id"] != request_id:
+        return Err(wrong_id(answer["id"], request_id))
+    if not answer["choices"]:
+        return Err(Fault(FailureKind.BROKEN, "answer has no choices"))
+    choice = answer["choices"][0]
+    finish_reason = choice["finish_reason"]
+    if not finish_reason:
+        return Err(Fault(FailureKind.BROKEN, "answer has no finish_reason"))
+    usage = answer.get("usage")
+    tokens = usage["completion_tokens"] if usage else 0
+    return Ok(Parsed(_text(choice), tokens, finish_reason))
+
+
+def _text(choice: Choice) -> str:
+    if "text" in choice:
+        return choice["text"]
+    if "message" in choice:
+        return choice["message"]["content"] or ""
+    return ""
+
+
+def parse_load_header(headers: Headers, now_ms: int) -> Load | None:
+    """Read RUNNING/WAITING/SLOTS; a malformed header counts as none."""
+    parts = header_text(headers, LOAD).split("/")
+    if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return Load(running, waiting, slots, 0.0, now_ms)
+
+
+def header_text(headers: Headers, name: bytes) -> str:
+    """Return the last value of a header, or an empty string."""
+    values = headers.getRawHeaders(name)
+    return values[-1].decode("latin-1") if values else ""
--- a/papayapier/upstream/api.py
+++ b/papayapier/upstream/api.py
@@ -25,7 +25,9 @@
     """Describe one request to a replica; text parts go out as they are.
 
     path starts with a slash. stream asks for SSE and calls back per token. due_ms is on
-    the monotonic clock. fresh asks for a new connection, never a kept one.
+    the monotonic clock. fresh asks for a new connection, never a kept one. plain says that
+    the replica is a plain service also where the path is one of a model engine; the answer of
+    a plain service is passed on as it is, whatever its status.
     """
 
     call_id: str
@@ -37,6 +39,7 @@
     stream: bool
     due_ms: int
     fresh: bool = False
+    plain: bool = False
 
 
 class Sent(Enum):
@@ -60,12 +63,17 @@
 
 
 class Failure(NamedTuple):
-    """Say why a call has no answer."""
+    """Say why a call has no answer.
+
+    fresh says that the connection was new. A silence on one that is not fresh says nothing
+    about the replica itself, and should be followed by another try before it is blamed.
+    """
 
     kind: FailureKind
     sent: Sent
     reason: str
     status: int = 0
+    fresh: bool = False
 
 
 class Load(NamedTuple):
--- /dev/null
+++ b/papayapier/upstream/engine_calls.py
@@ -0,0 +1,122 @@
+"""Read and change the body of a call to a model engine.
+
+The body belongs to the caller. Only the keys that matter for routing and resuming are read,
+and every other key goes on to the engine as it came.
+"""
+
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from result import Err, Ok, Result
+
+ENGINE_PATHS: Final = frozenset({"/v1/chat/completions", "/v1/completions"})
+PREFIX_CHARS: Final = 256
+
+
+class Generation(NamedTuple):
+    """Hold what is read from a body; max_tokens is 0 when the caller set none."""
+
+    model: str
+    stream: bool
+    max_tokens: int
+    prefix: str
+    resume_text: str
+
+
+class _Part(TypedDict):
+    text: NotRequired[str]
+
+
+class _Message(TypedDict):
+    role: str
+    content: NotRequired[str | list[_Part] | None]
+
+
+class _Body(TypedDict):
+    model: str
+    messages: NotRequired[list[_Message]]
+    prompt: NotRequired[str | list[str]]
+    max_tokens: NotRequired[int | None]
+    stream: NotRequired[bool | None]
+    resume_text: NotRequired[str | None]
+
+
+_READ: Final = msgspec.json.Decoder(_Body)
+_ANY: Final = msgspec.json.Decoder(dict[str, Any])
+
+
+def parse_generation(body: bytes) -> Result[Generation, str]:
+    """Read a body, or name the field that is at fault."""
+    try:
+        read = _READ.decode(body)
+    except msgspec.MsgspecError as exc:
+        return Err(_plain(exc))
+    if "messages" not in read and "prompt" not in read:
+        return Err("messages: missing, and there is no prompt")
+    max_tokens = read.get("max_tokens") or 0
+    if max_tokens < 0:
+        return Err("max_tokens: must not be negative")
+    return Ok(
+        Generation(
+            model=read["model"],
+            stream=bool(read.get("stream")),
+            max_tokens=max_tokens,
+            prefix=_prefix(read),
+            resume_text=read.get("resume_text") or "",
+        )
+    )
+
+
+def streaming_body(body: bytes, received: str) -> bytes:
+    """Ask for a stream that goes on after the text received so far.
+
+    A body that is not a JSON object goes out unchanged, and the engine refuses it.
+    """
+    try:
+        keys = _ANY.decode(body)
+    except msgspec.MsgspecError:
+        return body
+    keys["stream"] = True
+    if received:
+        # The caller may itself have asked to go on after some text.
+        keys["resume_text"] = (keys.get("resume_text") or "") + received
+    return msgspec.json.encode(keys)
+
+
+def _prefix(read: _Body) -> str:
+    """Return the start of the prompt; equal starts share cached work in an engine."""
+    if "messages" in read:
+        return _messages_prefix(read["messages"])
+    prompt = read["prompt"]
+    if isinstance(prompt, str):
+        return prompt[:PREFIX_CHARS]
+    return prompt[0][:PREFIX_CHARS] if prompt else ""
+
+
+def _messages_prefix(messages: list[_Message]) -> str:
+    parts: list[str] = []
+    length = 0
+    for message in messages:
+        text = f"{message['role']}\n{_content(message)}\n"
+        parts.append(text)
+        length += len(text)
+        if length >= PREFIX_CHARS:
+            break
+    return "".join(parts)[:PREFIX_CHARS]
+
+
+def _content(message: _Message) -> str:
+    content = message.get("content")
+    if isinstance(content, list):
+        return "".join(part.get("text", "") for part in content)
+    return content or ""
+
+
+def _plain(exc: Exception) -> str:
+    """Reword a msgspec message so that it starts with the field at fault."""
+    message, _, path = str(exc).partition(" - at ")
+    message = message[:1].lower() + message[1:]
+    where = path.strip("`").removeprefix("$.").removeprefix("$")
+    if where and where != "...":
+        return f"{where}: {message}"
+    return f"body: {message}"
--- /dev/null
+++ b/papayapier/upstream/sse.py
@@ -0,0 +1,124 @@
+"""Read a stream of tokens sent as server-sent events.
+
+Events are separated by blank lines and each holds one line "data: ". This is the hot path
+of an instance, so bytes are split in one go, and of each event only what is checked or
+passed on is decoded.
+"""
+
+from collections.abc import Iterator
+from typing import Final, NotRequired, TypedDict
+
+import msgspec
+
+from papayapier.upstream.answers import wrong_id
+from papayapier.upstream.api import FailureKind, OnToken, Token
+from papayapier.upstream.exchange import Fault
+
+DATA: Final = b"data:"
+DONE: Final = b"[DONE]"
+MAX_EVENT_BYTES: Final = 1_000_000
+MAX_TEXT_CHARS: Final = 8_000_000
+
+
+class Delta(TypedDict):
+    """Hold the piece of a chat stream; the first and last may have no content."""
+
+    content: NotRequired[str | None]
+
+
+class StreamChoice(TypedDict):
+    """Hold one choice of a piece: chat has delta, completions have text."""
+
+    finish_reason: NotRequired[str | None]
+    delta: NotRequired[Delta]
+    text: NotRequired[str]
+
+
+class Chunk(TypedDict):
+    """Hold one piece of a stream."""
+
+    id: str
+    choices: list[StreamChoice]
+
+
+_CHUNK: Final = msgspec.json.Decoder(Chunk)
+
+
+class StreamReader:
+    """Turn the bytes of one stream into tokens, and know whether it is whole."""
+
+    __slots__ = ("_chars", "_on_token", "_rest", "_texts", "_whole", "finish_reason", "request_id")
+
+    def __init__(self, request_id: str, on_token: OnToken) -> None:
+        self.request_id = request_id
+        self.finish_reason = ""
+        self._on_token = on_token
+        self._rest = b""
+        self._texts: list[str] = []
+        self._chars = 0
+        self._whole = False
+
+    @property
+    def text(self) -> str:
+        """Return all tokens joined."""
+        return "".join(self._texts)
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens came."""
+        return len(self._texts)
+
+    def feed(self, data: bytes, now_ms: int) -> Fault | None:
+        """Take received bytes, and call back for each token in them."""
+        parts = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        self._rest = parts.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            return Fault(FailureKind.BROKEN, f"event longer than {MAX_EVENT_BYTES} bytes")
+        for part in parts:
+            for payload in _payloads(part):
+                fault = self._take(payload, now_ms)
+                if fault is not None:
+                    return fault
+        return None
+
+    def end(self, _declared: bool) -> Fault | None:
+        """Check that the stream ended with its end mark."""
+        if not self._whole:
+            return Fault(FailureKind.CUT, "stream ended without its end mark")
+        if not self.finish_reason:
+            return Fault(FailureKind.BROKEN, "stream has no finish_reason")
+        return None
+
+    def _take(self, payload: bytes, now_ms: int) -> Fault | None:
+        if self._whole:
+            return Fault(FailureKind.BROKEN, "stream goes on after its end mark")
+        if payload == DONE:
+            self._whole = True
+            return None
+        try:
+            chunk = _CHUNK.decode(payload)
+        except msgspec.MsgspecError as exc:
+            return Fault(FailureKind.BROKEN, f"piece of a stream cannot be read: {exc}")
+        if chunk["id"] != self.request_id:
+            return wrong_id(chunk["id"], self.request_id)
+        if not chunk["choices"]:
+            return None
+        return self._take_choice(chunk["choices"][0], payload, now_ms)
+
+    def _take_choice(self, choice: StreamChoice, payload: bytes, now_ms: int) -> Fault | None:
+        text = choice["delta"].get("content") if "delta" in choice else choice.get("text")
+        self.finish_reason = choice.get("finish_reason") or self.finish_reason
+        if not text:
+            return None
+        self._chars += len(text)
+        if self._chars > MAX_TEXT_CHARS:
+            return Fault(FailureKind.BROKEN, f"answer longer than {MAX_TEXT_CHARS} characters")
+        self._texts.append(text)
+        self._on_token(Token(text, payload, now_ms))
+        return None
+
+
+def _payloads(part: bytes) -> Iterator[bytes]:
+    for line in part.split(b"\n"):
+        if line.startswith(DATA):
+            yield line[len(DATA) :].strip()
