Add the profile book, acceptance of changes and their spread

Cause: profiles have to be in force on every instance within seconds and never go back. Change: stored record with document and audit trail in one value; acceptance by conditional update, with a lost answer settled by repeating the same conditional write; spread by push, watch, heartbeat digest and poll, all ending in ProfileBook.apply.

--- /dev/null
+++ b/papayapier/config/book.py
@@ -0,0 +1,174 @@
+"""Keep the configuration that is in force on this instance.
+
+Only a higher version of an object replaces what is there, whichever way it came. The
+highest version does not prove that nothing is missing: a push can be lost while a later
+one arrives. So the book keeps a digest of all its (key, version) pairs: the sum, modulo
+2**64, of one hash for each pair. It changes by a subtraction and an addition with each
+change, does not depend on the order of arrival, costs nine bytes in a heartbeat, and two
+books with equal digests hold the same versions (but for a chance of 2**-64). The sum is
+kept in buckets by key, so that two books that differ exchange only the buckets that do.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+import xxhash
+from result import Err, Ok
+
+from papayapier import events, invariants
+from papayapier.config import records
+from papayapier.config.profiles import Profile
+from papayapier.config.records import PROFILES, UPSTREAMS, Subject, Wanted
+from papayapier.config.upstreams import UpstreamWanted
+from papayapier.invariants import Promise
+from papayapier.peer.messages import ConfigPush
+
+BUCKETS: Final = 64
+DIGEST_MASK: Final = 2**64 - 1
+
+Watcher = Callable[[str, int], None]
+
+
+class InForce(NamedTuple):
+    """Hold one object as applied; wanted is None when it was deleted."""
+
+    version: int
+    value: bytes
+    wanted: Wanted | None
+
+
+class ProfileBook:
+    """Hold every configuration object in force, by key."""
+
+    __slots__ = ("_buckets", "_objects", "_unreadable", "_version", "_watchers")
+
+    def __init__(self) -> None:
+        self._objects: dict[str, InForce] = {}
+        self._buckets = [0] * BUCKETS
+        self._unreadable: dict[str, int] = {}
+        self._version = 0
+        self._watchers: list[Watcher] = []
+
+    def profile(self, name: str) -> Profile | None:
+        """Return a profile in force."""
+        wanted = self._wanted(PROFILES, name)
+        return wanted if isinstance(wanted, Profile) else None
+
+    def upstream(self, name: str) -> UpstreamWanted | None:
+        """Return the wanted state of an upstream."""
+        wanted = self._wanted(UPSTREAMS, name)
+        return wanted if isinstance(wanted, UpstreamWanted) else None
+
+    def profiles(self) -> dict[str, Profile]:
+        """Return every profile in force, by name."""
+        found = {e.wanted.name: e.wanted for e in self._live() if isinstance(e.wanted, Profile)}
+        return dict(sorted(found.items()))
+
+    def upstreams(self) -> dict[str, UpstreamWanted]:
+        """Return the wanted state of every upstream, by name."""
+        found = {
+            e.wanted.name: e.wanted for e in self._live() if isinstance(e.wanted, UpstreamWanted)
+        }
+        return dict(sorted(found.items()))
+
+    def version(self) -> int:
+        """Return the highest version applied."""
+        return self._version
+
+    def version_of(self, key: str) -> int:
+        """Return the version of one object in force, or 0."""
+        held = self._objects.get(key)
+        return held.version if held else 0
+
+    def lacks(self, key: str, version: int) -> bool:
+        """Tell whether an object is worth fetching; one found unreadable is not."""
+        return version > max(self.version_of(key), self._unreadable.get(key, 0))
+
+    def digest(self) -> int:
+        """Return the digest of all versions in force."""
+        return sum(self._buckets) & DIGEST_MASK
+
+    def buckets(self) -> list[int]:
+        """Return the digest of each bucket of keys."""
+        return list(self._buckets)
+
+    def objects(self, newer_than: int = 0) -> list[ConfigPush]:
+        """Return the objects in force with a higher version than the given one."""
+        return [
+            ConfigPush(key, held.version, held.value)
+            for key, held in self._objects.items()
+            if held.version > newer_than
+        ]
+
+    def objects_differing(self, buckets: Iterable[int]) -> list[ConfigPush]:
+        """Return the objects in the buckets whose digest differs from the given ones."""
+        same = {i for i, (a, b) in enumerate(zip(self._buckets, buckets, strict=False)) if a == b}
+        return [push for push in self.objects() if _bucket_of(push.key) not in same]
+
+    def watch(self, watcher: Watcher) -> None:
+        """Call a watcher with key and version after each change that is applied."""
+        self._watchers.append(watcher)
+
+    def apply(self, key: str, version: int, value: bytes) -> bool:
+        """Put an object in force if it is newer than what is there."""
+        subject = records.subject_of(key)
+        if subject is None:
+            return False
+        held = self._objects.get(key)
+        value = records.without_history(value)
+        if held is not None and version <= held.version:
+            # Two contents under one version mean that a peer or a folder holds another
+            # store's configuration: neither is "the" accepted one, and a higher version
+            # of it could replace ours. The counter and event 901 show it.
+            same = version < held.version or value == held.value
+            invariants.check(same, Promise.CONFIG_FORWARD, key=key, version=version)
+            return False
+        return self._put(subject, InForce(version, value, None))
+
+    def _put(self, subject: Subject, item: InForce) -> bool:
+        match _typed(subject, item.value):
+            case Ok(wanted):
+                item = item._replace(wanted=wanted)
+            case Err(why):
+                self._unreadable[subject.key] = item.version
+                events.emit(
+                    events.CONFIG_UNREADABLE, key=subject.key, version=item.version, reason=why
+                )
+                return False
+        self._count(subject.key, item.version)
+        self._objects[subject.key] = item
+        self._version = max(self._version, item.version)
+        events.emit(events.CONFIG_APPLIED, key=subject.key, version=item.version)
+        for watcher in self._watchers:
+            watcher(subject.key, item.version)
+        return True
+
+    def _count(self, key: str, version: int) -> None:
+        change = _pair_hash(key, version) - _pair_hash(key, self.version_of(key))
+        bucket = _bucket_of(key)
+        self._buckets[bucket] = (self._buckets[bucket] + change) & DIGEST_MASK
+
+    def _wanted(self, kind: str, name: str) -> Wanted | None:
+        held = self._objects.get(Subject(kind, name).key)
+        return held.wanted if held else None
+
+    def _live(self) -> list[InForce]:
+        return [held for held in self._objects.values() if held.wanted is not None]
+
+
+def _typed(subject: Subject, value: bytes) -> Ok[Wanted | None] | Err[str]:
+    match records.decode(value):
+        case Err(why):
+            return Err(why)
+        case Ok(record) if record["document"] is None:
+            return Ok(None)
+        case Ok(record):
+            return records.typed(subject, record["document"])
+
+
+def _pair_hash(key: str, version: int) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}@{version}".encode()) if version else 0
+
+
+def _bucket_of(key: str) -> int:
+    return xxhash.xxh3_64_intdigest(key.encode()) % BUCKETS
--- /dev/null
+++ b/papayapier/config/checks.py
@@ -0,0 +1,175 @@
+"""Check a wanted document before it is accepted, and name the path of each fault.
+
+The types already state the range of each single field. The rules here are those between
+fields, and those that need to know what is in force now.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, get_type_hints
+
+from result import Err, Ok
+
+from papayapier import codec
+from papayapier.config.profiles import Profile
+from papayapier.config.records import KINDS, PROFILES, Document, Subject, Wanted
+from papayapier.config.upstreams import UpstreamWanted
+
+URGENT_DUE_MOST_MS: Final = 600_000
+
+
+class Problem(NamedTuple):
+    """Name the field at fault and what is wrong with it; path is empty for the whole."""
+
+    path: str
+    reason: str
+
+
+class Verdict(NamedTuple):
+    """Hold the result of a check: errors forbid a change, warnings do not.
+
+    stranded is the queued work that the change would leave without a way to run.
+    """
+
+    wanted: Wanted | None
+    errors: list[Problem]
+    warnings: list[Problem]
+    stranded: int = 0
+
+
+class CheckDeps(NamedTuple):
+    """Give a check what it needs to know of the running system."""
+
+    current: Callable[[Subject], Wanted | None]
+    queued_under: Callable[[str], int]
+    upstreams: Callable[[], set[str]]
+
+
+def check_change(deps: CheckDeps, subject: Subject, document: object) -> Verdict:
+    """Check a document that is to replace what is in force; None stands for delete."""
+    if document is None:
+        return _check_stranding(deps, subject, Verdict(None, [], []))
+    verdict = check_document(subject, document)
+    if verdict.errors:
+        return verdict
+    verdict = verdict._replace(warnings=_warnings(deps, verdict.wanted))
+    return _check_stranding(deps, subject, verdict)
+
+
+def check_document(subject: Subject, document: object) -> Verdict:
+    """Check a document by itself."""
+    kind = KINDS[subject.kind]
+    errors = _field_errors(document, kind)
+    if errors:
+        return Verdict(None, errors, [])
+    match codec.from_document(document, kind):
+        case Err(why):
+            return Verdict(None, [_split(why)], [])
+        case Ok(wanted):
+            return Verdict(wanted, _rule_errors(subject, wanted), [])
+
+
+def describe(problems: list[Problem]) -> str:
+    """Join problems into one line."""
+    return "; ".join(f"{p.path}: {p.reason}" if p.path else p.reason for p in problems)
+
+
+def _field_errors(document: object, kind: type[Any]) -> list[Problem]:
+    """Check each top-level field by itself, since the decoder stops at its first error."""
+    if not isinstance(document, dict):
+        return [Problem("", "expected an object")]
+    hints = get_type_hints(kind, include_extras=True)
+    found = [Problem(str(name), "no such field") for name in document if name not in hints]
+    for name, hint in hints.items():
+        if name in document:
+            found.extend(_value_errors(name, document[name], hint))
+        elif name not in getattr(kind, "_field_defaults"):  # noqa: B009
+            found.append(Problem(name, "this field is required"))
+    return found
+
+
+def _value_errors(name: str, value: object, hint: Any) -> list[Problem]:
+    match codec.from_document(value, hint):
+        case Err(why):
+            inner = _split(why)
+            path = f"{name}.{inner.path}" if inner.path else name
+            return [Problem(path.replace(".[", "["), inner.reason)]
+        case _:
+            return []
+
+
+def _split(why: str) -> Problem:
+    path, separator, reason = why.partition(": ")
+    return Problem(path, reason) if separator and " " not in path else Problem("", why)
+
+
+def _rule_errors(subject: Subject, wanted: Wanted) -> list[Problem]:
+    errors = []
+    if wanted.name != subject.name:
+        errors.append(Problem("name", f"is {wanted.name!r}, but {subject.name!r} is changed"))
+    if isinstance(wanted, Profile):
+        return errors + _profile_errors(wanted)
+    return errors + _upstream_errors(wanted)
+
+
+def _profile_errors(profile: Profile) -> list[Problem]:
+    errors = []
+    hedge_ms = profile.retry.hedge_after_ms
+    if hedge_ms and not profile.idempotent:
+        errors.append(Problem("retry.hedge_after_ms", "needs idempotent to be true"))
+    if hedge_ms and profile.urgency == "batch":
+        errors.append(Problem("retry.hedge_after_ms", "batch work is not hedged"))
+    if hedge_ms >= profile.due_ms:
+        errors.append(Problem("retry.hedge_after_ms", "is not before due_ms"))
+    if profile.urgency == "urgent" and profile.due_ms > URGENT_DUE_MOST_MS:
+        errors.append(Problem("due_ms", f"is over {URGENT_DUE_MOST_MS} for urgent work"))
+    if profile.urgency == "batch" and profile.batch.share == 0:
+        errors.append(Problem("batch.share", "is 0, so batch work would never run"))
+    return errors
+
+
+def _upstream_errors(upstream: UpstreamWanted) -> list[Problem]:
+    errors = []
+    for field in ("models", "adapters"):
+        names = getattr(upstream, field)
+        if len(set(names)) < len(names):
+            errors.append(Problem(field, "names one twice"))
+    roles = [count.role for count in upstream.roles]
+    if len(set(roles)) < len(roles):
+        errors.append(Problem("roles", "names one twice"))
+    return errors
+
+
+def _warnings(deps: CheckDeps, wanted: Wanted | None) -> list[Problem]:
+    known = deps.upstreams()
+    if isinstance(wanted, Profile) and known and wanted.upstream not in known:
+        return [Problem("upstream", f"no upstream is called {wanted.upstream!r} at present")]
+    return []
+
+
+def _check_stranding(deps: CheckDeps, subject: Subject, verdict: Verdict) -> Verdict:
+    """Count queued work that was accepted under rules which the change takes away."""
+    current = deps.current(subject)
+    if subject.kind != PROFILES or not isinstance(current, Profile):
+        return verdict
+    why = _stranding(current, verdict.wanted)
+    queued = deps.queued_under(subject.name) if why else 0
+    if not queued:
+        return verdict
+    problem = Problem(why, f"{queued} queued requests or items would be stranded")
+    return verdict._replace(warnings=[*verdict.warnings, problem], stranded=queued)
+
+
+def _stranding(current: Profile, wanted: Wanted | None) -> str:
+    """Return the path of the field whose change strands queued work, or nothing."""
+    if not isinstance(wanted, Profile):
+        return "name"
+    if wanted.upstream != current.upstream:
+        return "upstream"
+    if (wanted.urgency == "batch") != (current.urgency == "batch"):
+        return "urgency"
+    return "idempotent" if current.idempotent and not wanted.idempotent else ""
+
+
+def as_document(value: Wanted | None) -> Document | None:
+    """Return the stored form of a wanted document."""
+    return None if value is None else codec.to_document(value)
--- /dev/null
+++ b/papayapier/config/folder.py
@@ -0,0 +1,93 @@
+"""Keep a copy of the configuration in the data folder, where an instance has one.
+
+The copy only saves transfers after a restart. It may be older than what a peer has, so
+what is read from it counts as unconfirmed until the store or a peer was heard from.
+"""
+
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec, events
+from papayapier.clock import Clock, Timer
+from papayapier.config.book import ProfileBook
+from papayapier.peer.messages import ConfigPush
+
+FILE_NAME: Final = "configuration.msgpack"
+NEW_SUFFIX: Final = ".new"
+SAVE_DELAY_MS: Final = 1_000
+
+
+class SavedConfig(NamedTuple):
+    """Hold the objects in force when the copy was made."""
+
+    objects: list[ConfigPush]
+
+
+class FolderKeeper:
+    """Load the copy at start and replace it soon after a change; without a folder do nothing."""
+
+    def __init__(self, folder: str, clock: Clock, book: ProfileBook) -> None:
+        self._folder = folder
+        self._clock = clock
+        self._book = book
+        self._timer: Timer | None = None
+        self._closed = False
+
+    def load(self) -> None:
+        """Put the copy's objects into the book."""
+        if not self._folder:
+            return
+        match load_folder(self._folder):
+            case Err(why):
+                events.emit(events.CONFIG_FOLDER_FAILED, reason=why)
+            case Ok(objects):
+                for item in objects:
+                    self._book.apply(item.key, item.version, item.value)
+                version = self._book.version()
+                events.emit(events.CONFIG_FROM_FOLDER, objects=len(objects), version=version)
+
+    def changed(self) -> None:
+        """Save soon; changes that come together are saved together."""
+        if self._folder and not self._closed and not self._pending():
+            self._timer = self._clock.call_later(SAVE_DELAY_MS, self._save)
+
+    def close(self) -> None:
+        """Save what is still to be saved and stop."""
+        self._closed = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+            self._save()
+
+    def _pending(self) -> bool:
+        return self._timer is not None and self._timer.active()
+
+    def _save(self) -> None:
+        match save_folder(self._folder, self._book.objects()):
+            case Err(why):
+                events.emit(events.CONFIG_FOLDER_FAILED, reason=why)
+
+
+def load_folder(folder: str) -> Result[list[ConfigPush], str]:
+    """Read the copy; a folder without one gives nothing."""
+    path = Path(folder) / FILE_NAME
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return Ok([])
+    except OSError as exc:
+        return Err(f"{path}: {exc.strerror}")
+    return codec.unpack(data, SavedConfig).map(lambda saved: saved.objects)
+
+
+def save_folder(folder: str, objects: list[ConfigPush]) -> Result[None, str]:
+    """Replace the copy in one step, so that a crash leaves the old or the new one."""
+    path = Path(folder) / FILE_NAME
+    new = path.with_name(FILE_NAME + NEW_SUFFIX)
+    try:
+        new.write_bytes(codec.pack(SavedConfig(objects)))
+        new.replace(path)
+    except OSError as exc:
+        return Err(f"{path}: {exc.strerror}")
+    return Ok(None)
--- /dev/null
+++ b/papayapier/config/records.py
@@ -0,0 +1,185 @@
+"""Define the stored form of one configuration object.
+
+An object holds the document in force and the audit entries that led to it, so that one
+conditional update changes both and the trail cannot disagree with the configuration. The
+trail inside an object is bounded: older entries are copied to an object of their own under
+audit/ before they are dropped here (see accept). Peers are sent the record without its
+trail, because only accept, which reads the store, needs that.
+
+The form is plain JSON, and unknown fields are ignored when reading. During an upgrade a
+newer release may store a field that an older one does not know; if the older one refused
+the object, the accepted change would not be in force there.
+"""
+
+from typing import Any, Final, NamedTuple, TypedDict, get_args, get_type_hints
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+from papayapier import codec
+from papayapier.config.profiles import Profile
+from papayapier.config.upstreams import UpstreamWanted
+
+CONFIG_PREFIX: Final = "config/"
+AUDIT_PREFIX: Final = "audit/"
+PROFILES: Final = "profiles"
+UPSTREAMS: Final = "upstreams"
+HISTORY_MOST: Final = 16
+HISTORY_SPILL: Final = 8
+SEQ_DIGITS: Final = 10
+
+Document = dict[str, Any]
+Wanted = Profile | UpstreamWanted
+
+KINDS: Final[dict[str, type[Wanted]]] = {PROFILES: Profile, UPSTREAMS: UpstreamWanted}
+
+
+class FieldChange(TypedDict):
+    """Tell one field's value before and after a change; None where there is none."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+class AuditEntry(TypedDict):
+    """Tell who changed one object, when, why and how.
+
+    seq counts the object's changes from 1. based_on is the version that was replaced, so
+    an entry's own version is its successor's based_on, or the object's version.
+    """
+
+    seq: int
+    change_id: str
+    at_ms: int
+    who: str
+    action: str
+    reason: str
+    based_on: int
+    content: str
+    changes: list[FieldChange]
+
+
+class Record(TypedDict):
+    """Hold one stored object; a document of None marks a deleted one."""
+
+    document: Document | None
+    history: list[AuditEntry]
+
+
+class Spilled(TypedDict):
+    """Hold audit entries that no longer fit into their object."""
+
+    entries: list[AuditEntry]
+
+
+class Subject(NamedTuple):
+    """Name one configuration object; kind is a key of KINDS."""
+
+    kind: str
+    name: str
+
+    @property
+    def key(self) -> str:
+        """Return the object's key in the store."""
+        return f"{CONFIG_PREFIX}{self.kind}/{self.name}"
+
+    @property
+    def audit_prefix(self) -> str:
+        """Return the prefix of the keys that hold its spilled audit entries."""
+        return f"{AUDIT_PREFIX}{self.kind}/{self.name}/"
+
+    def audit_key(self, seq: int) -> str:
+        """Return the key of the spilled entries that begin with a sequence number."""
+        return f"{self.audit_prefix}{seq:0{SEQ_DIGITS}d}"
+
+
+def subject_of(key: str) -> Subject | None:
+    """Return the subject that a key of the store stands for, if it is one of ours."""
+    parts = key.removeprefix(CONFIG_PREFIX).split("/")
+    if not key.startswith(CONFIG_PREFIX) or len(parts) != 2 or parts[0] not in KINDS:
+        return None
+    return Subject(*parts)
+
+
+def decode(value: bytes) -> Result[Record, str]:
+    """Decode a stored object."""
+    return _decode(value, Record)
+
+
+def decode_spilled(value: bytes) -> Result[Spilled, str]:
+    """Decode an object of spilled audit entries."""
+    return _decode(value, Spilled)
+
+
+def encode(record: Record | Spilled) -> bytes:
+    """Encode an object for the store or for peers."""
+    return msgspec.json.encode(record)
+
+
+def without_history(value: bytes) -> bytes:
+    """Return a stored object in the form that peers are sent."""
+    match decode(value):
+        case Ok(record):
+            return encode(Record(document=record["document"], history=[]))
+        case _:
+            return value
+
+
+def typed(subject: Subject, document: Document) -> Result[Wanted, str]:
+    """Turn a stored document into its record, leaving out fields of newer releases."""
+    kind = KINDS[subject.kind]
+    return codec.from_document(_known(document, kind), kind)
+
+
+def content_hash(document: Document | None) -> str:
+    """Return a short hash that tells whether two documents are the same."""
+    return xxhash.xxh3_128_hexdigest(msgspec.json.encode(document, order="sorted"))
+
+
+def field_changes(before: Document | None, after: Document | None) -> list[FieldChange]:
+    """List the fields, by path, in which two documents differ."""
+    old = _flat(before or {})
+    new = _flat(after or {})
+    paths = list(dict.fromkeys([*old, *new]))
+    return [
+        FieldChange(path=path, before=old.get(path), after=new.get(path))
+        for path in paths
+        if path not in old or path not in new or old[path] != new[path]
+    ]
+
+
+def _decode(value: bytes, kind: type[Any]) -> Result[Any, str]:
+    try:
+        return Ok(msgspec.json.decode(value, type=kind))
+    except msgspec.MsgspecError as exc:
+        return Err(str(exc))
+
+
+def _known(document: Document, kind: Any) -> Document:
+    hints = get_type_hints(kind)
+    known = {}
+    for name, value in document.items():
+        if name not in hints:
+            continue
+        known[name] = _known_part(value, hints[name])
+    return known
+
+
+def _known_part(value: Any, hint: Any) -> Any:
+    if isinstance(value, dict) and hasattr(hint, "_fields"):
+        return _known(value, hint)
+    if isinstance(value, list) and get_args(hint):
+        return [_known_part(part, get_args(hint)[0]) for part in value]
+    return value
+
+
+def _flat(document: Document, path: str = "") -> Document:
+    flat: Document = {}
+    for name, value in document.items():
+        if isinstance(value, dict):
+            flat.update(_flat(value, f"{path}{name}."))
+        else:
+            flat[path + name] = value
+    return flat
--- /dev/null
+++ b/papayapier/config/start.py
@@ -0,0 +1,90 @@
+"""Start the configuration of one instance and offer it to the rest of the program."""
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from result import Result
+
+from papayapier.clock import Clock
+from papayapier.config import accept, checks, trail
+from papayapier.config.accept import AcceptDeps, Accepted, Change, Rejected
+from papayapier.config.book import ProfileBook
+from papayapier.config.checks import CheckDeps, Verdict
+from papayapier.config.records import PROFILES, Subject, Wanted
+from papayapier.config.spread import Spread, SpreadDeps
+from papayapier.config.trail import AuditFilter, AuditLine
+from papayapier.metrics import Metrics
+from papayapier.peer.messages import Message
+from papayapier.settings import ConfigSettings
+from papayapier.store.api import Store, StoreError
+
+
+class ConfigDeps(NamedTuple):
+    """Group what the configuration needs from the rest of the program.
+
+    tell and broadcast hand a message to one peer or all and never wait. queued_under counts
+    the queued requests and items of a profile; upstream_names lists the upstreams that
+    have replicas.
+    """
+
+    clock: Clock
+    rand: random.Random
+    store: Store
+    settings: ConfigSettings
+    metrics: Metrics
+    tell: Callable[[str, Message], None]
+    broadcast: Callable[[Message], None]
+    peers: Callable[[], Sequence[str]]
+    queued_under: Callable[[str], int]
+    upstream_names: Callable[[], set[str]]
+
+
+class Config(NamedTuple):
+    """Group the calls of the configuration of one instance."""
+
+    book: ProfileBook
+    on_peer: Callable[[str, Message], None]
+    check: Callable[[Subject, object], Verdict]
+    accept: Callable[[Change], Awaitable[Result[Accepted, Rejected]]]
+    audit: Callable[[AuditFilter], Awaitable[Result[list[AuditLine], StoreError]]]
+    ready: Callable[[int], Result[None, str]]
+    stop: Callable[[], Awaitable[None]]
+
+
+def start_config(deps: ConfigDeps) -> Config:
+    """Start polling and watching, and return the calls of the configuration."""
+    book = ProfileBook()
+    spread = Spread(
+        SpreadDeps(
+            deps.clock,
+            deps.rand,
+            deps.store,
+            deps.settings,
+            deps.metrics,
+            deps.tell,
+            deps.broadcast,
+            deps.peers,
+        ),
+        book,
+    )
+    check_deps = CheckDeps(
+        lambda subject: _current(book, subject), deps.queued_under, deps.upstream_names
+    )
+    accept_deps = AcceptDeps(deps.clock, deps.store, check_deps, spread.accepted)
+    spread.start()
+    return Config(
+        book=book,
+        on_peer=spread.on_peer,
+        check=lambda subject, document: checks.check_change(check_deps, subject, document),
+        accept=lambda change: accept.accept_change(accept_deps, change),
+        audit=lambda chosen: trail.audit(deps.store, chosen),
+        ready=spread.fresh,
+        stop=spread.stop,
+    )
+
+
+def _current(book: ProfileBook, subject: Subject) -> Wanted | None:
+    if subject.kind == PROFILES:
+        return book.profile(subject.name)
+    return book.upstream(subject.name)
--- /dev/null
+++ b/papayapier/config/trail.py
@@ -0,0 +1,194 @@
+"""Read the audit trail, and move its older entries out of the objects they belong to.
+
+The trail of one object is its own history and the spilled entries under audit/. Versions
+are the store's revisions, which rise over all objects, so they order the whole trail.
+Every seq of an object appears once: a missing one would show as a gap.
+"""
+
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier.config import records
+from papayapier.config.records import AuditEntry, Subject
+from papayapier.store.api import Entry, Listing, Store, StoreError
+
+PAGE: Final = 1_000
+LIMIT_DEFAULT: Final = 100
+
+
+class AuditFilter(NamedTuple):
+    """Choose entries of the trail; an empty field chooses all. since_ms is wall time."""
+
+    kind: str = ""
+    name: str = ""
+    who: str = ""
+    since_ms: int = 0
+    limit: int = LIMIT_DEFAULT
+
+
+class AuditLine(NamedTuple):
+    """Hold one entry of the trail with its object and the version it got."""
+
+    kind: str
+    name: str
+    version: int
+    entry: AuditEntry
+
+
+async def spill(
+    store: Store, subject: Subject, history: list[AuditEntry]
+) -> Result[None, StoreError]:
+    """Copy the oldest entries out before they are dropped.
+
+    Two operators who race copy the same entries under the same key, so finding the object
+    there already is as good as having created it.
+    """
+    if len(history) < records.HISTORY_MOST:
+        return Ok(None)
+    oldest = history[: records.HISTORY_SPILL]
+    value = records.encode(records.Spilled(entries=oldest))
+    match await store.create(subject.audit_key(oldest[0]["seq"]), value):
+        case Ok(_) | Err(StoreError.CONFLICT):
+            return Ok(None)
+        case Err(error):
+            return Err(error)
+
+
+def kept(history: list[AuditEntry]) -> list[AuditEntry]:
+    """Return the entries that stay in the object after a spill."""
+    return history[records.HISTORY_SPILL :] if len(history) >= records.HISTORY_MOST else history
+
+
+async def spilled(store: Store, subject: Subject) -> Result[list[AuditEntry], StoreError]:
+    """Read the spilled entries of an object, oldest first."""
+    found: list[AuditEntry] = []
+    match await list_all(store, subject.audit_prefix):
+        case Err(error):
+            return Err(error)
+        case Ok(listed):
+            pass
+    for item in listed.objects:
+        match await store.get(item.key):
+            case Err(error):
+                return Err(error)
+            case Ok(stored):
+                part = records.decode_spilled(stored.value).unwrap_or(records.Spilled(entries=[]))
+                found.extend(part["entries"])
+    return Ok(found)
+
+
+async def list_all(store: Store, prefix: str) -> Result[Listing, StoreError]:
+    """List every key under a prefix, page by page, with the revision of the first page."""
+    found: list[Entry] = []
+    revision = 0
+    after = ""
+    while True:
+        match await store.list(prefix, after, PAGE):
+            case Err(error):
+                return Err(error)
+            case Ok(page):
+                found.extend(page.objects)
+                revision = revision or page.revision
+                if not page.more:
+                    return Ok(Listing(found, False, revision))
+                after = page.objects[-1].key
+
+
+async def audit(store: Store, chosen: AuditFilter) -> Result[list[AuditLine], StoreError]:
+    """Return the newest entries that a filter chooses, newest first.
+
+    Objects are read from the most recently changed on, and no further than needed: an
+    object whose version is below the oldest of enough lines cannot add a newer one.
+    """
+    match await _candidates(store, chosen):
+        case Err(error):
+            return Err(error)
+        case Ok(candidates):
+            pass
+    lines: list[AuditLine] = []
+    for subject, version in sorted(candidates, key=lambda c: -c[1]):
+        if len(lines) >= chosen.limit and lines[chosen.limit - 1].version > version:
+            break
+        match await _lines_of(store, subject, chosen):
+            case Err(StoreError.NOT_FOUND):
+                continue
+            case Err(error):
+                return Err(error)
+            case Ok(more):
+                lines = sorted([*lines, *more], key=lambda line: -line.version)
+    return Ok(lines[: chosen.limit])
+
+
+def find(history: list[AuditEntry], change_id: str) -> AuditEntry | None:
+    """Return the entry of a change."""
+    return next((entry for entry in history if entry["change_id"] == change_id), None)
+
+
+def version_after(history: list[AuditEntry], entry: AuditEntry, newest: int) -> int:
+    """Return the version an entry's change got: what the next change was based on."""
+    later = next((e for e in history if e["seq"] == entry["seq"] + 1), None)
+    return later["based_on"] if later else newest
+
+
+async def _candidates(
+    store: Store, chosen: AuditFilter
+) -> Result[list[tuple[Subject, int]], StoreError]:
+    prefix = records.CONFIG_PREFIX
+    if chosen.kind:
+        prefix += f"{chosen.kind}/{chosen.name}"
+    match await list_all(store, prefix):
+        case Err(error):
+            return Err(error)
+        case Ok(listed):
+            pass
+    found = [(records.subject_of(item.key), item.version) for item in listed.objects]
+    return Ok(
+        [
+            (subject, version)
+            for subject, version in found
+            if subject is not None and chosen.name in ("", subject.name)
+        ]
+    )
+
+
+async def _lines_of(
+    store: Store, subject: Subject, chosen: AuditFilter
+) -> Result[list[AuditLine], StoreError]:
+    """Return an object's chosen lines; its spilled entries only when they may be needed."""
+    match await store.get(subject.key):
+        case Err(error):
+            return Err(error)
+        case Ok(stored):
+            history = records.decode(stored.value).unwrap_or(_EMPTY)["history"]
+    lines = _chosen(_numbered(subject, history, stored.version), chosen)
+    oldest = history[0] if history else None
+    if oldest is None or oldest["seq"] == 1 or oldest["at_ms"] < chosen.since_ms:
+        return Ok(lines)
+    if len(lines) >= chosen.limit:
+        return Ok(lines)
+    match await spilled(store, subject):
+        case Err(error):
+            return Err(error)
+        case Ok(older):
+            older = [entry for entry in older if entry["seq"] < oldest["seq"]]
+            lines += _chosen(_numbered(subject, older, oldest["based_on"]), chosen)
+            return Ok(lines)
+
+
+_EMPTY: Final = records.Record(document=None, history=[])
+
+
+def _numbered(subject: Subject, history: list[AuditEntry], newest: int) -> list[AuditLine]:
+    return [
+        AuditLine(subject.kind, subject.name, version_after(history, entry, newest), entry)
+        for entry in history
+    ]
+
+
+def _chosen(lines: list[AuditLine], chosen: AuditFilter) -> list[AuditLine]:
+    return [
+        line
+        for line in lines
+        if chosen.who in ("", line.entry["who"]) and line.entry["at_ms"] >= chosen.since_ms
+    ]
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -63,6 +63,39 @@
 STORE_UP: Final = Event(402, "store_up", Level.INFO, "store answers again")
 WRITE_READ_BACK: Final = Event(403, "write_read_back", Level.INFO, "lost answer settled by reading")
 WATCH_RESTARTED: Final = Event(404, "watch_restarted", Level.INFO, "watch lists again")
+STORE_ODD_ANSWER: Final = Event(
+    405, "store_odd_answer", Level.WARNING, "store's answer is not understood"
+)
+STORE_SILENT: Final = Event(406, "store_silent", Level.WARNING, "store call timed out")
+STORE_TASK_FAILED: Final = Event(
+    407, "store_task_failed", Level.ERROR, "store task ended by an unexpected exception"
+)
+
+CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "change accepted")
+CONFIG_APPLIED: Final = Event(602, "config_applied", Level.INFO, "object in force")
+CONFIG_CONFLICT: Final = Event(603, "config_conflict", Level.INFO, "change lost to another")
+CONFIG_UNREADABLE: Final = Event(
+    604, "config_unreadable", Level.ERROR, "object not understood, the older one stays in force"
+)
+CONFIG_MISSING: Final = Event(
+    605, "config_missing", Level.ERROR, "object vanished from the store, it stays in force"
+)
+CONFIG_GAP: Final = Event(606, "config_gap", Level.WARNING, "a peer's configuration differs")
+CONFIG_FROM_FOLDER: Final = Event(
+    607, "config_from_folder", Level.INFO, "configuration read from the data folder"
+)
+CONFIG_FOLDER_FAILED: Final = Event(
+    608, "config_folder_failed", Level.WARNING, "data folder cannot be used"
+)
+CONFIG_TASK_FAILED: Final = Event(
+    609, "config_task_failed", Level.ERROR, "a configuration task failed and starts again"
+)
+CONFIG_UNSETTLED: Final = Event(
+    610, "config_unsettled", Level.WARNING, "whether a change was accepted is not known"
+)
+OPERATOR_REFUSED: Final = Event(
+    611, "operator_refused", Level.WARNING, "operator call without a known key"
+)
 
 PEER_UP: Final = Event(701, "peer_up", Level.INFO, "peer heard from")
 PEER_DOWN: Final = Event(702, "peer_down", Level.WARNING, "peer silent")
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -66,13 +66,15 @@
 class ConfigTell(NamedTuple):
     """Answer ConfigAsk, in several parts where it is long.
 
-    complete tells whether the sender itself has ever had the whole configuration.
+    complete tells whether the sender itself has ever had the whole configuration, total how
+    many objects all parts hold.
     """
 
     ask_id: int
     objects: list[ConfigPush]
     more: bool = False
     complete: bool = False
+    total: int = 0
 
 
 class ClaimAsk(NamedTuple):
