Add stand-ins for the platform, model engines and plain services

Cause: the adapters and the demo need something to talk to over real sockets. Conclusion: thin but complete path; faults are written and not tested yet.

--- /dev/null
+++ b/papayapier/standin/answers.py
@@ -0,0 +1,51 @@
+"""Compute the answer of a stand-in engine, so that anyone can verify it.
+
+Word i of an answer is a hash of i, seeded with a hash of the prompt. A check can thus tell
+a whole, right answer from a shortened one and from another prompt's. Words are joined by
+single spaces; a token is one word, with the space before it.
+"""
+
+from collections.abc import Iterable
+from itertools import count, islice
+from typing import Final, NotRequired, TypedDict
+
+import xxhash
+
+DEFAULT_MAX_TOKENS: Final = 16
+
+
+class ChatMessage(TypedDict):
+    """Hold one message of a chat request."""
+
+    role: str
+    content: str
+
+
+class GenerateBody(TypedDict):
+    """Hold the body of a generate request; other keys are ignored."""
+
+    model: NotRequired[str]
+    messages: NotRequired[list[ChatMessage]]
+    prompt: NotRequired[str]
+    max_tokens: NotRequired[int]
+    stream: NotRequired[bool]
+    resume_text: NotRequired[str]
+
+
+def expected_text(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer to a prompt."""
+    return " ".join(islice(words(prompt), max_tokens))
+
+
+def words(prompt: str, start: int = 0) -> Iterable[str]:
+    """Yield the words of the endless answer to a prompt, from an index on."""
+    seed = xxhash.xxh32_intdigest(prompt.encode())
+    for index in count(start):
+        yield xxhash.xxh32_hexdigest(str(index).encode(), seed)
+
+
+def prompt_of(body: GenerateBody) -> str:
+    """Return the prompt text of a request: its prompt, or its messages one a line."""
+    if "messages" in body:
+        return "\n".join(message["content"] for message in body["messages"])
+    return body.get("prompt", "")
--- /dev/null
+++ b/papayapier/standin/engine_core.py
@@ -0,0 +1,204 @@
+"""Drive the batching model by a clock, with one timer per step, and count what runs."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from papayapier.clock import MS_PER_S, Clock, Timer
+from papayapier.standin.engine_steps import Batch, EngineParams, Sequence
+from papayapier.standin.jobs import Job
+from papayapier.standin.load_report import LaggedReports, LoadReport
+from papayapier.standin.orders import Order, Orders
+from papayapier.standin.outputs import Output
+from papayapier.standin.prefix_cache import PrefixCache, block_names
+from papayapier.standin.switches import LATE_FACTOR, Mode, Switches
+from papayapier.standin.timers import Timers
+
+MAX_CATCH_UP_MS: Final = 20.0
+
+
+class _Run:
+    """Hold one accepted job until its end."""
+
+    __slots__ = ("job", "output", "seq")
+
+    def __init__(self, job: Job, output: Output) -> None:
+        self.job = job
+        self.output = output
+        self.seq: Sequence | None = None
+
+
+class EngineCore:
+    """Hold an engine's batch, cache, orders and counts."""
+
+    __slots__ = (
+        "_batch",
+        "_clock",
+        "_due",
+        "_params",
+        "_reports",
+        "_runs",
+        "_timer",
+        "_timers",
+        "cache",
+        "cancelled",
+        "finished",
+        "orders",
+        "started",
+        "switches",
+        "tokens",
+    )
+
+    def __init__(self, clock: Clock, params: EngineParams) -> None:
+        self.switches = Switches()
+        self.started: Counter[str] = Counter()
+        self.finished: Counter[str] = Counter()
+        self.cancelled: Counter[str] = Counter()
+        self.tokens = 0
+        self.cache = PrefixCache(params.cache, clock.now, random.Random(params.seed))
+        self._clock = clock
+        self._params = params
+        self._timers = Timers(clock)
+        self.orders = Orders(params, self._timers)
+        self._batch = Batch(params, self.cache)
+        self._runs: dict[_Run, None] = {}
+        self._timer: Timer | None = None
+        self._due = 0.0
+        self._reports = LaggedReports(params.load_lag_ms, self._load_now())
+
+    def load_mark(self) -> str:
+        """Return the load of now as the X-Load header has it."""
+        batch = self._batch
+        return f"{batch.running}/{batch.waiting}/{self._params.slots}"
+
+    def load(self) -> LoadReport:
+        """Return the load report, which lags."""
+        return self._reports.get(self._clock.now())
+
+    def running(self) -> int:
+        """Return the number of sequences that hold a slot now."""
+        return self._batch.running
+
+    def accept(self, job: Job, output: Output, mode: Mode) -> Callable[[], None]:
+        """Take a job in and return the call that cancels it."""
+        run = _Run(job, output)
+        self._runs[run] = None
+        if mode is Mode.HANG:
+            self.started[job.call_id] += 1
+        elif job.left == 0:
+            self.started[job.call_id] += 1
+            self._finish(run)
+        else:
+            self._submit(run, mode)
+        return partial(self._cancel, run)
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel the jobs with a request id, and tell whether there were any."""
+        found = [run for run in self._runs if run.job.request_id == request_id]
+        for run in found:
+            self._cancel(run)
+            run.output.cancelled()
+        return bool(found)
+
+    def order(self, order: Order) -> bool:
+        """Take an order, or refuse it because of its fencing number."""
+        accepted = self.orders.take(order)
+        self._timers.call_later(self._params.order_ms + 1, self._start_step)
+        return accepted
+
+    def crash(self) -> None:
+        """Lose everything that is not on disk."""
+        self._timers.cancel_all()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._runs.clear()
+        self._batch.clear()
+        self.cache.clear()
+        self.orders.restart()
+        self.switches.reset()
+        self._note_load()
+
+    def _submit(self, run: _Run, mode: Mode) -> None:
+        job = run.job
+        prompt = job.prompt.split()
+        run.seq = Sequence(
+            blocks=block_names(prompt),
+            prompt_tokens=max(1, len(prompt) + job.done_words),
+            left=job.left,
+            on_start=partial(self._count_start, job.call_id),
+            on_token=partial(self._on_token, run),
+            stride=LATE_FACTOR if mode is Mode.LATE else 1,
+        )
+        self._batch.submit(run.seq)
+        self._start_step()
+        self._note_load()
+
+    def _count_start(self, call_id: str) -> None:
+        self.started[call_id] += 1
+
+    def _on_token(self, run: _Run, last: bool) -> None:
+        run.output.token()
+        if last:
+            self._finish(run)
+
+    def _finish(self, run: _Run) -> None:
+        del self._runs[run]
+        self.finished[run.job.call_id] += 1
+        run.output.done()
+
+    def _cancel(self, run: _Run) -> None:
+        if run not in self._runs:
+            return
+        del self._runs[run]
+        self.cancelled[run.job.call_id] += 1
+        if run.seq is not None:
+            self._batch.remove(run.seq)
+        self._note_load()
+
+    def _start_step(self) -> None:
+        """Begin a step unless one is under way."""
+        if self._timer is not None:
+            return
+        self._due = self._now()
+        self._next_step()
+
+    def _next_step(self) -> None:
+        """Schedule the end of the next step from the due time of the last one.
+
+        Counting from now instead would add the process's own delays to every step, and an
+        engine would look slower the busier the test machine is. The catch-up is bounded, so
+        that a pause of the process is not followed by a burst.
+        """
+        length = self._batch.begin_step(admitting=self.orders.loading == 0)
+        if length is None:
+            self._timer = None
+            return
+        now = self._now()
+        start = max(self._due, now - MAX_CATCH_UP_MS)
+        self._due = start + length * self.switches.slow_factor
+        self._timer = self._clock.call_later(self._due - now, self._end_step)
+
+    def _end_step(self) -> None:
+        self.tokens += self._batch.end_step()
+        self._next_step()
+        self._note_load()
+
+    def _now(self) -> float:
+        return self._clock.timers.seconds() * MS_PER_S
+
+    def _note_load(self) -> None:
+        self._reports.add(self._load_now())
+
+    def _load_now(self) -> LoadReport:
+        return LoadReport(
+            running=self._batch.running,
+            waiting=self._batch.waiting,
+            slots=self._params.slots,
+            kv_used=self._batch.kv_used,
+            kv_total=self._params.kv_total,
+            step_ms=self._batch.step_ms * self.switches.slow_factor,
+            at_ms=self._clock.now(),
+        )
--- /dev/null
+++ b/papayapier/standin/instances.py
@@ -0,0 +1,99 @@
+"""Keep the platform's instance list, which shows the truth only after a lag."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from papayapier.clock import Clock, Timer
+from papayapier.standin.timers import Timers
+from papayapier.store.api import Member
+
+EXPIRY_MS: Final = 10_000
+
+
+class Instances:
+    """Hold the true members, and the list as callers see it."""
+
+    __slots__ = (
+        "_clock",
+        "_expiries",
+        "_lag_ms",
+        "_on_change",
+        "_pending",
+        "_shown",
+        "_true",
+        "revision",
+    )
+
+    def __init__(
+        self, clock: Clock, lag_ms: Callable[[], int], on_change: Callable[[], None]
+    ) -> None:
+        self.revision = 1
+        self._clock = clock
+        self._lag_ms = lag_ms
+        self._on_change = on_change
+        self._true: dict[str, Member] = {}
+        self._shown: dict[str, Member] = {}
+        self._expiries: dict[str, Timer] = {}
+        self._pending = Timers(clock)
+
+    def shown(self) -> list[Member]:
+        """Return the list as callers see it."""
+        return list(self._shown.values())
+
+    def report(self, member: Member) -> None:
+        """Take a report; the list changes only when the record is new or different."""
+        self._expire_later(member)
+        if self._true.get(member.id) == member:
+            return
+        self._true[member.id] = member
+        self._show_later(member.id)
+
+    def withdraw(self, instance: str) -> None:
+        """Take an instance out."""
+        self._stop_expiry(instance)
+        if self._true.pop(instance, None) is not None:
+            self._show_later(instance)
+
+    def show_now(self) -> None:
+        """Let the list catch up with the truth at once, for the start of a fleet."""
+        self._pending.cancel_all()
+        self._shown = dict(self._true)
+        self._changed()
+
+    def extend(self) -> None:
+        """Give every member a full period again, after an outage kept reports away."""
+        for member in self._true.values():
+            self._expire_later(member)
+
+    def close(self) -> None:
+        """Stop all timers."""
+        self._pending.cancel_all()
+        for instance in list(self._expiries):
+            self._stop_expiry(instance)
+
+    def _expire_later(self, member: Member) -> None:
+        self._stop_expiry(member.id)
+        if not member.static:
+            call = partial(self.withdraw, member.id)
+            self._expiries[member.id] = self._clock.call_later(EXPIRY_MS, call)
+
+    def _stop_expiry(self, instance: str) -> None:
+        timer = self._expiries.pop(instance, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _show_later(self, instance: str) -> None:
+        member = self._true.get(instance)
+        self._pending.call_later(self._lag_ms(), partial(self._show, instance, member))
+
+    def _show(self, instance: str, member: Member | None) -> None:
+        if member is None:
+            self._shown.pop(instance, None)
+        else:
+            self._shown[instance] = member
+        self._changed()
+
+    def _changed(self) -> None:
+        self.revision += 1
+        self._on_change()
--- /dev/null
+++ b/papayapier/standin/load_report.py
@@ -0,0 +1,44 @@
+"""Report an engine's load as it was some time ago."""
+
+from collections import deque
+from typing import NamedTuple
+
+
+class LoadReport(NamedTuple):
+    """Hold what GET /load shows; at_ms is the engine's own monotonic clock."""
+
+    running: int
+    waiting: int
+    slots: int
+    kv_used: int
+    kv_total: int
+    step_ms: float
+    at_ms: int
+
+
+class LaggedReports:
+    """Keep the reports of the last lag_ms and the one that was valid before them."""
+
+    __slots__ = ("_lag_ms", "_reports")
+
+    def __init__(self, lag_ms: int, first: LoadReport) -> None:
+        self._lag_ms = lag_ms
+        self._reports = deque([first])
+
+    def add(self, report: LoadReport) -> None:
+        """Note the load of now."""
+        if self._reports[-1].at_ms == report.at_ms:
+            self._reports.pop()
+        self._reports.append(report)
+        self._prune(report.at_ms)
+
+    def get(self, now: int) -> LoadReport:
+        """Return the load of lag_ms ago."""
+        self._prune(now)
+        report = self._reports[0]
+        return report._replace(at_ms=max(report.at_ms, now - self._lag_ms))
+
+    def _prune(self, now: int) -> None:
+        limit = now - self._lag_ms
+        while len(self._reports) > 1 and self._reports[1].at_ms <= limit:
+            self._reports.popleft()
--- /dev/null
+++ b/papayapier/standin/long_polls.py
@@ -0,0 +1,85 @@
+"""Hold the long polls that wait for a change."""
+
+from collections.abc import Callable
+from functools import partial
+
+from papayapier.clock import Clock, Timer
+from papayapier.standin.platform_calls import Answer
+
+# Return the answer, or None to go on waiting; the argument says that the wait is over.
+Look = Callable[[bool], Answer | None]
+Reply = Callable[[Answer], None]
+
+
+class Poll:
+    """Hold one waiting call."""
+
+    __slots__ = ("look", "prefix", "reply", "timer")
+
+    def __init__(self, prefix: str, look: Look, reply: Reply, timer: Timer) -> None:
+        self.prefix = prefix
+        self.look = look
+        self.reply = reply
+        self.timer = timer
+
+
+class LongPolls:
+    """Keep the waiting calls, and answer each one on a change or at its end."""
+
+    __slots__ = ("_clock", "_polls")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._polls: dict[int, Poll] = {}
+
+    def add(self, prefix: str, wait_ms: int, look: Look, reply: Reply) -> Callable[[], None]:
+        """Answer at once if there is something to tell, or else wait; return a cancel call."""
+        answer = look(wait_ms == 0)
+        if answer is not None:
+            reply(answer)
+            return _do_nothing
+        ident = max(self._polls, default=0) + 1
+        timer = self._clock.call_later(wait_ms, partial(self._end, ident))
+        self._polls[ident] = Poll(prefix, look, reply, timer)
+        return partial(self._forget, ident)
+
+    def wake(self, key: str) -> None:
+        """Let the calls look again whose prefix a changed key has."""
+        for ident, poll in list(self._polls.items()):
+            if not key.startswith(poll.prefix):
+                continue
+            answer = poll.look(False)
+            if answer is not None:
+                self._forget(ident)
+                poll.reply(answer)
+
+    def end_all(self, answer: Answer) -> None:
+        """Give every waiting call the same answer."""
+        polls = list(self._polls.values())
+        self.forget_all()
+        for poll in polls:
+            poll.reply(answer)
+
+    def forget_all(self) -> None:
+        """Drop the waiting calls without an answer."""
+        for ident in list(self._polls):
+            self._forget(ident)
+
+    def waiting(self) -> int:
+        """Return the number of waiting calls."""
+        return len(self._polls)
+
+    def _end(self, ident: int) -> None:
+        poll = self._polls.pop(ident)
+        answer = poll.look(True)
+        if answer is not None:
+            poll.reply(answer)
+
+    def _forget(self, ident: int) -> None:
+        poll = self._polls.pop(ident, None)
+        if poll is not None and poll.timer.active():
+            poll.timer.cancel()
+
+
+def _do_nothing() -> None:
+    pass
--- /dev/null
+++ b/papayapier/standin/outputs.py
@@ -0,0 +1,93 @@
+"""Write the tokens of one job to its caller, with the faults that spoil an answer.
+
+An Output is a pair of closures, so that the engine knows nothing of JSON, SSE or faults.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from twisted.web.server import Request
+
+from papayapier.standin import jobs, web
+from papayapier.standin.answers import words
+from papayapier.standin.jobs import Job
+from papayapier.standin.switches import Mode
+
+
+class Output(NamedTuple):
+    """Group what happens on a token, at the end, and when the job is cancelled."""
+
+    token: Callable[[], None]
+    done: Callable[[], None]
+    cancelled: Callable[[], None]
+
+
+def make_output(request: Request, shown: Job, mode: Mode, load: str) -> Output:
+    """Make the output for a request; shown is the job whose id and text go out."""
+    web.set_header(request, "x-request-id", shown.request_id)
+    web.set_header(request, "x-load", load)
+    tokens = _tokens(shown)
+    if shown.stream:
+        return _stream(request, shown, mode, tokens)
+    return _json(request, shown, mode, tokens)
+
+
+def _tokens(job: Job) -> Iterator[str]:
+    """Yield the tokens that are still to come; each but the very first has a space before."""
+    for index, word in enumerate(words(job.prompt, job.done_words), job.done_words):
+        yield word if index == 0 else " " + word
+
+
+def _stream(request: Request, job: Job, mode: Mode, tokens: Iterator[str]) -> Output:
+    web.set_header(request, "content-type", jobs.SSE_TYPE)
+    web.write(request, b"")
+    frame = jobs.chunk_frame(job)
+    shown = job.left // 2 if mode is Mode.TRUNCATE else job.left
+    left = iter(range(shown))
+
+    def token() -> None:
+        if next(left, None) is not None and not web.is_gone(request):
+            web.write(request, frame.before + next(tokens).encode() + frame.after)
+
+    def done() -> None:
+        if web.is_gone(request):
+            return
+        if mode is Mode.RESET:
+            web.connection_of(request).abort()
+            return
+        if mode is not Mode.TRUNCATE:
+            web.write(request, jobs.last_chunks(job))
+        web.finish(request)
+
+    return Output(token, done, _closer(request))
+
+
+def _json(request: Request, job: Job, mode: Mode, tokens: Iterator[str]) -> Output:
+    made: list[str] = []
+
+    def token() -> None:
+        made.append(next(tokens))
+
+    def done() -> None:
+        if web.is_gone(request):
+            return
+        if mode is Mode.RESET:
+            web.connection_of(request).abort()
+            return
+        body = jobs.whole_answer(job, "".join(made))
+        if mode is Mode.TRUNCATE:
+            web.send_truncated(request, body, web.JSON_TYPE)
+            return
+        web.send(request, 200, body, web.JSON_TYPE)
+
+    return Output(token, done, _closer(request))
+
+
+def _closer(request: Request) -> Callable[[], None]:
+    """Make the call that closes a cancelled request without an end mark."""
+
+    def close() -> None:
+        if not web.is_gone(request):
+            web.connection_of(request).loseConnection()
+
+    return close
--- /dev/null
+++ b/papayapier/standin/platform_calls.py
@@ -0,0 +1,123 @@
+"""Turn the platform's HTTP calls into calls on its objects, and the results into answers."""
+
+import re
+from typing import Final, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+from twisted.web.server import Request
+
+from papayapier import codec
+from papayapier.standin import web
+from papayapier.standin.objects import LIST_LIMIT, Objects
+from papayapier.store.api import MAX_VALUE_BYTES, Member, StoreError
+
+OBJECT_PATH: Final = "/objects/"
+INSTANCE_PATH: Final = "/instances/"
+MAX_WAIT_MS: Final = 60_000
+VALUE_TYPE: Final = "application/octet-stream"
+KEY: Final = re.compile(r"[A-Za-z0-9._/-]{1,512}")
+VERSION: Final = re.compile(r'"(\d+)"')
+
+
+class Answer(NamedTuple):
+    """Hold an answer of the platform; version 0 means none."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = web.JSON_TYPE
+    version: int = 0
+
+
+class Wait(NamedTuple):
+    """Hold what a long poll asks for."""
+
+    prefix: str
+    since: int
+    wait_ms: int
+
+
+def failed(status: int, reason: str) -> Answer:
+    """Make an answer that gives a reason."""
+    return Answer(status, msgspec.json.encode({"error": reason}))
+
+
+def read_object(objects: Objects, request: Request) -> Answer:
+    """Answer GET /objects/KEY."""
+    found = objects.get(_key_of(request))
+    if isinstance(found, Err):
+        return failed(404, "no such object")
+    return Answer(200, found.ok_value.value, VALUE_TYPE, found.ok_value.version)
+
+
+def list_objects(objects: Objects, request: Request) -> Answer:
+    """Answer GET /list."""
+    limit = web.query(request, "limit", str(LIST_LIMIT))
+    if not limit.isdigit():
+        return failed(400, "limit must be a number")
+    page = objects.list(web.query(request, "prefix"), web.query(request, "after"), int(limit))
+    return Answer(200, codec.to_json(page))
+
+
+def write_object(objects: Objects, request: Request) -> Answer:
+    """Answer PUT and DELETE /objects/KEY."""
+    key = _key_of(request)
+    if KEY.fullmatch(key) is None:
+        return failed(400, "not a valid key")
+    if request.method == b"DELETE":
+        return _delete(objects, request, key)
+    value = web.body_of(request)
+    if len(value) > MAX_VALUE_BYTES:
+        return failed(413, f"the value is larger than {MAX_VALUE_BYTES} bytes")
+    if web.header(request, "if-none-match") == "*":
+        return _changed(201, objects.create(key, value))
+    version = VERSION.fullmatch(web.header(request, "if-match"))
+    if version is None:
+        return failed(428, "neither If-None-Match: * nor If-Match is given")
+    return _changed(200, objects.update(key, value, int(version.group(1))))
+
+
+def read_member(request: Request) -> Result[Member, str]:
+    """Read the record that an instance reports about itself."""
+    read = codec.from_json(web.body_of(request), Member)
+    if isinstance(read, Ok) and read.ok_value.id != instance_of(request):
+        return Err("the id differs from the path")
+    return read
+
+
+def instance_of(request: Request) -> str:
+    """Return the instance that a call on /instances/ID names."""
+    return web.path_of(request)[len(INSTANCE_PATH) :]
+
+
+def wait_of(request: Request) -> Wait | None:
+    """Read the arguments of a long poll, or return None when they are malformed."""
+    since, wait_ms = web.query(request, "since", "0"), web.query(request, "wait_ms", "0")
+    if not (since.isdigit() and wait_ms.isdigit()):
+        return None
+    return Wait(web.query(request, "prefix"), int(since), min(int(wait_ms), MAX_WAIT_MS))
+
+
+def members_answer(members: list[Member], revision: int) -> Answer:
+    """Show the instance list."""
+    records = [member._asdict() for member in members]
+    for record in records:
+        del record["static"]
+    return Answer(200, msgspec.json.encode({"instances": records, "revision": revision}))
+
+
+def _delete(objects: Objects, request: Request, key: str) -> Answer:
+    version = VERSION.fullmatch(web.header(request, "if-match"))
+    if version is None:
+        return failed(428, "If-Match is not given")
+    return _changed(200, objects.delete(key, int(version.group(1))))
+
+
+def _changed(status: int, result: Result[int, StoreError]) -> Answer:
+    if isinstance(result, Err):
+        return failed(412, "the condition does not hold")
+    return Answer(status, version=result.ok_value)
+
+
+def _key_of(request: Request) -> str:
+    return web.path_of(request)[len(OBJECT_PATH) :]
--- /dev/null
+++ b/papayapier/standin/service.py
@@ -0,0 +1,182 @@
+"""Stand in for a plain service that counts each call by its id, so that a double run shows.
+
+Once accepted, a call runs to its end even when its caller has gone: a service that writes
+a pass does not take it back.
+"""
+
+import hashlib
+from collections import Counter, deque
+from functools import partial
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred, execute
+from twisted.web.server import Request
+
+from papayapier.clock import Clock
+from papayapier.standin import web
+from papayapier.standin.crashes import Crashes
+from papayapier.standin.switches import LATE_FACTOR, Control, Mode, Switches, read_control
+from papayapier.standin.timers import Timers
+from papayapier.standin.web import Json
+
+
+class ServiceParams(NamedTuple):
+    """Set a plain service's normal behaviour."""
+
+    slots: int = 16
+    work_ms: int = 20
+
+
+class ServiceCounts(TypedDict):
+    """Hold the counts of GET /counts; a call counts when its work begins."""
+
+    calls: dict[str, int]
+    total: int
+
+
+class _Call(NamedTuple):
+    request: Request
+    mode: Mode
+    call_id: str
+    answer: dict[str, str]
+
+
+class ServiceServer:
+    """Serve plain calls, with switches and counts at hand."""
+
+    __slots__ = (
+        "_crashes",
+        "_listener",
+        "_params",
+        "_running",
+        "_timers",
+        "_waiting",
+        "calls",
+        "switches",
+    )
+
+    def __init__(
+        self, reactor: Any, clock: Clock, params: ServiceParams, host: str, port: int
+    ) -> None:
+        self.switches = Switches()
+        self.calls: Counter[str] = Counter()
+        self._params = params
+        self._timers = Timers(clock)
+        self._waiting: deque[_Call] = deque()
+        self._running = 0
+        self._listener = web.Listener(reactor, self._handle, host, port)
+        self._crashes = Crashes(clock, self._listener, self._lose_work)
+        self._listener.open()
+
+    @property
+    def port(self) -> int:
+        """Return the port listened on."""
+        return self._listener.port
+
+    def control(self, control: Control, conn: web.Connection | None = None) -> None:
+        """Merge switches, as POST /control on a connection does."""
+        self.switches.merge(control)
+        self._crashes.apply(self.switches, control, conn)
+
+    def counts(self) -> ServiceCounts:
+        """Return what has been counted so far."""
+        return ServiceCounts(calls=dict(self.calls), total=self.calls.total())
+
+    def restart(self) -> None:
+        """Start a crashed service again on the same port."""
+        self._crashes.restart()
+
+    def close(self) -> Deferred[None]:
+        """Stop serving; running work is lost."""
+        self._lose_work()
+        return self._crashes.close()
+
+    def _handle(self, request: Request) -> None:
+        path = web.path_of(request)
+        if path == "/control":
+            self._handle_control(request)
+        elif path == "/counts":
+            web.send_json(request, Json(200, self.counts()))
+        elif path == "/load":
+            self._handle_load(request)
+        else:
+            self._handle_call(request, path)
+
+    def _handle_control(self, request: Request) -> None:
+        if request.method == b"POST":
+            control = read_control(web.body_of(request))
+            if isinstance(control, Err):
+                web.send_json(request, Json(400, {"error": control.err_value}))
+                return
+            self.control(control.ok_value, web.connection_of(request))
+        web.send_json(request, Json(200, self.switches.show()))
+
+    def _handle_load(self, request: Request) -> None:
+        if self.switches.hangs_always():
+            return
+        load = {"running": self._running, "waiting": len(self._waiting)}
+        web.send_json(request, Json(200, {**load, "slots": self._params.slots}))
+
+    def _handle_call(self, request: Request, path: str) -> None:
+        mode = self.switches.take()
+        if mode is Mode.CRASH:
+            self._crashes.crash()
+            return
+        request_id = web.header(request, "x-request-id")
+        call_id = web.header(request, "x-papayapier-call") or request_id
+        echo = hashlib.sha256(web.body_of(request)).hexdigest()
+        answer = {"request_id": request_id, "path": path, "echo": echo}
+        call = _Call(request, mode, call_id, answer)
+        if mode is Mode.SILENT:
+            web.connection_of(request).silence()
+        if mode is Mode.HANG:
+            self.calls[call_id] += 1
+            return
+        self._waiting.append(call)
+        self._start_calls()
+
+    def _start_calls(self) -> None:
+        while self._waiting and self._running < self._params.slots:
+            call = self._waiting.popleft()
+            self._running += 1
+            self.calls[call.call_id] += 1
+            factor = LATE_FACTOR if call.mode is Mode.LATE else 1
+            work_ms = self._params.work_ms * self.switches.slow_factor * factor
+            self._timers.call_later(work_ms, partial(self._finish, call))
+
+    def _finish(self, call: _Call) -> None:
+        self._running -= 1
+        _answer(call)
+        self._start_calls()
+
+    def _lose_work(self) -> None:
+        self._timers.cancel_all()
+        self._waiting.clear()
+        self._running = 0
+        self.switches.reset()
+
+
+def start_service(
+    reactor: Any, clock: Clock, params: ServiceParams, host: str, port: int
+) -> Deferred[ServiceServer]:
+    """Start a plain service; port 0 picks a free one."""
+    return execute(partial(ServiceServer, reactor, clock, params, host, port))
+
+
+def _answer(call: _Call) -> None:
+    if web.is_gone(call.request):
+        return
+    if call.mode is Mode.RESET:
+        web.connection_of(call.request).abort()
+        return
+    answer = call.answer
+    if call.mode is Mode.CROSSED:
+        answer = {**answer, "request_id": "another-request"}
+    web.set_header(call.request, "x-request-id", answer["request_id"])
+    body = msgspec.json.encode(answer)
+    if call.mode is Mode.TRUNCATE:
+        web.send_truncated(call.request, body, web.JSON_TYPE)
+        return
+    web.send(call.request, 200, body, web.JSON_TYPE)
--- /dev/null
+++ b/papayapier/standin/web.py
@@ -0,0 +1,259 @@
+"""Serve HTTP for the stand-ins, with connections that can be cut or silenced.
+
+twisted.web does the protocol. Each connection is wrapped, because the faults that matter
+happen below HTTP: a connection that goes silent still looks open to both ends, so a
+client notices only by its own timers; a reset connection loses bytes already written.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, cast
+from urllib.parse import unquote
+
+import msgspec
+from twisted.internet.defer import Deferred, succeed
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
+from twisted.web.http import Request as HttpRequest
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+Handler = Callable[[Request], None]
+
+JSON_TYPE: Final = "application/json"
+IDLE_TIMEOUT_S: Final = 300
+
+
+class Traffic:
+    """Count the bytes that cross the connections of one listener."""
+
+    __slots__ = ("bytes_in", "bytes_out")
+
+    def __init__(self) -> None:
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+
+class Connection(ProtocolWrapper):
+    """Pass bytes both ways until silenced; then pass nothing and stay open."""
+
+    silent = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        # Without this, Nagle's algorithm holds a token back until the client's delayed
+        # acknowledgement; it shows as 40 ms steps in the time between tokens.
+        cast(Any, self.transport).setTcpNoDelay(True)
+
+    def silence(self) -> None:
+        """Stop reading and writing for good, without closing."""
+        self.silent = True
+        cast(Any, self.transport).stopReading()
+
+    def abort(self) -> None:
+        """Reset the connection; bytes not yet sent are lost."""
+        cast(Any, self.transport).abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._traffic().bytes_in += len(data)
+        if not self.silent:
+            cast(Any, super()).dataReceived(data)
+
+    def write(self, data: bytes) -> None:
+        if not self.silent:
+            self._traffic().bytes_out += len(data)
+            cast(Any, self.transport).write(data)
+
+    def writeSequence(self, data: Any) -> None:  # noqa: N802
+        self.write(b"".join(data))
+
+    def loseConnection(self) -> None:  # noqa: N802
+        if not self.silent:
+            cast(Any, super()).loseConnection()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if not self.silent:
+            cast(Any, self.transport).resumeProducing()
+
+    def _traffic(self) -> Traffic:
+        return cast(ConnectionTable, self.factory).traffic
+
+
+class ConnectionTable(WrappingFactory[Connection]):
+    """Keep the open connections of one listener."""
+
+    protocol = Connection
+    noisy = False
+
+    def __init__(self, site: Site) -> None:
+        cast(Any, super()).__init__(site)
+        self.traffic = Traffic()
+        self._empty: list[Deferred[None]] = []
+
+    def connections(self) -> list[Connection]:
+        """Return the open connections."""
+        return list(self.protocols)
+
+    def when_empty(self) -> Deferred[None]:
+        """Return a Deferred that fires when no connection is open."""
+        if not self.protocols:
+            return succeed(None)
+        done: Deferred[None] = Deferred()
+        self._empty.append(done)
+        return done
+
+    def unregisterProtocol(self, p: Connection) -> None:  # noqa: N802
+        cast(Any, super()).unregisterProtocol(p)
+        if self.protocols:
+            return
+        waiting, self._empty = self._empty, []
+        for done in waiting:
+            done.callback(None)
+
+
+class _QuietSite(Site):
+    """Write no access log."""
+
+    noisy = False
+    displayTracebacks = False  # noqa: N815
+
+    def log(self, request: HttpRequest) -> None:
+        """Do nothing."""
+
+
+class _Root(Resource):
+    """Hand every request to one function, which finishes it now or later."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, handler: Handler) -> None:
+        cast(Any, super()).__init__()
+        self._handler = handler
+
+    def render(self, request: Request) -> int:
+        self._handler(request)
+        return NOT_DONE_YET
+
+
+class Listener:
+    """Own a listening port and its connections; it can be closed and opened again."""
+
+    __slots__ = ("_listening", "_reactor", "host", "port", "table")
+
+    def __init__(self, reactor: Any, handler: Handler, host: str, port: int) -> None:
+        site = cast(Any, _QuietSite)(_Root(handler), timeout=IDLE_TIMEOUT_S, reactor=reactor)
+        self.table = ConnectionTable(site)
+        self.host = host
+        self.port = port
+        self._reactor = reactor
+        self._listening: Any = None
+
+    def open(self) -> None:
+        """Listen; CannotListenError tells that the address is in use."""
+        self._listening = self._reactor.listenTCP(self.port, self.table, interface=self.host)
+        self.port = self._listening.getHost().port
+
+    def is_open(self) -> bool:
+        """Tell whether the port accepts connections."""
+        return self._listening is not None
+
+    def silence_all(self, but: Connection | None = None) -> None:
+        """Silence every open connection, except the one that asks for it."""
+        for conn in self.table.connections():
+            if conn is not but:
+                conn.silence()
+
+    def abort_all(self) -> None:
+        """Reset every open connection."""
+        for conn in self.table.connections():
+            conn.abort()
+
+    async def close(self) -> None:
+        """Stop listening, reset all connections and wait until they are gone."""
+        if self._listening is not None:
+            listening, self._listening = self._listening, None
+            stopped = listening.stopListening()
+            self.abort_all()
+            if stopped is not None:
+                await stopped
+        self.abort_all()
+        await self.table.when_empty()
+
+
+class Json(NamedTuple):
+    """Pair a status with a value to be sent as JSON."""
+
+    status: int
+    value: object
+
+
+def connection_of(request: Request) -> Connection:
+    """Return the connection that a request came in on."""
+    return cast(Connection, cast(Any, request).channel.transport)
+
+
+def path_of(request: Request) -> str:
+    """Return the decoded path of a request, without its query."""
+    return unquote(request.path.decode("ascii", "replace"))
+
+
+def body_of(request: Request) -> bytes:
+    """Return the whole body of a request."""
+    return cast(bytes, cast(Any, request).content.read())
+
+
+def header(request: Request, name: str) -> str:
+    """Return a request header, or an empty string."""
+    return request.getHeader(name) or ""
+
+
+def query(request: Request, name: str, default: str = "") -> str:
+    """Return the first value of a query argument."""
+    values = cast(dict[bytes, list[bytes]], request.args).get(name.encode())
+    return values[0].decode("utf-8", "replace") if values else default
+
+
+def set_header(request: Request, name: str, value: str) -> None:
+    """Set a header of the answer."""
+    cast(Any, request).setHeader(name.encode(), value.encode())
+
+
+def write(request: Request, data: bytes) -> None:
+    """Write a part of the answer's body."""
+    cast(Any, request).write(data)
+
+
+def finish(request: Request) -> None:
+    """End the answer's body."""
+    cast(Any, request).finish()
+
+
+def send_json(request: Request, answer: Json) -> None:
+    """Finish a request with a JSON answer."""
+    send(request, answer.status, msgspec.json.encode(answer.value), JSON_TYPE)
+
+
+def send(request: Request, status: int, body: bytes, content_type: str) -> None:
+    """Finish a request with a body, unless its connection has closed."""
+    if is_gone(request):
+        return
+    request.setResponseCode(status)
+    set_header(request, "content-type", content_type)
+    set_header(request, "content-length", str(len(body)))
+    write(request, body)
+    finish(request)
+
+
+def send_truncated(request: Request, body: bytes, content_type: str) -> None:
+    """Send the first half of a body under its full length, and close."""
+    set_header(request, "content-type", content_type)
+    set_header(request, "content-length", str(len(body)))
+    write(request, body[: len(body) // 2])
+    connection_of(request).loseConnection()
+
+
+def is_gone(request: Request) -> bool:
+    """Tell whether the connection of a request has closed before its answer."""
+    return cast(Any, request).channel is None
+
+
+def watch_closed(request: Request, call: Callable[[], None]) -> None:
+    """Run a call when the connection closes before the request is finished."""
+    request.notifyFinish().addErrback(lambda _: call())
