Speak the platform's object API over HTTP; add the fake platform for tests

Cause: every other package needs a Store, and tests need one whose faults they script. Store gains close. tests/fake_store.py holds objects, history and the instance list in memory and applies scripted faults per call, also writes that take effect after their answer was lost.

--- a/papayapier/store/api.py
+++ b/papayapier/store/api.py
@@ -91,12 +91,17 @@
 LEAVING: Final = "leaving"
 
 
+async def _nothing_to_close() -> None:
+    return None
+
+
 class Store(NamedTuple):
     """Group the calls of the object API.
 
     Versions are positive integers that only rise. Each call ends within its own timeout.
     Errors: create and update give CONFLICT, UNAVAILABLE, LIMITED (nothing was changed) or
-    LOST (unknown); reads give NOT_FOUND, UNAVAILABLE or LIMITED; watch also TOO_OLD.
+    LOST (unknown); reads give NOT_FOUND, UNAVAILABLE or LIMITED; watch also TOO_OLD. close
+    drops kept connections when the instance ends.
     """
 
     get: Callable[[str], Awaitable[Result[Stored, StoreError]]]
@@ -108,3 +113,4 @@
     members: Callable[[int, int], Awaitable[Result[Members, StoreError]]]
     report: Callable[[Member], Awaitable[Result[None, StoreError]]]
     withdraw: Callable[[str], Awaitable[Result[None, StoreError]]]
+    close: Callable[[], Awaitable[None]] = _nothing_to_close
--- /dev/null
+++ b/papayapier/store/link.py
@@ -0,0 +1,145 @@
+"""Exchange one request and its whole answer with the platform, over kept connections.
+
+A kept connection can go silent for good while new ones work. It shows as a call that times
+out; the next call would take another kept connection, maybe as dead. So a timeout closes
+the connection of its call and every idle one with it.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, NamedTuple, cast
+
+from result import Err, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web import client as web_client
+
+from papayapier import events
+from papayapier.clock import MS_PER_S, Clock
+from papayapier.settings import PlatformSettings
+from papayapier.store.api import MAX_VALUE_BYTES
+
+KEPT_CONNECTIONS: Final = 8
+MAX_ANSWER_BYTES: Final = 4 * MAX_VALUE_BYTES
+
+
+class Request(NamedTuple):
+    """Describe one call; name labels its metric, wait_ms is how long the platform may wait."""
+
+    name: str
+    method: str
+    path: str
+    params: Mapping[str, str] = {}
+    headers: Mapping[str, str] = {}
+    body: bytes | None = None
+    wait_ms: int = 0
+
+
+class Reply(NamedTuple):
+    """Hold a whole answer."""
+
+    status: int
+    etag: str
+    body: bytes
+
+
+class Link(NamedTuple):
+    """Group the calls of a pool of connections to the platform."""
+
+    exchange: Callable[[Request], Awaitable[Result[Reply, BaseException]]]
+    close: Callable[[], Awaitable[None]]
+
+
+def make_link(reactor: Any, clock: Clock, platform: PlatformSettings) -> Link:
+    """Make a pool of connections to the platform; each exchange has a timeout."""
+    pool = cast(Any, web_client.HTTPConnectionPool)(reactor, persistent=True)
+    pool.maxPersistentPerHost = KEPT_CONNECTIONS
+    # The pool would repeat a GET by itself on a stale connection: a hidden second call,
+    # outside the budget and the timeout.
+    pool.retryAutomatically = False
+    connect_s = platform.timeout_ms / MS_PER_S
+    agent = cast(Any, web_client.Agent)(reactor, connectTimeout=connect_s, pool=pool)
+    http = HTTPClient(agent)
+    address = f"http://{platform.host}:{platform.port}"
+
+    async def send_and_read(req: Request) -> Reply:
+        response: Any = await http.request(
+            req.method,
+            address + req.path,
+            params=dict(req.params),
+            headers=cast(Any, req.headers),
+            data=req.body,
+            allow_redirects=False,
+            unbuffered=True,
+            reactor=reactor,
+        )
+        body = await _whole_body(response)
+        etag = response.headers.getRawHeaders("ETag", [""])[0]
+        return Reply(response.code, etag, body)
+
+    async def exchange(req: Request) -> Result[Reply, BaseException]:
+        call = Deferred.fromCoroutine(send_and_read(req))
+        timer = clock.call_later(req.wait_ms + platform.timeout_ms, call.cancel)
+        try:
+            return Ok(await call)
+        except Exception as exc:
+            # Whatever twisted or treq raises is a failed exchange; the caller sorts it out.
+            if not timer.active():
+                events.emit(events.STORE_SILENT, call=req.name)
+                pool.closeCachedConnections()
+            return Err(exc)
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    async def close() -> None:
+        await pool.closeCachedConnections()
+
+    return Link(exchange, close)
+
+
+def never_sent(exc: BaseException) -> bool:
+    """Tell whether the request cannot have left, because no connection was made."""
+    return isinstance(exc, ConnectError | ConnectingCancelledError)
+
+
+def _whole_body(response: Any) -> Deferred[bytes]:
+    """Read a body to its declared end; cancelling closes the connection."""
+    collector = _BodyCollector()
+    response.deliverBody(collector)
+    return collector.done
+
+
+class _BodyCollector(Protocol):
+    """Collect a body of bounded size.
+
+    twisted reports the end of a body without declared length as PotentialDataLoss: it
+    cannot tell a whole body from a cut one, so neither can we, and it counts as cut.
+    """
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self._abort())
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._abort()
+            return
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self.done.called:
+            return
+        whole = isinstance(reason.value, web_client.ResponseDone)
+        if whole and self._size <= MAX_ANSWER_BYTES:
+            self.done.callback(b"".join(self._parts))
+        else:
+            self.done.errback(reason)
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
--- /dev/null
+++ b/tests/fake_store.py
@@ -0,0 +1,267 @@
+"""Provide an in-memory platform with scripted faults.
+
+One FakePlatform stands for the platform; each instance under test gets a Store of its own
+from platform.store(NAME). Without faults every call completes at once. A fault is scripted
+for calls still to come: platform.fail(Fault.LOST_AFTER, call="update", times=2). Everything
+that takes time goes through the clock, so a test moves it by hand.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import Clock
+from papayapier.store.api import (
+    LIVE,
+    MAX_VALUE_BYTES,
+    Change,
+    Changes,
+    Entry,
+    Listing,
+    Member,
+    Members,
+    Store,
+    Stored,
+    StoreError,
+)
+
+T = TypeVar("T")
+
+
+class Fault(Enum):
+    """Name what can happen to one call."""
+
+    UNAVAILABLE = "unavailable"  # refused, nothing changed
+    LIMITED = "limited"  # refused, nothing changed
+    LOST_BEFORE = "lost_before"  # never arrives; answered LOST after delay_ms
+    LOST_AFTER = "lost_after"  # takes effect at once; answered LOST after delay_ms
+    LOST_DELAYED = "lost_delayed"  # answered LOST at once; takes effect delay_ms later
+    SLOW = "slow"  # takes effect and is answered after delay_ms
+    SLOW_ANSWER = "slow_answer"  # takes effect at once, answered after delay_ms
+
+
+class Scripted(NamedTuple):
+    """Hold one scripted fault; an empty call, key or store matches any."""
+
+    fault: Fault
+    call: str
+    key: str
+    store: str
+    delay_ms: int
+
+
+class FakePlatform:
+    """Keep objects, history and instance list, and apply scripted faults to calls.
+
+    down makes every call fail; cut lists stores whose calls all fail; latency_ms delays
+    every answer after its effect. calls counts by name, writes by key.
+    """
+
+    def __init__(self, clock: Clock, latency_ms: int = 0, kept_changes: int = 10_000) -> None:
+        self.clock = clock
+        self.latency_ms = latency_ms
+        self.down = False
+        self.cut: set[str] = set()
+        self.revision = 0
+        self.objects: dict[str, Stored] = {}
+        self.instances: dict[str, Member] = {}
+        self.calls: Counter[str] = Counter()
+        self.writes: Counter[str] = Counter()
+        self.bytes_in = 0
+        self._history: deque[Change] = deque(maxlen=kept_changes)
+        self._forgotten = 0
+        self._scripts: list[Scripted] = []
+        self._waiting: list[Deferred[None]] = []
+        self._members_revision = 1
+
+    def fail(
+        self,
+        fault: Fault,
+        call: str = "",
+        key: str = "",
+        store: str = "",
+        times: int = 1,
+        delay_ms: int = 0,
+    ) -> None:
+        """Script a fault for the next matching calls; key is a prefix."""
+        self._scripts += [Scripted(fault, call, key, store, delay_ms)] * times
+
+    def clear_faults(self) -> None:
+        """Forget the faults not yet applied."""
+        self._scripts.clear()
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches from an older revision get TOO_OLD."""
+        self._history.clear()
+        self._forgotten = self.revision
+
+    def list_member(self, member: Member) -> None:
+        """Put a record into the instance list at once."""
+        self.instances[member.id] = member
+        self._members_revision += 1
+        self._wake()
+
+    def store(self, name: str = "") -> Store:
+        """Make the Store of one instance."""
+
+        async def get(key: str) -> Result[Stored, StoreError]:
+            return await self._call(name, "get", key, lambda: self._get(key))
+
+        async def create(key: str, value: bytes) -> Result[int, StoreError]:
+            return await self._call(name, "create", key, lambda: self._put(key, value, 0))
+
+        async def update(key: str, value: bytes, version: int) -> Result[int, StoreError]:
+            return await self._call(name, "update", key, lambda: self._put(key, value, version))
+
+        async def delete(key: str, version: int) -> Result[int, StoreError]:
+            return await self._call(name, "delete", key, lambda: self._delete(key, version))
+
+        async def list_(prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
+            return await self._call(name, "list", prefix, lambda: self._list(prefix, after, limit))
+
+        async def watch(prefix: str, since: int, wait_ms: int) -> Result[Changes, StoreError]:
+            await self._wait(wait_ms, lambda: bool(self._changes(prefix, since)))
+            return await self._call(name, "watch", prefix, lambda: self._watch(prefix, since))
+
+        async def members(wait_ms: int, since: int) -> Result[Members, StoreError]:
+            await self._wait(wait_ms, lambda: self._members_revision > since)
+            return await self._call(name, "members", "", self._members)
+
+        async def report(member: Member) -> Result[None, StoreError]:
+            return await self._call(name, "report", member.id, lambda: self._report(member))
+
+        async def withdraw(member_id: str) -> Result[None, StoreError]:
+            return await self._call(name, "withdraw", member_id, lambda: self._withdraw(member_id))
+
+        return Store(get, create, update, delete, list_, watch, members, report, withdraw)
+
+    async def _call(
+        self, store: str, call: str, key: str, effect: Callable[[], Result[T, StoreError]]
+    ) -> Result[T, StoreError]:
+        self.calls[call] += 1
+        if call in ("create", "update", "delete"):
+            self.writes[key] += 1
+        lost = StoreError.LOST if call not in READS else StoreError.UNAVAILABLE
+        if self.down or store in self.cut:
+            return Err(StoreError.UNAVAILABLE)
+        script = self._next_script(store, call, key)
+        if script is None:
+            return await self._answer(effect(), self.latency_ms)
+        delay_ms = script.delay_ms
+        if script.fault is Fault.UNAVAILABLE:
+            return await self._answer(Err(StoreError.UNAVAILABLE), delay_ms)
+        if script.fault is Fault.LIMITED:
+            return await self._answer(Err(StoreError.LIMITED), delay_ms)
+        if script.fault is Fault.LOST_BEFORE:
+            return await self._answer(Err(lost), delay_ms)
+        if script.fault is Fault.LOST_AFTER:
+            effect()
+            return await self._answer(Err(lost), delay_ms)
+        if script.fault is Fault.LOST_DELAYED:
+            self.clock.call_later(delay_ms, effect)
+            return Err(lost)
+        if script.fault is Fault.SLOW:
+            await self.clock.sleep(delay_ms)
+            return effect()
+        return await self._answer(effect(), delay_ms)
+
+    async def _answer(self, answer: Result[T, StoreError], delay_ms: int) -> Result[T, StoreError]:
+        if delay_ms:
+            await self.clock.sleep(delay_ms)
+        return answer
+
+    def _next_script(self, store: str, call: str, key: str) -> Scripted | None:
+        for script in self._scripts:
+            if (
+                script.call in ("", call)
+                and key.startswith(script.key)
+                and script.store in ("", store)
+            ):
+                self._scripts.remove(script)
+                return script
+        return None
+
+    def _get(self, key: str) -> Result[Stored, StoreError]:
+        found = self.objects.get(key)
+        return Ok(found) if found else Err(StoreError.NOT_FOUND)
+
+    def _put(self, key: str, value: bytes, version: int) -> Result[int, StoreError]:
+        assert len(value) <= MAX_VALUE_BYTES, key
+        found = self.objects.get(key)
+        if (found.version if found else 0) != version:
+            return Err(StoreError.CONFLICT)
+        self.bytes_in += len(value)
+        self._record(key, deleted=False)
+        self.objects[key] = Stored(key, self.revision, value)
+        self._wake()
+        return Ok(self.revision)
+
+    def _delete(self, key: str, version: int) -> Result[int, StoreError]:
+        found = self.objects.get(key)
+        if found is None or found.version != version:
+            return Err(StoreError.CONFLICT)
+        del self.objects[key]
+        self._record(key, deleted=True)
+        self._wake()
+        return Ok(self.revision)
+
+    def _record(self, key: str, deleted: bool) -> None:
+        if len(self._history) == self._history.maxlen:
+            self._forgotten = self._history[0].version
+        self.revision += 1
+        self._history.append(Change(key, self.revision, deleted))
+
+    def _list(self, prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
+        keys = sorted(key for key in self.objects if key.startswith(prefix) and key > after)
+        page = [Entry(key, self.objects[key].version) for key in keys[:limit]]
+        return Ok(Listing(page, len(keys) > limit, self.revision))
+
+    def _changes(self, prefix: str, since: int) -> list[Change]:
+        return [c for c in self._history if c.version > since and c.key.startswith(prefix)]
+
+    def _watch(self, prefix: str, since: int) -> Result[Changes, StoreError]:
+        if since < self._forgotten:
+            return Err(StoreError.TOO_OLD)
+        return Ok(Changes(self._changes(prefix, since), self.revision))
+
+    def _members(self) -> Result[Members, StoreError]:
+        return Ok(Members(list(self.instances.values()), self._members_revision))
+
+    def _report(self, member: Member) -> Result[None, StoreError]:
+        if self.instances.get(member.id) != member:
+            self.list_member(member)
+        return Ok(None)
+
+    def _withdraw(self, member_id: str) -> Result[None, StoreError]:
+        if self.instances.pop(member_id, None):
+            self._members_revision += 1
+            self._wake()
+        return Ok(None)
+
+    async def _wait(self, wait_ms: int, ready: Callable[[], bool]) -> None:
+        """Wait for a change that makes ready true, at most wait_ms."""
+        end = self.clock.now() + wait_ms
+        while not ready() and self.clock.now() < end:
+            changed: Deferred[None] = Deferred()
+            self._waiting.append(changed)
+            timer = self.clock.call_later(end - self.clock.now(), self._wake)
+            await changed
+            if timer.active():
+                timer.cancel()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for changed in waiting:
+            changed.callback(None)
+
+
+READS = frozenset({"get", "list", "watch", "members"})
+
+
+def make_member(member_id: str, state: str = LIVE) -> Member:
+    """Make an entry instance's record."""
+    return Member(member_id, "entry", "", "127.0.0.1", 8080, 8082, "dc-a", "local", state)
