Check refusals and batch results of a load run against what ran

A refusal that says not_run can only be trusted when compared with the stand-ins' own counts, and a result only when read back.

--- a/papayapier/load/client.py
+++ b/papayapier/load/client.py
@@ -59,10 +59,14 @@
 
 
 class Answered(NamedTuple):
-    """Hold what became of one request, and when."""
+    """Hold what became of one request, and when; call_id is the instance's name for the work.
+
+    A request whose connection broke before the answer's head has no call_id.
+    """
 
     verdict: Verdict
     timing: Timing
+    call_id: str = ""
 
 
 class Client(NamedTuple):
@@ -115,7 +119,8 @@
             timer.cancel()
     total_us = now_us(client.clock) - intended_us
     lag_us = started_us - intended_us
-    return Answered(verdict, Timing(lag_us, receiver.first_us, total_us, receiver.gaps_us))
+    timing = Timing(lag_us, receiver.first_us, total_us, receiver.gaps_us)
+    return Answered(verdict, timing, receiver.call_id)
 
 
 class _Stop:
@@ -135,12 +140,13 @@
         b"POST", url, _headers(req), cast(IBodyProducer, BytesBody(req.body))
     )
     receiver.status = response.code
-    receiver.streams = _is_stream(response)
+    receiver.streams = _header(response, "content-type").startswith("text/event-stream")
+    receiver.call_id = _header(response, "x-papayapier-call")
     response.deliverBody(receiver)
     await receiver.done
-    own_id = response.headers.getRawHeaders(b"x-request-id", [])
-    if own_id and own_id[0] != req.request_id.encode():
-        return Verdict(End.WRONG, reason=f"the answer names request {own_id[0]!r}")
+    own_id = _header(response, "x-request-id")
+    if own_id and own_id != req.request_id:
+        return Verdict(End.WRONG, reason=f"the answer names request {own_id}")
     return receiver.verdict()
 
 
@@ -159,9 +165,9 @@
     return Headers({name: [value] for name, value in fields.items()})
 
 
-def _is_stream(response: Any) -> bool:
-    kinds = response.headers.getRawHeaders(b"content-type", [b""])
-    return bool(kinds[0].startswith(b"text/event-stream"))
+def _header(response: Any, name: str) -> str:
+    values: list[str] = response.headers.getRawHeaders(name, [""])
+    return values[0]
 
 
 class _Receiver(Protocol):
@@ -176,6 +182,7 @@
         self._reader = StreamReader()
         self.status = 0
         self.streams = False
+        self.call_id = ""
         self.first_us = -1
         self.gaps_us: list[int] = []
         self.done: Deferred[None] = Deferred(self._abort)
--- /dev/null
+++ b/papayapier/load/jobs.py
@@ -0,0 +1,148 @@
+"""Submit, follow, cancel and check batch jobs through the callers' interface."""
+
+import random
+from typing import Any, Final, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from papayapier.load.answer import ExpectedText
+from papayapier.load.calls import call, call_json
+from papayapier.load.mix import CHAT_PATH, draw_length, draw_words
+from papayapier.load.scenario import Job
+
+ENDED: Final = ("completed", "failed", "cancelled", "expired")
+SHOWN: Final = 10
+
+
+class Item(NamedTuple):
+    """Hold what an item asks for."""
+
+    prompt: str
+    max_tokens: int
+
+
+class Submitted(NamedTuple):
+    """Hold a job as accepted, and what its items ask for by custom id."""
+
+    job: Job
+    id: str
+    items: dict[str, Item]
+
+    def mean_tokens(self) -> float:
+        """Return the mean length of an item's answer."""
+        return sum(item.max_tokens for item in self.items.values()) / len(self.items)
+
+
+class Progress(NamedTuple):
+    """Hold a job's status as read."""
+
+    status: str
+    completed: int
+    failed: int
+
+
+async def submit(target: str, job: Job, run_id: str, seed: int) -> Result[Submitted, str]:
+    """Upload a job's items and create the job; a resend with the same arguments is the same."""
+    rng = random.Random(f"job {seed} {run_id} {job.name}")
+    items = {
+        f"{job.name}-{number}": Item(
+            " ".join(draw_words(draw_length(job.prompt_words, rng), rng)),
+            draw_length(job.max_tokens, rng),
+        )
+        for number in range(job.items)
+    }
+    data = b"\n".join(_line(job, custom_id, item) for custom_id, item in items.items())
+    headers = {"Content-Type": "application/jsonl"}
+    uploaded = await call("POST", f"http://{target}/v1/files", data + b"\n", headers)
+    if isinstance(uploaded, Err):
+        return uploaded
+    wanted = {
+        "input_file_id": msgspec.json.decode(uploaded.ok_value)["id"],
+        "endpoint": CHAT_PATH,
+        "completion_window": "24h",
+    }
+    created = await call_json(
+        "POST", f"http://{target}/v1/batches", wanted, _job_headers(job, run_id)
+    )
+    return created.map(lambda answer: Submitted(job, str(answer["id"]), items))
+
+
+async def progress(target: str, submitted: Submitted) -> Result[Progress, str]:
+    """Read how far a job is."""
+    got = await call_json("GET", f"http://{target}/v1/batches/{submitted.id}")
+    return got.map(_progress)
+
+
+async def cancel(target: str, submitted: Submitted) -> Result[Any, str]:
+    """Cancel a job."""
+    return await call_json("POST", f"http://{target}/v1/batches/{submitted.id}/cancel")
+
+
+async def check_results(
+    target: str, submitted: Submitted, expected: ExpectedText
+) -> Result[list[str], str]:
+    """Read the results of an ended job and return each that is wrong, doubled or missing."""
+    got = await call_json("GET", f"http://{target}/v1/batches/{submitted.id}")
+    if isinstance(got, Err):
+        return got
+    lines: list[Any] = []
+    for field in ("output_file_id", "error_file_id"):
+        if not (file_id := got.ok_value.get(field)):
+            continue
+        content = await call("GET", f"http://{target}/v1/files/{file_id}/content")
+        if isinstance(content, Err):
+            return content
+        lines += [msgspec.json.decode(line) for line in content.ok_value.splitlines()]
+    complete = got.ok_value["status"] == "completed"
+    return Ok(_wrong_lines(submitted, lines, expected, complete=complete)[:SHOWN])
+
+
+def _wrong_lines(
+    submitted: Submitted, lines: list[Any], expected: ExpectedText, *, complete: bool
+) -> list[str]:
+    found = []
+    seen: set[str] = set()
+    for line in lines:
+        custom_id = line["custom_id"]
+        if custom_id in seen:
+            found.append(f"item {custom_id} has two results")
+        seen.add(custom_id)
+        item = submitted.items.get(custom_id)
+        if item is None:
+            found.append(f"item {custom_id} is not one of the job")
+        elif not line.get("error") and _text(line) != expected(item.prompt, item.max_tokens):
+            found.append(f"item {custom_id} has a wrong result")
+    missing = len(submitted.items) - len(seen)
+    if complete and missing:
+        found.append(f"{missing} items of job {submitted.id} have no result")
+    return found
+
+
+def _text(line: Any) -> str:
+    return str(line["response"]["body"]["choices"][0]["message"]["content"])
+
+
+def _line(job: Job, custom_id: str, item: Item) -> bytes:
+    body = {
+        "model": job.model,
+        "messages": [{"role": "user", "content": item.prompt}],
+        "max_tokens": item.max_tokens,
+    }
+    document = {"custom_id": custom_id, "method": "POST", "url": CHAT_PATH, "body": body}
+    return msgspec.json.encode(document)
+
+
+def _job_headers(job: Job, run_id: str) -> dict[str, str]:
+    headers = {
+        "X-Papayapier-Profile": job.profile,
+        "Idempotency-Key": f"job-{run_id}-{job.name}",
+    }
+    if job.due_ms:
+        headers["X-Papayapier-Due-Ms"] = str(job.due_ms)
+    return headers
+
+
+def _progress(answer: Any) -> Progress:
+    counts = answer["request_counts"]
+    return Progress(str(answer["status"]), int(counts["completed"]), int(counts["failed"]))
--- /dev/null
+++ b/papayapier/load/operators.py
@@ -0,0 +1,42 @@
+"""Change profiles as an operator does, through one instance's operator address."""
+
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec
+from papayapier.config.profiles import Profile
+from papayapier.load.calls import call_json
+
+
+class Operator(NamedTuple):
+    """Hold an operator address ("HOST:PORT") and key; run_id keeps change ids apart."""
+
+    address: str
+    key: str
+    run_id: str
+
+
+async def put_profile(operator: Operator, profile: Profile, step: str) -> Result[int, str]:
+    """Put a profile into the configuration and return its version."""
+    url = f"http://{operator.address}/v1/profiles/{profile.name}"
+    headers = {"Authorization": f"Bearer {operator.key}"} if operator.key else {}
+    based_on = await _version(url, headers)
+    if isinstance(based_on, Err):
+        return based_on
+    change = {
+        "profile": codec.to_document(profile),
+        "based_on": based_on.ok_value,
+        "reason": f"load experiment, {step}",
+        "change_id": f"{operator.run_id}:{profile.name}:{based_on.ok_value}",
+    }
+    got = await call_json("PUT", url, change, headers)
+    return got.map(lambda answer: int(answer["version"]))
+
+
+async def _version(url: str, headers: dict[str, str]) -> Result[int, str]:
+    """Return the version in force, 0 when there is no such profile yet."""
+    got = await call_json("GET", url, headers=headers)
+    if isinstance(got, Err):
+        return Ok(0) if ": status 404" in got.err_value else got
+    return Ok(int(got.ok_value["version"]))
--- a/papayapier/load/results.py
+++ b/papayapier/load/results.py
@@ -83,7 +83,7 @@
 
     def add(self, req: Request, got: Answered) -> None:
         """Count one ended request."""
-        verdict, timing = got
+        verdict, timing, _ = got
         self.sent += 1
         self.sent_by[req.caller] += 1
         self.ends[verdict.end.value] += 1
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,190 @@
+"""Test the load tool: experiment files, arrivals, verdicts, and the open-loop client."""
+
+import json
+import random
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, succeed
+from twisted.trial.unittest import TestCase
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from papayapier.clock import real_clock
+from papayapier.load import arrivals, runner, scenario, table
+from papayapier.load.answer import End, StreamReader, judge, judge_stream
+from papayapier.load.client import Client, make_client
+from papayapier.load.mix import Mix
+from papayapier.load.results import jain
+from papayapier.standin.answers import expected_text
+
+CHAT = {"name": "chat", "kind": "chat", "profile": "p", "max_tokens": {"median": 3}}
+PHASE = {"name": "one", "ms": 200, "settle_ms": 0, "rate_per_s": 100}
+
+
+def experiment(**changes: object) -> scenario.Experiment:
+    """Make a small experiment."""
+    document = {"name": "small", "classes": [CHAT], "phases": [PHASE], **changes}
+    return scenario.parse(json.dumps(document)).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("changes", "where"),
+    [
+        ({"classes": []}, "classes: "),
+        ({"classes": [{**CHAT, "kind": "tea"}]}, "classes[0].kind: "),
+        ({"classes": [CHAT, CHAT]}, "classes: the name 'chat'"),
+        ({"classes": [{**CHAT, "kind": "service"}]}, "classes[0].path: "),
+        ({"classes": [{**CHAT, "misuse": {"resend_share": 0.1}}]}, "classes[0].misuse.resend"),
+        ({"phases": [{**PHASE, "settle_ms": 200}]}, "phases[0].settle_ms: "),
+        ({"phases": [{**PHASE, "jobs": ["x"]}]}, "phases[0].jobs: no job has the name 'x'"),
+        ({"phases": [{**PHASE, "speed": 3}]}, "phases[0]: "),
+    ],
+)
+def test_an_error_names_the_field(changes: dict[str, object], where: str) -> None:
+    document = {"name": "small", "classes": [CHAT], "phases": [PHASE], **changes}
+    assert scenario.parse(json.dumps(document)).unwrap_err().startswith(where)
+
+
+def test_all_shipped_experiments_are_valid() -> None:
+    paths = sorted(Path(__file__).parent.parent.joinpath("misc/experiments").glob("*.json"))
+    assert [scenario.load(path).err() for path in paths] == [None] * len(paths)
+
+
+def test_arrivals_follow_steps_and_bursts() -> None:
+    phase = scenario.Phase(
+        "x",
+        ms=20_000,
+        rate_per_s=100,
+        steps=(scenario.Step(10_000, 200),),
+        bursts=(scenario.Burst(15_000, 1_000, 5),),
+    )
+    times = list(arrivals.arrival_times_us(phase, random.Random(1)))
+    counts = [sum(start <= at < start + 1_000_000 for at in times) for start in (0, 12e6, 15e6)]
+    assert times == sorted(times)
+    assert 70 < counts[0] < 130
+    assert 160 < counts[1] < 240
+    assert 900 < counts[2] < 1_100
+
+
+def test_phases_of_a_round_get_the_same_shapes_and_other_words() -> None:
+    classes = experiment(classes=[{**CHAT, "prompt_words": {"median": 20, "sigma": 0.5}}]).classes
+    one, two = (Mix(classes, "r", random.Random(1), random.Random(words)) for words in (2, 3))
+    pairs = [(one.draw(), two.draw()) for _ in range(20)]
+    assert all(len(a.prompt.split()) == len(b.prompt.split()) for a, b in pairs)
+    assert all(a.prompt != b.prompt for a, b in pairs)
+
+
+def test_verdicts_tell_whole_foreign_short_and_refused_answers_apart() -> None:
+    req = Mix(experiment().classes, "r", random.Random(1), random.Random(2)).draw()
+    own = expected_text(req.prompt, req.max_tokens)
+
+    def end(status: int, document: object) -> End:
+        return judge(req, status, json.dumps(document).encode(), expected_text).end
+
+    def answer(text: str) -> object:
+        return {"choices": [{"message": {"content": text}, "finish_reason": "length"}]}
+
+    assert end(200, answer(own)) is End.WHOLE
+    assert end(200, answer(own.rsplit(" ", 1)[0])) is End.WRONG
+    assert end(200, answer(expected_text("other", req.max_tokens))) is End.WRONG
+    assert end(429, {"error": {"kind": "overloaded", "outcome": "not_run"}}) is End.REFUSED
+    assert end(500, {"error": {"kind": "internal"}}) is End.WRONG
+
+
+def test_a_stream_without_its_end_mark_is_cut() -> None:
+    req = Mix(experiment().classes, "r", random.Random(1), random.Random(2)).draw()
+    reader = StreamReader()
+    tokens = feed_answer(reader, expected_text(req.prompt, req.max_tokens))
+    assert judge_stream(req, reader, expected_text).end is End.CUT
+    reader.feed(b"data: [DONE]\n\n")
+    assert tokens == req.max_tokens
+    assert judge_stream(req, reader, expected_text).end is End.WHOLE
+
+
+def feed_answer(reader: StreamReader, text: str) -> int:
+    """Feed a stream in pieces that cut across its lines; return how many tokens it gave."""
+    words = text.split()
+    chunks = [
+        {"choices": [{"delta": {"content": f" {word}"}, "finish_reason": at == len(words) - 1}]}
+        for at, word in enumerate(words)
+    ]
+    for chunk in chunks:
+        chunk["choices"][0]["finish_reason"] = "length" if chunk is chunks[-1] else None
+    data = b"".join(b"data: " + json.dumps(chunk).encode() + b"\n\n" for chunk in chunks)
+    return sum(reader.feed(data[at : at + 7]) for at in range(0, len(data), 7))
+
+
+def test_jain_tells_even_from_starved() -> None:
+    assert jain([0.5, 0.5, 0.5]) == pytest.approx(1.0)
+    assert jain([1.0, 0.0]) == pytest.approx(0.5)
+
+
+class Chat(Resource):
+    """Answer each chat request by what its number says."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.seen: list[str] = []
+
+    def render_POST(self, request: Request) -> object:  # noqa: N802
+        number = len(self.seen)
+        self.seen.append(str(request.getHeader("x-request-id")))
+        body = json.loads(cast(Any, request.content).read())
+        text = expected_text(body["messages"][0]["content"], body["max_tokens"])
+        if number % 4 == 1:
+            request.setResponseCode(429)
+            return json.dumps({"error": {"kind": "overloaded", "outcome": "not_run"}}).encode()
+        if number % 4 == 2:
+            return NOT_DONE_YET
+        if number % 4 == 3:
+            text = "someone else's answer"
+        return json.dumps({"choices": [{"message": {"content": text}}]}).encode()
+
+
+class ClientTest(TestCase):
+    """Run the open loop over real sockets."""
+
+    timeout = 30
+
+    def setUp(self) -> None:
+        self.chat = Chat()
+        self.port = cast(Any, reactor).listenTCP(
+            0, cast(Any, Site)(self.chat), interface="127.0.0.1"
+        )
+        self.clock = real_clock()
+        self.client: Client = make_client(
+            self.clock, expected_text, give_up_ms=1_000, fresh_connections=False
+        )
+
+    def tearDown(self) -> Deferred[None]:  # type: ignore[override]
+        return Deferred.fromCoroutine(self._stop())
+
+    async def _stop(self) -> None:
+        await cast(Any, self.client.pool).closeCachedConnections()
+        await self.port.stopListening()
+
+    def test_every_request_is_counted_once_by_its_end(self) -> Deferred[None]:
+        return Deferred.fromCoroutine(self._count())
+
+    async def _count(self) -> None:
+        target = f"127.0.0.1:{self.port.getHost().port}"
+        run = runner.Run(
+            experiment(), self.clock, self.client, lambda: target, "r", 1, lambda *_: None
+        )
+        nothing = runner.Around(*[lambda _: succeed(None)] * 3)
+        (result,) = await run.all_phases(nothing)
+        sent = len(self.chat.seen)
+        ends = result.ends
+        assert run.failures == []
+        assert result.sent == sent == sum(ends.values())
+        assert ends["whole"] == (sent + 3) // 4
+        assert result.refusals == {"overloaded/not_run": (sent + 2) // 4}
+        assert ends["hung"] == (sent + 1) // 4
+        assert runner.wrong_answers([result]) == sent // 4
+        assert result.total.number == ends["whole"]
+        assert "one    chat" in table.results_table([result])
