Settle store writes whose answer was lost

Cause: a lost write may have taken effect, never do so, or do so after a read-back. Change: store/writes.py repeats the same conditional write until our own value is seen or a later conditional write of ours succeeds; otherwise it ends as LOST, also when another value is there that may have replaced ours.

--- /dev/null
+++ b/papayapier/store/writes.py
@@ -0,0 +1,134 @@
+"""Settle writes whose answer was lost.
+
+A LOST write may have taken effect, may never do so, or may do so later: a read that shows
+the old version proves nothing. Two things do prove something. Our own value in the store
+(values carry a unique write id inside, so equal bytes mean that it was ours) proves that
+the write took effect. A later conditional write of ours on the same version proves that the
+late one will fail, because that version is gone. So the same conditional write is repeated
+until either is seen. Waiting longer or reading twice instead would only make the mistake
+rarer.
+
+The end CONFLICT means that the write never took effect and never will. LOST means that this
+could not be learnt: no definite answer came by the due time, or somebody else's value is
+there and ours may have been replaced by it. The caller then has to judge by the content.
+
+One limit: a create has no version, so a late copy of it can bring back an object that was
+created and then deleted. Whoever deletes objects must not take a name's return for news.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import events
+from papayapier.clock import Clock
+from papayapier.store.api import Store, Stored, StoreError
+
+FIRST_PAUSE_MS: Final = 20
+LONGEST_PAUSE_MS: Final = 1_000
+GONE: Final = 0
+
+
+class Settling(NamedTuple):
+    """Hold what settling needs; rng spreads the repeats of many instances."""
+
+    store: Store
+    clock: Clock
+    rng: random.Random
+
+
+class _Write(NamedTuple):
+    """Describe a conditional write: how to try it and how to know its effect when read."""
+
+    key: str
+    attempt: Callable[[], Awaitable[Result[int, StoreError]]]
+    effect: Callable[[Result[Stored, StoreError]], Result[int, StoreError] | None]
+
+
+async def create_settled(
+    settling: Settling, key: str, value: bytes, due_ms: int
+) -> Result[int, StoreError]:
+    """Create an object; the value must contain a unique write id."""
+
+    async def attempt() -> Result[int, StoreError]:
+        return await settling.store.create(key, value)
+
+    def effect(found: Result[Stored, StoreError]) -> Result[int, StoreError] | None:
+        if found == Err(StoreError.NOT_FOUND):
+            # The object in the way has gone meanwhile, so a late create of ours could still
+            # take effect: try again.
+            return None
+        return _ours_or_lost(found, value)
+
+    return await _settle(settling, _Write(key, attempt, effect), due_ms)
+
+
+async def update_settled(
+    settling: Settling, key: str, value: bytes, version: int, due_ms: int
+) -> Result[int, StoreError]:
+    """Update an object at a version; the value must contain a unique write id."""
+
+    async def attempt() -> Result[int, StoreError]:
+        return await settling.store.update(key, value, version)
+
+    def effect(found: Result[Stored, StoreError]) -> Result[int, StoreError] | None:
+        if found == Err(StoreError.NOT_FOUND):
+            return Err(StoreError.LOST)
+        return _ours_or_lost(found, value)
+
+    return await _settle(settling, _Write(key, attempt, effect), due_ms)
+
+
+async def delete_settled(
+    settling: Settling, key: str, version: int, due_ms: int
+) -> Result[int, StoreError]:
+    """Delete an object at a version; the result is the deletion's version or GONE."""
+
+    async def attempt() -> Result[int, StoreError]:
+        return await settling.store.delete(key, version)
+
+    def effect(found: Result[Stored, StoreError]) -> Result[int, StoreError] | None:
+        if found == Err(StoreError.NOT_FOUND):
+            return Ok(GONE)
+        return Err(StoreError.LOST) if isinstance(found, Ok) else None
+
+    return await _settle(settling, _Write(key, attempt, effect), due_ms)
+
+
+def _ours_or_lost(
+    found: Result[Stored, StoreError], value: bytes
+) -> Result[int, StoreError] | None:
+    if isinstance(found, Err):
+        return None
+    if found.ok_value.value == value:
+        return Ok(found.ok_value.version)
+    return Err(StoreError.LOST)
+
+
+async def _settle(settling: Settling, write: _Write, due_ms: int) -> Result[int, StoreError]:
+    end = await write.attempt()
+    if end != Err(StoreError.LOST):
+        return end
+    pause_ms = FIRST_PAUSE_MS
+    while settling.clock.now() < due_ms:
+        definite = await _attempt_again(settling.store, write)
+        if definite is not None:
+            outcome = "ok" if isinstance(definite, Ok) else definite.err_value.value
+            events.emit(events.WRITE_READ_BACK, key=write.key, outcome=outcome)
+            return definite
+        room_ms = due_ms - settling.clock.now()
+        await settling.clock.sleep(min(room_ms, pause_ms * settling.rng.uniform(0.5, 1.0)))
+        pause_ms = min(LONGEST_PAUSE_MS, 2 * pause_ms)
+    return Err(StoreError.LOST)
+
+
+async def _attempt_again(store: Store, write: _Write) -> Result[int, StoreError] | None:
+    """Repeat a write that was lost before; return its end once that is known."""
+    end = await write.attempt()
+    if isinstance(end, Ok):
+        return end
+    if end.err_value is not StoreError.CONFLICT:
+        return None
+    return write.effect(await store.get(write.key))
