Condemn silent connections, poll load reports, give orders to engines

Cause: what a failure says of the replica depends on the connection it happened on, and the library's pool hides that.

--- a/papayapier/metrics.py
+++ b/papayapier/metrics.py
@@ -22,6 +22,7 @@
     queue_wait: Histogram
     refusals: Counter
     retries: Counter
+    upstream_calls: Counter
     replica_in_flight: Gauge
     replicas_usable: Gauge
     batch_limit: Gauge
@@ -53,6 +54,9 @@
         queue_wait=_seconds(reg, name + "queue_wait", "Time in the queue"),
         refusals=Counter(name + "refusals", "Refusals", ["kind", "outcome"], registry=reg),
         retries=Counter(name + "retries", "Repeated sends", ["upstream"], registry=reg),
+        upstream_calls=Counter(
+            name + "upstream_calls", "Calls to replicas", ["upstream", "end"], registry=reg
+        ),
         replica_in_flight=Gauge(
             name + "replica_in_flight", "Open calls", ["replica", "work"], registry=reg
         ),
--- a/papayapier/upstream/answers.py
+++ b/papayapier/upstream/answers.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 from twisted.web.http_headers import Headers
 
-from papayapier.upstream.api import FailureKind, Load
-from papayapier.upstream.exchange import Fault
+from papayapier.upstream.api import Failure, FailureKind, Load, Sent
+from papayapier.upstream.phases import Fault
 
 REQUEST_ID: Final = b"X-Request-Id"
 LOAD: Final = b"X-Load"
@@ -46,15 +46,56 @@
     usage: NotRequired[Usage | None]
 
 
+class LoadReport(TypedDict):
+    """Hold the answer to GET /load; a plain service has no steps."""
+
+    running: int
+    waiting: int
+    slots: int
+    step_ms: NotRequired[float]
+
+
 class Parsed(NamedTuple):
-    """Hold what is read from a JSON answer."""
+    """Hold what is read from an engine's answer."""
 
     text: str
     tokens: int
     finish_reason: str
 
 
+NOTHING_PARSED: Final = Parsed("", 0, "")
+
 _WHOLE: Final = msgspec.json.Decoder(WholeAnswer)
+_LOAD: Final = msgspec.json.Decoder(LoadReport)
+
+
+class Collected:
+    """Gather a body of a bounded size."""
+
+    __slots__ = ("_limit", "_parts", "_size")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def add(self, data: bytes, _now_ms: int) -> Fault | None:
+        """Take a part."""
+        self._size += len(data)
+        if self._size > self._limit:
+            return Fault(FailureKind.BROKEN, f"answer longer than {self._limit} bytes")
+        self._parts.append(data)
+        return None
+
+    def end(self, declared: bool) -> Fault | None:
+        """Check that the body had a length, without which a cut would not show."""
+        if declared:
+            return None
+        return Fault(FailureKind.CUT, "answer has no declared length")
+
+    def body(self) -> bytes:
+        """Return all parts joined."""
+        return b"".join(self._parts)
 
 
 def wrong_header_id(headers: Headers, request_id: str) -> Fault | None:
@@ -106,6 +147,18 @@
     return Load(running, waiting, slots, 0.0, now_ms)
 
 
+def parse_load(status: int, body: bytes, now_ms: int) -> Result[Load, Failure]:
+    """Read the answer to GET /load."""
+    if status != 200:
+        return Err(Failure(FailureKind.STATUS, Sent.MAYBE, f"status {status}", status))
+    try:
+        report = _LOAD.decode(body)
+    except msgspec.MsgspecError as exc:
+        return Err(Failure(FailureKind.BROKEN, Sent.MAYBE, f"load cannot be read: {exc}"))
+    step_ms = report.get("step_ms", 0.0)
+    return Ok(Load(report["running"], report["waiting"], report["slots"], step_ms, now_ms))
+
+
 def header_text(headers: Headers, name: bytes) -> str:
     """Return the last value of a header, or an empty string."""
     values = headers.getRawHeaders(name)
--- /dev/null
+++ b/papayapier/upstream/control.py
@@ -0,0 +1,61 @@
+"""Ask a replica something beside its work: small JSON requests with a small answer."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+from twisted.web.http_headers import Headers
+
+from papayapier.upstream.answers import Collected
+from papayapier.upstream.api import Failure, Replica
+from papayapier.upstream.exchange import Head, Outgoing, Sink
+from papayapier.upstream.links import Links
+from papayapier.upstream.phases import Fault
+
+MAX_ANSWER_BYTES: Final = 4_000_000
+JSON_TYPE: Final = "application/json"
+
+
+class Question(NamedTuple):
+    """Describe a control request."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+class Answer(NamedTuple):
+    """Hold the whole answer to a control request, whatever its status."""
+
+    status: int
+    body: bytes
+
+
+Ask = Callable[[Replica, Question], Awaitable[Result[Answer, Failure]]]
+
+
+def make_ask(links: Links) -> Ask:
+    """Make the call that sends control requests.
+
+    A control request is due within the time that a stream may stay silent. A poll that
+    hangs on a kept connection therefore shows, long before a call's own first-byte limit,
+    that the connections to a replica have gone silent.
+    """
+
+    async def ask(replica: Replica, question: Question) -> Result[Answer, Failure]:
+        collected = Collected(MAX_ANSWER_BYTES)
+        statuses: list[int] = []
+
+        def on_head(head: Head) -> Fault | None:
+            statuses.append(head.status)
+            return None
+
+        due_ms = int(links.clock.now()) + links.cfg.progress_ms
+        headers = Headers({"Content-Type": [JSON_TYPE]})
+        out = Outgoing(question.method, question.path, headers, question.body, due_ms, False)
+        ended = await links.run(replica, out, Sink(on_head, collected.add, collected.end))
+        if isinstance(ended, Err):
+            return ended
+        return Ok(Answer(statuses[0], collected.body()))
+
+    return ask
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -6,8 +6,7 @@
 """
 
 from collections.abc import Callable
-from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -18,8 +17,10 @@
 
 from papayapier import events
 from papayapier.clock import Clock, Timer
+from papayapier.invariants import Promise, check
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.phases import Fault, make_phases
 from papayapier.upstream.pool import ReplicaPool
 
 
@@ -42,14 +43,6 @@
     at_ms: int
 
 
-class Fault(NamedTuple):
-    """Say why what was received is not an answer."""
-
-    kind: FailureKind
-    reason: str
-    status: int = 0
-
-
 class Sink(NamedTuple):
     """Take the answer as it comes; a Fault ends the exchange.
 
@@ -61,13 +54,15 @@
     on_end: Callable[[bool], Fault | None]
 
 
-class Phase(Enum):
-    """Name the parts of an exchange that have a time limit of their own."""
+Ended = Result[None, Failure]
 
-    CONNECTING = "connecting"
-    WAITING = "waiting"
-    RECEIVING = "receiving"
-    ENDED = "ended"
+# What a log line says of a failure that the replica or the way to it has caused.
+_EVENTS: Final = {
+    FailureKind.SILENT: events.CONNECTION_CONDEMNED,
+    FailureKind.WRONG_ID: events.CONNECTION_CONDEMNED,
+    FailureKind.CUT: events.BROKEN_ANSWER,
+    FailureKind.BROKEN: events.BROKEN_ANSWER,
+}
 
 
 class Exchange(Protocol):
@@ -83,59 +78,79 @@
         sink: Sink,
     ) -> None:
         self._clock = clock
-        self._cfg = cfg
         self._pool = pool
         self._replica = replica
         self._out = out
         self._sink = sink
-        self._lease = pool.lease(self._on_taken)
-        self._phase = Phase.CONNECTING
+        self._phases = make_phases(cfg)
+        self._open = True
+        self._answered = False
+        self._sent = Sent.NO
+        self._lease = pool.lease(self._on_take)
         self._since_ms = int(clock.now())
         self._timer: Timer | None = None
+        self._timer_at_ms = 0
         self._request: Deferred[Any] | None = None
-        self.sent = Sent.NO
-        self.done: Deferred[Result[None, Failure]] = Deferred(lambda _: self._cancel())
+        self.done: Deferred[Ended] = Deferred(lambda _: self.cancel())
 
     def start(self) -> None:
         """Send the request."""
+        if self._since_ms >= self._out.due_ms:
+            self._end(Fault(FailureKind.DUE, "due time had passed before sending"))
+            return
         self._arm()
         out = self._out
         agent: Any = self._pool.agent(self._lease, out.fresh)
-        url = f"http://{self._replica.host}:{self._replica.port}{out.path}".encode()
-        body: Any = _Body(out.body) if out.body else None
+        url = f"http://{self._replica.host}:{self._replica.port}{out.path}"
+        body = _Body(out.body) if out.body else None
         try:
-            self._request = agent.request(out.method.encode(), url, out.headers, body)
+            self._request = agent.request(out.method.encode(), url.encode(), out.headers, body)
         except ValueError as exc:
             self._end(Fault(FailureKind.BROKEN, f"request cannot be written: {exc}"))
             return
         self._request.addCallbacks(self._on_response, self._on_request_failed)
 
+    def cancel(self) -> None:
+        """End the exchange and close its connection."""
+        self._end(Fault(FailureKind.CANCELLED, "cancelled"))
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self._phase is Phase.ENDED:
+        if not self._open:
             return
-        self._since_ms = int(self._clock.now())
-        fault = self._sink.on_data(data, self._since_ms)
+        now_ms = int(self._clock.now())
+        self._since_ms = now_ms
+        fault = self._sink.on_data(data, now_ms)
         if fault is not None:
             self._end(fault)
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
-        if self._phase is Phase.ENDED:
+        """Take the end of the body, which is not always that of the connection."""
+        if not self._open:
             return
         if reason.check(ResponseDone):
             self._end(self._sink.on_end(True))
         elif reason.check(PotentialDataLoss):
             self._end(self._sink.on_end(False))
         else:
-            self._end(Fault(FailureKind.CUT, f"body cut short: {_why(reason)}"))
-
-    def _on_taken(self) -> None:
-        self.sent = Sent.MAYBE
-        self._enter(Phase.WAITING)
+            self._end(self._phases.lost(_why(reason)))
+
+    def _on_take(self) -> bool:
+        """Note that the request is written now; from here on the replica may run it."""
+        if not self._open:
+            return False
+        self._sent = Sent.MAYBE
+        self._phases.taken()
+        self._since_ms = int(self._clock.now())
+        self._arm()
+        return True
 
     def _on_response(self, response: Any) -> None:
-        if self._phase is Phase.ENDED:
+        if not self._open:
             return
-        self._enter(Phase.RECEIVING)
+        self._answered = True
+        self._phases.answered()
+        self._since_ms = int(self._clock.now())
+        self._arm()
         fault = self._sink.on_head(Head(response.code, response.headers, self._since_ms))
         if fault is not None:
             self._end(fault)
@@ -143,29 +158,18 @@
         response.deliverBody(self)
 
     def _on_request_failed(self, reason: Any) -> None:
-        if self._phase is Phase.ENDED:
+        if not self._open:
             return
-        if self.sent is Sent.NO:
-            self._end(Fault(FailureKind.CONNECT, _why(reason)))
-        else:
-            self._end(Fault(FailureKind.CUT, f"no answer: {_why(reason)}"))
-
-    def _enter(self, phase: Phase) -> None:
-        self._phase = phase
-        self._since_ms = int(self._clock.now())
-        self._arm()
-
-    def _limit_ms(self) -> int:
-        if self._phase is Phase.CONNECTING:
-            return self._cfg.connect_timeout_ms
-        if self._phase is Phase.WAITING:
-            return self._cfg.first_byte_ms
-        return self._cfg.progress_ms
+        self._end(self._phases.lost(_why(reason)))
 
     def _arm(self) -> None:
+        """Set the timer, unless it already fires early enough to look again then."""
+        at_ms = min(self._since_ms + self._phases.limit_ms(), self._out.due_ms)
         if self._timer is not None:
+            if self._timer_at_ms <= at_ms:
+                return
             self._timer.cancel()
-        at_ms = min(self._since_ms + self._limit_ms(), self._out.due_ms)
+        self._timer_at_ms = at_ms
         self._timer = self._clock.call_later(at_ms - self._clock.now(), self._on_timer)
 
     def _on_timer(self) -> None:
@@ -173,47 +177,65 @@
         now_ms = self._clock.now()
         if now_ms >= self._out.due_ms:
             self._end(Fault(FailureKind.DUE, "due time has passed"))
-        elif now_ms < self._since_ms + self._limit_ms():
-            self._arm()
-        elif self._phase is Phase.CONNECTING:
-            self._end(Fault(FailureKind.CONNECT, "connecting took too long"))
+        elif now_ms >= self._since_ms + self._phases.limit_ms():
+            self._end(self._phases.overdue())
         else:
-            self._silent()
-
-    def _silent(self) -> None:
-        events.emit(
-            events.CONNECTION_CONDEMNED,
-            replica=self._replica.id,
-            phase=self._phase.value,
-            fresh=self._lease.fresh,
-        )
-        if not self._lease.fresh:
-            self._pool.retire()
-        self._end(Fault(FailureKind.SILENT, f"no bytes while {self._phase.value}"))
-
-    def _cancel(self) -> None:
-        self._end(Fault(FailureKind.CANCELLED, "cancelled"))
+            self._arm()
 
     def _end(self, fault: Fault | None) -> None:
-        if self._phase is Phase.ENDED:
+        if not self._open:
             return
-        self._phase = Phase.ENDED
+        self._open = False
+        self._phases.end()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if fault is None:
+            self._pool.trust(self._lease, self._since_ms)
             self.done.callback(Ok(None))
             return
+        self._close(fault)
+        self.done.callback(Err(self._failure(fault)))
+
+    def _close(self, fault: Fault) -> None:
+        """Close the connection, unless a whole answer came that says no."""
+        if fault.kind is FailureKind.STATUS:
+            self._pool.trust(self._lease, self._since_ms)
+            return
         self._lease.condemn()
         if self._lease.protocol is None and self._request is not None:
             self._request.cancel()
-        self.done.callback(
-            Err(Failure(fault.kind, self.sent, fault.reason, fault.status, self._lease.fresh))
+        if self._sent is Sent.MAYBE and not self._lease.fresh and self._is_suspect(fault):
+            self._pool.distrust(self._since_ms)
+
+    def _is_suspect(self, fault: Fault) -> bool:
+        """Tell whether the failure may be that of the way to the replica."""
+        if fault.kind is FailureKind.DUE:
+            # A call that is due soon ends before its silence is long enough to be called so.
+            return not self._answered
+        return fault.kind in (FailureKind.SILENT, FailureKind.CUT)
+
+    def _failure(self, fault: Fault) -> Failure:
+        check(
+            self._sent is Sent.MAYBE or self._lease.protocol is None,
+            Promise.NOT_RUN_TRUE,
+            replica=self._replica.id,
+            reason=fault.reason,
         )
+        event = _EVENTS.get(fault.kind)
+        if event is not None:
+            events.emit(
+                event,
+                replica=self._replica.id,
+                path=self._out.path,
+                reason=fault.reason,
+                fresh=self._lease.fresh,
+            )
+        return Failure(fault.kind, self._sent, fault.reason, fault.status, self._lease.fresh)
 
 
 class _Body:
-    """Write a body that is already in memory."""
+    """Write a body that is already in memory, as the library's IBodyProducer."""
 
     __slots__ = ("_body", "length")
 
@@ -238,7 +260,7 @@
 
 
 def _why(reason: Any) -> str:
-    """Return the innermost reason of twisted's nested request failures."""
+    """Return the innermost reason of the library's nested failures."""
     inner = reason
     while getattr(inner.value, "reasons", None):
         inner = inner.value.reasons[0]
--- /dev/null
+++ b/papayapier/upstream/links.py
@@ -0,0 +1,49 @@
+"""Own the connections to all replicas, and the exchanges that are under way on them."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from papayapier.clock import Clock
+from papayapier.settings import UpstreamSettings
+from papayapier.upstream.api import Replica
+from papayapier.upstream.exchange import Ended, Exchange, Outgoing, Sink
+from papayapier.upstream.pool import ReplicaPool
+
+
+class Links:
+    """Hold a pool for each replica address that is in use."""
+
+    def __init__(self, reactor: Any, clock: Clock, cfg: UpstreamSettings) -> None:
+        self.clock = clock
+        self.cfg = cfg
+        self._reactor = reactor
+        self._pools: dict[tuple[str, int], ReplicaPool] = {}
+        self._running: set[Exchange] = set()
+
+    def run(self, replica: Replica, out: Outgoing, sink: Sink) -> Deferred[Ended]:
+        """Run one exchange; cancelling the Deferred ends it."""
+        pool = self._pool(replica)
+        exchange = Exchange(self.clock, self.cfg, pool, replica, out, sink)
+        self._running.add(exchange)
+        exchange.start()
+        return exchange.done.addCallback(self._ended, exchange)
+
+    async def close(self) -> None:
+        """End all exchanges and close all connections."""
+        for exchange in list(self._running):
+            exchange.cancel()
+        pools = list(self._pools.values())
+        self._pools.clear()
+        await gatherResults([pool.close() for pool in pools])
+
+    def _ended(self, ended: Ended, exchange: Exchange) -> Ended:
+        self._running.discard(exchange)
+        return ended
+
+    def _pool(self, replica: Replica) -> ReplicaPool:
+        key = (replica.host, replica.port)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = ReplicaPool(self._reactor, *key)
+        return pool
--- /dev/null
+++ b/papayapier/upstream/orders.py
@@ -0,0 +1,186 @@
+"""Give orders to model engines, and read back what they have become.
+
+An order carries a fencing number. Some engines refuse one that is lower than a number they
+have seen, others ignore it; so the answer to an order is no proof of anything, and state is
+what tells whether the order took effect.
+"""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any, Final, NamedTuple, TypedDict, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from papayapier.clock import Clock
+from papayapier.settings import UpstreamSettings
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.control import Answer, Ask, Question, make_ask
+from papayapier.upstream.links import Links
+
+OK: Final = 200
+CONFLICT: Final = 409
+MAX_REASON_CHARS: Final = 300
+
+T = TypeVar("T")
+
+
+class OrderKind(Enum):
+    """Name each order that an engine takes."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    LOAD_VERSION = "load_version"
+    CHANGE_ROLE = "change_role"
+
+
+class Order(NamedTuple):
+    """Hold an order; name is that of the model, adapter, version or role."""
+
+    order_id: str
+    fence: int
+    kind: OrderKind
+    name: str
+
+
+class OrderAnswer(NamedTuple):
+    """Hold the answer to an order; fence is the number that the engine has seen if refused."""
+
+    accepted: bool
+    fence: int
+
+
+class EngineState(NamedTuple):
+    """Hold what an engine serves; orders lists the ids of those it has taken."""
+
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    version: str
+    fence: int
+    orders: tuple[str, ...]
+
+
+class CacheEvent(NamedTuple):
+    """Tell that an engine has stored or evicted a prompt prefix."""
+
+    seq: int
+    stored: bool
+    prefix: str
+
+
+class CacheEvents(NamedTuple):
+    """Hold the events since a number; next is where to go on."""
+
+    events: tuple[CacheEvent, ...]
+    next: int
+
+
+class Orders(NamedTuple):
+    """Group the control calls to model engines.
+
+    Each ends within the time that a stream may stay silent. A Failure of give whose sent is
+    MAYBE leaves open whether the engine has taken the order.
+    """
+
+    give: Callable[[Replica, Order], Awaitable[Result[OrderAnswer, Failure]]]
+    state: Callable[[Replica], Awaitable[Result[EngineState, Failure]]]
+    models: Callable[[Replica], Awaitable[Result[tuple[str, ...], Failure]]]
+    cache_events: Callable[[Replica, int], Awaitable[Result[CacheEvents, Failure]]]
+    close: Callable[[], Awaitable[None]]
+
+
+class _OrderAnswer(TypedDict, total=False):
+    accepted: bool
+    fence: int
+
+
+class _State(TypedDict):
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    version: str
+    fence: int
+    orders: tuple[str, ...]
+
+
+class _Model(TypedDict):
+    id: str
+
+
+class _Models(TypedDict):
+    data: list[_Model]
+
+
+class _CacheEvent(TypedDict):
+    seq: int
+    kind: str
+    prefix: str
+
+
+class _CacheEvents(TypedDict):
+    events: list[_CacheEvent]
+    next: int
+
+
+def make_orders(reactor: Any, clock: Clock, cfg: UpstreamSettings) -> Orders:
+    """Make the control calls, on connections of their own."""
+    links = Links(reactor, clock, cfg)
+    ask = make_ask(links)
+
+    async def give(replica: Replica, order: Order) -> Result[OrderAnswer, Failure]:
+        body = msgspec.json.encode(order._asdict())
+        return _read_order(await ask(replica, Question("POST", "/orders", body)))
+
+    async def state(replica: Replica) -> Result[EngineState, Failure]:
+        read = await _get(ask, replica, "/state", _State)
+        return read.map(lambda found: EngineState(**found))
+
+    async def models(replica: Replica) -> Result[tuple[str, ...], Failure]:
+        read = await _get(ask, replica, "/v1/models", _Models)
+        return read.map(lambda found: tuple(model["id"] for model in found["data"]))
+
+    async def cache_events(replica: Replica, since: int) -> Result[CacheEvents, Failure]:
+        read = await _get(ask, replica, f"/cache_events?since={since}", _CacheEvents)
+        return read.map(_to_events)
+
+    return Orders(give, state, models, cache_events, links.close)
+
+
+async def _get(ask: Ask, replica: Replica, path: str, kind: type[T]) -> Result[T, Failure]:
+    answer = await ask(replica, Question("GET", path))
+    if isinstance(answer, Err):
+        return answer
+    if answer.ok_value.status != OK:
+        return Err(_refused(answer.ok_value))
+    return _decode(answer.ok_value, kind)
+
+
+def _read_order(answer: Result[Answer, Failure]) -> Result[OrderAnswer, Failure]:
+    if isinstance(answer, Err):
+        return answer
+    if answer.ok_value.status not in (OK, CONFLICT):
+        return Err(_refused(answer.ok_value))
+    read = _decode(answer.ok_value, _OrderAnswer)
+    if isinstance(read, Err):
+        return read
+    accepted = answer.ok_value.status == OK and read.ok_value.get("accepted", False)
+    return Ok(OrderAnswer(accepted, read.ok_value.get("fence", 0)))
+
+
+def _decode(answer: Answer, kind: type[T]) -> Result[T, Failure]:
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=kind))
+    except msgspec.MsgspecError as exc:
+        return Err(Failure(FailureKind.BROKEN, Sent.MAYBE, f"answer cannot be read: {exc}"))
+
+
+def _refused(answer: Answer) -> Failure:
+    text = answer.body.decode("utf-8", "replace")[:MAX_REASON_CHARS]
+    reason = f"status {answer.status}: {text}"
+    return Failure(FailureKind.STATUS, Sent.MAYBE, reason, answer.status)
+
+
+def _to_events(found: _CacheEvents) -> CacheEvents:
+    events = (CacheEvent(e["seq"], e["kind"] == "stored", e["prefix"]) for e in found["events"])
+    return CacheEvents(tuple(events), found["next"])
--- a/papayapier/upstream/pool.py
+++ b/papayapier/upstream/pool.py
@@ -5,40 +5,51 @@
 which connection a call went, and whether that connection was new. A Lease stands between
 the pool and the endpoint, and records it.
 
-Connections that were open when one of them went silent are not trusted any more: what lies
-between the two ends may have lost track of all of them. The pool is then retired as a
-whole, and calls begin again with new connections.
+A kept connection is used only if bytes have come on it since another connection to the same
+replica was last seen silent. What went silent was not the replica but something between the
+two ends, and that may have lost track of every connection that was open at that time.
 """
 
 import socket
+from collections.abc import Callable
 from typing import Any, Final
+from weakref import WeakKeyDictionary
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionAborted
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgent
 
 # Connections in use are never bounded: a bound would let a call wait for another's answer.
 KEPT_MAX: Final = 4_096
-KEPT_IDLE_S: Final = 60
+# Shorter than the 5 s after which common servers close an idle connection. A call written
+# to a connection that is being closed fails, and nobody can tell whether it ran.
+KEPT_IDLE_S: Final = 4
 
 KEEPALIVE_IDLE_S: Final = 2
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
 USER_TIMEOUT_MS: Final = 5_000
 
+# What the library calls the state of a connection with no request on it.
+IDLE: Final = "QUIESCENT"
+
 # The library has no annotations here.
 _Agent: Any = Agent
 
 
 class Lease:
-    """Connect for one call, and record the connection that the call is on."""
+    """Connect for one call, and record the connection that the call is on.
+
+    take is called just before the request is written, and returns False if it must not be.
+    """
 
-    __slots__ = ("_endpoint", "_taken", "fresh", "protocol")
+    __slots__ = ("_endpoint", "_take", "fresh", "protocol")
 
-    def __init__(self, endpoint: TCP4ClientEndpoint, taken: Any) -> None:
+    def __init__(self, endpoint: TCP4ClientEndpoint, take: Callable[[], bool]) -> None:
         self._endpoint = endpoint
-        self._taken = taken
+        self._take = take
         self.fresh = False
         self.protocol: Any = None
 
@@ -53,20 +64,23 @@
         return done.addCallback(_tune)
 
     def use(self, protocol: Any) -> Any:
-        """Record the connection; the request is written to it right after this."""
+        """Record the connection; the request is written to it right after this.
+
+        Up to here not one byte of the request was given to a connection, so a failure can
+        truthfully be reported as not sent. After it, that is never certain again.
+        """
+        if protocol.state != IDLE:
+            raise ConnectionAborted("the connection was lost before it was used")
+        if not self._take():
+            _abort(protocol)
+            raise ConnectionAborted("the call has ended before it was sent")
         self.protocol = protocol
-        self._taken()
         return protocol
 
     def condemn(self) -> None:
         """Close the connection at once, so that nothing else is ever read from it."""
-        if self.protocol is None:
-            return
-        # abort() alone first sends what is still buffered; abortConnection() alone leaves
-        # the protocol looking idle until the next turn of the reactor, and a pool that
-        # already holds it would hand it to the next call.
-        self.protocol.abort()
-        self.protocol.transport.abortConnection()
+        if self.protocol is not None:
+            _abort(self.protocol)
 
 
 class ReplicaPool:
@@ -78,8 +92,8 @@
         self._reactor = reactor
         # The call's own timer bounds connecting; the endpoint's is not on our clock.
         self._endpoint = TCP4ClientEndpoint(reactor, host, port)
-        self._single = _new_pool(reactor, persistent=False)
-        self._kept = _new_pool(reactor, persistent=True)
+        self._single = _make_pool(reactor, persistent=False)
+        self._kept = _make_pool(reactor, persistent=True)
 
     def agent(self, lease: Lease, new_connection: bool) -> IAgent:
         """Return an agent for one request."""
@@ -87,18 +101,17 @@
         agent: IAgent = _Agent.usingEndpointFactory(self._reactor, lease, pool)
         return agent
 
-    def lease(self, taken: Any) -> Lease:
-        """Return a lease for one request; taken is called just before it is written."""
-        return Lease(self._endpoint, taken)
+    def lease(self, take: Callable[[], bool]) -> Lease:
+        """Return a lease for one request."""
+        return Lease(self._endpoint, take)
 
-    def retire(self) -> None:
-        """Stop using every connection that is open now."""
-        old = self._kept
-        self._kept = _new_pool(self._reactor, persistent=True)
-        # Calls that still run on the old connections come back to the old pool, which
-        # then closes them at once.
-        old.cachedConnectionTimeout = 0
-        old.closeCachedConnections()
+    def trust(self, lease: Lease, at_ms: int) -> None:
+        """Note that a connection still carried bytes at a time."""
+        self._kept.alive_ms[lease.protocol] = at_ms
+
+    def distrust(self, before_ms: int) -> None:
+        """Use no kept connection that has carried nothing since a time."""
+        self._kept.distrusted_ms = max(self._kept.distrusted_ms, before_ms)
 
     def close(self) -> Deferred[None]:
         """Close the kept connections."""
@@ -106,22 +119,59 @@
         return done
 
 
-def _new_pool(reactor: Any, persistent: bool) -> Any:
-    make: Any = _LeasingPool
-    pool = make(reactor, persistent=persistent)
-    pool.maxPersistentPerHost = KEPT_MAX
-    pool.cachedConnectionTimeout = KEPT_IDLE_S
-    # The pool would send a request again by itself, and a replica would run it twice.
-    pool.retryAutomatically = False
-    return pool
+class _LeasingPool(HTTPConnectionPool):
+    """Tell the lease which connection it was given, and give only trusted ones."""
 
+    maxPersistentPerHost = KEPT_MAX  # noqa: N815
+    cachedConnectionTimeout = KEPT_IDLE_S  # noqa: N815
+    # The pool would send a request again by itself, and a replica would run it twice.
+    retryAutomatically = False  # noqa: N815
 
-class _LeasingPool(HTTPConnectionPool):
-    """Tell the lease which connection it was given."""
+    def __init__(self, reactor: Any, persistent: bool) -> None:
+        base: Any = super()
+        base.__init__(reactor, persistent=persistent)
+        self.alive_ms: WeakKeyDictionary[Any, int] = WeakKeyDictionary()
+        self.distrusted_ms = 0
 
     def getConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:  # noqa: N802
-        given: Deferred[Any] = super().getConnection(key, endpoint)
-        return given.addCallback(endpoint.use)
+        while True:
+            given: Deferred[Any] = super().getConnection(key, endpoint)
+            if endpoint.fresh or self._usable(given.result):
+                return given.addCallback(endpoint.use)
+            _abort(given.result)
+
+    def _usable(self, protocol: Any) -> bool:
+        if self.alive_ms.get(protocol, 0) < self.distrusted_ms:
+            return False
+        return _is_quiet(protocol.transport.getHandle())
+
+
+def _make_pool(reactor: Any, persistent: bool) -> Any:
+    return _LeasingPool(reactor, persistent)
+
+
+def _is_quiet(sock: socket.socket) -> bool:
+    """Tell whether an idle connection is open and has nothing to read.
+
+    A replica that has closed it shows here before the reactor has come round to it, so that
+    no call is written to it and lost. Bytes that nobody asked for would be taken as the
+    start of the next answer.
+    """
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _abort(protocol: Any) -> None:
+    # abort() alone first sends what is still buffered; abortConnection() alone leaves the
+    # protocol looking idle until the next turn of the reactor, and a pool that already
+    # holds it would give it to the next call.
+    protocol.abort()
+    protocol.transport.abortConnection()
 
 
 def _tune(protocol: Any) -> Any:
@@ -130,9 +180,8 @@
     Without this, a connection that something in between has forgotten stays open on our
     side; keepalive probes and the limit on unacknowledged data close it within seconds.
     """
-    transport = protocol.transport
-    transport.setTcpKeepAlive(True)
-    sock: socket.socket = transport.getHandle()
+    protocol.transport.setTcpKeepAlive(True)
+    sock: socket.socket = protocol.transport.getHandle()
     for name, value in (
         ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
         ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
--- /dev/null
+++ b/papayapier/upstream/replies.py
@@ -0,0 +1,111 @@
+"""Check the answer to one call as it comes, and make the Reply of it."""
+
+from typing import Final
+
+from result import Err
+
+from papayapier.upstream import answers
+from papayapier.upstream.answers import Collected
+from papayapier.upstream.api import Call, FailureKind, Load, OnToken, Reply
+from papayapier.upstream.engine_calls import ENGINE_PATHS
+from papayapier.upstream.exchange import Head, Sink
+from papayapier.upstream.phases import Fault
+from papayapier.upstream.sse import StreamReader
+
+MAX_BODY_BYTES: Final = 32_000_000
+MAX_ERROR_BYTES: Final = 100_000
+MAX_REASON_CHARS: Final = 300
+OK: Final = 200
+FIRST_SERVER_ERROR: Final = 500
+
+
+def is_engine_call(call: Call) -> bool:
+    """Tell whether the answer must have the form of a model engine's."""
+    return call.stream or (call.path in ENGINE_PATHS and not call.plain)
+
+
+class ReplyReader:
+    """Take the parts of one answer."""
+
+    __slots__ = ("_body", "_call", "_first_ms", "_head", "_load", "_parsed", "_start_ms", "_stream")
+
+    def __init__(self, call: Call, on_token: OnToken, start_ms: int) -> None:
+        self._call = call
+        self._start_ms = start_ms
+        self._first_ms = 0
+        self._head: Head | None = None
+        self._load: Load | None = None
+        self._body = Collected(MAX_BODY_BYTES)
+        self._parsed = answers.NOTHING_PARSED
+        self._stream = StreamReader(call.request_id, on_token) if call.stream else None
+
+    def sink(self) -> Sink:
+        """Return the calls that take the answer."""
+        return Sink(self._on_head, self._on_data, self._on_end)
+
+    def reply(self, now_ms: int) -> Reply:
+        """Return the whole answer, once the exchange has ended well."""
+        assert self._head is not None
+        total_ms = now_ms - self._start_ms
+        parsed = self._stream.parsed() if self._stream else self._parsed
+        return Reply(
+            status=self._head.status,
+            content_type=answers.header_text(self._head.headers, b"Content-Type"),
+            body=self._body.body(),
+            text=parsed.text,
+            tokens=parsed.tokens,
+            finish_reason=parsed.finish_reason,
+            load=self._load,
+            first_token_ms=self._first_ms or total_ms,
+            total_ms=total_ms,
+        )
+
+    def _on_head(self, head: Head) -> Fault | None:
+        self._head = head
+        self._load = answers.parse_load_header(head.headers, head.at_ms)
+        if not self._is_refusal(head):
+            return answers.wrong_header_id(head.headers, self._call.request_id)
+        # The body says why; it is read to its end so that the connection can be kept.
+        self._stream = None
+        self._body = Collected(MAX_ERROR_BYTES)
+        if not answers.header_text(head.headers, answers.REQUEST_ID):
+            return None
+        return answers.wrong_header_id(head.headers, self._call.request_id)
+
+    def _on_data(self, data: bytes, now_ms: int) -> Fault | None:
+        if self._stream is None:
+            return self._body.add(data, now_ms)
+        fault = self._stream.feed(data, now_ms)
+        if not self._first_ms and self._stream.has_tokens():
+            self._first_ms = now_ms - self._start_ms
+        return fault
+
+    def _on_end(self, declared: bool) -> Fault | None:
+        assert self._head is not None
+        if self._is_refusal(self._head):
+            return self._refusal(self._head)
+        if self._stream is not None:
+            return self._stream.end()
+        fault = self._body.end(declared)
+        if fault is not None or not is_engine_call(self._call):
+            return fault
+        parsed = answers.parse_whole(self._body.body(), self._call.request_id)
+        if isinstance(parsed, Err):
+            return parsed.err_value
+        self._parsed = parsed.ok_value
+        return None
+
+    def _is_refusal(self, head: Head) -> bool:
+        """Tell whether the status says that there is no answer.
+
+        A plain service's answer belongs to the caller whatever its status; only what
+        stands before the service in its place does not know the request's id.
+        """
+        if is_engine_call(self._call):
+            return head.status != OK
+        has_id = bool(answers.header_text(head.headers, answers.REQUEST_ID))
+        return head.status >= FIRST_SERVER_ERROR and not has_id
+
+    def _refusal(self, head: Head) -> Fault:
+        text = self._body.body().decode("utf-8", "replace")[:MAX_REASON_CHARS]
+        return Fault(FailureKind.STATUS, f"status {head.status}: {text}", head.status)
--- a/papayapier/upstream/sse.py
+++ b/papayapier/upstream/sse.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from papayapier.upstream.answers import wrong_id
+from papayapier.upstream.answers import Parsed, wrong_id
 from papayapier.upstream.api import FailureKind, OnToken, Token
-from papayapier.upstream.exchange import Fault
+from papayapier.upstream.phases import Fault
 
 DATA: Final = b"data:"
 DONE: Final = b"[DONE]"
@@ -47,26 +47,32 @@
 class StreamReader:
     """Turn the bytes of one stream into tokens, and know whether it is whole."""
 
-    __slots__ = ("_chars", "_on_token", "_rest", "_texts", "_whole", "finish_reason", "request_id")
+    __slots__ = (
+        "_chars",
+        "_finish_reason",
+        "_on_token",
+        "_request_id",
+        "_rest",
+        "_texts",
+        "_whole",
+    )
 
     def __init__(self, request_id: str, on_token: OnToken) -> None:
-        self.request_id = request_id
-        self.finish_reason = ""
+        self._request_id = request_id
+        self._finish_reason = ""
         self._on_token = on_token
         self._rest = b""
         self._texts: list[str] = []
         self._chars = 0
         self._whole = False
 
-    @property
-    def text(self) -> str:
-        """Return all tokens joined."""
-        return "".join(self._texts)
+    def has_tokens(self) -> bool:
+        """Tell whether a token came."""
+        return bool(self._texts)
 
-    @property
-    def tokens(self) -> int:
-        """Return how many tokens came."""
-        return len(self._texts)
+    def parsed(self) -> Parsed:
+        """Return what was received."""
+        return Parsed("".join(self._texts), len(self._texts), self._finish_reason)
 
     def feed(self, data: bytes, now_ms: int) -> Fault | None:
         """Take received bytes, and call back for each token in them."""
@@ -81,11 +87,11 @@
                     return fault
         return None
 
-    def end(self, _declared: bool) -> Fault | None:
+    def end(self) -> Fault | None:
         """Check that the stream ended with its end mark."""
         if not self._whole:
             return Fault(FailureKind.CUT, "stream ended without its end mark")
-        if not self.finish_reason:
+        if not self._finish_reason:
             return Fault(FailureKind.BROKEN, "stream has no finish_reason")
         return None
 
@@ -99,15 +105,15 @@
             chunk = _CHUNK.decode(payload)
         except msgspec.MsgspecError as exc:
             return Fault(FailureKind.BROKEN, f"piece of a stream cannot be read: {exc}")
-        if chunk["id"] != self.request_id:
-            return wrong_id(chunk["id"], self.request_id)
+        if chunk["id"] != self._request_id:
+            return wrong_id(chunk["id"], self._request_id)
         if not chunk["choices"]:
             return None
         return self._take_choice(chunk["choices"][0], payload, now_ms)
 
     def _take_choice(self, choice: StreamChoice, payload: bytes, now_ms: int) -> Fault | None:
         text = choice["delta"].get("content") if "delta" in choice else choice.get("text")
-        self.finish_reason = choice.get("finish_reason") or self.finish_reason
+        self._finish_reason = choice.get("finish_reason") or self._finish_reason
         if not text:
             return None
         self._chars += len(text)
