Let stand-ins restart after a crash and refuse unknown switches

Cause: a crashed stand-in could be asked to listen before its port was free; a misspelt switch did nothing, so a fault test could pass without the fault; an outage dropped all instances from the list, because their reports could not come in.

--- a/papayapier/standin/crashes.py
+++ b/papayapier/standin/crashes.py
@@ -3,10 +3,15 @@
 from collections.abc import Callable
 from typing import Final
 
+from result import Err
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.server import Request
 
+from papayapier import events
 from papayapier.clock import Clock
-from papayapier.standin.switches import Control, Mode, Switches
+from papayapier.standin import web
+from papayapier.standin.switches import Control, Mode, Switches, read_control
 from papayapier.standin.timers import Timers
 from papayapier.standin.web import Connection, Listener
 
@@ -17,13 +22,12 @@
 class Crashes:
     """Stop and start one listener and the work behind it."""
 
-    __slots__ = ("_closing", "_listener", "_lose_work", "_timers")
+    __slots__ = ("_listener", "_lose_work", "_timers")
 
     def __init__(self, clock: Clock, listener: Listener, lose_work: Callable[[], None]) -> None:
         self._listener = listener
         self._lose_work = lose_work
         self._timers = Timers(clock)
-        self._closing: Deferred[None] | None = None
 
     def apply(self, switches: Switches, control: Control, conn: Connection | None) -> None:
         """Act on a change of the switches that came in on a connection, if any."""
@@ -35,19 +39,38 @@
             switches.reset()
             self._listener.silence_all(conn)
         if control.get("restart_ms"):
-            self._timers.call_later(control["restart_ms"], self.restart)
+            self._timers.call_later(control["restart_ms"], self._restart_or_tell)
 
     def crash(self) -> None:
         """Close the port and reset all connections; running work is lost."""
         self._lose_work()
-        self._closing = Deferred.fromCoroutine(self._listener.close())
+        Deferred.fromCoroutine(self._listener.close()).addErrback(_tell)
 
-    def restart(self) -> None:
-        """Listen on the same port again."""
-        if not self._listener.is_open():
-            self._listener.open()
+    def restart(self) -> Deferred[None]:
+        """Listen on the same port again, as soon as the crash has freed it."""
+        return Deferred.fromCoroutine(self._listener.reopen())
 
     def close(self) -> Deferred[None]:
         """Stop for good."""
         self._timers.cancel_all()
         return Deferred.fromCoroutine(self._listener.close())
+
+    def _restart_or_tell(self) -> None:
+        self.restart().addErrback(_tell)
+
+
+def answer_control(
+    request: Request, switches: Switches, merge: Callable[[Control, Connection], None]
+) -> None:
+    """Answer GET and POST /control."""
+    if request.method == b"POST":
+        control = read_control(web.body_of(request))
+        if isinstance(control, Err):
+            web.send_json(request, web.Json(400, {"error": control.err_value}))
+            return
+        merge(control.ok_value, web.connection_of(request))
+    web.send_json(request, web.Json(200, switches.show()))
+
+
+def _tell(failure: Failure) -> None:
+    events.emit(events.STANDIN_FAILED, reason=str(failure.value))
--- a/papayapier/standin/engine.py
+++ b/papayapier/standin/engine.py
@@ -1,7 +1,7 @@
 """Stand in for a model engine over HTTP, with its faults and counts."""
 
 from functools import partial
-from typing import Any, Final, TypedDict
+from typing import Any, Final, NamedTuple, TypedDict
 
 import msgspec
 from result import Err
@@ -10,13 +10,13 @@
 
 from papayapier.clock import Clock
 from papayapier.standin import jobs, web
-from papayapier.standin.crashes import Crashes
+from papayapier.standin.crashes import Crashes, answer_control
 from papayapier.standin.engine_core import EngineCore
 from papayapier.standin.engine_steps import EngineParams
 from papayapier.standin.jobs import Job
 from papayapier.standin.orders import Order
 from papayapier.standin.outputs import make_output
-from papayapier.standin.switches import Control, Mode, read_control
+from papayapier.standin.switches import Control, Mode
 from papayapier.standin.web import Json
 
 GENERATE_PATHS: Final = (jobs.CHAT_PATH, jobs.COMPLETIONS_PATH)
@@ -24,7 +24,7 @@
 OTHER_PROMPT: Final = "another prompt"
 
 
-class EngineCounts(TypedDict):
+class EngineCounts(NamedTuple):
     """Hold the counts of GET /counts; orders counts each accepted order by id."""
 
     started: dict[str, int]
@@ -74,9 +74,9 @@
             orders=dict(self.core.orders.times),
         )
 
-    def restart(self) -> None:
-        """Start a crashed engine again on the same port, with nothing loaded or cached."""
-        self._crashes.restart()
+    def restart(self) -> Deferred[None]:
+        """Start a crashed engine again on the same port, with nothing cached or ordered."""
+        return self._crashes.restart()
 
     def close(self) -> Deferred[None]:
         """Stop serving; running work is lost."""
@@ -86,23 +86,14 @@
     def _handle(self, request: Request) -> None:
         path = web.path_of(request)
         if path == "/control":
-            self._handle_control(request)
+            answer_control(request, self.core.switches, self.control)
         elif path == "/counts":
-            web.send_json(request, Json(200, self.counts()))
+            web.send_json(request, Json(200, self.counts()._asdict()))
         elif path in GENERATE_PATHS:
             self._generate(request)
         elif not self.core.switches.hangs_always():
             web.send_json(request, self._answer(request, path))
 
-    def _handle_control(self, request: Request) -> None:
-        if request.method == b"POST":
-            control = read_control(web.body_of(request))
-            if isinstance(control, Err):
-                web.send_json(request, Json(400, {"error": control.err_value}))
-                return
-            self.control(control.ok_value, web.connection_of(request))
-        web.send_json(request, Json(200, self.core.switches.show()))
-
     def _answer(self, request: Request, path: str) -> Json:
         if path == "/load":
             return Json(200, self.core.load()._asdict())
@@ -130,7 +121,7 @@
             return
         shown = self._another(job) if mode is Mode.CROSSED else job
         self._last_job = job
-        output = make_output(request, shown, mode, self.core.load_mark())
+        output = make_output(request, shown, mode, self.core.load_mark)
         cancel = self.core.accept(job, output, mode)
         web.watch_closed(request, cancel)
         if mode is Mode.SILENT:
--- a/papayapier/standin/engine_core.py
+++ b/papayapier/standin/engine_core.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._params = params
         self._timers = Timers(clock)
-        self.orders = Orders(params, self._timers)
+        self.orders = Orders(params, self._timers, self._start_step)
         self._batch = Batch(params, self.cache)
         self._runs: dict[_Run, None] = {}
         self._timer: Timer | None = None
@@ -104,16 +104,14 @@
 
     def order(self, order: Order) -> bool:
         """Take an order, or refuse it because of its fencing number."""
-        accepted = self.orders.take(order)
-        self._timers.call_later(self._params.order_ms + 1, self._start_step)
-        return accepted
+        return self.orders.take(order)
 
     def crash(self) -> None:
         """Lose everything that is not on disk."""
         self._timers.cancel_all()
-        if self._timer is not None:
+        if self._timer is not None and self._timer.active():
             self._timer.cancel()
-            self._timer = None
+        self._timer = None
         self._runs.clear()
         self._batch.clear()
         self.cache.clear()
--- a/papayapier/standin/instances.py
+++ b/papayapier/standin/instances.py
@@ -61,16 +61,20 @@
         self._shown = dict(self._true)
         self._changed()
 
-    def extend(self) -> None:
-        """Give every member a full period again, after an outage kept reports away."""
+    def pause_expiry(self) -> None:
+        """Drop nobody for now: an outage keeps reports away."""
+        for instance in list(self._expiries):
+            self._stop_expiry(instance)
+
+    def resume_expiry(self) -> None:
+        """Give every member a full period again."""
         for member in self._true.values():
             self._expire_later(member)
 
     def close(self) -> None:
         """Stop all timers."""
         self._pending.cancel_all()
-        for instance in list(self._expiries):
-            self._stop_expiry(instance)
+        self.pause_expiry()
 
     def _expire_later(self, member: Member) -> None:
         self._stop_expiry(member.id)
--- a/papayapier/standin/long_polls.py
+++ b/papayapier/standin/long_polls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from itertools import count
 
 from papayapier.clock import Clock, Timer
 from papayapier.standin.platform_calls import Answer
@@ -26,10 +27,11 @@
 class LongPolls:
     """Keep the waiting calls, and answer each one on a change or at its end."""
 
-    __slots__ = ("_clock", "_polls")
+    __slots__ = ("_clock", "_idents", "_polls")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._idents = count()
         self._polls: dict[int, Poll] = {}
 
     def add(self, prefix: str, wait_ms: int, look: Look, reply: Reply) -> Callable[[], None]:
@@ -38,7 +40,7 @@
         if answer is not None:
             reply(answer)
             return _do_nothing
-        ident = max(self._polls, default=0) + 1
+        ident = next(self._idents)
         timer = self._clock.call_later(wait_ms, partial(self._end, ident))
         self._polls[ident] = Poll(prefix, look, reply, timer)
         return partial(self._forget, ident)
@@ -65,10 +67,6 @@
         for ident in list(self._polls):
             self._forget(ident)
 
-    def waiting(self) -> int:
-        """Return the number of waiting calls."""
-        return len(self._polls)
-
     def _end(self, ident: int) -> None:
         poll = self._polls.pop(ident)
         answer = poll.look(True)
--- a/papayapier/standin/orders.py
+++ b/papayapier/standin/orders.py
@@ -1,5 +1,6 @@
 """Model how an engine takes orders: fencing check, load time and what it then has."""
 
+from collections.abc import Callable
 from functools import partial
 from typing import Final, Literal, NamedTuple, TypedDict
 
@@ -37,11 +38,12 @@
     While a model, version or role loads, the engine admits no sequences.
     """
 
-    __slots__ = ("_params", "_timers", "loading", "state", "times")
+    __slots__ = ("_on_loaded", "_params", "_timers", "loading", "state", "times")
 
-    def __init__(self, params: EngineParams, timers: Timers) -> None:
+    def __init__(self, params: EngineParams, timers: Timers, on_loaded: Callable[[], None]) -> None:
         self._params = params
         self._timers = timers
+        self._on_loaded = on_loaded
         self.times: dict[str, int] = {}
         self.loading = 0
         self.state = _initial(params, 0)
@@ -71,6 +73,7 @@
     def _loaded(self, order: Order, blocks: bool) -> None:
         self.loading -= blocks
         self.state = _with(self.state, order["kind"], order["name"])
+        self._on_loaded()
 
 
 def _initial(params: EngineParams, fence: int) -> EngineState:
--- a/papayapier/standin/outputs.py
+++ b/papayapier/standin/outputs.py
@@ -22,14 +22,17 @@
     cancelled: Callable[[], None]
 
 
-def make_output(request: Request, shown: Job, mode: Mode, load: str) -> Output:
-    """Make the output for a request; shown is the job whose id and text go out."""
+def make_output(request: Request, shown: Job, mode: Mode, load_mark: Callable[[], str]) -> Output:
+    """Make the output for a request; shown is the job whose id and text go out.
+
+    A stream's headers go out at once, with the load as it was before this job.
+    """
     web.set_header(request, "x-request-id", shown.request_id)
-    web.set_header(request, "x-load", load)
     tokens = _tokens(shown)
     if shown.stream:
+        web.set_header(request, "x-load", load_mark())
         return _stream(request, shown, mode, tokens)
-    return _json(request, shown, mode, tokens)
+    return _json(request, shown, mode, tokens, load_mark)
 
 
 def _tokens(job: Job) -> Iterator[str]:
@@ -62,7 +65,13 @@
     return Output(token, done, _closer(request))
 
 
-def _json(request: Request, job: Job, mode: Mode, tokens: Iterator[str]) -> Output:
+def _json(
+    request: Request,
+    job: Job,
+    mode: Mode,
+    tokens: Iterator[str],
+    load_mark: Callable[[], str],
+) -> Output:
     made: list[str] = []
 
     def token() -> None:
@@ -74,6 +83,7 @@
         if mode is Mode.RESET:
             web.connection_of(request).abort()
             return
+        web.set_header(request, "x-load", load_mark())
         body = jobs.whole_answer(job, "".join(made))
         if mode is Mode.TRUNCATE:
             web.send_truncated(request, body, web.JSON_TYPE)
--- a/papayapier/standin/platform.py
+++ b/papayapier/standin/platform.py
@@ -8,8 +8,7 @@
 from functools import partial
 from typing import Any, Final, NamedTuple, TypedDict
 
-import msgspec
-from result import Err, Ok, Result
+from result import Err
 from twisted.internet.defer import Deferred, execute
 from twisted.web.server import Request
 
@@ -22,6 +21,7 @@
 from papayapier.standin.long_polls import LongPolls, Look
 from papayapier.standin.objects import Objects
 from papayapier.standin.platform_calls import INSTANCE_PATH, OBJECT_PATH, Answer
+from papayapier.standin.switches import read_switches
 from papayapier.standin.timers import Timers
 from papayapier.store.api import Member
 
@@ -115,8 +115,9 @@
         self.switches.update(control)
         if self.switches["outage"] and not was_out:
             self._polls.end_all(calls.failed(503, "outage"))
+            self.instances.pause_expiry()
         if was_out and not self.switches["outage"]:
-            self.instances.extend()
+            self.instances.resume_expiry()
         if control.get("drop_watches"):
             self._polls.forget_all()
 
@@ -154,7 +155,7 @@
 
     def _handle_control(self, request: Request) -> None:
         if request.method == b"POST":
-            control = _read_control(web.body_of(request))
+            control = read_switches(web.body_of(request), PlatformControl)
             if isinstance(control, Err):
                 web.send_json(request, web.Json(400, {"error": control.err_value}))
                 return
@@ -283,10 +284,3 @@
         writes_per_s=params.writes_per_s,
         list_lag_ms=params.list_lag_ms,
     )
-
-
-def _read_control(body: bytes) -> Result[PlatformControl, str]:
-    try:
-        return Ok(msgspec.json.decode(body, type=PlatformControl))
-    except msgspec.MsgspecError as exc:
-        return Err(str(exc))
--- a/papayapier/standin/run.py
+++ b/papayapier/standin/run.py
@@ -9,7 +9,7 @@
 from papayapier.standin.service import ServiceParams, ServiceServer, start_service
 from papayapier.store.api import LIVE, REPLICA, Member
 
-DATA_CENTRES: Final = ("dc1", "dc2", "dc3")
+DATA_CENTRES: Final = ("dc-a", "dc-b", "dc-c")
 
 
 class FleetParams(NamedTuple):
@@ -22,8 +22,8 @@
     services: int = 3
     host: str = "127.0.0.1"
     platform_port: int = 0
-    engine_upstream: str = "assistant"
-    service_upstream: str = "counter"
+    engine_upstream: str = "lm"
+    service_upstream: str = "gate"
     data_centres: tuple[str, ...] = DATA_CENTRES
     region: str = "local"
     first: int = 1
--- a/papayapier/standin/service.py
+++ b/papayapier/standin/service.py
@@ -7,20 +7,25 @@
 import hashlib
 from collections import Counter, deque
 from functools import partial
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, Final, NamedTuple
 
 import msgspec
-from result import Err
 from twisted.internet.defer import Deferred, execute
 from twisted.web.server import Request
 
 from papayapier.clock import Clock
 from papayapier.standin import web
-from papayapier.standin.crashes import Crashes
-from papayapier.standin.switches import LATE_FACTOR, Control, Mode, Switches, read_control
+from papayapier.standin.crashes import Crashes, answer_control
+from papayapier.standin.switches import LATE_FACTOR, Control, Mode, Switches
 from papayapier.standin.timers import Timers
 from papayapier.standin.web import Json
 
+OTHER_ANSWER: Final = {
+    "request_id": "another-request",
+    "path": "/calls/another",
+    "echo": hashlib.sha256(b"another").hexdigest(),
+}
+
 
 class ServiceParams(NamedTuple):
     """Set a plain service's normal behaviour."""
@@ -29,7 +34,7 @@
     work_ms: int = 20
 
 
-class ServiceCounts(TypedDict):
+class ServiceCounts(NamedTuple):
     """Hold the counts of GET /counts; a call counts when its work begins."""
 
     calls: dict[str, int]
@@ -84,9 +89,9 @@
         """Return what has been counted so far."""
         return ServiceCounts(calls=dict(self.calls), total=self.calls.total())
 
-    def restart(self) -> None:
+    def restart(self) -> Deferred[None]:
         """Start a crashed service again on the same port."""
-        self._crashes.restart()
+        return self._crashes.restart()
 
     def close(self) -> Deferred[None]:
         """Stop serving; running work is lost."""
@@ -96,23 +101,14 @@
     def _handle(self, request: Request) -> None:
         path = web.path_of(request)
         if path == "/control":
-            self._handle_control(request)
+            answer_control(request, self.switches, self.control)
         elif path == "/counts":
-            web.send_json(request, Json(200, self.counts()))
+            web.send_json(request, Json(200, self.counts()._asdict()))
         elif path == "/load":
             self._handle_load(request)
         else:
             self._handle_call(request, path)
 
-    def _handle_control(self, request: Request) -> None:
-        if request.method == b"POST":
-            control = read_control(web.body_of(request))
-            if isinstance(control, Err):
-                web.send_json(request, Json(400, {"error": control.err_value}))
-                return
-            self.control(control.ok_value, web.connection_of(request))
-        web.send_json(request, Json(200, self.switches.show()))
-
     def _handle_load(self, request: Request) -> None:
         if self.switches.hangs_always():
             return
@@ -148,6 +144,8 @@
 
     def _finish(self, call: _Call) -> None:
         self._running -= 1
+        mark = f"{self._running}/{len(self._waiting)}/{self._params.slots}"
+        web.set_header(call.request, "x-load", mark)
         _answer(call)
         self._start_calls()
 
@@ -173,7 +171,7 @@
         return
     answer = call.answer
     if call.mode is Mode.CROSSED:
-        answer = {**answer, "request_id": "another-request"}
+        answer = OTHER_ANSWER
     web.set_header(call.request, "x-request-id", answer["request_id"])
     body = msgspec.json.encode(answer)
     if call.mode is Mode.TRUNCATE:
--- a/papayapier/standin/switches.py
+++ b/papayapier/standin/switches.py
@@ -1,11 +1,13 @@
-"""Hold the fault switches that engines and plain services share."""
+"""Read switches, and hold those that engines and plain services share."""
 
 from enum import Enum
-from typing import Final, TypedDict
+from typing import Any, Final, TypedDict, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
+T = TypeVar("T")
+
 LATE_FACTOR: Final = 3
 
 
@@ -73,13 +75,28 @@
 
 
 def read_control(body: bytes) -> Result[Control, str]:
-    """Decode and check the body of POST /control."""
-    try:
-        control = msgspec.json.decode(body, type=Control)
-    except msgspec.MsgspecError as exc:
-        return Err(str(exc))
+    """Decode and check the body of POST /control of an engine or service."""
+    read = read_switches(body, Control)
+    if isinstance(read, Err):
+        return read
+    control = read.ok_value
     if control.get("slow_factor", 1.0) <= 0:
         return Err("slow_factor must be above 0")
     if min(control.get("times", 0), control.get("restart_ms", 0)) < 0:
         return Err("times and restart_ms must not be negative")
     return Ok(control)
+
+
+def read_switches(body: bytes, kind: type[T]) -> Result[T, str]:
+    """Decode switches, and refuse a key that is none.
+
+    A misspelt switch would otherwise do nothing, and a test of a fault would pass because
+    the fault never happened.
+    """
+    try:
+        unknown = msgspec.json.decode(body, type=dict[str, Any]).keys() - kind.__annotations__
+        if unknown:
+            return Err(f"no such switch: {', '.join(sorted(unknown))}")
+        return Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as exc:
+        return Err(str(exc))
--- a/papayapier/standin/web.py
+++ b/papayapier/standin/web.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Callable
+from io import BytesIO
 from typing import Any, Final, NamedTuple, cast
 from urllib.parse import unquote
 
 import msgspec
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.http import Request as HttpRequest
 from twisted.web.resource import Resource
@@ -118,6 +119,17 @@
         """Do nothing."""
 
 
+class _MemoryRequest(Request):
+    """Keep every body in memory, where twisted would put a large one into a file.
+
+    Writing a file blocks the reactor, and a platform under test would answer late on a busy
+    disk for no reason of its own.
+    """
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        self.content = BytesIO()
+
+
 class _Root(Resource):
     """Hand every request to one function, which finishes it now or later."""
 
@@ -135,25 +147,24 @@
 class Listener:
     """Own a listening port and its connections; it can be closed and opened again."""
 
-    __slots__ = ("_listening", "_reactor", "host", "port", "table")
+    __slots__ = ("_listening", "_reactor", "_stopped", "host", "port", "table")
 
     def __init__(self, reactor: Any, handler: Handler, host: str, port: int) -> None:
-        site = cast(Any, _QuietSite)(_Root(handler), timeout=IDLE_TIMEOUT_S, reactor=reactor)
+        site = cast(Any, _QuietSite)(
+            _Root(handler), timeout=IDLE_TIMEOUT_S, reactor=reactor, requestFactory=_MemoryRequest
+        )
         self.table = ConnectionTable(site)
         self.host = host
         self.port = port
         self._reactor = reactor
         self._listening: Any = None
+        self._stopped: Deferred[None] = succeed(None)
 
     def open(self) -> None:
         """Listen; CannotListenError tells that the address is in use."""
         self._listening = self._reactor.listenTCP(self.port, self.table, interface=self.host)
         self.port = self._listening.getHost().port
 
-    def is_open(self) -> bool:
-        """Tell whether the port accepts connections."""
-        return self._listening is not None
-
     def silence_all(self, but: Connection | None = None) -> None:
         """Silence every open connection, except the one that asks for it."""
         for conn in self.table.connections():
@@ -169,13 +180,30 @@
         """Stop listening, reset all connections and wait until they are gone."""
         if self._listening is not None:
             listening, self._listening = self._listening, None
-            stopped = listening.stopListening()
-            self.abort_all()
-            if stopped is not None:
-                await stopped
+            self._stopped = maybeDeferred(listening.stopListening)
         self.abort_all()
+        await self._until_stopped()
         await self.table.when_empty()
 
+    async def reopen(self) -> None:
+        """Listen again on the same port, unless it is open."""
+        await self._until_stopped()
+        if self._listening is None:
+            self.open()
+
+    async def _until_stopped(self) -> None:
+        """Wait until the port is free; several callers may wait at once."""
+        if self._stopped.called:
+            return
+        freed: Deferred[None] = Deferred()
+
+        def tell(result: Any) -> Any:
+            freed.callback(result)
+            return result
+
+        self._stopped.addBoth(tell)
+        await freed
+
 
 class Json(NamedTuple):
     """Pair a status with a value to be sent as JSON."""
