Put a budget in front of the store, and follow objects and instances

Cause: all parts of an instance share the platform's rates, and after an outage all instances come back at once; watches can be cut or deaf without a sign. Change: store/bucket.py hands out permits by priority, cuts its rate on 429 and returns slowly; store/breaker.py finds outages and probes; store/budget.py joins them, with one event per change. store/watch.py lists, watches and polls with versions that only rise; store/members.py follows the instance list and reports this instance.

--- /dev/null
+++ b/papayapier/store/breaker.py
@@ -0,0 +1,141 @@
+"""Know whether the platform's store answers, and let single probes out while it does not.
+
+Calls sent into an outage only wait for their timeouts, and on the platform's return they
+would all arrive together. So after a few failures in a row calls fail at once, and one probe
+at a time goes out after a jittered, growing pause.
+"""
+
+import random
+from typing import Final, Protocol
+
+from automat import TypeMachineBuilder
+
+from papayapier import events
+from papayapier.clock import Clock, Millis
+
+FAILURES_UNTIL_DOWN: Final = 3
+FIRST_PAUSE_MS: Final = 200
+LONGEST_PAUSE_MS: Final = 5_000
+
+
+class Breaker(Protocol):
+    """Describe what happens to calls and what is asked about the store."""
+
+    def answered(self) -> None:
+        """Note that a call was answered."""
+
+    def failed(self) -> None:
+        """Note that a call was not answered."""
+
+    def trip(self) -> None:
+        """Take the store for down."""
+
+    def probe(self) -> None:
+        """Note that a probe goes out."""
+
+    def passable(self) -> bool:
+        """Tell whether any call may go out."""
+
+    def probe_due(self) -> bool:
+        """Tell whether one call may go out to see whether the store is back."""
+
+    def down_since(self) -> Millis | None:
+        """Return when the store went down, or None."""
+
+
+class Health:
+    """Count failures and time the probes."""
+
+    __slots__ = ("_clock", "_pause_ms", "_rng", "failures", "next_probe_ms", "since")
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._pause_ms = FIRST_PAUSE_MS
+        self.failures = 0
+        self.next_probe_ms = 0.0
+        self.since: Millis | None = None
+
+    def now(self) -> Millis:
+        """Return the time."""
+        return self._clock.now()
+
+    def mark_up(self) -> None:
+        """Forget all failures."""
+        self.failures = 0
+        self.since = None
+        self._pause_ms = FIRST_PAUSE_MS
+
+    def set_pause(self) -> None:
+        """Set the next probe time, and a longer pause for the one after."""
+        self.next_probe_ms = self.now() + self._pause_ms * self._rng.uniform(0.5, 1.5)
+        self._pause_ms = min(LONGEST_PAUSE_MS, 2 * self._pause_ms)
+
+
+def _build() -> TypeMachineBuilder[Breaker, Health]:
+    return TypeMachineBuilder(Breaker, Health)
+
+
+_builder = _build()
+_up = _builder.state("up")
+_down = _builder.state("down")
+_probing = _builder.state("probing")
+
+_up.upon(Breaker.passable).loop().returns(True)
+_up.upon(Breaker.probe_due).loop().returns(False)
+_up.upon(Breaker.probe).loop().returns(None)
+_up.upon(Breaker.down_since).loop().returns(None)
+_down.upon(Breaker.passable).loop().returns(False)
+_down.upon(Breaker.probe).to(_probing).returns(None)
+_down.upon(Breaker.failed).loop().returns(None)
+_down.upon(Breaker.trip).loop().returns(None)
+_probing.upon(Breaker.passable).loop().returns(False)
+_probing.upon(Breaker.probe_due).loop().returns(False)
+_probing.upon(Breaker.probe).loop().returns(None)
+_probing.upon(Breaker.trip).loop().returns(None)
+
+
+@_up.upon(Breaker.answered).loop()
+def _forget_failures(_: Breaker, health: Health) -> None:
+    health.failures = 0
+
+
+@_up.upon(Breaker.failed).loop()
+def _count_failure(breaker: Breaker, health: Health) -> None:
+    health.failures += 1
+    if health.failures >= FAILURES_UNTIL_DOWN:
+        breaker.trip()
+
+
+@_up.upon(Breaker.trip).to(_down)
+def _go_down(_: Breaker, health: Health) -> None:
+    health.since = health.now()
+    health.set_pause()
+    events.emit(events.STORE_DOWN)
+
+
+@_down.upon(Breaker.answered).to(_up)
+@_probing.upon(Breaker.answered).to(_up)
+def _come_up(_: Breaker, health: Health) -> None:
+    down_ms = health.now() - (health.since or health.now())
+    health.mark_up()
+    events.emit(events.STORE_UP, down_ms=down_ms)
+
+
+@_probing.upon(Breaker.failed).to(_down)
+def _stay_down(_: Breaker, health: Health) -> None:
+    health.set_pause()
+
+
+@_down.upon(Breaker.probe_due).loop()
+def _after_pause(_: Breaker, health: Health) -> bool:
+    return health.now() >= health.next_probe_ms
+
+
+@_down.upon(Breaker.down_since).loop()
+@_probing.upon(Breaker.down_since).loop()
+def _since(_: Breaker, health: Health) -> Millis | None:
+    return health.since
+
+
+make_breaker: Final = _builder.build()
--- /dev/null
+++ b/papayapier/store/bucket.py
@@ -0,0 +1,118 @@
+"""Hand out call permits at a bounded rate, the most urgent waiter first.
+
+The rate is cut in half when the platform says that it is over its limit, and starts at a
+tenth after an outage; it comes back by a tenth a second (additive increase, multiplicative
+decrease). Without the slow return, all the instances that waited out an outage would send
+what they have saved up at once, and the platform would go down again or answer 429.
+"""
+
+import heapq
+from itertools import count
+from typing import Final, NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import MS_PER_S, Clock, Timer
+
+BURST_S: Final = 0.1
+LOWEST_SHARE: Final = 1 / 16
+RESTART_SHARE: Final = 0.1
+RETURN_SHARE_PER_S: Final = 0.1
+CUT_INTERVAL_MS: Final = 500
+
+
+class _Waiter(NamedTuple):
+    """Hold one caller in the queue, ordered by priority, then by age."""
+
+    priority: int
+    number: int
+    granted: Deferred[bool]
+
+
+class Bucket:
+    """Hold the permits of one kind of call."""
+
+    __slots__ = (
+        "_burst",
+        "_clock",
+        "_cut_ms",
+        "_filled_ms",
+        "_numbers",
+        "_rate",
+        "_share",
+        "_timer",
+        "_tokens",
+        "_waiting",
+    )
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._share = 1.0
+        self._burst = max(1.0, rate * BURST_S)
+        self._tokens = self._burst
+        self._filled_ms = clock.now()
+        self._cut_ms = clock.now() - CUT_INTERVAL_MS
+        self._waiting: list[_Waiter] = []
+        self._numbers = count()
+        self._timer: Timer | None = None
+
+    async def acquire(self, priority: int, wait_ms: int) -> bool:
+        """Wait for a permit; False means that none came in time."""
+        self._fill()
+        if not self._waiting and self._tokens >= 1:
+            self._tokens -= 1
+            return True
+        granted: Deferred[bool] = Deferred()
+        heapq.heappush(self._waiting, _Waiter(priority, next(self._numbers), granted))
+        expiry = self._clock.call_later(wait_ms, lambda: self._settle(granted, False))
+        self._schedule()
+        try:
+            return await granted
+        finally:
+            if expiry.active():
+                expiry.cancel()
+
+    def limited(self) -> None:
+        """Halve the rate, because the platform is over its limit."""
+        if self._clock.now() - self._cut_ms < CUT_INTERVAL_MS:
+            return
+        self._fill()
+        self._cut_ms = self._clock.now()
+        self._share = max(LOWEST_SHARE, self._share / 2)
+        self._tokens = min(self._tokens, 0.0)
+
+    def restart(self) -> None:
+        """Begin again slowly, because the platform has just come back."""
+        self._fill()
+        self._share = min(self._share, RESTART_SHARE)
+        self._tokens = min(self._tokens, 0.0)
+
+    def _fill(self) -> None:
+        now = self._clock.now()
+        elapsed_s = (now - self._filled_ms) / MS_PER_S
+        self._filled_ms = now
+        self._share = min(1.0, self._share + elapsed_s * RETURN_SHARE_PER_S)
+        gained = elapsed_s * self._rate * self._share
+        self._tokens = min(self._burst, self._tokens + gained)
+
+    def _grant(self) -> None:
+        self._timer = None
+        self._fill()
+        while self._waiting and self._tokens >= 1:
+            waiter = heapq.heappop(self._waiting)
+            if not waiter.granted.called:
+                self._tokens -= 1
+                waiter.granted.callback(True)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._waiting or (self._timer is not None and self._timer.active()):
+            return
+        missing = max(0.0, 1.0 - self._tokens)
+        delay_ms = missing * MS_PER_S / (self._rate * self._share)
+        self._timer = self._clock.call_later(max(1.0, delay_ms), self._grant)
+
+    def _settle(self, granted: Deferred[bool], result: bool) -> None:
+        if not granted.called:
+            granted.callback(result)
--- /dev/null
+++ b/papayapier/store/budget.py
@@ -0,0 +1,169 @@
+"""Keep an instance's calls to the platform inside its share of the platform's rates.
+
+Every call of an instance goes through one Budget, because the rates are the platform's and
+are shared with all other instances. Each part of the program has a view with a priority:
+when permits are short, lease renewals go before claims and claims before bulk writes. A call
+that gets no permit in time ends as LIMITED, and one made while the store is down as
+UNAVAILABLE; in both cases nothing was changed. A waiting watch counts as one read.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from enum import IntEnum
+from typing import NamedTuple, TypeVar
+
+from result import Err, Result
+
+from papayapier.clock import Clock, Millis
+from papayapier.settings import PlatformSettings
+from papayapier.store.api import (
+    Changes,
+    Listing,
+    Member,
+    Members,
+    Store,
+    Stored,
+    StoreError,
+)
+from papayapier.store.breaker import Breaker, Health, make_breaker
+from papayapier.store.bucket import Bucket
+
+T = TypeVar("T")
+
+
+class Priority(IntEnum):
+    """Order callers of the store; the lowest number is served first."""
+
+    LEASE = 0
+    CLAIM = 1
+    CONFIG = 2
+    BULK = 3
+
+
+class Budget(NamedTuple):
+    """Give each part of the program its view of the store, and tell about outages."""
+
+    view: Callable[[Priority], Store]
+    down_since: Callable[[], Millis | None]
+
+
+class _Shared(NamedTuple):
+    """Hold what all views share."""
+
+    store: Store
+    reads: Bucket
+    writes: Bucket
+    breaker: Breaker
+    wait_ms: int
+
+
+def make_budget(
+    store: Store, clock: Clock, rng: random.Random, platform: PlatformSettings
+) -> Budget:
+    """Put a rate limit and an outage detector in front of a Store."""
+    shared = _Shared(
+        store,
+        Bucket(clock, platform.reads_per_s),
+        Bucket(clock, platform.writes_per_s),
+        make_breaker(Health(clock, rng)),
+        platform.timeout_ms,
+    )
+    return Budget(lambda priority: _view(shared, priority), shared.breaker.down_since)
+
+
+def _view(shared: _Shared, priority: Priority) -> Store:
+    inner = shared.store
+
+    async def read(call: Callable[[], Awaitable[Result[T, StoreError]]]) -> Result[T, StoreError]:
+        return await _limited(shared, shared.reads, priority, call)
+
+    async def write(call: Callable[[], Awaitable[Result[T, StoreError]]]) -> Result[T, StoreError]:
+        return await _limited(shared, shared.writes, priority, call)
+
+    async def get(key: str) -> Result[Stored, StoreError]:
+        return await read(lambda: inner.get(key))
+
+    async def create(key: str, value: bytes) -> Result[int, StoreError]:
+        return await write(lambda: inner.create(key, value))
+
+    async def update(key: str, value: bytes, version: int) -> Result[int, StoreError]:
+        return await write(lambda: inner.update(key, value, version))
+
+    async def delete(key: str, version: int) -> Result[int, StoreError]:
+        return await write(lambda: inner.delete(key, version))
+
+    async def list_(prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
+        return await read(lambda: inner.list(prefix, after, limit))
+
+    async def watch(prefix: str, since: int, wait_ms: int) -> Result[Changes, StoreError]:
+        return await _waiting(shared, priority, lambda: inner.watch(prefix, since, wait_ms))
+
+    async def members(wait_ms: int, since: int) -> Result[Members, StoreError]:
+        return await _waiting(shared, priority, lambda: inner.members(wait_ms, since))
+
+    async def report(member: Member) -> Result[None, StoreError]:
+        return await write(lambda: inner.report(member))
+
+    async def withdraw(member_id: str) -> Result[None, StoreError]:
+        return await write(lambda: inner.withdraw(member_id))
+
+    return Store(get, create, update, delete, list_, watch, members, report, withdraw, inner.close)
+
+
+async def _limited(
+    shared: _Shared,
+    bucket: Bucket,
+    priority: Priority,
+    call: Callable[[], Awaitable[Result[T, StoreError]]],
+) -> Result[T, StoreError]:
+    """Make a call when it may go out, and learn from its end."""
+    breaker = shared.breaker
+    if breaker.probe_due():
+        breaker.probe()
+        return await _judged(shared, bucket, call)
+    if not breaker.passable():
+        return Err(StoreError.UNAVAILABLE)
+    if not await bucket.acquire(priority, shared.wait_ms):
+        return Err(StoreError.LIMITED)
+    if not breaker.passable():
+        return Err(StoreError.UNAVAILABLE)
+    return await _judged(shared, bucket, call)
+
+
+async def _waiting(
+    shared: _Shared, priority: Priority, call: Callable[[], Awaitable[Result[T, StoreError]]]
+) -> Result[T, StoreError]:
+    """Make a call on which the platform may wait.
+
+    Its failure does not count: watches are also cut by things between the platform and us
+    that leave other calls alone. For the same reason it is never the probe.
+    """
+    if not shared.breaker.passable():
+        return Err(StoreError.UNAVAILABLE)
+    if not await shared.reads.acquire(priority, shared.wait_ms):
+        return Err(StoreError.LIMITED)
+    end = await call()
+    if end == Err(StoreError.LIMITED):
+        shared.reads.limited()
+    return end
+
+
+async def _judged(
+    shared: _Shared, bucket: Bucket, call: Callable[[], Awaitable[Result[T, StoreError]]]
+) -> Result[T, StoreError]:
+    try:
+        end = await call()
+    except BaseException:
+        # A cancelled probe must not leave the breaker waiting for its answer for ever.
+        shared.breaker.failed()
+        raise
+    if isinstance(end, Err) and end.err_value in (StoreError.UNAVAILABLE, StoreError.LOST):
+        shared.breaker.failed()
+        return end
+    if shared.breaker.down_since() is not None:
+        shared.reads.restart()
+        shared.writes.restart()
+    shared.breaker.answered()
+    if end == Err(StoreError.LIMITED):
+        bucket.limited()
+    return end
--- /dev/null
+++ b/papayapier/store/members.py
@@ -0,0 +1,131 @@
+"""Follow the instance list, and keep this instance's own record in it.
+
+The list lags behind the truth and drops an instance that has not reported for a while, so it
+says who may be there, never who lives: leases and peers' heartbeats tell that. A list that
+cannot be read changes nothing here, because an outage of the platform must not look like the
+loss of all upstreams.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import Clock
+from papayapier.store.api import LEAVING, Member, Store
+from papayapier.store.watch import Pauses, report_failure
+
+REPORT_MS: Final = 2_500
+WAIT_MS: Final = 10_000
+SHORTEST_ROUND_MS: Final = 100
+WITHDRAW_TRIES: Final = 3
+
+
+class MembersChanged(NamedTuple):
+    """Tell which records came or changed, and which ids have gone."""
+
+    changed: list[Member]
+    gone: list[str]
+
+
+OnMembers = Callable[[MembersChanged], None]
+
+
+class MemberFollower:
+    """Hold the last list read; tell of each difference to the one before."""
+
+    def __init__(
+        self, store: Store, clock: Clock, rng: random.Random, on_members: OnMembers
+    ) -> None:
+        self.known: dict[str, Member] = {}
+        self.read_ms: int | None = None
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._on_members = on_members
+        self._task: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._task = Deferred.fromCoroutine(self._loop())
+        self._task.addErrback(report_failure, "follow instances")
+
+    def stop(self) -> None:
+        """Stop following; nothing is told afterwards."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _loop(self) -> None:
+        since = 0
+        pauses = Pauses(self._rng)
+        while True:
+            found = await self._store.members(WAIT_MS, since)
+            if isinstance(found, Err):
+                since = 0
+                await self._clock.sleep(pauses.next_ms())
+                continue
+            pauses.reset()
+            self.read_ms = self._clock.now()
+            self._compare({member.id: member for member in found.ok_value.instances})
+            since = found.ok_value.revision
+            # Without a shortest round, a fleet that changes all the time would have every
+            # instance read the whole list without end.
+            await self._clock.sleep(SHORTEST_ROUND_MS * self._rng.uniform(0.5, 1.0))
+
+    def _compare(self, found: dict[str, Member]) -> None:
+        changed = [member for key, member in found.items() if self.known.get(key) != member]
+        gone = [key for key in self.known if key not in found]
+        self.known = found
+        if changed or gone:
+            self._on_members(MembersChanged(changed, gone))
+
+
+class Reporter:
+    """Report this instance's record every few seconds until it leaves."""
+
+    def __init__(self, store: Store, clock: Clock, rng: random.Random, member: Member) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._member = member
+        self._task: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._task = Deferred.fromCoroutine(self._loop())
+        self._task.addErrback(report_failure, "report instance")
+
+    def mark_leaving(self) -> None:
+        """Report as leaving from now on, at once."""
+        self._member = self._member._replace(state=LEAVING)
+        self.stop()
+        self.start()
+
+    def stop(self) -> None:
+        """Stop reporting."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def withdraw(self) -> bool:
+        """Stop reporting and take the record out of the list; False if that failed.
+
+        A record left behind is dropped by the platform some seconds later.
+        """
+        self.stop()
+        pauses = Pauses(self._rng)
+        for _ in range(WITHDRAW_TRIES):
+            if isinstance(await self._store.withdraw(self._member.id), Ok):
+                return True
+            await self._clock.sleep(pauses.next_ms())
+        return False
+
+    async def _loop(self) -> None:
+        pauses = Pauses(self._rng)
+        while True:
+            if isinstance(await self._store.report(self._member), Ok):
+                pauses.reset()
+                await self._clock.sleep(REPORT_MS * self._rng.uniform(0.8, 1.0))
+            else:
+                await self._clock.sleep(pauses.next_ms())
--- /dev/null
+++ b/papayapier/store/watch.py
@@ -0,0 +1,188 @@
+"""Follow the objects under a prefix: list, then bounded watches, with a slow poll behind.
+
+Either path alone is enough. The watch is quick, but can be cut, or go on answering without
+ever telling a change, and nothing in it shows that; the poll beside it bounds how long that
+can hide a change.
+
+Both paths tell versions, which only rise, so their answers may arrive in any order: an older
+version than the one known is dropped. A listing shows deletions by what it leaves out, and
+only for versions up to the revision of its page; a newer object is one it could not see yet.
+Deletions are remembered until a whole listing has been taken after them. From then on a
+change that is not newer than that listing, of a key that the listing did not have, can only
+be older than the deletion.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from result import Err, Result
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from papayapier import events
+from papayapier.clock import Clock
+from papayapier.store.api import Change, Listing, Store, StoreError
+
+PAGE: Final = 1_000
+FIRST_PAUSE_MS: Final = 100
+LONGEST_PAUSE_MS: Final = 5_000
+
+OnChange = Callable[[Change], None]
+
+
+class FollowPace(NamedTuple):
+    """Set how long a watch may wait and how often a listing is taken in any case."""
+
+    watch_ms: int
+    poll_ms: int
+
+
+class Follower:
+    """Hold the versions known of the keys under a prefix, and tell of every newer one."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        prefix: str,
+        on_change: OnChange,
+        pace: FollowPace,
+    ) -> None:
+        self.listed_ms: int | None = None
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._prefix = prefix
+        self._on_change = on_change
+        self._pace = pace
+        self._live: dict[str, int] = {}
+        self._deleted: dict[str, int] = {}
+        self._floor = 0
+        self._tasks: list[Deferred[None]] = []
+
+    def start(self) -> None:
+        """Begin to follow."""
+        for task in (self._watch_loop(), self._poll_loop()):
+            self._tasks.append(Deferred.fromCoroutine(task))
+        for started in self._tasks:
+            started.addErrback(report_failure, "follow " + self._prefix)
+
+    def stop(self) -> None:
+        """Stop following; nothing is told afterwards."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+
+    async def _watch_loop(self) -> None:
+        pauses = Pauses(self._rng)
+        while True:
+            since = await self._list_all()
+            while since is not None:
+                since = await self._watch_once(since)
+                if since is not None:
+                    pauses.reset()
+            # A listing that succeeds resets nothing: where listings work and watches are cut
+            # at once, this loop would otherwise list without a pause.
+            await self._clock.sleep(pauses.next_ms())
+
+    async def _poll_loop(self) -> None:
+        while True:
+            await self._clock.sleep(self._pace.poll_ms * self._rng.uniform(0.8, 1.0))
+            await self._list_all()
+
+    async def _watch_once(self, since: int) -> int | None:
+        """Wait for changes; return the revision reached, or None to list again."""
+        found = await self._store.watch(self._prefix, since, self._pace.watch_ms)
+        if isinstance(found, Err):
+            events.emit(events.WATCH_RESTARTED, prefix=self._prefix, reason=found.err_value.value)
+            return None
+        for change in found.ok_value.changes:
+            self._learn(change)
+        return found.ok_value.revision
+
+    async def _list_all(self) -> int | None:
+        """Read every page; return the revision from which to watch, or None on failure."""
+        first_revision: int | None = None
+        after = ""
+        while True:
+            begun_ms = self._clock.now()
+            page = await self._page(after)
+            if isinstance(page, Err):
+                return None
+            listing = page.ok_value
+            if first_revision is None:
+                first_revision = listing.revision
+            last = listing.objects[-1].key if listing.objects and listing.more else None
+            self._learn_page(listing, after, last)
+            if last is None:
+                break
+            after = last
+        self._forget_deleted(first_revision)
+        self.listed_ms = begun_ms
+        return first_revision
+
+    async def _page(self, after: str) -> Result[Listing, StoreError]:
+        return await self._store.list(self._prefix, after, PAGE)
+
+    def _learn_page(self, listing: Listing, after: str, last: str | None) -> None:
+        """Learn the objects of a page, and the deletions that it shows by omission."""
+        for entry in listing.objects:
+            self._learn(Change(entry.key, entry.version, deleted=False))
+        there = {entry.key for entry in listing.objects}
+        gone = [
+            key
+            for key, version in self._live.items()
+            if key > after
+            and (last is None or key <= last)
+            and key not in there
+            and version <= listing.revision
+        ]
+        for key in gone:
+            self._learn(Change(key, listing.revision, deleted=True))
+
+    def _learn(self, change: Change) -> None:
+        live = self._live.get(change.key)
+        if live is None:
+            if change.version <= max(self._floor, self._deleted.get(change.key, 0)):
+                return
+        elif change.version < live or (change.version == live and not change.deleted):
+            return
+        if change.deleted:
+            self._live.pop(change.key, None)
+            self._deleted[change.key] = change.version
+        else:
+            self._deleted.pop(change.key, None)
+            self._live[change.key] = change.version
+        self._on_change(change)
+
+    def _forget_deleted(self, floor: int) -> None:
+        self._floor = max(self._floor, floor)
+        self._deleted = {k: v for k, v in self._deleted.items() if v > self._floor}
+
+
+class Pauses:
+    """Draw jittered pauses that grow until reset."""
+
+    __slots__ = ("_pause_ms", "_rng")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._pause_ms = FIRST_PAUSE_MS
+
+    def next_ms(self) -> float:
+        """Return the pause to make now."""
+        pause_ms = self._pause_ms * self._rng.uniform(0.5, 1.0)
+        self._pause_ms = min(LONGEST_PAUSE_MS, 2 * self._pause_ms)
+        return pause_ms
+
+    def reset(self) -> None:
+        """Begin again with the shortest pause."""
+        self._pause_ms = FIRST_PAUSE_MS
+
+
+def report_failure(failure: Failure, task: str) -> None:
+    """Log the unexpected end of a task; being cancelled is an expected one."""
+    if not isinstance(failure.value, CancelledError):
+        events.emit(events.STORE_TASK_FAILED, task=task, reason=repr(failure.value))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -40,6 +40,11 @@
             self.fake.advance(5)
         return done[0]
 
+    def pass_time(self, for_ms: int, step_ms: int = 100) -> None:
+        """Let time pass in steps, because a timer set by a timer counts from the step's end."""
+        for _ in range(for_ms // step_ms):
+            self.fake.advance(step_ms)
+
     def due(self, in_ms: int = 5_000) -> int:
         return self.fake.clock.now() + in_ms
 
--- /dev/null
+++ b/tests/test_store_follow.py
@@ -0,0 +1,214 @@
+"""Check the budget, following objects, and following instances."""
+
+import random
+
+import logbook
+import pytest
+from result import Err
+
+from papayapier.settings import PlatformSettings
+from papayapier.store.api import LEAVING, Change, StoreError
+from papayapier.store.bucket import Bucket
+from papayapier.store.budget import Budget, Priority, make_budget
+from papayapier.store.members import MemberFollower, MembersChanged, Reporter
+from papayapier.store.watch import Follower, FollowPace
+from tests.fake_store import Fault, make_member
+from tests.test_store import Bench, started
+
+PLATFORM = PlatformSettings("127.0.0.1", 1, reads_per_s=100, writes_per_s=20)
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench()
+
+
+def make_budgets(bench: Bench, count: int) -> list[Budget]:
+    return [
+        make_budget(bench.platform.store(str(i)), bench.fake.clock, random.Random(i), PLATFORM)
+        for i in range(count)
+    ]
+
+
+def test_urgent_calls_overtake_bulk(bench: Bench) -> None:
+    bucket = Bucket(bench.fake.clock, 20)
+    order: list[str] = []
+
+    async def call(name: str, priority: Priority) -> None:
+        assert await bucket.acquire(priority, 5_000)
+        order.append(name)
+
+    for _ in range(2):
+        started(call("burst", Priority.BULK))
+    for name, priority in (("bulk", Priority.BULK), ("claim", Priority.CLAIM)):
+        started(call(name, priority))
+    started(call("lease", Priority.LEASE))
+    bench.pass_time(1_000)
+    assert order == ["burst", "burst", "lease", "claim", "bulk"]
+
+
+def test_call_without_a_permit_is_limited(bench: Bench) -> None:
+    (budget,) = make_budgets(bench, 1)
+    bulk = budget.view(Priority.BULK)
+    ends = [started(bulk.create(f"k{i}", b"")) for i in range(100)]
+    bench.pass_time(5_000)
+    assert ends.count([Err(StoreError.LIMITED)]) == 100 - len(bench.platform.objects)
+    # Two seconds of waiting at 20 a second, after a burst of two.
+    assert len(bench.platform.objects) == pytest.approx(42, abs=2)
+
+
+def test_outage_is_told_once_and_ends_without_a_stampede(bench: Bench) -> None:
+    # Symptom: the platform goes down again as soon as it is back.
+    # Sequence: an outage; every instance saves up calls; the first answer lets all of them go.
+    # Cause: a rate limit alone lets a full burst through at once.
+    budgets = make_budgets(bench, 6)
+    stores = [budget.view(Priority.BULK) for budget in budgets]
+
+    def press(for_ms: int) -> int:
+        before = bench.platform.calls["update"]
+        for _ in range(for_ms // 40):
+            for store in stores:
+                started(store.update("k", b"", 1))
+            bench.fake.advance(40)
+        return bench.platform.calls["update"] - before
+
+    bench.platform.down = True
+    press(1_000)
+    assert all(budget.down_since() is not None for budget in budgets)
+    assert press(20_000) < 6 * 20
+    bench.platform.down = False
+    press(8_000)
+    assert all(budget.down_since() is None for budget in budgets)
+    bench.platform.down = True
+    press(3_000)
+    bench.platform.down = False
+    first, later = press(1_000), press(15_000) / 15
+    assert first < 6 * 20 * 0.4
+    assert later > 6 * 20 * 0.5
+
+
+def test_down_and_up_events_come_in_pairs(bench: Bench) -> None:
+    (budget,) = make_budgets(bench, 1)
+    store = budget.view(Priority.CONFIG)
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        bench.platform.down = True
+        for _ in range(20):
+            assert bench.run(store.get("k")) == Err(StoreError.UNAVAILABLE)
+            bench.fake.advance(100)
+        bench.platform.down = False
+        bench.pass_time(10_000)
+        assert bench.run(store.get("k")) == Err(StoreError.NOT_FOUND)
+    names = [record.extra["event"].name for record in handler.records]
+    assert names == ["store_down", "store_up"]
+
+
+def follow(bench: Bench, seen: list[Change], watch_ms: int = 10_000) -> Follower:
+    follower = Follower(
+        bench.store,
+        bench.fake.clock,
+        random.Random(2),
+        "p/",
+        seen.append,
+        FollowPace(watch_ms, poll_ms=2_000),
+    )
+    follower.start()
+    return follower
+
+
+def test_follower_tells_changes_and_deletions(bench: Bench) -> None:
+    bench.run(bench.store.create("p/a", b""))
+    seen: list[Change] = []
+    follower = follow(bench, seen)
+    bench.run(bench.store.create("q/other", b""))
+    bench.run(bench.store.update("p/a", b"", 1))
+    bench.run(bench.store.delete("p/a", 3))
+    bench.run(bench.store.create("p/a", b""))
+    expected = [(1, False), (3, False), (4, True), (5, False)]
+    assert [(change.version, change.deleted) for change in seen] == expected
+    bench.pass_time(9_000)
+    assert len(seen) == len(expected)
+    follower.stop()
+    bench.run(bench.store.update("p/a", b"", 5))
+    assert len(seen) == len(expected)
+
+
+def test_poll_finds_what_a_deaf_watch_does_not_tell(bench: Bench) -> None:
+    # Symptom: a change is accepted and one instance never applies it.
+    # Sequence: the watch's connection goes silent; nothing fails for ten seconds.
+    # Cause: no answer looks the same as no change.
+    seen: list[Change] = []
+    bench.run(bench.store.create("p/a", b""))
+    bench.run(bench.store.create("p/b", b""))
+    follower = follow(bench, seen)
+    bench.platform.fail(Fault.SLOW, "watch", delay_ms=60_000)
+    bench.run(bench.store.update("p/a", b"", 1))
+    bench.run(bench.store.delete("p/b", 2))
+    bench.pass_time(2_000)
+    assert [(c.key, c.version, c.deleted) for c in seen[2:]] == [
+        ("p/a", 3, False),
+        ("p/b", 4, True),
+    ]
+    follower.stop()
+
+
+def test_follower_lists_again_and_never_goes_back(bench: Bench) -> None:
+    seen: list[Change] = []
+    bench.run(bench.store.create("p/a", b""))
+    # An old listing that arrives late, and a watch whose history is gone.
+    bench.platform.fail(Fault.SLOW_ANSWER, "list", delay_ms=5_000)
+    follower = follow(bench, seen)
+    for version in (1, 2):
+        bench.run(bench.store.update("p/a", b"", version))
+    bench.pass_time(2_000)
+    bench.run(bench.store.delete("p/a", 3))
+    bench.platform.forget_history()
+    bench.pass_time(10_000)
+    versions = [change.version for change in seen]
+    assert versions == sorted(versions)
+    assert seen[-1].deleted
+    assert bench.platform.calls["list"] < 20
+    follower.stop()
+
+
+def test_cut_watches_do_not_make_a_busy_loop(bench: Bench) -> None:
+    bench.platform.fail(Fault.UNAVAILABLE, "watch", times=1_000)
+    follower = follow(bench, [])
+    bench.pass_time(60_000)
+    assert bench.platform.calls["watch"] < 30
+    follower.stop()
+
+
+def test_members_are_followed_and_reported(bench: Bench) -> None:
+    seen: list[MembersChanged] = []
+    follower = MemberFollower(bench.store, bench.fake.clock, random.Random(3), seen.append)
+    follower.start()
+    reporter = Reporter(bench.store, bench.fake.clock, random.Random(4), make_member("e1"))
+    reporter.start()
+    bench.pass_time(1_000)
+    reporter.mark_leaving()
+    bench.pass_time(1_000)
+    bench.platform.down = True
+    bench.pass_time(10_000)
+    bench.platform.down = False
+    bench.pass_time(10_000)
+    assert bench.run(reporter.withdraw())
+    bench.pass_time(1_000)
+    assert seen == [
+        MembersChanged([make_member("e1")], []),
+        MembersChanged([make_member("e1", LEAVING)], []),
+        MembersChanged([], ["e1"]),
+    ]
+    assert bench.platform.instances == {}
+    follower.stop()
+
+
+def test_reports_go_on_after_a_failure(bench: Bench) -> None:
+    bench.platform.fail(Fault.LOST_BEFORE, "report", times=3)
+    reporter = Reporter(bench.store, bench.fake.clock, random.Random(4), make_member("e1"))
+    reporter.start()
+    bench.pass_time(1_000)
+    assert "e1" in bench.platform.instances
+    bench.pass_time(10_000)
+    assert bench.platform.calls["report"] >= 7
+    reporter.stop()
