Bound the links between instances, pass changes on, sign frames

Cause: a full mesh of heartbeats grows with the fleet, and most instances of a large one are no neighbours but may still hold a claim that one must ask about. Change: topology decides the neighbours (all of a small site; picks and relays of a large one); changes are passed on over a pruned tree; passing connections reach everyone else; heartbeats slow down to a rate of bytes and tell their pace; frames carry an HMAC when a key file is set. Conclusion: at 1,400 places in 14 data centres the links form one connected graph and no instance has more than 24 (tests/test_peer.py).

--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -7,38 +7,46 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
-from enum import Enum
 from random import Random
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
-from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from result import Err, Result
 
 from papayapier import events
-from papayapier.clock import Clock, Timer
+from papayapier.clock import Clock, Millis, Timer
 from papayapier.metrics import Metrics
 from papayapier.peer import wire
-from papayapier.peer.link import MAX_FRAME_BYTES, Inbox, Outbox, Outgoing, Poller
-from papayapier.peer.messages import ClaimTell, ConfigTell, Heartbeat, Hello, Message
-from papayapier.peer.pacing import ByteBudget, use_distance
-from papayapier.peer.roster import Change, Noted, PeerView, Redial, Roster
+from papayapier.peer.link import Inbox, Outbox, Outgoing, Poller
+from papayapier.peer.links import Address, Links
+from papayapier.peer.messages import (
+    ConfigAsk,
+    ConfigPush,
+    Heartbeat,
+    Hello,
+    JobChanged,
+    Message,
+    Prune,
+)
+from papayapier.peer.pacing import (
+    ByteBudget,
+    bound_uses,
+    heartbeat_pace,
+    use_distance,
+    wire_bytes,
+)
+from papayapier.peer.questions import MakeAsk, PeerError, Questions
+from papayapier.peer.roster import Change, HangUp, Noted, PeerView, Redial, Roster, Step
+from papayapier.peer.seal import Seal
+from papayapier.peer.spread import Spreader, Verdict
+from papayapier.peer.topology import Limits, Place, Plan
 from papayapier.settings import PeerSettings
 from papayapier.store.api import Member
 
-ASK_ID_BITS: Final = 32
+PACE_JITTER: Final = 0.1
+TICKS_PER_SILENCE: Final = 4
+MAX_REFUSALS_KEPT: Final = 256
 
-Handler = Callable[[str, Message], None]
-MakeAsk = Callable[[int], Message]
-
-
-class PeerError(Enum):
-    """Name each way in which asking a peer can fail."""
-
-    NO_PEER = "no_peer"
-    BUSY = "busy"
-    TOO_LARGE = "too_large"
-    TIMEOUT = "timeout"
-    CLOSED = "closed"
+Handler = Callable[[str, Any], object]
 
 
 class Identity(NamedTuple):
@@ -51,14 +59,8 @@
     region: str
 
 
-class _Question(NamedTuple):
-    peer_id: str
-    answered: Deferred[Result[Message, PeerError]]
-    timer: Timer
-
-
 class PeerHub:
-    """Hold the connections with the other instances."""
+    """Exchange messages with the other instances."""
 
     def __init__(
         self,
@@ -69,29 +71,32 @@
         heartbeat: Callable[[], Heartbeat],
         metrics: Metrics,
         rand: Random,
+        seal: Seal,
     ) -> None:
-        self._reactor = reactor
         self._clock = clock
         self._cfg = cfg
         self._me = me
         self._heartbeat = heartbeat
         self._metrics = metrics
         self._rand = rand
-        self._roster = Roster(me.instance, cfg.silent_after_ms)
-        self._budget = ByteBudget(cfg.bytes_per_s, clock.now())
+        self._seal = seal
+        place = Place(me.instance, me.data_centre, me.region)
+        limits = Limits(cfg.full_mesh, cfg.picks, cfg.relays)
+        self._roster = Roster(place, limits, cfg.silent_after_ms)
+        self._budget = ByteBudget(cfg.early_bytes_per_s, clock.now())
         self._inbox = Inbox(reactor, self._receive)
+        self._links = Links(lambda address: Outbox(reactor, address.host, address.port))
+        self._questions = Questions(clock, rand)
+        self._spreader = Spreader()
         self._port = 0
-        self._outboxes: dict[str, Outbox] = {}
         self._handlers: dict[type[Message], list[Handler]] = defaultdict(list)
         self._listeners: list[Callable[[], None]] = []
         self._live: list[str] = [me.instance]
-        self._questions: dict[int, _Question] = {}
-        self._next_ask = rand.getrandbits(ASK_ID_BITS)
         self._refused: Counter[str] = Counter()
         self._last_sent: Heartbeat | None = None
         self._last_sent_at = clock.now()
-        self._regular: Timer | None = None
-        self._early: Timer | None = None
+        self._pace_ms = cfg.heartbeat_ms
+        self._timers: dict[str, Timer] = {}
         self._closed = False
 
     def start(self) -> Result[int, str]:
@@ -101,25 +106,24 @@
             return listening
         self._port = listening.ok_value
         self._beat()
+        self._tick()
         return listening
 
     def close(self) -> None:
         """Close all connections and end every open question."""
         self._closed = True
-        for timer in (self._regular, self._early):
-            if timer is not None and timer.active():
+        for timer in self._timers.values():
+            if timer.active():
                 timer.cancel()
-        for ask_id in list(self._questions):
-            self._answer(ask_id, Err(PeerError.CLOSED))
-        for outbox in self._outboxes.values():
-            outbox.close()
-        self._outboxes.clear()
+        self._questions.close()
+        self._links.close()
         self._inbox.close()
 
     def set_members(self, members: Sequence[Member]) -> None:
         """Take over the entry instances of a new instance list."""
         if not self._closed:
-            self._apply(self._roster.set_members(list(members), self._clock.now()))
+            self._apply(self._roster.set_members(members, self._clock.now()))
+            self._announce_live()
 
     def live(self) -> list[str]:
         """Return this instance and the live peers that are not leaving, in order."""
@@ -129,6 +133,10 @@
         """Return what is known of each peer, for the operators."""
         return self._roster.views(self._clock.now())
 
+    def plan(self) -> Plan:
+        """Return the plan of links; a relay watches the store for its data centre."""
+        return self._roster.plan()
+
     def on_change(self, call: Callable[[], None]) -> None:
         """Call back whenever live() has changed."""
         self._listeners.append(call)
@@ -139,13 +147,16 @@
 
     def tell(self, peer_id: str, message: Message) -> bool:
         """Send a message to one peer; return False when it certainly was not sent."""
-        return self._send(peer_id, wire.encode(self._me.instance, message), message)
+        now = self._clock.now()
+        if not self._links.has(peer_id) and not self._connect_passing(peer_id, now):
+            return False
+        return self._send(peer_id, self._encode(message), message, now)
 
     def tell_all(self, message: Message) -> None:
-        """Send a message to every peer."""
-        data = wire.encode(self._me.instance, message)
-        for peer_id in list(self._outboxes):
-            self._send(peer_id, data, message)
+        """Send a message to every neighbour; changes are passed on from there."""
+        if isinstance(message, ConfigPush | JobChanged):
+            self._spreader.note(message)
+        self._broadcast(self._links.neighbours(), message)
 
     async def ask(
         self, peer_id: str, make_ask: MakeAsk, timeout_ms: int
@@ -153,105 +164,110 @@
         """Send a question made with a fresh ask id, and wait for its answer."""
         if self._closed:
             return Err(PeerError.CLOSED)
-        if peer_id not in self._outboxes:
+        if self._roster.get(peer_id) is None:
             return Err(PeerError.NO_PEER)
-        self._next_ask += 1
-        ask_id = self._next_ask
-        message = make_ask(ask_id)
-        data = wire.encode(self._me.instance, message)
-        if len(data) > MAX_FRAME_BYTES:
-            return Err(PeerError.TOO_LARGE)
-        if not self._send(peer_id, data, message):
+        ask_id = self._questions.next_id()
+        if not self.tell(peer_id, make_ask(ask_id)):
             return Err(PeerError.BUSY)
-        timer = self._clock.call_later(
-            timeout_ms, lambda: self._answer(ask_id, Err(PeerError.TIMEOUT))
-        )
-        answered: Deferred[Result[Message, PeerError]] = Deferred(
-            lambda _: self._drop_question(ask_id)
-        )
-        self._questions[ask_id] = _Question(peer_id, answered, timer)
-        return await answered
+        return await self._questions.wait(ask_id, peer_id, timeout_ms)
 
     def uses_changed(self) -> None:
         """Consider an early heartbeat, because this instance's open calls have changed."""
-        if self._early is not None or self._closed:
+        if "early" in self._timers or self._closed:
             return
         wait = self._last_sent_at + self._cfg.early_ms - self._clock.now()
-        self._early = self._clock.call_later(wait, self._beat_early)
+        self._timers["early"] = self._clock.call_later(wait, self._beat_early)
+
+    def _tick(self) -> None:
+        period = min(self._cfg.heartbeat_ms, self._cfg.silent_after_ms // TICKS_PER_SILENCE)
+        self._timers["tick"] = self._clock.call_later(period, self._tick)
+        now = self._clock.now()
+        self._links.sweep(now)
+        self._apply(self._roster.tick(now))
 
     def _beat(self) -> None:
-        """Send the regular heartbeat and look for silent peers."""
-        spread = self._rand.uniform(0.9, 1.1)
-        self._regular = self._clock.call_later(self._cfg.heartbeat_ms * spread, self._beat)
-        self._apply(self._roster.tick(self._clock.now()))
-        self._send_heartbeat(self._heartbeat())
+        self._send_heartbeat(self._own_heartbeat(), self._clock.now())
+        wait = self._pace_ms * self._rand.uniform(1 - PACE_JITTER, 1 + PACE_JITTER)
+        self._timers["beat"] = self._clock.call_later(wait, self._beat)
 
     def _beat_early(self) -> None:
-        self._early = None
-        heartbeat = self._heartbeat()
+        del self._timers["early"]
+        now = self._clock.now()
+        heartbeat = self._own_heartbeat()
         before = () if self._last_sent is None else self._last_sent.uses
         if use_distance(before, heartbeat.uses) < self._cfg.early_calls:
             return
-        cost = len(wire.encode(self._me.instance, heartbeat)) * len(self._outboxes)
-        if self._budget.has(cost, self._clock.now()):
-            self._send_heartbeat(heartbeat)
+        cost = wire_bytes(len(self._encode(heartbeat)), len(self._links.neighbours()))
+        if self._budget.has(cost, now):
+            self._budget.spend(cost, now)
+            self._send_heartbeat(heartbeat, now)
 
-    def _send_heartbeat(self, heartbeat: Heartbeat) -> None:
-        now = self._clock.now()
-        full = heartbeat._replace(unheard=self._roster.unheard(now))
-        data = wire.encode(self._me.instance, full)
-        for peer_id in list(self._outboxes):
-            self._send(peer_id, data, full)
-        self._budget.spend(len(data) * len(self._outboxes), now)
+    def _own_heartbeat(self) -> Heartbeat:
+        heartbeat = self._heartbeat()
+        return heartbeat._replace(uses=bound_uses(heartbeat.uses))
+
+    def _send_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> None:
+        full = heartbeat._replace(unheard=self._roster.unheard(now), every_ms=self._pace_ms)
+        neighbours = self._links.neighbours()
+        size = self._broadcast(neighbours, full)
+        self._pace_ms = heartbeat_pace(
+            self._cfg.heartbeat_ms, size, len(neighbours), self._cfg.bytes_per_s
+        )
         self._last_sent = heartbeat
         self._last_sent_at = now
 
-    def _send(self, peer_id: str, data: bytes, message: Message) -> bool:
-        outbox = self._outboxes.get(peer_id)
-        if outbox is None or len(data) > MAX_FRAME_BYTES:
-            return False
-        if not outbox.send(Outgoing(data, isinstance(message, Heartbeat))):
+    def _broadcast(self, peer_ids: Sequence[str], message: Message) -> int:
+        """Send one frame to several peers and return its size."""
+        now = self._clock.now()
+        data = self._encode(message)
+        for peer_id in peer_ids:
+            self._send(peer_id, data, message, now)
+        return len(data)
+
+    def _encode(self, message: Message) -> bytes:
+        return self._seal.close(wire.encode(self._me.instance, message))
+
+    def _send(self, peer_id: str, data: bytes, message: Message, now: Millis) -> bool:
+        frame = Outgoing(data, replaceable=isinstance(message, Heartbeat))
+        if not self._links.send(peer_id, frame, now):
             return False
         self._count(message, "sent", len(data))
         return True
 
     def _receive(self, data: bytes) -> None:
-        decoded = wire.decode(data)
-        if isinstance(decoded, Err):
-            self._refuse(decoded.err_value)
-            return
-        sender, message = decoded.ok_value
+        opened = self._seal.open(data).and_then(wire.decode)
+        if isinstance(opened, Err):
+            return self._refuse(opened.err_value)
+        sender, message = opened.ok_value
         self._count(message, "received", len(data))
-        now = self._clock.now()
-        if isinstance(message, Hello):
-            self._apply(self._roster.hello(message, now))
-        if isinstance(message, Heartbeat):
-            self._apply(self._roster.heard(sender, message, now))
-        if isinstance(message, ConfigTell | ClaimTell) and self._settle(sender, message):
-            return
+        self._take(sender, message, self._clock.now())
+        if self._questions.settle(sender, message):
+            return None
         for handler in self._handlers[type(message)]:
             handler(sender, message)
+        return None
 
-    def _settle(self, sender: str, message: ConfigTell | ClaimTell) -> bool:
-        question = self._questions.get(message.ask_id)
-        if question is None or question.peer_id != sender:
-            return False
-        self._answer(message.ask_id, Ok(message))
-        return True
-
-    def _answer(self, ask_id: int, outcome: Result[Message, PeerError]) -> None:
-        question = self._forget_question(ask_id)
-        if question is not None:
-            question.answered.callback(outcome)
-
-    def _drop_question(self, ask_id: int) -> None:
-        self._forget_question(ask_id)
-
-    def _forget_question(self, ask_id: int) -> _Question | None:
-        question = self._questions.pop(ask_id, None)
-        if question is not None and question.timer.active():
-            question.timer.cancel()
-        return question
+    def _take(self, sender: str, message: Message, now: Millis) -> None:
+        """Do the hub's own part of a message."""
+        if isinstance(message, Heartbeat):
+            self._apply(self._roster.heard(sender, message, now))
+        elif isinstance(message, Hello):
+            self._apply(self._roster.hello(message, now))
+        elif isinstance(message, ConfigPush | JobChanged):
+            self._pass_on(sender, message)
+        elif isinstance(message, ConfigAsk):
+            self._spreader.graft(sender)
+        elif isinstance(message, Prune):
+            self._spreader.prune(sender)
+
+    def _pass_on(self, sender: str, message: ConfigPush | JobChanged) -> None:
+        if self._roster.plan().full_mesh:
+            return
+        if self._spreader.note(message) is Verdict.DUPLICATE:
+            self._spreader.prune(sender)
+            self.tell(sender, Prune())
+            return
+        self._broadcast(self._spreader.targets(self._links.neighbours(), sender), message)
 
     def _refuse(self, why: str) -> None:
         """Count a frame that is not understood, and log each reason only once.
@@ -260,28 +276,38 @@
         second; a line for each would bury every other event.
         """
         self._metrics.peer_messages.labels(kind="refused", direction="received").inc()
-        if why not in self._refused:
+        if why in self._refused or len(self._refused) < MAX_REFUSALS_KEPT:
+            self._refused[why] += 1
+        if self._refused[why] == 1:
             events.emit(events.PEER_REFUSED, why=why)
-        self._refused[why] += 1
 
-    def _apply(self, steps: Sequence[Noted | Redial]) -> None:
+    def _apply(self, steps: Sequence[Step]) -> None:
         for step in steps:
             if isinstance(step, Redial):
                 self._redial(step.peer_id)
+            elif isinstance(step, HangUp):
+                self._links.hang_up(step.peer_id)
             else:
                 self._note(step)
-        self._announce_live()
+        if steps:
+            self._announce_live()
 
     def _redial(self, peer_id: str) -> None:
-        old = self._outboxes.pop(peer_id, None)
-        if old is not None:
-            old.close()
+        address = self._address(peer_id)
+        if address is not None:
+            self._links.connect(peer_id, address, True, self._clock.now())
+            self.tell(peer_id, self._hello())
+
+    def _connect_passing(self, peer_id: str, now: Millis) -> bool:
+        address = self._address(peer_id)
+        if address is None:
+            return False
+        self._links.connect(peer_id, address, False, now)
+        return True
+
+    def _address(self, peer_id: str) -> Address | None:
         peer = self._roster.get(peer_id)
-        if peer is None:
-            return
-        member = peer.member
-        self._outboxes[peer_id] = Outbox(self._reactor, member.host, member.peer_port)
-        self.tell(peer_id, self._hello())
+        return None if peer is None else Address(peer.member.host, peer.member.peer_port)
 
     def _hello(self) -> Hello:
         me = self._me
@@ -289,16 +315,13 @@
 
     def _note(self, noted: Noted) -> None:
         if noted.change is Change.GONE:
-            self._drop(noted.peer_id)
+            self._links.hang_up(noted.peer_id)
         if noted.change in (Change.UP, Change.RESTARTED):
             events.emit(events.PEER_UP, peer=noted.peer_id, change=noted.change.value)
         if noted.change in (Change.DOWN, Change.LEAVING):
             events.emit(events.PEER_DOWN, peer=noted.peer_id, change=noted.change.value)
-
-    def _drop(self, peer_id: str) -> None:
-        outbox = self._outboxes.pop(peer_id, None)
-        if outbox is not None:
-            outbox.close()
+        if noted.change in (Change.DOWN, Change.GONE):
+            self._spreader.reset()
 
     def _announce_live(self) -> None:
         live = self._roster.live()
--- /dev/null
+++ b/papayapier/peer/links.py
@@ -0,0 +1,77 @@
+"""Hold the outgoing connections: lasting ones to neighbours, passing ones to others.
+
+In a bounded topology most instances are no neighbours, but a claim's writer may be any of
+them. A passing connection is opened by the first message and closed when it has not been
+used for a while, so that descriptors stay bounded by what is in use.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from papayapier.clock import Millis
+from papayapier.peer.link import MAX_FRAME_BYTES, Outbox, Outgoing
+from papayapier.peer.seal import TAG_BYTES
+
+PASSING_IDLE_MS: Final = 30_000
+
+
+class Address(NamedTuple):
+    """Locate an instance."""
+
+    host: str
+    port: int
+
+
+class _Link:
+    __slots__ = ("lasting", "outbox", "used_at")
+
+    def __init__(self, outbox: Outbox, lasting: bool, now: Millis) -> None:
+        self.outbox = outbox
+        self.lasting = lasting
+        self.used_at = now
+
+
+class Links:
+    """Own the outgoing connections of an instance."""
+
+    def __init__(self, dial: Callable[[Address], Outbox]) -> None:
+        self._dial = dial
+        self._links: dict[str, _Link] = {}
+
+    def neighbours(self) -> list[str]:
+        """Return the peers with a lasting connection."""
+        return [peer_id for peer_id, link in self._links.items() if link.lasting]
+
+    def connect(self, peer_id: str, address: Address, lasting: bool, now: Millis) -> None:
+        """Open a connection, in place of the one there may be."""
+        self.hang_up(peer_id)
+        self._links[peer_id] = _Link(self._dial(address), lasting, now)
+
+    def has(self, peer_id: str) -> bool:
+        """Tell whether there is a connection to a peer."""
+        return peer_id in self._links
+
+    def send(self, peer_id: str, frame: Outgoing, now: Millis) -> bool:
+        """Send a frame; return False when it certainly was not sent."""
+        link = self._links.get(peer_id)
+        if link is None or len(frame.data) > MAX_FRAME_BYTES - TAG_BYTES:
+            return False
+        link.used_at = now
+        return link.outbox.send(frame)
+
+    def sweep(self, now: Millis) -> None:
+        """Close the passing connections that are not used any more."""
+        for peer_id, link in list(self._links.items()):
+            if not link.lasting and now - link.used_at >= PASSING_IDLE_MS:
+                self.hang_up(peer_id)
+
+    def hang_up(self, peer_id: str) -> None:
+        """Close the connection to a peer."""
+        link = self._links.pop(peer_id, None)
+        if link is not None:
+            link.outbox.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for peer_id in list(self._links):
+            self.hang_up(peer_id)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -21,7 +21,8 @@
 
     boot is drawn at process start, so that a restarted instance is told from a paused one.
     config_digest shows what config_version cannot: an object missing below the highest.
-    unheard names the peers whose own heartbeats do not arrive at the sender.
+    unheard names the peers whose own heartbeats do not arrive at the sender. every_ms is the
+    sender's present pace, by which the receiver judges its silence.
     """
 
     instance: str
@@ -31,6 +32,7 @@
     uses: tuple[ReplicaUse, ...] = ()
     config_digest: int = 0
     unheard: tuple[str, ...] = ()
+    every_ms: int = 0
 
 
 class Hello(NamedTuple):
@@ -114,6 +116,10 @@
     version: int
 
 
+class Prune(NamedTuple):
+    """Tell a peer that its copies of changes come later than those of others."""
+
+
 Message = (
     Heartbeat
     | ConfigPush
@@ -125,6 +131,7 @@
     | LoadReports
     | JobChanged
     | Hello
+    | Prune
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -138,4 +145,5 @@
     8: LoadReports,
     9: JobChanged,
     10: Hello,
+    11: Prune,
 }
--- a/papayapier/peer/pacing.py
+++ b/papayapier/peer/pacing.py
@@ -1,10 +1,11 @@
 """Decide when a heartbeat goes out, and keep heartbeats within a rate of bytes.
 
-A regular heartbeat is always sent: without it the peers would think this instance dead. An
-early one, which tells that the open calls changed, is sent only while the budget lasts. The
-budget is a token bucket that holds several seconds' worth, because early heartbeats matter
-in bursts: a few hundred bytes at once make the peers' batch work give way tens of
-milliseconds earlier, while the average stays within the rate.
+A regular heartbeat is always sent: without it the peers would think this instance dead. Its
+pace falls as neighbours and open calls grow, and it tells its pace, so that nobody takes a
+slow sender for a silent one. An early one, which tells that the open calls changed, is sent
+only while its budget lasts. The budget is a token bucket that holds several seconds' worth,
+because early heartbeats matter in bursts: a few hundred bytes at once make the peers' batch
+work give way tens of milliseconds earlier, while the average stays within the rate.
 """
 
 from collections.abc import Sequence
@@ -14,6 +15,9 @@
 from papayapier.peer.messages import ReplicaUse
 
 BUDGET_SECONDS: Final = 10
+MAX_USES: Final = 32
+# What nng (8) and the TCP and IP headers (52 each way, with the acknowledgement) add.
+FRAME_OVERHEAD: Final = 112
 
 
 class ByteBudget:
@@ -48,3 +52,20 @@
     for use in after:
         moved += abs(use.online - counts.pop(use.replica, 0))
     return moved + sum(counts.values())
+
+
+def heartbeat_pace(least_ms: int, frame_bytes: int, neighbours: int, bytes_per_s: int) -> int:
+    """Return the time between regular heartbeats that keeps them within a rate of bytes."""
+    return max(least_ms, wire_bytes(frame_bytes, neighbours) * MS_PER_S // bytes_per_s)
+
+
+def wire_bytes(frame_bytes: int, copies: int) -> int:
+    """Return what copies of a frame take on the network, headers included."""
+    return (frame_bytes + FRAME_OVERHEAD) * copies
+
+
+def bound_uses(uses: Sequence[ReplicaUse]) -> tuple[ReplicaUse, ...]:
+    """Return the uses to tell: all of them, or those of the busiest replicas."""
+    if len(uses) <= MAX_USES:
+        return tuple(uses)
+    return tuple(sorted(uses, key=lambda use: (-use.online, -use.batch, use.replica))[:MAX_USES])
--- /dev/null
+++ b/papayapier/peer/questions.py
@@ -0,0 +1,85 @@
+"""Match the answers of peers with the questions they belong to."""
+
+from collections.abc import Callable
+from enum import Enum
+from random import Random
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import Clock, Timer
+from papayapier.peer.messages import ClaimTell, ConfigTell, Message
+
+ASK_ID_BITS: Final = 32
+
+MakeAsk = Callable[[int], Message]
+
+
+class PeerError(Enum):
+    """Name each way in which asking a peer can fail."""
+
+    NO_PEER = "no_peer"
+    BUSY = "busy"
+    TIMEOUT = "timeout"
+    CLOSED = "closed"
+
+
+class _Question(NamedTuple):
+    peer_id: str
+    answered: Deferred[Result[Message, PeerError]]
+    timer: Timer
+
+
+class Questions:
+    """Hold the questions that wait for their answers.
+
+    Ids start at random, so that an answer meant for an earlier start of this instance, which
+    a peer may still send, matches no question of this one.
+    """
+
+    def __init__(self, clock: Clock, rand: Random) -> None:
+        self._clock = clock
+        self._last_id = rand.getrandbits(ASK_ID_BITS)
+        self._open: dict[int, _Question] = {}
+
+    def next_id(self) -> int:
+        """Return a fresh id."""
+        self._last_id += 1
+        return self._last_id
+
+    async def wait(self, ask_id: int, peer_id: str, timeout_ms: int) -> Result[Message, PeerError]:
+        """Wait for the answer of a peer to a question that was just sent."""
+        timer = self._clock.call_later(
+            timeout_ms, lambda: self._end(ask_id, Err(PeerError.TIMEOUT))
+        )
+        answered: Deferred[Result[Message, PeerError]] = Deferred(lambda _: self._drop(ask_id))
+        self._open[ask_id] = _Question(peer_id, answered, timer)
+        return await answered
+
+    def settle(self, sender: str, message: Message) -> bool:
+        """Give a message to the question it answers; return False if there is none."""
+        if not isinstance(message, ConfigTell | ClaimTell):
+            return False
+        question = self._open.get(message.ask_id)
+        if question is None or question.peer_id != sender:
+            return False
+        self._end(message.ask_id, Ok(message))
+        return True
+
+    def close(self) -> None:
+        """End every question without an answer."""
+        for ask_id in list(self._open):
+            self._end(ask_id, Err(PeerError.CLOSED))
+
+    def _end(self, ask_id: int, outcome: Result[Message, PeerError]) -> None:
+        question = self._open.get(ask_id)
+        if question is None:
+            return
+        self._drop(ask_id)
+        question.answered.callback(outcome)
+
+    def _drop(self, ask_id: int) -> None:
+        question = self._open.pop(ask_id, None)
+        if question is not None and question.timer.active():
+            question.timer.cancel()
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -1,23 +1,34 @@
 """Keep what is known of the other instances: listed, heard from, silent, leaving.
 
-A peer is live while its own heartbeats arrive; the instance list, which lags and is lost in
-an outage of the platform, only says whom to dial. So a peer that drops out of the list while
-its heartbeats go on is kept: after an outage the list is empty for a moment, and an instance
-that believed it would take itself for the only one and take over everybody's work.
+A neighbour is live while its own heartbeats arrive; the instance list, which lags and is
+lost in an outage of the platform, only says whom to dial. So a neighbour that drops out of
+the list while its heartbeats go on is kept: after an outage the list is empty for a moment,
+and an instance that believed it would take itself for the only one and take over everybody's
+work. Of instances that are no neighbours the list is all there is.
 
 This module decides only; the hub owns the sockets.
 """
 
+from collections.abc import Sequence
 from enum import Enum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from papayapier.clock import Millis
 from papayapier.peer.messages import Heartbeat, Hello
+from papayapier.peer.topology import Limits, Place, Plan, make_plan
 from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
 
+SILENT_BEATS: Final = 4
+
 
 class Redial(NamedTuple):
-    """Replace the outgoing connection to a peer."""
+    """Open a lasting connection to a neighbour, in place of the one there may be."""
+
+    peer_id: str
+
+
+class HangUp(NamedTuple):
+    """Close the connection to a peer that is no neighbour any more."""
 
     peer_id: str
 
@@ -39,10 +50,14 @@
     change: Change
 
 
+Step = Redial | HangUp | Noted
+
+
 class PeerView(NamedTuple):
     """Show one peer to the rest of the program."""
 
     id: str
+    neighbour: bool
     up: bool
     leaving: bool
     boot: int
@@ -53,13 +68,26 @@
 
 
 class Peer:
-    """Hold the state of one peer."""
-
-    __slots__ = ("boot", "dialled_at", "heard_at", "known_at", "last", "listed", "member", "up")
+    """Hold the state of one peer; adopted means that it picked this instance."""
+
+    __slots__ = (
+        "adopted",
+        "boot",
+        "dialled_at",
+        "heard_at",
+        "known_at",
+        "last",
+        "listed",
+        "member",
+        "picked",
+        "up",
+    )
 
     def __init__(self, member: Member, now: Millis) -> None:
         self.member = member
         self.listed = True
+        self.picked = False
+        self.adopted = False
         self.up = False
         self.boot = 0
         self.known_at = now
@@ -67,19 +95,31 @@
         self.dialled_at = now
         self.last: Heartbeat | None = None
 
+    def neighbour(self) -> bool:
+        """Tell whether heartbeats are exchanged with this peer."""
+        return self.picked or self.adopted
+
     def leaving(self) -> bool:
         """Tell whether the list or the peer itself says that it is leaving."""
         said = self.last is not None and self.last.state == LEAVING
         return said or self.member.state == LEAVING
 
+    def live(self) -> bool:
+        """Tell whether the peer serves, as far as this instance can know."""
+        present = self.up if self.neighbour() else self.listed
+        return present and not self.leaving()
+
 
 class Roster:
     """Decide who is live from the instance list, heartbeats and the passing of time."""
 
-    def __init__(self, own_id: str, silent_after_ms: int) -> None:
-        self._own_id = own_id
+    def __init__(self, me: Place, limits: Limits, silent_after_ms: int) -> None:
+        self._me = me
+        self._limits = limits
         self._silent_after_ms = silent_after_ms
         self._peers: dict[str, Peer] = {}
+        self._plan = Plan(frozenset(), True, True)
+        self._has_list = False
         self._ticked_at: Millis | None = None
         self._awake_since = Millis(0)
 
@@ -87,60 +127,61 @@
         """Return a peer's state."""
         return self._peers.get(peer_id)
 
-    def ids(self) -> list[str]:
-        """Return all known peers, in order."""
-        return sorted(self._peers)
+    def plan(self) -> Plan:
+        """Return the present plan of links."""
+        return self._plan
 
     def live(self) -> list[str]:
-        """Return this instance and the peers that are heard from and not leaving, in order."""
-        up = [peer_id for peer_id, peer in self._peers.items() if peer.up and not peer.leaving()]
-        return sorted([self._own_id, *up])
+        """Return this instance and the peers that are live, in order."""
+        return sorted([self._me.id, *(i for i, peer in self._peers.items() if peer.live())])
 
     def unheard(self, now: Millis) -> tuple[str, ...]:
-        """Return the peers whose heartbeats are missing although they had time to send some."""
-        return tuple(i for i in self.ids() if self._is_silent(self._peers[i], now))
+        """Return the neighbours whose heartbeats are missing although they had time."""
+        return tuple(i for i, peer in self._neighbours() if self._is_silent(peer, now))
 
     def views(self, now: Millis) -> list[PeerView]:
         """Return what there is to show of each peer."""
-        return [_view(peer_id, self._peers[peer_id], now) for peer_id in self.ids()]
+        return [_view(peer_id, self._peers[peer_id], now) for peer_id in sorted(self._peers)]
 
-    def set_members(self, members: list[Member], now: Millis) -> list[Noted | Redial]:
+    def set_members(self, members: Sequence[Member], now: Millis) -> list[Step]:
         """Take over a new instance list."""
-        listed = {m.id: m for m in members if _is_peer(m, self._own_id)}
-        steps: list[Noted | Redial] = []
+        self._has_list = True
+        listed = {m.id: m for m in members if _is_peer(m, self._me.id)}
+        steps: list[Step] = []
         for member in listed.values():
             steps.extend(self._list(member, now))
-        for peer_id in self.ids():
-            self._peers[peer_id].listed = peer_id in listed
-        return [*steps, *self._forget_gone()]
+        for peer_id, peer in self._peers.items():
+            peer.listed = peer_id in listed
+        return [*steps, *self._forget_gone(), *self._follow_plan(now)]
 
-    def hello(self, hello: Hello, now: Millis) -> list[Noted | Redial]:
-        """Learn the address of a peer that dialled this instance.
+    def hello(self, hello: Hello, now: Millis) -> list[Step]:
+        """Learn of a peer that dialled this instance as its neighbour.
 
         An instance that restarts while the platform is down has no list and could reach
         nobody; the peers that still know its address introduce themselves instead.
         """
         known = self._peers.get(hello.instance)
-        state = LIVE if known is None else known.member.state
         member = Member(
             id=hello.instance,
             kind=ENTRY,
             upstream="",
             host=hello.host,
-            port=0,
+            port=0 if known is None else known.member.port,
             peer_port=hello.peer_port,
             data_centre=hello.data_centre,
             region=hello.region,
-            state=state,
+            state=LIVE if known is None else known.member.state,
         )
-        return self._list(member, now) if _is_peer(member, self._own_id) else []
+        if not _is_peer(member, self._me.id):
+            return []
+        return [*self._list(member, now), *self._adopt(member.id, now)]
 
-    def heard(self, sender: str, heartbeat: Heartbeat, now: Millis) -> list[Noted | Redial]:
+    def heard(self, sender: str, heartbeat: Heartbeat, now: Millis) -> list[Step]:
         """Take over a heartbeat."""
         peer = self._peers.get(sender)
         if peer is None:
             return []
-        steps: list[Noted | Redial] = []
+        steps = self._adopt(sender, now)
         was_leaving = peer.leaving()
         if peer.up and peer.boot != heartbeat.boot:
             steps.append(Noted(sender, Change.RESTARTED))
@@ -152,12 +193,12 @@
         peer.last = heartbeat
         if peer.leaving() and not was_leaving:
             steps.append(Noted(sender, Change.LEAVING))
-        if self._own_id in heartbeat.unheard and self._may_redial(peer, now):
-            steps.append(self._redial(sender, peer, now))
+        if self._me.id in heartbeat.unheard and self._may_redial(peer, now):
+            steps.append(_redial(sender, peer, now))
         return steps
 
-    def tick(self, now: Millis) -> list[Noted | Redial]:
-        """Find the peers that have fallen silent.
+    def tick(self, now: Millis) -> list[Step]:
+        """Find the neighbours that have fallen silent.
 
         A connection can go silent for good although both ends live, because something
         between them has forgotten it. From here that looks like a dead peer. A new
@@ -166,32 +207,70 @@
         reads in our heartbeats that it is not heard.
         """
         self._notice_pause(now)
-        steps: list[Noted | Redial] = []
-        for peer_id in self.ids():
-            peer = self._peers[peer_id]
-            if not self._is_silent(peer, now):
-                continue
-            if peer.up:
-                peer.up = False
-                steps.append(Noted(peer_id, Change.DOWN))
-            if self._may_redial(peer, now):
-                steps.append(self._redial(peer_id, peer, now))
+        steps: list[Step] = []
+        for peer_id, peer in self._neighbours():
+            if self._is_silent(peer, now):
+                steps.extend(self._silent(peer_id, peer, now))
         return [*steps, *self._forget_gone()]
 
-    def _list(self, member: Member, now: Millis) -> list[Noted | Redial]:
+    def _neighbours(self) -> list[tuple[str, Peer]]:
+        return [(i, peer) for i, peer in sorted(self._peers.items()) if peer.neighbour()]
+
+    def _list(self, member: Member, now: Millis) -> list[Step]:
         peer = self._peers.get(member.id)
         if peer is None:
             self._peers[member.id] = Peer(member, now)
-            return [Redial(member.id)]
+            return []
         before = peer.member
         was_leaving = peer.leaving()
         peer.member = member
-        peer.listed = True
-        steps: list[Noted | Redial] = []
+        steps: list[Step] = []
         if peer.leaving() and not was_leaving:
             steps.append(Noted(member.id, Change.LEAVING))
-        if (before.host, before.peer_port) != (member.host, member.peer_port):
-            steps.append(self._redial(member.id, peer, now))
+        moved = (before.host, before.peer_port) != (member.host, member.peer_port)
+        if moved and peer.neighbour():
+            steps.append(_redial(member.id, peer, now))
+        return steps
+
+    def _follow_plan(self, now: Millis) -> list[Step]:
+        """Link with the peers that the topology wants now, and leave those it does not."""
+        places = [_place(peer.member) for peer in self._peers.values() if not peer.leaving()]
+        self._plan = make_plan(self._me, places, self._limits)
+        steps: list[Step] = []
+        for peer_id, peer in sorted(self._peers.items()):
+            wanted = peer_id in self._plan.neighbours or (peer.picked and peer.leaving())
+            was = peer.neighbour()
+            peer.picked = wanted
+            if peer.neighbour() and not was:
+                peer.known_at = now
+                steps.append(_redial(peer_id, peer, now))
+            if was and not peer.neighbour():
+                steps.append(_part(peer_id, peer))
+        return steps
+
+    def _adopt(self, peer_id: str, now: Millis) -> list[Step]:
+        """Answer the pick of a peer: send it heartbeats too."""
+        peer = self._peers[peer_id]
+        was = peer.neighbour()
+        peer.adopted = True
+        if was:
+            return []
+        peer.known_at = now
+        return [_redial(peer_id, peer, now)]
+
+    def _silent(self, peer_id: str, peer: Peer, now: Millis) -> list[Step]:
+        if not peer.picked:
+            # It may have died, or only have other neighbours now. Those who pick it will
+            # know, and the instance list follows, where there has been one.
+            peer.adopted = False
+            peer.listed = peer.listed and self._has_list
+            return [_part(peer_id, peer)]
+        steps: list[Step] = []
+        if peer.up:
+            peer.up = False
+            steps.append(Noted(peer_id, Change.DOWN))
+        if self._may_redial(peer, now):
+            steps.append(_redial(peer_id, peer, now))
         return steps
 
     def _notice_pause(self, now: Millis) -> None:
@@ -205,30 +284,44 @@
         self._ticked_at = now
 
     def _is_silent(self, peer: Peer, now: Millis) -> bool:
-        since = peer.heard_at if peer.heard_at is not None else peer.known_at
-        return now - max(since, self._awake_since) >= self._silent_after_ms
+        pace = 0 if peer.last is None else peer.last.every_ms
+        limit = max(self._silent_after_ms, pace * SILENT_BEATS)
+        since = peer.known_at if peer.heard_at is None else max(peer.known_at, peer.heard_at)
+        return now - max(since, self._awake_since) >= limit
 
     def _may_redial(self, peer: Peer, now: Millis) -> bool:
         return now - peer.dialled_at >= self._silent_after_ms
 
-    def _redial(self, peer_id: str, peer: Peer, now: Millis) -> Redial:
-        peer.dialled_at = now
-        return Redial(peer_id)
-
-    def _forget_gone(self) -> list[Noted | Redial]:
-        gone = [i for i in self.ids() if not self._peers[i].listed and not self._peers[i].up]
+    def _forget_gone(self) -> list[Step]:
+        gone = [i for i, p in self._peers.items() if not p.listed and not (p.neighbour() and p.up)]
         for peer_id in gone:
             del self._peers[peer_id]
         return [Noted(peer_id, Change.GONE) for peer_id in gone]
 
 
+def _redial(peer_id: str, peer: Peer, now: Millis) -> Redial:
+    peer.dialled_at = now
+    return Redial(peer_id)
+
+
+def _part(peer_id: str, peer: Peer) -> HangUp:
+    peer.up = False
+    peer.last = None
+    return HangUp(peer_id)
+
+
 def _is_peer(member: Member, own_id: str) -> bool:
     return member.kind == ENTRY and member.id != own_id and member.peer_port != 0
 
 
+def _place(member: Member) -> Place:
+    return Place(member.id, member.data_centre, member.region)
+
+
 def _view(peer_id: str, peer: Peer, now: Millis) -> PeerView:
     return PeerView(
         id=peer_id,
+        neighbour=peer.neighbour(),
         up=peer.up,
         leaving=peer.leaving(),
         boot=peer.boot,
--- /dev/null
+++ b/papayapier/peer/seal.py
@@ -0,0 +1,57 @@
+"""Prove that a frame comes from an instance that holds a shared key.
+
+A frame is followed by a truncated HMAC-SHA-256 of it. Without one, whoever reaches the peer
+port could announce instances or push configuration. Several keys may be accepted at once,
+so that a key can be replaced instance by instance. Replays are not detected: old versions of
+configuration are refused anyway, and an old heartbeat delays the notice of a loss at most.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+TAG_BYTES: Final = 16
+MIN_KEY_CHARACTERS: Final = 16
+
+
+class Seal(NamedTuple):
+    """Group the two directions."""
+
+    close: Callable[[bytes], bytes]
+    open: Callable[[bytes], Result[bytes, str]]
+
+
+def load_seal(key_file: str) -> Result[Seal, str]:
+    """Read the shared keys; without a key file frames are neither signed nor checked."""
+    if not key_file:
+        return Ok(Seal(close=lambda data: data, open=Ok))
+    try:
+        lines = Path(key_file).read_text(encoding="utf-8").split()
+    except (OSError, UnicodeDecodeError) as exc:
+        return Err(f"{key_file}: cannot be read: {exc}")
+    if not lines or min(map(len, lines)) < MIN_KEY_CHARACTERS:
+        return Err(f"{key_file}: needs keys of at least {MIN_KEY_CHARACTERS} characters")
+    return Ok(make_seal([line.encode() for line in lines]))
+
+
+def make_seal(keys: Sequence[bytes]) -> Seal:
+    """Sign with the first key and accept every one."""
+
+    def close(data: bytes) -> bytes:
+        return data + _tag(keys[0], data)
+
+    def open_(sealed: bytes) -> Result[bytes, str]:
+        data, tag = sealed[:-TAG_BYTES], sealed[-TAG_BYTES:]
+        if any(hmac.compare_digest(_tag(key, data), tag) for key in keys):
+            return Ok(data)
+        return Err("signature does not match")
+
+    return Seal(close, open_)
+
+
+def _tag(key: bytes, data: bytes) -> bytes:
+    return hmac.digest(key, data, hashlib.sha256)[:TAG_BYTES]
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -63,8 +63,11 @@
 class PeerSettings(NamedTuple):
     """Set the address and pace of the protocol between instances.
 
-    An early heartbeat goes out when open calls changed by early_calls, at most one per
-    early_ms, and as long as heartbeats stay within bytes_per_s on average.
+    Regular heartbeats slow down where they would pass bytes_per_s. An early one goes out when
+    open calls changed by early_calls, at most one per early_ms, and only while early ones stay
+    within early_bytes_per_s on average. Up to full_mesh instances all hear each other; beyond,
+    each picks some (picks) in its data centre, and relays connect the data centres. key_file
+    holds shared keys, one a line; the first signs.
     """
 
     port: Port = 8082
@@ -72,7 +75,12 @@
     silent_after_ms: PositiveMs = 2_000
     early_ms: PositiveMs = 20
     early_calls: Positive = 2
-    bytes_per_s: Positive = 2_500
+    bytes_per_s: Positive = 3_000
+    early_bytes_per_s: Positive = 20_000
+    full_mesh: Annotated[int, Meta(ge=2, le=64)] = 16
+    picks: Annotated[int, Meta(ge=3, le=32)] = 4
+    relays: Annotated[int, Meta(ge=1, le=8)] = 2
+    key_file: str = ""
 
 
 class UpstreamSettings(NamedTuple):
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -11,14 +11,34 @@
 from papayapier.clock import Millis, real_clock
 from papayapier.metrics import make_metrics
 from papayapier.peer import wire
-from papayapier.peer.hub import Identity, PeerError, PeerHub
-from papayapier.peer.messages import ClaimAsk, ClaimTell, Heartbeat, Hello, Message, ReplicaUse
-from papayapier.peer.pacing import ByteBudget, use_distance
-from papayapier.peer.roster import Change, Noted, Redial, Roster
+from papayapier.peer.hub import Identity, PeerHub
+from papayapier.peer.messages import (
+    ClaimAsk,
+    ClaimTell,
+    ConfigPush,
+    Heartbeat,
+    Hello,
+    JobChanged,
+    Message,
+    ReplicaUse,
+)
+from papayapier.peer.pacing import (
+    MAX_USES,
+    ByteBudget,
+    bound_uses,
+    heartbeat_pace,
+    use_distance,
+)
+from papayapier.peer.questions import PeerError
+from papayapier.peer.roster import Change, HangUp, Noted, Redial, Roster
+from papayapier.peer.seal import load_seal, make_seal
+from papayapier.peer.spread import Spreader, Verdict
+from papayapier.peer.topology import Limits, Place, make_plan
 from papayapier.settings import PeerSettings
 from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
 
 SILENT_MS = 2_000
+SEAL = make_seal([b"a key that tests share"])
 
 
 def member(name: str, port: int = 9000, state: str = LIVE) -> Member:
@@ -42,10 +62,11 @@
         # Symptom: during an upgrade all instances of the other release look dead.
         # Sequence: a newer release sends a heartbeat with one more field, also in its uses.
         # Cause: a strict decoder refuses an array that is longer than it knows.
-        body = ["a", 7, LIVE, 3, [["lm-1", 2, 1, "new"]], 5, ["b"], {"new": 1}]
-        frame = wire.decode(msgspec.msgpack.encode([1, "a", body, "later"]))
-        expected = Heartbeat("a", 7, LIVE, 3, (ReplicaUse("lm-1", 2, 1),), 5, ("b",))
-        assert frame == Ok(wire.Frame("a", expected))
+        known = Heartbeat("a", 7, LIVE, 3, (ReplicaUse("lm-1", 2, 1),), 5, ("b",), 500)
+        longer = [*known, {"new": 1}]
+        longer[4] = [[*known.uses[0], "new"]]
+        frame = wire.decode(msgspec.msgpack.encode([1, "a", longer, "later"]))
+        assert frame == Ok(wire.Frame("a", known))
 
     def test_refuses_what_it_cannot_read(self) -> None:
         assert isinstance(wire.decode(b"\xc1junk"), Err)
@@ -54,8 +75,11 @@
 
 
 class TestRoster:
+    def roster_without_list(self) -> Roster:
+        return Roster(Place("me", "dc-a", "local"), Limits(16, 4, 2), SILENT_MS)
+
     def roster(self, *names: str) -> Roster:
-        roster = Roster("me", SILENT_MS)
+        roster = self.roster_without_list()
         roster.set_members([member(name) for name in names], at(0))
         return roster
 
@@ -130,19 +154,88 @@
         # Symptom: an instance restarted during a platform outage knows no peer to ask.
         # Sequence: it has no list; its peers know its address and dial it.
         # Cause: addresses come only from the list.
-        roster = self.roster()
-        assert roster.hello(Hello("b", 1, "127.0.0.1", 9000, "dc-a", "local"), at(5)) == [
-            Redial("b")
-        ]
+        roster = self.roster_without_list()
+        hello = Hello("b", 1, "127.0.0.1", 9000, "dc-a", "local")
+        assert roster.hello(hello, at(5)) == [Redial("b")]
         roster.heard("b", beat("b"), at(10))
         assert roster.live() == ["b", "me"]
 
+    def test_neighbour_only_by_its_own_pick(self) -> None:
+        # Symptom: a large fleet counts living instances as down.
+        # Sequence: a peer that picked us picks others now and falls silent.
+        # Cause: its silence says nothing; those it picks now and the list do.
+        roster = Roster(Place("me", "dc-a", "local"), Limits(2, 1, 1), SILENT_MS)
+        names = [f"n{i}" for i in range(8)]
+        roster.set_members([member(name) for name in names], at(0))
+        stranger = next(n for n in names if n not in roster.plan().neighbours)
+        assert roster.heard(stranger, beat(stranger), at(100))[0] == Redial(stranger)
+        assert HangUp(stranger) in roster.tick(at(2_100))
+        assert stranger in roster.live()
+
+
+class TestTopology:
+    def test_bounded_and_connected_at_full_size(self) -> None:
+        limits = Limits(16, 4, 2)
+        places = [Place(f"i{i}", f"dc-{i % 14}", f"r-{i % 14 % 6}") for i in range(1_400)]
+        plans = {
+            place.id: make_plan(place, [p for p in places if p != place], limits)
+            for place in places
+        }
+        links: dict[str, set[str]] = {name: set() for name in plans}
+        for name, plan in plans.items():
+            for other in plan.neighbours:
+                links[name].add(other)
+                links[other].add(name)
+        assert sum(plan.relay for plan in plans.values()) == 14 * 2
+        assert max(map(len, links.values())) <= 24
+        reached, frontier = {"i0"}, {"i0"}
+        while frontier:
+            frontier = {b for a in frontier for b in links[a]} - reached
+            reached |= frontier
+        assert len(reached) == 1_400
+
+    def test_small_site_is_a_full_mesh(self) -> None:
+        others = [Place(f"i{i}", f"dc-{i % 3}", "r") for i in range(5)]
+        plan = make_plan(Place("me", "dc-0", "r"), others, Limits(16, 4, 2))
+        assert plan.full_mesh
+        assert plan.neighbours == {place.id for place in others}
+
+
+class TestSpreader:
+    def test_passes_on_what_is_new_once(self) -> None:
+        spreader = Spreader()
+        assert spreader.note(ConfigPush("k", 4, b"")) is Verdict.NEW
+        assert spreader.note(ConfigPush("k", 3, b"")) is Verdict.DUPLICATE
+        assert spreader.note(JobChanged("k", 3)) is Verdict.NEW
+        spreader.prune("b")
+        assert spreader.targets(["a", "b", "c"], "a") == ["c"]
+        spreader.graft("b")
+        assert spreader.targets(["a", "b", "c"], "a") == ["b", "c"]
+
+
+class TestSeal:
+    def test_keys_can_be_replaced_one_instance_at_a_time(self) -> None:
+        old, new = make_seal([b"old"]), make_seal([b"new", b"old"])
+        assert new.open(old.close(b"frame")) == Ok(b"frame")
+        assert old.open(new.close(b"frame")) == Err("signature does not match")
+        assert old.open(b"short") == Err("signature does not match")
+
+    def test_key_file_is_checked(self) -> None:
+        assert load_seal("").unwrap().close(b"x") == b"x"
+        assert "cannot be read" in load_seal("no-such-file").unwrap_err()
+
 
 class TestPacing:
     def test_use_distance_counts_online_calls(self) -> None:
         before = [ReplicaUse("x", 2, 5), ReplicaUse("y", 1, 0)]
         assert use_distance(before, [ReplicaUse("x", 4, 0), ReplicaUse("z", 3, 0)]) == 6
 
+    def test_pace_falls_with_neighbours_and_uses_are_bounded(self) -> None:
+        assert heartbeat_pace(500, 100, 2, 3_000) == 500
+        assert heartbeat_pace(500, 100, 20, 1_000) == 4_240
+        uses = [ReplicaUse(f"r{i}", i, 0) for i in range(MAX_USES + 5)]
+        assert min(use.online for use in bound_uses(uses)) == 5
+
     def test_budget_allows_bursts_and_bounds_the_average(self) -> None:
         budget = ByteBudget(100, at(0))
         assert budget.has(1000, at(0))
@@ -157,18 +250,24 @@
     def setUp(self) -> None:
         self.hubs: dict[str, PeerHub] = {}
         self.ports: dict[str, int] = {}
-        self.metrics = {name: make_metrics() for name in "abc"}
+        self.metrics = {name: make_metrics() for name in "abcdefghij"}
 
     def tearDown(self) -> None:
         for hub in self.hubs.values():
             hub.close()
 
-    def start(self, name: str, port: int = 0, boot: int = 1) -> PeerHub:
-        cfg = PeerSettings(port=port, heartbeat_ms=20, silent_after_ms=400)
+    def start(self, name: str, port: int = 0, boot: int = 1, full_mesh: int = 16) -> PeerHub:
+        cfg = PeerSettings(
+            port=port,
+            heartbeat_ms=20,
+            silent_after_ms=400,
+            full_mesh=full_mesh,
+            bytes_per_s=1_000_000,
+        )
         me = Identity(name, boot, "127.0.0.1", "dc-a", "local")
         rand = Random(name)
         hub = PeerHub(
-            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand
+            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand, SEAL
         )
         self.hubs[name] = hub
         self.ports[name] = hub.start().unwrap()
@@ -241,6 +340,39 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_change_reaches_all_in_a_bounded_topology(self) -> Deferred[None]:
+        async def run() -> None:
+            names = list("abcdefghij")
+            got: list[str] = []
+            done: Deferred[None] = Deferred()
+
+            def take(name: str, message: ConfigPush) -> None:
+                assert message == ConfigPush("profiles/gate", 7, b"x")
+                got.append(name)
+                if set(got) == set(names) - {"a"} and not done.called:
+                    done.callback(None)
+
+            def watch(name: str, hub: PeerHub) -> None:
+                hub.subscribe(ConfigPush, lambda _, message: take(name, message))
+
+            def answer(sender: str, message: ClaimAsk) -> None:
+                self.hubs[far].tell(sender, ClaimTell(message.ask_id, "k", "done"))
+
+            for name in names:
+                watch(name, self.start(name, full_mesh=3))
+            self.introduce()
+            await self.all_live(*names)
+            plan = self.hubs["a"].plan()
+            assert len(plan.neighbours) < len(names) - 1
+            self.hubs["a"].tell_all(ConfigPush("profiles/gate", 7, b"x"))
+            await done
+            far = next(n for n in names if n != "a" and n not in plan.neighbours)
+            self.hubs[far].subscribe(ClaimAsk, answer)
+            told = await self.hubs["a"].ask(far, lambda i: ClaimAsk(i, "k"), 30_000)
+            assert told.is_ok()
+
+        return Deferred.fromCoroutine(run())
+
     def test_unknown_kind_is_counted_not_fatal(self) -> Deferred[None]:
         async def run() -> None:
             a, b = self.start("a"), self.start("b")
@@ -251,7 +383,7 @@
                 assert isinstance(message, ClaimAsk)
                 b.tell(sender, ClaimTell(message.ask_id, message.key, "done"))
 
-            a._receive(msgspec.msgpack.encode([999, "b", []]))
+            a._receive(SEAL.close(msgspec.msgpack.encode([999, "b", []])))
             b.subscribe(ClaimAsk, answer)
             outcome = await a.ask("b", lambda ask_id: ClaimAsk(ask_id, "k"), 30_000)
             assert outcome.is_ok()
