--- a/papayapier/load/client.py
+++ b/papayapier/load/client.py
@@ -78,6 +78,10 @@
     expected: ExpectedText
     give_up_ms: int
 
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await cast(Any, self.pool).closeCachedConnections()
+
 
 def make_client(
     clock: Clock, expected: ExpectedText, give_up_ms: int, *, fresh_connections: bool
--- /dev/null
+++ b/papayapier/load/command.py
@@ -0,0 +1,135 @@
+"""Offer the load tool on the command line."""
+
+import argparse
+import os
+import re
+import sys
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final, cast
+
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import real_clock
+from papayapier.load import scenario
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+KEY_VARIABLE: Final = "PAPAYAPIER_OPERATOR_KEY"
+ADDRESS: Final = re.compile(r"[^\s:/]+:\d{1,5}")
+
+DESCRIPTION: Final = """\
+Run an experiment file against running instances: an open loop of online requests, batch jobs
+beside it, faults posted to stand-ins, and at the end a comparison of every refusal and answer
+with what the stand-ins say ran. Exits with 1 when a promise was broken."""
+
+
+def add_load_command(subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Register the load command."""
+    parser = subparsers.add_parser("load", help="measure under load", description=DESCRIPTION)
+    parser.add_argument("experiment", type=Path, help="JSON file with comments")
+    parser.add_argument("--targets", type=_addresses, default=[], metavar="HOST:PORT,...")
+    parser.add_argument(
+        "--operator",
+        type=_address,
+        default="",
+        metavar="HOST:PORT",
+        help=f"operators' address, for profile changes; its key is taken from {KEY_VARIABLE}",
+    )
+    parser.add_argument(
+        "--platform",
+        type=_address,
+        default="",
+        metavar="HOST:PORT",
+        help="the stand-in platform, for faults and for the comparison with what ran",
+    )
+    parser.add_argument("--seed", type=int, help="seed of all random choices, for the file's own")
+    parser.add_argument("--json", type=Path, metavar="FILE", help="write the results as JSON")
+    parser.add_argument("--html", type=Path, metavar="FILE", help="write a report with plots")
+    parser.set_defaults(command=_load)
+
+
+def _load(options: argparse.Namespace) -> int:
+    loaded = scenario.load(options.experiment)
+    if isinstance(loaded, Err):
+        return _usage(loaded.err_value)
+    if not options.targets:
+        return _usage("--targets: at least one address is needed")
+    from papayapier.load.plots import can_draw
+
+    drawable = can_draw() if options.html else Ok(None)
+    if isinstance(drawable, Err):
+        return _usage(drawable.err_value)
+    return run_on_reactor(_measure(loaded.ok_value, options))
+
+
+async def _measure(exp: scenario.Experiment, options: argparse.Namespace) -> int:
+    from papayapier.load.experiment import Options, run_experiment
+    from papayapier.load.table import report_text
+
+    seed = exp.seed if options.seed is None else options.seed
+    run = Options(
+        targets=options.targets,
+        operator=options.operator,
+        operator_key=os.environ.get(KEY_VARIABLE, ""),
+        platform=options.platform,
+        seed=seed,
+        run_id=f"{seed:x}-{int(time.time()):x}",
+        say=lambda line: print(line, file=sys.stderr, flush=True),
+    )
+    report = await run_experiment(exp, real_clock(), run)
+    print(report_text(report))
+    if options.json:
+        from papayapier.load.report import report_json
+
+        options.json.write_bytes(report_json(report))
+    if options.html:
+        from papayapier.load.report import report_html
+
+        options.html.write_text(report_html(report), encoding="utf-8")
+    return EXIT_FAILED if report.broken or report.failures else EXIT_OK
+
+
+def run_on_reactor(work: Coroutine[Deferred[Any], Any, int]) -> int:
+    """Run a coroutine on the reactor and return the exit code that it ends with."""
+    from twisted.internet import reactor as installed
+
+    reactor = cast(Any, installed)
+    codes: list[int] = []
+
+    def ended(code: int) -> None:
+        codes.append(code)
+        reactor.stop()
+
+    def failed(failure: "Failure") -> None:
+        print(f"papayapier: internal error: {failure.getTraceback()}", file=sys.stderr)
+        ended(EXIT_FAILED)
+
+    def begin() -> None:
+        Deferred.fromCoroutine(work).addCallbacks(ended, failed)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return codes[0] if codes else EXIT_FAILED
+
+
+def _address(text: str) -> str:
+    if not ADDRESS.fullmatch(text):
+        raise argparse.ArgumentTypeError(f"expected HOST:PORT, got {text!r}")
+    return text
+
+
+def _addresses(text: str) -> list[str]:
+    return [_address(part) for part in text.split(",") if part]
+
+
+def _usage(message: str) -> int:
+    print(f"papayapier: {message}", file=sys.stderr)
+    return EXIT_USAGE
--- /dev/null
+++ b/papayapier/load/experiment.py
@@ -0,0 +1,274 @@
+"""Run one experiment from start to end and put its report together.
+
+Around the open loop of runner.py stand profile changes, batch jobs, faults, readings of
+the engines' counters, and at the end the comparison of what callers were told with what
+ran. A control call that fails is kept as a warning in the report: the figures of its phase
+may then not be what the experiment file asks for.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from result import Err, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import Clock
+from papayapier.load import jobs
+from papayapier.load.batch_meter import BatchMeter, BatchResult, Reading
+from papayapier.load.client import Answered, make_client
+from papayapier.load.instances import InstanceResult, read_instance
+from papayapier.load.ledger import Ledger, only_once
+from papayapier.load.mix import Request
+from papayapier.load.operators import Operator, put_profile
+from papayapier.load.results import ClassResult
+from papayapier.load.runner import Around, Run
+from papayapier.load.scenario import Compare, Experiment, Phase, RequestClass
+from papayapier.load.series import Series
+from papayapier.load.standins import StandIns, find_standins, read_ran, set_switches
+from papayapier.standin.answers import expected_text
+
+SERVICES: Final = "/services/"
+
+
+class Options(NamedTuple):
+    """Say where to run an experiment; operator and platform may be empty.
+
+    Without an operator address no profiles are changed. Without the platform's address
+    there are no faults, no counters and no comparison with what ran.
+    """
+
+    targets: list[str]
+    operator: str
+    operator_key: str
+    platform: str
+    seed: int
+    run_id: str
+    say: Callable[[str], None]
+
+
+class Window(NamedTuple):
+    """Tell when the counted part of a phase began and ended, on the wall clock."""
+
+    phase: str
+    start_wall_ms: int
+    end_wall_ms: int
+
+
+class Report(NamedTuple):
+    """Hold everything that a run found; broken and failures make the run a failed one.
+
+    compared is the number of pieces of work that were compared with what ran, unnamed those
+    that could not be, for want of an answer's head.
+    """
+
+    experiment: str
+    description: str
+    compare: Compare
+    seed: int
+    run_id: str
+    targets: list[str]
+    windows: list[Window]
+    classes: list[ClassResult]
+    batch: list[BatchResult]
+    series: list[Series]
+    instances: list[InstanceResult]
+    compared: int
+    unnamed: int
+    broken: list[str]
+    failures: list[str]
+    warnings: list[str]
+
+
+async def run_experiment(exp: Experiment, clock: Clock, options: Options) -> Report:
+    """Run an experiment and return its report."""
+    return await _Session(exp, clock, options).run()
+
+
+class _Session:
+    """Own everything that lives as long as one run."""
+
+    def __init__(self, exp: Experiment, clock: Clock, options: Options) -> None:
+        self._exp = exp
+        self._clock = clock
+        self._options = options
+        self._rand = random.Random(f"balancer {options.seed}")
+        self._ledger = Ledger()
+        self._meter = BatchMeter(clock)
+        self._standins: StandIns | None = None
+        self._jobs: dict[str, jobs.Submitted] = {}
+        self._online_tokens = 0
+        self._began_wall_ms = 0
+        self._windows: list[Window] = []
+        self._warnings: list[str] = []
+
+    async def run(self) -> Report:
+        options = self._options
+        if options.platform:
+            found = await find_standins(options.platform)
+            self._standins = self._kept("stand-ins", found)
+        await self._put_profiles(self._exp)
+        client = make_client(
+            self._clock,
+            expected_text,
+            self._exp.give_up_ms,
+            fresh_connections=self._exp.fresh_connections,
+        )
+        run = Run(
+            self._exp,
+            self._clock,
+            client,
+            self._pick,
+            options.run_id,
+            options.seed,
+            self._observe,
+        )
+        classes = await run.all_phases(self._around())
+        await self._end_jobs(())
+        await client.close()
+        return await self._report(run, classes)
+
+    def _pick(self) -> str:
+        """Choose an instance as the platform's balancer does."""
+        return self._rand.choice(self._options.targets)
+
+    def _observe(self, req: Request, got: Answered) -> None:
+        self._online_tokens += got.verdict.tokens
+        self._ledger.observe(req, got)
+
+    def _around(self) -> Around:
+        return Around(
+            before=lambda phase: Deferred.fromCoroutine(self._before(phase)),
+            counting=lambda phase: Deferred.fromCoroutine(self._counting(phase)),
+            after=lambda phase: Deferred.fromCoroutine(self._after(phase)),
+        )
+
+    async def _before(self, phase: Phase) -> None:
+        self._options.say(f"phase {phase.name}: {phase.ms / 1000:g} s")
+        await self._put_profiles(phase)
+        await self._end_jobs(phase.jobs)
+        await self._start_jobs(phase)
+        for fault in phase.faults:
+            self._clock.call_later(fault.at_ms, self._fault(fault.target, fault.control))
+
+    async def _counting(self, phase: Phase) -> None:
+        self._meter.begin(await self._reading())
+        self._began_wall_ms = self._clock.wall()
+
+    async def _after(self, phase: Phase) -> None:
+        self._meter.end(phase.name, await self._reading())
+        self._windows.append(Window(phase.name, self._began_wall_ms, self._clock.wall()))
+
+    async def _put_profiles(self, source: Experiment | Phase) -> None:
+        options = self._options
+        if not options.operator:
+            return
+        operator = Operator(options.operator, options.operator_key, options.run_id)
+        for profile in source.profiles:
+            self._kept("profile", await put_profile(operator, profile, source.name))
+
+    async def _start_jobs(self, phase: Phase) -> None:
+        options = self._options
+        for job in self._exp.jobs:
+            if job.name in phase.jobs and job.name not in self._jobs:
+                made = await jobs.submit(self._pick(), job, options.run_id, options.seed)
+                submitted = self._kept("job", made)
+                if submitted is not None:
+                    self._jobs[job.name] = submitted
+
+    async def _end_jobs(self, staying: tuple[str, ...]) -> None:
+        """Cancel the jobs that are not to run on, so that the next phase starts without them."""
+        for name, submitted in list(self._jobs.items()):
+            if name in staying:
+                continue
+            del self._jobs[name]
+            self._kept("cancel", await jobs.cancel(self._pick(), submitted))
+
+    def _fault(self, target: str, control: dict[str, Any]) -> Callable[[], None]:
+        def post() -> None:
+            address = self._standins.address(target) if self._standins else None
+            if address is None:
+                self._warnings.append(f"fault: no stand-in is known as {target}")
+                return
+            self._options.say(f"fault: {target} {control}")
+            done = Deferred.fromCoroutine(set_switches(address, control))
+            done.addCallback(lambda made: self._kept("fault", made))
+            done.addErrback(lambda failure: self._warnings.append(f"fault: {failure}"))
+
+        return post
+
+    async def _reading(self) -> Reading:
+        engine_tokens = 0
+        if self._standins is not None:
+            ran = self._kept("counts", await read_ran(self._standins))
+            engine_tokens = ran.tokens if ran is not None else 0
+        items = 0
+        useful = 0.0
+        for name, submitted in self._jobs.items():
+            now = self._kept("progress", await jobs.progress(self._pick(), submitted))
+            if now is None:
+                continue
+            items += now.completed
+            useful += now.completed * submitted.mean_tokens()
+            if now.status in jobs.ENDED:
+                self._warnings.append(f"job {name} ended ({now.status}) before its phases did")
+        return Reading(engine_tokens, self._online_tokens, items, useful)
+
+    def _kept(self, what: str, result: Result[Any, str]) -> Any:
+        """Return a value, or keep why there is none."""
+        if isinstance(result, Err):
+            self._warnings.append(f"{what}: {result.err_value}")
+            return None
+        return result.ok_value
+
+    async def _report(self, run: Run, classes: list[ClassResult]) -> Report:
+        options = self._options
+        read = [await read_instance(target) for target in options.targets]
+        instances = [one for one in (self._kept("metrics", got) for got in read) if one]
+        broken = [
+            f"{one.target}: {one.broken():g} internal checks failed"
+            for one in instances
+            if one.broken()
+        ]
+        broken += run.wrong
+        broken += await self._compare()
+        return Report(
+            self._exp.name,
+            self._exp.description,
+            self._exp.compare,
+            options.seed,
+            options.run_id,
+            options.targets,
+            self._windows,
+            classes,
+            self._meter.results(),
+            run.series(),
+            instances,
+            self._ledger.named(),
+            self._ledger.unnamed,
+            broken,
+            run.failures,
+            self._warnings,
+        )
+
+    async def _compare(self) -> list[str]:
+        if self._standins is None:
+            self._warnings.append("nothing was compared with what ran: no platform address")
+            return []
+        ran = self._kept("counts", await read_ran(self._standins))
+        if ran is None:
+            return []
+        services = once_only_services(self._exp)
+        once = [found for name in services for found in only_once(ran.by_upstream.get(name, {}))]
+        return self._ledger.broken(ran.started) + once
+
+
+def once_only_services(exp: Experiment) -> set[str]:
+    """Return the services whose every class is not idempotent."""
+    classes = [cls for cls in exp.classes if cls.path.startswith(SERVICES)]
+    once = {_service(cls) for cls in classes if not cls.idempotent}
+    return once - {_service(cls) for cls in classes if cls.idempotent}
+
+
+def _service(cls: RequestClass) -> str:
+    return cls.path.removeprefix(SERVICES).partition("/")[0]
--- /dev/null
+++ b/papayapier/load/instances.py
@@ -0,0 +1,45 @@
+"""Read the few metrics of each instance that a report shows."""
+
+from typing import Final, NamedTuple
+
+from prometheus_client.parser import text_string_to_metric_families
+from result import Result
+
+from papayapier.load.calls import call
+
+# The broken promises come first: a run with any of them has failed.
+SHOWN: Final = (
+    "papayapier_invariant_failures",
+    "papayapier_retries_total",
+    "papayapier_batch_yields_total",
+    "papayapier_batch_tokens_total",
+    "papayapier_store_calls_total",
+    "papayapier_store_bytes_total",
+    "papayapier_peer_bytes_total",
+)
+
+
+class InstanceResult(NamedTuple):
+    """Hold the summed metrics of one instance."""
+
+    target: str
+    metrics: dict[str, float]
+
+    def broken(self) -> float:
+        """Return how many of its internal checks have failed."""
+        return self.metrics.get(SHOWN[0], 0.0)
+
+
+async def read_instance(target: str) -> Result[InstanceResult, str]:
+    """Read one instance's metrics."""
+    got = await call("GET", f"http://{target}/metrics")
+    return got.map(lambda content: InstanceResult(target, _sums(content.decode())))
+
+
+def _sums(text: str) -> dict[str, float]:
+    sums: dict[str, float] = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.name in SHOWN:
+                sums[sample.name] = sums.get(sample.name, 0.0) + sample.value
+    return sums
--- a/papayapier/load/mix.py
+++ b/papayapier/load/mix.py
@@ -38,6 +38,13 @@
     max_tokens: int
     resend_after_ms: int = -1
     leave_after_ms: int = -1
+    is_resend: bool = False
+
+    def again(self) -> "Request":
+        """Return the same work as a caller sends it a second time."""
+        return self._replace(
+            request_id=f"{self.request_id}-again", resend_after_ms=-1, is_resend=True
+        )
 
     def body_sha256(self) -> str:
         """Return what the stand-in service echoes for this request."""
--- a/papayapier/load/runner.py
+++ b/papayapier/load/runner.py
@@ -18,12 +18,27 @@
 from papayapier.load.mix import Mix, Request
 from papayapier.load.results import ClassResult, Tally
 from papayapier.load.scenario import Experiment, Phase
+from papayapier.load.series import Series, SeriesBook
 
 Pick = Callable[[], str]
-Sent = Callable[[Request, str, Answered], None]
+Observe = Callable[[Request, Answered], None]
 
 SETTLING: Final = "(settling)"
 RESENT: Final = "(resent)"
+MAX_WRONG: Final = 50
+
+
+class Slot(NamedTuple):
+    """Place a request in the run: its phase, and its time from the phase's start."""
+
+    phase: Phase
+    start_us: int
+    at_us: int
+
+    def counted_under(self) -> str:
+        """Return the name under which the request is counted."""
+        settled = self.at_us >= self.phase.settle_ms * US_PER_MS
+        return self.phase.name if settled else SETTLING
 
 
 class Around(NamedTuple):
@@ -48,7 +63,7 @@
         pick: Pick,
         run_id: str,
         seed: int,
-        observe: Sent,
+        observe: Observe,
     ) -> None:
         self._exp = exp
         self._clock = clock
@@ -59,7 +74,9 @@
         self._observe = observe
         self._tallies: dict[tuple[str, str], Tally] = {}
         self._open: set[Deferred[None]] = set()
+        self._series = SeriesBook()
         self.failures: list[str] = []
+        self.wrong: list[str] = []
 
     async def all_phases(self, around: Around) -> list[ClassResult]:
         """Run every phase of every round and return the figures by phase and class."""
@@ -92,18 +109,16 @@
 
     async def _arrive(self, phase: Phase, times: Iterator[int], start_us: int, mix: Mix) -> None:
         """Send each request at its time, or at once when its time has passed."""
-        settle_us = phase.settle_ms * US_PER_MS
         for at_us in times:
             wait_us = start_us + at_us - now_us(self._clock)
             if wait_us > 0:
                 await self._clock.sleep(wait_us / US_PER_MS)
-            counted = phase.name if at_us >= settle_us else SETTLING
-            self._start(counted, mix.draw(), start_us + at_us)
+            self._start(Slot(phase, start_us, at_us), mix.draw())
 
-    def _start(self, phase: str, req: Request, intended_us: int) -> None:
-        self._keep(self._one(phase, req, intended_us))
+    def _start(self, slot: Slot, req: Request) -> None:
+        self._keep(self._one(slot, req))
         if req.resend_after_ms >= 0:
-            self._keep(self._resend(req))
+            self._keep(self._resend(slot, req))
 
     def _keep(self, work: Coroutine[Deferred[Any], Any, None]) -> None:
         """Start a piece of work that the run's end waits for."""
@@ -112,17 +127,27 @@
         self._open.add(done)
         done.addBoth(lambda _: self._open.discard(done))
 
-    async def _one(self, phase: str, req: Request, intended_us: int) -> None:
-        target = self._pick()
-        got = await send(self._client, target, req, intended_us)
-        self._tally(phase, req.cls.name).add(req, got)
-        self._observe(req, target, got)
-
-    async def _resend(self, req: Request) -> None:
+    async def _one(self, slot: Slot, req: Request) -> None:
+        got = await send(self._client, self._pick(), req, slot.start_us + slot.at_us)
+        if req.is_resend:
+            self._tally(RESENT, req.cls.name).add(req, got)
+        else:
+            self._tally(slot.counted_under(), req.cls.name).add(req, got)
+            self._series.add(slot.phase.name, req.cls.name, slot.at_us, got)
+        if got.verdict.end is End.WRONG and len(self.wrong) < MAX_WRONG:
+            self.wrong.append(f"{req.request_id}: {got.verdict.reason}")
+        self._observe(req, got)
+
+    async def _resend(self, slot: Slot, req: Request) -> None:
         """Send a request again as a caller does that believes it failed: new id, same key."""
         await self._clock.sleep(req.resend_after_ms)
-        again = req._replace(request_id=f"{req.request_id}-again", resend_after_ms=-1)
-        self._start(RESENT, again, now_us(self._clock))
+        again = req.again()
+        at_us = slot.at_us + req.resend_after_ms * US_PER_MS
+        self._start(slot._replace(at_us=at_us), again)
+
+    def series(self) -> list[Series]:
+        """Return what happened second by second."""
+        return self._series.all_series()
 
     def _tally(self, phase: str, name: str) -> Tally:
         return self._tallies.setdefault((phase, name), Tally(phase, name))
@@ -140,8 +165,3 @@
             for cls in self._exp.classes
             if (phase.name, cls.name) in self._tallies
         ]
-
-
-def wrong_answers(results: list[ClassResult]) -> int:
-    """Return how many answers were passed as good and were not the caller's own or whole."""
-    return sum(result.ends.get(End.WRONG.value, 0) for result in results)
--- a/papayapier/load/scenario.py
+++ b/papayapier/load/scenario.py
@@ -123,6 +123,17 @@
     faults: tuple[Fault, ...] = ()
 
 
+class Compare(NamedTuple):
+    """Name the phases against which the others are set; empty leaves a comparison out.
+
+    online has the online load without batch. batch has the same online load and the most
+    batch work that the engines can do beside it.
+    """
+
+    online: str = ""
+    batch: str = ""
+
+
 class Experiment(NamedTuple):
     """Hold one experiment; a request without an answer after give_up_ms counts as hung."""
 
@@ -136,6 +147,7 @@
     fresh_connections: bool = False
     profiles: tuple[Profile, ...] = ()
     jobs: tuple[Job, ...] = ()
+    compare: Compare = Compare()
 
 
 def load(path: Path) -> Result[Experiment, str]:
@@ -180,7 +192,11 @@
             return f"phases[{at}].settle_ms: must be shorter than the phase"
         if missing := sorted(set(phase.jobs) - known):
             return f"phases[{at}].jobs: no job has the name {missing[0]!r}"
-    return _repeated("phases", [phase.name for phase in exp.phases])
+    names = [phase.name for phase in exp.phases]
+    for field, name in exp.compare._asdict().items():
+        if name and name not in names:
+            return f"compare.{field}: no phase has the name {name!r}"
+    return _repeated("phases", names)
 
 
 def _repeated(field: str, names: list[str]) -> str:
--- /dev/null
+++ b/papayapier/load/series.py
@@ -0,0 +1,86 @@
+"""Keep what happened second by second, so that the effect of a burst or fault can be seen."""
+
+from collections import defaultdict
+from typing import Final, NamedTuple
+
+from papayapier.load.answer import End
+from papayapier.load.client import Answered
+
+US_PER_MS: Final = 1_000
+US_PER_S: Final = 1_000_000
+
+
+class Second(NamedTuple):
+    """Hold one second of a class in a phase; times are of whole answers, in ms."""
+
+    at_s: int
+    sent: int
+    whole: int
+    refused: int
+    other: int
+    p50: float
+    p99: float
+
+
+class Series(NamedTuple):
+    """Hold the seconds of one class in one phase, by intended send time."""
+
+    phase: str
+    name: str
+    seconds: list[Second]
+
+
+class _Bin:
+    """Collect one second."""
+
+    __slots__ = ("other", "refused", "sent", "totals_us")
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.refused = 0
+        self.other = 0
+        self.totals_us: list[int] = []
+
+
+class SeriesBook:
+    """Collect the seconds of all classes and phases; rounds of a phase fall together."""
+
+    def __init__(self) -> None:
+        self._bins: dict[tuple[str, str], dict[int, _Bin]] = defaultdict(dict)
+
+    def add(self, phase: str, name: str, at_us: int, got: Answered) -> None:
+        """Count one request that was meant to be sent at a time of its phase."""
+        second = self._bins[phase, name].setdefault(at_us // US_PER_S, _Bin())
+        second.sent += 1
+        if got.verdict.end is End.WHOLE:
+            second.totals_us.append(got.timing.total_us)
+        elif got.verdict.end is End.REFUSED:
+            second.refused += 1
+        else:
+            second.other += 1
+
+    def all_series(self) -> list[Series]:
+        """Return everything collected."""
+        return [
+            Series(phase, name, [_second(at, bins[at]) for at in sorted(bins)])
+            for (phase, name), bins in self._bins.items()
+        ]
+
+
+def _second(at_s: int, collected: _Bin) -> Second:
+    totals = sorted(collected.totals_us)
+    return Second(
+        at_s,
+        collected.sent,
+        len(totals),
+        collected.refused,
+        collected.other,
+        _rank_ms(totals, 0.50),
+        _rank_ms(totals, 0.99),
+    )
+
+
+def _rank_ms(ordered_us: list[int], part: float) -> float:
+    if not ordered_us:
+        return 0.0
+    return ordered_us[min(len(ordered_us) - 1, int(part * len(ordered_us)))] / US_PER_MS
--- a/papayapier/load/standins.py
+++ b/papayapier/load/standins.py
@@ -1,5 +1,6 @@
 """Reach the stand-ins: list them, set their switches, read what they count."""
 
+from collections import Counter
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -9,23 +10,41 @@
 from papayapier.store.api import REPLICA
 
 
+class StandInReplica(NamedTuple):
+    """Hold the upstream and the address ("HOST:PORT") of one replica."""
+
+    upstream: str
+    address: str
+
+
 class StandIns(NamedTuple):
-    """Hold the addresses ("HOST:PORT") of the platform and of replicas by id."""
+    """Hold the address ("HOST:PORT") of the platform, and the replicas by id."""
 
     platform: str
-    replicas: dict[str, str]
+    replicas: dict[str, StandInReplica]
 
     def address(self, target: str) -> str | None:
         """Return where a fault's target listens."""
-        return self.platform if target == PLATFORM else self.replicas.get(target)
+        if target == PLATFORM:
+            return self.platform
+        replica = self.replicas.get(target)
+        return replica.address if replica is not None else None
 
 
 class Ran(NamedTuple):
-    """Hold how often each call was started, over all replicas, and the tokens generated."""
+    """Hold how often each call was started, by upstream, and the tokens generated."""
 
-    started: dict[str, int]
+    by_upstream: dict[str, dict[str, int]]
     tokens: int
 
+    @property
+    def started(self) -> dict[str, int]:
+        """Return how often each call was started anywhere."""
+        total: Counter[str] = Counter()
+        for calls in self.by_upstream.values():
+            total.update(calls)
+        return total
+
 
 async def find_standins(platform: str) -> Result[StandIns, str]:
     """Read the replicas' addresses from the platform's instance list."""
@@ -34,7 +53,7 @@
         return got
     listed: list[dict[str, Any]] = got.ok_value["instances"]
     replicas = {
-        str(member["id"]): f"{member['host']}:{member['port']}"
+        str(member["id"]): StandInReplica(member["upstream"], f"{member['host']}:{member['port']}")
         for member in listed
         if member["kind"] == REPLICA
     }
@@ -48,14 +67,14 @@
 
 async def read_ran(standins: StandIns) -> Result[Ran, str]:
     """Add up the counts of every replica, engines and services alike."""
-    started: dict[str, int] = {}
+    by_upstream: dict[str, Counter[str]] = {}
     tokens = 0
-    for address in standins.replicas.values():
+    for upstream, address in standins.replicas.values():
         got = await call_json("GET", f"http://{address}/counts")
         if isinstance(got, Err):
             return got
         counts: dict[str, Any] = got.ok_value
-        for call_id, times in counts.get("started", counts.get("calls", {})).items():
-            started[call_id] = started.get(call_id, 0) + times
+        calls = counts.get("started", counts.get("calls", {}))
+        by_upstream.setdefault(upstream, Counter()).update(calls)
         tokens += counts.get("tokens", 0)
-    return Ok(Ran(started, tokens))
+    return Ok(Ran(dict(by_upstream), tokens))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,11 +13,15 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from papayapier.clock import real_clock
-from papayapier.load import arrivals, runner, scenario, table
-from papayapier.load.answer import End, StreamReader, judge, judge_stream
-from papayapier.load.client import Client, make_client
+from papayapier.load import arrivals, runner, scenario
+from papayapier.load.answer import End, StreamReader, Verdict, judge, judge_stream
+from papayapier.load.client import Answered, Client, Timing, make_client
+from papayapier.load.experiment import Options, run_experiment
+from papayapier.load.ledger import Ledger
 from papayapier.load.mix import Mix
+from papayapier.load.report import report_html, report_json
 from papayapier.load.results import jain
+from papayapier.load.table import report_text
 from papayapier.standin.answers import expected_text
 
 CHAT = {"name": "chat", "kind": "chat", "profile": "p", "max_tokens": {"median": 3}}
@@ -122,6 +126,36 @@
     assert jain([1.0, 0.0]) == pytest.approx(0.5)
 
 
+def test_the_ledger_finds_each_contradiction() -> None:
+    """Compare what callers were told with the stand-ins' counts.
+
+    Symptom: a hauler's pass was refused as "not run" and yet issued, or was issued twice.
+    Sequence: the refusal and the run are seen by different parties, so neither of them can
+    notice. Cause: whatever made an instance say what it could not know.
+    """
+    document = {**CHAT, "kind": "service", "path": "/services/gate/x", "idempotent": False}
+    req = Mix(experiment(classes=[document]).classes, "r", *[random.Random(1)] * 2).draw()
+    refused = Verdict(End.REFUSED, "overloaded", "not_run")
+    ledger = Ledger()
+    for call_id, verdict in (
+        ("refused", refused),
+        ("refused-then-answered", refused),
+        ("refused-then-answered", Verdict(End.WHOLE)),
+        ("twice", Verdict(End.WHOLE)),
+        ("never", Verdict(End.WHOLE)),
+        ("", Verdict(End.CUT)),
+    ):
+        ledger.observe(req, Answered(verdict, Timing(0, -1, 1, []), call_id))
+    found = ledger.broken({"refused": 1, "refused-then-answered": 1, "twice": 2})
+    assert [line.split(" ", 1)[1] for line in found] == [
+        "was refused as not run, and ran 1 times",
+        "is not idempotent, and ran 2 times",
+        "was answered, and never ran",
+    ]
+    assert ledger.broken({"refused-then-answered": 1, "twice": 1, "never": 1}) == []
+    assert (ledger.named(), ledger.unnamed) == (4, 1)
+
+
 class Chat(Resource):
     """Answer each chat request by what its number says."""
 
@@ -131,6 +165,9 @@
         super().__init__()  # type: ignore[no-untyped-call]
         self.seen: list[str] = []
 
+    def render_GET(self, _request: Request) -> bytes:  # noqa: N802
+        return b"papayapier_invariant_failures 2.0\n"
+
     def render_POST(self, request: Request) -> object:  # noqa: N802
         number = len(self.seen)
         self.seen.append(str(request.getHeader("x-request-id")))
@@ -165,9 +202,28 @@
         return Deferred.fromCoroutine(self._stop())
 
     async def _stop(self) -> None:
-        await cast(Any, self.client.pool).closeCachedConnections()
+        await self.client.close()
         await self.port.stopListening()
 
+    def test_an_experiment_ends_in_a_report(self) -> Deferred[None]:
+        return Deferred.fromCoroutine(self._report())
+
+    async def _report(self) -> None:
+        target = f"127.0.0.1:{self.port.getHost().port}"
+        exp = experiment(give_up_ms=300, compare={"online": "one", "batch": "one"})
+        options = Options([target], "", "", "", 1, "r", lambda _: None)
+        found = await run_experiment(exp, self.clock, options)
+        document = json.loads(report_json(found))
+        assert found.failures == []
+        assert found.broken[0] == f"{target}: 2 internal checks failed"
+        assert len(found.broken) == 1 + len(self.chat.seen) // 4
+        assert document["comparison"][0]["total_p99"] == 1.0
+        assert document["windows"][0]["phase"] == "one"
+        assert "one    chat" in report_text(found)
+        page = report_html(found)
+        assert page.count("<svg") == 3
+        assert "nothing was compared with what ran" in page
+
     def test_every_request_is_counted_once_by_its_end(self) -> Deferred[None]:
         return Deferred.fromCoroutine(self._count())
 
@@ -185,6 +241,5 @@
         assert ends["whole"] == (sent + 3) // 4
         assert result.refusals == {"overloaded/not_run": (sent + 2) // 4}
         assert ends["hung"] == (sent + 1) // 4
-        assert runner.wrong_answers([result]) == sent // 4
+        assert ends["wrong"] == len(run.wrong) == sent // 4
         assert result.total.number == ends["whole"]
-        assert "one    chat" in table.results_table([result])
