Load the peers' keys in the hub, know the stages of a planned stop

Cause: the hub took a seal that its caller had to make, and took only one stage of a planned stop for leaving. Change: start() reads the key file of the settings; any state but serving counts as leaving.

--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -36,7 +36,7 @@
 )
 from papayapier.peer.questions import MakeAsk, PeerError, Questions
 from papayapier.peer.roster import Change, HangUp, Noted, PeerView, Redial, Roster, Step
-from papayapier.peer.seal import Seal
+from papayapier.peer.seal import NO_SEAL, load_seal
 from papayapier.peer.spread import Spreader, Verdict
 from papayapier.peer.topology import Limits, Place, Plan
 from papayapier.settings import PeerSettings
@@ -71,7 +71,6 @@
         heartbeat: Callable[[], Heartbeat],
         metrics: Metrics,
         rand: Random,
-        seal: Seal,
     ) -> None:
         self._clock = clock
         self._cfg = cfg
@@ -79,7 +78,7 @@
         self._heartbeat = heartbeat
         self._metrics = metrics
         self._rand = rand
-        self._seal = seal
+        self._seal = NO_SEAL
         place = Place(me.instance, me.data_centre, me.region)
         limits = Limits(cfg.full_mesh, cfg.picks, cfg.relays)
         self._roster = Roster(place, limits, cfg.silent_after_ms)
@@ -101,6 +100,10 @@
 
     def start(self) -> Result[int, str]:
         """Listen for peers and begin to send heartbeats; return the port in use."""
+        seal = load_seal(self._cfg.key_file)
+        if isinstance(seal, Err):
+            return seal
+        self._seal = seal.ok_value
         listening = self._inbox.listen(self._me.host, self._cfg.port)
         if isinstance(listening, Err):
             return listening
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -19,6 +19,7 @@
 from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
 
 SILENT_BEATS: Final = 4
+SERVING_STATES: Final = frozenset({LIVE, "serving"})
 
 
 class Redial(NamedTuple):
@@ -101,7 +102,7 @@
 
     def leaving(self) -> bool:
         """Tell whether the list or the peer itself says that it is leaving."""
-        said = self.last is not None and self.last.state == LEAVING
+        said = self.last is not None and self.last.state not in SERVING_STATES
         return said or self.member.state == LEAVING
 
     def live(self) -> bool:
--- a/papayapier/peer/seal.py
+++ b/papayapier/peer/seal.py
@@ -25,10 +25,13 @@
     open: Callable[[bytes], Result[bytes, str]]
 
 
+NO_SEAL: Final = Seal(close=lambda data: data, open=Ok)
+
+
 def load_seal(key_file: str) -> Result[Seal, str]:
     """Read the shared keys; without a key file frames are neither signed nor checked."""
     if not key_file:
-        return Ok(Seal(close=lambda data: data, open=Ok))
+        return Ok(NO_SEAL)
     try:
         lines = Path(key_file).read_text(encoding="utf-8").split()
     except (OSError, UnicodeDecodeError) as exc:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,5 +1,7 @@
 """Test the protocol between instances."""
 
+import tempfile
+from pathlib import Path
 from random import Random
 
 import msgspec
@@ -38,7 +40,8 @@
 from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
 
 SILENT_MS = 2_000
-SEAL = make_seal([b"a key that tests share"])
+KEY = "a-key-that-all-tests-share"
+SEAL = make_seal([KEY.encode()])
 
 
 def member(name: str, port: int = 9000, state: str = LIVE) -> Member:
@@ -248,6 +251,10 @@
     timeout = 60
 
     def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.key_file = Path(folder.name, "keys")
+        self.key_file.write_text(KEY)
         self.hubs: dict[str, PeerHub] = {}
         self.ports: dict[str, int] = {}
         self.metrics = {name: make_metrics() for name in "abcdefghij"}
@@ -263,11 +270,12 @@
             silent_after_ms=400,
             full_mesh=full_mesh,
             bytes_per_s=1_000_000,
+            key_file=str(self.key_file),
         )
         me = Identity(name, boot, "127.0.0.1", "dc-a", "local")
         rand = Random(name)
         hub = PeerHub(
-            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand, SEAL
+            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand
         )
         self.hubs[name] = hub
         self.ports[name] = hub.start().unwrap()
