--- a/papayapier/demo.py
+++ b/papayapier/demo.py
@@ -17,7 +17,7 @@
 
 from papayapier import codec, invariants
 from papayapier.clock import Clock, real_clock
-from papayapier.compose import Instance, start_instance
+from papayapier.compose import start_instance
 from papayapier.config.profiles import Profile
 from papayapier.logs import start_logs
 from papayapier.settings import (
@@ -35,6 +35,8 @@
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
+    from papayapier.instance import Instance
+
 HOST: Final = "127.0.0.1"
 ENGINES: Final = 3
 ANSWER_TOKENS: Final = 24
@@ -153,7 +155,12 @@
 async def _put_profiles(target: _Target) -> None:
     """Create the profiles as an operator would, and wait until they are in force."""
     for profile in PROFILES:
-        change = {"profile": codec.to_document(profile), "based_on": 0, "reason": "demo"}
+        change = {
+            "profile": codec.to_document(profile),
+            "based_on": 0,
+            "reason": "demo",
+            "change_id": f"demo-{profile.name}-1",
+        }
         url = f"{target.operator}/v1/profiles/{profile.name}"
         answer = await treq.put(url, json=change)
         text = await answer.text()
@@ -212,7 +219,7 @@
 
 
 async def _gate_check(target: _Target, tally: _Tally, number: int) -> None:
-    headers = {"X-Papayapier-Profile": "gate", "Idempotency-Key": f"pass-{number}"}
+    headers: Any = {"X-Papayapier-Profile": "gate", "Idempotency-Key": f"pass-{number}"}
     url = f"{target.entry}/services/gate/calls/passes"
     answer = await treq.post(url, json={"truck": number}, headers=headers)
     body = await answer.json()
@@ -227,7 +234,7 @@
 async def _chat(target: _Target, tally: _Tally, number: int) -> None:
     prompt = f"question {number} about opening hours"
     body = _generation(prompt, ANSWER_TOKENS)
-    headers = {"X-Papayapier-Profile": "chat"}
+    headers: Any = {"X-Papayapier-Profile": "chat"}
     answer = await treq.post(f"{target.entry}/v1/chat/completions", json=body, headers=headers)
     document = await answer.json()
     if answer.code != 200:
@@ -264,7 +271,7 @@
         for number in range(items)
     ]
     data = ("\n".join(lines) + "\n").encode()
-    headers = {"Content-Type": "application/jsonl"}
+    headers: Any = {"Content-Type": "application/jsonl"}
     answer = await treq.post(f"{target.entry}/v1/files", data=data, headers=headers)
     uploaded = await _expect(answer, "upload")
     job = {
@@ -354,6 +361,6 @@
     print(f"  curl -s {target.entry}/metrics")
 
 
-async def _close(instance: Instance, fleet: Fleet) -> None:
+async def _close(instance: "Instance", fleet: Fleet) -> None:
     await instance.leave()
     await fleet.close()
--- a/papayapier/dispatch/api.py
+++ b/papayapier/dispatch/api.py
@@ -39,7 +39,10 @@
 
 
 class DispatchDeps(NamedTuple):
-    """Group what the dispatch of one instance works with."""
+    """Group what the dispatch of one instance works with.
+
+    uses_changed is told whenever the open calls at some replica have changed.
+    """
 
     clock: Clock
     rand: random.Random
@@ -51,4 +54,4 @@
     share: BatchShare
     upstreams: Upstreams
     metrics: Metrics
-    live_instances: Callable[[], int]
+    uses_changed: Callable[[], None]
--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -116,6 +116,7 @@
     started = deps.clock.now()
     deps.book.on_sent(replica.id, False, started)
     deps.outliers.on_start(replica.id, started)
+    deps.uses_changed()
 
     call = _call(req, progress)
 
@@ -129,6 +130,7 @@
         sent = await deps.upstreams.send(replica, call, receive)
     finally:
         deps.book.on_done(replica.id, False, deps.clock.now())
+        deps.uses_changed()
     _learn(deps, replica, sent)
     return sent
 
--- a/papayapier/dispatch/lanes.py
+++ b/papayapier/dispatch/lanes.py
@@ -19,7 +19,7 @@
 from papayapier.invariants import Promise, check
 from papayapier.policy.retries import GiveUp, decide
 from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Token
-from papayapier.upstream.engine_calls import streaming_body
+from papayapier.upstream.engine_calls import ENGINE_PATHS, streaming_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +30,6 @@
 
 TICK_MS: Final = 20
 MIN_ITEM_MS: Final = 60_000
-ENGINE_PATHS: Final = ("/v1/chat/completions", "/v1/completions")
 
 Sending = Deferred[Result[Reply, Failure]]
 
@@ -147,6 +146,7 @@
             # later and the next pass of this loop must already see the slot taken.
             self._deps.book.on_sent(replica.id, True, self._deps.clock.now())
             self._running.setdefault(replica.id, []).append(item)
+            self._deps.uses_changed()
             item.waiter.callback(replica)
 
     def _roomiest(self, upstream: str) -> Replica | None:
@@ -192,6 +192,7 @@
     def _release(self, item: _Item, replica: Replica) -> None:
         self._running[replica.id].remove(item)
         self._deps.book.on_done(replica.id, True, self._deps.clock.now())
+        self._deps.uses_changed()
         self._room_grew()
 
     def _call(self, item: _Item, now: int) -> Call:
--- a/papayapier/entry/answers.py
+++ b/papayapier/entry/answers.py
@@ -7,7 +7,7 @@
 from papayapier.errors import ANSWERS, Outcome, Refusal
 
 if TYPE_CHECKING:
-    from twisted.web.iweb import IRequest
+    from papayapier.entry.web import WebRequest
 
 JSON_TYPE: Final = b"application/json"
 
@@ -33,7 +33,7 @@
     return codec.to_json(RefusalBody(ErrorBody(kind.value, outcome.value, reason, retry_after_ms)))
 
 
-def refuse(request: "IRequest", refusal: Refusal) -> bytes:
+def refuse(request: "WebRequest", refusal: Refusal) -> bytes:
     """Set the status and headers of a refusal and return its body."""
     answer = ANSWERS[refusal.kind]
     request.setResponseCode(answer.status)
@@ -47,7 +47,7 @@
     return refusal_body(refusal)
 
 
-def reply_json(request: "IRequest", value: object, status: int = 200) -> bytes:
+def reply_json(request: "WebRequest", value: object, status: int = 200) -> bytes:
     """Set the status and headers of a JSON answer and return its body."""
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", JSON_TYPE)
--- a/papayapier/entry/callers.py
+++ b/papayapier/entry/callers.py
@@ -10,18 +10,17 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 
 if TYPE_CHECKING:
-    from twisted.web.iweb import IRequest
-
+    from papayapier.entry.web import WebRequest
     from papayapier.settings import KeyEntry
 
-CallerAuth = Callable[["IRequest"], Result[str, Refusal]]
+CallerAuth = Callable[["WebRequest"], Result[str, Refusal]]
 
 ANONYMOUS: Final = "anonymous"
 MAX_NAME: Final = 64
 BEARER: Final = "Bearer "
 
 
-def holder_of(request: "IRequest", entries: "tuple[KeyEntry, ...]") -> str | None:
+def holder_of(request: "WebRequest", entries: "tuple[KeyEntry, ...]") -> str | None:
     """Return the name of the holder of the request's key."""
     header = request.getHeader("authorization") or ""
     if not header.startswith(BEARER):
@@ -35,14 +34,14 @@
 def caller_auth(entries: "tuple[KeyEntry, ...]") -> CallerAuth:
     """Make the check of callers; with no keys listed, callers name themselves."""
 
-    def by_name(request: "IRequest") -> Result[str, Refusal]:
+    def by_name(request: "WebRequest") -> Result[str, Refusal]:
         name = request.getHeader("x-papayapier-caller") or ANONYMOUS
         if len(name) > MAX_NAME:
             reason = f"X-Papayapier-Caller: over {MAX_NAME} characters"
             return Err(not_run(ErrorKind.BAD_REQUEST, reason))
         return Ok(name)
 
-    def by_key(request: "IRequest") -> Result[str, Refusal]:
+    def by_key(request: "WebRequest") -> Result[str, Refusal]:
         holder = holder_of(request, entries)
         if holder is None:
             return Err(not_run(ErrorKind.UNAUTHORIZED, "Authorization: key missing or not known"))
--- a/papayapier/entry/chat.py
+++ b/papayapier/entry/chat.py
@@ -4,42 +4,42 @@
 again would be most of an instance's processor time.
 """
 
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple, TypedDict
 
-from papayapier.dispatch.lanes import ENGINE_PATHS
 from papayapier.entry.answers import refusal_body, reply_json
 
 if TYPE_CHECKING:
-    from twisted.web.iweb import IRequest
-
+    from papayapier.entry.web import WebRequest
     from papayapier.errors import Refusal
     from papayapier.upstream.api import Reply, Token
 
+CHAT_PATH: Final = "/v1/chat/completions"
+COMPLETIONS_PATH: Final = "/v1/completions"
 STREAM_TYPE: Final = b"text/event-stream"
 STREAM_END: Final = b"data: [DONE]\n\n"
 
 
-class ChatMessage(NamedTuple):
+class ChatMessage(TypedDict):
     """Hold the answer of a chat."""
 
+    role: str
     content: str
-    role: str = "assistant"
 
 
-class ChatChoice(NamedTuple):
+class ChatChoice(TypedDict):
     """Hold the one choice of a chat answer."""
 
+    index: int
     message: ChatMessage
     finish_reason: str
-    index: int = 0
 
 
-class TextChoice(NamedTuple):
+class TextChoice(TypedDict):
     """Hold the one choice of a completion."""
 
+    index: int
     text: str
     finish_reason: str
-    index: int = 0
 
 
 class Usage(NamedTuple):
@@ -63,7 +63,7 @@
 
     __slots__ = ("_model", "_path", "_request", "_stream", "started")
 
-    def __init__(self, request: "IRequest", path: str, model: str, stream: bool) -> None:
+    def __init__(self, request: "WebRequest", path: str, model: str, stream: bool) -> None:
         self._request = request
         self._path = path
         self._model = model
@@ -84,18 +84,18 @@
         """End the answer; the end mark tells the caller that it is whole."""
         if self._stream:
             return STREAM_END
-        if self._path == ENGINE_PATHS[0]:
-            choice: ChatChoice | TextChoice = ChatChoice(
-                ChatMessage(reply.text), reply.finish_reason
-            )
-            kind = "chat.completion"
-        else:
-            choice = TextChoice(reply.text, reply.finish_reason)
-            kind = "text_completion"
-        usage = Usage(reply.tokens)
-        body = Completion(call_id, self._model, (choice,), usage, kind)
+        kind = "chat.completion" if self._path == CHAT_PATH else "text_completion"
+        choices = (self._choice(reply),)
+        body = Completion(call_id, self._model, choices, Usage(reply.tokens), kind)
         return reply_json(self._request, body)
 
+    def _choice(self, reply: "Reply") -> ChatChoice | TextChoice:
+        end = reply.finish_reason
+        if self._path == CHAT_PATH:
+            message = ChatMessage(role="assistant", content=reply.text)
+            return ChatChoice(index=0, message=message, finish_reason=end)
+        return TextChoice(index=0, text=reply.text, finish_reason=end)
+
     def break_off(self, refusal: "Refusal") -> bytes:
         """End a stream that has begun, without its end mark and with the reason."""
         return b"data: " + refusal_body(refusal) + b"\n\n"
--- /dev/null
+++ b/papayapier/entry/health_routes.py
@@ -0,0 +1,42 @@
+"""Serve health, readiness and metrics."""
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from prometheus_client import generate_latest
+
+from papayapier.entry.answers import reply_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from klein import Klein
+
+    from papayapier.entry.web import WebRequest
+    from papayapier.metrics import Metrics
+
+METRICS_TYPE: Final = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class Health(NamedTuple):
+    """Tell whether an instance is well, and why not."""
+
+    ok: bool
+    reason: str = ""
+
+
+def add_health_routes(app: "Klein", why_not_ready: "Callable[[], str]", metrics: "Metrics") -> None:
+    """Add /healthz, /readyz and /metrics to an app."""
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(request: "WebRequest") -> bytes:
+        return reply_json(request, Health(True))
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(request: "WebRequest") -> bytes:
+        reason = why_not_ready()
+        return reply_json(request, Health(not reason, reason), 503 if reason else 200)
+
+    @app.route("/metrics", methods=["GET"])
+    def show_metrics(request: "WebRequest") -> bytes:
+        request.setHeader(b"Content-Type", METRICS_TYPE)
+        return generate_latest(metrics.registry)
--- a/papayapier/entry/online_routes.py
+++ b/papayapier/entry/online_routes.py
@@ -15,29 +15,25 @@
 
 from papayapier import events
 from papayapier.dispatch.api import OnlineRequest
-from papayapier.dispatch.lanes import ENGINE_PATHS
 from papayapier.entry.answers import refuse, reply_json
-from papayapier.entry.chat import ChatAnswer
+from papayapier.entry.chat import CHAT_PATH, COMPLETIONS_PATH, ChatAnswer
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.upstream.engine_calls import parse_generation
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from twisted.web.iweb import IRequest
-
     from papayapier.clock import Clock
     from papayapier.config.profiles import Profile
     from papayapier.dispatch.api import OnToken
     from papayapier.entry.callers import CallerAuth
+    from papayapier.entry.web import WebRequest
     from papayapier.metrics import Metrics
     from papayapier.upstream.api import Reply
 
 DEFAULT_PROFILE: Final = "default"
 SERVICES: Final = "/services/"
 
-RunOnline = "Callable[[OnlineRequest, str, OnToken], Awaitable[Result[Reply, Refusal]]]"
-
 
 class OnlineDeps(NamedTuple):
     """Group what the online routes need; run takes the request, its key and a token callback."""
@@ -80,28 +76,28 @@
     """Add the callers' online routes to an app."""
 
     @app.route("/v1/chat/completions", methods=["POST"])
-    def chat(request: "IRequest") -> Deferred[bytes | None]:
-        return Deferred.fromCoroutine(_generate(deps, request, ENGINE_PATHS[0]))
+    def chat(request: "WebRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(_generate(deps, request, CHAT_PATH))
 
     @app.route("/v1/completions", methods=["POST"])
-    def completions(request: "IRequest") -> Deferred[bytes | None]:
-        return Deferred.fromCoroutine(_generate(deps, request, ENGINE_PATHS[1]))
+    def completions(request: "WebRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(_generate(deps, request, COMPLETIONS_PATH))
 
     @app.route("/v1/models", methods=["GET"])
-    def models(request: "IRequest") -> bytes:
+    def models(request: "WebRequest") -> bytes:
         return reply_json(request, ModelList([ModelEntry(n) for n in deps.upstream_names()]))
 
     @app.route(SERVICES + "<name>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
     @app.route(SERVICES + "<name>/<path:rest>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
-    def service(request: "IRequest", name: str, rest: str = "") -> Deferred[bytes | None]:
+    def service(request: "WebRequest", name: str, rest: str = "") -> Deferred[bytes | None]:
         return Deferred.fromCoroutine(_service(deps, request, name, rest))
 
 
-async def _generate(deps: OnlineDeps, request: "IRequest", path: str) -> bytes | None:
+async def _generate(deps: OnlineDeps, request: "WebRequest", path: str) -> bytes | None:
     head = _read_head(deps, request)
     if isinstance(head, Err):
         return _refused(deps, request, "", head.err_value)
-    body: bytes = request.content.read()  # type: ignore[attr-defined]
+    body: bytes = request.content.read()
     parsed = parse_generation(body)
     if isinstance(parsed, Err):
         refusal = not_run(ErrorKind.BAD_REQUEST, parsed.err_value)
@@ -115,7 +111,7 @@
     return answer.finish(req.call_id, done.ok_value)
 
 
-async def _service(deps: OnlineDeps, request: "IRequest", name: str, rest: str) -> bytes | None:
+async def _service(deps: OnlineDeps, request: "WebRequest", name: str, rest: str) -> bytes | None:
     head = _read_head(deps, request)
     if isinstance(head, Err):
         return _refused(deps, request, "", head.err_value)
@@ -123,7 +119,7 @@
     if profile.upstream != name:
         reason = f"profile {profile.name} is for upstream {profile.upstream}, not {name}"
         return _refused(deps, request, profile.name, not_run(ErrorKind.BAD_REQUEST, reason))
-    body: bytes = request.content.read()  # type: ignore[attr-defined]
+    body: bytes = request.content.read()
     path = _service_path(request, name)
     content_type = request.getHeader("content-type") or "application/octet-stream"
     req = _online(head.ok_value, request.method.decode(), path, body, content_type)
@@ -136,7 +132,7 @@
     return reply.body
 
 
-def _service_path(request: "IRequest", name: str) -> str:
+def _service_path(request: "WebRequest", name: str) -> str:
     """Return what follows the service's name, with the query as it came."""
     uri: str = request.uri.decode("ascii", "replace")
     rest = uri[len(SERVICES) + len(name) :]
@@ -158,7 +154,7 @@
     )
 
 
-def _read_head(deps: OnlineDeps, request: "IRequest") -> Result[_Head, Refusal]:
+def _read_head(deps: OnlineDeps, request: "WebRequest") -> Result[_Head, Refusal]:
     refusal = deps.refusing()
     if refusal is not None:
         return Err(refusal)
@@ -184,7 +180,7 @@
     return Ok(_Head(caller.ok_value, profile, key, due.ok_value, call_id))
 
 
-def _due_ms(deps: OnlineDeps, request: "IRequest", profile: "Profile") -> Result[int, Refusal]:
+def _due_ms(deps: OnlineDeps, request: "WebRequest", profile: "Profile") -> Result[int, Refusal]:
     """Return when the answer is due: the caller may ask for less time than the profile."""
     now = deps.clock.now()
     stated = request.getHeader("x-papayapier-due-ms")
@@ -199,11 +195,11 @@
 def _call_id(caller: str, key: str) -> str:
     if not key:
         return uuid.uuid4().hex
-    return xxhash.xxh3_128_hexdigest(f"{caller}\n{key}")
+    return xxhash.xxh3_128_hexdigest(f"{caller}\n{key}".encode())
 
 
 async def _run(
-    deps: OnlineDeps, request: "IRequest", req: OnlineRequest, key: str, on_token: "OnToken"
+    deps: OnlineDeps, request: "WebRequest", req: OnlineRequest, key: str, on_token: "OnToken"
 ) -> Result["Reply", Refusal]:
     started = deps.clock.now()
     done = await deps.run(req, key, on_token)
@@ -217,7 +213,7 @@
 
 def _refused(
     deps: OnlineDeps,
-    request: "IRequest",
+    request: "WebRequest",
     profile: str,
     refusal: Refusal,
     answer: ChatAnswer | None = None,
--- /dev/null
+++ b/papayapier/entry/web.py
@@ -0,0 +1,32 @@
+"""Describe the part of a twisted HTTP request that the routes use.
+
+twisted's own IRequest is an interface without types, which the type checker cannot read.
+"""
+
+from typing import IO, Protocol
+
+from twisted.internet.defer import Deferred
+
+
+class WebRequest(Protocol):
+    """Describe an HTTP request and the answer to it."""
+
+    method: bytes
+    uri: bytes
+    args: dict[bytes, list[bytes]]
+    content: IO[bytes]
+
+    def getHeader(self, key: str) -> str | None:  # noqa: N802
+        """Return a header of the request."""
+
+    def setHeader(self, name: bytes, value: bytes) -> None:  # noqa: N802
+        """Set a header of the answer."""
+
+    def setResponseCode(self, code: int) -> None:  # noqa: N802
+        """Set the status of the answer."""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the answer."""
+
+    def notifyFinish(self) -> Deferred[None]:  # noqa: N802
+        """Return a Deferred that fails when the connection is lost first."""
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -50,6 +50,11 @@
 REQUEST_RETRIED: Final = Event(202, "request_retried", Level.INFO, "online request sent again")
 CLAIM_UNKNOWN: Final = Event(203, "claim_unknown", Level.WARNING, "claimant is gone")
 CLAIM_ABANDONED: Final = Event(204, "claim_abandoned", Level.INFO, "claim given up before sending")
+CLAIMS_ARCHIVED: Final = Event(206, "claims_archived", Level.DEBUG, "claims moved to an archive")
+CLAIMS_EXPIRED: Final = Event(207, "claims_expired", Level.INFO, "old claims dropped")
+CLAIMS_UNREADABLE: Final = Event(
+    208, "claims_unreadable", Level.ERROR, "claim object cannot be read"
+)
 CALLER_GONE: Final = Event(205, "caller_gone", Level.INFO, "caller closed its connection")
 
 REPLICA_EJECTED: Final = Event(301, "replica_ejected", Level.WARNING, "replica taken out of use")
--- /dev/null
+++ b/papayapier/fleet_view.py
@@ -0,0 +1,126 @@
+"""Hand what is learnt of replicas and peers to the policies that decide by it.
+
+The instance list says which replicas there are, reports and answers say how loaded they are,
+and peers' heartbeats say what other instances have open at them. All three meet here, and
+nowhere else, so that every policy sees the same set of replicas.
+"""
+
+from collections.abc import Callable, Collection
+from typing import Final, NamedTuple
+
+from papayapier import events
+from papayapier.config.profiles import BatchRule, Profile
+from papayapier.metrics import Metrics
+from papayapier.peer.messages import Heartbeat, Message
+from papayapier.policy.batch_share import BatchShare
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.store.api import ENTRY, LEAVING, REPLICA, Member
+from papayapier.store.members import MembersChanged
+from papayapier.upstream.api import Load, Replica
+from papayapier.upstream.reports import Reports
+
+STRICTEST_FIRST: Final = ("tail", "static", "throughput", "none")
+
+
+class Policies(NamedTuple):
+    """Group the policies that must know of every replica."""
+
+    book: LoadBook
+    outliers: Outliers
+    share: BatchShare
+
+
+class FleetView:
+    """Own the list of members as this instance knows it."""
+
+    def __init__(self, policies: Policies, metrics: Metrics) -> None:
+        self._policies = policies
+        self._metrics = metrics
+        self._members: dict[str, Member] = {}
+        self._reports: Reports | None = None
+        self._on_entries: Callable[[list[Member]], None] = lambda _: None
+
+    def connect(self, reports: Reports, on_entries: Callable[[list[Member]], None]) -> None:
+        """Name who polls the replicas and who is told of the entry instances."""
+        self._reports = reports
+        self._on_entries = on_entries
+
+    def upstream_names(self) -> list[str]:
+        """Return the names of all upstreams that have a replica."""
+        return sorted({m.upstream for m in self._members.values() if m.kind == REPLICA})
+
+    def on_members(self, change: MembersChanged) -> None:
+        """Take over a change of the instance list."""
+        for member in change.changed:
+            self._log(member)
+            self._members[member.id] = member
+        for gone in change.gone:
+            if self._members.pop(gone).kind == REPLICA:
+                events.emit(events.REPLICA_REMOVED, replica=gone)
+        self._tell_policies()
+        self._on_entries([m for m in self._members.values() if m.kind == ENTRY])
+
+    def _log(self, member: Member) -> None:
+        if member.kind != REPLICA:
+            return
+        if member.state == LEAVING:
+            events.emit(events.REPLICA_LEAVING, replica=member.id)
+        elif member.id not in self._members:
+            events.emit(events.REPLICA_ADDED, replica=member.id, upstream=member.upstream)
+
+    def _tell_policies(self) -> None:
+        members = [member for member in self._members.values() if member.kind == REPLICA]
+        replicas = [_replica(member) for member in members]
+        leaving = {member.id for member in members if member.state == LEAVING}
+        book, outliers, share = self._policies
+        book.on_listed(replicas, leaving)
+        outliers.on_listed(replicas)
+        for replica in replicas:
+            share.set_upstream(replica.id, replica.upstream)
+        if self._reports is not None:
+            self._reports.poll(replicas)
+        self._count_usable(replicas, leaving)
+
+    def _count_usable(self, replicas: list[Replica], leaving: Collection[str]) -> None:
+        for upstream in self.upstream_names():
+            usable = [r for r in replicas if r.upstream == upstream and r.id not in leaving]
+            self._metrics.replicas_usable.labels(upstream).set(len(usable))
+
+    def on_load(self, replica: Replica, load: Load) -> None:
+        """Take over a load report."""
+        self._policies.book.on_report(replica.id, load)
+        self._policies.share.on_report(replica.id, load)
+
+    def on_profiles(self, profiles: Collection[Profile]) -> None:
+        """Take over the batch rules in force.
+
+        Batch items of several profiles share a replica, and the online requests there can
+        be protected only as well as the least careful of them: the strictest rule holds.
+        """
+        rules: dict[str, BatchRule] = {}
+        for profile in profiles:
+            if profile.urgency == "batch":
+                held = rules.get(profile.upstream, profile.batch)
+                rules[profile.upstream] = _stricter(held, profile.batch)
+        for upstream, rule in rules.items():
+            self._policies.share.set_rule(upstream, rule)
+
+
+def _replica(member: Member) -> Replica:
+    return Replica(member.id, member.upstream, member.host, member.port, member.data_centre)
+
+
+def _stricter(one: BatchRule, other: BatchRule) -> BatchRule:
+    isolation = min(one.isolation, other.isolation, key=STRICTEST_FIRST.index)
+    return BatchRule(min(one.share, other.share), isolation)
+
+
+def peer_uses_reader(book: LoadBook, now: Callable[[], int]) -> Callable[[str, Message], None]:
+    """Make the handler that takes peers' open calls from their heartbeats."""
+
+    def read(peer_id: str, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            book.on_peer_uses(peer_id, message.uses, now())
+
+    return read
--- a/papayapier/metrics.py
+++ b/papayapier/metrics.py
@@ -33,6 +33,9 @@
     jobs_at_risk: Gauge
     store_calls: Counter
     store_bytes: Counter
+    claim_ends: Counter
+    claim_writes: Counter
+    claim_records: Counter
     peer_bytes: Counter
     peer_messages: Counter
     peers_live: Gauge
@@ -71,6 +74,9 @@
         jobs_at_risk=Gauge(name + "jobs_at_risk", "Jobs likely to miss their due", registry=reg),
         store_calls=Counter(name + "store_calls", "Store calls", ["call", "end"], registry=reg),
         store_bytes=Counter(name + "store_bytes", "Store bytes", ["direction"], registry=reg),
+        claim_ends=Counter(name + "claim_ends", "Begun claims", ["end"], registry=reg),
+        claim_writes=Counter(name + "claim_writes", "Claim writes", ["end"], registry=reg),
+        claim_records=Counter(name + "claim_records", "Claim records written", registry=reg),
         peer_bytes=Counter(name + "peer_bytes", "Peer bytes", ["direction"], registry=reg),
         peer_messages=Counter(
             name + "peer_messages", "Peer messages", ["kind", "direction"], registry=reg
--- a/papayapier/serve.py
+++ b/papayapier/serve.py
@@ -3,20 +3,20 @@
 import random
 import signal
 import sys
-from typing import TYPE_CHECKING, Final, cast
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Result
 from twisted.internet.defer import Deferred
 
 from papayapier import events
 from papayapier.clock import real_clock
-from papayapier.compose import Instance, start_instance
+from papayapier.compose import start_instance
 from papayapier.logs import start_logs
 
 if TYPE_CHECKING:
-    from twisted.internet.interfaces import IReactorCore
     from twisted.python.failure import Failure
 
+    from papayapier.instance import Instance
     from papayapier.settings import Settings
 
 EXIT_OK: Final = 0
@@ -26,7 +26,7 @@
 class _Process:
     """Own the exit code and the two stages of stopping."""
 
-    def __init__(self, reactor: "IReactorCore", cfg: "Settings") -> None:
+    def __init__(self, reactor: Any, cfg: "Settings") -> None:
         self._reactor = reactor
         self._cfg = cfg
         self._instance: Instance | None = None
@@ -57,7 +57,7 @@
 
     def on_signal(self, _number: int, _frame: object) -> None:
         """Leave gracefully on the first signal and at once on the second."""
-        self._reactor.callFromThread(self._signalled)  # type: ignore[attr-defined]
+        self._reactor.callFromThread(self._signalled)
 
     def _signalled(self) -> None:
         if self._leaving:
@@ -74,7 +74,7 @@
         self._stop_reactor()
 
     def _stop_reactor(self) -> None:
-        if self._reactor.running:  # type: ignore[attr-defined]
+        if self._reactor.running:
             self._reactor.stop()
 
 
@@ -82,7 +82,7 @@
     """Run an instance until it is told to stop; return the exit code."""
     from twisted.internet import reactor as installed
 
-    reactor = cast("IReactorCore", installed)
+    reactor: Any = installed
     start_logs(cfg.log)
     process = _Process(reactor, cfg)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -90,6 +90,6 @@
     reactor.callWhenRunning(
         lambda: Deferred.fromCoroutine(process.start()).addErrback(process.crashed)
     )
-    reactor.run(installSignalHandlers=False)  # type: ignore[call-arg]
+    reactor.run(installSignalHandlers=False)
     events.emit(events.PROCESS_STOPPED, exit_code=process.exit_code)
     return process.exit_code
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -128,6 +128,20 @@
     level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
+class ClaimSettings(NamedTuple):
+    """Set how claims on idempotency keys are kept; a key is known for retention_ms.
+
+    Instances whose clocks differ by a noticeable part of retention_ms would expire claims
+    early, and a key sent again would then run again.
+    """
+
+    window_ms: PositiveMs = 4
+    writes_per_s: Positive = 30
+    head_bytes: Annotated[int, Meta(ge=1_000, le=90_000)] = 64_000
+    answer_bytes: Annotated[int, Meta(ge=0, le=100_000)] = 4_000
+    retention_ms: Positive = 86_400_000
+
+
 class Settings(NamedTuple):
     """Hold everything that one process must know to start."""
 
@@ -141,6 +155,7 @@
     config: ConfigSettings = ConfigSettings()
     drain: DrainSettings = DrainSettings()
     log: LogSettings = LogSettings()
+    claims: ClaimSettings = ClaimSettings()
 
 
 def load(path: Path) -> Result[Settings, str]:
