Test the stand-ins' protocols, models and fault switches

Cause: the fault switches were written but never run, and a stand-in that errs makes every test that leans on it err.

--- a/papayapier/standin/engine.py
+++ b/papayapier/standin/engine.py
@@ -58,6 +58,10 @@
         """Return the port listened on."""
         return self._listener.port
 
+    def listening(self) -> bool:
+        """Tell whether the port accepts connections."""
+        return self._listener.is_open()
+
     def control(self, control: Control, conn: web.Connection | None = None) -> None:
         """Merge switches, as POST /control on a connection does."""
         self.core.switches.merge(control)
--- a/papayapier/standin/service.py
+++ b/papayapier/standin/service.py
@@ -80,6 +80,10 @@
         """Return the port listened on."""
         return self._listener.port
 
+    def waiting(self) -> int:
+        """Return the number of calls that wait for a slot."""
+        return len(self._waiting)
+
     def control(self, control: Control, conn: web.Connection | None = None) -> None:
         """Merge switches, as POST /control on a connection does."""
         self.switches.merge(control)
--- a/papayapier/standin/web.py
+++ b/papayapier/standin/web.py
@@ -165,6 +165,10 @@
         self._listening = self._reactor.listenTCP(self.port, self.table, interface=self.host)
         self.port = self._listening.getHost().port
 
+    def is_open(self) -> bool:
+        """Tell whether the port accepts connections."""
+        return self._listening is not None
+
     def silence_all(self, but: Connection | None = None) -> None:
         """Silence every open connection, except the one that asks for it."""
         for conn in self.table.connections():
--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,527 @@
+"""Test the stand-ins over real sockets: their protocols and each fault switch."""
+
+import hashlib
+import json
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, NamedTuple, TypeVar, cast
+
+import treq
+import xxhash
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.defer import Deferred
+from twisted.trial.unittest import TestCase
+from twisted.web.client import HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
+
+from papayapier.clock import real_clock
+from papayapier.standin.answers import expected_text
+from papayapier.standin.engine import EngineServer, start_engine
+from papayapier.standin.engine_steps import EngineParams
+from papayapier.standin.platform import PlatformParams, PlatformServer, start_platform
+from papayapier.standin.prefix_cache import BLOCK_TOKENS, CacheParams
+from papayapier.standin.run import FleetParams, run_fleet
+from papayapier.standin.service import ServiceParams, ServiceServer, start_service
+from papayapier.standin.switches import Control, Mode
+from papayapier.store.api import Member
+
+REACTOR = cast(Any, installed_reactor)
+HOST = "127.0.0.1"
+CHAT = "/v1/chat/completions"
+DONE = "data: [DONE]"
+CUT_ERRORS = (ResponseNeverReceived, ResponseFailed)
+
+T = TypeVar("T")
+
+
+class Got(NamedTuple):
+    """Hold a whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    text: str
+
+    @property
+    def value(self) -> Any:
+        return json.loads(self.text)
+
+
+class StandInCase(TestCase):
+    """Give tests a way to call stand-ins and to wait for what they count."""
+
+    timeout = 20
+
+    def setUp(self) -> None:
+        self.clock = real_clock()
+        self.pool = HTTPConnectionPool(REACTOR, persistent=False)
+
+    async def call(self, port: int, method: str, path: str, body: Any = b"", **kw: Any) -> Got:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        kw.setdefault("pool", self.pool)
+        url = f"http://{HOST}:{port}{path}"
+        response = await treq.request(method, url, data=data, **kw)
+        text = await response.text()
+        headers = response.headers.getAllRawHeaders()
+        named = {key.decode().lower(): values[0].decode() for key, values in headers}
+        return Got(response.code, named, text)
+
+    def begin(self, call: Awaitable[T]) -> Deferred[T]:
+        """Start a call that the test may have to abandon."""
+        done = Deferred.fromCoroutine(cast(Any, call))
+        self.addCleanup(self.abandon, done)
+        return done
+
+    async def abandon(self, done: Deferred[Any]) -> None:
+        done.addErrback(lambda _: None)
+        done.cancel()
+        await done
+
+    async def cut(self, call: Awaitable[Any]) -> None:
+        """Check that a call ends by its connection."""
+        try:
+            await call
+        except CUT_ERRORS:
+            return
+        raise AssertionError("the call got an answer")
+
+    async def until(self, holds: Callable[[], object]) -> None:
+        while not holds():
+            await self.clock.sleep(1)
+
+
+class PlatformTest(StandInCase):
+    """Test the platform."""
+
+    server: PlatformServer
+
+    async def start(self, **params: Any) -> None:
+        chosen = PlatformParams(**{"latency_ms": 0, "list_lag_ms": 0, **params})
+        self.server = await start_platform(REACTOR, self.clock, chosen, HOST, 0)
+        self.addCleanup(self.server.close)
+
+    async def get(self, path: str) -> Got:
+        return await self.call(self.server.port, "GET", path)
+
+    async def put(self, key: str, value: bytes, **conditions: str) -> Got:
+        headers = {name.replace("_", "-"): text for name, text in conditions.items()}
+        path = f"/objects/{key}"
+        return await self.call(self.server.port, "PUT", path, value, headers=headers)
+
+    async def create(self, key: str, value: bytes = b"v") -> Got:
+        return await self.put(key, value, if_none_match="*")
+
+    async def delete(self, key: str, version: int) -> Got:
+        headers = {"If-Match": f'"{version}"'}
+        return await self.call(self.server.port, "DELETE", f"/objects/{key}", headers=headers)
+
+    async def test_conditional_changes(self) -> None:
+        await self.start()
+        made = await self.create("a/b", b"one")
+        assert (made.status, made.headers["etag"]) == (201, '"1"')
+        assert (await self.create("a/b")).status == 412
+        changed = await self.put("a/b", b"two", if_match='"1"')
+        assert (changed.status, changed.headers["etag"]) == (200, '"2"')
+        assert (await self.put("a/b", b"x", if_match='"1"')).status == 412
+        assert (await self.put("a/b", b"x")).status == 428
+        read = await self.get("/objects/a/b")
+        assert (read.status, read.text, read.headers["etag"]) == (200, "two", '"2"')
+        assert (await self.delete("a/b", 1)).status == 412
+        assert (await self.delete("a/b", 2)).status == 200
+        assert (await self.get("/objects/a/b")).status == 404
+        assert (await self.create("a/b")).headers["etag"] == '"4"'
+
+    async def test_bad_keys_and_large_values_are_refused(self) -> None:
+        await self.start()
+        assert (await self.create("a%20b")).status == 400
+        assert (await self.create("k" * 513)).status == 400
+        assert (await self.create("big", b"x" * 1_000_001)).status == 413
+        assert (await self.create("big", b"x" * 1_000_000)).status == 201
+
+    async def test_list_and_watch(self) -> None:
+        await self.start()
+        for key in ("a/1", "a/2", "b"):
+            await self.create(key)
+        page = await self.get("/list?prefix=a/&after=&limit=1")
+        listed = [{"key": "a/1", "version": 1}]
+        assert page.value == {"objects": listed, "more": True, "revision": 3}
+        waiting = self.begin(self.get("/watch?prefix=a/&since=3&wait_ms=10000"))
+        await self.until(lambda: self.server.counts().watches == 1)
+        await self.create("c")
+        await self.delete("a/2", 2)
+        change = {"key": "a/2", "version": 5, "deleted": True}
+        assert (await waiting).value == {"changes": [change], "revision": 5}
+        empty = await self.get("/watch?prefix=a/&since=5&wait_ms=5")
+        assert empty.value == {"changes": [], "revision": 5}
+        assert (await self.get("/watch?prefix=a/&since=9&wait_ms=5")).status == 410
+
+    async def test_outage_refuses_and_changes_nothing(self) -> None:
+        await self.start()
+        waiting = self.begin(self.get("/watch?prefix=&since=0&wait_ms=10000"))
+        await self.until(lambda: self.server.counts().watches == 1)
+        control = await self.call(self.server.port, "POST", "/control", {"outage": True})
+        assert control.value["outage"] is True
+        assert (await waiting).status == 503
+        assert (await self.create("a")).status == 503
+        self.server.control({"outage": False})
+        assert (await self.get("/objects/a")).status == 404
+
+    async def test_lost_answer_is_a_change_made(self) -> None:
+        # Symptom: a write seemed to fail, and its repetition met a conflict.
+        # Sequence: the platform made the change, then the connection broke.
+        # Cause: no answer says nothing about whether the change was made.
+        await self.start()
+        self.server.control({"lose_answers": 1})
+        await self.cut(self.create("a"))
+        assert (await self.create("a")).status == 412
+
+    async def test_dropped_watch_stays_silent(self) -> None:
+        await self.start()
+        watch = "/watch?prefix=a&since=0&wait_ms=10000"
+        early = self.begin(self.get(watch))
+        await self.until(lambda: self.server.counts().watches == 1)
+        self.server.control({"drop_watches": True})
+        late = self.begin(self.get(watch))
+        await self.until(lambda: self.server.counts().watches == 2)
+        await self.create("a")
+        self.server.control({"drop_watches": False})
+        assert (await self.get(watch)).value["revision"] == 1
+        assert not (early.called or late.called)
+
+    async def test_rate_limit_tells_when_to_come_again(self) -> None:
+        await self.start(writes_per_s=1)
+        assert (await self.create("a")).status == 201
+        refused = await self.create("b")
+        assert (refused.status, refused.headers["retry-after"]) == (429, "1")
+        assert self.server.objects.revision == 1
+        assert self.server.counts().limited == 1
+
+    async def test_instances_report_and_leave(self) -> None:
+        await self.start()
+        first = (await self.get("/instances?since=0&wait_ms=0")).value
+        member = Member("i-1", "entry", "", HOST, 1, 2, "dc-a", "r", "live")
+        body = member._asdict()
+        waiting = self.begin(self.get(f"/instances?since={first['revision']}&wait_ms=10000"))
+        await self.until(lambda: self.server.counts().reads == 2)
+        put = await self.call(self.server.port, "PUT", "/instances/i-1", body)
+        assert put.status == 200
+        del body["static"]
+        assert (await waiting).value["instances"] == [body]
+        wrong = await self.call(self.server.port, "PUT", "/instances/i-2", body)
+        assert wrong.status == 400
+        await self.call(self.server.port, "DELETE", "/instances/i-1")
+        assert (await self.get("/instances")).value["instances"] == []
+
+    async def test_misspelt_switch_is_refused(self) -> None:
+        await self.start()
+        answer = await self.call(self.server.port, "POST", "/control", {"outtage": True})
+        assert answer.status == 400
+
+
+class EngineTest(StandInCase):
+    """Test the engine."""
+
+    server: EngineServer
+
+    async def start(self, **params: Any) -> None:
+        quick = {"base_ms": 1.0, "load_lag_ms": 0, "order_ms": 0}
+        chosen = EngineParams(**{**quick, **params})
+        self.server = await start_engine(REACTOR, self.clock, chosen, HOST, 0)
+        self.addCleanup(self.server.close)
+
+    async def ask(
+        self, prompt: str, tokens: int = 4, path: str = CHAT, ident: str = "r", **body: Any
+    ) -> Got:
+        messages = [{"role": "user", "content": prompt}]
+        prompts = {"messages": messages} if path == CHAT else {"prompt": prompt}
+        request = {"model": "m", "max_tokens": tokens, **prompts, **body}
+        headers = {"X-Request-Id": ident}
+        return await self.call(self.server.port, "POST", path, request, headers=headers)
+
+    async def get(self, path: str) -> Any:
+        return (await self.call(self.server.port, "GET", path)).value
+
+    async def post(self, path: str, body: object) -> Got:
+        return await self.call(self.server.port, "POST", path, body)
+
+    async def test_whole_answers(self) -> None:
+        await self.start()
+        chat = await self.ask("where to")
+        assert (chat.status, chat.headers["x-request-id"]) == (200, "r")
+        assert chat.headers["x-load"] == "0/0/32"
+        text = expected_text("where to", 4)
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": "length"}
+        assert chat.value["choices"] == [choice]
+        assert chat.value["usage"] == {"prompt_tokens": 2, "completion_tokens": 4}
+        plain = await self.ask("where to", path="/v1/completions")
+        assert plain.value["choices"][0]["text"] == text
+        assert (await self.ask("where to", tokens=0)).status == 400
+
+    async def test_streams(self) -> None:
+        await self.start()
+        for path in (CHAT, "/v1/completions"):
+            got = await self.ask("where to", path=path, stream=True)
+            assert got.headers["content-type"] == "text/event-stream"
+            assert streamed_text(got) == expected_text("where to", 4)
+            *chunks, last, end = got.text.strip().split("\n\n")
+            assert end == DONE
+            assert len(chunks) == 4
+            closing = json.loads(last.removeprefix("data: "))
+            assert closing["choices"][0]["finish_reason"] == "length"
+            assert closing["usage"]["completion_tokens"] == 4
+
+    async def test_resume_goes_on_after_the_text(self) -> None:
+        await self.start()
+        begun = expected_text("p", 3)
+        rest = await self.ask("p", tokens=5, stream=True, resume_text=begun)
+        assert begun + streamed_text(rest) == expected_text("p", 5)
+        nothing = await self.ask("p", tokens=3, resume_text=begun)
+        assert nothing.value["choices"][0]["message"]["content"] == ""
+
+    async def test_cancel_and_closed_connection_free_the_slot(self) -> None:
+        await self.start(slots=1)
+        first = self.begin(self.ask("a", tokens=90_000, ident="a"))
+        await self.until(lambda: self.server.counts().running == 1)
+        second = self.begin(self.ask("b", tokens=90_000, ident="b"))
+        await self.until(lambda: self.server.core.load().waiting == 1)
+        cancelled = await self.post("/cancel", {"request_id": "a"})
+        assert cancelled.value == {"cancelled": True}
+        await self.cut(first)
+        await self.until(lambda: "b" in self.server.counts().started)
+        await self.abandon(second)
+        await self.until(lambda: self.server.counts().running == 0)
+        counts = await self.get("/counts")
+        assert counts["cancelled"] == {"a": 1, "b": 1}
+        assert counts["finished"] == {}
+        again = await self.post("/cancel", {"request_id": "a"})
+        assert again.value == {"cancelled": False}
+
+    async def test_load_and_cache_events(self) -> None:
+        cache = CacheParams(event_lag_ms=0, event_loss=0.0)
+        await self.start(cache=cache)
+        await self.ask("word " * (2 * BLOCK_TOKENS + 1))
+        events = (await self.get("/cache_events?since=0"))["events"]
+        assert [(event["seq"], event["kind"]) for event in events] == SEQ_STORED
+        prefix = " ".join(["word"] * BLOCK_TOKENS)
+        assert events[0]["prefix"] == xxhash.xxh64_hexdigest(prefix.encode())
+        load = await self.get("/load")
+        assert (load["running"], load["waiting"], load["slots"]) == (0, 0, 32)
+
+    async def test_orders_and_state(self) -> None:
+        await self.start()
+        order = {"order_id": "o1", "fence": 2, "kind": "load_model", "name": "m2"}
+        assert (await self.post("/orders", order)).value == {"accepted": True}
+        old = await self.post("/orders", {**order, "order_id": "o2", "fence": 1})
+        assert (old.status, old.value) == (409, {"accepted": False, "fence": 2})
+        state = await self.get("/state")
+        assert (state["models"], state["orders"]) == (["base", "m2"], ["o1"])
+        models = [model["id"] for model in (await self.get("/v1/models"))["data"]]
+        assert models == ["base", "m2"]
+        assert (await self.post("/orders", {"order_id": "o3"})).status == 400
+
+    async def test_loading_a_model_holds_new_work_back(self) -> None:
+        await self.start(order_ms=30)
+        await self.post("/orders", {"order_id": "o", "fence": 1, "kind": "load_model", "name": "n"})
+        await self.ask("a")
+        assert "n" in (await self.get("/state"))["models"]
+
+    async def test_hang_counts_the_request_and_never_answers(self) -> None:
+        await self.start()
+        self.server.control(Control(mode=Mode.HANG, times=1))
+        hung = self.begin(self.ask("a", ident="h"))
+        await self.until(lambda: self.server.counts().started == {"h": 1})
+        assert (await self.ask("b")).status == 200
+        assert not hung.called
+        self.server.control(Control(mode=Mode.HANG))
+        load = self.begin(self.get("/load"))
+        assert (await self.get("/counts"))["finished"] == {"r": 1}
+        assert not load.called
+
+    async def test_crash_loses_running_work_and_restart_serves_again(self) -> None:
+        # Symptom: work that an engine had accepted never came to an end.
+        # Sequence: the engine's process died with sequences in flight, and came back.
+        # Cause: running sequences live only in the engine's memory.
+        await self.start()
+        running = self.begin(self.ask("a", tokens=90_000, ident="a"))
+        await self.until(lambda: self.server.counts().running == 1)
+        assert (await self.post("/control", {"mode": "crash"})).status == 200
+        await self.cut(running)
+        await self.until(lambda: self.server.counts().running == 0)
+        port = self.server.port
+        await self.server.restart()
+        assert self.server.port == port
+        assert (await self.ask("b")).status == 200
+        counts = self.server.counts()
+        assert (counts.started, counts.finished) == ({"a": 1, "r": 1}, {"r": 1})
+
+    async def test_crash_on_a_request_and_timed_restart(self) -> None:
+        await self.start()
+        self.server.control(Control(mode=Mode.CRASH, times=1))
+        await self.cut(self.ask("a"))
+        self.server.control(Control(restart_ms=1))
+        await self.until(lambda: self.server.listening())
+        assert (await self.ask("b")).status == 200
+
+    async def test_silence_hits_open_connections_only(self) -> None:
+        # Symptom: calls on a kept connection hang, while new connections work.
+        # Sequence: something between the two ends forgets the connection; no end is told.
+        # Cause: TCP does not notice a lost path while nobody closes the connection.
+        await self.start()
+        kept = HTTPConnectionPool(REACTOR, persistent=True)
+        self.addCleanup(kept.closeCachedConnections)
+        await self.call(self.server.port, "GET", "/load", pool=kept)
+        control = await self.post("/control", {"mode": "silent"})
+        assert control.value["mode"] == "ok"
+        lost = self.begin(self.call(self.server.port, "GET", "/load", pool=kept))
+        assert (await self.get("/load"))["running"] == 0
+        assert not lost.called
+
+    async def test_silence_after_a_request_leaves_the_work_running(self) -> None:
+        await self.start()
+        self.server.control(Control(mode=Mode.SILENT, times=1))
+        lost = self.begin(self.ask("a", ident="s"))
+        await self.until(lambda: self.server.counts().finished == {"s": 1})
+        assert (await self.ask("b")).status == 200
+        assert not lost.called
+
+    async def test_crossed_answer_is_wholly_anothers(self) -> None:
+        await self.start()
+        for stream in (True, False):
+            await self.ask("first", ident="one")
+            self.server.control(Control(mode=Mode.CROSSED, times=1))
+            got = await self.ask("second", ident="two", stream=stream)
+            assert got.headers["x-request-id"] == "one"
+            assert expected_text("first", 1) in got.text
+            assert '"two"' not in got.text
+        assert self.server.counts().finished["two"] == 2
+
+    async def test_truncated_answers_have_no_end(self) -> None:
+        await self.start()
+        self.server.control(Control(mode=Mode.TRUNCATE, times=2))
+        stream = await self.ask("a", stream=True)
+        assert DONE not in stream.text
+        assert streamed_text(stream) == expected_text("a", 2)
+        await self.cut(self.ask("a"))
+
+    async def test_reset_comes_after_the_work(self) -> None:
+        await self.start()
+        for stream in (True, False):
+            self.server.control(Control(mode=Mode.RESET, times=1))
+            await self.cut(self.ask("a", stream=stream))
+        assert self.server.counts().finished == {"r": 2}
+
+    async def test_stream_headers_come_before_the_first_token(self) -> None:
+        await self.start(slots=1)
+        running = self.begin(self.ask("a", tokens=90_000))
+        await self.until(lambda: self.server.counts().running == 1)
+        url = f"http://{HOST}:{self.server.port}/v1/completions"
+        body = {"prompt": "b", "stream": True}
+        response = await treq.post(url, json=body, pool=self.pool)
+        assert response.headers.getRawHeaders("x-load") == ["1/0/1"]
+        await self.abandon(running)
+        assert DONE in await response.text()
+
+
+SEQ_STORED = [(1, "stored"), (2, "stored")]
+
+
+def streamed_text(got: Got) -> str:
+    texts = []
+    for event in got.text.strip().split("\n\n"):
+        if event != DONE:
+            choice = json.loads(event.removeprefix("data: "))["choices"][0]
+            texts.append(choice["delta"]["content"] if "delta" in choice else choice["text"])
+    return "".join(texts)
+
+
+class ServiceTest(StandInCase):
+    """Test the plain service."""
+
+    server: ServiceServer
+
+    async def start(self, **params: Any) -> None:
+        chosen = ServiceParams(**{"work_ms": 1, **params})
+        self.server = await start_service(REACTOR, self.clock, chosen, HOST, 0)
+        self.addCleanup(self.server.close)
+
+    async def ask(self, ident: str = "r", **headers: str) -> Got:
+        named = {"X-Request-Id": ident, **headers}
+        return await self.call(self.server.port, "POST", "/calls/a", b"pass", headers=named)
+
+    def has_run(self, ident: str) -> bool:
+        return ident in self.server.counts().calls
+
+    async def test_answer_and_counts(self) -> None:
+        await self.start()
+        got = await self.ask()
+        echo = hashlib.sha256(b"pass").hexdigest()
+        assert got.value == {"request_id": "r", "path": "/calls/a", "echo": echo}
+        assert (got.headers["x-request-id"], got.headers["x-load"]) == ("r", "0/0/16")
+        for ident in ("r2", "r3"):
+            await self.ask(ident, **{"X-Papayapier-Call": "c"})
+        counts = await self.call(self.server.port, "GET", "/counts")
+        assert counts.value == {"calls": {"r": 1, "c": 2}, "total": 3}
+
+    async def test_calls_wait_for_a_slot_and_outlive_their_caller(self) -> None:
+        # Symptom: a call that its caller had given up took effect later.
+        # Sequence: the call waited in the service; its connection closed; its turn came.
+        # Cause: a plain service does not take back what it has accepted.
+        await self.start(slots=1, work_ms=30)
+        first = self.begin(self.ask("a"))
+        await self.until(lambda: self.server.counts().calls == {"a": 1})
+        second = self.begin(self.ask("b"))
+        await self.until(lambda: self.server.waiting() == 1)
+        load = await self.call(self.server.port, "GET", "/load")
+        assert load.value == {"running": 1, "waiting": 1, "slots": 1}
+        await self.abandon(second)
+        assert (await first).status == 200
+        await self.until(lambda: self.server.counts().calls == {"a": 1, "b": 1})
+
+    async def test_spoilt_answers_are_of_work_done(self) -> None:
+        await self.start()
+        for mode in (Mode.RESET, Mode.TRUNCATE):
+            self.server.control(Control(mode=mode, times=1))
+            await self.cut(self.ask(mode.value))
+        self.server.control(Control(mode=Mode.CROSSED, times=1))
+        crossed = await self.ask("crossed")
+        assert crossed.headers["x-request-id"] != "crossed"
+        assert crossed.value["request_id"] != "crossed"
+        self.server.control(Control(mode=Mode.LATE, times=1))
+        assert (await self.ask("late")).value["request_id"] == "late"
+        expected = {"reset": 1, "truncate": 1, "crossed": 1, "late": 1}
+        assert self.server.counts().calls == expected
+
+    async def test_hang_silence_and_crash(self) -> None:
+        await self.start()
+        for mode in (Mode.HANG, Mode.SILENT):
+            self.server.control(Control(mode=mode, times=1))
+            lost = self.begin(self.ask(mode.value))
+            await self.until(partial(self.has_run, mode.value))
+            assert (await self.ask("next")).status == 200
+            assert not lost.called
+        self.server.control(Control(mode=Mode.CRASH, times=1))
+        await self.cut(self.ask("crash"))
+        await self.server.restart()
+        assert (await self.ask("again")).status == 200
+        assert "crash" not in self.server.counts().calls
+
+
+class FleetTest(StandInCase):
+    """Test a whole fleet."""
+
+    async def test_replicas_are_listed_at_once_and_answer(self) -> None:
+        params = FleetParams(engines=4, services=2)
+        fleet = await run_fleet(REACTOR, self.clock, params)
+        self.addCleanup(lambda: Deferred.fromCoroutine(fleet.close()))
+        listed = await self.call(fleet.platform.port, "GET", "/instances")
+        members = listed.value["instances"]
+        assert [(member["id"], member["data_centre"]) for member in members] == [
+            ("lm-1", "dc-a"),
+            ("lm-2", "dc-b"),
+            ("lm-3", "dc-c"),
+            ("lm-4", "dc-a"),
+            ("gate-1", "dc-a"),
+            ("gate-2", "dc-b"),
+        ]
+        for member in members:
+            load = await self.call(member["port"], "GET", "/load")
+            assert load.value["running"] == 0
--- /dev/null
+++ b/tests/test_standin_models.py
@@ -0,0 +1,307 @@
+"""Test the parts of the stand-ins that need no sockets."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from papayapier.clock import fake_clock
+from papayapier.standin.answers import expected_text, words
+from papayapier.standin.engine_steps import Batch, EngineParams, Sequence
+from papayapier.standin.instances import EXPIRY_MS, Instances
+from papayapier.standin.limits import BURST_MS, Bucket
+from papayapier.standin.load_report import LaggedReports, LoadReport
+from papayapier.standin.objects import Objects
+from papayapier.standin.orders import Order, Orders
+from papayapier.standin.prefix_cache import (
+    BLOCK_TOKENS,
+    CacheParams,
+    PrefixCache,
+    block_names,
+)
+from papayapier.standin.switches import Control, Mode, Switches, read_control
+from papayapier.standin.timers import Timers
+from papayapier.store.api import Change, Changes, Member, StoreError
+
+KEYS = st.sampled_from(["a", "a/b", "a/c", "b", "b/x"])
+STEPS = st.lists(st.tuples(st.sampled_from(["create", "update", "delete"]), KEYS), max_size=30)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=80)
+@given(STEPS)
+def test_objects_agree_with_a_plain_model(steps: list[tuple[str, str]]) -> None:
+    objects = Objects(history=1_000)
+    model: dict[str, int] = {}
+    changes: list[Change] = []
+    for number, (step, key) in enumerate(steps):
+        value = str(number).encode()
+        version = model.get(key, number + 1_000)
+        if step == "create":
+            result = objects.create(key, value)
+        elif step == "update":
+            result = objects.update(key, value, version)
+        else:
+            result = objects.delete(key, version)
+        if (key in model) == (step == "create"):
+            assert result == Err(StoreError.CONFLICT)
+            continue
+        revision = len(changes) + 1
+        assert result == Ok(revision)
+        changes.append(Change(key, revision, step == "delete"))
+        model[key] = revision
+        if step == "delete":
+            del model[key]
+    assert objects.revision == len(changes)
+    assert dict(objects.list("", "", 1_000).objects) == model
+    latest = {change.key: change for change in changes if change.key.startswith("a")}
+    expected = sorted(latest.values(), key=lambda change: change.version)
+    assert objects.changes("a", 0) == Ok(Changes(expected, len(changes)))
+
+
+def test_listing_is_paged_in_key_order() -> None:
+    objects = Objects(history=10)
+    for key in ("p/3", "q", "p/1", "p/2", "o"):
+        objects.create(key, b"")
+    first = objects.list("p/", "", 2)
+    assert [entry.key for entry in first.objects] == ["p/1", "p/2"]
+    assert first.more
+    second = objects.list("p/", "p/2", 2)
+    assert [entry.key for entry in second.objects] == ["p/3"]
+    assert not second.more
+
+
+def test_watch_older_than_the_history_must_list_again() -> None:
+    objects = Objects(history=2)
+    for key in ("a", "b", "c"):
+        objects.create(key, b"")
+    assert objects.changes("", 0) == Err(StoreError.TOO_OLD)
+    assert objects.changes("", 1) == Ok(Changes([Change("b", 2, False), Change("c", 3, False)], 3))
+    assert objects.changes("", 4) == Err(StoreError.TOO_OLD)
+
+
+def make_member(name: str, state: str = "live", static: bool = False) -> Member:
+    return Member(name, "entry", "", "127.0.0.1", 1, 2, "dc-a", "r", state, static)
+
+
+def test_instance_list_lags_and_drops_the_silent() -> None:
+    fake = fake_clock()
+    told: list[int] = []
+    instances = Instances(fake.clock, lambda: 500, lambda: told.append(instances.revision))
+    instances.report(make_member("one"))
+    instances.report(make_member("two", static=True))
+    fake.advance(499)
+    assert instances.shown() == []
+    fake.advance(1)
+    assert [member.id for member in instances.shown()] == ["one", "two"]
+    instances.report(make_member("one"))
+    assert len(told) == 2
+    fake.advance(EXPIRY_MS)
+    assert [member.id for member in instances.shown()] == ["one", "two"]
+    fake.advance(500)
+    assert [member.id for member in instances.shown()] == ["two"]
+    instances.withdraw("two")
+    fake.advance(500)
+    assert instances.shown() == []
+
+
+def test_outage_drops_no_instance() -> None:
+    # Symptom: after an outage of the platform the instance list was empty.
+    # Sequence: the reports of all instances failed for longer than their expiry.
+    # Cause: the platform blamed the instances for its own outage.
+    fake = fake_clock()
+    instances = Instances(fake.clock, lambda: 0, lambda: None)
+    instances.report(make_member("one"))
+    instances.pause_expiry()
+    fake.advance(3 * EXPIRY_MS)
+    instances.resume_expiry()
+    assert [member.id for member in instances.shown()] == ["one"]
+    fake.advance(EXPIRY_MS)
+    assert instances.shown() == []
+
+
+def test_bucket_allows_a_burst_and_then_the_rate() -> None:
+    fake = fake_clock()
+    bucket = Bucket(fake.clock)
+    rate = 100
+    burst = rate * BURST_MS // 1_000
+    assert sum(bucket.take(rate) for _ in range(rate)) == burst
+    fake.advance(100)
+    assert sum(bucket.take(rate) for _ in range(rate)) == rate // 10
+    assert all(bucket.take(0) for _ in range(rate))
+
+
+class Engine:
+    """Hold a batch and note which sequences made a token, by name."""
+
+    def __init__(self, params: EngineParams) -> None:
+        self.cache = PrefixCache(params.cache, lambda: 0, random.Random(1))
+        self.batch = Batch(params, self.cache)
+        self.started: list[str] = []
+        self.made: list[str] = []
+
+    def submit(self, name: str, tokens: int, prompt: str = "p", stride: int = 1) -> Sequence:
+        split = prompt.split()
+        seq = Sequence(
+            blocks=block_names(split),
+            prompt_tokens=len(split),
+            left=tokens,
+            on_start=lambda: self.started.append(name),
+            on_token=lambda last: self.made.append(name.upper() if last else name),
+            stride=stride,
+        )
+        self.batch.submit(seq)
+        return seq
+
+    def step(self) -> tuple[float | None, str]:
+        """Run one step; return its length, and who made tokens (upper case: their last)."""
+        self.made.clear()
+        length = self.batch.begin_step()
+        self.batch.end_step()
+        return length, "".join(self.made)
+
+
+PLAIN = EngineParams(slots=2, base_ms=5.0, per_sequence_ms=1.0, prefill_ms=0.0)
+
+
+def test_step_grows_with_running_sequences_and_others_wait_in_order() -> None:
+    engine = Engine(PLAIN)
+    engine.submit("a", 2)
+    assert engine.step() == (6.0, "a")
+    for name in "bcd":
+        engine.submit(name, 2)
+    assert (engine.batch.running, engine.batch.waiting) == (1, 3)
+    assert engine.step() == (7.0, "Ab")
+    assert engine.step() == (7.0, "Bc")
+    assert engine.step() == (7.0, "Cd")
+    assert engine.step() == (6.0, "D")
+    assert engine.step() == (None, "")
+    assert engine.started == ["a", "b", "c", "d"]
+    assert engine.batch.kv_used == 0
+
+
+def test_removed_sequence_frees_its_slot() -> None:
+    engine = Engine(PLAIN)
+    running = engine.submit("a", 9)
+    engine.step()
+    waiting = engine.submit("b", 9)
+    assert engine.batch.remove(running)
+    assert engine.batch.remove(waiting)
+    assert not engine.batch.remove(running)
+    assert engine.step() == (None, "")
+    assert engine.started == ["a"]
+
+
+def test_full_kv_cache_makes_the_next_wait() -> None:
+    engine = Engine(PLAIN._replace(kv_total=10))
+    engine.submit("a", 4, prompt="1 2 3")
+    engine.submit("b", 4, prompt="1 2 3")
+    assert engine.step() == (6.0, "a")
+    assert engine.batch.waiting == 1
+
+
+def test_late_sequence_makes_a_token_every_third_step() -> None:
+    engine = Engine(PLAIN)
+    engine.submit("a", 2, stride=3)
+    assert [engine.step()[1] for _ in range(6)] == ["", "", "a", "", "", "A"]
+
+
+def test_cached_prefix_saves_prefill_and_long_prompts_are_cut() -> None:
+    prompt = " ".join(str(i) for i in range(3 * BLOCK_TOKENS))
+    engine = Engine(PLAIN._replace(prefill_ms=1.0, prefill_per_step=32))
+    engine.submit("a", 1, prompt)
+    assert engine.step() == (6.0 + 32, "")
+    assert engine.step() == (6.0 + 16, "A")
+    engine.submit("b", 1, prompt)
+    assert engine.step() == (6.0 + 1, "B")
+    engine.submit("c", 1, prompt.rsplit(" ", 1)[0] + " other")
+    assert engine.step() == (6.0 + 16, "C")
+
+
+def test_cache_is_limited_and_its_events_are_late_with_gaps() -> None:
+    now = [0]
+    params = CacheParams(blocks=2, event_lag_ms=100, event_loss=0.5)
+    cache = PrefixCache(params, lambda: now[0], random.Random(3))
+    names = [str(i) for i in range(20)]
+    for name in names:
+        cache.store([name])
+    assert [cache.match([name]) for name in names[-3:]] == [0, BLOCK_TOKENS, BLOCK_TOKENS]
+    assert cache.events_since(0) == ([], 0)
+    now[0] = 100
+    events, following = cache.events_since(0)
+    numbers = [event.seq for event in events]
+    assert numbers == sorted(set(numbers))
+    assert 0 < len(numbers) < 38
+    assert following == numbers[-1] + 1
+    assert cache.events_since(following) == ([], following)
+
+
+def test_load_report_shows_the_past() -> None:
+    empty = LoadReport(0, 0, 4, 0, 0, 5.0, 0)
+    reports = LaggedReports(200, empty)
+    reports.add(empty._replace(running=1, at_ms=100))
+    assert [reports.get(now).running for now in (100, 299, 300)] == [0, 0, 1]
+    reports.add(empty._replace(running=2, at_ms=300))
+    assert [reports.get(now).running for now in (300, 499, 500)] == [1, 1, 2]
+    assert reports.get(900).at_ms == 700
+
+
+def make_order(ident: str, fence: int, kind: str = "load_model", name: str = "new") -> Order:
+    return Order(order_id=ident, fence=fence, kind=kind, name=name)  # type: ignore[typeddict-item]
+
+
+def test_orders_are_fenced_where_the_engine_checks() -> None:
+    fake = fake_clock()
+    loaded: list[bool] = []
+    for checks, accepted in ((True, [True, False]), (False, [True, True])):
+        params = EngineParams(checks_fence=checks, order_ms=300)
+        orders = Orders(params, Timers(fake.clock), lambda: loaded.append(True))
+        assert [orders.take(make_order("x", 5)), orders.take(make_order("y", 4))] == accepted
+    assert orders.times == {"x": 1, "y": 1}
+    assert orders.loading == 2
+    assert orders.state.models == ["base"]
+    fake.advance(300)
+    assert orders.loading == 0
+    assert orders.state.models == ["base", "new"]
+    assert len(loaded) == 3
+
+
+def test_each_order_kind_changes_its_part() -> None:
+    fake = fake_clock()
+    orders = Orders(EngineParams(), Timers(fake.clock), lambda: None)
+    for number, kind in enumerate(("load_adapter", "load_version", "change_role")):
+        orders.take(make_order(str(number), number, kind, kind))
+    assert orders.loading == 2
+    fake.advance(EngineParams().order_ms)
+    state = orders.state
+    assert (state.adapters, state.version, state.role) == (
+        ["load_adapter"],
+        "load_version",
+        "change_role",
+    )
+    orders.restart()
+    assert orders.state.fence == 2
+    assert orders.state.orders == []
+
+
+def test_switches_count_down() -> None:
+    switches = Switches()
+    switches.merge(Control(mode=Mode.HANG, times=2))
+    modes = [switches.take() for _ in range(3)]
+    assert modes == [Mode.HANG, Mode.HANG, Mode.OK]
+    switches.merge(Control(mode=Mode.LATE))
+    assert [switches.take() for _ in range(3)] == [Mode.LATE] * 3
+
+
+def test_bad_switches_are_refused() -> None:
+    bad = (b"{", b'{"mode":"odd"}', b'{"mod":"ok"}', b'{"slow_factor":0}', b'{"times":-1}')
+    assert all(isinstance(read_control(body), Err) for body in bad)
+    assert read_control(b'{"mode":"late","times":1}') == Ok({"mode": Mode.LATE, "times": 1})
+
+
+def test_answers_differ_by_prompt_and_can_be_resumed() -> None:
+    whole = expected_text("one", 9).split()
+    assert len(set(whole)) == 9
+    assert set(whole).isdisjoint(expected_text("two", 9).split())
+    rest = iter(words("one", 4))
+    assert [next(rest) for _ in range(5)] == whole[4:]
