--- a/papayapier/batch/api.py
+++ b/papayapier/batch/api.py
@@ -1,12 +1,18 @@
 """Define what the batch package needs from the rest of the program."""
 
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 from result import Result
 
+from papayapier.clock import Clock
 from papayapier.config.profiles import Profile
 from papayapier.errors import Refusal
+from papayapier.metrics import Metrics
+from papayapier.peer.messages import Message
+from papayapier.settings import BatchSettings
+from papayapier.store.api import Store
 from papayapier.upstream.api import Reply
 
 
@@ -39,3 +45,23 @@
     room: Callable[[str], int]
     run: Callable[[ItemCall], Awaitable[Result[Reply, Refusal]]]
     watch_room: Callable[[Callable[[], None]], None]
+
+
+class BatchDeps(NamedTuple):
+    """Group what batch work needs of the rest of the program.
+
+    instance and boot together name this run of the instance. profile looks one up by name.
+    live_instances lists the instances that the platform shows as live, this one included.
+    """
+
+    clock: Clock
+    rand: random.Random
+    store: Store
+    dispatch: BatchDispatch
+    cfg: BatchSettings
+    instance: str
+    boot: int
+    profile: Callable[[str], Profile | None]
+    live_instances: Callable[[], Sequence[str]]
+    tell_peers: Callable[[Message], object]
+    metrics: Metrics
--- /dev/null
+++ b/papayapier/batch/commits.py
@@ -0,0 +1,201 @@
+"""Store what open tasks have to keep: checkpoints, spilled parts and final results.
+
+A task has one write under way at most, and the same bytes are offered until the store has
+taken or refused them. That is what settles an answer that was lost: a new value offered on
+top of an unknown version would conflict with the task's own earlier write.
+
+When the store does not answer, the writes wait here, a few at a time asking again after
+growing random pauses, so that the store is not overrun when it returns.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+from twisted.internet.defer import DeferredSemaphore
+
+from papayapier import codec, events
+from papayapier.batch import background, keys, saves
+from papayapier.batch.records import SPILL_BYTES, JobState, Tally
+from papayapier.batch.work import OpenTask
+from papayapier.invariants import Promise, check
+from papayapier.store.api import StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+
+SAVES_AT_ONCE: Final = 4
+FIRST_CHECKPOINT_MS: Final = 15_000
+LONGEST_CHECKPOINT_MS: Final = 300_000
+
+
+class CommitCalls(NamedTuple):
+    """Group what commits ask of and tell the runner.
+
+    may_commit tells whether the lease of a shard is held now. saved tells that items may have
+    become startable; recorded that a task's results are stored; given_up that a task being
+    handed over has nothing left to store; lost that another holder has the task.
+    """
+
+    may_commit: Callable[[int], bool]
+    saved: Callable[[OpenTask], None]
+    recorded: Callable[[OpenTask, Tally], None]
+    given_up: Callable[[OpenTask], None]
+    lost: Callable[[OpenTask], None]
+
+
+class Commits:
+    """Store the progress and results of open tasks."""
+
+    def __init__(self, deps: "BatchDeps", holder: str, calls: CommitCalls) -> None:
+        self._deps = deps
+        self._holder = holder
+        self._calls = calls
+        self._writes = 0
+        self._slots = DeferredSemaphore(SAVES_AT_ONCE)
+        self._delayed = False
+
+    def on_opened(self, task: OpenTask) -> None:
+        """Set the time of a new task's first checkpoint."""
+        self._set_next_checkpoint(task)
+
+    def kick(self, task: OpenTask) -> None:
+        """Store what the task has to store, unless that is under way."""
+        if not task.saving and self._wants(task):
+            task.saving = True
+            background.start(self._run(task), f"saves of {_name(task)}")
+
+    async def _run(self, task: OpenTask) -> None:
+        try:
+            while self._wants(task):
+                await self._slots.acquire()
+                try:
+                    await self._store_next(task)
+                finally:
+                    self._slots.release()
+        finally:
+            task.saving = False
+
+    def _wants(self, task: OpenTask) -> bool:
+        if not self._allowed(task):
+            return False
+        state = task.state
+        if state.left() == 0 or state.must_save() or state.held_bytes > SPILL_BYTES:
+            return True
+        if task.stopping and not task.running:
+            return True
+        return state.has_news() and self._deps.clock.now() >= task.checkpoint_at
+
+    def _allowed(self, task: OpenTask) -> bool:
+        running = task.job.record.state is JobState.RUNNING
+        return not task.closed and running and self._calls.may_commit(task.shard)
+
+    async def _store_next(self, task: OpenTask) -> None:
+        if not self._wants(task):
+            return
+        if task.state.held_bytes > SPILL_BYTES:
+            await self._spill(task)
+        elif task.state.left() == 0:
+            await self._record(task)
+        elif task.stopping and not task.running:
+            await self._give_up(task)
+        else:
+            await self._checkpoint(task, withdraw=False)
+
+    async def _give_up(self, task: OpenTask) -> None:
+        """Store the progress for the next holder, without intents that were not sent."""
+        if task.state.unstored() and not await self._checkpoint(task, withdraw=True):
+            return
+        self._calls.given_up(task)
+
+    async def _checkpoint(self, task: OpenTask, withdraw: bool) -> bool:
+        checkpoint = task.state.snapshot(self._next_writer(), task.fence, withdraw)
+        value = codec.pack(checkpoint)
+        key = keys.progress_key(task.job.record.job_id, task.span.task)
+        done = await self._offer(task, key, value, task.version)
+        if isinstance(done, Err):
+            self._on_conflict(task, done.err_value)
+            return False
+        task.version = done.ok_value
+        task.state.on_saved(done.ok_value)
+        self._set_next_checkpoint(task)
+        self._calls.saved(task)
+        return True
+
+    def _set_next_checkpoint(self, task: OpenTask) -> None:
+        """Double the time to the next checkpoint.
+
+        A loss then repeats at most about half of the work of a task, and a task that takes
+        an hour costs a few writes and not hundreds.
+        """
+        pause = task.checkpoint_pause * 2 or FIRST_CHECKPOINT_MS
+        task.checkpoint_pause = min(LONGEST_CHECKPOINT_MS, pause)
+        task.checkpoint_at = self._deps.clock.now() + task.checkpoint_pause
+
+    async def _spill(self, task: OpenTask) -> None:
+        results = task.state.take_spill()
+        writer = self._next_writer().replace("/", ".")
+        key = keys.spill_key(task.job.record.job_id, task.span.task, writer)
+        done = await self._offer(task, key, codec.pack(results), 0)
+        if isinstance(done, Err):
+            self._on_conflict(task, done.err_value)
+            return
+        task.state.on_spilled(key)
+
+    async def _record(self, task: OpenTask) -> None:
+        job_id = task.job.record.job_id
+        final = task.state.final(self._next_writer(), task.fence)
+        key = keys.results_key(job_id, task.span.task)
+        done = await self._offer(task, key, codec.pack(final), 0)
+        if isinstance(done, Err):
+            self._on_conflict(task, done.err_value)
+            return
+        self._calls.recorded(task, final.tally)
+
+    def _on_conflict(self, task: OpenTask, error: StoreError) -> None:
+        if task.closed:
+            return
+        if error is StoreError.CONFLICT:
+            events.emit(events.TASK_SUPERSEDED, job=task.job.record.job_id, task=task.span.task)
+        self._calls.lost(task)
+
+    async def _offer(
+        self, task: OpenTask, key: str, value: bytes, version: int
+    ) -> Result[int, StoreError]:
+        """Offer one value until the store has taken or refused it, or the task is dropped."""
+        pauses = saves.Pauses(self._deps.rand)
+        maybe_taken = False
+        while True:
+            if not self._allowed(task):
+                if task.closed or task.job.record.state is not JobState.RUNNING:
+                    return Err(StoreError.LOST)
+                await self._deps.clock.sleep(pauses.next_ms())
+                continue
+            self._check_cancel(task)
+            done = await saves.save(self._deps.store, key, value, version, maybe_taken)
+            if isinstance(done, Ok) or done.err_value not in saves.BUSY:
+                self._note(delayed=False)
+                return done
+            maybe_taken = maybe_taken or done.err_value is StoreError.LOST
+            self._note(delayed=True)
+            await self._deps.clock.sleep(pauses.next_ms())
+
+    def _check_cancel(self, task: OpenTask) -> None:
+        check(
+            task.job.record.state is JobState.RUNNING,
+            Promise.CANCEL_STOPS,
+            job=task.job.record.job_id,
+        )
+
+    def _note(self, delayed: bool) -> None:
+        if delayed and not self._delayed:
+            events.emit(events.COMMIT_DELAYED)
+        self._delayed = delayed
+
+    def _next_writer(self) -> str:
+        self._writes += 1
+        return f"{self._holder}/{self._writes}"
+
+
+def _name(task: OpenTask) -> str:
+    return f"task {task.span.task} of {task.job.record.job_id}"
--- /dev/null
+++ b/papayapier/batch/ending.py
@@ -0,0 +1,193 @@
+"""Count and end the jobs whose home shard this instance holds.
+
+The end is arbitrated by the job's record: it goes from running to ending, or to cancelling,
+by one conditional update, so that a cancel and the end of a job cannot both win. After that
+every step can be repeated by whoever holds the home shard: mark the expiry, create the ended
+record, delete the active one.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok
+
+from papayapier import codec, events
+from papayapier.batch import keys, saves
+from papayapier.batch.opening import OpenError, read_results
+from papayapier.batch.records import Checkpoint, JobRecord, JobState, Tally
+from papayapier.batch.registry import JobRegistry, list_keys
+from papayapier.batch.results import cancelled_tally, view_task
+from papayapier.batch.work import JobWork
+from papayapier.peer.messages import JobChanged
+from papayapier.store.api import StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+
+JOB_KIND: Final = "job"
+MARK: Final = b"1"
+LOOK_SHARE: Final = 10
+SHORTEST_LOOK_MS: Final = 500
+LONGEST_LOOK_MS: Final = 10_000
+ROUND_MS: Final = 100
+
+
+class Ender:
+    """End jobs, one at a time."""
+
+    def __init__(
+        self,
+        deps: "BatchDeps",
+        holder: str,
+        registry: JobRegistry,
+        holds_shard: Callable[[int], bool],
+    ) -> None:
+        self._deps = deps
+        self._holder = holder
+        self._registry = registry
+        self._holds_shard = holds_shard
+
+    async def run(self) -> None:
+        """Look after the jobs at home here until cancelled."""
+        while True:
+            await self._deps.clock.sleep(ROUND_MS)
+            for job in list(self._registry.jobs.values()):
+                if self._holds_shard(job.home) and self._is_due(job):
+                    await self._look(job)
+
+    def _is_due(self, job: JobWork) -> bool:
+        return self._deps.clock.now() >= job.next_look_ms
+
+    async def _look(self, job: JobWork) -> None:
+        now = self._deps.clock.now()
+        # Looking is one listing; its pace follows the age of the job, so that its cost does
+        # not grow with the time a job takes, and a short job ends without much delay.
+        pause = (now - job.seen_ms) // LOOK_SHARE
+        job.next_look_ms = now + max(SHORTEST_LOOK_MS, min(LONGEST_LOOK_MS, pause))
+        if job.record.state is JobState.CANCELLING:
+            await self._end_cancelled(job)
+            return
+        if job.record.state is JobState.ENDING:
+            await self._close(job, job.record._replace(state=JobState.COMPLETED))
+            return
+        if not job.whole() and not await refresh_done(self._deps, job):
+            return
+        if job.whole():
+            await self._end_completed(job)
+
+    async def _end_completed(self, job: JobWork) -> None:
+        tally = await self._count_recorded(job)
+        if tally is None:
+            return
+        now = self._deps.clock.wall()
+        record = job.record._replace(state=JobState.ENDING, tally=tally, tally_ms=now, ended_ms=now)
+        key = keys.active_key(record.job_id)
+        done = await saves.update(self._deps.store, key, codec.pack(record), job.version)
+        if isinstance(done, Err):
+            # Another instance ended or cancelled it, or the answer was lost: read it again.
+            await self._registry.read(record.job_id)
+            return
+        self._registry.take(record, done.ok_value)
+        await self._close(job, record._replace(state=JobState.COMPLETED))
+
+    async def _count_recorded(self, job: JobWork) -> Tally | None:
+        """Sum the tallies of all tasks; those recorded elsewhere are read."""
+        for task in range(len(job.spans)):
+            if task in job.tallies:
+                continue
+            read = await read_results(self._deps.store, job.record.job_id, task)
+            if isinstance(read, Err):
+                self._report(job, read.err_value)
+                return None
+            job.tallies[task] = read.ok_value.tally
+        return sum_tallies(job.tallies.values())
+
+    async def _end_cancelled(self, job: JobWork) -> None:
+        tally = Tally()
+        for span in job.spans:
+            if not job.record.profile.idempotent and not await self._seal(job, span.task):
+                return
+            view = await view_task(self._deps.store, job.record, span, job.version)
+            if isinstance(view, Err):
+                self._report(job, view.err_value)
+                return
+            tally = tally.plus(cancelled_tally(job.record, view.ok_value))
+        record = job.record._replace(
+            state=JobState.CANCELLED,
+            tally=tally,
+            tally_ms=self._deps.clock.wall(),
+            ended_ms=self._deps.clock.wall(),
+            cancel_version=job.version,
+        )
+        await self._close(job, record)
+
+    async def _seal(self, job: JobWork, task: int) -> bool:
+        """Take the next version of a checkpoint, so that no holder can add an intent to it.
+
+        A holder that was paused through the cancel could else still store an intent and
+        send the item, and the job's final count would be wrong.
+        """
+        key = keys.progress_key(job.record.job_id, task)
+        read = await self._deps.store.get(key)
+        writer = f"{self._holder}/seal-{self._deps.rand.getrandbits(32):08x}"
+        if isinstance(read, Err):
+            if read.err_value is not StoreError.NOT_FOUND:
+                return False
+            sealed = Checkpoint(writer, 0, 0, [], [], [], [], [])
+            done = await saves.create(self._deps.store, key, codec.pack(sealed))
+            return isinstance(done, Ok)
+        stored = read.ok_value
+        checkpoint = codec.unpack(stored.value, Checkpoint)
+        if isinstance(checkpoint, Err):
+            return False
+        versions = [*checkpoint.ok_value.versions, stored.version]
+        sealed = checkpoint.ok_value._replace(writer=writer, versions=versions)
+        value = codec.pack(sealed)
+        done = await saves.update(self._deps.store, key, value, stored.version)
+        return isinstance(done, Ok)
+
+    async def _close(self, job: JobWork, record: JobRecord) -> None:
+        """Move the record of a job to where the ended ones are kept."""
+        expires = record.ended_ms + self._deps.cfg.retention_ms
+        record = record._replace(expires_ms=expires)
+        store = self._deps.store
+        mark = keys.expiry_key(expires, JOB_KIND, record.job_id)
+        marked = await saves.create(store, mark, MARK)
+        if isinstance(marked, Err) and marked.err_value is not StoreError.CONFLICT:
+            return
+        ended = await saves.create(store, keys.ended_key(record.job_id), codec.pack(record))
+        if isinstance(ended, Err) and ended.err_value is not StoreError.CONFLICT:
+            return
+        await saves.delete(store, keys.active_key(record.job_id), job.version)
+        if isinstance(ended, Ok):
+            events.emit(
+                events.JOB_ENDED,
+                job=record.job_id,
+                state=record.state.value,
+                **record.tally._asdict(),
+            )
+        self._deps.tell_peers(JobChanged(record.job_id, job.version))
+        await self._registry.read(record.job_id)
+
+    def _report(self, job: JobWork, error: OpenError) -> None:
+        if not isinstance(error, StoreError):
+            events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
+
+
+async def refresh_done(deps: "BatchDeps", job: JobWork) -> bool:
+    """List which tasks of a job are recorded; False says that the store did not answer."""
+    listed = await list_keys(deps, keys.results_prefix(job.record.job_id))
+    if isinstance(listed, Err):
+        return False
+    for name in listed.ok_value.versions:
+        job.on_done(int(name), None)
+    job.listed = True
+    return True
+
+
+def sum_tallies(tallies: Iterable[Tally]) -> Tally:
+    """Return the sum of tallies."""
+    total = Tally()
+    for tally in tallies:
+        total = total.plus(tally)
+    return total
--- /dev/null
+++ b/papayapier/batch/files.py
@@ -0,0 +1,205 @@
+"""Take in an uploaded file: stream it into chunk objects, then create its record.
+
+Nothing of a file counts until its record exists, and the record is written last. What an
+abandoned upload leaves behind is found by its expiry mark, which is written first.
+
+Memory is bounded by one chunk, one line and 16 bytes an item. Each feed() returns only when
+the chunks it filled are stored, so a fast client waits for the store and not in memory.
+"""
+
+import hashlib
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec, events
+from papayapier.batch import keys, saves
+from papayapier.batch.ids import IdIndex
+from papayapier.batch.lines import LineError, LineSplitter, endpoint_of, parse_line
+from papayapier.batch.records import CHUNK_BYTES, LINE_BYTES, FileRecord, InputItem
+from papayapier.errors import ErrorKind, Refusal, not_run
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+
+STORE_PATIENCE_MS: Final = 10_000
+MAX_ENDPOINTS: Final = 32
+ITEM_OVERHEAD: Final = 16
+FILE_KIND: Final = "file"
+MARK: Final = b"1"
+
+
+class FileHead(NamedTuple):
+    """Name a file that is being taken in."""
+
+    file_id: str
+    caller: str
+    name: str
+    purpose: str
+    created_ms: int
+    expires_ms: int
+
+
+class FileIntake:
+    """Store one file while it streams in."""
+
+    __slots__ = (
+        "_blank_line",
+        "_byte_count",
+        "_chunk_bytes",
+        "_counts",
+        "_deps",
+        "_endpoints",
+        "_index",
+        "_items",
+        "_line",
+        "_sha256",
+        "_splitter",
+        "head",
+    )
+
+    def __init__(self, deps: "BatchDeps", caller: str, name: str, purpose: str) -> None:
+        now = deps.clock.wall()
+        file_id = f"file-{deps.rand.getrandbits(128):032x}"
+        self.head = FileHead(file_id, caller, name, purpose, now, now + deps.cfg.retention_ms)
+        self._deps = deps
+        self._splitter = LineSplitter()
+        self._line = 0
+        self._blank_line = 0
+        self._items: list[InputItem] = []
+        self._chunk_bytes = 0
+        self._counts: list[int] = []
+        self._endpoints: set[str] = set()
+        self._index = IdIndex()
+        self._sha256 = hashlib.sha256()
+        self._byte_count = 0
+
+    async def feed(self, data: bytes) -> Refusal | None:
+        """Take the next bytes, and store the chunks that they fill."""
+        self._sha256.update(data)
+        self._byte_count += len(data)
+        for line in self._splitter.feed(data):
+            refusal = await self._take_line(line)
+            if refusal is not None:
+                return refusal
+        if self._splitter.too_long():
+            return self._refuse(LineError(self._line + 1, f"over {LINE_BYTES} bytes"))
+        return None
+
+    async def finish(self) -> Result[FileRecord, Refusal]:
+        """Store the rest and the record; from then on the file exists."""
+        refusal = await self._take_line(self._splitter.rest())
+        refusal = refusal or self._check_whole()
+        if refusal is None and self._items:
+            refusal = await self._store_chunk()
+        if refusal is None:
+            refusal = await self._store_index()
+        if refusal is not None:
+            return Err(refusal)
+        record = self._record()
+        refusal = await self._create(keys.file_key(record.file_id), codec.pack(record))
+        if refusal is not None:
+            return Err(refusal)
+        events.emit(
+            events.FILE_STORED, file=record.file_id, caller=record.caller, items=record.items()
+        )
+        return Ok(record)
+
+    async def _take_line(self, line: bytes) -> Refusal | None:
+        self._line += 1
+        parsed = parse_line(line, self._line)
+        if isinstance(parsed, Err):
+            return self._refuse(parsed.err_value)
+        item = parsed.ok_value
+        if item is None:
+            self._blank_line = self._blank_line or self._line
+            return None
+        # Blank lines may only end a file: then an item's place tells its line.
+        if self._blank_line:
+            return self._refuse(LineError(self._blank_line, "blank line between items"))
+        return await self._take_item(item)
+
+    async def _take_item(self, item: InputItem) -> Refusal | None:
+        if self._line > self._deps.cfg.max_items:
+            reason = f"line {self._line}: over {self._deps.cfg.max_items} items"
+            return not_run(ErrorKind.TOO_LARGE, reason)
+        self._endpoints.add(endpoint_of(item.url))
+        if len(self._endpoints) > MAX_ENDPOINTS:
+            return self._refuse(LineError(self._line, f"over {MAX_ENDPOINTS} endpoints"))
+        self._index.add(item.custom_id)
+        size = len(item.body) + len(item.custom_id) + len(item.url) + ITEM_OVERHEAD
+        refusal = None
+        if self._items and self._chunk_bytes + size > CHUNK_BYTES:
+            refusal = await self._store_chunk()
+        self._items.append(item)
+        self._chunk_bytes += size
+        if refusal is None and len(self._items) >= self._deps.cfg.chunk_items:
+            refusal = await self._store_chunk()
+        return refusal
+
+    async def _store_chunk(self) -> Refusal | None:
+        chunk = len(self._counts)
+        if chunk == 0:
+            head = self.head
+            mark = keys.expiry_key(head.expires_ms, FILE_KIND, head.file_id)
+            refusal = await self._create(mark, MARK)
+            if refusal is not None:
+                return refusal
+        refusal = await self._create(
+            keys.chunk_key(self.head.file_id, chunk), codec.pack(self._items)
+        )
+        self._counts.append(len(self._items))
+        self._items = []
+        self._chunk_bytes = 0
+        return refusal
+
+    def _check_whole(self) -> Refusal | None:
+        if not self._items and not self._counts:
+            return not_run(ErrorKind.BAD_REQUEST, "the file has no items")
+        duplicate = self._index.duplicate()
+        if duplicate is None:
+            return None
+        reason = f"custom_id: the same as on line {duplicate.first + 1}"
+        return self._refuse(LineError(duplicate.second + 1, reason))
+
+    async def _store_index(self) -> Refusal | None:
+        for block, hashes in enumerate(self._index.blocks()):
+            refusal = await self._create(keys.index_key(self.head.file_id, block), hashes)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def _record(self) -> FileRecord:
+        head = self.head
+        return FileRecord(
+            file_id=head.file_id,
+            caller=head.caller,
+            name=head.name,
+            purpose=head.purpose,
+            byte_count=self._byte_count,
+            sha256=self._sha256.hexdigest(),
+            chunks=self._counts,
+            endpoints=sorted(self._endpoints),
+            created_ms=head.created_ms,
+            expires_ms=head.expires_ms,
+            id_hashes=self._index.inline(),
+            id_blocks=len(self._index.blocks()),
+        )
+
+    async def _create(self, key: str, value: bytes) -> Refusal | None:
+        deps = self._deps
+        done = await saves.patiently(
+            deps.clock,
+            deps.rand,
+            STORE_PATIENCE_MS,
+            lambda: saves.create(deps.store, key, value),
+        )
+        if isinstance(done, Ok):
+            return None
+        return not_run(ErrorKind.STORE_UNAVAILABLE, f"the file is not stored: {done.err_value}")
+
+    def _refuse(self, error: LineError) -> Refusal:
+        events.emit(
+            events.FILE_REFUSED, caller=self.head.caller, line=error.line, reason=error.reason
+        )
+        return not_run(ErrorKind.BAD_REQUEST, f"line {error.line}: {error.reason}")
--- /dev/null
+++ b/papayapier/batch/ids.py
@@ -0,0 +1,83 @@
+"""Find the place of a custom id in a file, and find ids that are used twice.
+
+Only 64-bit hashes are kept, in the order of the items: 6 MB for 750,000 items, where a set
+of the ids would take ten times that. Two different ids of one file share a hash with a
+probability under one in 60 million at that size; such a file would be refused as having a
+duplicate, which is safe. A lookup by hash is confirmed by comparing the id itself.
+"""
+
+from array import array
+from typing import Final, NamedTuple
+
+import xxhash
+
+BLOCK_IDS: Final = 100_000
+INLINE_IDS: Final = 4_096
+HASH_BYTES: Final = 8
+BUCKETS: Final = 256
+
+
+class Duplicate(NamedTuple):
+    """Name two items, counted from 0, with the same custom id."""
+
+    first: int
+    second: int
+
+
+class IdIndex:
+    """Collect the hashes of a file's custom ids in order."""
+
+    __slots__ = ("_buckets", "_hashes")
+
+    def __init__(self) -> None:
+        self._hashes = array("Q")
+        # Small buckets make the search for duplicates cheap in time and memory: each is
+        # compared as a set of its own, one after the other.
+        self._buckets = [array("Q") for _ in range(BUCKETS)]
+
+    def add(self, custom_id: str) -> None:
+        """Add the next item's id."""
+        digest = _digest(custom_id)
+        self._hashes.append(digest)
+        self._buckets[digest % BUCKETS].append(digest)
+
+    def duplicate(self) -> Duplicate | None:
+        """Return two items with the same id, if there are any."""
+        for bucket in self._buckets:
+            if len(set(bucket)) < len(bucket):
+                return self._locate(bucket)
+        return None
+
+    def inline(self) -> bytes:
+        """Return the whole index when it is small enough for the file's record."""
+        return self._hashes.tobytes() if len(self._hashes) <= INLINE_IDS else b""
+
+    def blocks(self) -> list[bytes]:
+        """Return the index in blocks when it is too large for the file's record."""
+        if len(self._hashes) <= INLINE_IDS:
+            return []
+        starts = range(0, len(self._hashes), BLOCK_IDS)
+        return [self._hashes[start : start + BLOCK_IDS].tobytes() for start in starts]
+
+    def _locate(self, bucket: "array[int]") -> Duplicate:
+        seen: set[int] = set()
+        for digest in bucket:
+            if digest in seen:
+                first = self._hashes.index(digest)
+                return Duplicate(first, self._hashes.index(digest, first + 1))
+            seen.add(digest)
+        raise AssertionError("bucket without a duplicate")
+
+
+def find(block: bytes, custom_id: str) -> int | None:
+    """Return the place of an id in a block of hashes."""
+    hashes = array("Q")
+    hashes.frombytes(block)
+    try:
+        return hashes.index(_digest(custom_id))
+    except ValueError:
+        return None
+
+
+def _digest(custom_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(custom_id.encode())
--- /dev/null
+++ b/papayapier/batch/jobs.py
@@ -0,0 +1,263 @@
+"""Accept, find and cancel jobs.
+
+Creating the active record is the moment of acceptance: the input file is whole in the store
+by then, and the record names everything else that running the job needs. The id of a job
+with an idempotency key is made from its caller and key, so that the same request sent again,
+to any instance, meets the same record.
+"""
+
+import hashlib
+import re
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec, events
+from papayapier.batch import keys, saves
+from papayapier.batch.lookup import RETRY_AFTER_MS, FoundJob, find_file, find_job, unavailable
+from papayapier.batch.records import FileRecord, JobRecord, JobState
+from papayapier.batch.tasks import task_items
+from papayapier.errors import ErrorKind, Refusal, not_run, unknown
+from papayapier.peer.messages import JobChanged
+from papayapier.store.api import StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.batch.registry import JobRegistry
+    from papayapier.config.profiles import Profile
+
+WINDOW: Final = re.compile(r"^([1-9][0-9]{0,5})([smhd])$")
+UNIT_MS: Final = {"s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+STORE_PATIENCE_MS: Final = 3_000
+FILE_MARGIN_MS: Final = 600_000
+MAX_METADATA: Final = 16
+CANCEL_TRIES: Final = 5
+
+
+class JobRequest(NamedTuple):
+    """Hold what a caller asks for; due_ms is 0 when it is not stated."""
+
+    caller: str
+    key: str
+    file_id: str
+    endpoint: str
+    window: str
+    metadata: dict[str, str]
+    profile: str
+    due_ms: int
+
+
+class Jobs:
+    """Serve the requests about jobs."""
+
+    def __init__(self, deps: "BatchDeps", registry: "JobRegistry") -> None:
+        self._deps = deps
+        self._registry = registry
+
+    async def accept(self, req: JobRequest) -> Result[FoundJob, Refusal]:
+        """Accept a job, or find the one that the same request made before."""
+        if req.key:
+            # This comes before any check of the request: the file or the profile of a job
+            # accepted before may be gone, and "not run" would be untrue.
+            found = await self._find_sent_before(req)
+            if found is not None:
+                return found
+        return await self._accept_new(req)
+
+    async def _find_sent_before(self, req: JobRequest) -> Result[FoundJob, Refusal] | None:
+        found = await find_job(self._deps, req.caller, _job_id(req.caller, req.key))
+        if isinstance(found, Ok):
+            return await self._same(req, found.ok_value)
+        if found.err_value.kind is ErrorKind.NOT_FOUND:
+            return None
+        reason = "whether a job with this key was accepted before is not known"
+        return Err(unknown(found.err_value.kind, reason, RETRY_AFTER_MS))
+
+    async def _same(self, req: JobRequest, found: FoundJob) -> Result[FoundJob, Refusal]:
+        """Compare a request with the job that has its key.
+
+        The file counts by its content: a client that believes a job failed may upload the
+        same file again, under a new id.
+        """
+        record = found.record
+        same = record.request_sha256 == _request_sha256(req)
+        if same and record.file_id != req.file_id:
+            file = await find_file(self._deps, req.caller, req.file_id)
+            same = isinstance(file, Ok) and file.ok_value.sha256 == record.file_sha256
+        if not same:
+            reason = f"the key belongs to job {record.job_id} with other content"
+            return Err(not_run(ErrorKind.KEY_CONFLICT, reason))
+        events.emit(events.JOB_RESENT, job=record.job_id, caller=record.caller)
+        return Ok(found)
+
+    async def _accept_new(self, req: JobRequest) -> Result[FoundJob, Refusal]:
+        profile = self._deps.profile(req.profile)
+        if profile is None:
+            reason = f"no profile is named {req.profile}"
+            return Err(not_run(ErrorKind.UNKNOWN_PROFILE, reason))
+        window = _window_ms(req.window)
+        if window is None:
+            reason = f"completion_window: expected a number with s, m, h or d, got {req.window}"
+            return Err(not_run(ErrorKind.BAD_REQUEST, reason))
+        file = await self._usable_file(req.caller, req.file_id)
+        if isinstance(file, Err):
+            return file
+        fault = _fault(req, file.ok_value)
+        if fault:
+            return Err(not_run(ErrorKind.BAD_REQUEST, fault))
+        return await self._create(req, self._new_record(req, profile, window, file.ok_value))
+
+    async def _create(self, req: JobRequest, record: JobRecord) -> Result[FoundJob, Refusal]:
+        deps = self._deps
+        value = codec.pack(record)
+        key = keys.active_key(record.job_id)
+        created = await saves.patiently(
+            deps.clock,
+            deps.rand,
+            STORE_PATIENCE_MS,
+            lambda: saves.create(deps.store, key, value),
+        )
+        if isinstance(created, Err):
+            return await self._not_created(req, record, created.err_value)
+        if record.key:
+            ended = await self._ended_before(req, record, created.ok_value)
+            if ended is not None:
+                return ended
+        self._registry.take(record, created.ok_value)
+        deps.tell_peers(JobChanged(record.job_id, created.ok_value))
+        events.emit(
+            events.JOB_ACCEPTED,
+            job=record.job_id,
+            caller=record.caller,
+            items=record.items(),
+            due_ms=record.due_ms,
+        )
+        return Ok(FoundJob(record, created.ok_value, False))
+
+    async def _not_created(
+        self, req: JobRequest, record: JobRecord, error: StoreError
+    ) -> Result[FoundJob, Refusal]:
+        if error is StoreError.CONFLICT:
+            found = await find_job(self._deps, record.caller, record.job_id)
+            return await self._same(req, found.ok_value) if isinstance(found, Ok) else found
+        reason = "the job is not stored"
+        if error is StoreError.LOST:
+            # The write may have taken effect or still do so. Sent again with the same key,
+            # the request finds out.
+            reason = "whether the job was stored is not known"
+            return Err(unknown(ErrorKind.STORE_UNAVAILABLE, reason, RETRY_AFTER_MS))
+        return Err(not_run(ErrorKind.STORE_UNAVAILABLE, reason, RETRY_AFTER_MS))
+
+    async def _ended_before(
+        self, req: JobRequest, record: JobRecord, version: int
+    ) -> Result[FoundJob, Refusal] | None:
+        """Undo the acceptance of a job that ended while this request looked for it.
+
+        Between the look for the job and the creation of its record the same job may have
+        ended and its active record been removed. Instances that see the new record before
+        it is undone check for the ended one as well, so nothing runs twice.
+        """
+        read = await self._deps.store.get(keys.ended_key(record.job_id))
+        if isinstance(read, Err) and read.err_value is StoreError.NOT_FOUND:
+            return None
+        if isinstance(read, Err):
+            # Cannot tell: leave the record, whose finders look for the ended one too.
+            return None
+        await saves.delete(self._deps.store, keys.active_key(record.job_id), version)
+        ended = codec.unpack(read.ok_value.value, JobRecord)
+        if isinstance(ended, Err):
+            return Err(not_run(ErrorKind.INTERNAL, "the job's record is not readable"))
+        return await self._same(req, FoundJob(ended.ok_value, read.ok_value.version, True))
+
+    def _new_record(
+        self, req: JobRequest, profile: "Profile", window: int, file: FileRecord
+    ) -> JobRecord:
+        deps = self._deps
+        now = deps.clock.wall()
+        instances = len(deps.live_instances())
+        size = task_items(file.items(), deps.cfg.chunk_items, instances, profile.idempotent)
+        return JobRecord(
+            job_id=_job_id(req.caller, req.key or f"{deps.rand.getrandbits(128):032x}"),
+            caller=req.caller,
+            key=req.key,
+            request_sha256=_request_sha256(req),
+            file_id=file.file_id,
+            file_sha256=file.sha256,
+            endpoint=req.endpoint,
+            window=req.window,
+            metadata=req.metadata,
+            profile=profile,
+            chunks=file.chunks,
+            task_items=size,
+            created_ms=now,
+            due_ms=req.due_ms or now + min(window, profile.due_ms),
+        )
+
+    async def _usable_file(self, caller: str, file_id: str) -> Result[FileRecord, Refusal]:
+        """Read the record of a caller's file that a job may still be made of."""
+        file = await find_file(self._deps, caller, file_id)
+        if isinstance(file, Err):
+            return file
+        if file.ok_value.expires_ms - self._deps.clock.wall() < FILE_MARGIN_MS:
+            return Err(not_run(ErrorKind.NOT_FOUND, f"file {file_id} has expired"))
+        return file
+
+    async def cancel(self, caller: str, job_id: str) -> Result[FoundJob, Refusal]:
+        """Cancel a job; one that is cancelled or ended stays as it is."""
+        for _ in range(CANCEL_TRIES):
+            found = await find_job(self._deps, caller, job_id)
+            if isinstance(found, Err):
+                return found
+            job = found.ok_value
+            if job.ended or job.record.state is not JobState.RUNNING:
+                return found
+            record = job.record._replace(
+                state=JobState.CANCELLING, cancel_ms=self._deps.clock.wall()
+            )
+            key = keys.active_key(job_id)
+            done = await saves.update(self._deps.store, key, codec.pack(record), job.version)
+            if isinstance(done, Ok):
+                return Ok(self._cancelled(record, done.ok_value))
+            if done.err_value is StoreError.LOST:
+                reason = "whether the cancel was stored is not known"
+                return Err(unknown(ErrorKind.STORE_UNAVAILABLE, reason, RETRY_AFTER_MS))
+            if done.err_value is not StoreError.CONFLICT:
+                return Err(unavailable())
+        return Err(not_run(ErrorKind.VERSION_CONFLICT, "the job's record keeps changing"))
+
+    def _cancelled(self, record: JobRecord, version: int) -> FoundJob:
+        self._registry.take(record, version)
+        self._deps.tell_peers(JobChanged(record.job_id, version))
+        events.emit(events.JOB_CANCELLED, job=record.job_id, caller=record.caller)
+        return FoundJob(record, version, False)
+
+
+def caller_prefix(caller: str) -> str:
+    """Return what the ids of all jobs of a caller start with."""
+    return "batch_" + hashlib.sha256(caller.encode()).hexdigest()[:8]
+
+
+def _job_id(caller: str, key: str) -> str:
+    digest = hashlib.sha256(f"{caller}\n{key}".encode()).hexdigest()
+    return caller_prefix(caller) + digest[:32]
+
+
+def _request_sha256(req: JobRequest) -> str:
+    """Hash what makes two requests the same job, but for the file."""
+    metadata = sorted(req.metadata.items())
+    parts = (req.endpoint, req.window, req.profile, req.due_ms, metadata)
+    return hashlib.sha256(codec.pack(parts)).hexdigest()
+
+
+def _window_ms(window: str) -> int | None:
+    match = WINDOW.match(window)
+    return int(match[1]) * UNIT_MS[match[2]] if match else None
+
+
+def _fault(req: JobRequest, file: FileRecord) -> str:
+    if file.endpoints != [req.endpoint]:
+        found = ", ".join(file.endpoints)
+        return f"endpoint: {req.endpoint} expected, but the file's items are for {found}"
+    if len(req.metadata) > MAX_METADATA:
+        return f"metadata: over {MAX_METADATA} entries"
+    return ""
--- /dev/null
+++ b/papayapier/batch/opening.py
@@ -0,0 +1,123 @@
+"""Open a task: read its input and what an earlier holder has left of it."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec, events
+from papayapier.batch import keys
+from papayapier.batch.records import Checkpoint, InputItem, ItemResult, TaskResults
+from papayapier.batch.task_state import TaskRules, TaskState
+from papayapier.batch.work import JobWork, OpenTask
+from papayapier.store.api import Store, StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+
+
+class Grant(NamedTuple):
+    """Say under which lease a task is opened; lossy asks for care with every item."""
+
+    shard: int
+    fence: int
+    lossy: bool
+
+
+class Unreadable(NamedTuple):
+    """Say that an object is there but cannot be used, or should be there and is not."""
+
+    key: str
+    reason: str
+
+
+OpenError = StoreError | Unreadable
+
+
+async def open_task(
+    deps: "BatchDeps", job: JobWork, task: int, grant: Grant, idempotent: bool
+) -> Result[OpenTask, OpenError]:
+    """Read the input and the checkpoint of a task."""
+    span = job.spans[task]
+    chunk = await read_chunk(deps.store, job.record.file_id, span.chunk)
+    if isinstance(chunk, Err):
+        return chunk
+    items = chunk.ok_value[span.start : span.stop]
+    key = keys.progress_key(job.record.job_id, task)
+    read = await deps.store.get(key)
+    if isinstance(read, Err) and read.err_value is not StoreError.NOT_FOUND:
+        return Err(read.err_value)
+    rules = TaskRules(idempotent, deps.cfg.item_attempts, grant.lossy)
+    if isinstance(read, Err):
+        state = TaskState(span.size(), rules)
+        return Ok(OpenTask(job, span, grant.shard, grant.fence, items, state, 0))
+    checkpoint = codec.unpack(read.ok_value.value, Checkpoint)
+    if isinstance(checkpoint, Err):
+        return Err(Unreadable(key, checkpoint.err_value))
+    version = read.ok_value.version
+    resumed = await _resume(deps, items, rules, checkpoint.ok_value, version)
+    if isinstance(resumed, Err):
+        return resumed
+    events.emit(
+        events.TASK_RESUMED,
+        job=job.record.job_id,
+        task=task,
+        ended=len(resumed.ok_value.ended),
+        intents=len(checkpoint.ok_value.intents),
+    )
+    return Ok(OpenTask(job, span, grant.shard, grant.fence, items, resumed.ok_value, version))
+
+
+async def _resume(
+    deps: "BatchDeps",
+    items: list[InputItem],
+    rules: TaskRules,
+    checkpoint: Checkpoint,
+    version: int,
+) -> Result[TaskState, OpenError]:
+    spilled = await read_spilled(deps.store, checkpoint.spilled)
+    if isinstance(spilled, Err):
+        return spilled
+    # Intents without a result were under way at the holder that was lost.
+    lost = bool(checkpoint.intents)
+    state = TaskState(len(items), rules._replace(cautious=rules.cautious or lost))
+    state.resume(checkpoint, version, spilled.ok_value)
+    if lost:
+        ids = [item.custom_id for item in items]
+        state.on_loss(checkpoint.intents, ids, deps.clock.wall())
+    return Ok(state)
+
+
+async def read_chunk(store: Store, file_id: str, chunk: int) -> Result[list[InputItem], OpenError]:
+    """Read one chunk of an input file."""
+    key = keys.chunk_key(file_id, chunk)
+    read = await store.get(key)
+    if isinstance(read, Err):
+        if read.err_value is StoreError.NOT_FOUND:
+            return Err(Unreadable(key, "not found"))
+        return read
+    items = codec.unpack(read.ok_value.value, list[InputItem])
+    return items.map_err(lambda why: Unreadable(key, why))
+
+
+async def read_spilled(store: Store, parts: list[str]) -> Result[list[ItemResult], OpenError]:
+    """Read the results that did not fit beside the others."""
+    results: list[ItemResult] = []
+    for key in parts:
+        read = await store.get(key)
+        if isinstance(read, Err):
+            return read
+        part = codec.unpack(read.ok_value.value, list[ItemResult])
+        if isinstance(part, Err):
+            return Err(Unreadable(key, part.err_value))
+        results += part.ok_value
+    return Ok(results)
+
+
+async def read_results(store: Store, job_id: str, task: int) -> Result[TaskResults, OpenError]:
+    """Read the recorded results of a finished task, without the spilled parts."""
+    key = keys.results_key(job_id, task)
+    read = await store.get(key)
+    if isinstance(read, Err):
+        return read
+    results = codec.unpack(read.ok_value.value, TaskResults)
+    return results.map_err(lambda why: Unreadable(key, why))
--- /dev/null
+++ b/papayapier/batch/outcomes.py
@@ -0,0 +1,164 @@
+"""Decide what an item's answer or refusal means for the item.
+
+An item ends with a whole answer, with an outcome that will never be known, or as failed when
+no further attempt can help. Everything else is sent again: counted against the item when
+the item may be at fault, not counted when the fleet is at fault, because items must not fail
+in an outage that they have no part in.
+"""
+
+from typing import Final, NamedTuple, TypedDict
+
+import msgspec
+from result import Ok, Result
+
+from papayapier.batch.records import REASON_CHARS, RESULT_BYTES, InputItem, ItemResult, ItemState
+from papayapier.errors import ErrorKind, Outcome, Refusal
+from papayapier.upstream.api import Reply
+
+FIRST_ERROR_STATUS: Final = 400
+FIRST_SERVER_ERROR: Final = 500
+BUSY_STATUS: Final = 429
+STREAM_TYPE: Final = "text/event-stream"
+CHAT_URL: Final = "/v1/chat/completions"
+
+NOT_THE_ITEM: Final = frozenset(
+    {
+        ErrorKind.OVERLOADED,
+        ErrorKind.CALLER_LIMIT,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.STORE_UNAVAILABLE,
+        ErrorKind.LEAVING,
+        ErrorKind.DEADLINE,
+        ErrorKind.CANCELLED,
+    }
+)
+NEVER: Final = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE, ErrorKind.NOT_FOUND, ErrorKind.UNAUTHORIZED}
+)
+
+
+class Ended(NamedTuple):
+    """End the item with this result."""
+
+    result: ItemResult
+
+
+class SendAgain(NamedTuple):
+    """Send the item again; result is how it ends when no attempt is left."""
+
+    counted: bool
+    result: ItemResult
+
+
+class Usage(TypedDict):
+    """Count tokens as OpenAI-style clients expect."""
+
+    completion_tokens: int
+
+
+class Generated(TypedDict):
+    """Hold the whole answer to a generation."""
+
+    id: str
+    object: str
+    choices: list[dict[str, object]]
+    usage: Usage
+
+
+def judge(
+    item: int,
+    source: InputItem,
+    call_id: str,
+    answer: Result[Reply, Refusal],
+    idempotent: bool,
+    now_wall: int,
+) -> Ended | SendAgain:
+    """Say what the end of one send means for the item."""
+    if isinstance(answer, Ok):
+        return _judge_reply(item, source, call_id, answer.ok_value, idempotent, now_wall)
+    return _judge_refusal(item, source, answer.err_value, idempotent, now_wall)
+
+
+def _judge_reply(
+    item: int, source: InputItem, call_id: str, reply: Reply, idempotent: bool, now_wall: int
+) -> Ended | SendAgain:
+    body = _body_of(source, call_id, reply)
+    if len(body) > RESULT_BYTES:
+        reason = f"the answer has {len(body)} bytes, over {RESULT_BYTES}"
+        failed = _result(item, source, ItemState.FAILED, ErrorKind.TOO_LARGE, reason, now_wall)
+        return Ended(failed)
+    state = ItemState.COMPLETED if reply.status < FIRST_ERROR_STATUS else ItemState.FAILED
+    kind = "" if state is ItemState.COMPLETED else ErrorKind.UPSTREAM_FAILED.value
+    reason = "" if state is ItemState.COMPLETED else f"the upstream answered {reply.status}"
+    result = ItemResult(
+        item=item,
+        custom_id=source.custom_id,
+        state=state,
+        status=reply.status,
+        body=body,
+        is_json=_is_json(body),
+        kind=kind,
+        reason=reason,
+        attempts=0,
+        ended_ms=now_wall,
+    )
+    may_pass = reply.status == BUSY_STATUS or reply.status >= FIRST_SERVER_ERROR
+    if may_pass and idempotent:
+        return SendAgain(counted=True, result=result)
+    return Ended(result)
+
+
+def _judge_refusal(
+    item: int, source: InputItem, refusal: Refusal, idempotent: bool, now_wall: int
+) -> Ended | SendAgain:
+    kind, outcome, reason, _ = refusal
+    if outcome is Outcome.UNKNOWN and not idempotent:
+        return Ended(_result(item, source, ItemState.UNKNOWN, kind, reason, now_wall))
+    result = _result(item, source, ItemState.FAILED, kind, reason, now_wall)
+    if kind in NEVER:
+        return Ended(result)
+    return SendAgain(kind not in NOT_THE_ITEM, result)
+
+
+def _result(
+    item: int, source: InputItem, state: ItemState, kind: ErrorKind, reason: str, now_wall: int
+) -> ItemResult:
+    return ItemResult(
+        item=item,
+        custom_id=source.custom_id,
+        state=state,
+        status=0,
+        body=b"",
+        is_json=True,
+        kind=kind.value,
+        reason=reason[:REASON_CHARS],
+        attempts=0,
+        ended_ms=now_wall,
+    )
+
+
+def _body_of(source: InputItem, call_id: str, reply: Reply) -> bytes:
+    """Return the answer's body; a stream's is put together as if it had not been streamed."""
+    if not reply.content_type.startswith(STREAM_TYPE):
+        return reply.body
+    chat = source.url == CHAT_URL
+    choice: dict[str, object] = {"index": 0, "finish_reason": reply.finish_reason}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": reply.text}
+    else:
+        choice["text"] = reply.text
+    generated = Generated(
+        id=call_id,
+        object="chat.completion" if chat else "text_completion",
+        choices=[choice],
+        usage=Usage(completion_tokens=reply.tokens),
+    )
+    return msgspec.json.encode(generated)
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return False
+    return True
--- /dev/null
+++ b/papayapier/batch/results.py
@@ -0,0 +1,197 @@
+"""Read the results of a job, whether it runs, has ended or was cancelled.
+
+After a cancel no result is recorded. A holder that has not heard of the cancel, or that was
+paused, may still write one, and there is no write that covers the job's record and a task's
+at once. So a reader decides: the store numbers all changes in one order, and what was stored
+at a higher version than the cancel does not count.
+"""
+
+from collections.abc import AsyncIterator, Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from papayapier import codec
+from papayapier.batch import keys
+from papayapier.batch.opening import OpenError, Unreadable, read_chunk, read_spilled
+from papayapier.batch.records import (
+    Checkpoint,
+    ItemResult,
+    ItemState,
+    JobRecord,
+    Tally,
+    TaskResults,
+    tally_of,
+)
+from papayapier.batch.tasks import TaskSpan, split
+from papayapier.store.api import Store, Stored, StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.records import InputItem
+
+NO_CANCEL: Final = 0
+OUTPUT: Final = frozenset({ItemState.COMPLETED})
+ERRORS: Final = frozenset({ItemState.FAILED, ItemState.UNKNOWN, ItemState.CANCELLED})
+
+
+class TaskView(NamedTuple):
+    """Hold what is recorded of a task; open_items have no result, intents may have run."""
+
+    results: list[ItemResult]
+    open_items: list[int]
+    intents: list[int]
+
+
+async def view_task(
+    store: Store, record: JobRecord, span: TaskSpan, cancel_version: int
+) -> Result[TaskView, OpenError]:
+    """Read what is recorded of a task, up to the cancel if there was one."""
+    final = await _get(store, keys.results_key(record.job_id, span.task))
+    if isinstance(final, Err):
+        return final
+    if final.ok_value is not None and _counts(final.ok_value.version, cancel_version):
+        return await _view_final(store, span, final.ok_value)
+    progress = await _get(store, keys.progress_key(record.job_id, span.task))
+    if isinstance(progress, Err):
+        return progress
+    if progress.ok_value is None:
+        return Ok(TaskView([], list(range(span.size())), []))
+    return await _view_progress(store, span, progress.ok_value, cancel_version)
+
+
+async def _view_final(store: Store, span: TaskSpan, stored: Stored) -> Result[TaskView, OpenError]:
+    final = codec.unpack(stored.value, TaskResults)
+    if isinstance(final, Err):
+        return Err(Unreadable(stored.key, final.err_value))
+    spilled = await read_spilled(store, final.ok_value.spilled)
+    if isinstance(spilled, Err):
+        return spilled
+    return Ok(_view(span, spilled.ok_value + final.ok_value.results, []))
+
+
+async def _view_progress(
+    store: Store, span: TaskSpan, stored: Stored, cancel_version: int
+) -> Result[TaskView, OpenError]:
+    checkpoint = codec.unpack(stored.value, Checkpoint)
+    if isinstance(checkpoint, Err):
+        return Err(Unreadable(stored.key, checkpoint.err_value))
+    spilled = await read_spilled(store, checkpoint.ok_value.spilled)
+    if isinstance(spilled, Err):
+        return spilled
+    versions = [*checkpoint.ok_value.versions, stored.version]
+    results = [
+        result
+        for result in spilled.ok_value + checkpoint.ok_value.results
+        if _counts(versions[result.commit], cancel_version)
+    ]
+    return Ok(_view(span, results, checkpoint.ok_value.intents))
+
+
+def _view(span: TaskSpan, results: list[ItemResult], intents: list[int]) -> TaskView:
+    ended = {result.item for result in results}
+    open_items = [item for item in range(span.size()) if item not in ended]
+    results.sort(key=lambda result: result.item)
+    return TaskView(results, open_items, [item for item in intents if item not in ended])
+
+
+def _counts(version: int, cancel_version: int) -> bool:
+    return cancel_version == NO_CANCEL or version <= cancel_version
+
+
+async def _get(store: Store, key: str) -> Result[Stored | None, StoreError]:
+    read = await store.get(key)
+    if isinstance(read, Err):
+        return Ok(None) if read.err_value is StoreError.NOT_FOUND else read
+    return Ok(read.ok_value)
+
+
+def cancelled_results(
+    record: JobRecord, view: TaskView, items: "list[InputItem]", span: TaskSpan
+) -> list[ItemResult]:
+    """Return how the items without a result end when their job is cancelled."""
+    guarded = frozenset(() if record.profile.idempotent else view.intents)
+    results: list[ItemResult] = []
+    for item in view.open_items:
+        state = ItemState.UNKNOWN if item in guarded else ItemState.CANCELLED
+        custom_id = items[span.start + item].custom_id
+        reason = "under way when the job was cancelled" if item in guarded else "never ran"
+        results.append(
+            ItemResult(
+                item, custom_id, state, 0, b"", True, "cancelled", reason, 0, record.cancel_ms
+            )
+        )
+    return results
+
+
+def cancelled_tally(record: JobRecord, view: TaskView) -> Tally:
+    """Count a task of a cancelled job."""
+    guarded = 0 if record.profile.idempotent else len(view.intents)
+    open_tally = Tally(unknown=guarded, cancelled=len(view.open_items) - guarded)
+    return tally_of(view.results).plus(open_tally)
+
+
+async def stream_lines(
+    store: Store,
+    record: JobRecord,
+    cancel_version: int,
+    states: frozenset[ItemState],
+    on_error: Callable[[OpenError], None],
+) -> AsyncIterator[bytes]:
+    """Yield the lines of a job's output, one task at a time."""
+    for span in split(record.chunks, record.task_items):
+        view = await view_task(store, record, span, cancel_version)
+        if isinstance(view, Err):
+            on_error(view.err_value)
+            return
+        results = view.ok_value.results
+        if cancel_version != NO_CANCEL and ItemState.CANCELLED in states:
+            rest = await _cancelled_items(store, record, view.ok_value, span)
+            if isinstance(rest, Err):
+                on_error(rest.err_value)
+                return
+            results = results + rest.ok_value
+        yield b"".join(
+            output_line(record, span, result) for result in results if result.state in states
+        )
+
+
+async def _cancelled_items(
+    store: Store, record: JobRecord, view: TaskView, span: TaskSpan
+) -> Result[list[ItemResult], OpenError]:
+    if not view.open_items:
+        return Ok([])
+    chunk = await read_chunk(store, record.file_id, span.chunk)
+    return chunk.map(lambda items: cancelled_results(record, view, items, span))
+
+
+def output_line(record: JobRecord, span: TaskSpan, result: ItemResult) -> bytes:
+    """Encode one item's result as a line of an OpenAI-style output file."""
+    request_id = f"{record.job_id}-{span.task}-{result.item}"
+    line = {
+        "id": request_id,
+        "custom_id": result.custom_id,
+        "response": _response(result, request_id),
+        "error": _error(result),
+    }
+    return msgspec.json.encode(line) + b"\n"
+
+
+def _response(result: ItemResult, request_id: str) -> dict[str, object] | None:
+    if not result.status:
+        return None
+    body: object = msgspec.Raw(result.body)
+    if not result.is_json:
+        body = result.body.decode("utf-8", "replace")
+    return {"status_code": result.status, "request_id": request_id, "body": body}
+
+
+def _error(result: ItemResult) -> dict[str, object] | None:
+    if result.state is ItemState.COMPLETED:
+        return None
+    return {
+        "code": result.kind,
+        "state": result.state.value,
+        "message": result.reason,
+        "attempts": result.attempts,
+    }
--- /dev/null
+++ b/papayapier/batch/runner.py
@@ -0,0 +1,342 @@
+"""Open tasks as capacity allows, and hand their items out in the order of their jobs' need.
+
+Items are handed out in slices between which the event loop is free, so that batch work delays
+no online request by more than one slice. Tasks are opened as far ahead as the next items
+need. The bytes of all open tasks together are bounded: while the store takes no results,
+items go on until the bound is reached, and then wait.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err
+
+from papayapier import events
+from papayapier.batch import background, saves
+from papayapier.batch.commits import CommitCalls, Commits
+from papayapier.batch.opening import Grant, OpenError, open_task
+from papayapier.batch.records import CHUNK_BYTES, Tally
+from papayapier.batch.sending import Sender
+from papayapier.batch.work import JobWork, OpenTask
+from papayapier.policy import deadlines
+from papayapier.store.api import StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.clock import Timer
+    from papayapier.config.profiles import Profile
+
+SLICE_ITEMS: Final = 32
+AHEAD: Final = 2
+MIN_AHEAD: Final = 16
+MIN_INTENTS: Final = 8
+MAX_INTENTS: Final = 64
+TICK_MS: Final = 500
+UNREADABLE_PAUSE_MS: Final = 30_000
+HAND_OVER_POLL_MS: Final = 20
+
+
+class Holds(NamedTuple):
+    """Group what the runner asks of the leases.
+
+    grant gives the lease of a shard when it is held. may_send tells whether items of a shard
+    may go out; it takes whether they may be repeated. may_commit tells whether the shard's
+    progress and results may be stored now.
+    """
+
+    grant: Callable[[int], Grant | None]
+    may_send: Callable[[int, bool], bool]
+    may_commit: Callable[[int], bool]
+
+
+class RunnerCalls(NamedTuple):
+    """Group what the runner tells: a task is recorded, or another holder has it."""
+
+    recorded: Callable[[JobWork, int], None]
+    superseded: Callable[[JobWork], None]
+
+
+class Runner:
+    """Run the tasks of the shards that this instance holds."""
+
+    def __init__(self, deps: "BatchDeps", holder: str, holds: Holds, calls: RunnerCalls) -> None:
+        self.jobs: dict[str, JobWork] = {}
+        self._deps = deps
+        self._holds = holds
+        self._calls = calls
+        commit_calls = CommitCalls(
+            holds.may_commit, self._on_saved, self._on_recorded, self._on_given_up, self._on_lost
+        )
+        self._commits = Commits(deps, holder, commit_calls)
+        self._sender = Sender(deps, self._may_send, self._on_change)
+        self._pauses = saves.Pauses(deps.rand)
+        self._pump_timer: Timer | None = None
+        self._tick_timer: Timer | None = None
+        self._stopping = False
+        deps.dispatch.watch_room(self.pump_soon)
+
+    # Jobs and shards
+
+    def adopt(self, job: JobWork, shard: int) -> None:
+        """Run the unfinished tasks of a job that are in a shard held."""
+        self.jobs[job.record.job_id] = job
+        job.adopt(shard)
+        self._keep_ticking()
+        self.pump_soon()
+
+    def drop_job(self, job: JobWork) -> None:
+        """Stop everything of a job at once; what is not recorded stays so."""
+        self.jobs.pop(job.record.job_id, None)
+        job.pending.clear()
+        for task in list(job.open.values()):
+            self._drop(task)
+
+    def drop_shard(self, shard: int) -> None:
+        """Stop the tasks of a shard that another instance holds now."""
+        for job in self.jobs.values():
+            job.forget(shard)
+            for task in [task for task in job.open.values() if task.shard == shard]:
+                self._drop(task)
+
+    async def hand_over(self, shard: int, limit_ms: int) -> None:
+        """Stop the tasks of a shard, keeping what they have done.
+
+        Items that may be repeated are stopped; others that were sent run to their end, for
+        at most the limit.
+        """
+        until = self._deps.clock.now() + limit_ms
+        self._stop_shard(shard, patient=True)
+        while any(self._open_in(shard)):
+            if self._deps.clock.now() >= until:
+                self._stop_shard(shard, patient=False)
+                until = self._deps.clock.now() + limit_ms
+            if not self._holds.may_commit(shard):
+                self.drop_shard(shard)
+            await self._deps.clock.sleep(HAND_OVER_POLL_MS)
+
+    def _stop_shard(self, shard: int, patient: bool) -> None:
+        for job in self.jobs.values():
+            job.forget(shard)
+        for task in list(self._open_in(shard)):
+            task.stopping = True
+            idempotent = task.state.rules.idempotent
+            for run in list(task.running.values()):
+                if run.deferred is not None and (idempotent or not patient or not run.maybe_sent):
+                    run.deferred.cancel()
+            self._commits.kick(task)
+
+    def _open_in(self, shard: int) -> Iterator[OpenTask]:
+        for job in self.jobs.values():
+            for task in list(job.open.values()):
+                if task.shard == shard:
+                    yield task
+
+    def _drop(self, task: OpenTask) -> None:
+        task.closed = True
+        task.job.open.pop(task.span.task, None)
+        for run in list(task.running.values()):
+            if run.deferred is not None:
+                run.deferred.cancel()
+        task.running.clear()
+
+    def stop(self) -> None:
+        """Stop the timers."""
+        self._stopping = True
+        for timer in (self._pump_timer, self._tick_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+
+    # Handing out items
+
+    def pump_soon(self) -> None:
+        """Hand out items in the next turn of the event loop."""
+        if self._pump_timer is None and not self._stopping and self.jobs:
+            self._pump_timer = self._deps.clock.call_later(0, self._pump)
+
+    def _pump(self) -> None:
+        self._pump_timer = None
+        more = False
+        for upstream, jobs in self._turns().items():
+            more = self._serve(upstream, jobs) or more
+        if more:
+            self.pump_soon()
+
+    def _turns(self) -> dict[str, list[JobWork]]:
+        """Return the jobs of each upstream in the order in which they are to be served."""
+        loads = [job_load(job, self._deps.clock.now()) for job in self.jobs.values() if job.runs()]
+        turns: dict[str, list[JobWork]] = {}
+        for job_id in deadlines.order(loads, self._deps.clock.wall()):
+            job = self.jobs[job_id]
+            turns.setdefault(self.profile_of(job).upstream, []).append(job)
+        return turns
+
+    def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
+        """Hand out one slice of an upstream's items; tell whether there is more to do now."""
+        room = self._deps.dispatch.room(upstream)
+        left = min(room, SLICE_ITEMS) if self._bytes_held() < self._limit() else 0
+        for job in jobs:
+            profile = self.profile_of(job)
+            for task in list(job.open.values()):
+                left -= self._send_some(task, left, profile)
+                self._intend_some(task, room)
+        self._open_ahead(jobs, room)
+        return left == 0 and room > SLICE_ITEMS
+
+    def _send_some(self, task: OpenTask, most: int, profile: "Profile") -> int:
+        sent = 0
+        while sent < most and self._may_send(task):
+            item = task.state.take()
+            if item is None:
+                break
+            self._sender.send(task, item, profile)
+            sent += 1
+        return sent
+
+    def _intend_some(self, task: OpenTask, room: int) -> None:
+        """Write the next intents shortly before they are needed.
+
+        Items that are intended and not sent become unknown when the instance is lost, so no
+        more are intended than would fill the capacity seen now.
+        """
+        running = len(task.running)
+        if room == 0 or task.stopping or task.state.startable() > running // 2:
+            return
+        most = max(MIN_INTENTS, min(MAX_INTENTS, room + running))
+        if task.state.intend(most):
+            self._commits.kick(task)
+
+    def _open_ahead(self, jobs: list[JobWork], room: int) -> None:
+        """Open the next tasks of an upstream when the open ones will soon be used up."""
+        running = sum(job.in_flight() for job in jobs)
+        wanted = max(MIN_AHEAD, AHEAD * (room + running))
+        ahead = sum(_unsent(job) for job in jobs)
+        held = self._bytes_held()
+        for job in jobs:
+            while job.pending and ahead < wanted and held + CHUNK_BYTES <= self._limit():
+                task = job.pending.popleft()
+                job.opening.add(task)
+                ahead += job.spans[task].size()
+                held += CHUNK_BYTES
+                background.start(self._open(job, task), f"opening of task {task}")
+
+    async def _open(self, job: JobWork, task: int) -> None:
+        grant = self._holds.grant(job.shards[task])
+        if grant is None:
+            job.opening.discard(task)
+            return
+        idempotent = self.profile_of(job).idempotent
+        opened = await open_task(self._deps, job, task, grant, idempotent)
+        if isinstance(opened, Err):
+            self._open_later(job, task, opened.err_value)
+            return
+        self._pauses.reset()
+        job.opening.discard(task)
+        if self._holds.grant(grant.shard) != grant or not job.runs() or self._stopping:
+            return
+        job.open[task] = opened.ok_value
+        self._commits.on_opened(opened.ok_value)
+        self._on_change(opened.ok_value)
+
+    def _open_later(self, job: JobWork, task: int, error: OpenError) -> None:
+        pause = UNREADABLE_PAUSE_MS
+        if isinstance(error, StoreError):
+            pause = self._pauses.next_ms()
+        else:
+            events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
+
+        def put_back() -> None:
+            job.opening.discard(task)
+            if self._holds.grant(job.shards[task]) is not None:
+                job.adopt(job.shards[task])
+                self.pump_soon()
+
+        self._deps.clock.call_later(pause, put_back)
+
+    def profile_of(self, job: JobWork) -> "Profile":
+        """Return the profile in force, as strict about repeating as the job was accepted."""
+        accepted = job.record.profile
+        current = self._deps.profile(accepted.name) or accepted
+        if current.idempotent and not accepted.idempotent:
+            return current._replace(idempotent=False)
+        return current
+
+    def _may_send(self, task: OpenTask) -> bool:
+        if task.closed or task.stopping or self._stopping or not task.job.runs():
+            return False
+        return self._holds.may_send(task.shard, task.state.rules.idempotent)
+
+    def _bytes_held(self) -> int:
+        held = 0
+        for job in self.jobs.values():
+            held += len(job.opening) * CHUNK_BYTES
+            held += sum(task.bytes_held() for task in job.open.values())
+        return held
+
+    def _limit(self) -> int:
+        return self._deps.cfg.result_buffer_bytes
+
+    # What changes
+
+    def on_holds_changed(self) -> None:
+        """Go on with what waited for a lease to be confirmed."""
+        for job in list(self.jobs.values()):
+            for task in list(job.open.values()):
+                self._commits.kick(task)
+        self.pump_soon()
+
+    def _on_change(self, task: OpenTask) -> None:
+        self._commits.kick(task)
+        self.pump_soon()
+
+    def _on_saved(self, task: OpenTask) -> None:
+        task.state.wake(self._deps.clock.now())
+        self.pump_soon()
+
+    def _on_recorded(self, task: OpenTask, tally: Tally) -> None:
+        self._drop(task)
+        task.job.on_done(task.span.task, tally)
+        self._calls.recorded(task.job, task.span.task)
+        self.pump_soon()
+
+    def _on_given_up(self, task: OpenTask) -> None:
+        self._drop(task)
+
+    def _on_lost(self, task: OpenTask) -> None:
+        self._drop(task)
+        self._calls.superseded(task.job)
+
+    def _keep_ticking(self) -> None:
+        if self._tick_timer is None and not self._stopping:
+            self._tick_timer = self._deps.clock.call_later(TICK_MS, self._tick)
+
+    def _tick(self) -> None:
+        """Wake retries that are due, and store checkpoints that are due."""
+        self._tick_timer = None
+        now = self._deps.clock.now()
+        for job in list(self.jobs.values()):
+            for task in list(job.open.values()):
+                task.state.wake(now)
+                self._commits.kick(task)
+        self.pump_soon()
+        if self.jobs:
+            self._keep_ticking()
+
+
+def job_load(job: JobWork, now: int) -> deadlines.JobLoad:
+    """Describe to the policy what this instance has left of a job, and how fast it goes."""
+    elapsed = now - job.seen_ms
+    rate = job.ended_here / elapsed if elapsed > 0 else 0.0
+    return deadlines.JobLoad(
+        job_id=job.record.job_id,
+        caller=job.record.caller,
+        due_wall_ms=job.record.due_ms,
+        items_left=job.items_left(),
+        in_flight=job.in_flight(),
+        rate=rate,
+    )
+
+
+def _unsent(job: JobWork) -> int:
+    opening = sum(job.spans[task].size() for task in job.opening)
+    states = [task.state for task in job.open.values()]
+    return opening + sum(state.startable() + state.unintended() for state in states)
--- /dev/null
+++ b/papayapier/batch/sending.py
@@ -0,0 +1,149 @@
+"""Send single items of open tasks and take in how they end."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+from twisted.internet.defer import CancelledError
+
+from papayapier import events
+from papayapier.batch import background
+from papayapier.batch.api import ItemCall
+from papayapier.batch.lines import ENGINE_URLS, SERVICE_URL
+from papayapier.batch.outcomes import SendAgain, judge
+from papayapier.batch.records import InputItem, ItemResult, ItemState
+from papayapier.batch.work import ItemRun, OpenTask
+from papayapier.errors import ErrorKind, Refusal, unknown
+from papayapier.upstream.api import Reply
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.config.profiles import Profile
+
+FIRST_RETRY_MS: Final = 500
+LONGEST_RETRY_MS: Final = 30_000
+LATE_ITEM_MS: Final = 600_000
+
+
+class Sender:
+    """Send items, and hand each change of a task's state to on_change."""
+
+    def __init__(
+        self,
+        deps: "BatchDeps",
+        may_send: Callable[[OpenTask], bool],
+        on_change: Callable[[OpenTask], None],
+    ) -> None:
+        self._deps = deps
+        self._may_send = may_send
+        self._on_change = on_change
+
+    def send(self, task: OpenTask, item: int, profile: "Profile") -> None:
+        """Hand an item that the task's state has given out to the dispatch."""
+        run = ItemRun()
+        task.running[item] = run
+        work = self._run(task, item, run, profile)
+        failed = unknown(ErrorKind.INTERNAL, "the dispatch failed")
+        run.deferred = background.start(
+            work, f"item {item}", lambda: self._on_answer(task, item, run, Err(failed))
+        )
+
+    async def _run(self, task: OpenTask, item: int, run: ItemRun, profile: "Profile") -> None:
+        source = task.items[item]
+
+        def still_allowed() -> bool:
+            if not self._may_send(task):
+                return False
+            run.maybe_sent = True
+            return True
+
+        record = task.job.record
+        call = ItemCall(
+            call_id=call_id(task, item),
+            caller=record.caller,
+            profile=profile,
+            method=source.method,
+            path=_path_at_upstream(source),
+            body=source.body,
+            due_wall_ms=max(record.due_ms, self._deps.clock.wall() + LATE_ITEM_MS),
+            still_allowed=still_allowed,
+        )
+        try:
+            answer = await self._deps.dispatch.run(call)
+        except CancelledError:
+            self._on_cancelled(task, item, run)
+            return
+        self._on_answer(task, item, run, answer)
+
+    def _on_cancelled(self, task: OpenTask, item: int, run: ItemRun) -> None:
+        if task.running.pop(item, None) is None or task.closed:
+            return
+        if task.state.rules.idempotent or not run.maybe_sent:
+            task.state.put_back(item, self._deps.clock.now())
+        else:
+            reason = "stopped while under way"
+            refusal = unknown(ErrorKind.OUTCOME_UNKNOWN, reason)
+            self._settle(task, item, Err(refusal))
+        self._on_change(task)
+
+    def _on_answer(
+        self, task: OpenTask, item: int, run: ItemRun, answer: Result[Reply, Refusal]
+    ) -> None:
+        if task.running.pop(item, None) is None or task.closed:
+            return
+        self._settle(task, item, answer)
+        self._on_change(task)
+
+    def _settle(self, task: OpenTask, item: int, answer: Result[Reply, Refusal]) -> None:
+        state = task.state
+        verdict = judge(
+            item,
+            task.items[item],
+            call_id(task, item),
+            answer,
+            state.rules.idempotent,
+            self._deps.clock.wall(),
+        )
+        if isinstance(verdict, SendAgain):
+            again_at = self._deps.clock.now() + self._pause_ms(state.attempts_of(item))
+            if not verdict.counted:
+                state.put_back(item, again_at)
+                return
+            if state.fail_attempt(item, again_at):
+                return
+        result = verdict.result._replace(attempts=state.attempts_of(item))
+        state.end(result)
+        task.job.ended_here += 1
+        self._report(task, result, answer)
+
+    def _pause_ms(self, attempts: int) -> int:
+        longest = min(LONGEST_RETRY_MS, FIRST_RETRY_MS << attempts)
+        return self._deps.rand.randint(longest // 2, longest)
+
+    def _report(self, task: OpenTask, result: ItemResult, answer: Result[Reply, Refusal]) -> None:
+        self._deps.metrics.batch_items.labels(result.state.value).inc()
+        if isinstance(answer, Ok):
+            self._deps.metrics.batch_tokens.inc(answer.ok_value.tokens)
+        if result.state is ItemState.COMPLETED:
+            return
+        event = events.ITEM_UNKNOWN if result.state is ItemState.UNKNOWN else events.ITEM_FAILED
+        events.emit(
+            event,
+            job=task.job.record.job_id,
+            custom_id=result.custom_id,
+            attempts=result.attempts,
+            reason=result.reason,
+        )
+
+
+def call_id(task: OpenTask, item: int) -> str:
+    """Name an item's work; the name stays the same whoever runs it, and however often."""
+    return f"{task.job.record.job_id}-{task.span.task}-{item}"
+
+
+def _path_at_upstream(source: InputItem) -> str:
+    """Return the path that the replica sees: a service's name is not part of it."""
+    if source.url in ENGINE_URLS:
+        return source.url
+    rest = source.url[len(SERVICE_URL) :].partition("/")[2]
+    return "/" + rest
--- /dev/null
+++ b/papayapier/batch/task_state.py
@@ -0,0 +1,325 @@
+"""Decide what may be sent and what must be written, for the items of one task.
+
+This is the pure core of exactly-once: no I/O, no clock. The rules are:
+
+* An item ends once. Its result stays in memory until a checkpoint or the final results
+  that carry it are stored.
+* An item that may not be repeated is sent only after a stored checkpoint lists it as an
+  intent. Whoever takes the task over finds the intent without a result, and ends the item
+  as unknown: it may have run. No clock and no lease is needed for this to hold, because a
+  checkpoint is stored only on top of the version that its writer has read.
+* The task of a holder that was lost is treated with care even when its items may be
+  repeated: one of them may have killed the holder. Then intents are written too, and each
+  loss counts as a failed attempt of the items intended. Items under suspicion run alone,
+  so that the one at fault ends as failed and the others are cleared.
+* A failed attempt is stored before the next one starts. Otherwise an item that kills
+  replicas would start from zero with each new holder.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from papayapier.batch.records import (
+    Checkpoint,
+    ItemResult,
+    ItemState,
+    Tally,
+    TaskResults,
+    tally_of,
+)
+from papayapier.errors import ErrorKind
+from papayapier.invariants import Promise, check
+
+RESULT_OVERHEAD: Final = 64
+
+
+class TaskRules(NamedTuple):
+    """Say how the items of a task may be treated."""
+
+    idempotent: bool
+    item_attempts: int
+    cautious: bool = False
+
+
+class Retry(NamedTuple):
+    """Hold an item that waits for its next send."""
+
+    item: int
+    at_ms: int
+    needs_save: bool
+
+
+class TaskState:
+    """Hold the state of one task's items for as long as this process runs it."""
+
+    __slots__ = (
+        "_attempts",
+        "_intending",
+        "_intents",
+        "_losses",
+        "_pending",
+        "_ready",
+        "_results",
+        "_retries",
+        "_running",
+        "_saving",
+        "_spilled",
+        "_suspects",
+        "_versions",
+        "ended",
+        "held_bytes",
+        "rules",
+        "size",
+        "tally",
+    )
+
+    def __init__(self, size: int, rules: TaskRules) -> None:
+        self.size = size
+        self.rules = rules
+        self.tally = Tally()
+        self.held_bytes = 0
+        self.ended: set[int] = set()
+        self._attempts: dict[int, int] = {}
+        self._intending: list[int] = []
+        self._intents: set[int] = set()
+        self._losses = 0
+        self._pending: deque[int] = deque(range(size))
+        self._ready: deque[int] = deque()
+        self._results: dict[int, ItemResult] = {}
+        self._retries: list[Retry] = []
+        self._running: set[int] = set()
+        self._saving: _Saving | None = None
+        self._spilled: list[str] = []
+        self._suspects: deque[int] = deque()
+        self._versions: list[int] = []
+
+    # Coming back from a checkpoint
+
+    def resume(self, checkpoint: Checkpoint, version: int, spilled: Iterable[ItemResult]) -> None:
+        """Take over from a checkpoint whose writer no longer runs the task."""
+        self._versions = [*checkpoint.versions, version]
+        self._losses = checkpoint.losses
+        self._spilled = list(checkpoint.spilled)
+        self._attempts = dict(checkpoint.attempts)
+        for result in spilled:
+            self._count(result)
+        for result in checkpoint.results:
+            self._count(result)
+            self._keep(result)
+        self._pending = deque(i for i in range(self.size) if i not in self.ended)
+
+    def on_loss(self, intents: Iterable[int], custom_ids: list[str], now_wall: int) -> None:
+        """Settle the items that the lost holder may have had under way."""
+        self._losses += 1
+        for index in intents:
+            if index in self.ended:
+                continue
+            attempts = self._attempts.get(index, 0) + 1
+            self._attempts[index] = attempts
+            if not self.rules.idempotent:
+                reason = "the instance was lost after the item may have been sent"
+                self._end_lost(index, ItemState.UNKNOWN, custom_ids[index], reason, now_wall)
+            elif attempts >= self.rules.item_attempts:
+                reason = f"the instance was lost with the item under way, {attempts} times"
+                self._end_lost(index, ItemState.FAILED, custom_ids[index], reason, now_wall)
+            else:
+                self._suspects.append(index)
+        apart = self.ended.union(self._suspects)
+        self._pending = deque(i for i in self._pending if i not in apart)
+
+    def _end_lost(
+        self, index: int, state: ItemState, custom_id: str, reason: str, now_wall: int
+    ) -> None:
+        attempts = self._attempts[index]
+        kind = ErrorKind.OUTCOME_UNKNOWN.value
+        commit = self.next_commit()
+        result = ItemResult(
+            index, custom_id, state, 0, b"", True, kind, reason, attempts, now_wall, commit
+        )
+        self._count(result)
+        self._keep(result)
+
+    # Sending
+
+    def needs_intents(self) -> bool:
+        """Tell whether items must be stored as intents before they are sent."""
+        return self.rules.cautious or not self.rules.idempotent
+
+    def startable(self) -> int:
+        """Return how many items may be sent now without a write."""
+        waiting = 0 if self.needs_intents() else len(self._pending)
+        return len(self._ready) + waiting
+
+    def unintended(self) -> int:
+        """Return how many items still have to be written as intents."""
+        return len(self._pending) + len(self._suspects) if self.needs_intents() else 0
+
+    def intend(self, most: int) -> int:
+        """Choose the next intents; they become startable when a checkpoint is stored."""
+        if not self.needs_intents() or self._intending or self._ready:
+            return 0
+        while self._pending and len(self._intending) < most:
+            self._intending.append(self._pending.popleft())
+        if not self._intending and self._suspects and not self._intents:
+            self._intending.append(self._suspects.popleft())
+        self._intents.update(self._intending)
+        return len(self._intending)
+
+    def take(self) -> int | None:
+        """Return an item to be sent now; it counts as running."""
+        if self._ready:
+            index = self._ready.popleft()
+        elif self._pending and not self.needs_intents():
+            index = self._pending.popleft()
+        else:
+            return None
+        check(
+            index not in self.ended and index not in self._running,
+            Promise.COMPLETE_ONCE,
+            item=index,
+        )
+        check(self.rules.idempotent or index in self._intents, Promise.AT_MOST_ONCE, item=index)
+        self._running.add(index)
+        return index
+
+    def running(self) -> int:
+        """Return how many items are running."""
+        return len(self._running)
+
+    def left(self) -> int:
+        """Return how many items have not ended."""
+        return self.size - len(self.ended)
+
+    def attempts_of(self, index: int) -> int:
+        """Return how many attempts of an item have failed."""
+        return self._attempts.get(index, 0)
+
+    # Ending
+
+    def end(self, result: ItemResult) -> None:
+        """Record how a running item ended."""
+        check(
+            result.item in self._running and result.item not in self.ended,
+            Promise.COMPLETE_ONCE,
+            item=result.item,
+        )
+        self._running.discard(result.item)
+        self._count(result)
+        self._keep(result._replace(commit=self.next_commit()))
+
+    def fail_attempt(self, index: int, at_ms: int) -> bool:
+        """Count a failed attempt; False says that it was the last one, and the item runs on."""
+        attempts = self._attempts.get(index, 0) + 1
+        self._attempts[index] = attempts
+        if attempts >= self.rules.item_attempts:
+            return False
+        self._running.discard(index)
+        self._retries.append(Retry(index, at_ms, needs_save=True))
+        return True
+
+    def put_back(self, index: int, at_ms: int) -> None:
+        """Let a running item that provably did not run wait for another send."""
+        self._running.discard(index)
+        self._retries.append(Retry(index, at_ms, needs_save=False))
+
+    def wake(self, now: int) -> int | None:
+        """Make due retries startable; return when the next one is due."""
+        waiting: list[Retry] = []
+        for retry in self._retries:
+            if retry.needs_save or retry.at_ms > now:
+                waiting.append(retry)
+            else:
+                self._ready.append(retry.item)
+        self._retries = waiting
+        times = [retry.at_ms for retry in waiting if not retry.needs_save]
+        return min(times, default=None)
+
+    # Storing
+
+    def must_save(self) -> bool:
+        """Tell whether an item waits for a checkpoint before it may be sent."""
+        return bool(self._intending) or any(retry.needs_save for retry in self._retries)
+
+    def has_news(self) -> bool:
+        """Tell whether a checkpoint would carry results that no stored one has."""
+        return any(result.commit >= len(self._versions) for result in self._results.values())
+
+    def unstored(self) -> bool:
+        """Tell whether a later holder would miss something that no checkpoint has."""
+        return self.has_news() or self.must_save() or bool(self._intents)
+
+    def snapshot(self, writer: str, fence: int, withdraw: bool = False) -> Checkpoint:
+        """Return what to store; withdraw leaves out intents that were not sent."""
+        self._saving = _Saving(
+            intended=list(self._intending),
+            retried=[retry.item for retry in self._retries if retry.needs_save],
+        )
+        intents = self._intents & self._running if withdraw else self._intents
+        return Checkpoint(
+            writer=writer,
+            fence=fence,
+            losses=self._losses,
+            versions=list(self._versions),
+            intents=sorted(intents),
+            attempts=sorted((i, n) for i, n in self._attempts.items() if i not in self.ended),
+            results=list(self._results.values()),
+            spilled=list(self._spilled),
+        )
+
+    def on_saved(self, version: int) -> None:
+        """Let go what waited for the snapshot that is now stored."""
+        saving = self._saving
+        if saving is None:
+            return
+        self._saving = None
+        self._versions.append(version)
+        self._ready.extend(saving.intended)
+        self._intending = [index for index in self._intending if index not in saving.intended]
+        self._retries = [
+            retry._replace(needs_save=retry.needs_save and retry.item not in saving.retried)
+            for retry in self._retries
+        ]
+
+    def take_spill(self) -> list[ItemResult]:
+        """Give up the results held in memory, to be stored in a part of their own."""
+        results = list(self._results.values())
+        self._results = {}
+        self.held_bytes = 0
+        return results
+
+    def on_spilled(self, key: str) -> None:
+        """Name the stored part in the checkpoints to come."""
+        self._spilled.append(key)
+
+    def final(self, writer: str, fence: int) -> TaskResults:
+        """Return the results of the whole task."""
+        check(len(self.ended) == self.size, Promise.COMPLETE_ONCE, left=self.left())
+        check(self.tally.total() == self.size, Promise.COMPLETE_ONCE, tally=self.tally)
+        results = [self._results[index] for index in sorted(self._results)]
+        return TaskResults(writer, fence, self.tally, results, list(self._spilled))
+
+    def result_of(self, index: int) -> ItemResult | None:
+        """Return the result of an item, if it is held in memory."""
+        return self._results.get(index)
+
+    def _count(self, result: ItemResult) -> None:
+        check(result.item not in self.ended, Promise.COMPLETE_ONCE, item=result.item)
+        self.ended.add(result.item)
+        self._intents.discard(result.item)
+        self.tally = self.tally.plus(tally_of([result]))
+
+    def _keep(self, result: ItemResult) -> None:
+        self._results[result.item] = result
+        self.held_bytes += len(result.body) + RESULT_OVERHEAD
+
+    def next_commit(self) -> int:
+        """Return the number of the first checkpoint that can carry a result made now."""
+        return len(self._versions) + (self._saving is not None)
+
+
+class _Saving(NamedTuple):
+    """Hold what waits for the snapshot that is being stored."""
+
+    intended: list[int]
+    retried: list[int]
--- /dev/null
+++ b/papayapier/batch/work.py
@@ -0,0 +1,156 @@
+"""Keep what one instance knows and runs of the active jobs."""
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from papayapier.batch.records import InputItem, JobRecord, JobState, Tally
+from papayapier.batch.task_state import TaskState
+from papayapier.batch.tasks import TaskSpan, home_shard, shard_of, split
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+
+class ItemRun:
+    """Hold one item from its hand-over to the dispatch to its end.
+
+    maybe_sent is set when the dispatch asks whether the item may go to a replica. While it
+    is not set, the item provably has not run.
+    """
+
+    __slots__ = ("deferred", "maybe_sent")
+
+    def __init__(self) -> None:
+        self.deferred: Deferred[None] | None = None
+        self.maybe_sent = False
+
+
+class OpenTask:
+    """Hold one task that this instance runs."""
+
+    __slots__ = (
+        "checkpoint_at",
+        "checkpoint_pause",
+        "closed",
+        "fence",
+        "input_bytes",
+        "items",
+        "job",
+        "running",
+        "saving",
+        "shard",
+        "span",
+        "state",
+        "stopping",
+        "version",
+    )
+
+    def __init__(
+        self,
+        job: "JobWork",
+        span: TaskSpan,
+        shard: int,
+        fence: int,
+        items: list[InputItem],
+        state: TaskState,
+        version: int,
+    ) -> None:
+        self.job = job
+        self.span = span
+        self.shard = shard
+        self.fence = fence
+        self.items = items
+        self.state = state
+        self.version = version
+        self.input_bytes = sum(len(item.body) + len(item.custom_id) for item in items)
+        self.running: dict[int, ItemRun] = {}
+        self.saving = False
+        self.checkpoint_at = 0
+        self.checkpoint_pause = 0
+        self.stopping = False
+        self.closed = False
+
+    def bytes_held(self) -> int:
+        """Return the size of what the task keeps in memory."""
+        return self.input_bytes + self.state.held_bytes
+
+
+class JobWork:
+    """Hold one active job, and the tasks of it that are this instance's to run."""
+
+    __slots__ = (
+        "at_risk",
+        "done",
+        "ended_here",
+        "home",
+        "listed",
+        "next_look_ms",
+        "open",
+        "opening",
+        "pending",
+        "record",
+        "seen_ms",
+        "shards",
+        "spans",
+        "tallies",
+        "version",
+    )
+
+    def __init__(self, record: JobRecord, version: int, shard_count: int, now: int) -> None:
+        self.record = record
+        self.version = version
+        self.spans = split(record.chunks, record.task_items)
+        self.shards = [shard_of(record.job_id, s.task, shard_count) for s in self.spans]
+        self.home = home_shard(record.job_id, shard_count)
+        self.pending: deque[int] = deque()
+        self.open: dict[int, OpenTask] = {}
+        self.opening: set[int] = set()
+        self.done: set[int] = set()
+        self.tallies: dict[int, Tally] = {}
+        self.listed = False
+        self.seen_ms = now
+        self.next_look_ms = now
+        self.at_risk = False
+        self.ended_here = 0
+
+    def runs(self) -> bool:
+        """Tell whether items of the job may be started."""
+        return self.record.state is JobState.RUNNING
+
+    def tasks_of(self, shard: int) -> list[int]:
+        """Return the unfinished tasks of a shard."""
+        return [t for t, s in enumerate(self.shards) if s == shard and t not in self.done]
+
+    def adopt(self, shard: int) -> None:
+        """Take the unfinished tasks of a shard into the pending ones."""
+        known = self.opening.union(self.open, self.pending)
+        self.pending.extend(task for task in self.tasks_of(shard) if task not in known)
+
+    def forget(self, shard: int) -> None:
+        """Drop the pending tasks of a shard."""
+        self.pending = deque(task for task in self.pending if self.shards[task] != shard)
+
+    def on_done(self, task: int, tally: Tally | None) -> None:
+        """Note that a task's results are recorded."""
+        self.done.add(task)
+        if tally is not None:
+            self.tallies[task] = tally
+
+    def items_left(self) -> int:
+        """Return how many items this instance still has to run."""
+        waiting = sum(self.spans[task].size() for task in self.pending)
+        waiting += sum(self.spans[task].size() for task in self.opening)
+        return waiting + sum(task.state.left() for task in self.open.values())
+
+    def items_done(self) -> int:
+        """Return how many items of the whole job are known to have ended."""
+        recorded = sum(self.spans[task].size() for task in self.done)
+        return recorded + sum(len(task.state.ended) for task in self.open.values())
+
+    def in_flight(self) -> int:
+        """Return how many items are running here."""
+        return sum(len(task.running) for task in self.open.values())
+
+    def whole(self) -> bool:
+        """Tell whether the results of every task are recorded."""
+        return len(self.done) == len(self.spans)
