Claim idempotency keys before a request is sent

Cause: a non-idempotent request sent again through another instance, after a lost answer, a crash or an outage, must not run twice, and one write per claim and end would use up the platform's write rate. A claim whose write was lost is marked abandoned by its writer, who is asked before anybody else runs the request. tests/claims_bench.py runs several instances with pauses and crashes over the fake platform.

--- /dev/null
+++ b/papayapier/claims/ops.py
@@ -0,0 +1,144 @@
+"""Define what an instance wants to add to a shard, and decide what that makes of a record.
+
+An op is decided anew at every write of the shard's head, against the record that counts at
+that version. So a write that was lost needs no bookkeeping: if it took effect, the next
+decision finds the op's token in the record.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from papayapier.claims.records import ClaimState, Record, SavedAnswer
+from papayapier.store.api import StoreError
+
+
+class Want(Enum):
+    """Name what an op is for."""
+
+    LOOK = "look"
+    CLAIM = "claim"
+    ABANDON = "abandon"
+    FINISH = "finish"
+
+
+class Known(NamedTuple):
+    """Tell what a view that may be out of date knows of an id.
+
+    A record of the past still proves that the key was used; archived says that there is a
+    record, but that it was not read.
+    """
+
+    record: Record | None
+    archived: bool
+
+
+class Kept(NamedTuple):
+    """Tell that the op's record is in the store."""
+
+    record: Record
+
+
+class Found(NamedTuple):
+    """Tell that another record counts (or none, for a look), so that the op was not applied."""
+
+    record: Record | None
+
+
+class Refused(NamedTuple):
+    """Tell that the op will certainly never be applied, because the store refused it."""
+
+    error: StoreError
+    known: Known
+
+
+OpEnd = Kept | Found | Refused
+
+
+class Op:
+    """Hold one wish; done fires when end has been set.
+
+    exposed means that a write with this op in it was sent and may take effect, now or later.
+    supersedes is the token of a claim whose writer has said that it was abandoned.
+    """
+
+    __slots__ = (
+        "answer",
+        "content",
+        "done",
+        "end",
+        "exposed",
+        "id",
+        "refusals",
+        "supersedes",
+        "token",
+        "want",
+    )
+
+    def __init__(self, want: Want, claim: bytes, token: bytes, content: bytes) -> None:
+        self.want = want
+        self.id = claim
+        self.token = token
+        self.content = content
+        self.answer: SavedAnswer | None = None
+        self.supersedes: bytes | None = None
+        self.exposed = False
+        self.refusals = 0
+        self.end: OpEnd | None = None
+        self.done: Deferred[None] = Deferred()
+
+
+class Writer(NamedTuple):
+    """Identify the writing process, and tell which tokens it has given up."""
+
+    instance: str
+    boot: int
+    gave_up: Callable[[bytes], bool]
+
+
+def decide(op: Op, found: Record | None, writer: Writer, at_ms: int) -> Record | OpEnd:
+    """Return the record to write for an op, or its end if there is nothing to write."""
+    if op.want is Want.LOOK:
+        return Found(found)
+    if op.want is Want.CLAIM:
+        return _decide_claim(op, found, writer, at_ms)
+    return _decide_end(op, found, writer, at_ms)
+
+
+def _decide_claim(op: Op, found: Record | None, writer: Writer, at_ms: int) -> Record | OpEnd:
+    if found is None:
+        return _record(op, 1, ClaimState.CLAIMED, writer, at_ms)
+    if found.token == op.token:
+        return Kept(found)
+    free = found.state is ClaimState.ABANDONED
+    given_up = found.state is ClaimState.CLAIMED and (
+        found.token == op.supersedes or writer.gave_up(found.token)
+    )
+    if free or given_up:
+        return _record(op, found.attempt + 1, ClaimState.CLAIMED, writer, at_ms)
+    return Found(found)
+
+
+def _decide_end(op: Op, found: Record | None, writer: Writer, at_ms: int) -> Record | OpEnd:
+    """Decide an abandon or a finish.
+
+    An abandon is written even if its claim is not there: the write makes a claim that is
+    still on its way fail, and until then nobody could tell whether it would come.
+    """
+    state = ClaimState.DONE if op.want is Want.FINISH else ClaimState.ABANDONED
+    if found is None:
+        return _record(op, 1, state, writer, at_ms)
+    if found.token != op.token:
+        return Found(found)
+    if found.state is state:
+        return Kept(found)
+    return _record(op, found.attempt, state, writer, at_ms)
+
+
+def _record(op: Op, attempt: int, state: ClaimState, writer: Writer, at_ms: int) -> Record:
+    answer = op.answer if state is ClaimState.DONE else None
+    return Record(
+        op.id, attempt, state, op.token, writer.instance, writer.boot, op.content, at_ms, answer
+    )
--- /dev/null
+++ b/tests/claims_bench.py
@@ -0,0 +1,158 @@
+"""Run several instances' claims over one fake platform, with pauses and crashes."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from papayapier.claims.records import SavedAnswer
+from papayapier.claims.service import AskWriter, Begun, ClaimDeps, Claims
+from papayapier.clock import FakeClock, fake_clock
+from papayapier.metrics import Metrics, make_metrics
+from papayapier.settings import ClaimSettings
+from papayapier.store.api import Store
+from tests.fake_store import FakePlatform
+
+STEP_MS: Final = 5
+PEER_MS: Final = 20
+
+
+class Instance:
+    """Hold one process: its claims, its own clock and its store, which freeze in a pause."""
+
+    def __init__(self, fleet: "Fleet", name: str, boot: int) -> None:
+        self.name = name
+        self.fake: FakeClock = fake_clock()
+        self.fake.advance(fleet.fake.clock.now())
+        self.paused = False
+        self.dead = False
+        self.metrics: Metrics = make_metrics()
+        self._resumed: list[Deferred[None]] = []
+        deps = ClaimDeps(
+            _gated(fleet.platform.store(name), self),
+            self.fake.clock,
+            random.Random(7),
+            fleet.cfg,
+            self.metrics,
+            name,
+            boot,
+            fleet.ask(self),
+        )
+        self.claims = Claims(deps)
+
+    async def awake(self) -> None:
+        """Wait while the process is paused; for ever if it is dead."""
+        while self.paused or self.dead:
+            resumed: Deferred[None] = Deferred()
+            self._resumed.append(resumed)
+            await resumed
+
+    def resume(self, now_ms: int) -> None:
+        """Let the process go on; it finds that time has passed."""
+        self.paused = False
+        self.fake.advance(now_ms - self.fake.clock.now())
+        resumed, self._resumed = self._resumed, []
+        for waiting in resumed:
+            waiting.callback(None)
+
+
+class Delivery(NamedTuple):
+    """Hold one request as sent to an instance; result gets its end."""
+
+    instance: Instance
+    key: str
+    content: bytes
+    result: list[Begun]
+
+
+class Fleet:
+    """Hold the instances and the platform."""
+
+    def __init__(self, names: list[str], cfg: ClaimSettings, latency_ms: int = 0) -> None:
+        self.cfg = cfg
+        self.fake = fake_clock()
+        self.platform = FakePlatform(self.fake.clock, latency_ms)
+        self.boots = 0
+        self.instances: dict[str, Instance] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> Instance:
+        """Start a process; one that had the name before is dead."""
+        if name in self.instances:
+            self.instances[name].dead = True
+        self.boots += 1
+        self.instances[name] = Instance(self, name, self.boots)
+        return self.instances[name]
+
+    def ask(self, asker: Instance) -> AskWriter:
+        """Make the question from one instance to another, which takes its time."""
+
+        async def ask_writer(name: str, reference: str) -> str:
+            target = self.instances.get(name)
+            if target is None or target.paused or target.dead:
+                await asker.fake.clock.sleep(PEER_MS)
+                return "silent"
+            state = target.claims.state(reference)
+            await asker.fake.clock.sleep(PEER_MS)
+            await asker.awake()
+            return state
+
+        return ask_writer
+
+    def deliver(
+        self, name: str, key: str, content: bytes = b"c", due_in_ms: int = 1_000
+    ) -> Delivery:
+        """Send a request to an instance."""
+        instance = self.instances[name]
+        delivery = Delivery(instance, key, content, [])
+        due_ms = instance.fake.clock.now() + due_in_ms
+
+        async def run() -> None:
+            begun = await instance.claims.begin("caller", key, content, due_ms)
+            delivery.result.append(begun)
+
+        Deferred.fromCoroutine(run())
+        return delivery
+
+    def begin(self, name: str, key: str, content: bytes = b"c", due_in_ms: int = 1_000) -> Begun:
+        """Send a request and let time pass until it has its end."""
+        return self.settled(self.deliver(name, key, content, due_in_ms)).result[0]
+
+    def settled(self, delivery: Delivery) -> Delivery:
+        """Let time pass until a delivery has its end."""
+        while not delivery.result:
+            self.advance(STEP_MS)
+        return delivery
+
+    def advance(self, for_ms: int) -> None:
+        """Let time pass for the platform and for every process that runs."""
+        for _ in range(max(1, for_ms // STEP_MS)):
+            self.fake.advance(STEP_MS)
+            for instance in list(self.instances.values()):
+                if not instance.paused:
+                    instance.fake.advance(self.fake.clock.now() - instance.fake.clock.now())
+
+    def resume(self, name: str) -> None:
+        """End a pause."""
+        self.instances[name].resume(self.fake.clock.now())
+
+
+def make_answer(text: str) -> SavedAnswer:
+    """Make an answer that tells whose it is."""
+    return SavedAnswer(200, "text/plain", text.encode())
+
+
+def _gated(store: Store, instance: Instance) -> Store:
+    """Hold back answers from a process that is paused or dead."""
+
+    def gate(call: Callable[..., Any]) -> Any:
+        async def gated(*args: object) -> object:
+            end: object = await call(*args)
+            await instance.awake()
+            return end
+
+        return gated
+
+    return Store(*(gate(call) for call in store))
