--- /dev/null
+++ b/misc/processes.py
@@ -0,0 +1,138 @@
+"""Start, sample and always stop the processes of a measured fleet."""
+
+import os
+import signal
+import subprocess
+import time
+from pathlib import Path
+from typing import Final, NamedTuple
+
+MOST_PROCESSES: Final = 48
+MOST_MEMORY_SHARE: Final = 0.5
+STOP_LIMIT_S: Final = 20.0
+KILL_LIMIT_S: Final = 5.0
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES: Final = os.sysconf("SC_PAGE_SIZE")
+
+
+class Sample(NamedTuple):
+    """Hold the processor time and resident memory of one process at a wall time."""
+
+    wall_ms: int
+    cpu_s: float
+    rss_mb: float
+
+
+class Process:
+    """Own one started process and its samples."""
+
+    def __init__(self, name: str, role: str, command: list[str], folder: Path) -> None:
+        self.name = name
+        self.role = role
+        self.samples: list[Sample] = []
+        self.errors = folder / f"{name}.err"
+        with self.errors.open("wb") as err:
+            self._popen = subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=err, start_new_session=True
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    def first_line(self) -> bytes:
+        """Return the first line that the process prints; empty when it ended without."""
+        assert self._popen.stdout is not None
+        return self._popen.stdout.readline()
+
+    def rest(self) -> bytes:
+        """Return what the process has printed since, after its end."""
+        assert self._popen.stdout is not None
+        return self._popen.stdout.read()
+
+    def ended(self) -> bool:
+        """Tell whether the process has ended."""
+        return self._popen.poll() is not None
+
+    def signal(self, number: int) -> None:
+        """Send a signal, unless the process has ended."""
+        if not self.ended():
+            self._popen.send_signal(number)
+
+    def wait(self, limit_s: float) -> int | None:
+        """Wait for the end and return the exit code, None when it did not end in time."""
+        try:
+            return self._popen.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def sample(self) -> None:
+        """Read processor time and memory from /proc."""
+        try:
+            stat = Path(f"/proc/{self.pid}/stat").read_text()
+            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return
+        # The command's name, in brackets, may itself contain spaces.
+        fields = stat.rpartition(")")[2].split()
+        cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        self.samples.append(Sample(int(time.time() * 1000), cpu_s, pages * PAGE_BYTES / 1e6))
+
+    def cpu_at(self, wall_ms: int) -> float:
+        """Return the processor time used up to a wall time, between two samples."""
+        before = [one for one in self.samples if one.wall_ms <= wall_ms]
+        after = [one for one in self.samples if one.wall_ms > wall_ms]
+        if not before:
+            return after[0].cpu_s if after else 0.0
+        if not after:
+            return before[-1].cpu_s
+        low, high = before[-1], after[0]
+        part = (wall_ms - low.wall_ms) / (high.wall_ms - low.wall_ms)
+        return low.cpu_s + part * (high.cpu_s - low.cpu_s)
+
+
+class ProcessGroup:
+    """Own all processes of a fleet; leaving the block stops every one of them."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.processes: list[Process] = []
+
+    def __enter__(self) -> "ProcessGroup":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self, name: str, role: str, command: list[str]) -> Process:
+        """Start a process."""
+        if len(self.processes) >= MOST_PROCESSES:
+            raise RuntimeError(f"more than {MOST_PROCESSES} processes asked for")
+        process = Process(name, role, command, self._folder)
+        self.processes.append(process)
+        return process
+
+    def sample(self) -> None:
+        """Sample every process; a fleet over half of the machine's memory is given up."""
+        for process in self.processes:
+            process.sample()
+        total_mb = sum(one.samples[-1].rss_mb for one in self.processes if one.samples)
+        most_mb = MOST_MEMORY_SHARE * _machine_mb()
+        if total_mb > most_mb:
+            raise RuntimeError(f"the fleet uses {total_mb:.0f} MB of at most {most_mb:.0f}")
+
+    def stop(self) -> None:
+        """Stop instances first, then stand-ins: each one gracefully, at last by force."""
+        for process in reversed(self.processes):
+            process.signal(signal.SIGTERM)
+        until = time.monotonic() + STOP_LIMIT_S
+        for process in reversed(self.processes):
+            process.wait(max(0.1, until - time.monotonic()))
+        for process in self.processes:
+            process.signal(signal.SIGKILL)
+            process.wait(KILL_LIMIT_S)
+
+
+def _machine_mb() -> float:
+    return PAGE_BYTES * os.sysconf("SC_PHYS_PAGES") / 1e6
--- a/papayapier/load/answer.py
+++ b/papayapier/load/answer.py
@@ -14,6 +14,7 @@
 OK_STATUS: Final = 200
 DATA: Final = b"data:"
 DONE: Final = b"[DONE]"
+NO_FINISH_REASON: Final = "stream without a finish_reason"
 
 
 class End(Enum):
@@ -33,7 +34,10 @@
 
 
 class Verdict(NamedTuple):
-    """Hold what became of a request; kind and outcome are those of a refusal."""
+    """Hold what became of a request; kind and outcome are those of a refusal.
+
+    flaw names what a whole answer lacks of the protocol's form.
+    """
 
     end: End
     kind: str = ""
@@ -41,6 +45,7 @@
     reason: str = ""
     retry_after_ms: int = 0
     tokens: int = 0
+    flaw: str = ""
 
 
 class RefusalBody(TypedDict, total=False):
@@ -103,7 +108,7 @@
 
     def _event(self, payload: bytes) -> None:
         if payload == DONE:
-            self.whole = self.finished
+            self.whole = True
             return
         document = decode(payload)
         if document is None or "error" in document:
@@ -146,7 +151,8 @@
         return _refusal(reader.document["error"], OK_STATUS)
     if not reader.whole:
         return Verdict(End.CUT, reason="the stream has no end mark", tokens=len(reader.parts))
-    return _judge_text(req, "".join(reader.parts), expected)
+    verdict = _judge_text(req, "".join(reader.parts), expected)
+    return verdict if reader.finished else verdict._replace(flaw=NO_FINISH_REASON)
 
 
 def _judge_echo(req: Request, document: Document) -> Verdict:
--- a/papayapier/load/experiment.py
+++ b/papayapier/load/experiment.py
@@ -96,11 +96,14 @@
         self._ledger = Ledger()
         self._meter = BatchMeter(clock)
         self._standins: StandIns | None = None
+        self._drawn = [jobs.draw(job, options.seed) for job in exp.jobs]
         self._jobs: dict[str, jobs.Submitted] = {}
+        self._submits = 0
         self._online_tokens = 0
         self._began_wall_ms = 0
         self._windows: list[Window] = []
         self._warnings: list[str] = []
+        self._broken: list[str] = []
 
     async def run(self) -> Report:
         options = self._options
@@ -168,13 +171,15 @@
             self._kept("profile", await put_profile(operator, profile, source.name))
 
     async def _start_jobs(self, phase: Phase) -> None:
-        options = self._options
-        for job in self._exp.jobs:
-            if job.name in phase.jobs and job.name not in self._jobs:
-                made = await jobs.submit(self._pick(), job, options.run_id, options.seed)
-                submitted = self._kept("job", made)
-                if submitted is not None:
-                    self._jobs[job.name] = submitted
+        for drawn in self._drawn:
+            name = drawn.job.name
+            if name not in phase.jobs or name in self._jobs:
+                continue
+            self._submits += 1
+            key = f"job-{self._options.run_id}-{name}-{self._submits}"
+            submitted = self._kept("job", await jobs.submit(self._pick(), drawn, key))
+            if submitted is not None:
+                self._jobs[name] = submitted
 
     async def _end_jobs(self, staying: tuple[str, ...]) -> None:
         """Cancel the jobs that are not to run on, so that the next phase starts without them."""
@@ -182,7 +187,16 @@
             if name in staying:
                 continue
             del self._jobs[name]
-            self._kept("cancel", await jobs.cancel(self._pick(), submitted))
+            now = self._kept("progress", await jobs.progress(self._pick(), submitted))
+            if now is not None and now.status == jobs.COMPLETED:
+                await self._check_job(submitted)
+            else:
+                self._kept("cancel", await jobs.cancel(self._pick(), submitted))
+
+    async def _check_job(self, submitted: jobs.Submitted) -> None:
+        """Read all results of a completed job."""
+        checked = await jobs.check_results(self._pick(), submitted, expected_text)
+        self._broken += self._kept("results", checked) or []
 
     def _fault(self, target: str, control: dict[str, Any]) -> Callable[[], None]:
         def post() -> None:
@@ -230,7 +244,8 @@
             for one in instances
             if one.broken()
         ]
-        broken += run.wrong
+        broken += run.wrong + self._broken
+        broken += [f"{number} answers: {flaw}" for flaw, number in run.flaws.items() if flaw]
         broken += await self._compare()
         return Report(
             self._exp.name,
--- a/papayapier/load/jobs.py
+++ b/papayapier/load/jobs.py
@@ -11,7 +11,8 @@
 from papayapier.load.mix import CHAT_PATH, draw_length, draw_words
 from papayapier.load.scenario import Job
 
-ENDED: Final = ("completed", "failed", "cancelled", "expired")
+COMPLETED: Final = "completed"
+ENDED: Final = (COMPLETED, "failed", "cancelled", "expired")
 SHOWN: Final = 10
 
 
@@ -22,6 +23,14 @@
     max_tokens: int
 
 
+class Drawn(NamedTuple):
+    """Hold a job with its items and their file, ready to be submitted."""
+
+    job: Job
+    items: dict[str, Item]
+    file: bytes
+
+
 class Submitted(NamedTuple):
     """Hold a job as accepted, and what its items ask for by custom id."""
 
@@ -42,19 +51,17 @@
     failed: int
 
 
-async def submit(target: str, job: Job, run_id: str, seed: int) -> Result[Submitted, str]:
-    """Upload a job's items and create the job; a resend with the same arguments is the same."""
-    rng = random.Random(f"job {seed} {run_id} {job.name}")
-    items = {
-        f"{job.name}-{number}": Item(
-            " ".join(draw_words(draw_length(job.prompt_words, rng), rng)),
-            draw_length(job.max_tokens, rng),
-        )
-        for number in range(job.items)
-    }
-    data = b"\n".join(_line(job, custom_id, item) for custom_id, item in items.items())
+def draw(job: Job, seed: int) -> Drawn:
+    """Draw a job's items; this takes long enough to delay other work of the process."""
+    items = _items(job, seed)
+    file = b"".join(_line(job, custom_id, item) + b"\n" for custom_id, item in items.items())
+    return Drawn(job, items, file)
+
+
+async def submit(target: str, drawn: Drawn, key: str) -> Result[Submitted, str]:
+    """Upload a job's items and create the job; with the same key it is the same job."""
     headers = {"Content-Type": "application/jsonl"}
-    uploaded = await call("POST", f"http://{target}/v1/files", data + b"\n", headers)
+    uploaded = await call("POST", f"http://{target}/v1/files", drawn.file, headers)
     if isinstance(uploaded, Err):
         return uploaded
     wanted = {
@@ -62,10 +69,9 @@
         "endpoint": CHAT_PATH,
         "completion_window": "24h",
     }
-    created = await call_json(
-        "POST", f"http://{target}/v1/batches", wanted, _job_headers(job, run_id)
-    )
-    return created.map(lambda answer: Submitted(job, str(answer["id"]), items))
+    url = f"http://{target}/v1/batches"
+    created = await call_json("POST", url, wanted, _job_headers(drawn.job, key))
+    return created.map(lambda answer: Submitted(drawn.job, str(answer["id"]), drawn.items))
 
 
 async def progress(target: str, submitted: Submitted) -> Result[Progress, str]:
@@ -94,7 +100,7 @@
         if isinstance(content, Err):
             return content
         lines += [msgspec.json.decode(line) for line in content.ok_value.splitlines()]
-    complete = got.ok_value["status"] == "completed"
+    complete = got.ok_value["status"] == COMPLETED
     return Ok(_wrong_lines(submitted, lines, expected, complete=complete)[:SHOWN])
 
 
@@ -123,6 +129,17 @@
     return str(line["response"]["body"]["choices"][0]["message"]["content"])
 
 
+def _items(job: Job, seed: int) -> dict[str, Item]:
+    rng = random.Random(f"job {seed} {job.name}")
+    return {
+        f"{job.name}-{number}": Item(
+            " ".join(draw_words(draw_length(job.prompt_words, rng), rng)),
+            draw_length(job.max_tokens, rng),
+        )
+        for number in range(job.items)
+    }
+
+
 def _line(job: Job, custom_id: str, item: Item) -> bytes:
     body = {
         "model": job.model,
@@ -133,11 +150,8 @@
     return msgspec.json.encode(document)
 
 
-def _job_headers(job: Job, run_id: str) -> dict[str, str]:
-    headers = {
-        "X-Papayapier-Profile": job.profile,
-        "Idempotency-Key": f"job-{run_id}-{job.name}",
-    }
+def _job_headers(job: Job, key: str) -> dict[str, str]:
+    headers = {"X-Papayapier-Profile": job.profile, "Idempotency-Key": key}
     if job.due_ms:
         headers["X-Papayapier-Due-Ms"] = str(job.due_ms)
     return headers
--- a/papayapier/load/runner.py
+++ b/papayapier/load/runner.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, Final, NamedTuple
 
@@ -77,6 +78,7 @@
         self._series = SeriesBook()
         self.failures: list[str] = []
         self.wrong: list[str] = []
+        self.flaws: Counter[str] = Counter()
 
     async def all_phases(self, around: Around) -> list[ClassResult]:
         """Run every phase of every round and return the figures by phase and class."""
@@ -134,6 +136,7 @@
         else:
             self._tally(slot.counted_under(), req.cls.name).add(req, got)
             self._series.add(slot.phase.name, req.cls.name, slot.at_us, got)
+        self.flaws[got.verdict.flaw] += 1
         if got.verdict.end is End.WRONG and len(self.wrong) < MAX_WRONG:
             self.wrong.append(f"{req.request_id}: {got.verdict.reason}")
         self._observe(req, got)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -14,7 +14,7 @@
 
 from papayapier.clock import real_clock
 from papayapier.load import arrivals, runner, scenario
-from papayapier.load.answer import End, StreamReader, Verdict, judge, judge_stream
+from papayapier.load.answer import NO_FINISH_REASON, End, StreamReader, Verdict, judge, judge_stream
 from papayapier.load.client import Answered, Client, Timing, make_client
 from papayapier.load.experiment import Options, run_experiment
 from papayapier.load.ledger import Ledger
@@ -106,6 +106,9 @@
     reader.feed(b"data: [DONE]\n\n")
     assert tokens == req.max_tokens
     assert judge_stream(req, reader, expected_text).end is End.WHOLE
+    assert judge_stream(req, reader, expected_text).flaw == ""
+    reader.finished = False
+    assert judge_stream(req, reader, expected_text).flaw == NO_FINISH_REASON
 
 
 def feed_answer(reader: StreamReader, text: str) -> int:
