--- a/papayapier/batch/commits.py
+++ b/papayapier/batch/commits.py
@@ -20,6 +20,7 @@
 from papayapier.batch.work import OpenTask
 from papayapier.invariants import Promise, check
 from papayapier.store.api import StoreError
+from papayapier.store.watch import Pauses
 
 if TYPE_CHECKING:
     from papayapier.batch.api import BatchDeps
@@ -163,7 +164,7 @@
         self, task: OpenTask, key: str, value: bytes, version: int
     ) -> Result[int, StoreError]:
         """Offer one value until the store has taken or refused it, or the task is dropped."""
-        pauses = saves.Pauses(self._deps.rand)
+        pauses = Pauses(self._deps.rand)
         maybe_taken = False
         while True:
             if not self._allowed(task):
@@ -172,7 +173,7 @@
                 await self._deps.clock.sleep(pauses.next_ms())
                 continue
             self._check_cancel(task)
-            done = await saves.save(self._deps.store, key, value, version, maybe_taken)
+            done = await saves.offer(self._deps, key, value, version, maybe_taken)
             if isinstance(done, Ok) or done.err_value not in saves.BUSY:
                 self._note(delayed=False)
                 return done
--- a/papayapier/batch/ending.py
+++ b/papayapier/batch/ending.py
@@ -15,7 +15,7 @@
 from papayapier.batch import keys, saves
 from papayapier.batch.opening import OpenError, read_results
 from papayapier.batch.records import Checkpoint, JobRecord, JobState, Tally
-from papayapier.batch.registry import JobRegistry, list_keys
+from papayapier.batch.registry import JobRegistry
 from papayapier.batch.results import cancelled_tally, view_task
 from papayapier.batch.work import JobWork
 from papayapier.peer.messages import JobChanged
@@ -82,7 +82,7 @@
         now = self._deps.clock.wall()
         record = job.record._replace(state=JobState.ENDING, tally=tally, tally_ms=now, ended_ms=now)
         key = keys.active_key(record.job_id)
-        done = await saves.update(self._deps.store, key, codec.pack(record), job.version)
+        done = await saves.update(self._deps, key, codec.pack(record), job.version)
         if isinstance(done, Err):
             # Another instance ended or cancelled it, or the answer was lost: read it again.
             await self._registry.read(record.job_id)
@@ -134,7 +134,7 @@
             if read.err_value is not StoreError.NOT_FOUND:
                 return False
             sealed = Checkpoint(writer, 0, 0, [], [], [], [], [])
-            done = await saves.create(self._deps.store, key, codec.pack(sealed))
+            done = await saves.create(self._deps, key, codec.pack(sealed))
             return isinstance(done, Ok)
         stored = read.ok_value
         checkpoint = codec.unpack(stored.value, Checkpoint)
@@ -143,22 +143,24 @@
         versions = [*checkpoint.ok_value.versions, stored.version]
         sealed = checkpoint.ok_value._replace(writer=writer, versions=versions)
         value = codec.pack(sealed)
-        done = await saves.update(self._deps.store, key, value, stored.version)
+        done = await saves.update(self._deps, key, value, stored.version)
         return isinstance(done, Ok)
 
     async def _close(self, job: JobWork, record: JobRecord) -> None:
         """Move the record of a job to where the ended ones are kept."""
         expires = record.ended_ms + self._deps.cfg.retention_ms
         record = record._replace(expires_ms=expires)
-        store = self._deps.store
         mark = keys.expiry_key(expires, JOB_KIND, record.job_id)
-        marked = await saves.create(store, mark, MARK)
+        marked = await saves.create(self._deps, mark, MARK)
         if isinstance(marked, Err) and marked.err_value is not StoreError.CONFLICT:
             return
-        ended = await saves.create(store, keys.ended_key(record.job_id), codec.pack(record))
+        ended = await saves.create(self._deps, keys.ended_key(record.job_id), codec.pack(record))
         if isinstance(ended, Err) and ended.err_value is not StoreError.CONFLICT:
             return
-        await saves.delete(store, keys.active_key(record.job_id), job.version)
+        key = keys.active_key(record.job_id)
+        deleted = await saves.delete(self._deps, key, job.version)
+        if isinstance(deleted, Err) and deleted.err_value is not StoreError.CONFLICT:
+            return
         if isinstance(ended, Ok):
             events.emit(
                 events.JOB_ENDED,
@@ -167,7 +169,7 @@
                 **record.tally._asdict(),
             )
         self._deps.tell_peers(JobChanged(record.job_id, job.version))
-        await self._registry.read(record.job_id)
+        self._registry.drop(record.job_id)
 
     def _report(self, job: JobWork, error: OpenError) -> None:
         if not isinstance(error, StoreError):
@@ -176,7 +178,7 @@
 
 async def refresh_done(deps: "BatchDeps", job: JobWork) -> bool:
     """List which tasks of a job are recorded; False says that the store did not answer."""
-    listed = await list_keys(deps, keys.results_prefix(job.record.job_id))
+    listed = await saves.list_keys(deps, keys.results_prefix(job.record.job_id))
     if isinstance(listed, Err):
         return False
     for name in listed.ok_value.versions:
--- /dev/null
+++ b/papayapier/batch/expiry.py
@@ -0,0 +1,167 @@
+"""Delete files and jobs whose retention has passed.
+
+Marks with the time in their key make this cheap: one listing shows what is due, whatever
+the number of objects kept. A mark is created before the object that it is for, so nothing is
+kept for ever. It only says when to look: the record says whether the time was extended.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier import codec, events
+from papayapier.batch import keys, saves
+from papayapier.batch.ending import JOB_KIND
+from papayapier.batch.files import FILE_KIND, MARK
+from papayapier.batch.lookup import find_file, unavailable
+from papayapier.batch.records import FileRecord
+from papayapier.batch.registry import JobRegistry
+from papayapier.errors import ErrorKind, Refusal, not_run
+from papayapier.store.api import Entry, StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+
+PAGE: Final = 100
+DELETES_AT_ONCE: Final = 20
+BETWEEN_DELETES_MS: Final = 200
+ROUND_MS: Final = 60_000
+POSTPONE_MS: Final = 3_600_000
+DELETE_GRACE_MS: Final = 600_000
+
+
+class Due(NamedTuple):
+    """Hold a mark that is due."""
+
+    entry: Entry
+    at_ms: int
+    kind: str
+    object_id: str
+
+
+class Expiry:
+    """Delete what is due, while this instance has the duty."""
+
+    def __init__(
+        self, deps: "BatchDeps", registry: JobRegistry, on_duty: Callable[[], bool]
+    ) -> None:
+        self._deps = deps
+        self._registry = registry
+        self._on_duty = on_duty
+
+    async def run(self) -> None:
+        """Look for what is due until cancelled."""
+        while True:
+            await self._deps.clock.sleep(ROUND_MS)
+            if self._on_duty() and self._registry.complete():
+                await self.run_once()
+
+    async def run_once(self) -> None:
+        """Delete what is due now."""
+        listed = await self._deps.store.list(keys.EXPIRY_PREFIX, "", PAGE)
+        if isinstance(listed, Err):
+            return
+        now = self._deps.clock.wall()
+        for entry in listed.ok_value.objects:
+            due = _due(entry)
+            if due.at_ms > now:
+                return
+            if not await self._expire(due):
+                return
+
+    async def _expire(self, due: Due) -> bool:
+        """Handle one mark; False says that the store did not answer."""
+        if due.kind == JOB_KIND:
+            done = await self._expire_job(due.object_id)
+        else:
+            done = await self._expire_file(due)
+        if done:
+            await saves.delete(self._deps, due.entry.key, due.entry.version)
+        return done
+
+    async def _expire_job(self, job_id: str) -> bool:
+        for prefix in (
+            keys.results_prefix(job_id),
+            keys.progress_prefix(job_id),
+            keys.spill_prefix(job_id),
+        ):
+            if not await self._delete_all(prefix):
+                return False
+        # The record goes last: while it is there, the job is known and can be looked for.
+        return await self._delete_key(keys.ended_key(job_id), JOB_KIND, job_id)
+
+    async def _expire_file(self, due: Due) -> bool:
+        file_id = due.object_id
+        read = await self._deps.store.get(keys.file_key(file_id))
+        if isinstance(read, Err) and read.err_value is not StoreError.NOT_FOUND:
+            return False
+        record = _file_record(read.ok_value.value) if isinstance(read, Ok) else None
+        now = self._deps.clock.wall()
+        if record is not None and not record.deleted and record.expires_ms > now:
+            return await self._mark_again(file_id, record.expires_ms)
+        if any(job.record.file_id == file_id for job in self._registry.jobs.values()):
+            return await self._mark_again(file_id, now + POSTPONE_MS)
+        for prefix in (keys.chunk_prefix(file_id), keys.index_prefix(file_id)):
+            if not await self._delete_all(prefix):
+                return False
+        return await self._delete_key(keys.file_key(file_id), FILE_KIND, file_id)
+
+    async def _mark_again(self, file_id: str, at_ms: int) -> bool:
+        marked = await saves.create(self._deps, keys.expiry_key(at_ms, FILE_KIND, file_id), MARK)
+        return isinstance(marked, Ok) or marked.err_value is StoreError.CONFLICT
+
+    async def _delete_all(self, prefix: str) -> bool:
+        """Delete all objects under a prefix, a few at a time, to leave the store to others."""
+        while True:
+            listed = await self._deps.store.list(prefix, "", DELETES_AT_ONCE)
+            if isinstance(listed, Err):
+                return False
+            if not listed.ok_value.objects:
+                return True
+            for entry in listed.ok_value.objects:
+                deleted = await saves.delete(self._deps, entry.key, entry.version)
+                if isinstance(deleted, Err) and deleted.err_value is not StoreError.CONFLICT:
+                    return False
+            await self._deps.clock.sleep(BETWEEN_DELETES_MS)
+
+    async def _delete_key(self, key: str, kind: str, object_id: str) -> bool:
+        read = await self._deps.store.get(key)
+        if isinstance(read, Err):
+            return read.err_value is StoreError.NOT_FOUND
+        deleted = await saves.delete(self._deps, key, read.ok_value.version)
+        if isinstance(deleted, Ok):
+            events.emit(events.EXPIRED, kind=kind, id=object_id)
+        return isinstance(deleted, Ok)
+
+
+async def delete_file(
+    deps: "BatchDeps", registry: JobRegistry, caller: str, file_id: str
+) -> Result[FileRecord, Refusal]:
+    """Mark a file as deleted; its objects go some time later, when no request can use it."""
+    if any(job.record.file_id == file_id for job in registry.jobs.values()):
+        reason = f"a job that has not ended uses file {file_id}"
+        return Err(not_run(ErrorKind.STILL_RUNNING, reason))
+    found = await find_file(deps, caller, file_id)
+    if isinstance(found, Err):
+        return found
+    at_ms = deps.clock.wall() + DELETE_GRACE_MS
+    marked = await saves.create(deps, keys.expiry_key(at_ms, FILE_KIND, file_id), MARK)
+    if isinstance(marked, Err) and marked.err_value is not StoreError.CONFLICT:
+        return Err(unavailable())
+    record = found.ok_value.record._replace(deleted=True)
+    key = keys.file_key(file_id)
+    done = await saves.update(deps, key, codec.pack(record), found.ok_value.version)
+    if isinstance(done, Err):
+        return Err(unavailable())
+    return Ok(record)
+
+
+def _due(entry: Entry) -> Due:
+    at_ms, kind, object_id = entry.key[len(keys.EXPIRY_PREFIX) :].split("/")
+    return Due(entry, int(at_ms), kind, object_id)
+
+
+def _file_record(value: bytes) -> FileRecord | None:
+    record = codec.unpack(value, FileRecord)
+    return record.ok_value if isinstance(record, Ok) else None
--- a/papayapier/batch/files.py
+++ b/papayapier/batch/files.py
@@ -27,6 +27,7 @@
 ITEM_OVERHEAD: Final = 16
 FILE_KIND: Final = "file"
 MARK: Final = b"1"
+NAME_CHARS: Final = 200
 
 
 class FileHead(NamedTuple):
@@ -55,6 +56,7 @@
         "_line",
         "_sha256",
         "_splitter",
+        "_versions",
         "head",
     )
 
@@ -73,6 +75,11 @@
         self._index = IdIndex()
         self._sha256 = hashlib.sha256()
         self._byte_count = 0
+        self._versions: list[int] = []
+
+    def rename(self, name: str) -> None:
+        """Take the name that a form gives to its file."""
+        self.head = self.head._replace(name=name[:NAME_CHARS] or self.head.name)
 
     async def feed(self, data: bytes) -> Refusal | None:
         """Take the next bytes, and store the chunks that they fill."""
@@ -105,6 +112,12 @@
         )
         return Ok(record)
 
+    async def abandon(self) -> None:
+        """Delete the chunks of a file that was refused; its expiry mark finds the rest."""
+        for chunk, version in enumerate(self._versions):
+            await saves.delete(self._deps, keys.chunk_key(self.head.file_id, chunk), version)
+        self._versions = []
+
     async def _take_line(self, line: bytes) -> Refusal | None:
         self._line += 1
         parsed = parse_line(line, self._line)
@@ -145,9 +158,13 @@
             refusal = await self._create(mark, MARK)
             if refusal is not None:
                 return refusal
-        refusal = await self._create(
-            keys.chunk_key(self.head.file_id, chunk), codec.pack(self._items)
-        )
+        key = keys.chunk_key(self.head.file_id, chunk)
+        created = await self._created(key, codec.pack(self._items))
+        refusal = None
+        if isinstance(created, Err):
+            refusal = created.err_value
+        else:
+            self._versions.append(created.ok_value)
         self._counts.append(len(self._items))
         self._items = []
         self._chunk_bytes = 0
@@ -187,16 +204,16 @@
         )
 
     async def _create(self, key: str, value: bytes) -> Refusal | None:
+        created = await self._created(key, value)
+        return created.err_value if isinstance(created, Err) else None
+
+    async def _created(self, key: str, value: bytes) -> Result[int, Refusal]:
         deps = self._deps
         done = await saves.patiently(
-            deps.clock,
-            deps.rand,
-            STORE_PATIENCE_MS,
-            lambda: saves.create(deps.store, key, value),
+            deps, STORE_PATIENCE_MS, lambda: saves.create(deps, key, value)
         )
-        if isinstance(done, Ok):
-            return None
-        return not_run(ErrorKind.STORE_UNAVAILABLE, f"the file is not stored: {done.err_value}")
+        reason = "the file is not stored: the store does not answer"
+        return done.map_err(lambda _: not_run(ErrorKind.STORE_UNAVAILABLE, reason))
 
     def _refuse(self, error: LineError) -> Refusal:
         events.emit(
--- a/papayapier/batch/jobs.py
+++ b/papayapier/batch/jobs.py
@@ -83,7 +83,7 @@
         same = record.request_sha256 == _request_sha256(req)
         if same and record.file_id != req.file_id:
             file = await find_file(self._deps, req.caller, req.file_id)
-            same = isinstance(file, Ok) and file.ok_value.sha256 == record.file_sha256
+            same = isinstance(file, Ok) and file.ok_value.record.sha256 == record.file_sha256
         if not same:
             reason = f"the key belongs to job {record.job_id} with other content"
             return Err(not_run(ErrorKind.KEY_CONFLICT, reason))
@@ -112,10 +112,7 @@
         value = codec.pack(record)
         key = keys.active_key(record.job_id)
         created = await saves.patiently(
-            deps.clock,
-            deps.rand,
-            STORE_PATIENCE_MS,
-            lambda: saves.create(deps.store, key, value),
+            deps, STORE_PATIENCE_MS, lambda: saves.create(deps, key, value)
         )
         if isinstance(created, Err):
             return await self._not_created(req, record, created.err_value)
@@ -163,7 +160,7 @@
         if isinstance(read, Err):
             # Cannot tell: leave the record, whose finders look for the ended one too.
             return None
-        await saves.delete(self._deps.store, keys.active_key(record.job_id), version)
+        await saves.delete(self._deps, keys.active_key(record.job_id), version)
         ended = codec.unpack(read.ok_value.value, JobRecord)
         if isinstance(ended, Err):
             return Err(not_run(ErrorKind.INTERNAL, "the job's record is not readable"))
@@ -198,9 +195,10 @@
         file = await find_file(self._deps, caller, file_id)
         if isinstance(file, Err):
             return file
-        if file.ok_value.expires_ms - self._deps.clock.wall() < FILE_MARGIN_MS:
+        record = file.ok_value.record
+        if record.expires_ms - self._deps.clock.wall() < FILE_MARGIN_MS:
             return Err(not_run(ErrorKind.NOT_FOUND, f"file {file_id} has expired"))
-        return file
+        return Ok(record)
 
     async def cancel(self, caller: str, job_id: str) -> Result[FoundJob, Refusal]:
         """Cancel a job; one that is cancelled or ended stays as it is."""
@@ -215,7 +213,7 @@
                 state=JobState.CANCELLING, cancel_ms=self._deps.clock.wall()
             )
             key = keys.active_key(job_id)
-            done = await saves.update(self._deps.store, key, codec.pack(record), job.version)
+            done = await saves.update(self._deps, key, codec.pack(record), job.version)
             if isinstance(done, Ok):
                 return Ok(self._cancelled(record, done.ok_value))
             if done.err_value is StoreError.LOST:
--- a/papayapier/batch/lookup.py
+++ b/papayapier/batch/lookup.py
@@ -17,6 +17,13 @@
 RETRY_AFTER_MS: Final = 5_000
 
 
+class FoundFile(NamedTuple):
+    """Hold a file's record and its version."""
+
+    record: FileRecord
+    version: int
+
+
 class FoundJob(NamedTuple):
     """Hold a job's record and its version; ended says which of the two records it is."""
 
@@ -25,8 +32,10 @@
     ended: bool
 
 
-async def find_file(deps: "BatchDeps", caller: str, file_id: str) -> Result[FileRecord, Refusal]:
-    """Read the record of a caller's file."""
+async def find_file(
+    deps: "BatchDeps", caller: str, file_id: str, deleted: bool = False
+) -> Result[FoundFile, Refusal]:
+    """Read the record of a caller's file; deleted finds one marked for deletion as well."""
     missing = not_run(ErrorKind.NOT_FOUND, f"no file is named {file_id}")
     if not _is_name(file_id):
         return Err(missing)
@@ -36,9 +45,10 @@
     record = codec.unpack(read.ok_value.value, FileRecord)
     if isinstance(record, Err):
         return Err(not_run(ErrorKind.INTERNAL, "the file's record is not readable"))
-    if record.ok_value.caller != caller or record.ok_value.deleted:
+    file = record.ok_value
+    if file.caller != caller or (file.deleted and not deleted):
         return Err(missing)
-    return Ok(record.ok_value)
+    return Ok(FoundFile(file, read.ok_value.version))
 
 
 async def find_job(deps: "BatchDeps", caller: str, job_id: str) -> Result[FoundJob, Refusal]:
--- a/papayapier/batch/registry.py
+++ b/papayapier/batch/registry.py
@@ -1,26 +1,25 @@
-"""Know the active jobs: list them once, then watch, and read what changed.
+"""Know the active jobs: follow their records in the store, and read each that is newer.
 
-Peers also tell of changes, which is faster; the watch is what can be relied on. A watch that
-fails or is too far behind is replaced by a listing, which also finds jobs that have gone.
-One waiting watch counts as one call of the store, whatever the number of jobs.
+Peers also tell of changes, which is faster; following is what can be relied on. One waiting
+watch counts as one call of the store, whatever the number of jobs.
 """
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from result import Err, Ok, Result
+from result import Err
 
 from papayapier import codec, events
-from papayapier.batch import keys, saves
+from papayapier.batch import background, keys, saves
 from papayapier.batch.records import JobRecord
 from papayapier.batch.work import JobWork
-from papayapier.store.api import Listing, StoreError
+from papayapier.store.api import Change, StoreError
+from papayapier.store.watch import Follower, FollowPace, Pauses
 
 if TYPE_CHECKING:
     from papayapier.batch.api import BatchDeps
 
-PAGE: Final = 1_000
-WATCH_MS: Final = 20_000
+PACE: Final = FollowPace(watch_ms=20_000, poll_ms=60_000)
 
 
 class JobListeners(NamedTuple):
@@ -36,56 +35,82 @@
 
     def __init__(self, deps: "BatchDeps", listeners: JobListeners) -> None:
         self.jobs: dict[str, JobWork] = {}
-        self.fresh = False
         self._deps = deps
         self._listeners = listeners
-        self._pauses = saves.Pauses(deps.rand)
-
-    async def run(self) -> None:
-        """Follow the active jobs until cancelled."""
-        while True:
-            revision = await self.list_all()
-            while revision is not None:
-                revision = await self._watch(revision)
-            self.fresh = False
-            await self._deps.clock.sleep(self._pauses.next_ms())
-
-    async def list_all(self) -> int | None:
-        """Read every active job that is new or changed; return the listing's revision."""
-        listed = await list_keys(self._deps, keys.ACTIVE_PREFIX)
-        if isinstance(listed, Err):
-            return None
-        versions, revision = listed.ok_value
-        # A job accepted here while the listing was under way is not in it, but has not gone.
-        known = [job for job in self.jobs.values() if job.version <= revision]
-        for job in known:
-            if job.record.job_id not in versions:
-                self._drop(job.record.job_id)
-        for job_id, version in versions.items():
-            if not await self._read_newer(job_id, version):
-                return None
-        self.fresh = True
-        self._pauses.reset()
-        return revision
-
-    async def _watch(self, since: int) -> int | None:
-        """Wait for changes once; return the revision to go on from."""
-        watched = await self._deps.store.watch(keys.ACTIVE_PREFIX, since, WATCH_MS)
-        if isinstance(watched, Err):
-            return None
-        for change in watched.ok_value.changes:
-            job_id = keys.last_part(change.key)
-            if change.deleted:
-                self._drop(job_id)
-            elif not await self._read_newer(job_id, change.version):
-                return None
-        return watched.ok_value.revision
-
-    async def _read_newer(self, job_id: str, version: int) -> bool:
+        self._follower = Follower(
+            deps.store, deps.clock, deps.rand, keys.ACTIVE_PREFIX, self._on_change, PACE
+        )
+        self._unread: dict[str, int] = {}
+        self._reading = False
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to follow the active jobs."""
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._stopped = True
+        self._follower.stop()
+
+    def complete(self) -> bool:
+        """Tell whether every job that was active lately is known here."""
+        listed = self._follower.listed_ms
+        recent = listed is not None and self._deps.clock.now() - listed <= 2 * PACE.poll_ms
+        return recent and not self._unread
+
+    def hear(self, job_id: str, version: int) -> None:
+        """Take a hint that a job's record has a newer version."""
         known = self.jobs.get(job_id)
-        if known is not None and known.version >= version:
-            return True
-        return await self.read(job_id)
+        if known is None or known.version < version:
+            self._unread[job_id] = max(version, self._unread.get(job_id, 0))
+            self._read_soon()
+
+    def take(self, record: JobRecord, version: int) -> JobWork:
+        """Take in a record as read or written; an older version is ignored."""
+        known = self.jobs.get(record.job_id)
+        if known is None:
+            now = self._deps.clock.now()
+            job = JobWork(record, version, self._deps.cfg.shards, now)
+            self.jobs[record.job_id] = job
+            self._listeners.on_new(job)
+            return job
+        if version > known.version:
+            known.record = record
+            known.version = version
+            self._listeners.on_changed(known)
+        return known
+
+    def drop(self, job_id: str) -> None:
+        """Forget a job that is not active any more."""
+        self._unread.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self._listeners.on_gone(job)
+
+    def _on_change(self, change: Change) -> None:
+        job_id = keys.last_part(change.key)
+        if change.deleted:
+            self.drop(job_id)
+        else:
+            self.hear(job_id, change.version)
+
+    def _read_soon(self) -> None:
+        if not self._reading and not self._stopped:
+            self._reading = True
+            background.start(self._read_all(), "reading of jobs")
+
+    async def _read_all(self) -> None:
+        pauses = Pauses(self._deps.rand)
+        try:
+            while self._unread and not self._stopped:
+                job_id, version = next(iter(self._unread.items()))
+                if not await self.read(job_id):
+                    await self._deps.clock.sleep(pauses.next_ms())
+                elif self._unread.get(job_id) == version:
+                    del self._unread[job_id]
+        finally:
+            self._reading = False
 
     async def read(self, job_id: str) -> bool:
         """Read one job's record and take it in; False says that the store did not answer."""
@@ -93,7 +118,7 @@
         if isinstance(read, Err):
             gone = read.err_value is StoreError.NOT_FOUND
             if gone:
-                self._drop(job_id)
+                self.drop(job_id)
             return gone
         record = codec.unpack(read.ok_value.value, JobRecord)
         if isinstance(record, Err):
@@ -116,51 +141,5 @@
         ended = await self._deps.store.get(keys.ended_key(job_id))
         if isinstance(ended, Err):
             return False if ended.err_value is StoreError.NOT_FOUND else None
-        await saves.delete(self._deps.store, keys.active_key(job_id), version)
+        await saves.delete(self._deps, keys.active_key(job_id), version)
         return True
-
-    def take(self, record: JobRecord, version: int) -> JobWork:
-        """Take in a record as read or written; an older version is ignored."""
-        known = self.jobs.get(record.job_id)
-        if known is None:
-            now = self._deps.clock.now()
-            job = JobWork(record, version, self._deps.cfg.shards, now)
-            self.jobs[record.job_id] = job
-            self._listeners.on_new(job)
-            return job
-        if version > known.version:
-            known.record = record
-            known.version = version
-            self._listeners.on_changed(known)
-        return known
-
-    def _drop(self, job_id: str) -> None:
-        job = self.jobs.pop(job_id, None)
-        if job is not None:
-            self._listeners.on_gone(job)
-
-
-class Keys(NamedTuple):
-    """Hold the last parts of listed keys with their versions, in order."""
-
-    versions: dict[str, int]
-    revision: int
-
-
-async def list_keys(deps: "BatchDeps", prefix: str) -> Result[Keys, StoreError]:
-    """List all keys under a prefix, page by page."""
-    found: dict[str, int] = {}
-    after = ""
-    revision: int | None = None
-    while True:
-        listed = await deps.store.list(prefix, after, PAGE)
-        if isinstance(listed, Err):
-            return listed
-        page: Listing = listed.ok_value
-        # The first page's revision: a change made while later pages are read is then seen
-        # by the watch, maybe for the second time, but never missed.
-        revision = page.revision if revision is None else revision
-        found.update((keys.last_part(entry.key), entry.version) for entry in page.objects)
-        if not page.more or not page.objects:
-            return Ok(Keys(found, revision))
-        after = page.objects[-1].key
--- a/papayapier/batch/results.py
+++ b/papayapier/batch/results.py
@@ -13,10 +13,11 @@
 from result import Err, Ok, Result
 
 from papayapier import codec
-from papayapier.batch import keys
+from papayapier.batch import keys, saves
 from papayapier.batch.opening import OpenError, Unreadable, read_chunk, read_spilled
 from papayapier.batch.records import (
     Checkpoint,
+    InputItem,
     ItemResult,
     ItemState,
     JobRecord,
@@ -28,9 +29,10 @@
 from papayapier.store.api import Store, Stored, StoreError
 
 if TYPE_CHECKING:
-    from papayapier.batch.records import InputItem
+    from papayapier.batch.api import BatchDeps
 
 NO_CANCEL: Final = 0
+READ_PATIENCE_MS: Final = 30_000
 OUTPUT: Final = frozenset({ItemState.COMPLETED})
 ERRORS: Final = frozenset({ItemState.FAILED, ItemState.UNKNOWN, ItemState.CANCELLED})
 
@@ -107,7 +109,7 @@
 
 
 def cancelled_results(
-    record: JobRecord, view: TaskView, items: "list[InputItem]", span: TaskSpan
+    record: JobRecord, view: TaskView, items: list[InputItem], span: TaskSpan
 ) -> list[ItemResult]:
     """Return how the items without a result end when their job is cancelled."""
     guarded = frozenset(() if record.profile.idempotent else view.intents)
@@ -132,7 +134,7 @@
 
 
 async def stream_lines(
-    store: Store,
+    deps: "BatchDeps",
     record: JobRecord,
     cancel_version: int,
     states: frozenset[ItemState],
@@ -140,13 +142,13 @@
 ) -> AsyncIterator[bytes]:
     """Yield the lines of a job's output, one task at a time."""
     for span in split(record.chunks, record.task_items):
-        view = await view_task(store, record, span, cancel_version)
+        view = await _view_patiently(deps, record, span, cancel_version)
         if isinstance(view, Err):
             on_error(view.err_value)
             return
         results = view.ok_value.results
         if cancel_version != NO_CANCEL and ItemState.CANCELLED in states:
-            rest = await _cancelled_items(store, record, view.ok_value, span)
+            rest = await _cancelled_items(deps, record, view.ok_value, span)
             if isinstance(rest, Err):
                 on_error(rest.err_value)
                 return
@@ -157,14 +159,42 @@
 
 
 async def _cancelled_items(
-    store: Store, record: JobRecord, view: TaskView, span: TaskSpan
+    deps: "BatchDeps", record: JobRecord, view: TaskView, span: TaskSpan
 ) -> Result[list[ItemResult], OpenError]:
     if not view.open_items:
         return Ok([])
-    chunk = await read_chunk(store, record.file_id, span.chunk)
+    chunk = await read_chunk_patiently(deps, record.file_id, span.chunk)
     return chunk.map(lambda items: cancelled_results(record, view, items, span))
 
 
+async def _view_patiently(
+    deps: "BatchDeps", record: JobRecord, span: TaskSpan, cancel_version: int
+) -> Result[TaskView, OpenError]:
+    return await saves.patiently(
+        deps, READ_PATIENCE_MS, lambda: view_task(deps.store, record, span, cancel_version)
+    )
+
+
+async def read_chunk_patiently(
+    deps: "BatchDeps", file_id: str, chunk: int
+) -> Result[list[InputItem], OpenError]:
+    """Read one chunk of an input file, waiting for the store for a limited time."""
+    return await saves.patiently(
+        deps, READ_PATIENCE_MS, lambda: read_chunk(deps.store, file_id, chunk)
+    )
+
+
+def input_line(item: InputItem) -> bytes:
+    """Encode an item as a line of its input file."""
+    line = {
+        "custom_id": item.custom_id,
+        "method": item.method,
+        "url": item.url,
+        "body": msgspec.Raw(item.body),
+    }
+    return msgspec.json.encode(line) + b"\n"
+
+
 def output_line(record: JobRecord, span: TaskSpan, result: ItemResult) -> bytes:
     """Encode one item's result as a line of an OpenAI-style output file."""
     request_id = f"{record.job_id}-{span.task}-{result.item}"
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from papayapier import events
-from papayapier.batch import background, saves
+from papayapier.batch import background
 from papayapier.batch.commits import CommitCalls, Commits
 from papayapier.batch.opening import Grant, OpenError, open_task
 from papayapier.batch.records import CHUNK_BYTES, Tally
@@ -20,6 +20,7 @@
 from papayapier.batch.work import JobWork, OpenTask
 from papayapier.policy import deadlines
 from papayapier.store.api import StoreError
+from papayapier.store.watch import Pauses
 
 if TYPE_CHECKING:
     from papayapier.batch.api import BatchDeps
@@ -69,7 +70,7 @@
         )
         self._commits = Commits(deps, holder, commit_calls)
         self._sender = Sender(deps, self._may_send, self._on_change)
-        self._pauses = saves.Pauses(deps.rand)
+        self._pauses = Pauses(deps.rand)
         self._pump_timer: Timer | None = None
         self._tick_timer: Timer | None = None
         self._stopping = False
@@ -238,7 +239,7 @@
         self._on_change(opened.ok_value)
 
     def _open_later(self, job: JobWork, task: int, error: OpenError) -> None:
-        pause = UNREADABLE_PAUSE_MS
+        pause: float = UNREADABLE_PAUSE_MS
         if isinstance(error, StoreError):
             pause = self._pauses.next_ms()
         else:
--- a/papayapier/batch/start.py
+++ b/papayapier/batch/start.py
@@ -2,15 +2,21 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from result import Result
+
 from papayapier.batch import background
 from papayapier.batch.api import BatchDeps
 from papayapier.batch.ending import Ender, refresh_done
+from papayapier.batch.expiry import delete_file
+from papayapier.batch.files import FileIntake
 from papayapier.batch.jobs import Jobs
 from papayapier.batch.opening import Grant
-from papayapier.batch.records import JobState
+from papayapier.batch.records import FileRecord, JobState
 from papayapier.batch.registry import JobListeners, JobRegistry
 from papayapier.batch.runner import Holds, Runner, RunnerCalls
+from papayapier.batch.view import Views
 from papayapier.batch.work import JobWork
+from papayapier.errors import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,9 +29,18 @@
 
     deps: BatchDeps
     jobs: Jobs
+    views: Views
     registry: JobRegistry
     stop: "Callable[[], Awaitable[None]]"
 
+    def new_file(self, caller: str, name: str, purpose: str) -> FileIntake:
+        """Begin to take in an input file."""
+        return FileIntake(self.deps, caller, name, purpose)
+
+    async def delete_file(self, caller: str, file_id: str) -> Result[FileRecord, Refusal]:
+        """Delete an input file that no active job uses."""
+        return await delete_file(self.deps, self.registry, caller, file_id)
+
 
 class _Parts:
     """Hold the parts of batch work that call each other."""
@@ -41,7 +56,7 @@
         self.loops: list[Deferred[None]] = []
 
     def start(self) -> None:
-        self.loops.append(background.start(self.registry.run(), "job registry"))
+        self.registry.start()
         self.loops.append(background.start(self.ender.run(), "ending of jobs"))
 
     def on_new(self, job: JobWork) -> None:
@@ -72,6 +87,7 @@
     async def stop(self) -> None:
         for loop in self.loops:
             loop.cancel()
+        self.registry.stop()
         self.runner.stop()
 
 
@@ -79,4 +95,6 @@
     """Start the batch work of one instance."""
     parts = _Parts(deps)
     parts.start()
-    return Batch(deps, Jobs(deps, parts.registry), parts.registry, parts.stop)
+    jobs = Jobs(deps, parts.registry)
+    views = Views(deps, parts.registry)
+    return Batch(deps, jobs, views, parts.registry, parts.stop)
--- /dev/null
+++ b/papayapier/batch/view.py
@@ -0,0 +1,205 @@
+"""Answer callers' questions about jobs, items and files.
+
+Only what is stored is shown. A result that is still in an instance's memory may be lost with
+it and come out differently the second time; once shown, a result must stay what it is. So
+the counts of a running job are lower bounds that only grow.
+"""
+
+from collections.abc import AsyncIterator, Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from papayapier.batch import ids, keys
+from papayapier.batch.ending import refresh_done, sum_tallies
+from papayapier.batch.jobs import caller_prefix
+from papayapier.batch.lookup import FoundJob, find_file, find_job, unavailable
+from papayapier.batch.opening import OpenError, read_chunk, read_results
+from papayapier.batch.records import FileRecord, ItemResult, JobState
+from papayapier.batch.results import (
+    ERRORS,
+    NO_CANCEL,
+    OUTPUT,
+    TaskView,
+    cancelled_results,
+    input_line,
+    read_chunk_patiently,
+    stream_lines,
+    view_task,
+)
+from papayapier.batch.tasks import TaskSpan, place, split
+from papayapier.errors import ErrorKind, Refusal, not_run
+from papayapier.store.api import StoreError
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.batch.registry import JobRegistry
+    from papayapier.batch.work import JobWork
+
+OUTPUT_FILE: Final = "file-out-"
+ERROR_FILE: Final = "file-err-"
+LIST_AGAIN_MS: Final = 1_000
+TALLIES_AT_ONCE: Final = 16
+
+
+class ItemView(NamedTuple):
+    """Hold what is known of one item; result is None while it has not ended."""
+
+    job: FoundJob
+    span: TaskSpan
+    result: ItemResult | None
+
+
+class OutputFile(NamedTuple):
+    """Name the output of a job: its results, or its errors."""
+
+    job: FoundJob
+    errors: bool
+
+
+class Views:
+    """Read for callers."""
+
+    def __init__(self, deps: "BatchDeps", registry: "JobRegistry") -> None:
+        self._deps = deps
+        self._registry = registry
+
+    async def job(self, caller: str, job_id: str) -> Result[FoundJob, Refusal]:
+        """Return a job with its counts as they are known now."""
+        found = await find_job(self._deps, caller, job_id)
+        if isinstance(found, Err) or found.ok_value.ended:
+            return found
+        return Ok(await self._with_counts(found.ok_value))
+
+    async def _with_counts(self, found: FoundJob) -> FoundJob:
+        work = self._registry.jobs.get(found.record.job_id)
+        if work is None or found.record.state is not JobState.RUNNING:
+            return found
+        now = self._deps.clock.now()
+        if now >= work.list_again_ms:
+            work.list_again_ms = now + LIST_AGAIN_MS
+            await refresh_done(self._deps, work)
+            await self._read_tallies(work)
+        tally = sum_tallies(work.tallies.values())
+        return found._replace(record=found.record._replace(tally=tally))
+
+    async def _read_tallies(self, work: "JobWork") -> None:
+        missing = sorted(work.done.difference(work.tallies))
+        for task in missing[:TALLIES_AT_ONCE]:
+            read = await read_results(self._deps.store, work.record.job_id, task)
+            if isinstance(read, Ok):
+                work.tallies[task] = read.ok_value.tally
+
+    async def jobs(self, caller: str, after: str, limit: int) -> Result[list[FoundJob], Refusal]:
+        """List a caller's jobs by id: ids that follow after, at most limit."""
+        prefix = caller_prefix(caller)
+        names: set[str] = set()
+        for kind in (keys.ACTIVE_PREFIX, keys.ENDED_PREFIX):
+            start = kind + after if after else ""
+            listed = await self._deps.store.list(kind + prefix, start, limit + 1)
+            if isinstance(listed, Err):
+                return Err(unavailable())
+            names.update(keys.last_part(entry.key) for entry in listed.ok_value.objects)
+        found: list[FoundJob] = []
+        for job_id in sorted(names)[: limit + 1]:
+            job = await find_job(self._deps, caller, job_id)
+            if isinstance(job, Ok):
+                found.append(job.ok_value)
+            elif job.err_value.kind is not ErrorKind.NOT_FOUND:
+                return job
+        return Ok(found)
+
+    async def item(self, caller: str, job_id: str, custom_id: str) -> Result[ItemView, Refusal]:
+        """Return what is known of one item."""
+        found = await find_job(self._deps, caller, job_id)
+        if isinstance(found, Err):
+            return found
+        job = found.ok_value
+        number = await self._item_number(job, custom_id)
+        if isinstance(number, Err):
+            return number
+        chunks = job.record.chunks
+        span, item = place(split(chunks, job.record.task_items), chunks, number.ok_value)
+        result = await self._result_of(job, span, item)
+        return result.map(lambda one: ItemView(job, span, one))
+
+    async def _item_number(self, job: FoundJob, custom_id: str) -> Result[int, Refusal]:
+        """Find the place of an id by the hashes kept with the input file."""
+        missing = not_run(ErrorKind.NOT_FOUND, f"the job has no item {custom_id}")
+        file = await find_file(self._deps, job.record.caller, job.record.file_id, deleted=True)
+        if isinstance(file, Err):
+            return file
+        record = file.ok_value.record
+        number = ids.find(record.id_hashes, custom_id)
+        for block in range(record.id_blocks):
+            if number is not None:
+                break
+            read = await self._deps.store.get(keys.index_key(job.record.file_id, block))
+            if isinstance(read, Err):
+                return Err(unavailable())
+            there = ids.find(read.ok_value.value, custom_id)
+            number = None if there is None else block * ids.BLOCK_IDS + there
+        return Err(missing) if number is None else Ok(number)
+
+    async def _result_of(
+        self, job: FoundJob, span: TaskSpan, item: int
+    ) -> Result[ItemResult | None, Refusal]:
+        cancel = cancel_version(job)
+        read = await view_task(self._deps.store, job.record, span, cancel)
+        if isinstance(read, Err):
+            return Err(refusal_of(read.err_value))
+        view: TaskView = read.ok_value
+        results = view.results
+        if cancel != NO_CANCEL and item in view.open_items:
+            chunk = await read_chunk(self._deps.store, job.record.file_id, span.chunk)
+            if isinstance(chunk, Err):
+                return Err(refusal_of(chunk.err_value))
+            results = cancelled_results(job.record, view, chunk.ok_value, span)
+        return Ok(next((result for result in results if result.item == item), None))
+
+    async def file(self, caller: str, file_id: str) -> Result[FileRecord, Refusal]:
+        """Return the record of an input file."""
+        found = await find_file(self._deps, caller, file_id)
+        return found.map(lambda file: file.record)
+
+    async def output(self, caller: str, file_id: str) -> Result[OutputFile, Refusal]:
+        """Find the job whose output a file id names."""
+        errors = file_id.startswith(ERROR_FILE)
+        prefix = ERROR_FILE if errors else OUTPUT_FILE
+        if not file_id.startswith(prefix):
+            return Err(not_run(ErrorKind.NOT_FOUND, f"no file is named {file_id}"))
+        found = await find_job(self._deps, caller, file_id.removeprefix(prefix))
+        return found.map(lambda job: OutputFile(job, errors))
+
+    def output_lines(
+        self, output: OutputFile, on_error: Callable[[OpenError], None]
+    ) -> AsyncIterator[bytes]:
+        """Yield the lines of an output, a task at a time."""
+        job = output.job
+        states = ERRORS if output.errors else OUTPUT
+        return stream_lines(self._deps, job.record, cancel_version(job), states, on_error)
+
+    async def input_lines(
+        self, file: FileRecord, on_error: Callable[[OpenError], None]
+    ) -> AsyncIterator[bytes]:
+        """Yield the lines of an input file, a chunk at a time."""
+        for chunk in range(len(file.chunks)):
+            read = await read_chunk_patiently(self._deps, file.file_id, chunk)
+            if isinstance(read, Err):
+                on_error(read.err_value)
+                return
+            yield b"".join(input_line(item) for item in read.ok_value)
+
+
+def cancel_version(job: FoundJob) -> int:
+    """Return the version of the cancel, or NO_CANCEL."""
+    if job.record.state is JobState.CANCELLING:
+        return job.version
+    return job.record.cancel_version
+
+
+def refusal_of(error: OpenError) -> Refusal:
+    """Refuse because something stored cannot be read."""
+    if isinstance(error, StoreError):
+        return unavailable()
+    return not_run(ErrorKind.INTERNAL, f"{error.key}: {error.reason}")
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -83,6 +83,7 @@
         "done",
         "ended_here",
         "home",
+        "list_again_ms",
         "listed",
         "next_look_ms",
         "open",
@@ -108,6 +109,7 @@
         self.done: set[int] = set()
         self.tallies: dict[int, Tally] = {}
         self.listed = False
+        self.list_again_ms = 0
         self.seen_ms = now
         self.next_look_ms = now
         self.at_risk = False
--- /dev/null
+++ b/papayapier/entry/batch_routes.py
@@ -0,0 +1,269 @@
+"""Serve callers' files and batch jobs over HTTP, in the shapes of OpenAI-style clients."""
+
+from collections.abc import AsyncIterator, Callable
+from datetime import datetime
+from typing import TYPE_CHECKING, Final, TypeVar
+
+from klein import Klein
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier import codec, events
+from papayapier.batch.jobs import JobRequest
+from papayapier.batch.opening import OpenError
+from papayapier.batch.results import output_line
+from papayapier.batch.start import Batch
+from papayapier.batch.view import ERROR_FILE, OUTPUT_FILE
+from papayapier.clock import MS_PER_S
+from papayapier.entry import batch_bodies as bodies
+from papayapier.entry.answers import refuse, reply_json
+from papayapier.entry.streaming import break_off, write_all
+from papayapier.entry.uploads import PURPOSE, read_upload
+from papayapier.errors import ErrorKind, Refusal, not_run
+
+if TYPE_CHECKING:
+    from papayapier.entry.callers import CallerAuth
+    from papayapier.entry.web import WebRequest
+
+T = TypeVar("T")
+
+JSONL: Final = b"application/jsonl"
+BODY_MOST: Final = 64_000
+LIST_DEFAULT: Final = 20
+LIST_MOST: Final = 100
+NAME_CHARS: Final = 200
+
+
+def add_batch_routes(
+    app: Klein,
+    batch: Batch,
+    auth: "CallerAuth",
+    refusing: Callable[[], Refusal | None] = lambda: None,
+) -> None:
+    """Add the callers' routes for files and batch jobs to an app."""
+    routes = _Routes(batch, auth, refusing)
+    _add_file_routes(app, routes)
+    _add_job_routes(app, routes)
+
+
+def _add_file_routes(app: Klein, routes: "_Routes") -> None:
+    @app.route("/v1/files", methods=["POST"])
+    def upload(request: "WebRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.upload(request))
+
+    @app.route("/v1/files/<file_id>", methods=["GET"])
+    def file(request: "WebRequest", file_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.file(request, file_id))
+
+    @app.route("/v1/files/<file_id>", methods=["DELETE"])
+    def delete(request: "WebRequest", file_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.delete_file(request, file_id))
+
+    @app.route("/v1/files/<file_id>/content", methods=["GET"])
+    def content(request: "WebRequest", file_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.content(request, file_id))
+
+
+def _add_job_routes(app: Klein, routes: "_Routes") -> None:
+    @app.route("/v1/batches", methods=["POST"])
+    def create(request: "WebRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.create(request))
+
+    @app.route("/v1/batches", methods=["GET"])
+    def jobs(request: "WebRequest") -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.jobs(request))
+
+    @app.route("/v1/batches/<job_id>", methods=["GET"])
+    def job(request: "WebRequest", job_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.job(request, job_id))
+
+    @app.route("/v1/batches/<job_id>/cancel", methods=["POST"])
+    def cancel(request: "WebRequest", job_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.cancel(request, job_id))
+
+    @app.route("/v1/batches/<job_id>/items/<path:custom_id>", methods=["GET"])
+    def item(request: "WebRequest", job_id: str, custom_id: str) -> Deferred[bytes | None]:
+        return Deferred.fromCoroutine(routes.item(request, job_id, custom_id))
+
+
+class _Routes:
+    """Answer the requests of each route."""
+
+    def __init__(
+        self, batch: Batch, auth: "CallerAuth", refusing: Callable[[], Refusal | None]
+    ) -> None:
+        self._batch = batch
+        self._auth = auth
+        self._refusing = refusing
+
+    def _new_work(self, request: "WebRequest") -> Result[str, Refusal]:
+        refusal = self._refusing()
+        return self._auth(request) if refusal is None else Err(refusal)
+
+    async def upload(self, request: "WebRequest") -> bytes:
+        """Store an input file."""
+        caller = self._new_work(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        name = (request.getHeader("x-papayapier-filename") or "input.jsonl")[:NAME_CHARS]
+        intake = self._batch.new_file(caller.ok_value, name, PURPOSE)
+        stored = await read_upload(request, self._batch.deps.clock, intake)
+        if isinstance(stored, Err):
+            await intake.abandon()
+        return _answer(request, stored.map(bodies.file_body))
+
+    async def file(self, request: "WebRequest", file_id: str) -> bytes:
+        """Describe a file."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        if file_id.startswith((OUTPUT_FILE, ERROR_FILE)):
+            output = await self._batch.views.output(caller.ok_value, file_id)
+            return _answer(request, output.map(lambda one: bodies.output_body(file_id, one)))
+        file = await self._batch.views.file(caller.ok_value, file_id)
+        return _answer(request, file.map(bodies.file_body))
+
+    async def delete_file(self, request: "WebRequest", file_id: str) -> bytes:
+        """Delete an input file."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        deleted = await self._batch.delete_file(caller.ok_value, file_id)
+        return _answer(request, deleted.map(lambda record: bodies.DeletedBody(record.file_id)))
+
+    async def content(self, request: "WebRequest", file_id: str) -> bytes | None:
+        """Stream the lines of an input file, of a job's results or of its errors."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        views = self._batch.views
+        failed: list[OpenError] = []
+        lines: AsyncIterator[bytes]
+        if file_id.startswith((OUTPUT_FILE, ERROR_FILE)):
+            output = await views.output(caller.ok_value, file_id)
+            if isinstance(output, Err):
+                return refuse(request, output.err_value)
+            lines = views.output_lines(output.ok_value, failed.append)
+        else:
+            file = await views.file(caller.ok_value, file_id)
+            if isinstance(file, Err):
+                return refuse(request, file.err_value)
+            lines = views.input_lines(file.ok_value, failed.append)
+        return await self._stream(request, lines, failed)
+
+    async def _stream(
+        self, request: "WebRequest", lines: AsyncIterator[bytes], failed: list[OpenError]
+    ) -> bytes | None:
+        request.setHeader(b"Content-Type", JSONL)
+        await write_all(request, lines)
+        if failed:
+            events.emit(events.OUTPUT_CUT, reason=str(failed[0]))
+            break_off(request)
+        return b""
+
+    async def create(self, request: "WebRequest") -> bytes:
+        """Accept a job."""
+        caller = self._new_work(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        wanted = _job_request(request, caller.ok_value)
+        if isinstance(wanted, Err):
+            return refuse(request, wanted.err_value)
+        found = await self._batch.jobs.accept(wanted.ok_value)
+        return _answer(request, found.map(bodies.batch_body))
+
+    async def jobs(self, request: "WebRequest") -> bytes:
+        """List the caller's jobs, by id."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        after = request.args.get(b"after", [b""])[0].decode("ascii", "replace")
+        limit = _limit(request.args.get(b"limit", [b""])[0])
+        if limit is None:
+            reason = f"limit: expected a number from 1 to {LIST_MOST}"
+            return refuse(request, not_run(ErrorKind.BAD_REQUEST, reason))
+        found = await self._batch.views.jobs(caller.ok_value, after, limit)
+        return _answer(request, found.map(lambda jobs: bodies.batch_list(jobs, limit)))
+
+    async def job(self, request: "WebRequest", job_id: str) -> bytes:
+        """Describe a job."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        found = await self._batch.views.job(caller.ok_value, job_id)
+        return _answer(request, found.map(bodies.batch_body))
+
+    async def cancel(self, request: "WebRequest", job_id: str) -> bytes:
+        """Cancel a job."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        found = await self._batch.jobs.cancel(caller.ok_value, job_id)
+        return _answer(request, found.map(bodies.batch_body))
+
+    async def item(self, request: "WebRequest", job_id: str, custom_id: str) -> bytes:
+        """Describe one item of a job."""
+        caller = self._auth(request)
+        if isinstance(caller, Err):
+            return refuse(request, caller.err_value)
+        view = await self._batch.views.item(caller.ok_value, job_id, custom_id)
+        if isinstance(view, Err):
+            return refuse(request, view.err_value)
+        job, span, result = view.ok_value
+        line = None if result is None else output_line(job.record, span, result)
+        return reply_json(request, bodies.item_body(custom_id, view.ok_value, line))
+
+
+def _answer(request: "WebRequest", done: Result[T, Refusal]) -> bytes:
+    if isinstance(done, Err):
+        return refuse(request, done.err_value)
+    return reply_json(request, done.ok_value)
+
+
+def _limit(text: bytes) -> int | None:
+    if not text:
+        return LIST_DEFAULT
+    if not text.isdigit() or not 1 <= int(text) <= LIST_MOST:
+        return None
+    return int(text)
+
+
+def _job_request(request: "WebRequest", caller: str) -> Result[JobRequest, Refusal]:
+    parsed = codec.from_json(request.content.read(BODY_MOST), bodies.CreateBatch)
+    if isinstance(parsed, Err):
+        return Err(not_run(ErrorKind.BAD_REQUEST, parsed.err_value))
+    body = parsed.ok_value
+    due = _due_ms(request.getHeader("x-papayapier-due") or "")
+    if due is None:
+        reason = "X-Papayapier-Due: expected milliseconds since the epoch or ISO 8601 with a zone"
+        return Err(not_run(ErrorKind.BAD_REQUEST, reason))
+    metadata = body.metadata or {}
+    profile = request.getHeader("x-papayapier-profile") or metadata.get("profile", "")
+    if not profile:
+        reason = "no profile: set X-Papayapier-Profile or metadata.profile"
+        return Err(not_run(ErrorKind.BAD_REQUEST, reason))
+    return Ok(
+        JobRequest(
+            caller=caller,
+            key=request.getHeader("idempotency-key") or "",
+            file_id=body.input_file_id,
+            endpoint=body.endpoint,
+            window=body.completion_window,
+            metadata=metadata,
+            profile=profile,
+            due_ms=due,
+        )
+    )
+
+
+def _due_ms(text: str) -> int | None:
+    """Return a stated due time, 0 when there is none, or None when it is not understood."""
+    if not text:
+        return 0
+    if text.isdigit():
+        return int(text)
+    try:
+        due = datetime.fromisoformat(text)
+    except ValueError:
+        return None
+    return int(due.timestamp() * MS_PER_S) if due.tzinfo is not None else None
--- /dev/null
+++ b/papayapier/entry/streaming.py
@@ -0,0 +1,65 @@
+"""Write an answer of any length at the pace at which its reader takes it.
+
+Without this, a result file of hundreds of megabytes would be read from the store as fast as
+the store gives it and wait in this process's memory for a slow reader.
+"""
+
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from papayapier.entry.web import WebRequest
+
+
+@implementer(IPushProducer)
+class _Pace:
+    """Follow the transport's wish to pause."""
+
+    def __init__(self) -> None:
+        self.stopped = False
+        self._waiting: Deferred[None] | None = None
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        if self._waiting is None:
+            self._waiting = Deferred()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.callback(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self.stopped = True
+        self.resumeProducing()
+
+    async def ready(self) -> None:
+        if self._waiting is not None:
+            await self._waiting
+
+
+async def write_all(request: "WebRequest", pieces: AsyncIterator[bytes]) -> bool:
+    """Write every piece; False says that the reader went away."""
+    pace = _Pace()
+    target: Any = request
+    target.registerProducer(pace, True)
+    try:
+        async for piece in pieces:
+            if piece and not pace.stopped:
+                request.write(piece)
+            await pace.ready()
+            if pace.stopped:
+                return False
+        return True
+    finally:
+        if not pace.stopped:
+            target.unregisterProducer()
+
+
+def break_off(request: "WebRequest") -> None:
+    """Close the connection, so that an answer cut short is not taken for a whole one."""
+    target: Any = request
+    target.transport.loseConnection()
--- /dev/null
+++ b/papayapier/entry/uploads.py
@@ -0,0 +1,138 @@
+"""Read uploaded files from request bodies in pieces.
+
+twisted.web keeps a request body of 100,000 bytes or more in a temporary file and calls the
+route when it is whole. So memory is bounded here, and an instance needs room for the
+uploads under way in its temporary directory. The site must be made with
+parsePOSTFormSubmission=False: else twisted reads a multipart body into memory as well.
+"""
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Result
+from werkzeug.exceptions import RequestEntityTooLarge
+from werkzeug.http import parse_options_header
+from werkzeug.sansio.multipart import Data, Epilogue, Field, File, MultipartDecoder, NeedData
+
+from papayapier.batch.files import FileIntake
+from papayapier.errors import ErrorKind, Refusal, not_run
+
+if TYPE_CHECKING:
+    from papayapier.batch.records import FileRecord
+    from papayapier.clock import Clock
+    from papayapier.entry.web import WebRequest
+
+PIECE_BYTES: Final = 65_536
+FIELD_BYTES: Final = 1_000
+MULTIPART: Final = "multipart/form-data"
+PURPOSE: Final = "batch"
+
+
+class _Part(NamedTuple):
+    """Name the part of a form that is being read."""
+
+    name: str
+    is_file: bool
+
+
+async def read_upload(
+    request: "WebRequest", clock: "Clock", intake: FileIntake
+) -> "Result[FileRecord, Refusal]":
+    """Store an uploaded file: a form with the fields file and purpose, or a JSONL body."""
+    kind, options = parse_options_header(request.getHeader("content-type"))
+    if kind == MULTIPART:
+        boundary = options.get("boundary", "")
+        if not boundary:
+            return Err(not_run(ErrorKind.BAD_REQUEST, "multipart: no boundary"))
+        refusal = await _read_form(request, clock, intake, boundary.encode())
+    else:
+        refusal = await _read_body(request, clock, intake)
+    return await intake.finish() if refusal is None else Err(refusal)
+
+
+async def _read_body(request: "WebRequest", clock: "Clock", intake: FileIntake) -> Refusal | None:
+    while piece := request.content.read(PIECE_BYTES):
+        refusal = await intake.feed(piece)
+        if refusal is not None:
+            return refusal
+        # Other requests are served between two pieces.
+        await clock.sleep(0)
+    return None
+
+
+async def _read_form(
+    request: "WebRequest", clock: "Clock", intake: FileIntake, boundary: bytes
+) -> Refusal | None:
+    form = _Form(intake, boundary)
+    while True:
+        piece = request.content.read(PIECE_BYTES)
+        refusal = await form.feed(piece or None)
+        if refusal is not None:
+            return refusal
+        if not piece:
+            return form.fault()
+        await clock.sleep(0)
+
+
+class _Form:
+    """Pass the file field of a form on, and check the others."""
+
+    def __init__(self, intake: FileIntake, boundary: bytes) -> None:
+        self._intake = intake
+        self._decoder = MultipartDecoder(boundary, max_form_memory_size=None)
+        self._part = _Part("", False)
+        self._field = b""
+        self._files = 0
+        self._whole = False
+
+    async def feed(self, piece: bytes | None) -> Refusal | None:
+        """Take the next bytes; None marks the end."""
+        try:
+            self._decoder.receive_data(piece)
+            return await self._take_events()
+        except (ValueError, RequestEntityTooLarge) as exc:
+            return not_run(ErrorKind.BAD_REQUEST, f"multipart: {exc}")
+
+    def fault(self) -> Refusal | None:
+        """Tell what is missing of the form at its end."""
+        if not self._whole:
+            return not_run(ErrorKind.BAD_REQUEST, "multipart: the form is cut short")
+        if self._files != 1:
+            reason = f"multipart: expected one file, got {self._files}"
+            return not_run(ErrorKind.BAD_REQUEST, reason)
+        return None
+
+    async def _take_events(self) -> Refusal | None:
+        while True:
+            event = self._decoder.next_event()
+            if isinstance(event, NeedData):
+                return None
+            if isinstance(event, Epilogue):
+                self._whole = True
+                return None
+            refusal = None
+            if isinstance(event, Field | File):
+                self._begin(event)
+            elif isinstance(event, Data):
+                refusal = await self._take_data(event)
+            if refusal is not None:
+                return refusal
+
+    def _begin(self, event: Field | File) -> None:
+        self._part = _Part(event.name, isinstance(event, File))
+        self._field = b""
+        if isinstance(event, File):
+            self._files += 1
+            self._intake.rename(event.filename or "")
+
+    async def _take_data(self, event: Data) -> Refusal | None:
+        if self._part.is_file:
+            return await self._intake.feed(event.data)
+        self._field += event.data
+        if len(self._field) > FIELD_BYTES:
+            return not_run(ErrorKind.BAD_REQUEST, f"{self._part.name}: over {FIELD_BYTES} bytes")
+        if event.more_data or self._part.name != "purpose":
+            return None
+        purpose = self._field.decode("utf-8", "replace")
+        if purpose != PURPOSE:
+            return not_run(ErrorKind.BAD_REQUEST, f"purpose: expected {PURPOSE}, got {purpose}")
+        return None
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -100,6 +100,7 @@
 EXPIRED: Final = Event(519, "expired", Level.INFO, "file or job has passed its retention")
 BATCH_BROKEN: Final = Event(520, "batch_broken", Level.ERROR, "background work failed")
 INPUT_MISSING: Final = Event(521, "input_missing", Level.ERROR, "input of a job is not readable")
+OUTPUT_CUT: Final = Event(522, "output_cut", Level.WARNING, "a file could not be read to its end")
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "change accepted")
 CONFIG_APPLIED: Final = Event(602, "config_applied", Level.INFO, "object in force")
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -15,7 +15,7 @@
 from papayapier.batch.lookup import FoundJob
 from papayapier.batch.records import FileRecord
 from papayapier.batch.start import Batch, start_batch
-from papayapier.clock import FakeClock, fake_clock
+from papayapier.clock import Clock, FakeClock, fake_clock
 from papayapier.config.profiles import Profile
 from papayapier.errors import Refusal
 from papayapier.metrics import make_metrics
@@ -82,10 +82,11 @@
 class World:
     """Hold a platform, a fleet and instances on one fake clock."""
 
-    def __init__(self, cfg: BatchSettings = DEFAULTS) -> None:
+    def __init__(self, cfg: BatchSettings = DEFAULTS, clock: Clock | None = None) -> None:
         invariants.raise_on_failure(True)
         self.fake: FakeClock = fake_clock()
-        self.platform = FakePlatform(self.fake.clock)
+        self.clock = clock or self.fake.clock
+        self.platform = FakePlatform(self.clock)
         self.fleet = FakeFleet()
         self.cfg = cfg
         self.rand = random.Random(7)
@@ -93,7 +94,7 @@
 
     def start(self, name: str) -> Batch:
         deps = BatchDeps(
-            clock=self.fake.clock,
+            clock=self.clock,
             rand=self.rand,
             store=self.platform.store(name),
             dispatch=self.fleet.dispatch(),
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -249,9 +249,13 @@
             changed: Deferred[None] = Deferred()
             self._waiting.append(changed)
             timer = self.clock.call_later(end - self.clock.now(), self._wake)
-            await changed
-            if timer.active():
-                timer.cancel()
+            try:
+                await changed
+            finally:
+                if changed in self._waiting:
+                    self._waiting.remove(changed)
+                if timer.active():
+                    timer.cancel()
 
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
