Test that late and slow engines take their factor longer

Cause: trials with one line of the stand-ins spoilt at a time, on a scratch copy, showed six of seven caught; an engine whose late mode did nothing passed all 48 tests. Change: drive the engine core by the fake clock and count tokens in the modes late, hang and with a slow factor.

--- a/tests/test_standin_models.py
+++ b/tests/test_standin_models.py
@@ -8,12 +8,15 @@
 
 from papayapier.clock import fake_clock
 from papayapier.standin.answers import expected_text, words
+from papayapier.standin.engine_core import EngineCore
 from papayapier.standin.engine_steps import Batch, EngineParams, Sequence
 from papayapier.standin.instances import EXPIRY_MS, Instances
+from papayapier.standin.jobs import Job
 from papayapier.standin.limits import BURST_MS, Bucket
 from papayapier.standin.load_report import LaggedReports, LoadReport
 from papayapier.standin.objects import Objects
 from papayapier.standin.orders import Order, Orders
+from papayapier.standin.outputs import Output
 from papayapier.standin.prefix_cache import (
     BLOCK_TOKENS,
     CacheParams,
@@ -305,3 +308,28 @@
     assert set(whole).isdisjoint(expected_text("two", 9).split())
     rest = iter(words("one", 4))
     assert [next(rest) for _ in range(5)] == whole[4:]
+
+
+def tokens_after(steps: int, mode: Mode = Mode.OK, slow_factor: float = 1.0) -> int:
+    """Return how many tokens one sequence has after some normal step times."""
+    fake = fake_clock()
+    # 1/128 s, which sums without rounding, so that each step ends exactly when it is due.
+    params = PLAIN._replace(base_ms=7.8125, per_sequence_ms=0.0)
+    core = EngineCore(fake.clock, params)
+    core.switches.merge(Control(slow_factor=slow_factor))
+    made: list[int] = []
+    output = Output(lambda: made.append(1), lambda: None, lambda: None)
+    job = Job("r", "r", chat=True, stream=True, model="m", prompt="p", max_tokens=99, done_words=0)
+    core.accept(job, output, mode)
+    for _ in range(steps):
+        fake.advance(params.base_ms)
+    core.crash()
+    assert fake.source.getDelayedCalls() == []
+    return len(made)
+
+
+def test_late_and_slow_engines_take_their_factor_longer() -> None:
+    assert tokens_after(12) == 12
+    assert tokens_after(12, mode=Mode.LATE) == 4
+    assert tokens_after(12, slow_factor=2.0) == 6
+    assert tokens_after(12, mode=Mode.HANG) == 0
