--- a/papayapier/upstream/engine_calls.py
+++ b/papayapier/upstream/engine_calls.py
@@ -42,7 +42,10 @@
 
 
 _READ: Final = msgspec.json.Decoder(_Body)
-_ANY: Final = msgspec.json.Decoder(dict[str, Any])
+# Raw leaves each value as the caller wrote it.
+_KEYS: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_TEXT: Final = msgspec.json.Decoder(str | None)
+_MISSING: Final = "Object missing required field "
 
 
 def parse_generation(body: bytes) -> Result[Generation, str]:
@@ -73,13 +76,14 @@
     A body that is not a JSON object goes out unchanged, and the engine refuses it.
     """
     try:
-        keys = _ANY.decode(body)
+        keys: dict[str, Any] = dict(_KEYS.decode(body))
+        # The caller may itself have asked to go on after some text.
+        resumed = _TEXT.decode(keys.get("resume_text", b"null")) or ""
     except msgspec.MsgspecError:
         return body
     keys["stream"] = True
     if received:
-        # The caller may itself have asked to go on after some text.
-        keys["resume_text"] = (keys.get("resume_text") or "") + received
+        keys["resume_text"] = resumed + received
     return msgspec.json.encode(keys)
 
 
@@ -115,8 +119,8 @@
 def _plain(exc: Exception) -> str:
     """Reword a msgspec message so that it starts with the field at fault."""
     message, _, path = str(exc).partition(" - at ")
-    message = message[:1].lower() + message[1:]
-    where = path.strip("`").removeprefix("$.").removeprefix("$")
-    if where and where != "...":
-        return f"{where}: {message}"
-    return f"body: {message}"
+    where = path.strip("`").removeprefix("$").removeprefix(".")
+    if message.startswith(_MISSING):
+        name = message.removeprefix(_MISSING).strip("`")
+        return f"{where}.{name}: missing".removeprefix(".")
+    return f"{where or 'body'}: {message[:1].lower()}{message[1:]}"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -187,22 +187,23 @@
         # Symptom: every call to a healthy replica fails in turn. Sequence: a firewall
         # forgets two open connections; a call on one is silent, so is the next on the other.
         # Cause: only the connection that failed was replaced, not its equally old sibling.
-        first, second = self.send(), self.send()
+        plain: dict[str, Any] = {"path": "/calls/a", "stream": False}
+        first, second = self.send(**plain), self.send(**plain)
         while len(self.server.requests) < 2:
             await self.server.next_request()
         for conn in self.server.connections:
-            conn.write(chunked(LAST, DONE))
+            conn.write(framed(b""))
         await first
         await second
         self.fake.advance(1)
-        sending = self.send()
+        sending = self.send(**plain)
         conn = await self.server.next_request()
         self.fake.advance(CFG.first_byte_ms)
         failure = (await sending).err_value
         equal((failure.kind, failure.fresh), (FailureKind.SILENT, False))
         await conn.closed
-        self.server.answer_with(framed(whole()))
-        await self.reply(stream=False)
+        self.server.answer_with(framed(b""))
+        await self.reply(**plain)
         equal(len(self.server.carriers), 3)
 
     async def test_due(self) -> None:
@@ -275,6 +276,15 @@
         await self.check_broken(framed(b"pass 7", "r2"), wrong, stream=False, path="/calls/a")
         await self.check_broken(framed(b"busy", "r2", 503), wrong)
 
+    async def test_connection_with_a_wrong_answer_is_not_given_to_the_next_call(self) -> None:
+        # Symptom: two callers in a row read each other's answers. Sequence: an answer ends,
+        # its connection goes back to the pool, its id turns out wrong, and in the same turn
+        # the next call is sent. Cause: closing takes effect only in the reactor's next turn.
+        plain: dict[str, Any] = {"path": "/calls/a", "stream": False}
+        self.server.answer_with(framed(b"", "r2"), framed(b""))
+        second = await self.send(**plain).addCallback(lambda _: self.send(**plain))
+        equal((second.unwrap().status, len(self.server.carriers)), (200, 2))
+
     async def test_no_id(self) -> None:
         answer = framed(whole()).replace(b"X-Request-Id: r1\r\n", b"")
         await self.check_broken(answer, FailureKind.WRONG_ID, stream=False)
