Hold shards by leases, and hand them over

Change: one session object per run is renewed; a lease object per shard changes only when the shard changes hands. Observers judge sessions by their own monotonic clock and start anew after a gap; a lapsed holder confirms each lease by a conditional write before it commits again. Planned stop hands over and deletes the session: one write gives all shards back. Jobs at risk are reported by event and metric.

--- /dev/null
+++ b/papayapier/batch/leases.py
@@ -0,0 +1,135 @@
+"""Hold the states of one shard's lease, as its holder or would-be holder sees it.
+
+away: not held here.  taking: the conditional write of the lease is under way.  held: the
+shard's work is ours.  doubtful: the session has lapsed by our own clock, and another instance
+may take the shard at any moment; nothing is committed until the lease is confirmed by a new
+conditional write of it.  releasing: the work is being handed over.
+
+A lease that is lost, in whatever way, goes to away; the inputs that can bring that about
+return whether there was work, which the caller then has to drop.
+"""
+
+from typing import Final, Protocol
+
+from automat import TypeMachineBuilder
+
+from papayapier import events
+
+
+class Lease(Protocol):
+    """Describe what happens to a lease and what is asked of it."""
+
+    def take(self) -> None:
+        """Note that the lease is being written."""
+
+    def taken(self, version: int, lossy: bool) -> None:
+        """Note that the lease was written at a version; lossy: the last holder was lost."""
+
+    def not_taken(self) -> None:
+        """Note that the lease was not written."""
+
+    def lapse(self) -> bool:
+        """Note that the session has lapsed by our clock; tell whether work is to be dropped."""
+
+    def confirmed(self, version: int) -> None:
+        """Note that the lease was written once more after a lapse."""
+
+    def lose(self) -> bool:
+        """Note that another instance has the lease; tell whether work is to be dropped."""
+
+    def release(self) -> None:
+        """Begin to hand the work over."""
+
+    def released(self) -> bool:
+        """Note that the work was handed over; tell whether what is left is to be dropped."""
+
+    def state(self) -> str:
+        """Return the name of the state."""
+
+    def ours(self) -> bool:
+        """Tell whether the work is ours, as far as the lease goes."""
+
+    def doubtful(self) -> bool:
+        """Tell whether the lease waits to be confirmed."""
+
+
+class ShardHold:
+    """Hold what is known of one shard's lease while it is ours."""
+
+    __slots__ = ("fence", "lossy", "shard", "version")
+
+    def __init__(self, shard: int) -> None:
+        self.shard = shard
+        self.fence = 0
+        self.version = 0
+        self.lossy = False
+
+
+_builder = TypeMachineBuilder(Lease, ShardHold)
+_away = _builder.state("away")
+_taking = _builder.state("taking")
+_held = _builder.state("held")
+_doubtful = _builder.state("doubtful")
+_releasing = _builder.state("releasing")
+
+_away.upon(Lease.take).to(_taking).returns(None)
+_taking.upon(Lease.not_taken).to(_away).returns(None)
+_held.upon(Lease.lapse).to(_doubtful).returns(False)
+_held.upon(Lease.release).to(_releasing).returns(None)
+
+for _state in (_away, _taking, _doubtful):
+    _state.upon(Lease.lapse).loop().returns(False)
+    _state.upon(Lease.release).loop().returns(None)
+for _state in (_away, _taking, _held, _releasing):
+    _state.upon(Lease.confirmed).loop().returns(None)
+    _state.upon(Lease.doubtful).loop().returns(False)
+for _state in (_away, _taking, _held, _doubtful):
+    _state.upon(Lease.released).loop().returns(False)
+for _state in (_away, _held, _doubtful, _releasing):
+    _state.upon(Lease.taken).loop().returns(None)
+    _state.upon(Lease.not_taken).loop().returns(None)
+for _state in (_taking, _held, _doubtful, _releasing):
+    _state.upon(Lease.take).loop().returns(None)
+for _state in (_away, _taking, _doubtful):
+    _state.upon(Lease.ours).loop().returns(False)
+for _state in (_held, _releasing):
+    _state.upon(Lease.ours).loop().returns(True)
+_doubtful.upon(Lease.doubtful).loop().returns(True)
+_away.upon(Lease.lose).loop().returns(False)
+_taking.upon(Lease.lose).to(_away).returns(False)
+_away.upon(Lease.state).loop().returns("away")
+_taking.upon(Lease.state).loop().returns("taking")
+_held.upon(Lease.state).loop().returns("held")
+_doubtful.upon(Lease.state).loop().returns("doubtful")
+_releasing.upon(Lease.state).loop().returns("releasing")
+
+
+@_taking.upon(Lease.taken).to(_held)
+def _begin(_: Lease, hold: ShardHold, version: int, lossy: bool) -> None:
+    hold.version = version
+    hold.fence = version
+    hold.lossy = lossy
+    events.emit(events.SHARD_TAKEN, shard=hold.shard, fence=version, lossy=lossy)
+
+
+@_doubtful.upon(Lease.confirmed).to(_held)
+def _go_on(_: Lease, hold: ShardHold, version: int) -> None:
+    hold.version = version
+
+
+@_releasing.upon(Lease.released).to(_away)
+def _end(_: Lease, hold: ShardHold) -> bool:
+    events.emit(events.SHARD_RELEASED, shard=hold.shard)
+    return True
+
+
+@_held.upon(Lease.lose).to(_away)
+@_doubtful.upon(Lease.lose).to(_away)
+@_releasing.upon(Lease.lose).to(_away)
+@_releasing.upon(Lease.lapse).to(_away)
+def _drop(_: Lease, hold: ShardHold) -> bool:
+    events.emit(events.SHARD_LOST, shard=hold.shard)
+    return True
+
+
+make_lease: Final = _builder.build()
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -40,12 +40,12 @@
 class Holds(NamedTuple):
     """Group what the runner asks of the leases.
 
-    grant gives the lease of a shard when it is held. may_send tells whether items of a shard
-    may go out; it takes whether they may be repeated. may_commit tells whether the shard's
-    progress and results may be stored now.
+    grant gives the lease under which a job's tasks in a shard may be opened. may_send tells
+    whether items of a shard may go out; it takes whether they may be repeated. may_commit
+    tells whether the shard's progress and results may be stored now.
     """
 
-    grant: Callable[[int], Grant | None]
+    grant: Callable[[JobWork, int], Grant | None]
     may_send: Callable[[int, bool], bool]
     may_commit: Callable[[int], bool]
 
@@ -53,7 +53,7 @@
 class RunnerCalls(NamedTuple):
     """Group what the runner tells: a task is recorded, or another holder has it."""
 
-    recorded: Callable[[JobWork, int], None]
+    recorded: Callable[[JobWork], None]
     superseded: Callable[[JobWork], None]
 
 
@@ -140,9 +140,12 @@
                 run.deferred.cancel()
         task.running.clear()
 
+    def begin_stop(self) -> None:
+        """Send and open nothing more."""
+        self._stopping = True
+
     def stop(self) -> None:
         """Stop the timers."""
-        self._stopping = True
         for timer in (self._pump_timer, self._tick_timer):
             if timer is not None and timer.active():
                 timer.cancel()
@@ -174,7 +177,7 @@
     def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
         """Hand out one slice of an upstream's items; tell whether there is more to do now."""
         room = self._deps.dispatch.room(upstream)
-        left = min(room, SLICE_ITEMS) if self._bytes_held() < self._limit() else 0
+        left = min(room, SLICE_ITEMS) if self.bytes_held() < self._limit() else 0
         for job in jobs:
             profile = self.profile_of(job)
             for task in list(job.open.values()):
@@ -211,7 +214,7 @@
         running = sum(job.in_flight() for job in jobs)
         wanted = max(MIN_AHEAD, AHEAD * (room + running))
         ahead = sum(_unsent(job) for job in jobs)
-        held = self._bytes_held()
+        held = self.bytes_held()
         for job in jobs:
             while job.pending and ahead < wanted and held + CHUNK_BYTES <= self._limit():
                 task = job.pending.popleft()
@@ -221,7 +224,7 @@
                 background.start(self._open(job, task), f"opening of task {task}")
 
     async def _open(self, job: JobWork, task: int) -> None:
-        grant = self._holds.grant(job.shards[task])
+        grant = self._holds.grant(job, job.shards[task])
         if grant is None:
             job.opening.discard(task)
             return
@@ -232,7 +235,11 @@
             return
         self._pauses.reset()
         job.opening.discard(task)
-        if self._holds.grant(grant.shard) != grant or not job.runs() or self._stopping:
+        # The lease may have changed hands twice meanwhile: then what was read is old.
+        if self._holds.grant(job, grant.shard) != grant:
+            job.adopt(grant.shard)
+            return
+        if not job.runs() or self._stopping:
             return
         job.open[task] = opened.ok_value
         self._commits.on_opened(opened.ok_value)
@@ -247,7 +254,7 @@
 
         def put_back() -> None:
             job.opening.discard(task)
-            if self._holds.grant(job.shards[task]) is not None:
+            if self._holds.grant(job, job.shards[task]) is not None:
                 job.adopt(job.shards[task])
                 self.pump_soon()
 
@@ -266,7 +273,8 @@
             return False
         return self._holds.may_send(task.shard, task.state.rules.idempotent)
 
-    def _bytes_held(self) -> int:
+    def bytes_held(self) -> int:
+        """Return the size of what all open tasks keep in memory."""
         held = 0
         for job in self.jobs.values():
             held += len(job.opening) * CHUNK_BYTES
@@ -296,7 +304,7 @@
     def _on_recorded(self, task: OpenTask, tally: Tally) -> None:
         self._drop(task)
         task.job.on_done(task.span.task, tally)
-        self._calls.recorded(task.job, task.span.task)
+        self._calls.recorded(task.job)
         self.pump_soon()
 
     def _on_given_up(self, task: OpenTask) -> None:
--- a/papayapier/batch/start.py
+++ b/papayapier/batch/start.py
@@ -1,28 +1,44 @@
 """Wire the parts of batch work together."""
 
-from typing import TYPE_CHECKING, NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from result import Result
 
 from papayapier.batch import background
 from papayapier.batch.api import BatchDeps
 from papayapier.batch.ending import Ender, refresh_done
-from papayapier.batch.expiry import delete_file
+from papayapier.batch.expiry import Expiry, delete_file
 from papayapier.batch.files import FileIntake
 from papayapier.batch.jobs import Jobs
+from papayapier.batch.keeper import Keeper, KeeperCalls
 from papayapier.batch.opening import Grant
 from papayapier.batch.records import FileRecord, JobState
 from papayapier.batch.registry import JobListeners, JobRegistry
+from papayapier.batch.risk import RiskWatch
 from papayapier.batch.runner import Holds, Runner, RunnerCalls
 from papayapier.batch.view import Views
 from papayapier.batch.work import JobWork
 from papayapier.errors import Refusal
+from papayapier.peer.messages import JobChanged, Message, ShardsReleased
+from papayapier.store.watch import Pauses
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from twisted.internet.defer import Deferred
 
+EXPIRY_SHARD: Final = 0
+
+
+class BatchStatus(NamedTuple):
+    """Summarise the batch work of one instance."""
+
+    shards_held: int
+    active_jobs: int
+    jobs_at_risk: int
+    open_tasks: int
+    items_in_flight: int
+    bytes_held: int
+
 
 class Batch(NamedTuple):
     """Group what the rest of the program uses of batch work."""
@@ -31,7 +47,10 @@
     jobs: Jobs
     views: Views
     registry: JobRegistry
-    stop: "Callable[[], Awaitable[None]]"
+    on_peer: Callable[[Message], None]
+    on_members_changed: Callable[[], None]
+    status: Callable[[], BatchStatus]
+    stop: Callable[[], Awaitable[None]]
 
     def new_file(self, caller: str, name: str, purpose: str) -> FileIntake:
         """Begin to take in an input file."""
@@ -42,59 +61,162 @@
         return await delete_file(self.deps, self.registry, caller, file_id)
 
 
+def start_batch(deps: BatchDeps) -> Batch:
+    """Start the batch work of one instance."""
+    parts = _Parts(deps)
+    parts.start()
+    return Batch(
+        deps=deps,
+        jobs=Jobs(deps, parts.registry),
+        views=Views(deps, parts.registry),
+        registry=parts.registry,
+        on_peer=parts.on_peer,
+        on_members_changed=parts.keeper.kick,
+        status=parts.status,
+        stop=parts.stop,
+    )
+
+
 class _Parts:
-    """Hold the parts of batch work that call each other."""
+    """Hold the parts of batch work, and pass on what concerns several of them."""
 
     def __init__(self, deps: BatchDeps) -> None:
-        self.deps = deps
-        self.holder = f"{deps.instance}.{deps.boot:x}"
-        self.registry = JobRegistry(deps, JobListeners(self.on_new, self.on_changed, self.on_gone))
-        holds = Holds(lambda s: Grant(s, 1, False), lambda s, i: True, lambda s: True)
-        calls = RunnerCalls(self.on_recorded, self.on_superseded)
-        self.runner = Runner(deps, self.holder, holds, calls)
-        self.ender = Ender(deps, self.holder, self.registry, lambda _: True)
-        self.loops: list[Deferred[None]] = []
+        self._deps = deps
+        holder = f"{deps.instance}.{deps.boot:x}"
+        self.registry = JobRegistry(
+            deps, JobListeners(self._on_new, self._on_changed, self._on_gone)
+        )
+        keeper_calls = KeeperCalls(
+            self._on_held, self._on_lost, self._hand_over, self._careful, self._on_revived
+        )
+        self.keeper = Keeper(deps, holder, keeper_calls)
+        holds = Holds(self._grant, self.keeper.may_send, self.keeper.may_commit)
+        self._runner = Runner(
+            deps, holder, holds, RunnerCalls(self._on_recorded, self._on_superseded)
+        )
+        self._ender = Ender(deps, holder, self.registry, self.keeper.may_commit)
+        self._expiry = Expiry(deps, self.registry, lambda: self.keeper.may_commit(EXPIRY_SHARD))
+        self._risk = RiskWatch(deps, self.registry, self.keeper.may_commit)
+        self._loops: list[Deferred[None]] = []
+        self._to_adopt: dict[str, set[int]] = {}
+        self._adopting = False
 
     def start(self) -> None:
+        """Start everything that goes on by itself."""
         self.registry.start()
-        self.loops.append(background.start(self.ender.run(), "ending of jobs"))
+        self.keeper.start()
+        self._loops = [
+            background.start(self._ender.run(), "ending of jobs"),
+            background.start(self._expiry.run(), "expiry"),
+            background.start(self._risk.run(), "watch for jobs at risk"),
+        ]
 
-    def on_new(self, job: JobWork) -> None:
-        background.start(self.adopt(job), "adoption of a job")
-
-    async def adopt(self, job: JobWork) -> None:
-        await refresh_done(self.deps, job)
+    async def stop(self) -> None:
+        """Hand over what runs here, and stop."""
+        self._runner.begin_stop()
+        await self.keeper.stop()
+        for loop in self._loops:
+            loop.cancel()
+        self.registry.stop()
+        self._runner.stop()
+
+    def on_peer(self, message: Message) -> None:
+        """Take a message from another instance."""
+        if isinstance(message, JobChanged):
+            self.registry.hear(message.job_id, message.version)
+        elif isinstance(message, ShardsReleased):
+            self.keeper.kick()
+
+    def status(self) -> BatchStatus:
+        """Summarise what runs here."""
+        jobs = list(self.registry.jobs.values())
+        return BatchStatus(
+            shards_held=len(self.keeper.held()),
+            active_jobs=len(jobs),
+            jobs_at_risk=sum(job.at_risk for job in jobs),
+            open_tasks=sum(len(job.open) for job in jobs),
+            items_in_flight=sum(job.in_flight() for job in jobs),
+            bytes_held=self._runner.bytes_held(),
+        )
+
+    # Leases
+
+    def _on_held(self, shard: int) -> None:
+        hold = self.keeper.hold(shard)
+        for job in self.registry.jobs.values():
+            if hold is not None and hold.lossy:
+                job.careful.add(shard)
+            self._adopt_later(job, {shard})
+        self._count_shards()
+
+    def _on_lost(self, shard: int) -> None:
+        self._runner.drop_shard(shard)
+        for job in self.registry.jobs.values():
+            job.careful.discard(shard)
+        for shards in self._to_adopt.values():
+            shards.discard(shard)
+        self._count_shards()
+
+    def _count_shards(self) -> None:
+        self._deps.metrics.shards_held.set(len(self.keeper.held()))
+
+    async def _hand_over(self, shard: int, limit_ms: int) -> None:
+        await self._runner.hand_over(shard, limit_ms)
+
+    def _careful(self, shard: int) -> bool:
+        return any(shard in job.careful for job in self.registry.jobs.values())
+
+    def _on_revived(self) -> None:
+        self._runner.on_holds_changed()
+
+    def _grant(self, job: JobWork, shard: int) -> Grant | None:
+        hold = self.keeper.hold(shard)
+        if hold is None or not self.keeper.may_commit(shard):
+            return None
+        return Grant(shard, hold.fence, shard in job.careful)
+
+    # Jobs
+
+    def _on_new(self, job: JobWork) -> None:
+        self._adopt_later(job, set(self.keeper.held()))
+
+    def _on_changed(self, job: JobWork) -> None:
+        job.next_look_ms = self._deps.clock.now()
         if not job.runs():
-            return
-        for shard in range(self.deps.cfg.shards):
-            self.runner.adopt(job, shard)
+            self._runner.drop_job(job)
 
-    def on_changed(self, job: JobWork) -> None:
-        job.next_look_ms = self.deps.clock.now()
-        if job.record.state is not JobState.RUNNING:
-            self.runner.drop_job(job)
+    def _on_gone(self, job: JobWork) -> None:
+        self._to_adopt.pop(job.record.job_id, None)
+        self._runner.drop_job(job)
 
-    def on_gone(self, job: JobWork) -> None:
-        self.runner.drop_job(job)
-
-    def on_recorded(self, job: JobWork, _task: int) -> None:
+    def _on_recorded(self, job: JobWork) -> None:
         if job.whole():
-            job.next_look_ms = self.deps.clock.now()
-
-    def on_superseded(self, job: JobWork) -> None:
-        background.start(self.adopt(job), "adoption of a job")
+            job.next_look_ms = self._deps.clock.now()
 
-    async def stop(self) -> None:
-        for loop in self.loops:
-            loop.cancel()
-        self.registry.stop()
-        self.runner.stop()
+    def _on_superseded(self, job: JobWork) -> None:
+        self._adopt_later(job, set(self.keeper.held()))
 
-
-def start_batch(deps: BatchDeps) -> Batch:
-    """Start the batch work of one instance."""
-    parts = _Parts(deps)
-    parts.start()
-    jobs = Jobs(deps, parts.registry)
-    views = Views(deps, parts.registry)
-    return Batch(deps, jobs, views, parts.registry, parts.stop)
+    def _adopt_later(self, job: JobWork, shards: set[int]) -> None:
+        """Take up a job's tasks in some shards, once it is known which are done already."""
+        if job.record.state is not JobState.RUNNING or not shards:
+            return
+        self._to_adopt.setdefault(job.record.job_id, set()).update(shards)
+        if not self._adopting:
+            self._adopting = True
+            background.start(self._adopt(), "adoption of jobs")
+
+    async def _adopt(self) -> None:
+        pauses = Pauses(self._deps.rand)
+        try:
+            while self._to_adopt:
+                job_id = next(iter(self._to_adopt))
+                job = self.registry.jobs.get(job_id)
+                if job is not None and not await refresh_done(self._deps, job):
+                    await self._deps.clock.sleep(pauses.next_ms())
+                    continue
+                shards = self._to_adopt.pop(job_id, set())
+                if job is not None and job.runs():
+                    for shard in sorted(shards.intersection(self.keeper.held())):
+                        self._runner.adopt(job, shard)
+        finally:
+            self._adopting = False
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -80,6 +80,7 @@
 
     __slots__ = (
         "at_risk",
+        "careful",
         "done",
         "ended_here",
         "home",
@@ -113,6 +114,7 @@
         self.seen_ms = now
         self.next_look_ms = now
         self.at_risk = False
+        self.careful: set[int] = set()
         self.ended_here = 0
 
     def runs(self) -> bool:
