--- /dev/null
+++ b/papayapier/load/chaos_traffic.py
@@ -0,0 +1,137 @@
+"""Send online requests during a chaos run, and judge what no fault can excuse."""
+
+import random
+from collections import Counter
+from typing import Final
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from papayapier.clock import Clock
+from papayapier.config.profiles import Profile
+from papayapier.load.answer import End
+from papayapier.load.chaos_world import ENGINES_NAME, SERVICES_NAME, Spot, World
+from papayapier.load.client import Client, now_us, send
+from papayapier.load.ledger import Ledger
+from papayapier.load.mix import Mix, Request
+from papayapier.load.scenario import Callers, Lengths, Misuse, RequestClass
+
+MEAN_GAP_MS: Final = 120
+NO_INSTANCE_MS: Final = 200
+US_PER_MS: Final = 1_000
+
+PROFILES: Final = (
+    Profile("chat", ENGINES_NAME, "normal", 8_000, True),
+    Profile("check", ENGINES_NAME, "urgent", 3_000, True),
+    Profile("note", ENGINES_NAME, "normal", 8_000, False),
+    Profile("pass", SERVICES_NAME, "urgent", 3_000, False),
+)
+
+_WORDS: Final = Lengths(median=12, sigma=0.4, max=40)
+_TOKENS: Final = Lengths(median=6, sigma=0.6, max=25)
+_LEAVE: Final = Misuse(leave_share=0.08, leave_after_ms=120)
+_AGAIN: Final = Misuse(resend_share=0.3, resend_after_ms=60, leave_share=0.08, leave_after_ms=15)
+
+CLASSES: Final = (
+    RequestClass(
+        "chat", "chat", "chat", 3, "", "", 1, _WORDS, 8, _TOKENS, stream=True, misuse=_LEAVE
+    ),
+    RequestClass("check", "chat", "check", 2, "", "", 1, _WORDS, 8, _TOKENS),
+    RequestClass(
+        "note",
+        "chat",
+        "note",
+        1,
+        prompt_words=_WORDS,
+        max_tokens=_TOKENS,
+        idempotent=False,
+        keyed=True,
+        misuse=_AGAIN,
+    ),
+    RequestClass(
+        "pass",
+        "service",
+        "pass",
+        3,
+        path=f"/services/{SERVICES_NAME}/calls/passes",
+        idempotent=False,
+        keyed=True,
+        callers=Callers(5),
+        misuse=_AGAIN,
+    ),
+    RequestClass(
+        "weigh",
+        "service",
+        "pass",
+        1,
+        path=f"/services/{SERVICES_NAME}/calls/weighings",
+        idempotent=False,
+    ),
+)
+
+
+class Traffic:
+    """Own the online requests of a chaos run."""
+
+    def __init__(
+        self, clock: Clock, client: Client, world: World, run_id: str, rand: random.Random
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._world = world
+        self._rand = rand
+        self._mix = Mix(CLASSES, run_id, rand, rand)
+        self._open: set[Deferred[None]] = set()
+        self._stopping = False
+        self.ledger = Ledger()
+        self.ends: Counter[str] = Counter()
+        self.flaws: Counter[str] = Counter()
+        self.broken: list[str] = []
+
+    async def run(self) -> None:
+        """Send requests until stop() is called, then wait for their ends."""
+        while not self._stopping:
+            await self._clock.sleep(self._rand.expovariate(1 / MEAN_GAP_MS))
+            self._start(self._mix.draw())
+        while self._open:
+            await gatherResults(list(self._open))
+
+    def stop(self) -> None:
+        """Send nothing new."""
+        self._stopping = True
+
+    def _start(self, req: Request) -> None:
+        done = Deferred.fromCoroutine(self._one(req))
+        done.addErrback(lambda failure: self.broken.append(f"load tool: {failure.getTraceback()}"))
+        self._open.add(done)
+        done.addBoth(lambda _: self._open.discard(done))
+
+    async def _one(self, req: Request) -> None:
+        spot = self._world.pick()
+        if spot is None:
+            await self._clock.sleep(NO_INSTANCE_MS)
+            return
+        if req.resend_after_ms >= 0:
+            self._clock.call_later(req.resend_after_ms, lambda: self._start(req.again()))
+        got = await send(self._client, spot.entry, req, now_us(self._clock))
+        verdict = got.verdict
+        self.ends[f"{verdict.end.value} {verdict.kind} {verdict.outcome}".strip()] += 1
+        self.ledger.observe(req, got)
+        self.flaws[verdict.flaw] += 1
+        if found := self._inexcusable(spot, verdict.end):
+            self.broken.append(f"{req.request_id} at instance {spot.place}: {found}")
+            self.broken[-1] += f" ({verdict.reason}, {got.timing.total_us // US_PER_MS} ms)"
+
+    def _inexcusable(self, spot: Spot, end: End) -> str:
+        """Name what must not happen whatever fails; a lost instance excuses a cut only."""
+        if end is End.WRONG:
+            return "a wrong or partial answer was passed as good"
+        if end is End.HUNG:
+            return "a request was never answered"
+        if end is End.CUT and not self._world.was_lost(spot):
+            return "an instance that was not lost cut a request off"
+        return ""
+
+    def all_broken(self) -> list[str]:
+        """Return what was found, flaws of one kind in one line."""
+        flaws = [f"{number} answers: {flaw}" for flaw, number in self.flaws.items() if flaw]
+        return self.broken + flaws
--- a/papayapier/load/command.py
+++ b/papayapier/load/command.py
@@ -12,8 +12,11 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
+from papayapier import codec
 from papayapier.clock import real_clock
 from papayapier.load import scenario
+from papayapier.logs import start_logs
+from papayapier.settings import LogSettings
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -25,38 +28,47 @@
 KEY_VARIABLE: Final = "PAPAYAPIER_OPERATOR_KEY"
 ADDRESS: Final = re.compile(r"[^\s:/]+:\d{1,5}")
 
+DEFAULT_SEED: Final = 1
+DEFAULT_MINUTES: Final = 5.0
+MS_PER_MINUTE: Final = 60_000
+
 DESCRIPTION: Final = """\
 Run an experiment file against running instances: an open loop of online requests, batch jobs
 beside it, faults posted to stand-ins, and at the end a comparison of every refusal and answer
-with what the stand-ins say ran. Exits with 1 when a promise was broken."""
+with what the stand-ins say ran. With --chaos, run instances and stand-ins in this process under
+random faults instead. Exits with 1 when a promise was broken."""
 
 
 def add_load_command(subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
     """Register the load command."""
     parser = subparsers.add_parser("load", help="measure under load", description=DESCRIPTION)
-    parser.add_argument("experiment", type=Path, help="JSON file with comments")
+    parser.add_argument("experiment", type=Path, nargs="?", help="JSON file with comments")
     parser.add_argument("--targets", type=_addresses, default=[], metavar="HOST:PORT,...")
     parser.add_argument(
         "--operator",
         type=_address,
-        default="",
         metavar="HOST:PORT",
         help=f"operators' address, for profile changes; its key is taken from {KEY_VARIABLE}",
     )
     parser.add_argument(
         "--platform",
         type=_address,
-        default="",
         metavar="HOST:PORT",
         help="the stand-in platform, for faults and for the comparison with what ran",
     )
     parser.add_argument("--seed", type=int, help="seed of all random choices, for the file's own")
     parser.add_argument("--json", type=Path, metavar="FILE", help="write the results as JSON")
     parser.add_argument("--html", type=Path, metavar="FILE", help="write a report with plots")
+    parser.add_argument("--chaos", action="store_true", help="run under random faults")
+    parser.add_argument("--minutes", type=float, default=DEFAULT_MINUTES, help="length of --chaos")
     parser.set_defaults(command=_load)
 
 
 def _load(options: argparse.Namespace) -> int:
+    if options.chaos:
+        return run_on_reactor(_chaos(options))
+    if options.experiment is None:
+        return _usage("either an experiment file or --chaos is needed")
     loaded = scenario.load(options.experiment)
     if isinstance(loaded, Err):
         return _usage(loaded.err_value)
@@ -77,9 +89,9 @@
     seed = exp.seed if options.seed is None else options.seed
     run = Options(
         targets=options.targets,
-        operator=options.operator,
+        operator=options.operator or "",
         operator_key=os.environ.get(KEY_VARIABLE, ""),
-        platform=options.platform,
+        platform=options.platform or "",
         seed=seed,
         run_id=f"{seed:x}-{int(time.time()):x}",
         say=lambda line: print(line, file=sys.stderr, flush=True),
@@ -97,6 +109,26 @@
     return EXIT_FAILED if report.broken or report.failures else EXIT_OK
 
 
+async def _chaos(options: argparse.Namespace) -> int:
+    from twisted.internet import reactor
+
+    from papayapier.load.chaos import run_chaos
+
+    start_logs(LogSettings(form="text", level="error"))
+    seed = DEFAULT_SEED if options.seed is None else options.seed
+    report = await run_chaos(reactor, real_clock(), seed, int(options.minutes * MS_PER_MINUTE))
+    if options.json:
+        options.json.write_bytes(codec.to_json(report))
+    for name, number in sorted(report.counts.items()):
+        print(f"{number:>8}  {name}")
+    if not report.broken:
+        print(f"seed {report.seed}: {len(report.events)} events, no promise was broken")
+        return EXIT_OK
+    print("\n".join([f"seed {report.seed}, events:", *report.events]), file=sys.stderr)
+    print("\n".join(["broken:", *report.broken]), file=sys.stderr)
+    return EXIT_FAILED
+
+
 def run_on_reactor(work: Coroutine[Deferred[Any], Any, int]) -> int:
     """Run a coroutine on the reactor and return the exit code that it ends with."""
     from twisted.internet import reactor as installed
--- a/papayapier/load/jobs.py
+++ b/papayapier/load/jobs.py
@@ -1,10 +1,12 @@
 """Submit, follow, cancel and check batch jobs through the callers' interface."""
 
 import random
+from collections.abc import Coroutine
 from typing import Any, Final, NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
 
 from papayapier.load.answer import ExpectedText
 from papayapier.load.calls import call, call_json
@@ -15,6 +17,9 @@
 ENDED: Final = (COMPLETED, "failed", "cancelled", "expired")
 SHOWN: Final = 10
 
+Line = dict[str, Any]
+Work = Coroutine[Deferred[Any], Any, None]
+
 
 class Item(NamedTuple):
     """Hold what an item asks for."""
@@ -88,11 +93,17 @@
 async def check_results(
     target: str, submitted: Submitted, expected: ExpectedText
 ) -> Result[list[str], str]:
-    """Read the results of an ended job and return each that is wrong, doubled or missing."""
+    """Read the results of a completed job and return each that is wrong, doubled or missing."""
+    read = await results(target, submitted)
+    return read.map(lambda lines: wrong_lines(submitted, lines, expected, complete=True)[:SHOWN])
+
+
+async def results(target: str, submitted: Submitted) -> Result[list[Line], str]:
+    """Read all results of a job, those of failed items included."""
     got = await call_json("GET", f"http://{target}/v1/batches/{submitted.id}")
     if isinstance(got, Err):
         return got
-    lines: list[Any] = []
+    lines: list[Line] = []
     for field in ("output_file_id", "error_file_id"):
         if not (file_id := got.ok_value.get(field)):
             continue
@@ -100,13 +111,13 @@
         if isinstance(content, Err):
             return content
         lines += [msgspec.json.decode(line) for line in content.ok_value.splitlines()]
-    complete = got.ok_value["status"] == COMPLETED
-    return Ok(_wrong_lines(submitted, lines, expected, complete=complete)[:SHOWN])
+    return Ok(lines)
 
 
-def _wrong_lines(
-    submitted: Submitted, lines: list[Any], expected: ExpectedText, *, complete: bool
+def wrong_lines(
+    submitted: Submitted, lines: list[Line], expected: ExpectedText, *, complete: bool
 ) -> list[str]:
+    """Return what is wrong with a job's results; a complete job has one for each item."""
     found = []
     seen: set[str] = set()
     for line in lines:
@@ -125,7 +136,7 @@
     return found
 
 
-def _text(line: Any) -> str:
+def _text(line: Line) -> str:
     return str(line["response"]["body"]["choices"][0]["message"]["content"])
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from itertools import pairwise
 from pathlib import Path
 from typing import Any, cast
 
@@ -12,13 +13,15 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from papayapier.clock import real_clock
+from papayapier.clock import fake_clock, real_clock
 from papayapier.load import arrivals, runner, scenario
 from papayapier.load.answer import NO_FINISH_REASON, End, StreamReader, Verdict, judge, judge_stream
+from papayapier.load.chaos_plan import Kind, Sizes, draw_plan
 from papayapier.load.client import Answered, Client, Timing, make_client
 from papayapier.load.experiment import Options, run_experiment
 from papayapier.load.ledger import Ledger
 from papayapier.load.mix import Mix
+from papayapier.load.pausing import PausableTimers
 from papayapier.load.report import report_html, report_json
 from papayapier.load.results import jain
 from papayapier.load.table import report_text
@@ -159,6 +162,39 @@
     assert (ledger.named(), ledger.unnamed) == (4, 1)
 
 
+def test_a_chaos_plan_follows_from_its_seed() -> None:
+    sizes = Sizes(instances=4, engines=4, services=2)
+    plan = draw_plan(random.Random(7), 600_000, sizes)
+    assert plan == draw_plan(random.Random(7), 600_000, sizes)
+    assert plan != draw_plan(random.Random(8), 600_000, sizes)
+    assert {event.kind for event in plan} == set(Kind)
+    gaps = [later.at_ms - one.at_ms for one, later in pairwise(plan)]
+    assert min(gaps) < 500 < max(gaps)
+
+
+def test_a_paused_instance_runs_its_timers_late_and_in_order() -> None:
+    """Hold an instance's timers, as a paused virtual machine does.
+
+    Symptom: two holders of one lease. Sequence: the holder is paused, its renewal does not
+    run, the lease lapses, another takes it, and the first one wakes up unaware. Cause: a
+    timer that is late by the whole pause. The chaos run needs this to happen.
+    """
+    fake = fake_clock()
+    timers = PausableTimers(fake.clock.timers)
+    ran: list[str] = []
+    timers.callLater(1, lambda: ran.append("renew"))
+    late = timers.callLater(2, lambda: ran.append("cancelled"))
+    timers.callLater(3, lambda: ran.append("check"))
+    timers.pause()
+    fake.advance(10_000)
+    assert ran == []
+    assert late.active()
+    late.cancel()
+    timers.resume()
+    assert ran == ["renew", "check"]
+    assert timers.seconds() == 10
+
+
 class Chat(Resource):
     """Answer each chat request by what its number says."""
 
