--- a/papayapier/batch/keeper.py
+++ b/papayapier/batch/keeper.py
@@ -2,7 +2,7 @@
 
 A round renews the session, looks at all sessions and leases, and acts: it takes the shards
 that are wanted here and free, confirms doubtful ones and hands over those wanted elsewhere.
-Shards are wanted where rendezvous hashing over the living sessions puts them. All of it is
+Shards are wanted where placement over the living sessions puts them. All of it is
 done by one coroutine, so that two rounds never act on each other's half-made changes.
 """
 
@@ -15,10 +15,10 @@
 from papayapier import codec, events
 from papayapier.batch import background, keys, saves
 from papayapier.batch.leases import Lease, ShardHold, make_lease
+from papayapier.batch.placement import owners
 from papayapier.batch.records import LeaseRecord
 from papayapier.batch.sessions import Observer, Session, instance_of
 from papayapier.peer.messages import ShardsReleased
-from papayapier.policy import ownership
 from papayapier.store.api import StoreError
 
 if TYPE_CHECKING:
@@ -220,9 +220,10 @@
     async def _act(self) -> bool:
         alive = {instance_of(holder) for holder in self._observer.alive(self._deps.clock.now())}
         alive.add(self._deps.instance)
+        wanted_at = owners(len(self._leases), alive)
         taken = 0
         for shard, lease in enumerate(self._leases):
-            wanted = ownership.owner(shard, alive) == self._deps.instance
+            wanted = wanted_at[shard] == self._deps.instance
             state = lease.state()
             if state == "held" and not wanted:
                 self._begin_hand_over(shard)
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -89,6 +89,7 @@
         """Stop everything of a job at once; what is not recorded stays so."""
         self.jobs.pop(job.record.job_id, None)
         job.pending.clear()
+        job.opening.clear()
         for task in list(job.open.values()):
             self._drop(task)
 
@@ -216,17 +217,24 @@
         ahead = sum(_unsent(job) for job in jobs)
         held = self.bytes_held()
         for job in jobs:
-            while job.pending and ahead < wanted and held + CHUNK_BYTES <= self._limit():
-                task = job.pending.popleft()
+            for task in [task for task in job.pending if self._may_open(job, task)]:
+                if ahead >= wanted or held + CHUNK_BYTES > self._limit():
+                    return
+                job.pending.remove(task)
                 job.opening.add(task)
                 ahead += job.spans[task].size()
                 held += CHUNK_BYTES
                 background.start(self._open(job, task), f"opening of task {task}")
 
+    def _may_open(self, job: JobWork, task: int) -> bool:
+        """Tell whether a task's lease is held; a doubtful one leaves the task pending."""
+        return self._holds.grant(job, job.shards[task]) is not None
+
     async def _open(self, job: JobWork, task: int) -> None:
         grant = self._holds.grant(job, job.shards[task])
         if grant is None:
             job.opening.discard(task)
+            job.pending.appendleft(task)
             return
         idempotent = self.profile_of(job).idempotent
         opened = await open_task(self._deps, job, task, grant, idempotent)
@@ -234,12 +242,13 @@
             self._open_later(job, task, opened.err_value)
             return
         self._pauses.reset()
-        job.opening.discard(task)
-        # The lease may have changed hands twice meanwhile: then what was read is old.
-        if self._holds.grant(job, grant.shard) != grant:
-            job.adopt(grant.shard)
+        if task not in job.opening:
             return
-        if not job.runs() or self._stopping:
+        job.opening.discard(task)
+        # The lease may have changed hands meanwhile: then what was read may be old.
+        if self._holds.grant(job, grant.shard) != grant or self._stopping:
+            job.pending.appendleft(task)
+            self.pump_soon()
             return
         job.open[task] = opened.ok_value
         self._commits.on_opened(opened.ok_value)
@@ -253,9 +262,9 @@
             events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
 
         def put_back() -> None:
-            job.opening.discard(task)
-            if self._holds.grant(job, job.shards[task]) is not None:
-                job.adopt(job.shards[task])
+            if task in job.opening:
+                job.opening.discard(task)
+                job.pending.appendleft(task)
                 self.pump_soon()
 
         self._deps.clock.call_later(pause, put_back)
--- a/papayapier/batch/tasks.py
+++ b/papayapier/batch/tasks.py
@@ -63,8 +63,12 @@
 
 
 def shard_of(job_id: str, task: int, shards: int) -> int:
-    """Return the shard whose holder runs a task."""
-    return xxhash.xxh3_64_intdigest(f"{job_id}/{task}".encode()) % shards
+    """Return the shard whose holder runs a task.
+
+    Tasks that follow each other are in different shards, so that a small job is spread
+    evenly; where it begins is drawn by hash, so that small jobs together are even too.
+    """
+    return (xxhash.xxh3_64_intdigest(job_id.encode()) + task) % shards
 
 
 def home_shard(job_id: str, shards: int) -> int:
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -133,6 +133,7 @@
     def forget(self, shard: int) -> None:
         """Drop the pending tasks of a shard."""
         self.pending = deque(task for task in self.pending if self.shards[task] != shard)
+        self.opening = {task for task in self.opening if self.shards[task] != shard}
 
     def on_done(self, task: int, tally: Tally | None) -> None:
         """Note that a task's results are recorded."""
