Test the spread of configuration; add the operators' routes and commands

Cause: accepted changes need proof for lost answers, races, restarts and silent links. Change: 21 tests over several instances on one fake platform; the operators' routes and the commands profile, upstream, audit, status and job. A first run of the tests did not end: with an empty store (revision 0) the watch loop listed again without a pause. It now tells "nothing listed yet" from revision 0 and pauses after each watch answer. Conclusion: routes and commands are not yet tested over sockets; that comes next.

--- a/papayapier/config/spread.py
+++ b/papayapier/config/spread.py
@@ -31,10 +31,12 @@
 from papayapier.store.api import Change, Store, StoreError
 
 READS_AT_ONCE: Final = 8
+ASK_ID_BITS: Final = 32
 TELL_BYTES: Final = 200_000
 TELL_OVERHEAD_BYTES: Final = 32
 FLEET_POLLS_PER_S: Final = 20
 POLL_JITTER: Final = 0.2
+WATCH_GAP_MS: Final = 20
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 5_000
 BACKOFF_DOUBLINGS: Final = 6
@@ -48,8 +50,8 @@
     store: Store
     settings: ConfigSettings
     metrics: Metrics
-    tell: Callable[[str, Message], None]
-    broadcast: Callable[[Message], None]
+    tell: Callable[[str, Message], object]
+    broadcast: Callable[[Message], object]
     peers: Callable[[], Sequence[str]]
 
 
@@ -70,7 +72,7 @@
         self._gaps = GapFinder()
         self._heard = _Heard(0, 0)
         self._complete = False
-        self._ask_id = 0
+        self._ask_id = deps.rand.getrandbits(ASK_ID_BITS)
         self._asked: dict[int, int] = {}
         self._missing: set[str] = set()
         self._tasks: list[Deferred[None]] = []
@@ -176,17 +178,20 @@
         return Ok(listing.revision)
 
     async def _watch_forever(self) -> None:
-        revision = 0
+        revision: int | None = None
         failures = 0
         while not self._stopped:
-            result = await (self._watch(revision) if revision else self._poll())
+            result = await (self._poll() if revision is None else self._watch(revision))
             match result:
                 case Ok(reached):
                     revision = reached
                     failures = 0
+                    # Without a pause, a platform that answers watches at once would be
+                    # called in a tight loop; changes that come together are read together.
+                    await self._deps.clock.sleep(WATCH_GAP_MS)
                 case Err(StoreError.TOO_OLD):
                     events.emit(events.WATCH_RESTARTED, prefix=CONFIG_PREFIX)
-                    revision = 0
+                    revision = None
                 case Err(_):
                     failures += 1
                     delay_ms = _backoff_ms(failures) * self._deps.rand.uniform(0.5, 1)
--- a/papayapier/config/start.py
+++ b/papayapier/config/start.py
@@ -33,8 +33,8 @@
     store: Store
     settings: ConfigSettings
     metrics: Metrics
-    tell: Callable[[str, Message], None]
-    broadcast: Callable[[Message], None]
+    tell: Callable[[str, Message], object]
+    broadcast: Callable[[Message], object]
     peers: Callable[[], Sequence[str]]
     queued_under: Callable[[str], int]
     upstream_names: Callable[[], set[str]]
--- a/papayapier/config/trail.py
+++ b/papayapier/config/trail.py
@@ -81,7 +81,7 @@
 async def list_all(store: Store, prefix: str) -> Result[Listing, StoreError]:
     """List every key under a prefix, page by page, with the revision of the first page."""
     found: list[Entry] = []
-    revision = 0
+    revision: int | None = None
     after = ""
     while True:
         match await store.list(prefix, after, PAGE):
@@ -89,7 +89,7 @@
                 return Err(error)
             case Ok(page):
                 found.extend(page.objects)
-                revision = revision or page.revision
+                revision = page.revision if revision is None else revision
                 if not page.more:
                     return Ok(Listing(found, False, revision))
                 after = page.objects[-1].key
--- /dev/null
+++ b/papayapier/operate/__init__.py
@@ -0,0 +1,24 @@
+"""Offer the operators' commands: profiles, upstreams, audit trail, status and jobs.
+
+Each command calls one instance's operator address over HTTP.
+"""
+
+from typing import TYPE_CHECKING
+
+from papayapier.operate.configuration import add_configuration_commands
+from papayapier.operate.jobs import add_job_commands
+from papayapier.operate.reports import add_report_commands
+
+if TYPE_CHECKING:
+    import argparse
+
+__all__ = ["add_operator_commands"]
+
+
+def add_operator_commands(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Register every operator command; each sets "command" to a function to an exit code."""
+    add_configuration_commands(subparsers)
+    add_report_commands(subparsers)
+    add_job_commands(subparsers)
--- /dev/null
+++ b/papayapier/operate/client.py
@@ -0,0 +1,164 @@
+"""Call an instance's operator address, and run one such call as a whole command.
+
+The key is read from a file or the environment, never from the command line, where every
+user of the machine could read it.
+"""
+
+import argparse
+import os
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any, Final, NamedTuple, cast
+
+import msgspec
+import treq
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.client import HTTPConnectionPool
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+ADDRESS_DEFAULT: Final = "127.0.0.1:8081"
+ADDRESS_VARIABLE: Final = "PAPAYAPIER_OPERATOR"
+KEY_VARIABLE: Final = "PAPAYAPIER_KEY"
+TIMEOUT_S: Final = 30
+USAGE_STATUSES: Final = frozenset({400, 413})
+
+OPTIONS_HELP: Final = (
+    f"The address is --address or {ADDRESS_VARIABLE}; the operator's key comes from "
+    f"--key-file or {KEY_VARIABLE} and is not needed on the instance's own machine when its "
+    "settings list no operators. Exit codes: 0 done, 1 failed or refused, 2 wrong input."
+)
+
+
+class Answer(NamedTuple):
+    """Hold an HTTP answer."""
+
+    status: int
+    body: bytes
+
+    def document(self) -> Any:
+        """Decode the body as JSON; None when it is not."""
+        try:
+            return msgspec.json.decode(self.body)
+        except msgspec.MsgspecError:
+            return None
+
+
+class Client(NamedTuple):
+    """Address an instance's operator API with a key, which may be empty."""
+
+    address: str
+    key: str
+
+    async def call(
+        self, method: str, path: str, body: object = None, query: dict[str, str] | None = None
+    ) -> Result[Answer, str]:
+        """Make one call; the error says why there is no answer."""
+        from twisted.internet import reactor
+
+        headers: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
+        if self.key:
+            headers["Authorization"] = f"Bearer {self.key}"
+        try:
+            response = await treq.request(
+                method,
+                f"http://{self.address}{path}",
+                headers=headers,
+                params=query or {},
+                data=None if body is None else msgspec.json.encode(body),
+                pool=cast(Any, HTTPConnectionPool)(reactor, persistent=False),
+                timeout=TIMEOUT_S,
+            )
+            return Ok(Answer(response.code, await response.content()))
+        except Exception as exc:  # the library's failures have no common base
+            return Err(f"{self.address} does not answer: {_short(exc)}")
+
+
+Run = Callable[[Client, argparse.Namespace], Awaitable[int]]
+
+
+def add_options(parser: argparse.ArgumentParser, run: Run) -> None:
+    """Add the options that every operator command has, and bind the command."""
+    parser.add_argument("--address", metavar="IP:PORT", help="operator address of an instance")
+    parser.add_argument("--key-file", type=Path, metavar="FILE", help="file with the key")
+    parser.add_argument("--json", action="store_true", help="print the answer as JSON")
+    parser.set_defaults(command=lambda options: run_command(run, options))
+    if parser.epilog is None:
+        parser.epilog = OPTIONS_HELP
+
+
+def run_command(run: Run, options: argparse.Namespace) -> int:
+    """Run a command on the reactor and return its exit code."""
+    client = make_client(options)
+    if isinstance(client, Err):
+        return fail(client.err_value, EXIT_USAGE)
+    return _run_reactor(lambda: _await(run(client.ok_value, options)))
+
+
+def make_client(options: argparse.Namespace) -> Result[Client, str]:
+    """Make the client that the options and the environment ask for."""
+    address = options.address or os.environ.get(ADDRESS_VARIABLE) or ADDRESS_DEFAULT
+    key = os.environ.get(KEY_VARIABLE, "")
+    if options.key_file is not None:
+        try:
+            key = options.key_file.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            return Err(f"--key-file: {options.key_file}: {exc}")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        return Err(f"--address: expected IP:PORT, got {address}")
+    return Ok(Client(address, key.strip()))
+
+
+def fail(reason: str, code: int = EXIT_FAILED) -> int:
+    """Print one line about what went wrong and return the exit code."""
+    print(f"papayapier: {reason}", file=sys.stderr)
+    return code
+
+
+def refused(answer: Answer, as_json: bool) -> int:
+    """Print why an instance refused; wrong input and a failure have different codes."""
+    if as_json:
+        print(answer.body.decode("utf-8", "replace"))
+    document = answer.document()
+    error = document.get("error") if isinstance(document, dict) else None
+    if not isinstance(error, dict):
+        return fail(f"unexpected answer with status {answer.status}")
+    code = EXIT_USAGE if answer.status in USAGE_STATUSES else EXIT_FAILED
+    outcome = "" if error.get("outcome") == "not_run" else " (outcome unknown)"
+    return fail(f"{error.get('kind')}{outcome}: {error.get('reason')}", code)
+
+
+async def _await(running: Awaitable[int]) -> int:
+    return await running
+
+
+def _run_reactor(make: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    from twisted.internet import reactor as installed
+
+    reactor = cast(Any, installed)
+    codes: list[int] = []
+
+    def crashed(failure: Failure) -> None:
+        codes.append(fail(f"internal error: {failure.getTraceback()}"))
+
+    def start() -> None:
+        running = Deferred.fromCoroutine(make())
+        running.addCallbacks(codes.append, crashed)
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    return codes[0] if codes else EXIT_FAILED
+
+
+def _short(exc: Exception) -> str:
+    reasons = getattr(exc, "reasons", None)
+    if reasons:
+        return str(reasons[0].value)
+    return str(exc) or type(exc).__name__
--- /dev/null
+++ b/papayapier/operate/jobs.py
@@ -0,0 +1,123 @@
+"""Offer the commands that show and cancel batch jobs and print their results."""
+
+import argparse
+import sys
+from typing import Any, Final
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from papayapier.operate.client import (
+    EXIT_OK,
+    OPTIONS_HELP,
+    Answer,
+    Client,
+    Run,
+    add_options,
+    fail,
+    refused,
+)
+from papayapier.operate.output import print_json, print_table
+
+OK_STATUS: Final = 200
+BATCHES: Final = "/v1/batches"
+FILES: Final = "/v1/files"
+LIST_LIMIT: Final = 100
+COLUMNS: Final = ("id", "status", "total", "completed", "failed", "created_at", "expires_at")
+
+
+def add_job_commands(subparsers: Any) -> None:
+    """Register the commands on batch jobs."""
+    parser = subparsers.add_parser(
+        "job", help="show and cancel batch jobs, print their results", epilog=OPTIONS_HELP
+    )
+    actions = parser.add_subparsers(title="actions", required=True, metavar="ACTION")
+    listing = _add(actions, "list", "list jobs, newest first", _list)
+    listing.add_argument("--limit", type=int, default=LIST_LIMIT, help="at most so many jobs")
+    for name, text, run in (
+        ("show", "print one job", _show),
+        ("cancel", "stop a job for good; results recorded before stay readable", _cancel),
+        ("results", "print a job's results so far, one JSON line for each item", _results),
+    ):
+        _add(actions, name, text, run).add_argument("id")
+
+
+def _add(actions: Any, name: str, text: str, run: Run) -> argparse.ArgumentParser:
+    parser: argparse.ArgumentParser = actions.add_parser(name, help=text, description=text)
+    add_options(parser, run)
+    return parser
+
+
+async def _list(client: Client, options: argparse.Namespace) -> int:
+    got = await client.call("GET", BATCHES, query={"limit": str(options.limit)})
+    match _checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            found = answer.document()
+    if options.json:
+        print_json(found)
+        return EXIT_OK
+    print_table(COLUMNS, [_row(job) for job in found["data"]])
+    return EXIT_OK
+
+
+async def _show(client: Client, options: argparse.Namespace) -> int:
+    got = await client.call("GET", _path(options.id))
+    return _print_job(got, options)
+
+
+async def _cancel(client: Client, options: argparse.Namespace) -> int:
+    got = await client.call("POST", _path(options.id) + "/cancel")
+    return _print_job(got, options)
+
+
+async def _results(client: Client, options: argparse.Namespace) -> int:
+    match _checked(await client.call("GET", _path(options.id)), options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            job = answer.document()
+    files = [job[key] for key in ("output_file_id", "error_file_id") if job.get(key)]
+    if not files:
+        return fail(f"{options.id}: no results yet")
+    for file_id in files:
+        path = f"{FILES}/{quote(file_id, safe='')}/content"
+        match _checked(await client.call("GET", path), options):
+            case Err(code):
+                return code
+            case Ok(answer):
+                sys.stdout.write(answer.body.decode())
+    return EXIT_OK
+
+
+def _print_job(got: Result[Answer, str], options: argparse.Namespace) -> int:
+    match _checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            job = answer.document()
+    if options.json:
+        print_json(job)
+        return EXIT_OK
+    print_table(COLUMNS, [_row(job)])
+    return EXIT_OK
+
+
+def _row(job: dict[str, Any]) -> list[object]:
+    counts = job.get("request_counts") or {}
+    return [counts.get(column, job.get(column)) for column in COLUMNS]
+
+
+def _path(job_id: str) -> str:
+    return f"{BATCHES}/{quote(job_id, safe='')}"
+
+
+def _checked(got: Result[Answer, str], options: argparse.Namespace) -> Result[Answer, int]:
+    match got:
+        case Err(why):
+            return Err(fail(why))
+        case Ok(answer) if answer.status != OK_STATUS:
+            return Err(refused(answer, options.json))
+        case Ok(answer):
+            return Ok(answer)
--- /dev/null
+++ b/papayapier/operate/reports.py
@@ -0,0 +1,111 @@
+"""Offer the commands that show the audit trail and the status of the fleet."""
+
+import argparse
+import re
+import time
+from datetime import UTC, datetime
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from papayapier.clock import MS_PER_S
+from papayapier.operate.client import EXIT_OK, EXIT_USAGE, Client, add_options, fail, refused
+from papayapier.operate.output import print_json, print_table, show_changes, show_time
+
+OK_STATUS: Final = 200
+UNIT_MS: Final = {"s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+AGE_PATTERN: Final = re.compile(r"(\d+)([smhd])")
+
+
+def add_report_commands(subparsers: Any) -> None:
+    """Register the audit and status commands."""
+    _add_audit(subparsers)
+    status = subparsers.add_parser(
+        "status",
+        help="show the version in force on each instance",
+        description="Show each instance's state and configuration version, as known to the "
+        "instance that answers, and name the one that is furthest behind.",
+    )
+    add_options(status, _status)
+
+
+def _add_audit(subparsers: Any) -> None:
+    audit = subparsers.add_parser(
+        "audit",
+        help="show who changed what, when and why",
+        description="Show accepted changes, newest first. The trail is written in the same "
+        "update as the change itself.",
+    )
+    audit.add_argument("--kind", choices=("profiles", "upstreams"), help="only this kind")
+    audit.add_argument("--name", help="only this profile or upstream")
+    audit.add_argument("--who", help="only this operator's changes")
+    audit.add_argument(
+        "--since", metavar="WHEN", help="an age (30m, 12h, 7d) or a time (2025-03-01T08:00)"
+    )
+    audit.add_argument("--limit", type=int, default=50, help="at most so many changes")
+    add_options(audit, _audit)
+
+
+async def _audit(client: Client, options: argparse.Namespace) -> int:
+    since = since_ms(options.since, int(time.time() * MS_PER_S))
+    if isinstance(since, Err):
+        return fail(since.err_value, EXIT_USAGE)
+    given = {"kind": options.kind, "name": options.name, "who": options.who}
+    query = {key: value for key, value in given.items() if value}
+    query["since"] = str(since.ok_value)
+    query["limit"] = str(options.limit)
+    got = await client.call("GET", "/v1/audit", query=query)
+    if isinstance(got, Err):
+        return fail(got.err_value)
+    if got.ok_value.status != OK_STATUS:
+        return refused(got.ok_value, options.json)
+    found = got.ok_value.document()
+    if options.json:
+        print_json(found)
+        return EXIT_OK
+    rows = [
+        [
+            show_time(line["entry"]["at_ms"]),
+            line["entry"]["who"],
+            line["entry"]["action"],
+            f"{line['kind']}/{line['name']}",
+            line["version"],
+            line["entry"]["reason"],
+            show_changes(line["entry"]["changes"]),
+        ]
+        for line in found["lines"]
+    ]
+    print_table(["time", "who", "action", "object", "version", "reason", "changes"], rows)
+    return EXIT_OK
+
+
+async def _status(client: Client, options: argparse.Namespace) -> int:
+    got = await client.call("GET", "/v1/status")
+    if isinstance(got, Err):
+        return fail(got.err_value)
+    if got.ok_value.status != OK_STATUS:
+        return refused(got.ok_value, options.json)
+    found = got.ok_value.document()
+    if options.json:
+        print_json(found)
+        return EXIT_OK
+    head = ["id", "state", "ready", "config_version", "agrees", "heard_ms_ago", "data_centre"]
+    print_table(
+        [*head, "reason"], [[one[c] for c in [*head, "reason"]] for one in found["instances"]]
+    )
+    print(f"furthest behind: {found['slowest']} (as known to {found['instance']})")
+    return EXIT_OK
+
+
+def since_ms(text: str | None, now_ms: int) -> Result[int, str]:
+    """Read an age or a time as milliseconds since the epoch; a time is UTC unless it says."""
+    if text is None:
+        return Ok(0)
+    age = AGE_PATTERN.fullmatch(text)
+    if age is not None:
+        return Ok(max(0, now_ms - int(age[1]) * UNIT_MS[age[2]]))
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        return Err(f"--since: expected an age like 12h or a time like 2025-03-01T08:00, got {text}")
+    return Ok(int(at.replace(tzinfo=at.tzinfo or UTC).timestamp() * MS_PER_S))
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,383 @@
+"""Test acceptance of changes, the book, the audit trail and the spread between instances."""
+
+import random
+from itertools import pairwise
+from typing import Any
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier import codec, invariants
+from papayapier.clock import FakeClock, fake_clock
+from papayapier.config import records, trail
+from papayapier.config.accept import Accepted, Change, Rejected
+from papayapier.config.book import ProfileBook
+from papayapier.config.checks import check_document
+from papayapier.config.records import PROFILES, Subject
+from papayapier.config.start import Config, ConfigDeps, start_config
+from papayapier.config.trail import AuditFilter
+from papayapier.errors import ErrorKind, Outcome
+from papayapier.metrics import make_metrics
+from papayapier.peer.messages import Heartbeat, Message
+from papayapier.settings import ConfigSettings
+from tests.fake_store import FakePlatform, Fault
+
+GATE = Subject(PROFILES, "gate")
+POLL_MS = 2_000
+
+invariants.raise_on_failure(True)
+
+
+class Fleet:
+    """Run several instances' configurations against one platform, with links to cut."""
+
+    def __init__(self, names: str = "abc", cfg: ConfigSettings | None = None) -> None:
+        self.time: FakeClock = fake_clock()
+        self.platform = FakePlatform(self.time.clock)
+        self.silent: set[tuple[str, str]] = set()
+        self.queued = 0
+        self.cfg = cfg or ConfigSettings(poll_ms=POLL_MS)
+        self.configs: dict[str, Config] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str, cfg: ConfigSettings | None = None) -> Config:
+        def tell(peer: str, message: Message) -> None:
+            if (name, peer) not in self.silent and peer in self.configs:
+                self.configs[peer].on_peer(name, message)
+
+        def broadcast(message: Message) -> None:
+            for peer in list(self.configs):
+                if peer != name:
+                    tell(peer, message)
+
+        deps = ConfigDeps(
+            clock=self.time.clock,
+            rand=random.Random(1),
+            store=self.platform.store(name),
+            settings=cfg or self.cfg,
+            metrics=make_metrics(),
+            tell=tell,
+            broadcast=broadcast,
+            peers=lambda: [peer for peer in self.configs if peer != name],
+            queued_under=lambda _: self.queued,
+            upstream_names=lambda: set(),
+        )
+        self.configs[name] = start_config(deps)
+        return self.configs[name]
+
+    def lose(self, name: str) -> None:
+        wait(self.configs.pop(name).stop())
+
+    def beat(self, name: str) -> None:
+        """Send one instance's heartbeat to all others."""
+        book = self.configs[name].book
+        message = Heartbeat(name, 1, "live", book.version(), (), book.digest())
+        for peer in self.configs:
+            if peer != name and (name, peer) not in self.silent:
+                self.configs[peer].on_peer(name, message)
+
+    def run(self, ms: int, step_ms: int = 50) -> None:
+        for _ in range(ms // step_ms):
+            self.time.advance(step_ms)
+
+    def apply(self, name: str, change: Change) -> Result[Accepted, Rejected]:
+        done = Deferred.fromCoroutine(accept_on(self.configs[name], change))
+        for _ in range(400):
+            if done.called:
+                break
+            self.time.advance(50)
+        outcome: Result[Accepted, Rejected] = wait_deferred(done)
+        return outcome
+
+    def due(self, name: str) -> int | None:
+        profile = self.configs[name].book.profile("gate")
+        return profile.due_ms if profile else None
+
+
+async def accept_on(config: Config, change: Change) -> Result[Accepted, Rejected]:
+    return await config.accept(change)
+
+
+def wait(running: Any) -> Any:
+    return wait_deferred(Deferred.fromCoroutine(running))
+
+
+def wait_deferred(done: "Deferred[Any]") -> Any:
+    found: list[Any] = []
+    done.addBoth(found.append)
+    assert found, "still waiting"
+    if hasattr(found[0], "raiseException"):
+        found[0].raiseException()
+    return found[0]
+
+
+def gate(due_ms: int = 2_000, **fields: object) -> dict[str, Any]:
+    document = {
+        "name": "gate",
+        "upstream": "pass",
+        "urgency": "urgent",
+        "due_ms": due_ms,
+        "idempotent": False,
+    }
+    return {**document, **fields}
+
+
+def change(
+    due_ms: int | None, based_on: int, change_id: str = "", who: str = "ana", strand: bool = False
+) -> Change:
+    document = None if due_ms is None else gate(due_ms)
+    change_id = change_id or f"change-{due_ms}-{based_on}-{who}"
+    return Change(GATE, document, based_on, "test", change_id, who, strand)
+
+
+def test_change_is_in_force_everywhere_at_once_and_in_the_trail() -> None:
+    fleet = Fleet()
+    first = fleet.apply("a", change(2_000, 0)).unwrap()
+    second = fleet.apply("b", change(3_000, first.version)).unwrap()
+    assert [fleet.due(name) for name in "abc"] == [3_000] * 3
+    lines = wait(fleet.configs["c"].audit(AuditFilter())).unwrap()
+    assert [line.version for line in lines] == [second.version, first.version]
+    assert lines[0].entry["changes"] == [{"path": "due_ms", "before": 2_000, "after": 3_000}]
+
+
+def test_racing_operator_is_told_who_won_and_with_what() -> None:
+    fleet = Fleet()
+    first = fleet.apply("a", change(2_000, 0)).unwrap()
+    fleet.apply("a", change(3_000, first.version, who="ana")).unwrap()
+    lost = fleet.apply("b", change(4_000, first.version, who="rui")).unwrap_err()
+    assert lost.refusal.kind is ErrorKind.VERSION_CONFLICT
+    assert lost.refusal.outcome is Outcome.NOT_RUN
+    assert lost.winner is not None
+    assert lost.winner.entry["who"] == "ana"
+    assert "due_ms 2000 -> 3000" in lost.refusal.reason
+    assert fleet.due("b") == 3_000
+
+
+def test_lost_answer_is_settled() -> None:
+    # Symptom: an operator is told that a change failed, and later finds it in force.
+    # Sequence: the store takes the update, its answer is lost.
+    # Cause: a lost answer taken for a failure. Reading back finds the change id.
+    fleet = Fleet()
+    fleet.platform.fail(Fault.LOST_AFTER, call="create")
+    done = fleet.apply("a", change(2_000, 0)).unwrap()
+    assert done.version == fleet.platform.objects[GATE.key].version
+    assert fleet.due("c") == 2_000
+
+
+def test_write_that_arrives_late_is_not_called_not_run() -> None:
+    # Symptom: a change refused as "not run" comes into force a second later.
+    # Sequence: the update is held up on its way; reading back shows the old version; the
+    # refusal goes out; the update arrives.
+    # Cause: one read-back proves nothing while the write may still arrive. The repeated
+    # write with the same condition wins first, so the late one can only fail.
+    fleet = Fleet()
+    fleet.platform.fail(Fault.LOST_DELAYED, call="create", delay_ms=1_000)
+    done = fleet.apply("a", change(2_000, 0)).unwrap()
+    fleet.run(2_000)
+    assert fleet.platform.objects[GATE.key].version == done.version
+    assert len(wait(fleet.configs["a"].audit(AuditFilter())).unwrap()) == 1
+
+
+def test_unsettled_change_is_unknown_and_its_repeat_finds_it() -> None:
+    fleet = Fleet()
+    fleet.platform.fail(Fault.LOST_AFTER, call="create")
+    running = Deferred.fromCoroutine(accept_on(fleet.configs["a"], change(2_000, 0)))
+    fleet.platform.down = True
+    fleet.run(12_000)
+    refused = wait_deferred(running).unwrap_err().refusal
+    assert refused.outcome is Outcome.UNKNOWN
+    fleet.platform.down = False
+    again = fleet.apply("b", change(2_000, 0)).unwrap()
+    assert again.repeated
+    assert again.version == 1
+
+
+def test_store_down_refuses_as_not_run() -> None:
+    fleet = Fleet()
+    fleet.platform.down = True
+    refused = fleet.apply("a", change(2_000, 0)).unwrap_err().refusal
+    assert (refused.kind, refused.outcome) == (ErrorKind.STORE_UNAVAILABLE, Outcome.NOT_RUN)
+
+
+def test_change_id_used_for_other_content_is_a_conflict() -> None:
+    fleet = Fleet()
+    fleet.apply("a", change(2_000, 0, "same-change-id"))
+    refused = fleet.apply("a", change(3_000, 0, "same-change-id")).unwrap_err().refusal
+    assert refused.kind is ErrorKind.KEY_CONFLICT
+
+
+def test_delete_leaves_a_tombstone_and_can_be_followed_by_a_create() -> None:
+    fleet = Fleet()
+    first = fleet.apply("a", change(2_000, 0)).unwrap()
+    gone = fleet.apply("b", change(None, first.version)).unwrap()
+    assert [fleet.due(name) for name in "abc"] == [None] * 3
+    missing = fleet.apply("a", change(None, gone.version, who="rui")).unwrap_err()
+    assert missing.refusal.kind is ErrorKind.NOT_FOUND
+    again = fleet.apply("a", change(5_000, 0, who="rui")).unwrap()
+    assert again.version > gone.version
+    assert fleet.due("c") == 5_000
+
+
+def test_stranding_change_says_so_and_needs_leave() -> None:
+    fleet = Fleet()
+    first = fleet.apply("a", change(2_000, 0)).unwrap()
+    fleet.queued = 7
+    refused = fleet.apply("a", change(None, first.version)).unwrap_err()
+    assert "7 queued" in refused.refusal.reason
+    assert fleet.apply("a", change(None, first.version, strand=True)).is_ok()
+
+
+def test_every_field_at_fault_is_named() -> None:
+    wrong = gate(due_ms=1, urgency="soon", retry={"attempts": 0}, extra=1)
+    del wrong["idempotent"]
+    found = {problem.path for problem in check_document(GATE, wrong).errors}
+    assert found == {"due_ms", "urgency", "retry.attempts", "extra", "idempotent"}
+    hedged = gate(retry={"hedge_after_ms": 100})
+    assert [p.path for p in check_document(GATE, hedged).errors] == ["retry.hedge_after_ms"]
+
+
+def test_older_entries_are_spilled_and_the_trail_stays_whole() -> None:
+    fleet = Fleet("a")
+    version = 0
+    for number in range(40):
+        version = fleet.apply("a", change(2_000 + number, version, f"change-{number:04}")).unwrap()[
+            0
+        ]
+    lines = wait(fleet.configs["a"].audit(AuditFilter(name="gate"))).unwrap()
+    assert [line.entry["seq"] for line in lines] == list(range(40, 0, -1))
+    assert all(old.version == new.entry["based_on"] for new, old in pairwise(lines))
+    stored = records.decode(fleet.platform.objects[GATE.key].value).unwrap()
+    assert len(stored["history"]) <= records.HISTORY_MOST
+    # A repeat of a change that has left the object is still recognised.
+    assert fleet.apply("a", change(2_003, lines[36].entry["based_on"], "change-0003")).unwrap()[1]
+
+
+def test_lower_version_is_never_applied() -> None:
+    book = ProfileBook()
+    new = records.encode(records.Record(document=gate(3_000), history=[]))
+    old = records.encode(records.Record(document=gate(2_000), history=[]))
+    assert book.apply(GATE.key, 9, new)
+    assert not book.apply(GATE.key, 8, old)
+    profile = book.profile("gate")
+    assert profile is not None
+    assert (profile.due_ms, book.version()) == (3_000, 9)
+
+
+def test_record_of_a_newer_release_is_applied() -> None:
+    book = ProfileBook()
+    document = gate(3_000, retry={"attempts": 2, "hedge_after_ms": 0, "later": 1}, later=[])
+    value = codec.to_json({"document": document, "history": [], "later": {}})
+    assert book.apply(GATE.key, 1, value)
+
+
+def test_missing_middle_object_is_found_by_digest() -> None:
+    # Symptom: one instance treats a profile by old rules for good, with an equal version.
+    # Sequence: the push of change 1 to c is lost, the push of change 2 arrives.
+    # Cause: the highest version in a heartbeat does not show a hole below it.
+    fleet = Fleet(cfg=ConfigSettings(poll_ms=80_000_000, watch_ms=80_000_000))
+    fleet.platform.cut = {"c"}
+    fleet.silent = {("a", "c")}
+    fleet.apply("a", change(2_000, 0))
+    fleet.silent = set()
+    other = Change(Subject(PROFILES, "chat"), gate(name="chat"), 0, "test", "change-chat", "ana")
+    fleet.apply("a", other)
+    books = [fleet.configs[name].book for name in "ac"]
+    assert books[0].version() == books[1].version()
+    assert fleet.due("c") is None
+    for _ in range(2):
+        fleet.beat("b")
+        fleet.run(500)
+    assert fleet.due("c") == 2_000
+    assert books[0].digest() == books[1].digest()
+
+
+def test_watch_and_poll_each_suffice() -> None:
+    for cut in ("watch", "list"):
+        fleet = Fleet("ab")
+        fleet.run(100)
+        fleet.silent = {("a", "b")}
+        fleet.platform.fail(Fault.UNAVAILABLE, call=cut, store="b", times=1_000)
+        fleet.apply("a", change(2_000, 0))
+        fleet.run(4_000)
+        assert fleet.due("b") == 2_000, cut
+
+
+def test_restart_in_an_outage_asks_peers_and_is_ready_only_then() -> None:
+    # Symptom: after a restart in an outage an instance refuses a profile that exists.
+    # Sequence: store down; an instance starts with nothing; callers are sent to it.
+    # Cause: it said ready before it had heard the configuration from anyone.
+    fleet = Fleet("ab")
+    fleet.apply("a", change(2_000, 0))
+    fleet.lose("b")
+    fleet.platform.down = True
+    restarted = fleet.start("b")
+    fleet.run(1_000)
+    assert restarted.ready(fleet.time.clock.now()).is_err()
+    fleet.beat("a")
+    assert restarted.ready(fleet.time.clock.now()) == Ok(None)
+    assert fleet.due("b") == 2_000
+
+
+def test_two_empty_instances_do_not_make_each_other_ready() -> None:
+    fleet = Fleet("")
+    fleet.platform.down = True
+    for name in "ab":
+        fleet.start(name)
+    for name in "abab":
+        fleet.beat(name)
+    assert all(c.ready(fleet.time.clock.now()).is_err() for c in fleet.configs.values())
+
+
+def test_folder_is_used_but_a_peer_goes_before_it(tmp_path: Any) -> None:
+    # Symptom: an instance goes back to an older profile after its restart in an outage.
+    # Sequence: its folder was written before the last change; the store is down.
+    # Cause: the folder's copy taken as current without hearing a peer.
+    kept = ConfigSettings(poll_ms=POLL_MS, data_folder=str(tmp_path))
+    fleet = Fleet("a")
+    first = fleet.apply("a", change(2_000, 0)).unwrap()
+    fleet.start("b", kept)
+    fleet.run(2_000)
+    fleet.lose("b")
+    fleet.apply("a", change(3_000, first.version))
+    fleet.platform.down = True
+    restarted = fleet.start("b", kept)
+    assert fleet.due("b") == 2_000
+    assert restarted.ready(fleet.time.clock.now()).is_err()
+    fleet.beat("a")
+    assert fleet.due("b") == 3_000
+    assert restarted.ready(fleet.time.clock.now()).is_ok()
+
+
+def test_instance_that_hears_nobody_becomes_not_ready() -> None:
+    fleet = Fleet("ab")
+    fleet.platform.cut = {"b"}
+    fleet.run(35_000, 500)
+    now = fleet.time.clock.now()
+    assert fleet.configs["a"].ready(now).is_ok()
+    assert "heard" in fleet.configs["b"].ready(now).unwrap_err()
+    fleet.beat("a")
+    assert fleet.configs["b"].ready(now).is_ok()
+
+
+def test_object_removed_by_hand_stays_in_force() -> None:
+    fleet = Fleet("ab")
+    fleet.apply("a", change(2_000, 0))
+    wait(fleet.platform.store().delete(GATE.key, 1))
+    fleet.run(5_000)
+    assert fleet.due("b") == 2_000
+
+
+def test_audit_filters() -> None:
+    fleet = Fleet("a")
+    first = fleet.apply("a", change(2_000, 0, who="ana")).unwrap()
+    fleet.run(1_000)
+    fleet.apply("a", change(3_000, first.version, who="rui"))
+    audit = fleet.configs["a"].audit
+    assert len(wait(audit(AuditFilter(who="rui"))).unwrap()) == 1
+    assert len(wait(audit(AuditFilter(limit=1))).unwrap()) == 1
+    assert wait(audit(AuditFilter(name="other"))).unwrap() == []
+    since = fleet.time.clock.wall() - 500
+    assert [x.entry["who"] for x in wait(audit(AuditFilter(since_ms=since))).unwrap()] == ["rui"]
+    fleet.platform.down = True
+    assert isinstance(wait(trail.audit(fleet.platform.store(), AuditFilter())), Err)
