--- a/papayapier/upstream/answers.py
+++ b/papayapier/upstream/answers.py
@@ -98,14 +98,6 @@
         return b"".join(self._parts)
 
 
-def wrong_header_id(headers: Headers, request_id: str) -> Fault | None:
-    """Check the id in the header; one that is missing cannot be matched."""
-    found = header_text(headers, REQUEST_ID)
-    if found == request_id:
-        return None
-    return wrong_id(found, request_id)
-
-
 def wrong_id(found: str, request_id: str) -> Fault:
     """Say that an answer belongs to another request."""
     return Fault(FailureKind.WRONG_ID, f"answer has id {found!r}, not {request_id!r}")
--- a/papayapier/upstream/cancels.py
+++ b/papayapier/upstream/cancels.py
@@ -26,33 +26,44 @@
 
     def __init__(self, ask: Ask) -> None:
         self._ask = ask
-        self._waiting: dict[str, deque[str]] = {}
-        self._under_way: dict[str, int] = {}
+        self._queues: dict[str, _Queue] = {}
 
     def add(self, replica: Replica, request_id: str) -> None:
         """Send a cancel soon; when too many wait, the oldest is dropped."""
-        waiting = self._waiting.setdefault(replica.id, deque(maxlen=WAITING_MAX))
-        waiting.append(request_id)
-        if self._under_way.get(replica.id, 0) < UNDER_WAY_MAX:
-            self._under_way[replica.id] = self._under_way.get(replica.id, 0) + 1
-            Deferred.fromCoroutine(self._drain(replica, waiting)).addErrback(_report, replica)
+        queue = self._queues.setdefault(replica.id, _Queue())
+        queue.waiting.append(request_id)
+        if queue.under_way < UNDER_WAY_MAX:
+            queue.under_way += 1
+            Deferred.fromCoroutine(self._drain(replica, queue)).addErrback(_report, replica)
 
     def clear(self) -> None:
         """Forget the cancels that wait."""
-        for waiting in self._waiting.values():
-            waiting.clear()
+        for queue in self._queues.values():
+            queue.waiting.clear()
 
     async def send(self, replica: Replica, request_id: str) -> None:
         """Tell the replica to stop a request; nobody learns whether it did."""
         body = msgspec.json.encode({"request_id": request_id})
         await self._ask(replica, Question("POST", "/cancel", body))
 
-    async def _drain(self, replica: Replica, waiting: deque[str]) -> None:
+    async def _drain(self, replica: Replica, queue: "_Queue") -> None:
         try:
-            while waiting:
-                await self.send(replica, waiting.popleft())
+            while queue.waiting:
+                await self.send(replica, queue.waiting.popleft())
         finally:
-            self._under_way[replica.id] -= 1
+            queue.under_way -= 1
+            if not queue.under_way:
+                self._queues.pop(replica.id, None)
+
+
+class _Queue:
+    """Hold the cancels for one replica."""
+
+    __slots__ = ("under_way", "waiting")
+
+    def __init__(self) -> None:
+        self.under_way = 0
+        self.waiting: deque[str] = deque(maxlen=WAITING_MAX)
 
 
 def _report(why: TwistedFailure, replica: Replica) -> None:
--- a/papayapier/upstream/control.py
+++ b/papayapier/upstream/control.py
@@ -8,7 +8,7 @@
 
 from papayapier.upstream.answers import Collected
 from papayapier.upstream.api import Failure, Replica
-from papayapier.upstream.exchange import Head, Outgoing, Sink
+from papayapier.upstream.exchange import Head, OnData, Outgoing, Sink
 from papayapier.upstream.links import Links
 from papayapier.upstream.phases import Fault
 
@@ -46,14 +46,14 @@
         collected = Collected(MAX_ANSWER_BYTES)
         statuses: list[int] = []
 
-        def on_head(head: Head) -> Fault | None:
+        def on_head(head: Head) -> Result[OnData, Fault]:
             statuses.append(head.status)
-            return None
+            return Ok(collected.add)
 
         due_ms = int(links.clock.now()) + links.cfg.progress_ms
         headers = Headers({"Content-Type": [JSON_TYPE]})
         out = Outgoing(question.method, question.path, headers, question.body, due_ms, False)
-        ended = await links.run(replica, out, Sink(on_head, collected.add, collected.end))
+        ended = await links.run(replica, out, Sink(on_head, collected.end))
         if isinstance(ended, Err):
             return ended
         return Ok(Answer(statuses[0], collected.body()))
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -43,14 +43,18 @@
     at_ms: int
 
 
+# Takes bytes of the body and the time at which they came.
+OnData = Callable[[bytes, int], Fault | None]
+
+
 class Sink(NamedTuple):
     """Take the answer as it comes; a Fault ends the exchange.
 
-    on_end is told whether the length of the body was declared, and so is known to be whole.
+    on_head returns what takes the body. on_end is told whether the length of the body was
+    declared, and so is known to be whole.
     """
 
-    on_head: Callable[[Head], Fault | None]
-    on_data: Callable[[bytes, int], Fault | None]
+    on_head: Callable[[Head], Result[OnData, Fault]]
     on_end: Callable[[bool], Fault | None]
 
 
@@ -85,9 +89,11 @@
         self._phases = make_phases(cfg)
         self._open = True
         self._answered = False
+        self._started = False
         self._sent = Sent.NO
         self._lease = pool.lease(self._on_take)
         self._since_ms = int(clock.now())
+        self._on_data: OnData = _drop
         self._timer: Timer | None = None
         self._timer_at_ms = 0
         self._request: Deferred[Any] | None = None
@@ -119,7 +125,9 @@
             return
         now_ms = int(self._clock.now())
         self._since_ms = now_ms
-        fault = self._sink.on_data(data, now_ms)
+        if not self._started:
+            self._start_body()
+        fault = self._on_data(data, now_ms)
         if fault is not None:
             self._end(fault)
 
@@ -148,15 +156,24 @@
         if not self._open:
             return
         self._answered = True
-        self._phases.answered()
         self._since_ms = int(self._clock.now())
-        self._arm()
-        fault = self._sink.on_head(Head(response.code, response.headers, self._since_ms))
-        if fault is not None:
-            self._end(fault)
+        taken = self._sink.on_head(Head(response.code, response.headers, self._since_ms))
+        if isinstance(taken, Err):
+            self._end(taken.err_value)
             return
+        self._on_data = taken.ok_value
         response.deliverBody(self)
 
+    def _start_body(self) -> None:
+        """Watch progress from here on.
+
+        An engine may send the head of a stream at once and the first token much later, when
+        a slot is free; so the limit between bytes does not hold before the first of them.
+        """
+        self._started = True
+        self._phases.started()
+        self._arm()
+
     def _on_request_failed(self, reason: Any) -> None:
         if not self._open:
             return
@@ -259,6 +276,10 @@
         pass
 
 
+def _drop(_data: bytes, _now_ms: int) -> Fault | None:
+    return None
+
+
 def _why(reason: Any) -> str:
     """Return the innermost reason of the library's nested failures."""
     inner = reason
--- a/papayapier/upstream/links.py
+++ b/papayapier/upstream/links.py
@@ -1,6 +1,6 @@
 """Own the connections to all replicas, and the exchanges that are under way on them."""
 
-from typing import Any
+from typing import Any, Final
 
 from twisted.internet.defer import Deferred, gatherResults
 
@@ -10,6 +10,8 @@
 from papayapier.upstream.exchange import Ended, Exchange, Outgoing, Sink
 from papayapier.upstream.pool import ReplicaPool
 
+FORGET_AFTER_MS: Final = 60_000
+
 
 class Links:
     """Hold a pool for each replica address that is in use."""
@@ -45,5 +47,17 @@
         key = (replica.host, replica.port)
         pool = self._pools.get(key)
         if pool is None:
+            self._forget_unused()
             pool = self._pools[key] = ReplicaPool(self._reactor, *key)
+        pool.used_ms = int(self.clock.now())
         return pool
+
+    def _forget_unused(self) -> None:
+        """Drop the pools of replicas that have gone.
+
+        Replicas are replaced all the time, each at a new address, and nobody says here that
+        an address will not come back; without this, memory grows with every replacement.
+        """
+        oldest_ms = int(self.clock.now()) - FORGET_AFTER_MS
+        for key in [key for key, pool in self._pools.items() if pool.used_ms < oldest_ms]:
+            del self._pools[key]
--- a/papayapier/upstream/phases.py
+++ b/papayapier/upstream/phases.py
@@ -26,8 +26,8 @@
     def taken(self) -> None:
         """Note that the request is about to be written."""
 
-    def answered(self) -> None:
-        """Note that the head of the answer is there."""
+    def started(self) -> None:
+        """Note that the body of the answer has begun."""
 
     def end(self) -> None:
         """Note that nothing more counts."""
@@ -49,14 +49,16 @@
 _ended = _builder.state("ended")
 
 _connecting.upon(Phases.taken).to(_waiting).returns(None)
-_waiting.upon(Phases.answered).to(_receiving).returns(None)
+_waiting.upon(Phases.started).to(_receiving).returns(None)
 for _state in (_connecting, _waiting, _receiving):
     _state.upon(Phases.end).to(_ended).returns(None)
 
 _connecting.upon(Phases.overdue).loop().returns(
     Fault(FailureKind.CONNECT, "connecting took too long")
 )
-_waiting.upon(Phases.overdue).loop().returns(Fault(FailureKind.SILENT, "no byte of an answer came"))
+_waiting.upon(Phases.overdue).loop().returns(
+    Fault(FailureKind.SILENT, "no byte of the answer's body came")
+)
 _receiving.upon(Phases.overdue).loop().returns(
     Fault(FailureKind.SILENT, "the answer stopped coming")
 )
@@ -84,7 +86,7 @@
 
 @_waiting.upon(Phases.lost).loop()
 def _answer_lost(_: Phases, __: UpstreamSettings, why: str) -> Fault:
-    return Fault(FailureKind.CUT, f"connection lost before an answer: {why}")
+    return Fault(FailureKind.CUT, f"connection lost before the answer's body: {why}")
 
 
 @_receiving.upon(Phases.lost).loop()
--- a/papayapier/upstream/pool.py
+++ b/papayapier/upstream/pool.py
@@ -86,9 +86,10 @@
 class ReplicaPool:
     """Hold the kept connections to one address."""
 
-    __slots__ = ("_endpoint", "_kept", "_reactor", "_single")
+    __slots__ = ("_endpoint", "_kept", "_reactor", "_single", "used_ms")
 
     def __init__(self, reactor: Any, host: str, port: int) -> None:
+        self.used_ms = 0
         self._reactor = reactor
         # The call's own timer bounds connecting; the endpoint's is not on our clock.
         self._endpoint = TCP4ClientEndpoint(reactor, host, port)
--- a/papayapier/upstream/replies.py
+++ b/papayapier/upstream/replies.py
@@ -2,20 +2,20 @@
 
 from typing import Final
 
-from result import Err
+from result import Err, Ok, Result
 
 from papayapier.upstream import answers
 from papayapier.upstream.answers import Collected
 from papayapier.upstream.api import Call, FailureKind, Load, OnToken, Reply
 from papayapier.upstream.engine_calls import ENGINE_PATHS
-from papayapier.upstream.exchange import Head, Sink
+from papayapier.upstream.exchange import Head, OnData, Sink
 from papayapier.upstream.phases import Fault
 from papayapier.upstream.sse import StreamReader
 
-MAX_BODY_BYTES: Final = 32_000_000
+MAX_BODY_BYTES: Final = 8_000_000
 MAX_ERROR_BYTES: Final = 100_000
 MAX_REASON_CHARS: Final = 300
-OK: Final = 200
+OK_STATUS: Final = 200
 FIRST_SERVER_ERROR: Final = 500
 
 
@@ -27,12 +27,11 @@
 class ReplyReader:
     """Take the parts of one answer."""
 
-    __slots__ = ("_body", "_call", "_first_ms", "_head", "_load", "_parsed", "_start_ms", "_stream")
+    __slots__ = ("_body", "_call", "_head", "_load", "_parsed", "_start_ms", "_stream")
 
     def __init__(self, call: Call, on_token: OnToken, start_ms: int) -> None:
         self._call = call
         self._start_ms = start_ms
-        self._first_ms = 0
         self._head: Head | None = None
         self._load: Load | None = None
         self._body = Collected(MAX_BODY_BYTES)
@@ -41,13 +40,14 @@
 
     def sink(self) -> Sink:
         """Return the calls that take the answer."""
-        return Sink(self._on_head, self._on_data, self._on_end)
+        return Sink(self._on_head, self._on_end)
 
     def reply(self, now_ms: int) -> Reply:
         """Return the whole answer, once the exchange has ended well."""
         assert self._head is not None
         total_ms = now_ms - self._start_ms
         parsed = self._stream.parsed() if self._stream else self._parsed
+        first_ms = (self._stream.first_ms if self._stream else 0) or now_ms
         return Reply(
             status=self._head.status,
             content_type=answers.header_text(self._head.headers, b"Content-Type"),
@@ -56,29 +56,22 @@
             tokens=parsed.tokens,
             finish_reason=parsed.finish_reason,
             load=self._load,
-            first_token_ms=self._first_ms or total_ms,
+            first_token_ms=first_ms - self._start_ms,
             total_ms=total_ms,
         )
 
-    def _on_head(self, head: Head) -> Fault | None:
+    def _on_head(self, head: Head) -> Result[OnData, Fault]:
         self._head = head
         self._load = answers.parse_load_header(head.headers, head.at_ms)
-        if not self._is_refusal(head):
-            return answers.wrong_header_id(head.headers, self._call.request_id)
-        # The body says why; it is read to its end so that the connection can be kept.
-        self._stream = None
-        self._body = Collected(MAX_ERROR_BYTES)
-        if not answers.header_text(head.headers, answers.REQUEST_ID):
-            return None
-        return answers.wrong_header_id(head.headers, self._call.request_id)
-
-    def _on_data(self, data: bytes, now_ms: int) -> Fault | None:
-        if self._stream is None:
-            return self._body.add(data, now_ms)
-        fault = self._stream.feed(data, now_ms)
-        if not self._first_ms and self._stream.has_tokens():
-            self._first_ms = now_ms - self._start_ms
-        return fault
+        found = answers.header_text(head.headers, answers.REQUEST_ID)
+        refused = self._is_refusal(head)
+        if found != self._call.request_id and (found or not refused):
+            return Err(answers.wrong_id(found, self._call.request_id))
+        if refused:
+            # The body says why; it is read to its end so that the connection can be kept.
+            self._stream = None
+            self._body = Collected(MAX_ERROR_BYTES)
+        return Ok(self._body.add if self._stream is None else self._stream.feed)
 
     def _on_end(self, declared: bool) -> Fault | None:
         assert self._head is not None
@@ -102,7 +95,7 @@
         stands before the service in its place does not know the request's id.
         """
         if is_engine_call(self._call):
-            return head.status != OK
+            return head.status != OK_STATUS
         has_id = bool(answers.header_text(head.headers, answers.REQUEST_ID))
         return head.status >= FIRST_SERVER_ERROR and not has_id
 
--- a/papayapier/upstream/sse.py
+++ b/papayapier/upstream/sse.py
@@ -5,7 +5,6 @@
 passed on is decoded.
 """
 
-from collections.abc import Iterator
 from typing import Final, NotRequired, TypedDict
 
 import msgspec
@@ -16,8 +15,8 @@
 
 DATA: Final = b"data:"
 DONE: Final = b"[DONE]"
-MAX_EVENT_BYTES: Final = 1_000_000
-MAX_TEXT_CHARS: Final = 8_000_000
+MAX_EVENT_BYTES: Final = 262_144
+MAX_TEXT_CHARS: Final = 4_000_000
 
 
 class Delta(TypedDict):
@@ -55,6 +54,7 @@
         "_rest",
         "_texts",
         "_whole",
+        "first_ms",
     )
 
     def __init__(self, request_id: str, on_token: OnToken) -> None:
@@ -65,10 +65,7 @@
         self._texts: list[str] = []
         self._chars = 0
         self._whole = False
-
-    def has_tokens(self) -> bool:
-        """Tell whether a token came."""
-        return bool(self._texts)
+        self.first_ms = 0
 
     def parsed(self) -> Parsed:
         """Return what was received."""
@@ -76,15 +73,19 @@
 
     def feed(self, data: bytes, now_ms: int) -> Fault | None:
         """Take received bytes, and call back for each token in them."""
-        parts = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        if self._rest:
+            data = self._rest + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        parts = data.split(b"\n\n")
         self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
             return Fault(FailureKind.BROKEN, f"event longer than {MAX_EVENT_BYTES} bytes")
         for part in parts:
-            for payload in _payloads(part):
-                fault = self._take(payload, now_ms)
-                if fault is not None:
-                    return fault
+            payload = _payload(part)
+            fault = self._take(payload, now_ms) if payload else None
+            if fault is not None:
+                return fault
         return None
 
     def end(self) -> Fault | None:
@@ -112,19 +113,29 @@
         return self._take_choice(chunk["choices"][0], payload, now_ms)
 
     def _take_choice(self, choice: StreamChoice, payload: bytes, now_ms: int) -> Fault | None:
-        text = choice["delta"].get("content") if "delta" in choice else choice.get("text")
-        self._finish_reason = choice.get("finish_reason") or self._finish_reason
-        if not text:
-            return None
+        delta = choice.get("delta")
+        text = delta.get("content") if delta else choice.get("text")
+        finish_reason = choice.get("finish_reason")
+        if finish_reason:
+            self._finish_reason = finish_reason
+        if text:
+            return self._take_text(text, payload, now_ms)
+        return None
+
+    def _take_text(self, text: str, payload: bytes, now_ms: int) -> Fault | None:
+        if not self._texts:
+            self.first_ms = now_ms
+        self._texts.append(text)
         self._chars += len(text)
         if self._chars > MAX_TEXT_CHARS:
             return Fault(FailureKind.BROKEN, f"answer longer than {MAX_TEXT_CHARS} characters")
-        self._texts.append(text)
         self._on_token(Token(text, payload, now_ms))
         return None
 
 
-def _payloads(part: bytes) -> Iterator[bytes]:
-    for line in part.split(b"\n"):
-        if line.startswith(DATA):
-            yield line[len(DATA) :].strip()
+def _payload(event: bytes) -> bytes:
+    """Return the data of an event; comments and other fields are passed over."""
+    if event.startswith(DATA) and b"\n" not in event:
+        return event[len(DATA) :].strip()
+    lines = [line for line in event.split(b"\n") if line.startswith(DATA)]
+    return b"\n".join(line[len(DATA) :].strip() for line in lines)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -169,6 +169,18 @@
         equal((failure.kind, failure.sent, failure.fresh), (FailureKind.SILENT, Sent.MAYBE, True))
         await conn.closed
 
+    async def test_head_comes_long_before_the_first_token(self) -> None:
+        # Symptom: calls fail whenever an engine is busy. Sequence: the engine sends the head
+        # at once, and the first token when a slot is free. Cause: the limit between tokens
+        # was counted from the head.
+        self.server.answer_with(chunked(end=b""))
+        sending = self.send()
+        conn = await self.server.next_request()
+        await deferLater(reactor, 0.01)
+        self.fake.advance(CFG.progress_ms + 1)
+        conn.write(chunked(LAST, DONE, head=b""))
+        equal((await sending).unwrap().text, "b")
+
     async def test_amid_a_stream(self) -> None:
         # Symptom: tokens stop and the caller waits. Sequence: after some tokens no byte
         # comes. Cause: as above; first-byte time has long passed, so progress is watched.
