--- a/papayapier/config/accept.py
+++ b/papayapier/config/accept.py
@@ -1,14 +1,13 @@
 """Accept an operator's change, by one conditional update that carries its audit entry.
 
-The hard case is a write whose answer is lost. Reading back once is not enough to say that
-it did not take effect, since it may still be under way. So the same write, with the same
-condition, is repeated until the store gives a definite answer: either one of the copies
-wins, and the others can then only fail, or the object has another version, and all copies
-can only fail. The change id in the trail tells these two apart. When the store gives no
-definite answer in time, the operator is told that the outcome is unknown, and may repeat
-the change under the same id.
+The change id in the trail makes a change idempotent: whoever repeats a call, after a lost
+answer or out of impatience, gets the answer of the first. store.writes settles an update
+whose answer was lost. Where it cannot, because another change followed or the store went
+down, the trail tells: our id is in it, or the object has another version, so that our update
+can only fail, or nothing is known and the operator is told so.
 """
 
+import random
 import re
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -22,9 +21,11 @@
 from papayapier.config.records import AuditEntry, Document, FieldChange, Record, Subject
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
 from papayapier.store.api import Store, Stored, StoreError
+from papayapier.store.writes import Settling, create_settled, update_settled
 
 SETTLE_MS: Final = 10_000
-SETTLE_PAUSE_MS: Final = 100
+RETRY_AFTER_MS: Final = 1_000
+ROUNDS_MOST: Final = 5
 REASON_MOST: Final = 500
 NAME_PATTERN: Final = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 CHANGE_ID_PATTERN: Final = re.compile(r"[A-Za-z0-9._:-]{8,64}")
@@ -74,6 +75,7 @@
     """Group what accepting needs; accepted is told key, version and value."""
 
     clock: Clock
+    rand: random.Random
     store: Store
     checks: CheckDeps
     accepted: Callable[[str, int, bytes], None]
@@ -107,7 +109,7 @@
 
 
 class _Acceptance:
-    """Drive one change to a definite answer; lost remembers a write without an answer."""
+    """Drive one change to a definite answer; lost is the version a lost update was for."""
 
     def __init__(
         self, deps: AcceptDeps, change: Change, document: Document | None, warnings: list[Problem]
@@ -116,30 +118,30 @@
         self._change = change
         self._document = document
         self._warnings = warnings
-        self._lost = False
+        self._lost: int | None = None
 
     async def run(self) -> _Outcome:
-        until = self._deps.clock.now() + SETTLE_MS
-        while True:
-            done = await self._attempt()
+        """Read, decide and write; every round but the last lost to another change."""
+        for _ in range(ROUNDS_MOST):
+            done = await self._round()
             if done is not None:
                 return done
-            if self._deps.clock.now() >= until:
-                return self._unavailable(StoreError.LOST)
-            await self._deps.clock.sleep(SETTLE_PAUSE_MS)
+        return self._unavailable(StoreError.CONFLICT)
 
-    async def _attempt(self) -> _Outcome | None:
-        """Read, decide and write once; None asks for another attempt."""
+    async def _round(self) -> _Outcome | None:
         match await self._read():
             case Err(error):
-                return None if self._lost else self._unavailable(error)
+                return self._unavailable(error)
             case Ok(held):
                 pass
         match await self._already_done(held):
             case Err(error):
-                return None if self._lost else self._unavailable(error)
+                return self._unavailable(error)
             case Ok(known) if known is not None:
                 return known
+        if held.version == self._lost:
+            return self._unavailable(StoreError.LOST)
+        self._lost = None
         refused = self._refused(held)
         if refused is not None:
             return Err(refused)
@@ -173,10 +175,8 @@
 
     def _repeated(self, held: _Held, entry: AuditEntry, version: int) -> _Outcome:
         key = self._change.subject.key
-        if self._lost:
-            events.emit(events.WRITE_READ_BACK, key=key, change=entry["change_id"])
         self._deps.accepted(key, held.version, held.value)
-        return Ok(Accepted(version, not self._lost, entry["changes"], self._warnings))
+        return Ok(Accepted(version, self._lost is None, entry["changes"], self._warnings))
 
     def _refused(self, held: _Held) -> Rejected | None:
         if held.unreadable:
@@ -203,10 +203,8 @@
 
     async def _write(self, held: _Held) -> _Outcome | None:
         match await trail.spill(self._deps.store, self._change.subject, held.record["history"]):
-            case Err(StoreError.LOST):
-                return None
             case Err(error):
-                return None if self._lost else self._unavailable(error)
+                return self._unavailable(error)
         entry = self._entry(held)
         value = records.encode(self._record(held, entry))
         match await self._put(held, value):
@@ -215,10 +213,10 @@
             case Err(StoreError.CONFLICT):
                 return None
             case Err(StoreError.LOST):
-                self._lost = True
+                self._lost = held.version
                 return None
             case Err(error):
-                return None if self._lost else self._unavailable(error)
+                return self._unavailable(error)
 
     def _accept(self, version: int, value: bytes, entry: AuditEntry) -> _Outcome:
         key = self._change.subject.key
@@ -228,9 +226,11 @@
 
     async def _put(self, held: _Held, value: bytes) -> Result[int, StoreError]:
         key = self._change.subject.key
+        settling = Settling(self._deps.store, self._deps.clock, self._deps.rand)
+        due_ms = self._deps.clock.now() + SETTLE_MS
         if held.version == 0:
-            return await self._deps.store.create(key, value)
-        return await self._deps.store.update(key, value, held.version)
+            return await create_settled(settling, key, value, due_ms)
+        return await update_settled(settling, key, value, held.version, due_ms)
 
     def _entry(self, held: _Held) -> AuditEntry:
         history = held.record["history"]
@@ -253,13 +253,13 @@
 
     def _unavailable(self, error: StoreError) -> _Outcome:
         kind = ErrorKind.STORE_UNAVAILABLE
-        if not self._lost:
+        if self._lost is None:
             why = f"the store did not take the change: {error.value}"
-            return Err(Rejected(not_run(kind, why, SETTLE_PAUSE_MS), []))
+            return Err(Rejected(not_run(kind, why, RETRY_AFTER_MS), []))
         key = self._change.subject.key
         events.emit(events.CONFIG_UNSETTLED, key=key, change=self._change.change_id)
         why = "the store's answer was lost; repeat with the same change_id to learn the outcome"
-        return Err(Rejected(unknown(kind, why, SETTLE_PAUSE_MS), []))
+        return Err(Rejected(unknown(kind, why, RETRY_AFTER_MS), []))
 
 
 def _held(stored: Stored) -> _Held:
--- a/papayapier/config/start.py
+++ b/papayapier/config/start.py
@@ -71,7 +71,7 @@
     check_deps = CheckDeps(
         lambda subject: _current(book, subject), deps.queued_under, deps.upstream_names
     )
-    accept_deps = AcceptDeps(deps.clock, deps.store, check_deps, spread.accepted)
+    accept_deps = AcceptDeps(deps.clock, deps.rand, deps.store, check_deps, spread.accepted)
     spread.start()
     return Config(
         book=book,
--- a/papayapier/config/trail.py
+++ b/papayapier/config/trail.py
@@ -15,6 +15,7 @@
 
 PAGE: Final = 1_000
 LIMIT_DEFAULT: Final = 100
+SPILL_TRIES: Final = 3
 
 
 class AuditFilter(NamedTuple):
@@ -48,11 +49,14 @@
         return Ok(None)
     oldest = history[: records.HISTORY_SPILL]
     value = records.encode(records.Spilled(entries=oldest))
-    match await store.create(subject.audit_key(oldest[0]["seq"]), value):
-        case Ok(_) | Err(StoreError.CONFLICT):
-            return Ok(None)
-        case Err(error):
-            return Err(error)
+    error = StoreError.LOST
+    for _ in range(SPILL_TRIES):
+        match await store.create(subject.audit_key(oldest[0]["seq"]), value):
+            case Ok(_) | Err(StoreError.CONFLICT):
+                return Ok(None)
+            case Err(error) if error is not StoreError.LOST:
+                break
+    return Err(error)
 
 
 def kept(history: list[AuditEntry]) -> list[AuditEntry]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -181,7 +181,7 @@
 
 def test_unsettled_change_is_unknown_and_its_repeat_finds_it() -> None:
     fleet = Fleet()
-    fleet.platform.fail(Fault.LOST_AFTER, call="create")
+    fleet.platform.fail(Fault.LOST_AFTER, call="create", delay_ms=100)
     running = Deferred.fromCoroutine(accept_on(fleet.configs["a"], change(2_000, 0)))
     fleet.platform.down = True
     fleet.run(12_000)
