Route by own calls, share batch slots by dealt slots and a learnt pace

Cause: choosing by the corrected report herds: reports are 200 to 300 ms old. Batch gave way only to what this instance knew late, and refilled a replica in one step. Change: a replica's cost is this instance's own open calls plus a small share of the others' lagging load, lowest of five draws. Batch: the slots of a replica are dealt to the instances, own online calls take the place of own streams at once, the recent online peak is held back, the total is bounded by the step time predicted from reports (policy/pace.py), and limits rise one stream at a time. misc/policy_sim holds the models that compare the ways. The model is no cluster; real runs decide.

--- /dev/null
+++ b/misc/policy_sim/__init__.py
@@ -0,0 +1,1 @@
+"""Compare policy decisions on a model of a few engines, in virtual time and without sockets."""
--- /dev/null
+++ b/misc/policy_sim/engine.py
@@ -0,0 +1,162 @@
+"""Model the time that a continuously batching engine takes, in virtual milliseconds.
+
+Each step lasts base_ms + per_sequence_ms * running and gives every running sequence one
+token. Prompts are computed first, in arrival order and at most prefill_per_step_ms of them a
+step, which lengthens the step. A sequence that finds no free slot waits in arrival order.
+Load is reported as it was lag_ms ago. This is only enough to compare decisions; it says
+nothing about processor time.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from papayapier.upstream.api import Load
+
+
+class Loop:
+    """Run calls in the order of their virtual time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._calls: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Run a call after a delay."""
+        self._count += 1
+        heapq.heappush(self._calls, (self.now + delay_ms, self._count, call))
+
+    def every(self, period_ms: float, offset_ms: float, call: Callable[[], None]) -> None:
+        """Run a call periodically."""
+
+        def again() -> None:
+            call()
+            self.after(period_ms, again)
+
+        self.after(offset_ms, again)
+
+    def run(self, until_ms: float) -> None:
+        """Run every call up to a time."""
+        while self._calls and self._calls[0][0] <= until_ms:
+            self.now, _, call = heapq.heappop(self._calls)
+            call()
+        self.now = until_ms
+
+
+class Sequence:
+    """Hold one call at an engine; on_end gets True when all tokens were generated."""
+
+    __slots__ = ("first_ms", "gone", "last_ms", "made", "on_end", "prefill_ms", "tokens")
+
+    def __init__(self, tokens: int, prefill_ms: float, on_end: Callable[[bool], None]) -> None:
+        self.tokens = tokens
+        self.prefill_ms = prefill_ms
+        self.on_end = on_end
+        self.made = 0
+        self.first_ms = -1.0
+        self.last_ms = -1.0
+        self.gone = False
+
+
+class EngineModel(NamedTuple):
+    """Set the timing of an engine."""
+
+    base_ms: float = 5.0
+    per_sequence_ms: float = 0.06
+    slots: int = 32
+    lag_ms: float = 200.0
+    prefill_per_step_ms: float = 10.0
+
+
+class _Past(NamedTuple):
+    at_ms: float
+    running: int
+    waiting: int
+    step_ms: float
+
+
+class Engine:
+    """Run sequences in steps."""
+
+    def __init__(self, loop: Loop, model: EngineModel) -> None:
+        self._loop = loop
+        self.model = model
+        self.slow_factor = 1.0
+        self.running: list[Sequence] = []
+        self.waiting: deque[Sequence] = deque()
+        self._stepping = False
+        self._past: deque[_Past] = deque([_Past(0.0, 0, 0, model.base_ms)])
+        self._step_ms = model.base_ms
+
+    def submit(self, seq: Sequence) -> None:
+        """Take a sequence."""
+        self.waiting.append(seq)
+        self._note()
+        if not self._stepping:
+            self._step()
+
+    def cancel(self, seq: Sequence) -> None:
+        """Drop a sequence, wherever it is."""
+        if seq.gone:
+            return
+        seq.gone = True
+        if seq in self.running:
+            self.running.remove(seq)
+        else:
+            self.waiting.remove(seq)
+        self._note()
+        seq.on_end(False)
+
+    def report(self) -> Load:
+        """Report the load as it was lag_ms ago."""
+        seen = self._loop.now - self.model.lag_ms
+        while len(self._past) > 1 and self._past[1].at_ms <= seen:
+            self._past.popleft()
+        past = self._past[0]
+        return Load(past.running, past.waiting, self.model.slots, past.step_ms, int(self._loop.now))
+
+    def _step(self) -> None:
+        while self.waiting and len(self.running) < self.model.slots:
+            self.running.append(self.waiting.popleft())
+        self._stepping = bool(self.running)
+        if not self._stepping:
+            return
+        count = len(self.running)
+        model = self.model
+        self._step_ms = (model.base_ms + model.per_sequence_ms * count) * self.slow_factor
+        self._note()
+        step = self._step_ms + self._prefill() * self.slow_factor
+        stepped = [seq for seq in self.running if seq.prefill_ms <= 0.0]
+        self._loop.after(step, lambda: self._end_step(stepped))
+
+    def _prefill(self) -> float:
+        """Spend the step's time for prompts, and return how much."""
+        left = self.model.prefill_per_step_ms
+        for seq in self.running:
+            piece = min(left, seq.prefill_ms)
+            seq.prefill_ms -= piece
+            left -= piece
+        return self.model.prefill_per_step_ms - left
+
+    def _end_step(self, stepped: list[Sequence]) -> None:
+        now = self._loop.now
+        for seq in stepped:
+            if not seq.gone:
+                self._give_token(seq, now)
+        self._step()
+
+    def _give_token(self, seq: Sequence, now: float) -> None:
+        seq.made += 1
+        if seq.first_ms < 0:
+            seq.first_ms = now
+        seq.last_ms = now
+        if seq.made >= seq.tokens:
+            seq.gone = True
+            self.running.remove(seq)
+            seq.on_end(True)
+
+    def _note(self) -> None:
+        past = _Past(self._loop.now, len(self.running), len(self.waiting), self._step_ms)
+        self._past.append(past)
--- a/papayapier/policy/batch_share.py
+++ b/papayapier/policy/batch_share.py
@@ -1,36 +1,96 @@
 """Decide how many batch streams this instance may have on each replica.
 
-Engines admit as they come and know no priority, so batch must never fill a replica's slots.
-Batch slot j of a replica belongs to the live instance that wins rendezvous hashing for
-(replica, j): every instance owns a share on each replica, no two use the same slot, and an
-instance gives way locally without a message.
+Engines admit as they come, know no priority and slow down with every running sequence. So
+batch must never fill a replica's slots, must keep the time between tokens within a budget,
+and must give way the moment online calls come. Three mechanisms, from fast to slow:
+
+1. Slot shares. The slots of a replica are dealt out evenly to the instances that have batch
+   work, beginning at a place that rendezvous hashing gives the replica. An instance's own
+   online calls and batch streams together stay within its share, so that an online call that
+   it sends takes the place of one of its own batch streams at once and without a message,
+   and no two instances use the same idle slot. (Giving whole replicas to instances leaves
+   some with none: misc/slot_ownership.py prints how often.)
+2. Headroom. An instance holds back the slots that its online calls took at their recent
+   peak; the peak is forgotten with a half-life. Bursts find free slots, and batch streams
+   are not cancelled and resumed for every single online call.
+3. Step budget. The slots that are dealt out are bounded so that the replica's time per
+   token stays within a factor of what its online calls alone would give. Both are predicted
+   from its load reports (pace.py). Where no online call was seen for some time, nobody is
+   harmed and the bound is off; the first online call brings it back.
+
+The isolation mode picks the numbers: "tail" and "throughput" use all three; "static" is a
+fixed cap and "none" is no bound but the slots, both kept as baselines.
 """
 
+import math
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
-from papayapier.config.profiles import BatchRule
+from papayapier.config.profiles import BatchRule, Isolation
 from papayapier.policy.loads import LoadBook
-from papayapier.policy.ownership import owner
+from papayapier.policy.pace import Pace
+from papayapier.policy.rendezvous import score
 from papayapier.upstream.api import Load
 
-HEADROOM_SLOTS: Final = 4
+REFRESH_MS: Final = 100
+LEARNING_SHARE: Final = 0.5
+MAX_RAMP_STEP_MS: Final = 40
+
+
+class Isolate(NamedTuple):
+    """Set the point between online latency and batch throughput.
+
+    step_factor bounds the time per token against that of the online calls alone; the recent
+    online peak is held back with half_life_ms; spare_slots are never used by batch; after
+    quiet_ms without an online call the step bound is off; a limit rises by one stream of the
+    replica per ramp_ms.
+    """
+
+    step_factor: float
+    half_life_ms: float
+    spare_slots: int
+    quiet_ms: int
+    ramp_ms: float
+
+
+POINTS: Final[dict[Isolation, Isolate]] = {
+    "tail": Isolate(1.25, 1_000.0, 2, 10_000, 20.0),
+    "throughput": Isolate(1.5, 100.0, 2, 2_000, 10.0),
+}
+
+
+class _Row:
+    """Hold what is known of one replica."""
+
+    __slots__ = ("cap", "fresh_ms", "pace", "peak", "peak_ms", "ramp", "ramp_ms", "running")
+
+    def __init__(self) -> None:
+        self.pace = Pace()
+        self.running = 0
+        self.cap = 0
+        self.fresh_ms = -REFRESH_MS
+        self.peak = 0.0
+        self.peak_ms = 0
+        self.ramp = 0.0
+        self.ramp_ms = 0
 
 
 class BatchShare:
-    """Track the online signal of each replica and bound this instance's batch streams."""
+    """Track the pace of each replica and bound this instance's batch streams on it."""
 
     def __init__(self, instance_id: str) -> None:
         self._instance = instance_id
         self._instances: tuple[str, ...] = (instance_id,)
         self._rules: dict[str, BatchRule] = {}
         self._upstreams: dict[str, str] = {}
-        self._owned: dict[str, list[int]] = {}
+        self._places: dict[str, int] = {}
+        self._rows: dict[str, _Row] = {}
+        self._online_ms: dict[str, int] = {}
 
     def set_instances(self, instances: Sequence[str]) -> None:
-        """Take the live instances that run batch, this one included."""
+        """Take the live instances that have batch work; this one is always counted."""
         self._instances = tuple(sorted({*instances, self._instance}))
-        self._owned.clear()
+        self._places.clear()
 
     def set_rule(self, upstream: str, rule: BatchRule) -> None:
         """Take the batch rule in force for an upstream."""
@@ -47,38 +107,93 @@
         token_gap_ms: float | None,
         now: int,
     ) -> None:
-        """Take how fast a replica answered an online call."""
+        """Take the time per token of an online call, as a replica's pace."""
+        self._online_ms[self._upstreams.get(replica_id, "")] = now
 
     def on_report(self, replica_id: str, load: Load) -> None:
-        """Take a load report."""
+        """Take a load report, which pairs running calls with a step time."""
+        row = self._row(replica_id)
+        row.running = load.running
+        if load.step_ms > 0 and load.running > 0:
+            row.pace.observe(load.running, load.slots, load.step_ms)
 
     def room(self, replica_id: str, book: LoadBook, now: int) -> int:
         """Return how many more batch streams this instance may open on a replica now."""
-        return max(0, self._limit(replica_id, book) - book.own(replica_id).batch)
+        return max(0, self.limit(replica_id, book, now) - book.own(replica_id).batch)
 
     def to_yield(self, replica_id: str, book: LoadBook, now: int) -> int:
         """Return how many batch streams this instance must cancel on a replica now."""
-        return max(0, book.own(replica_id).batch - self._limit(replica_id, book))
+        return max(0, book.own(replica_id).batch - self.limit(replica_id, book, now))
 
     def limit(self, replica_id: str, book: LoadBook, now: int) -> int:
         """Return how many batch streams this instance may have on a replica now."""
-        return self._limit(replica_id, book)
-
-    def _limit(self, replica_id: str, book: LoadBook) -> int:
-        rule = self._rules.get(self._upstreams.get(replica_id, ""), BatchRule())
+        upstream = self._upstreams.get(replica_id, "")
+        rule = self._rules.get(upstream, BatchRule())
         slots = book.slots(replica_id)
-        total = int(slots * rule.share)
-        if rule.isolation in ("tail", "throughput"):
-            total = min(total, slots - HEADROOM_SLOTS - book.online_at(replica_id))
-        return sum(1 for slot in self._slots_owned(replica_id, slots) if slot < total)
-
-    def _slots_owned(self, replica_id: str, slots: int) -> list[int]:
-        owned = self._owned.get(replica_id)
-        if owned is None or len(owned) > slots:
-            owned = [
-                slot
-                for slot in range(slots)
-                if owner(f"{replica_id}/{slot}", self._instances) == self._instance
-            ]
-            self._owned[replica_id] = owned
-        return owned
+        point = POINTS.get(rule.isolation)
+        if point is None:
+            share = rule.share if rule.isolation == "static" else 1.0
+            return self._dealt(replica_id, int(slots * share))
+        row = self._row(replica_id)
+        online = book.online_at(replica_id)
+        if online:
+            self._online_ms[upstream] = now
+        if now >= row.fresh_ms + REFRESH_MS:
+            quiet = now >= self._online_ms.get(upstream, -point.quiet_ms) + point.quiet_ms
+            row.cap = _cap(row.pace, point, online, slots, quiet)
+            row.fresh_ms = now
+        reserve = _reserve(row, point, book.own(replica_id).online, now)
+        room = self._dealt(replica_id, row.cap) - reserve
+        limit = max(0, min(self._dealt(replica_id, int(slots * rule.share)), room))
+        return self._ramped(row, limit, point.ramp_ms, now)
+
+    def _ramped(self, row: _Row, limit: int, ramp_ms: float, now: int) -> int:
+        """Lower the limit at once, but raise it by one stream at a time.
+
+        When room returns after a burst, all instances would start or resume streams in the
+        same step of the engine. It computes their prompts first, and every online call that
+        runs there waits: seen as a p99 of the first token above that of the burst itself.
+        Time in which nobody asked counts for little, and one stream is always allowed, so
+        that an instance without batch work finds room to begin.
+        """
+        gap_ms = ramp_ms * len(self._instances)
+        risen = row.ramp + min(max(0, now - row.ramp_ms), MAX_RAMP_STEP_MS) / gap_ms
+        row.ramp = min(float(limit), max(1.0, risen))
+        row.ramp_ms = now
+        return int(row.ramp)
+
+    def _row(self, replica_id: str) -> _Row:
+        row = self._rows.get(replica_id)
+        if row is None:
+            row = self._rows[replica_id] = _Row()
+        return row
+
+    def _dealt(self, replica_id: str, slots: int) -> int:
+        """Return this instance's part of the first slots of a replica."""
+        place = self._places.get(replica_id)
+        if place is None:
+            ranked = sorted(self._instances, key=lambda instance: score(replica_id, instance))
+            place = self._places[replica_id] = ranked.index(self._instance)
+        count = len(self._instances)
+        return (slots + count - 1 - place) // count
+
+
+def _reserve(row: _Row, point: Isolate, online: int, now: int) -> int:
+    """Return the slots held back for online calls: those open, or the fading recent peak."""
+    faded = row.peak * math.pow(0.5, max(0, now - row.peak_ms) / point.half_life_ms)
+    if online >= faded:
+        row.peak = online
+        row.peak_ms = now
+        return online
+    return max(online, round(faded))
+
+
+def _cap(pace: Pace, point: Isolate, online: int, slots: int, quiet: bool) -> int:
+    """Return the slots of a replica that online calls and batch streams may have together."""
+    top = slots - point.spare_slots
+    if quiet:
+        return top
+    if not pace.known():
+        return int(min(top, slots * LEARNING_SHARE))
+    bound = point.step_factor * pace.step_ms(max(1, online))
+    return int(max(0.0, min(top, pace.most_running(bound))))
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -126,6 +126,11 @@
             ReplicaUse(replica_id, row.online, row.batch) if row else ReplicaUse(replica_id, 0, 0)
         )
 
+    def sharers(self, replica_id: str) -> int:
+        """Return how many instances are known to have calls open at a replica, and this one."""
+        row = self._rows.get(replica_id)
+        return 1 + len(row.peers) if row else 1
+
     def slots(self, replica_id: str) -> int:
         """Return how many calls a replica runs at once."""
         row = self._rows.get(replica_id)
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -1,10 +1,19 @@
 """Choose the replica for one call.
 
-Two replicas are drawn at random and the less loaded one is taken: that is nearly as even as
-taking the least loaded of all, and unlike it does not send every instance to the same
-replica when load reports lag. A call with a prompt prefix first tries the replica that
-rendezvous hashing gives the prefix, where the engine has it cached, as long as that replica's
-load stays within a bound of the average.
+Load reports are some hundred milliseconds old. Instances that all go by the same old report
+send to the same replica until the next report comes (a herd), even if each corrects the
+report by its own sends and even if each looks at only two replicas. What an instance knows
+without any lag is the calls that it has open itself, and as the balancer spreads callers
+evenly, those are a fair sample of everybody's. So a replica's cost is our own open calls,
+plus the others' lagging load at a weight small enough that all instances together move by
+no more than the others' load is worth: OTHERS_SHARE divided by the number of instances that
+use the replica. The weight must not be zero, or a replica loaded by somebody else, or
+slowed, is noticed too late. The replica with the lowest cost of a few drawn at random wins.
+misc/policy_sim/routing_run.py compares these ways.
+
+A call with a prompt prefix first tries the replica that rendezvous hashing gives the
+prefix, where the engine has it cached, as long as that replica's cost stays within a bound
+of the average: a popular prefix must not overload its replica.
 """
 
 import random
@@ -16,11 +25,13 @@
 from papayapier.policy.rendezvous import score
 from papayapier.upstream.api import Replica
 
+DRAWS: Final = 5
+OTHERS_SHARE: Final = 0.5
+BATCH_WEIGHT: Final = 0.5
+NEAR_BONUS_CALLS: Final = 0.5
 AFFINITY_FACTOR: Final = 1.25
-AFFINITY_SLACK: Final = 0.1
+AFFINITY_SLACK_CALLS: Final = 1.0
 AFFINITY_TRIES: Final = 2
-NEAR_BONUS: Final = 0.05
-BATCH_WEIGHT: Final = 0.5
 
 
 class RouteRequest(NamedTuple):
@@ -45,36 +56,38 @@
     if not usable:
         return None
     if req.prefix and len(usable) > 1:
-        near_cache = _affine(book, usable, req, now)
-        if near_cache is not None:
-            return near_cache
-    drawn = usable if len(usable) <= 2 else rand.sample(usable, 2)
-    return min(drawn, key=lambda replica: _cost(book, replica, req, now)).id
+        cached = _cached(book, usable, req, now)
+        if cached is not None:
+            return cached
+    drawn = usable if len(usable) <= DRAWS else rand.sample(usable, DRAWS)
+    return min(drawn, key=lambda replica: (_cost(book, replica, req, now), rand.random())).id
 
 
 def subset(replica_ids: Sequence[str], instance_id: str, size: int) -> list[str]:
-    """Return the replicas that an instance talks to, at most size of them."""
+    """Return the replicas that an instance talks to, at most size of them.
+
+    Each replica is ranked by rendezvous hashing, so a replica or instance that comes or goes
+    changes few pairs, and each replica is seen by about as many instances as any other.
+    """
     ranked = sorted(replica_ids, key=lambda replica_id: -score(instance_id, replica_id))
     return ranked[:size]
 
 
-def _affine(book: LoadBook, usable: Sequence[Replica], req: RouteRequest, now: int) -> str | None:
-    loads = {
-        replica.id: book.estimate(replica.id, now) / book.slots(replica.id) for replica in usable
-    }
-    bound = AFFINITY_FACTOR * sum(loads.values()) / len(loads) + AFFINITY_SLACK
-    ranked = sorted(usable, key=lambda replica: -score(req.prefix, replica.id))
-    for replica in ranked[:AFFINITY_TRIES]:
-        if loads[replica.id] <= bound:
-            return replica.id
-    return None
+def _cached(book: LoadBook, usable: Sequence[Replica], req: RouteRequest, now: int) -> str | None:
+    """Return the replica that has the prefix cached if its load is within the bound."""
+    costs = {replica.id: _cost(book, replica, req, now) for replica in usable}
+    slack = AFFINITY_SLACK_CALLS / max(book.slots(replica.id) for replica in usable)
+    bound = AFFINITY_FACTOR * sum(costs.values()) / len(costs) + slack
+    ranked = sorted(costs, key=lambda replica_id: -score(req.prefix, replica_id))
+    within = (key for key in ranked[:AFFINITY_TRIES] if costs[key] <= bound)
+    return next(within, None)
 
 
 def _cost(book: LoadBook, replica: Replica, req: RouteRequest, now: int) -> float:
-    slots = book.slots(replica.id)
-    cost = book.estimate(replica.id, now) / slots
-    if not req.batch:
-        cost += BATCH_WEIGHT * book.batch_at(replica.id) / slots
-    if replica.data_centre == req.data_centre:
-        cost -= NEAR_BONUS
-    return cost
+    own = book.own(replica.id)
+    others = max(0.0, book.estimate(replica.id, now) - own.online - own.batch)
+    calls = own.online + OTHERS_SHARE * others / book.sharers(replica.id)
+    calls += own.batch if req.batch else BATCH_WEIGHT * own.batch
+    if replica.data_centre != req.data_centre:
+        calls += NEAR_BONUS_CALLS
+    return calls / book.slots(replica.id)
--- /dev/null
+++ b/tests/test_policy_batch.py
@@ -0,0 +1,124 @@
+"""Test how batch work is bounded on a replica."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from papayapier.config.profiles import BatchRule, Isolation
+from papayapier.policy.batch_share import POINTS, BatchShare
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.pace import Pace
+from papayapier.upstream.api import Load, Replica
+
+REPLICA = Replica("r0", "model", "127.0.0.1", 1, "dc1")
+SLOTS = 32
+
+
+def make(
+    instance: str, instances: list[str], isolation: Isolation = "tail"
+) -> tuple[BatchShare, LoadBook]:
+    book, share = LoadBook(), BatchShare(instance)
+    book.on_listed([REPLICA], ())
+    share.set_upstream("r0", "model")
+    share.set_instances(instances)
+    share.set_rule("model", BatchRule(1.0, isolation))
+    return share, book
+
+
+def settle(share: BatchShare, book: LoadBook, begin: int, end: int) -> int:
+    """Ask for the limit as often as the running program does, and return the last one."""
+    for now in range(begin, end, 20):
+        share.limit("r0", book, now)
+    return share.limit("r0", book, end)
+
+
+def report(share: BatchShare, book: LoadBook, running: int, now: int) -> None:
+    load = Load(running, 0, SLOTS, 5.0 + 0.06 * running, now)
+    book.on_report("r0", load)
+    share.on_report("r0", load)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=60)
+@given(
+    count=st.integers(1, 40),
+    online=st.lists(st.integers(0, 8), min_size=40, max_size=40),
+    isolation=st.sampled_from(["tail", "throughput"]),
+    running=st.lists(st.integers(1, 32), max_size=8),
+)
+def test_the_shares_of_all_instances_stay_inside_the_replicas_limit(
+    count: int, online: list[int], isolation: Isolation, running: list[int]
+) -> None:
+    names = [f"i{i}" for i in range(count)]
+    total = 0
+    for name, calls in zip(names, online, strict=False):
+        share, book = make(name, names, isolation)
+        for step, number in enumerate(running):
+            report(share, book, number, step * 100)
+        settle(share, book, 80_000, 89_980)
+        for _ in range(calls):
+            book.on_sent("r0", False, 90_000)
+        total += share.limit("r0", book, 90_000)
+    assert total <= SLOTS - POINTS[isolation].spare_slots
+
+
+def test_every_instance_has_a_share_and_unused_shares_go_round() -> None:
+    names = [f"i{i}" for i in range(6)]
+    limits = []
+    for name in names:
+        share, book = make(name, names, "throughput")
+        report(share, book, 1, 0)
+        limits.append(settle(share, book, 50_000, 60_000))
+    assert sum(limits) == SLOTS - POINTS["throughput"].spare_slots
+    assert max(limits) - min(limits) <= 1
+
+
+def test_an_online_call_takes_the_place_of_a_batch_stream_at_once() -> None:
+    # Symptom: an online call waits behind batch for a slot, or for the next heartbeat.
+    # Sequence: batch fills this instance's share; the instance sends online calls.
+    # Cause: batch gave way only when a report or a peer told of the load.
+    share, book = make("i0", ["i0", "i1"], "throughput")
+    report(share, book, 1, 0)
+    settle(share, book, 50_000, 60_000)
+    for _ in range(share.room("r0", book, 60_000)):
+        book.on_sent("r0", True, 60_000)
+    assert share.to_yield("r0", book, 60_000) == 0
+    for calls in range(1, 4):
+        book.on_sent("r0", False, 60_001)
+        assert share.to_yield("r0", book, 60_001) >= calls
+
+
+def test_room_returns_gradually_after_a_burst() -> None:
+    # Symptom: the first-token p99 after a burst is worse than in it.
+    # Sequence: the burst ends; all instances resume their batch streams in one step.
+    # Cause: the engine computes all their prompts before the next token of anyone.
+    share, book = make("i0", ["i0"], "throughput")
+    report(share, book, 1, 0)
+    for _ in range(28):
+        book.on_sent("r0", False, 1_000)
+    assert settle(share, book, 1_000, 2_000) <= 2
+    for _ in range(28):
+        book.on_done("r0", False, 2_000)
+    assert share.limit("r0", book, 2_010) <= 4
+    assert settle(share, book, 2_020, 6_000) == 30
+
+
+def test_step_bound_protects_online_calls_and_goes_when_there_are_none() -> None:
+    share, book = make("i0", ["i0"], "tail")
+    for step, running in enumerate((2, 8, 16, 24, 30)):
+        report(share, book, running, step * 100)
+    book.on_sent("r0", False, 1_000)
+    bounded = settle(share, book, 1_000, 3_000)
+    step_ms = 5.0 + 0.06 * (bounded + 1)
+    assert step_ms <= POINTS["tail"].step_factor * 5.06
+    assert bounded >= 10
+    book.on_done("r0", False, 3_000)
+    assert settle(share, book, 28_000, 30_000) > bounded
+
+
+def test_pace_keeps_what_it_learnt_of_an_idle_replica() -> None:
+    pace = Pace()
+    for running in (1, 10, 20):
+        pace.observe(running, SLOTS, 5.0 + 0.06 * running)
+    for _ in range(10_000):
+        pace.observe(30, SLOTS, 6.8)
+    assert abs(pace.step_ms(1) - 5.06) < 0.01
+    assert abs(pace.most_running(6.2) - 20) < 0.1
