Test suspect connections of calls that are due soon, and dropped pools

Cause: removing either piece of code left all tests green. Change: a test for each, and one for the count of calls to replicas.

--- a/papayapier/upstream/links.py
+++ b/papayapier/upstream/links.py
@@ -31,6 +31,10 @@
         exchange.start()
         return exchange.done.addCallback(self._ended, exchange)
 
+    def addresses(self) -> list[tuple[str, int]]:
+        """Return the addresses to which connections may be open."""
+        return list(self._pools)
+
     async def close(self) -> None:
         """End all exchanges and close all connections."""
         for exchange in list(self._running):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -43,7 +43,8 @@
         self.replica = Replica("one", "chat", "127.0.0.1", self.port.getHost().port, "dc1")
         self.fake = fake_clock()
         self.tokens: list[Token] = []
-        self.ups = make_upstreams(reactor, self.fake.clock, CFG, make_metrics())
+        self.metrics = make_metrics()
+        self.ups = make_upstreams(reactor, self.fake.clock, CFG, self.metrics)
 
     def tearDown(self) -> Any:
         return Deferred.fromCoroutine(self.close_all())
@@ -92,6 +93,7 @@
         reply = await self.reply()
         equal((reply.text, reply.tokens, reply.finish_reason), ("a b", 2, "stop"))
         equal([token.text for token in self.tokens], ["a ", "b"])
+        equal(self.metrics.upstream_calls.labels("chat", "answered")._value.get(), 1.0)
 
     async def test_plain_answer_is_passed_on_whatever_its_status(self) -> None:
         self.server.answer_with(framed(b"no such pass", status=404))
@@ -195,10 +197,8 @@
         failure = (await sending).err_value
         equal((failure.kind, failure.sent), (FailureKind.SILENT, Sent.MAYBE))
 
-    async def test_kept_connection_is_condemned_and_not_the_replica(self) -> None:
-        # Symptom: every call to a healthy replica fails in turn. Sequence: a firewall
-        # forgets two open connections; a call on one is silent, so is the next on the other.
-        # Cause: only the connection that failed was replaced, not its equally old sibling.
+    async def keep_two_and_lose_one(self, limit_ms: int, due_ms: int) -> Failure:
+        """Keep two connections, wait in vain on one of them, and send another call."""
         plain: dict[str, Any] = {"path": "/calls/a", "stream": False}
         first, second = self.send(**plain), self.send(**plain)
         while len(self.server.requests) < 2:
@@ -208,15 +208,27 @@
         await first
         await second
         self.fake.advance(1)
-        sending = self.send(**plain)
+        sending = self.send(due_ms=due_ms, **plain)
         conn = await self.server.next_request()
-        self.fake.advance(CFG.first_byte_ms)
+        self.fake.advance(limit_ms)
         failure = (await sending).err_value
-        equal((failure.kind, failure.fresh), (FailureKind.SILENT, False))
         await conn.closed
         self.server.answer_with(framed(b""))
         await self.reply(**plain)
         equal(len(self.server.carriers), 3)
+        return cast(Failure, failure)
+
+    async def test_kept_connection_is_condemned_and_not_the_replica(self) -> None:
+        # Symptom: every call to a healthy replica fails in turn. Sequence: a firewall
+        # forgets two open connections; a call on one is silent, so is the next on the other.
+        # Cause: only the connection that failed was replaced, not its equally old sibling.
+        failure = await self.keep_two_and_lose_one(CFG.first_byte_ms, 60_000)
+        equal((failure.kind, failure.fresh), (FailureKind.SILENT, False))
+
+    async def test_call_that_is_due_soon_still_shows_a_silent_connection(self) -> None:
+        # As above, but each call is due before its silence has lasted long enough.
+        failure = await self.keep_two_and_lose_one(100, 101)
+        equal((failure.kind, failure.fresh), (FailureKind.DUE, False))
 
     async def test_due(self) -> None:
         # Symptom: an answer comes after its due time, when nobody can use it any more.
--- a/tests/test_upstream_parts.py
+++ b/tests/test_upstream_parts.py
@@ -10,10 +10,14 @@
 from hypothesis import strategies as st
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+from twisted.web.http_headers import Headers
 
 from papayapier.clock import fake_clock
 from papayapier.upstream.api import Failure, FailureKind, Load, Replica, Sent, Token
 from papayapier.upstream.engine_calls import PREFIX_CHARS, parse_generation, streaming_body
+from papayapier.upstream.exchange import Outgoing, Sink
+from papayapier.upstream.links import FORGET_AFTER_MS, Links
 from papayapier.upstream.orders import Order, OrderAnswer, OrderKind, make_orders
 from papayapier.upstream.reports import OnReport, make_reports
 from papayapier.upstream.sse import StreamReader
@@ -74,6 +78,9 @@
     assert error.startswith(at), error
 
 
+NO_SINK = Sink(lambda head: Ok(lambda data, now_ms: None), lambda declared: None)
+
+
 class _Polled:
     """Answer load questions when the test says so."""
 
@@ -130,6 +137,18 @@
     assert polled.seen == []
 
 
+def test_pools_of_replaced_replicas_are_dropped() -> None:
+    # Symptom: memory grows for days. Sequence: replicas are replaced at new addresses, and
+    # the pools of the old ones stay. Cause: nothing says that an address will not come back.
+    fake = fake_clock()
+    links = Links(cast(Any, MemoryReactorClock)(), fake.clock, CFG)
+    out = Outgoing("GET", "/load", Headers(), b"", 10**9, False)
+    for port in range(1, 5):
+        links.run(_replica("a")._replace(port=port), out, NO_SINK).cancel()
+        fake.advance(FORGET_AFTER_MS + 1)
+    equal(links.addresses(), [("127.0.0.1", 4)])
+
+
 class OrdersTest(UpstreamTestCase):
     def setUp(self) -> None:
         super().setUp()
