Blame replicas only for their own failures

Cause: an engine's 4xx was retried and counted against the replica, and so was silence on a kept connection. Conclusion: one caller's malformed requests can no longer eject an upstream.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from papayapier import events
+from papayapier.dispatch.blame import blames_replica, rejection
 from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
 from papayapier.invariants import Promise, check
 from papayapier.policy.retries import GiveUp, Retry, decide
@@ -66,6 +67,9 @@
         if isinstance(sent, Ok):
             return Ok(_joined(sent.ok_value, progress))
         failure = sent.err_value
+        rejected = rejection(failure)
+        if rejected is not None:
+            return Err(_true(progress, rejected))
         earlier = Sent.MAYBE if progress.maybe_sent else Sent.NO
         progress.maybe_sent = progress.maybe_sent or failure.sent is Sent.MAYBE
         decision = decide(
@@ -170,7 +174,8 @@
     """Tell the policies how a send ended."""
     now = deps.clock.now()
     if isinstance(sent, Err):
-        deps.outliers.on_end(replica.id, False, None, now)
+        if blames_replica(sent.err_value):
+            deps.outliers.on_end(replica.id, False, None, now)
         return
     reply = sent.ok_value
     deps.outliers.on_end(replica.id, True, float(reply.first_token_ms), now)
--- a/papayapier/dispatch/lanes.py
+++ b/papayapier/dispatch/lanes.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred
 
+from papayapier.dispatch.blame import blames_replica, rejection
 from papayapier.errors import ErrorKind, Outcome, Refusal
 from papayapier.invariants import Promise, check
 from papayapier.policy.retries import GiveUp, decide
@@ -222,13 +223,15 @@
             if sent.ok_value.load is not None:
                 self._deps.book.on_report(replica.id, sent.ok_value.load)
             return
-        if item.given_up:
-            return
-        self._deps.outliers.on_end(replica.id, False, None, now)
+        if not item.given_up and blames_replica(sent.err_value):
+            self._deps.outliers.on_end(replica.id, False, None, now)
 
     async def _after_failure(self, item: _Item, failure: Failure) -> Refusal | None:
         """Return the refusal that ends the item, or None after the pause before a retry."""
         item.attempts += 1
+        rejected = rejection(failure)
+        if rejected is not None:
+            return rejected
         call = item.call
         now = self._deps.clock.now()
         earlier = Sent.MAYBE if item.maybe_sent else Sent.NO
