Run batch jobs in the served instance and the demo

Cause: the batch package was not wired in. Change: compose.py starts it with the batch lanes as its dispatch; live entry instances come from the instance list less the silent peers.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -12,17 +12,20 @@
 from result import Err, Ok, Result
 
 from papayapier import events
+from papayapier.batch.api import BatchDeps, BatchDispatch
+from papayapier.batch.start import Batch, start_batch
 from papayapier.clock import Clock
 from papayapier.config.profiles import Profile
 from papayapier.config.start import Config, ConfigDeps, start_config
 from papayapier.dispatch.api import DispatchDeps
 from papayapier.dispatch.lanes import BatchLanes
 from papayapier.dispatch.online import OnlineDispatch
+from papayapier.entry.batch_routes import add_batch_routes
 from papayapier.entry.callers import caller_auth
 from papayapier.entry.health_routes import add_health_routes
 from papayapier.entry.online_routes import OnlineDeps, add_online_routes
 from papayapier.entry.operator_routes import OperatorDeps, add_operator_routes
-from papayapier.fleet_view import FleetView, Policies, peer_uses_reader
+from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Ports, Readiness
 from papayapier.listen import Listening, listen
 from papayapier.metrics import make_metrics
@@ -32,7 +35,9 @@
     ConfigPush,
     ConfigTell,
     Heartbeat,
+    JobChanged,
     Message,
+    ShardsReleased,
 )
 from papayapier.policy.admission import AdmissionQueue
 from papayapier.policy.batch_share import BatchShare
@@ -67,7 +72,7 @@
     budget = make_budget(plain_store, clock, rand, cfg.platform)
 
     policies = Policies(LoadBook(), Outliers(), BatchShare(cfg.instance.id))
-    fleet = FleetView(policies, metrics)
+    fleet = FleetView(cfg.instance.id, policies, metrics)
     upstreams = make_upstreams(reactor, clock, cfg.upstream, metrics)
     reports = make_reports(
         clock,
@@ -123,14 +128,30 @@
             lambda: set(fleet.upstream_names()),
         )
     )
-    _subscribe(hub, config, policies, clock)
+    batch = start_batch(
+        BatchDeps(
+            clock,
+            rand,
+            budget.view(Priority.BULK),
+            BatchDispatch(lanes.room, lanes.run, lanes.watch_room),
+            cfg.batch,
+            cfg.instance.id,
+            boot,
+            config.book.profile,
+            lambda: fleet.live_entries(),
+            hub.tell_all,
+            metrics,
+        )
+    )
+    _subscribe(hub, config, batch, fleet, policies, clock)
     config.book.watch(lambda _key, _version: fleet.on_profiles(_profiles(config)))
 
     readiness = Readiness(clock, drain, config, fleet)
     listening = _listen_all(
-        reactor, cfg, hub, _apps(cfg, clock, metrics, config, fleet, online, readiness, hub)
+        reactor, cfg, hub, _apps(cfg, clock, metrics, config, fleet, online, batch, readiness, hub)
     )
     if isinstance(listening, Err):
+        await batch.stop()
         await config.stop()
         hub.close()
         await plain_store.close()
@@ -139,7 +160,7 @@
 
     follower = MemberFollower(budget.view(Priority.CONFIG), clock, rand, fleet.on_members)
     reporter = Reporter(budget.view(Priority.LEASE), clock, rand, _member(cfg, open_ports.ports))
-    fleet.connect(reports, hub.set_members)
+    fleet.connect(FleetListeners(reports.poll, hub.set_members, batch.on_members_changed))
     parts = Parts(
         clock,
         drain,
@@ -147,6 +168,7 @@
         config,
         online,
         lanes,
+        batch,
         reports,
         upstreams,
         follower,
@@ -182,21 +204,20 @@
     return Err(f"platform: {where} does not answer, and config.data_folder is not set")
 
 
-def _subscribe(hub: PeerHub, config: Config, policies: Policies, clock: Clock) -> None:
+def _subscribe(
+    hub: PeerHub,
+    config: Config,
+    batch: Batch,
+    fleet: FleetView,
+    policies: Policies,
+    clock: Clock,
+) -> None:
     for kind in (Heartbeat, ConfigPush, ConfigAsk, ConfigTell):
         hub.subscribe(kind, config.on_peer)
+    hub.subscribe(JobChanged, lambda _peer_id, message: batch.on_peer(message))
+    hub.subscribe(ShardsReleased, lambda _peer_id, message: batch.on_peer(message))
     hub.subscribe(Heartbeat, peer_uses_reader(policies.book, clock.now))
-    known: set[str] = set()
-
-    def peers_changed() -> None:
-        live = set(hub.live())
-        for gone in known - live:
-            policies.book.on_peer_gone(gone)
-        known.clear()
-        known.update(live)
-        policies.share.set_instances(hub.live())
-
-    hub.on_change(peers_changed)
+    hub.on_change(lambda: fleet.on_peers(hub.live(), [v.id for v in hub.views() if not v.up]))
 
 
 def _profiles(config: Config) -> list[Profile]:
@@ -215,6 +236,7 @@
     config: Config,
     fleet: FleetView,
     online: OnlineDispatch,
+    batch: Batch,
     readiness: Readiness,
     hub: PeerHub,
 ) -> _Apps:
@@ -234,6 +256,7 @@
             readiness.refusing,
         ),
     )
+    add_batch_routes(entry, batch, caller_auth(cfg.entry.callers), readiness.refusing)
     operator = Klein()
     add_health_routes(operator, readiness.why_not, metrics)
     status = FleetStatus(cfg.instance, config.book, hub, readiness)
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -15,10 +15,9 @@
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
-from papayapier.store.api import ENTRY, LEAVING, REPLICA, Member
+from papayapier.store.api import ENTRY, LEAVING, LIVE, REPLICA, Member
 from papayapier.store.members import MembersChanged
 from papayapier.upstream.api import Load, Replica
-from papayapier.upstream.reports import Reports
 
 STRICTEST_FIRST: Final = ("tail", "static", "throughput", "none")
 
@@ -31,20 +30,55 @@
     share: BatchShare
 
 
+class FleetListeners(NamedTuple):
+    """Group those who are told of changes.
+
+    poll takes the replicas to poll, entries the listed entry instances; live is called when
+    the set of live entry instances may have changed.
+    """
+
+    poll: Callable[[list[Replica]], None]
+    entries: Callable[[list[Member]], None]
+    live: Callable[[], None]
+
+
 class FleetView:
     """Own the list of members as this instance knows it."""
 
-    def __init__(self, policies: Policies, metrics: Metrics) -> None:
+    def __init__(self, own_id: str, policies: Policies, metrics: Metrics) -> None:
+        self._own_id = own_id
         self._policies = policies
         self._metrics = metrics
         self._members: dict[str, Member] = {}
-        self._reports: Reports | None = None
-        self._on_entries: Callable[[list[Member]], None] = lambda _: None
+        self._peers: set[str] = set()
+        self._silent: set[str] = set()
+        self._listeners: FleetListeners | None = None
 
-    def connect(self, reports: Reports, on_entries: Callable[[list[Member]], None]) -> None:
-        """Name who polls the replicas and who is told of the entry instances."""
-        self._reports = reports
-        self._on_entries = on_entries
+    def connect(self, listeners: FleetListeners) -> None:
+        """Name those who are told of changes."""
+        self._listeners = listeners
+
+    def live_entries(self) -> list[str]:
+        """Return the live entry instances, this one included.
+
+        The list alone shows a lost instance for some time yet; its peers' silence tells
+        sooner. An instance that no peer link leads to is taken as the list shows it.
+        """
+        listed = {m.id for m in self._members.values() if m.kind == ENTRY and m.state == LIVE}
+        return sorted((listed - self._silent) | {self._own_id})
+
+    def on_peers(self, live: Collection[str], silent: Collection[str]) -> None:
+        """Take over which peers are heard from and which are not."""
+        for gone in self._peers - set(live):
+            self._policies.book.on_peer_gone(gone)
+        self._peers = set(live)
+        self._silent = set(silent)
+        self._tell_live()
+
+    def _tell_live(self) -> None:
+        self._policies.share.set_instances(self.live_entries())
+        if self._listeners is not None:
+            self._listeners.live()
 
     def upstream_names(self) -> list[str]:
         """Return the names of all upstreams that have a replica."""
@@ -59,7 +93,9 @@
             if self._members.pop(gone).kind == REPLICA:
                 events.emit(events.REPLICA_REMOVED, replica=gone)
         self._tell_policies()
-        self._on_entries([m for m in self._members.values() if m.kind == ENTRY])
+        if self._listeners is not None:
+            self._listeners.entries([m for m in self._members.values() if m.kind == ENTRY])
+        self._tell_live()
 
     def _log(self, member: Member) -> None:
         if member.kind != REPLICA:
@@ -78,8 +114,8 @@
         outliers.on_listed(replicas)
         for replica in replicas:
             share.set_upstream(replica.id, replica.upstream)
-        if self._reports is not None:
-            self._reports.poll(replicas)
+        if self._listeners is not None:
+            self._listeners.poll(replicas)
         self._count_usable(replicas, leaving)
 
     def _count_usable(self, replicas: list[Replica], leaving: Collection[str]) -> None:
--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -15,6 +15,7 @@
 from papayapier.invariants import Promise, check
 
 if TYPE_CHECKING:
+    from papayapier.batch.start import Batch
     from papayapier.clock import Clock, Timer
     from papayapier.config.start import Config
     from papayapier.dispatch.lanes import BatchLanes
@@ -51,6 +52,7 @@
     config: "Config"
     online: "OnlineDispatch"
     lanes: "BatchLanes"
+    batch: "Batch"
     reports: "Reports"
     upstreams: "Upstreams"
     follower: "MemberFollower"
@@ -141,6 +143,7 @@
         parts.drain.leave(parts.clock.now())
         events.emit(events.PROCESS_LEAVING, under_way=parts.online.under_way())
         parts.reporter.mark_leaving()
+        await parts.batch.stop()
         await self._drained()
         check(parts.online.under_way() == 0, Promise.DRAIN_WHOLE, left=parts.online.under_way())
         await parts.reporter.withdraw()
@@ -166,6 +169,9 @@
         """Vanish as a lost machine would: say nothing to anybody, drop every connection."""
         self.parts.drain.abandon()
         await self._stop_listening()
+        self.parts.hub.close()
+        await self.parts.upstreams.close()
+        await self.parts.store.close()
         await self._close()
 
     async def _close(self) -> None:
