--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -87,7 +87,7 @@
     parser.add_argument("--address", metavar="IP:PORT", help="operator address of an instance")
     parser.add_argument("--key-file", type=Path, metavar="FILE", help="file with the key")
     parser.add_argument("--json", action="store_true", help="print the answer as JSON")
-    parser.set_defaults(command=lambda options: run_command(run, options))
+    parser.set_defaults(command=lambda options: run_command(run, options), run=run)
     if parser.epilog is None:
         parser.epilog = OPTIONS_HELP
 
