Run non-idempotent requests under claims, and lay out the composition root in steps

Cause: a pass issued twice is billed twice; the claims package was not wired, and start_instance had grown into one long function. Change: dispatch/claimed.py runs a keyed request detached from its caller's connection, so that a resend gets the first run's answer; ClaimAsk is answered to peers; compose.py is built in steps. Measurement: two serve processes, one key sent to the first, the second and the first again, then to the second after the first was killed: the same answer four times, the services' counts show one run; other content under the key gives key_conflict, not_run. Conclusion: at most once holds through another instance and through the loss of the first.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -1,8 +1,8 @@
 """Wire the parts of one instance together: the one place that knows all of them.
 
 Parts are given what they need as functions, so that none imports another only to call it.
-The order below is the order of dependence: the platform first, then what is known of the
-fleet, then the work, then the addresses that let work in.
+The steps below follow the order of dependence: the base and the platform first, then what is
+known of the fleet, then the work, then the addresses that let work in.
 """
 
 import random
@@ -14,10 +14,11 @@
 from papayapier import events
 from papayapier.batch.api import BatchDeps, BatchDispatch
 from papayapier.batch.start import Batch, start_batch
+from papayapier.claims.service import ClaimDeps, Claims
 from papayapier.clock import Clock
-from papayapier.config.profiles import Profile
 from papayapier.config.start import Config, ConfigDeps, start_config
 from papayapier.dispatch.api import DispatchDeps
+from papayapier.dispatch.claimed import make_runner
 from papayapier.dispatch.lanes import BatchLanes
 from papayapier.dispatch.online import OnlineDispatch
 from papayapier.entry.batch_routes import add_batch_routes
@@ -28,9 +29,11 @@
 from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Ports, Readiness
 from papayapier.listen import Listening, listen
-from papayapier.metrics import make_metrics
+from papayapier.metrics import Metrics, make_metrics
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.messages import (
+    ClaimAsk,
+    ClaimTell,
     ConfigAsk,
     ConfigPush,
     ConfigTell,
@@ -48,248 +51,367 @@
 from papayapier.settings import Settings
 from papayapier.status import FleetStatus
 from papayapier.store.api import ENTRY, LIVE, Member, Store
-from papayapier.store.budget import Priority, make_budget
+from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.http import http_store
 from papayapier.store.members import MemberFollower, Reporter
+from papayapier.upstream.api import Upstreams
 from papayapier.upstream.client import make_upstreams
-from papayapier.upstream.reports import OnReport, make_reports
+from papayapier.upstream.reports import OnReport, Reports, make_reports
 
 START_TRIES: Final = 5
 START_PAUSE_MS: Final = 300
 BOOT_BITS: Final = 48
+ASK_WRITER_MS: Final = 500
+
+
+class _Base(NamedTuple):
+    """Hold what every other part needs; boot names this run of the instance."""
+
+    reactor: Any
+    clock: Clock
+    rand: random.Random
+    cfg: Settings
+    metrics: Metrics
+    store: Store
+    budget: Budget
+    drain: Drain
+    boot: int
+
+
+class _Fleet(NamedTuple):
+    """Hold what is known of replicas and how they are reached."""
+
+    policies: Policies
+    view: FleetView
+    upstreams: Upstreams
+    reports: Reports
+
+
+class _Work(NamedTuple):
+    """Hold the parts that do the work and talk with peers about it."""
+
+    hub: PeerHub
+    config: Config
+    online: OnlineDispatch
+    lanes: BatchLanes
+    batch: Batch
+    claims: Claims
+
+
+class _Apps(NamedTuple):
+    """Hold the two HTTP surfaces."""
+
+    entry: Klein
+    operator: Klein
+
+
+class _Open(NamedTuple):
+    """Hold the open addresses."""
+
+    ports: Ports
+    handles: tuple[Listening, Listening]
 
 
 async def start_instance(
     reactor: Any, clock: Clock, cfg: Settings, rand: random.Random
 ) -> Result[Instance, str]:
     """Start one instance, or say in one line why it cannot start."""
-    metrics = make_metrics()
-    plain_store = http_store(reactor, clock, cfg.platform, metrics)
-    reached = await _reach_platform(plain_store, clock, cfg)
+    base = _make_base(reactor, clock, cfg, rand)
+    reached = await _reach_platform(base)
     if isinstance(reached, Err):
-        await plain_store.close()
+        await base.store.close()
         return reached
-    budget = make_budget(plain_store, clock, rand, cfg.platform)
+    fleet = _make_fleet(base)
+    work = _make_work(base, fleet)
+    readiness = Readiness(clock, base.drain, work.config, fleet.view)
+    listening = _listen(base, work, _make_apps(base, fleet, work, readiness))
+    if isinstance(listening, Err):
+        await _give_up(base, work)
+        return listening
+    return Ok(_make_instance(base, fleet, work, listening.ok_value))
 
+
+def _make_base(reactor: Any, clock: Clock, cfg: Settings, rand: random.Random) -> _Base:
+    metrics = make_metrics()
+    store = http_store(reactor, clock, cfg.platform, metrics)
+    return _Base(
+        reactor=reactor,
+        clock=clock,
+        rand=rand,
+        cfg=cfg,
+        metrics=metrics,
+        store=store,
+        budget=make_budget(store, clock, rand, cfg.platform),
+        drain=Drain(DrainPlan(cfg.drain.balancer_lag_ms, cfg.drain.limit_ms)),
+        boot=rand.getrandbits(BOOT_BITS),
+    )
+
+
+async def _reach_platform(base: _Base) -> Result[None, str]:
+    """Try the platform for a moment, unless a data folder can stand in for it.
+
+    Without either, an instance knows no profile, no peer and no upstream. Saying so at once
+    is worth more than an instance that never becomes ready.
+    """
+    cfg = base.cfg
+    for attempt in range(START_TRIES):
+        if cfg.config.data_folder or isinstance(await base.store.members(0, 0), Ok):
+            return Ok(None)
+        if attempt + 1 < START_TRIES:
+            await base.clock.sleep(START_PAUSE_MS)
+    where = f"{cfg.platform.host}:{cfg.platform.port}"
+    return Err(f"platform: {where} does not answer, and config.data_folder is not set")
+
+
+def _make_fleet(base: _Base) -> _Fleet:
+    cfg = base.cfg
     policies = Policies(LoadBook(), Outliers(), BatchShare(cfg.instance.id))
-    fleet = FleetView(cfg.instance.id, policies, metrics)
-    upstreams = make_upstreams(reactor, clock, cfg.upstream, metrics)
+    view = FleetView(cfg.instance.id, policies, base.metrics)
+    upstreams = make_upstreams(base.reactor, base.clock, cfg.upstream, base.metrics)
     reports = make_reports(
-        clock,
-        rand,
+        base.clock,
+        base.rand,
         cfg.upstream.load_poll_ms,
         upstreams.load,
-        OnReport(fleet.on_load, lambda _replica, _failure: None),
+        OnReport(view.on_load, lambda _replica, _failure: None),
     )
+    return _Fleet(policies, view, upstreams, reports)
+
 
-    drain = Drain(DrainPlan(cfg.drain.balancer_lag_ms, cfg.drain.limit_ms))
-    boot = rand.getrandbits(BOOT_BITS)
+def _make_work(base: _Base, fleet: _Fleet) -> _Work:
+    cfg = base.cfg
 
     def heartbeat() -> Heartbeat:
         book = config.book
-        uses = tuple(policies.book.uses())
-        state = drain.state()
-        return Heartbeat(cfg.instance.id, boot, state, book.version(), uses, book.digest())
+        uses = tuple(fleet.policies.book.uses())
+        return Heartbeat(
+            cfg.instance.id, base.boot, base.drain.state(), book.version(), uses, book.digest()
+        )
 
-    me = Identity(
-        cfg.instance.id, boot, cfg.instance.host, cfg.instance.data_centre, cfg.instance.region
-    )
-    hub = PeerHub(reactor, clock, cfg.peer, me, heartbeat, metrics, rand)
-    dispatch = DispatchDeps(
-        clock,
-        rand,
-        cfg.instance.data_centre,
-        policies.book,
-        policies.outliers,
-        AdmissionQueue(cfg.entry.max_queued),
-        RetryBudget(),
-        policies.share,
-        upstreams,
-        metrics,
-        hub.uses_changed,
-    )
+    hub = _make_hub(base, heartbeat)
+    dispatch = _make_dispatch(base, fleet, hub)
     lanes = BatchLanes(dispatch)
     online = OnlineDispatch(dispatch, lanes.before_online_send)
+    config = _start_config(base, fleet, hub, online)
+    batch = _start_batch(base, fleet, hub, lanes, config)
+    claims = _make_claims(base, hub)
+    work = _Work(hub, config, online, lanes, batch, claims)
+    _subscribe(base, fleet, work)
+    return work
+
+
+def _make_hub(base: _Base, heartbeat: Any) -> PeerHub:
+    own = base.cfg.instance
+    me = Identity(own.id, base.boot, own.host, own.data_centre, own.region)
+    return PeerHub(base.reactor, base.clock, base.cfg.peer, me, heartbeat, base.metrics, base.rand)
+
+
+def _make_dispatch(base: _Base, fleet: _Fleet, hub: PeerHub) -> DispatchDeps:
+    return DispatchDeps(
+        clock=base.clock,
+        rand=base.rand,
+        data_centre=base.cfg.instance.data_centre,
+        book=fleet.policies.book,
+        outliers=fleet.policies.outliers,
+        queue=AdmissionQueue(base.cfg.entry.max_queued),
+        budget=RetryBudget(),
+        share=fleet.policies.share,
+        upstreams=fleet.upstreams,
+        metrics=base.metrics,
+        uses_changed=hub.uses_changed,
+    )
+
 
+def _start_config(base: _Base, fleet: _Fleet, hub: PeerHub, online: OnlineDispatch) -> Config:
     def tell_peer(peer_id: str, message: Message) -> None:
         hub.tell(peer_id, message)
 
-    config = start_config(
+    return start_config(
         ConfigDeps(
-            clock,
-            rand,
-            budget.view(Priority.CONFIG),
-            cfg.config,
-            metrics,
-            tell_peer,
-            hub.tell_all,
-            lambda: [view.id for view in hub.views() if view.up],
-            online.queued_under,
-            lambda: set(fleet.upstream_names()),
+            clock=base.clock,
+            rand=base.rand,
+            store=base.budget.view(Priority.CONFIG),
+            settings=base.cfg.config,
+            metrics=base.metrics,
+            tell=tell_peer,
+            broadcast=hub.tell_all,
+            peers=lambda: [view.id for view in hub.views() if view.up],
+            queued_under=online.queued_under,
+            upstream_names=lambda: set(fleet.view.upstream_names()),
         )
     )
-    batch = start_batch(
+
+
+def _start_batch(
+    base: _Base, fleet: _Fleet, hub: PeerHub, lanes: BatchLanes, config: Config
+) -> Batch:
+    return start_batch(
         BatchDeps(
-            clock,
-            rand,
-            budget.view(Priority.BULK),
-            BatchDispatch(lanes.room, lanes.run, lanes.watch_room),
-            cfg.batch,
-            cfg.instance.id,
-            boot,
-            config.book.profile,
-            lambda: fleet.live_entries(),
-            hub.tell_all,
-            metrics,
+            clock=base.clock,
+            rand=base.rand,
+            store=base.budget.view(Priority.BULK),
+            dispatch=BatchDispatch(lanes.room, lanes.run, lanes.watch_room),
+            cfg=base.cfg.batch,
+            instance=base.cfg.instance.id,
+            boot=base.boot,
+            profile=config.book.profile,
+            live_instances=fleet.view.live_entries,
+            tell_peers=hub.tell_all,
+            metrics=base.metrics,
         )
     )
-    _subscribe(hub, config, batch, fleet, policies, clock)
-    config.book.watch(lambda _key, _version: fleet.on_profiles(_profiles(config)))
 
-    readiness = Readiness(clock, drain, config, fleet)
-    listening = _listen_all(
-        reactor, cfg, hub, _apps(cfg, clock, metrics, config, fleet, online, batch, readiness, hub)
-    )
-    if isinstance(listening, Err):
-        await batch.stop()
-        await config.stop()
-        hub.close()
-        await plain_store.close()
-        return listening
-    open_ports = listening.ok_value
 
-    follower = MemberFollower(budget.view(Priority.CONFIG), clock, rand, fleet.on_members)
-    reporter = Reporter(budget.view(Priority.LEASE), clock, rand, _member(cfg, open_ports.ports))
-    fleet.connect(FleetListeners(reports.poll, hub.set_members, batch.on_members_changed))
-    parts = Parts(
-        clock,
-        drain,
-        hub,
-        config,
-        online,
-        lanes,
-        batch,
-        reports,
-        upstreams,
-        follower,
-        reporter,
-        plain_store,
-    )
-    instance = Instance(parts, open_ports.ports, open_ports.handles, metrics)
-    follower.start()
-    reporter.start()
-    instance.start()
-    events.emit(
-        events.PROCESS_STARTED,
-        instance=cfg.instance.id,
-        entry_port=open_ports.ports.entry,
-        operator_port=open_ports.ports.operator,
-        peer_port=open_ports.ports.peer,
+def _make_claims(base: _Base, hub: PeerHub) -> Claims:
+    async def ask_writer(writer: str, reference: str) -> str:
+        told = await hub.ask(writer, lambda ask_id: ClaimAsk(ask_id, reference), ASK_WRITER_MS)
+        if isinstance(told, Ok) and isinstance(told.ok_value, ClaimTell):
+            return told.ok_value.state
+        return ""
+
+    return Claims(
+        ClaimDeps(
+            store=base.budget.view(Priority.CLAIM),
+            clock=base.clock,
+            rng=base.rand,
+            cfg=base.cfg.claims,
+            metrics=base.metrics,
+            instance=base.cfg.instance.id,
+            boot=base.boot,
+            ask_writer=ask_writer,
+        )
     )
-    return Ok(instance)
-
-
-async def _reach_platform(store: Store, clock: Clock, cfg: Settings) -> Result[None, str]:
-    """Try the platform for a moment, unless a data folder can stand in for it.
 
-    Without either, an instance knows no profile, no peer and no upstream. Saying so at once
-    is worth more than an instance that never becomes ready.
-    """
-    for attempt in range(START_TRIES):
-        if isinstance(await store.members(0, 0), Ok) or cfg.config.data_folder:
-            return Ok(None)
-        if attempt + 1 < START_TRIES:
-            await clock.sleep(START_PAUSE_MS)
-    where = f"{cfg.platform.host}:{cfg.platform.port}"
-    return Err(f"platform: {where} does not answer, and config.data_folder is not set")
 
-
-def _subscribe(
-    hub: PeerHub,
-    config: Config,
-    batch: Batch,
-    fleet: FleetView,
-    policies: Policies,
-    clock: Clock,
-) -> None:
+def _subscribe(base: _Base, fleet: _Fleet, work: _Work) -> None:
+    """Pass peers' messages to the parts that they concern."""
+    hub = work.hub
     for kind in (Heartbeat, ConfigPush, ConfigAsk, ConfigTell):
-        hub.subscribe(kind, config.on_peer)
-    hub.subscribe(JobChanged, lambda _peer_id, message: batch.on_peer(message))
-    hub.subscribe(ShardsReleased, lambda _peer_id, message: batch.on_peer(message))
-    hub.subscribe(Heartbeat, peer_uses_reader(policies.book, clock.now))
-    hub.on_change(lambda: fleet.on_peers(hub.live(), [v.id for v in hub.views() if not v.up]))
+        hub.subscribe(kind, work.config.on_peer)
+    hub.subscribe(JobChanged, lambda _peer_id, message: work.batch.on_peer(message))
+    hub.subscribe(ShardsReleased, lambda _peer_id, message: work.batch.on_peer(message))
+    hub.subscribe(Heartbeat, peer_uses_reader(fleet.policies.book, base.clock.now))
 
+    def tell_claim(peer_id: str, message: Message) -> None:
+        assert isinstance(message, ClaimAsk)
+        state = work.claims.state(message.key)
+        hub.tell(peer_id, ClaimTell(message.ask_id, message.key, state))
 
-def _profiles(config: Config) -> list[Profile]:
-    return list(config.book.profiles().values())
+    def tell_peers_changed() -> None:
+        silent = [view.id for view in hub.views() if not view.up]
+        fleet.view.on_peers(hub.live(), silent)
 
+    def tell_profiles(_key: str, _version: int) -> None:
+        fleet.view.on_profiles(work.config.book.profiles().values())
 
-class _Apps(NamedTuple):
-    entry: Klein
-    operator: Klein
+    hub.subscribe(ClaimAsk, tell_claim)
+    hub.on_change(tell_peers_changed)
+    work.config.book.watch(tell_profiles)
 
 
-def _apps(
-    cfg: Settings,
-    clock: Clock,
-    metrics: Any,
-    config: Config,
-    fleet: FleetView,
-    online: OnlineDispatch,
-    batch: Batch,
-    readiness: Readiness,
-    hub: PeerHub,
-) -> _Apps:
-    """Make the two HTTP surfaces."""
+def _make_apps(base: _Base, fleet: _Fleet, work: _Work, readiness: Readiness) -> _Apps:
+    cfg = base.cfg
+    auth = caller_auth(cfg.entry.callers)
     entry = Klein()
-    add_health_routes(entry, readiness.why_not, metrics)
+    add_health_routes(entry, readiness.why_not, base.metrics)
     add_online_routes(
         entry,
         OnlineDeps(
-            clock,
-            metrics,
-            caller_auth(cfg.entry.callers),
-            cfg.entry.max_body_bytes,
-            config.book.profile,
-            fleet.upstream_names,
-            lambda req, _key, on_token: online.run(req, on_token),
-            readiness.refusing,
+            clock=base.clock,
+            metrics=base.metrics,
+            auth=auth,
+            max_body_bytes=cfg.entry.max_body_bytes,
+            profile=work.config.book.profile,
+            upstream_names=fleet.view.upstream_names,
+            run=make_runner(work.online, work.claims),
+            refusing=readiness.refusing,
         ),
     )
-    add_batch_routes(entry, batch, caller_auth(cfg.entry.callers), readiness.refusing)
+    add_batch_routes(entry, work.batch, auth, readiness.refusing)
     operator = Klein()
-    add_health_routes(operator, readiness.why_not, metrics)
-    status = FleetStatus(cfg.instance, config.book, hub, readiness)
-    add_operator_routes(operator, OperatorDeps(config, cfg.operator.operators, status.show))
+    add_health_routes(operator, readiness.why_not, base.metrics)
+    status = FleetStatus(cfg.instance, work.config.book, work.hub, readiness)
+    add_operator_routes(operator, OperatorDeps(work.config, cfg.operator.operators, status.show))
     return _Apps(entry, operator)
 
 
-class _Open(NamedTuple):
-    ports: Ports
-    handles: tuple[Listening, Listening]
-
-
-def _listen_all(reactor: Any, cfg: Settings, hub: PeerHub, apps: _Apps) -> Result[_Open, str]:
+def _listen(base: _Base, work: _Work, apps: _Apps) -> Result[_Open, str]:
+    cfg = base.cfg
     host = cfg.instance.host
-    entry = listen(reactor, apps.entry, "entry.port", host, cfg.entry.port)
+    entry = listen(base.reactor, apps.entry, "entry.port", host, cfg.entry.port)
     if isinstance(entry, Err):
         return entry
-    operator = listen(reactor, apps.operator, "operator.port", host, cfg.operator.port)
+    operator = listen(base.reactor, apps.operator, "operator.port", host, cfg.operator.port)
     if isinstance(operator, Err):
         entry.ok_value.handle.stopListening()
         return operator
     handles = (entry.ok_value, operator.ok_value)
-    peer = hub.start()
+    peer = work.hub.start()
     if isinstance(peer, Err):
         for handle in handles:
             handle.handle.stopListening()
-        return Err(f"peer.port: {peer.err_value}")
-    ports = Ports(handles[0].port, handles[1].port, peer.ok_value)
-    return Ok(_Open(ports, handles))
+        return Err(f"peer: {peer.err_value}")
+    return Ok(_Open(Ports(handles[0].port, handles[1].port, peer.ok_value), handles))
+
+
+async def _give_up(base: _Base, work: _Work) -> None:
+    """Close what was started, when an address cannot be had."""
+    work.claims.stop()
+    await work.batch.stop()
+    await work.config.stop()
+    work.hub.close()
+    await base.store.close()
+
+
+def _make_instance(base: _Base, fleet: _Fleet, work: _Work, opened: _Open) -> Instance:
+    view = base.budget.view
+    follower = MemberFollower(view(Priority.CONFIG), base.clock, base.rand, fleet.view.on_members)
+    reporter = Reporter(
+        view(Priority.LEASE), base.clock, base.rand, _member(base.cfg, opened.ports)
+    )
+    fleet.view.connect(
+        FleetListeners(fleet.reports.poll, work.hub.set_members, work.batch.on_members_changed)
+    )
+    parts = Parts(
+        clock=base.clock,
+        drain=base.drain,
+        hub=work.hub,
+        config=work.config,
+        online=work.online,
+        lanes=work.lanes,
+        batch=work.batch,
+        claims=work.claims,
+        reports=fleet.reports,
+        upstreams=fleet.upstreams,
+        follower=follower,
+        reporter=reporter,
+        store=base.store,
+    )
+    instance = Instance(parts, opened.ports, opened.handles, base.metrics)
+    work.claims.start()
+    follower.start()
+    reporter.start()
+    instance.start()
+    events.emit(
+        events.PROCESS_STARTED,
+        instance=base.cfg.instance.id,
+        entry_port=opened.ports.entry,
+        operator_port=opened.ports.operator,
+        peer_port=opened.ports.peer,
+    )
+    return instance
 
 
 def _member(cfg: Settings, ports: Ports) -> Member:
     own = cfg.instance
     return Member(
-        own.id, ENTRY, "", own.host, ports.entry, ports.peer, own.data_centre, own.region, LIVE
+        id=own.id,
+        kind=ENTRY,
+        upstream="",
+        host=own.host,
+        port=ports.entry,
+        peer_port=ports.peer,
+        data_centre=own.data_centre,
+        region=own.region,
+        state=LIVE,
     )
--- /dev/null
+++ b/papayapier/dispatch/claimed.py
@@ -0,0 +1,146 @@
+"""Run a request that may not be repeated, under a claim on its idempotency key.
+
+The run does not belong to the caller's connection. A caller that loses its connection sends
+the request again under the same key; if the first run had been cancelled, nobody could say
+any more whether it took effect. So it goes on to its end, and the resend gets its answer.
+"""
+
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier import codec, events
+from papayapier.claims.records import SavedAnswer, content_hash
+from papayapier.claims.service import Done, New, Running, Unknown
+from papayapier.errors import ANSWERS, ErrorKind, Outcome, Refusal, unknown
+from papayapier.upstream.api import Reply
+from papayapier.upstream.api import Token as StreamToken
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from twisted.python.failure import Failure as TwistedFailure
+
+    from papayapier.claims.service import Begun, Claims, Token
+    from papayapier.dispatch.api import OnlineRequest, OnToken
+    from papayapier.dispatch.online import OnlineDispatch
+
+REPLY_FORM: Final = "reply"
+REFUSAL_FORM: Final = "refusal"
+ASK_AGAIN_MS: Final = 1_000
+
+Ended = Result[Reply, Refusal]
+
+
+def make_runner(
+    online: "OnlineDispatch", claims: "Claims"
+) -> "Callable[[OnlineRequest, str, OnToken], Awaitable[Ended]]":
+    """Make the function that runs a request, under a claim where it needs one."""
+
+    async def run(req: "OnlineRequest", key: str, on_token: "OnToken") -> Ended:
+        if req.profile.idempotent or not key:
+            return await online.run(req, on_token)
+        return await _detached(_ClaimedRun(online, claims, req, key), on_token)
+
+    return run
+
+
+async def _detached(run: "_ClaimedRun", on_token: "OnToken") -> Ended:
+    """Wait for a run in such a way that the end of waiting does not end the run."""
+    waiter: Deferred[Ended] = Deferred()
+
+    def ended(result: "Ended | TwistedFailure") -> None:
+        if not waiter.called:
+            waiter.callback(result)
+
+    def receive(token: StreamToken) -> None:
+        if not waiter.called:
+            on_token(token)
+
+    Deferred.fromCoroutine(run.run(receive)).addBoth(ended)
+    return await waiter
+
+
+class _ClaimedRun:
+    """Hold one run under a claim."""
+
+    def __init__(
+        self, online: "OnlineDispatch", claims: "Claims", req: "OnlineRequest", key: str
+    ) -> None:
+        self._online = online
+        self._claims = claims
+        self._req = req
+        self._key = key
+        self._token: Token | None = None
+        self._earlier: Ended | None = None
+
+    async def run(self, on_token: "OnToken") -> Ended:
+        """Run the request unless it has been run, and keep its end for resends."""
+        ended = await self._online.run(self._req, on_token, self._claim)
+        if self._earlier is not None:
+            return self._earlier
+        if self._token is not None:
+            self._keep(self._token, ended)
+        return ended
+
+    async def _claim(self) -> Result[None, Refusal]:
+        req = self._req
+        content = content_hash(req.method.encode(), req.path.encode(), req.body)
+        begun = await self._claims.begin(req.caller, self._key, content, req.due_ms)
+        if isinstance(begun, Ok) and isinstance(begun.ok_value, New):
+            self._token = begun.ok_value.token
+            return Ok(None)
+        self._earlier = _earlier_end(begun)
+        return Err(_not_again(self._earlier))
+
+    def _keep(self, token: "Token", ended: Ended) -> None:
+        if isinstance(ended, Ok):
+            saved = SavedAnswer(ended.ok_value.status, REPLY_FORM, codec.pack(ended.ok_value))
+            self._claims.finish(token, saved)
+            return
+        refusal = ended.err_value
+        if refusal.outcome is Outcome.NOT_RUN:
+            events.emit(events.CLAIM_ABANDONED, call=self._req.call_id, kind=refusal.kind.value)
+            self._claims.abandon(token)
+            return
+        status = ANSWERS[refusal.kind].status
+        self._claims.finish(token, SavedAnswer(status, REFUSAL_FORM, codec.pack(refusal)))
+
+
+def _earlier_end(begun: "Begun") -> Ended:
+    """Return what a resend is told about the earlier run."""
+    if isinstance(begun, Err):
+        return begun
+    match begun.ok_value:
+        case Done(answer) if answer is not None:
+            return _saved_end(answer)
+        case Running(writer):
+            reason = f"the request is running on instance {writer}"
+            return Err(unknown(ErrorKind.STILL_RUNNING, reason, ASK_AGAIN_MS))
+        case Unknown(writer):
+            events.emit(events.CLAIM_UNKNOWN, writer=writer)
+            reason = f"the request was claimed by instance {writer}, which cannot be asked"
+            return Err(unknown(ErrorKind.OUTCOME_UNKNOWN, reason))
+    reason = "the request has run, its answer was too large to keep"
+    return Err(unknown(ErrorKind.OUTCOME_UNKNOWN, reason))
+
+
+def _saved_end(answer: SavedAnswer) -> Ended:
+    if answer.content_type == REFUSAL_FORM:
+        refusal = codec.unpack(answer.body, Refusal)
+        return Err(refusal.ok_value) if isinstance(refusal, Ok) else _unreadable()
+    reply = codec.unpack(answer.body, Reply)
+    return Ok(reply.ok_value) if isinstance(reply, Ok) else _unreadable()
+
+
+def _unreadable() -> Ended:
+    reason = "the request has run, its kept answer cannot be read"
+    return Err(unknown(ErrorKind.OUTCOME_UNKNOWN, reason))
+
+
+def _not_again(earlier: Ended) -> Refusal:
+    """Return a refusal that ends this delivery; the caller is given the earlier end."""
+    if isinstance(earlier, Err):
+        return earlier.err_value
+    return unknown(ErrorKind.STILL_RUNNING, "the request has run before")
--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from papayapier.batch.start import Batch
+    from papayapier.claims.service import Claims
     from papayapier.clock import Clock, Timer
     from papayapier.config.start import Config
     from papayapier.dispatch.lanes import BatchLanes
@@ -32,6 +33,7 @@
 
 DRAIN_TICK_MS: Final = 50
 PULSE_MS: Final = 250
+CLAIMS_LIMIT_MS: Final = 10_000
 PAUSE_FACTOR: Final = 4
 
 
@@ -53,6 +55,7 @@
     online: "OnlineDispatch"
     lanes: "BatchLanes"
     batch: "Batch"
+    claims: "Claims"
     reports: "Reports"
     upstreams: "Upstreams"
     follower: "MemberFollower"
@@ -146,6 +149,8 @@
         await parts.batch.stop()
         await self._drained()
         check(parts.online.under_way() == 0, Promise.DRAIN_WHOLE, left=parts.online.under_way())
+        # A claim whose end is not in the store would be unknown to everybody from now on.
+        await parts.claims.drain(parts.clock.now() + CLAIMS_LIMIT_MS)
         await parts.reporter.withdraw()
         await self._close()
 
@@ -182,6 +187,7 @@
         parts.reporter.stop()
         parts.reports.close()
         parts.online.close()
+        parts.claims.stop()
         parts.lanes.close()
         await parts.config.stop()
         parts.hub.close()
