Let tests refuse the platform's connections, cut writes and mark members

Cause: the platform stand-in could lose an answer but not a request, could be out but not unreachable, and a replica could be marked leaving only by repeating its whole record. Change: switches refuse_connections (with restart_ms), cut_before_effect, leaving and removed; negative values and unknown members are refused with 400 before anything changes. Expiry of members pauses while connections are refused. What long polls look at moved into platform_calls.py.

--- a/papayapier/standin/crashes.py
+++ b/papayapier/standin/crashes.py
@@ -33,18 +33,18 @@
         """Act on a change of the switches that came in on a connection, if any."""
         mode = control.get("mode")
         if mode is Mode.CRASH and switches.times == 0:
-            self.crash_after_answer(conn)
+            self.after_answer(conn, self.crash)
         if mode is Mode.SILENT and switches.times == 0:
             # New connections work, so the mode does not outlast the moment.
             switches.reset()
             self._listener.silence_all(conn)
         if control.get("restart_ms"):
-            self._timers.call_later(control["restart_ms"], self._restart_or_tell)
+            self._timers.call_later(control["restart_ms"], self.restart_or_tell)
 
-    def crash_after_answer(self, conn: Connection | None) -> None:
-        """Crash as soon as the answer on a connection, if any, can have reached its caller."""
+    def after_answer(self, conn: Connection | None, call: Callable[[], None]) -> None:
+        """Run a call when the answer on a connection, if any, can have reached its caller."""
         link_ms = self._listener.table.link.delay_ms
-        self._timers.call_later(CONTROL_ANSWER_MS + link_ms if conn else 0, self.crash)
+        self._timers.call_later(CONTROL_ANSWER_MS + link_ms if conn else 0, call)
 
     def crash(self) -> None:
         """Close the port and reset all connections; running work is lost."""
@@ -55,14 +55,15 @@
         """Listen on the same port again, as soon as the crash has freed it."""
         return Deferred.fromCoroutine(self._listener.reopen())
 
+    def restart_or_tell(self) -> None:
+        """Listen again, and log when that fails."""
+        self.restart().addErrback(_tell)
+
     def close(self) -> Deferred[None]:
         """Stop for good."""
         self._timers.cancel_all()
         return Deferred.fromCoroutine(self._listener.close())
 
-    def _restart_or_tell(self) -> None:
-        self.restart().addErrback(_tell)
-
 
 def answer_control(
     request: Request, switches: Switches, merge: Callable[[Control, Connection], None]
--- a/papayapier/standin/instances.py
+++ b/papayapier/standin/instances.py
@@ -1,12 +1,12 @@
 """Keep the platform's instance list, which shows the truth only after a lag."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final
 
 from papayapier.clock import Clock, Timer
 from papayapier.standin.timers import Timers
-from papayapier.store.api import Member
+from papayapier.store.api import LEAVING, Member
 
 EXPIRY_MS: Final = 10_000
 
@@ -18,8 +18,10 @@
         "_clock",
         "_expiries",
         "_lag_ms",
+        "_leaving",
         "_on_change",
         "_pending",
+        "_removed",
         "_shown",
         "_true",
         "revision",
@@ -36,6 +38,20 @@
         self._shown: dict[str, Member] = {}
         self._expiries: dict[str, Timer] = {}
         self._pending = Timers(clock)
+        self._leaving: frozenset[str] = frozenset()
+        self._removed: frozenset[str] = frozenset()
+
+    def knows(self, instance: str) -> bool:
+        """Tell whether an instance is a member, whatever the list shows."""
+        return instance in self._true
+
+    def mark(self, leaving: Iterable[str], removed: Iterable[str]) -> None:
+        """Show these members as leaving or not at all, whatever they report themselves."""
+        was = {instance: self._marked(instance) for instance in self._true}
+        self._leaving, self._removed = frozenset(leaving), frozenset(removed)
+        for instance, member in was.items():
+            if self._marked(instance) != member:
+                self._show_later(instance)
 
     def shown(self) -> list[Member]:
         """Return the list as callers see it."""
@@ -58,7 +74,8 @@
     def show_now(self) -> None:
         """Let the list catch up with the truth at once, for the start of a fleet."""
         self._pending.cancel_all()
-        self._shown = dict(self._true)
+        marked = {instance: self._marked(instance) for instance in self._true}
+        self._shown = {instance: member for instance, member in marked.items() if member}
         self._changed()
 
     def pause_expiry(self) -> None:
@@ -88,8 +105,14 @@
             timer.cancel()
 
     def _show_later(self, instance: str) -> None:
+        call = partial(self._show, instance, self._marked(instance))
+        self._pending.call_later(self._lag_ms(), call)
+
+    def _marked(self, instance: str) -> Member | None:
         member = self._true.get(instance)
-        self._pending.call_later(self._lag_ms(), partial(self._show, instance, member))
+        if member is None or instance in self._removed:
+            return None
+        return member._replace(state=LEAVING) if instance in self._leaving else member
 
     def _show(self, instance: str, member: Member | None) -> None:
         if member is None:
--- a/papayapier/standin/long_polls.py
+++ b/papayapier/standin/long_polls.py
@@ -5,10 +5,8 @@
 from itertools import count
 
 from papayapier.clock import Clock, Timer
-from papayapier.standin.platform_calls import Answer
+from papayapier.standin.platform_calls import Answer, Look
 
-# Return the answer, or None to go on waiting; the argument says that the wait is over.
-Look = Callable[[bool], Answer | None]
 Reply = Callable[[Answer], None]
 
 
--- a/papayapier/standin/platform.py
+++ b/papayapier/standin/platform.py
@@ -8,26 +8,27 @@
 from functools import partial
 from typing import Any, Final, NamedTuple, TypedDict
 
-from result import Err
+from result import Err, Result
 from twisted.internet.defer import Deferred, execute
 from twisted.web.server import Request
 
-from papayapier import codec
 from papayapier.clock import Clock
 from papayapier.standin import platform_calls as calls
 from papayapier.standin import web
+from papayapier.standin.crashes import Crashes
 from papayapier.standin.instances import Instances
 from papayapier.standin.limits import Bucket
 from papayapier.standin.link import Link
-from papayapier.standin.listener import Listener
-from papayapier.standin.long_polls import LongPolls, Look
+from papayapier.standin.listener import Connection, Listener
+from papayapier.standin.long_polls import LongPolls
 from papayapier.standin.objects import Objects
-from papayapier.standin.platform_calls import INSTANCE_PATH, OBJECT_PATH, Answer
+from papayapier.standin.platform_calls import INSTANCE_PATH, OBJECT_PATH, Answer, Look
 from papayapier.standin.switches import read_switches
 from papayapier.standin.timers import Timers
 from papayapier.store.api import Member
 
 RETRY_AFTER: Final = "1"
+BAD_WAIT: Final = "since and wait_ms must be numbers"
 
 
 class PlatformParams(NamedTuple):
@@ -48,16 +49,22 @@
     """Hold the keys of POST /control.
 
     With drop_watches, watches that wait or come in are never answered, as when the network
-    has lost their connections; the client sees silence.
+    has lost their connections; the client sees silence. With refuse_connections the port is
+    closed; restart_ms, which is not kept, opens it again after that time.
     """
 
     outage: bool
+    refuse_connections: bool
+    restart_ms: int
     slow_ms: int
     lose_answers: int
+    cut_before_effect: int
     drop_watches: bool
     reads_per_s: int
     writes_per_s: int
     list_lag_ms: int
+    leaving: list[str]
+    removed: list[str]
 
 
 class PlatformCounts(NamedTuple):
@@ -75,6 +82,7 @@
     """Serve the platform's protocol, with its switches and counts at hand."""
 
     __slots__ = (
+        "_crashes",
         "_limited",
         "_listener",
         "_params",
@@ -101,6 +109,7 @@
         self._polls = LongPolls(clock)
         link = Link(clock, params.link_delay_ms)
         self._listener = Listener(reactor, self._handle, host, port, link)
+        self._crashes = Crashes(clock, self._listener, self._polls.forget_all)
         self._reads_bucket = Bucket(clock)
         self._writes_bucket = Bucket(clock)
         self._reads = self._writes = self._watches = self._limited = 0
@@ -116,17 +125,27 @@
         self.instances.report(member)
         self.instances.show_now()
 
-    def control(self, control: PlatformControl) -> None:
-        """Merge switches, as POST /control does."""
-        was_out = self.switches["outage"]
-        self.switches.update(control)
-        if self.switches["outage"] and not was_out:
+    def listening(self) -> bool:
+        """Tell whether the port accepts connections."""
+        return self._listener.is_open()
+
+    def control(self, control: PlatformControl, conn: Connection | None = None) -> None:
+        """Merge switches, as POST /control on a connection does."""
+        before = self.switches
+        now = self.switches = _merged(before, control)
+        self.instances.mark(now["leaving"], now["removed"])
+        if now["outage"] and not before["outage"]:
             self._polls.end_all(calls.failed(503, "outage"))
-            self.instances.pause_expiry()
-        if was_out and not self.switches["outage"]:
-            self.instances.resume_expiry()
+        if now["refuse_connections"] and not before["refuse_connections"]:
+            self._crashes.after_answer(conn, self._refuse_connections)
+        if before["refuse_connections"] and not now["refuse_connections"]:
+            self._crashes.restart_or_tell()
+        if control.get("restart_ms"):
+            open_again = partial(self.control, PlatformControl(refuse_connections=False))
+            self._timers.call_later(control["restart_ms"], open_again)
         if control.get("drop_watches"):
             self._polls.forget_all()
+        self._guard_expiry(before)
 
     def counts(self) -> PlatformCounts:
         """Return what has been counted so far."""
@@ -145,7 +164,18 @@
         self._timers.cancel_all()
         self._polls.forget_all()
         self.instances.close()
-        return Deferred.fromCoroutine(self._listener.close())
+        return self._crashes.close()
+
+    def _refuse_connections(self) -> None:
+        if self.switches["refuse_connections"]:
+            self._crashes.crash()
+
+    def _guard_expiry(self, before: PlatformControl) -> None:
+        """Drop nobody while reports cannot come in."""
+        if _is_away(self.switches) and not _is_away(before):
+            self.instances.pause_expiry()
+        if _is_away(before) and not _is_away(self.switches):
+            self.instances.resume_expiry()
 
     def _handle(self, request: Request) -> None:
         path = web.path_of(request)
@@ -162,13 +192,26 @@
 
     def _handle_control(self, request: Request) -> None:
         if request.method == b"POST":
-            control = read_switches(web.body_of(request), PlatformControl)
+            control = self._read_control(web.body_of(request))
             if isinstance(control, Err):
                 web.send_json(request, web.Json(400, {"error": control.err_value}))
                 return
-            self.control(control.ok_value)
+            self.control(control.ok_value, web.connection_of(request))
         web.send_json(request, web.Json(200, self.switches))
 
+    def _read_control(self, body: bytes) -> Result[PlatformControl, str]:
+        read = read_switches(body, PlatformControl)
+        if isinstance(read, Err):
+            return read
+        named = [*read.ok_value.get("leaving", ()), *read.ok_value.get("removed", ())]
+        for instance in named:
+            if not self.instances.knows(instance):
+                return Err(f"no such member: {instance}")
+        negative = [key for key, value in read.ok_value.items() if _is_negative(value)]
+        if negative:
+            return Err(f"must not be negative: {', '.join(negative)}")
+        return read
+
     def _handle_read(self, request: Request, path: str) -> None:
         if not self._reads_bucket.take(self.switches["reads_per_s"]):
             self._refuse_rate(request)
@@ -192,6 +235,10 @@
             self._refuse_rate(request)
             return
         self._writes += 1
+        if self.switches["cut_before_effect"] > 0:
+            self.switches["cut_before_effect"] -= 1
+            web.connection_of(request).abort()
+            return
         revision = self.objects.revision
         if path.startswith(OBJECT_PATH):
             answer = calls.write_object(self.objects, request)
@@ -220,31 +267,16 @@
     def _watch(self, request: Request) -> None:
         wait = calls.wait_of(request)
         if wait is None:
-            self._answer(request, calls.failed(400, "since and wait_ms must be numbers"))
+            self._answer(request, calls.failed(400, BAD_WAIT))
             return
-
-        def look(last: bool) -> Answer | None:
-            found = self.objects.changes(wait.prefix, wait.since)
-            if isinstance(found, Err):
-                return calls.failed(410, "the history starts later: list again")
-            if not found.ok_value.changes and not last:
-                return None
-            return Answer(200, codec.to_json(found.ok_value))
-
-        self._poll(request, wait, look)
+        self._poll(request, wait, calls.look_at_changes(self.objects, wait))
 
     def _list_instances(self, request: Request) -> None:
         wait = calls.wait_of(request)
         if wait is None:
-            self._answer(request, calls.failed(400, "since and wait_ms must be numbers"))
+            self._answer(request, calls.failed(400, BAD_WAIT))
             return
-
-        def look(last: bool) -> Answer | None:
-            revision = self.instances.revision
-            if revision == wait.since and not last:
-                return None
-            return calls.members_answer(self.instances.shown(), revision)
-
+        look = calls.look_at_members(self.instances, wait)
         self._poll(request, wait._replace(prefix=INSTANCE_PATH), look)
 
     def _poll(self, request: Request, wait: calls.Wait, look: Look) -> None:
@@ -284,10 +316,29 @@
 def _normal_switches(params: PlatformParams) -> PlatformControl:
     return PlatformControl(
         outage=False,
+        refuse_connections=False,
         slow_ms=0,
         lose_answers=0,
+        cut_before_effect=0,
         drop_watches=False,
         reads_per_s=params.reads_per_s,
         writes_per_s=params.writes_per_s,
         list_lag_ms=params.list_lag_ms,
+        leaving=[],
+        removed=[],
     )
+
+
+def _merged(before: PlatformControl, control: PlatformControl) -> PlatformControl:
+    merged = before.copy()
+    merged.update(control)
+    merged.pop("restart_ms", None)
+    return merged
+
+
+def _is_away(switches: PlatformControl) -> bool:
+    return switches["outage"] or switches["refuse_connections"]
+
+
+def _is_negative(value: object) -> bool:
+    return isinstance(value, int) and value < 0
--- a/papayapier/standin/platform_calls.py
+++ b/papayapier/standin/platform_calls.py
@@ -1,6 +1,7 @@
 """Turn the platform's HTTP calls into calls on its objects, and the results into answers."""
 
 import re
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from papayapier import codec
 from papayapier.standin import web
+from papayapier.standin.instances import Instances
 from papayapier.standin.objects import LIST_LIMIT, Objects
 from papayapier.store.api import MAX_VALUE_BYTES, Member, StoreError
 
@@ -29,6 +31,10 @@
     version: int = 0
 
 
+# Return the answer, or None to go on waiting; the argument says that the wait is over.
+Look = Callable[[bool], Answer | None]
+
+
 class Wait(NamedTuple):
     """Hold what a long poll asks for."""
 
@@ -98,8 +104,32 @@
     return Wait(web.query(request, "prefix"), int(since), min(int(wait_ms), MAX_WAIT_MS))
 
 
-def members_answer(members: list[Member], revision: int) -> Answer:
-    """Show the instance list."""
+def look_at_changes(objects: Objects, wait: Wait) -> Look:
+    """Make the look of a watch."""
+
+    def look(last: bool) -> Answer | None:
+        found = objects.changes(wait.prefix, wait.since)
+        if isinstance(found, Err):
+            return failed(410, "the history starts later: list again")
+        if not found.ok_value.changes and not last:
+            return None
+        return Answer(200, codec.to_json(found.ok_value))
+
+    return look
+
+
+def look_at_members(instances: Instances, wait: Wait) -> Look:
+    """Make the look of a call that waits for the instance list to change."""
+
+    def look(last: bool) -> Answer | None:
+        if instances.revision == wait.since and not last:
+            return None
+        return _members_answer(instances.shown(), instances.revision)
+
+    return look
+
+
+def _members_answer(members: list[Member], revision: int) -> Answer:
     records = [member._asdict() for member in members]
     for record in records:
         del record["static"]
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -1,4 +1,4 @@
-"""Test the stand-ins over real sockets: their protocols and each fault switch."""
+"""Test engines, services and fleets over real sockets: protocols and fault switches."""
 
 import hashlib
 import json
@@ -13,146 +13,16 @@
 from papayapier.standin.answers import expected_text
 from papayapier.standin.engine import EngineServer, start_engine
 from papayapier.standin.engine_steps import EngineParams
-from papayapier.standin.platform import PlatformParams, PlatformServer, start_platform
 from papayapier.standin.prefix_cache import BLOCK_TOKENS, CacheParams
 from papayapier.standin.run import FleetParams, run_fleet
 from papayapier.standin.service import ServiceParams, ServiceServer, start_service
 from papayapier.standin.switches import Control, Mode
-from papayapier.store.api import Member
 from tests.standin_case import HOST, REACTOR, Got, StandInCase
 
 CHAT = "/v1/chat/completions"
 DONE = "data: [DONE]"
 
 
-class PlatformTest(StandInCase):
-    """Test the platform."""
-
-    server: PlatformServer
-
-    async def start(self, **params: Any) -> None:
-        chosen = PlatformParams(**{"latency_ms": 0, "list_lag_ms": 0, **params})
-        self.server = await start_platform(REACTOR, self.clock, chosen, HOST, 0)
-        self.addCleanup(self.server.close)
-
-    async def get(self, path: str) -> Got:
-        return await self.call(self.server.port, "GET", path)
-
-    async def put(self, key: str, value: bytes, **conditions: str) -> Got:
-        headers = {name.replace("_", "-"): text for name, text in conditions.items()}
-        path = f"/objects/{key}"
-        return await self.call(self.server.port, "PUT", path, value, headers=headers)
-
-    async def create(self, key: str, value: bytes = b"v") -> Got:
-        return await self.put(key, value, if_none_match="*")
-
-    async def delete(self, key: str, version: int) -> Got:
-        headers = {"If-Match": f'"{version}"'}
-        return await self.call(self.server.port, "DELETE", f"/objects/{key}", headers=headers)
-
-    async def test_conditional_changes(self) -> None:
-        await self.start()
-        made = await self.create("a/b", b"one")
-        assert (made.status, made.headers["etag"]) == (201, '"1"')
-        assert (await self.create("a/b")).status == 412
-        changed = await self.put("a/b", b"two", if_match='"1"')
-        assert (changed.status, changed.headers["etag"]) == (200, '"2"')
-        assert (await self.put("a/b", b"x", if_match='"1"')).status == 412
-        assert (await self.put("a/b", b"x")).status == 428
-        read = await self.get("/objects/a/b")
-        assert (read.status, read.text, read.headers["etag"]) == (200, "two", '"2"')
-        assert (await self.delete("a/b", 1)).status == 412
-        assert (await self.delete("a/b", 2)).status == 200
-        assert (await self.get("/objects/a/b")).status == 404
-        assert (await self.create("a/b")).headers["etag"] == '"4"'
-
-    async def test_bad_keys_and_large_values_are_refused(self) -> None:
-        await self.start()
-        assert (await self.create("a%20b")).status == 400
-        assert (await self.create("k" * 513)).status == 400
-        assert (await self.create("big", b"x" * 1_000_001)).status == 413
-        assert (await self.create("big", b"x" * 1_000_000)).status == 201
-
-    async def test_list_and_watch(self) -> None:
-        await self.start()
-        for key in ("a/1", "a/2", "b"):
-            await self.create(key)
-        page = await self.get("/list?prefix=a/&after=&limit=1")
-        listed = [{"key": "a/1", "version": 1}]
-        assert page.value == {"objects": listed, "more": True, "revision": 3}
-        waiting = self.begin(self.get("/watch?prefix=a/&since=3&wait_ms=10000"))
-        await self.until(lambda: self.server.counts().watches == 1)
-        await self.create("c")
-        await self.delete("a/2", 2)
-        change = {"key": "a/2", "version": 5, "deleted": True}
-        assert (await waiting).value == {"changes": [change], "revision": 5}
-        empty = await self.get("/watch?prefix=a/&since=5&wait_ms=5")
-        assert empty.value == {"changes": [], "revision": 5}
-        assert (await self.get("/watch?prefix=a/&since=9&wait_ms=5")).status == 410
-
-    async def test_outage_refuses_and_changes_nothing(self) -> None:
-        await self.start()
-        waiting = self.begin(self.get("/watch?prefix=&since=0&wait_ms=10000"))
-        await self.until(lambda: self.server.counts().watches == 1)
-        control = await self.call(self.server.port, "POST", "/control", {"outage": True})
-        assert control.value["outage"] is True
-        assert (await waiting).status == 503
-        assert (await self.create("a")).status == 503
-        self.server.control({"outage": False})
-        assert (await self.get("/objects/a")).status == 404
-
-    async def test_lost_answer_is_a_change_made(self) -> None:
-        # Symptom: a write seemed to fail, and its repetition met a conflict.
-        # Sequence: the platform made the change, then the connection broke.
-        # Cause: no answer says nothing about whether the change was made.
-        await self.start()
-        self.server.control({"lose_answers": 1})
-        await self.cut(self.create("a"))
-        assert (await self.create("a")).status == 412
-
-    async def test_dropped_watch_stays_silent(self) -> None:
-        await self.start()
-        watch = "/watch?prefix=a&since=0&wait_ms=10000"
-        early = self.begin(self.get(watch))
-        await self.until(lambda: self.server.counts().watches == 1)
-        self.server.control({"drop_watches": True})
-        late = self.begin(self.get(watch))
-        await self.until(lambda: self.server.counts().watches == 2)
-        await self.create("a")
-        self.server.control({"drop_watches": False})
-        assert (await self.get(watch)).value["revision"] == 1
-        assert not (early.called or late.called)
-
-    async def test_rate_limit_tells_when_to_come_again(self) -> None:
-        await self.start(writes_per_s=1)
-        assert (await self.create("a")).status == 201
-        refused = await self.create("b")
-        assert (refused.status, refused.headers["retry-after"]) == (429, "1")
-        assert self.server.objects.revision == 1
-        assert self.server.counts().limited == 1
-
-    async def test_instances_report_and_leave(self) -> None:
-        await self.start()
-        first = (await self.get("/instances?since=0&wait_ms=0")).value
-        member = Member("i-1", "entry", "", HOST, 1, 2, "dc-a", "r", "live")
-        body = member._asdict()
-        waiting = self.begin(self.get(f"/instances?since={first['revision']}&wait_ms=10000"))
-        await self.until(lambda: self.server.counts().reads == 2)
-        put = await self.call(self.server.port, "PUT", "/instances/i-1", body)
-        assert put.status == 200
-        del body["static"]
-        assert (await waiting).value["instances"] == [body]
-        wrong = await self.call(self.server.port, "PUT", "/instances/i-2", body)
-        assert wrong.status == 400
-        await self.call(self.server.port, "DELETE", "/instances/i-1")
-        assert (await self.get("/instances")).value["instances"] == []
-
-    async def test_misspelt_switch_is_refused(self) -> None:
-        await self.start()
-        answer = await self.call(self.server.port, "POST", "/control", {"outtage": True})
-        assert answer.status == 400
-
-
 class EngineTest(StandInCase):
     """Test the engine."""
 
