--- /dev/null
+++ b/misc/measure_batch.py
@@ -0,0 +1,316 @@
+"""Measure what batch work costs as jobs grow: time, store calls and bytes, memory.
+
+Each size runs in a process of its own (python -m misc.measure_batch --items N), because the
+peak memory of a process never falls. Without --items, all sizes are run one after the other
+and a table is printed. The platform is a dictionary and the fleet answers at once, so the
+times are the processor time of batch work itself; lease and watch calls, which go by time
+and not by items, are counted apart.
+"""
+
+import argparse
+import json
+import random
+import resource
+import subprocess
+import sys
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+from twisted.internet import reactor, task
+from twisted.internet.defer import Deferred
+
+from papayapier.batch.api import BatchDeps, BatchDispatch, ItemCall
+from papayapier.batch.jobs import JobRequest
+from papayapier.batch.start import Batch, start_batch
+from papayapier.clock import Clock, real_clock
+from papayapier.config.profiles import Profile
+from papayapier.errors import Refusal
+from papayapier.metrics import make_metrics
+from papayapier.settings import BatchSettings
+from papayapier.store.api import (
+    Change,
+    Changes,
+    Entry,
+    Listing,
+    Members,
+    Store,
+    Stored,
+    StoreError,
+)
+from papayapier.upstream.api import Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZES: Final = (1_000, 10_000, 100_000, 750_000)
+CALLER: Final = "measure"
+URL: Final = "/v1/chat/completions"
+PROMPT: Final = "the truck at the north gate carries pruned branches and leaves " * 3
+ANSWER: Final = "accepted for the green heap " * 4
+PIECE_LINES: Final = 200
+ROOM: Final = 256
+POLL_MS: Final = 20
+BY_TIME: Final = ("sessions/", "leases/")
+WRITES: Final = ("create", "update", "delete")
+
+
+class Measured(NamedTuple):
+    """Hold the figures of one job; rates are per second, the rest per 1,000 items."""
+
+    items: int
+    upload_items_per_s: float
+    run_items_per_s: float
+    output_items_per_s: float
+    writes: float
+    deletes: float
+    reads: float
+    lists: float
+    bytes_written: float
+    bytes_read: float
+    by_time: int
+    base_mb: float
+    peak_mb: float
+
+
+class DictPlatform:
+    """Keep objects in a dictionary and count calls and bytes."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._objects: dict[str, Stored] = {}
+        self._revision = 0
+        self.calls: Counter[str] = Counter()
+        self.by_time = 0
+        self.written = 0
+        self.read = 0
+
+    def store(self) -> Store:
+        """Make the Store."""
+
+        async def members(_wait_ms: int, _since: int) -> Result[Members, StoreError]:
+            return Ok(Members([], 0))
+
+        async def nothing(*_: Any) -> Result[None, StoreError]:
+            return Ok(None)
+
+        return Store(
+            self._get,
+            self._create,
+            self._update,
+            self._delete,
+            self._list,
+            self._watch,
+            members,
+            nothing,
+            nothing,
+        )
+
+    def _count(self, call: str, key: str) -> None:
+        if key.startswith(BY_TIME):
+            self.by_time += 1
+        else:
+            self.calls[call] += 1
+
+    async def _get(self, key: str) -> Result[Stored, StoreError]:
+        self._count("get", key)
+        found = self._objects.get(key)
+        if found is None:
+            return Err(StoreError.NOT_FOUND)
+        self.read += len(found.value)
+        return Ok(found)
+
+    async def _create(self, key: str, value: bytes) -> Result[int, StoreError]:
+        return self._put("create", key, value, 0)
+
+    async def _update(self, key: str, value: bytes, version: int) -> Result[int, StoreError]:
+        return self._put("update", key, value, version)
+
+    def _put(self, call: str, key: str, value: bytes, version: int) -> Result[int, StoreError]:
+        self._count(call, key)
+        found = self._objects.get(key)
+        if (found.version if found else 0) != version:
+            return Err(StoreError.CONFLICT)
+        self._revision += 1
+        self.written += len(value)
+        self._objects[key] = Stored(key, self._revision, value)
+        return Ok(self._revision)
+
+    async def _delete(self, key: str, version: int) -> Result[int, StoreError]:
+        self._count("delete", key)
+        found = self._objects.get(key)
+        if found is None or found.version != version:
+            return Err(StoreError.CONFLICT)
+        del self._objects[key]
+        self._revision += 1
+        return Ok(self._revision)
+
+    async def _list(self, prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
+        self._count("list", prefix)
+        keys = sorted(key for key in self._objects if key.startswith(prefix) and key > after)
+        page = [Entry(key, self._objects[key].version) for key in keys[:limit]]
+        return Ok(Listing(page, len(keys) > limit, self._revision))
+
+    async def _watch(self, _prefix: str, since: int, wait_ms: int) -> Result[Changes, StoreError]:
+        self.by_time += 1
+        await self._clock.sleep(wait_ms)
+        changes: list[Change] = []
+        return Ok(Changes(changes, since))
+
+
+def instant_dispatch() -> BatchDispatch:
+    """Make a dispatch that answers every item at once."""
+    body = json.dumps(
+        {
+            "id": "x" * 32,
+            "object": "chat.completion",
+            "choices": [{"index": 0, "message": {"role": "assistant", "content": ANSWER}}],
+            "usage": {"prompt_tokens": 40, "completion_tokens": 20},
+        }
+    ).encode()
+    reply = Reply(200, "application/json", body, "", 20, "stop", None, 1, 1)
+
+    async def run(call: ItemCall) -> Result[Reply, Refusal]:
+        assert call.still_allowed()
+        return Ok(reply)
+
+    return BatchDispatch(lambda _: ROOM, run, lambda _: None)
+
+
+async def measure(items: int) -> Measured:
+    """Run one job of so many items and return its figures."""
+    clock = real_clock()
+    platform = DictPlatform(clock)
+    batch = start_batch(_deps(clock, platform.store()))
+    await clock.sleep(200)
+    base_mb = _peak_mb()
+    started = time.perf_counter()
+    file_id = await _upload(batch, clock, items)
+    uploaded = time.perf_counter()
+    request = JobRequest(CALLER, "", file_id, URL, "24h", {}, "notes", 0)
+    job_id = (await batch.jobs.accept(request)).unwrap().record.job_id
+    while job_id in batch.registry.jobs:
+        await clock.sleep(POLL_MS)
+    ran = time.perf_counter()
+    calls = Counter(platform.calls)
+    written, read, by_time = platform.written, platform.read, platform.by_time
+    count = await _count_output(batch, job_id)
+    assert count == items, f"{count} results for {items} items"
+    ended = time.perf_counter()
+    # The dictionary stands for the platform, so its content is not part of the instance.
+    kept_mb = sum(len(one.value) for one in platform._objects.values()) / 1e6
+    await batch.stop()
+    per = 1_000 / items
+    return Measured(
+        items=items,
+        upload_items_per_s=round(items / (uploaded - started)),
+        run_items_per_s=round(items / (ran - uploaded)),
+        output_items_per_s=round(items / (ended - ran)),
+        writes=round((calls["create"] + calls["update"]) * per, 3),
+        deletes=round(calls["delete"] * per, 3),
+        reads=round(calls["get"] * per, 3),
+        lists=round(calls["list"] * per, 3),
+        bytes_written=round(written * per),
+        bytes_read=round(read * per),
+        by_time=by_time,
+        base_mb=round(base_mb, 1),
+        peak_mb=round(_peak_mb() - kept_mb, 1),
+    )
+
+
+def _deps(clock: Clock, store: Store) -> BatchDeps:
+    return BatchDeps(
+        clock=clock,
+        rand=random.Random(1),
+        store=store,
+        dispatch=instant_dispatch(),
+        cfg=BatchSettings(),
+        instance="measure",
+        boot=1,
+        profile={"notes": Profile("notes", "lm", "batch", 86_400_000, True)}.get,
+        live_instances=lambda: ["measure"],
+        tell_peers=lambda _: None,
+        metrics=make_metrics(),
+    )
+
+
+async def _upload(batch: Batch, clock: Clock, items: int) -> str:
+    intake = batch.new_file(CALLER, "measure.jsonl", "batch")
+    for start in range(0, items, PIECE_LINES):
+        lines = [_line(n) for n in range(start, min(items, start + PIECE_LINES))]
+        refusal = await intake.feed(b"".join(lines))
+        assert refusal is None, refusal
+        await clock.sleep(0)
+    return (await intake.finish()).unwrap().file_id
+
+
+def _line(number: int) -> bytes:
+    body = f'{{"messages":[{{"role":"user","content":"{PROMPT}"}}],"max_tokens":32}}'
+    return (
+        f'{{"custom_id":"note-{number}","method":"POST","url":"{URL}","body":{body}}}\n'
+    ).encode()
+
+
+async def _count_output(batch: Batch, job_id: str) -> int:
+    output = (await batch.views.output(CALLER, f"file-out-{job_id}")).unwrap()
+    failed: list[Any] = []
+    count = 0
+    async for piece in batch.views.output_lines(output, failed.append):
+        count += piece.count(b"\n")
+    assert not failed, failed
+    return count
+
+
+def _peak_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_000
+
+
+def run_one(items: int) -> None:
+    """Measure one size in this process and print it as JSON."""
+    shown: list[Measured] = []
+
+    def main(_reactor: Any) -> Deferred[None]:
+        async def work() -> None:
+            shown.append(await measure(items))
+
+        return Deferred.fromCoroutine(work())
+
+    start: Callable[..., Any] = task.react
+    try:
+        start(main, [], reactor)
+    except SystemExit as exc:
+        if exc.code:
+            raise
+    print(json.dumps(shown[0]._asdict()))
+
+
+def run_all(as_json: bool, sizes: tuple[int, ...]) -> None:
+    """Measure every size, each in a process of its own, and print a table."""
+    rows = []
+    for items in sizes:
+        command = [sys.executable, "-m", "misc.measure_batch", "--items", str(items)]
+        done = subprocess.run(command, check=True, capture_output=True, text=True)
+        rows.append(json.loads(done.stdout.splitlines()[-1]))
+    if as_json:
+        print(json.dumps(rows, indent=2))
+        return
+    for name in Measured._fields:
+        print(f"{name:<20}" + "".join(f"{row[name]:>14,}" for row in rows))
+
+
+def main() -> None:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--items", type=int, help="measure one size in this process")
+    parser.add_argument("--most", type=int, default=SIZES[-1], help="leave out larger sizes")
+    parser.add_argument("--json", action="store_true", help="print JSON and no table")
+    options = parser.parse_args()
+    if options.items:
+        run_one(options.items)
+    else:
+        run_all(options.json, tuple(size for size in SIZES if size <= options.most))
+
+
+if __name__ == "__main__":
+    main()
--- a/papayapier/batch/keeper.py
+++ b/papayapier/batch/keeper.py
@@ -72,12 +72,12 @@
 
     def hold(self, shard: int) -> ShardHold | None:
         """Return the hold of a shard that is ours now or waits to be confirmed."""
-        lease = self._leases[shard]
-        return self._holds[shard] if lease.ours() or lease.doubtful() else None
+        hold = self._holds[shard]
+        return hold if hold.ours or hold.doubtful else None
 
     def may_commit(self, shard: int) -> bool:
         """Tell whether progress of a shard may be stored now."""
-        return self._leases[shard].ours() and self.session.may_act()
+        return self._holds[shard].ours and self.session.may_act()
 
     def may_send(self, shard: int, idempotent: bool) -> bool:
         """Tell whether items of a shard may be sent now.
@@ -92,7 +92,7 @@
 
     def held(self) -> list[int]:
         """Return the shards that are ours."""
-        return [shard for shard, lease in enumerate(self._leases) if lease.ours()]
+        return [hold.shard for hold in self._holds if hold.ours]
 
     # Rounds
 
@@ -132,7 +132,7 @@
             self._lapse()
         if not await self.session.renew():
             return False
-        if any(lease.doubtful() for lease in self._leases):
+        if any(hold.doubtful for hold in self._holds):
             await self._confirm()
         if not await self._observe():
             return False
@@ -148,9 +148,9 @@
     async def _confirm(self) -> None:
         """Write each doubtful lease once more: whoever is second in this conflicts."""
         for shard, lease in enumerate(self._leases):
-            if lease.doubtful():
+            if self._holds[shard].doubtful:
                 await self._confirm_one(shard, lease)
-        if any(lease.doubtful() for lease in self._leases):
+        if any(hold.doubtful for hold in self._holds):
             return
         events.emit(events.LEASES_REVIVED, shards=len(self.held()))
         self._calls.on_revived()
--- a/papayapier/batch/leases.py
+++ b/papayapier/batch/leases.py
@@ -46,20 +46,19 @@
     def state(self) -> str:
         """Return the name of the state."""
 
-    def ours(self) -> bool:
-        """Tell whether the work is ours, as far as the lease goes."""
-
-    def doubtful(self) -> bool:
-        """Tell whether the lease waits to be confirmed."""
-
 
 class ShardHold:
-    """Hold what is known of one shard's lease while it is ours."""
+    """Hold what is known of one shard's lease while it is ours.
+
+    ours and doubtful repeat the state, because they are asked for with every item.
+    """
 
-    __slots__ = ("fence", "lossy", "shard", "version")
+    __slots__ = ("doubtful", "fence", "lossy", "ours", "shard", "version")
 
     def __init__(self, shard: int) -> None:
         self.shard = shard
+        self.ours = False
+        self.doubtful = False
         self.fence = 0
         self.version = 0
         self.lossy = False
@@ -74,7 +73,6 @@
 
 _away.upon(Lease.take).to(_taking).returns(None)
 _taking.upon(Lease.not_taken).to(_away).returns(None)
-_held.upon(Lease.lapse).to(_doubtful).returns(False)
 _held.upon(Lease.release).to(_releasing).returns(None)
 
 for _state in (_away, _taking, _doubtful):
@@ -82,7 +80,6 @@
     _state.upon(Lease.release).loop().returns(None)
 for _state in (_away, _taking, _held, _releasing):
     _state.upon(Lease.confirmed).loop().returns(None)
-    _state.upon(Lease.doubtful).loop().returns(False)
 for _state in (_away, _taking, _held, _doubtful):
     _state.upon(Lease.released).loop().returns(False)
 for _state in (_away, _held, _doubtful, _releasing):
@@ -90,11 +87,6 @@
     _state.upon(Lease.not_taken).loop().returns(None)
 for _state in (_taking, _held, _doubtful, _releasing):
     _state.upon(Lease.take).loop().returns(None)
-for _state in (_away, _taking, _doubtful):
-    _state.upon(Lease.ours).loop().returns(False)
-for _state in (_held, _releasing):
-    _state.upon(Lease.ours).loop().returns(True)
-_doubtful.upon(Lease.doubtful).loop().returns(True)
 _away.upon(Lease.lose).loop().returns(False)
 _taking.upon(Lease.lose).to(_away).returns(False)
 _away.upon(Lease.state).loop().returns("away")
@@ -109,16 +101,27 @@
     hold.version = version
     hold.fence = version
     hold.lossy = lossy
+    hold.ours = True
     events.emit(events.SHARD_TAKEN, shard=hold.shard, fence=version, lossy=lossy)
 
 
 @_doubtful.upon(Lease.confirmed).to(_held)
 def _go_on(_: Lease, hold: ShardHold, version: int) -> None:
     hold.version = version
+    hold.ours = True
+    hold.doubtful = False
+
+
+@_held.upon(Lease.lapse).to(_doubtful)
+def _doubt(_: Lease, hold: ShardHold) -> bool:
+    hold.ours = False
+    hold.doubtful = True
+    return False
 
 
 @_releasing.upon(Lease.released).to(_away)
 def _end(_: Lease, hold: ShardHold) -> bool:
+    hold.ours = False
     events.emit(events.SHARD_RELEASED, shard=hold.shard)
     return True
 
@@ -128,6 +131,8 @@
 @_releasing.upon(Lease.lose).to(_away)
 @_releasing.upon(Lease.lapse).to(_away)
 def _drop(_: Lease, hold: ShardHold) -> bool:
+    hold.ours = False
+    hold.doubtful = False
     events.emit(events.SHARD_LOST, shard=hold.shard)
     return True
 
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -13,10 +13,11 @@
 from functools import partial
 from typing import Any, TypeVar
 
-from result import Ok, Result
+import logbook
+from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
-from papayapier import invariants
+from papayapier import events, invariants
 from papayapier.batch.api import BatchDeps, BatchDispatch, ItemCall
 from papayapier.batch.jobs import JobRequest
 from papayapier.batch.lookup import FoundJob
@@ -24,7 +25,7 @@
 from papayapier.batch.start import Batch, start_batch
 from papayapier.clock import Clock, fake_clock
 from papayapier.config.profiles import Profile
-from papayapier.errors import Refusal
+from papayapier.errors import Outcome, Refusal
 from papayapier.metrics import make_metrics
 from papayapier.peer.messages import Message
 from papayapier.settings import BatchSettings
@@ -45,6 +46,22 @@
 }
 
 
+class BrokenWork(logbook.Handler):  # type: ignore[misc]
+    """Collect the failures of background work, which are logged and not raised."""
+
+    def __init__(self) -> None:
+        super().__init__(logbook.ERROR, bubble=True)
+        self.seen: list[Any] = []
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        if record.extra["event"] is events.BATCH_BROKEN:
+            self.seen.append(record.extra["fields"])
+
+
+BROKEN_WORK = BrokenWork()
+BROKEN_WORK.push_application()
+
+
 class Gate:
     """Hold back what would run in an instance that is paused."""
 
@@ -145,7 +162,7 @@
             self.runs[call.call_id] += 1
             self.on_run(instance, call)
             if not self.hold:
-                return self.answer(call)
+                return self._end(call)
             running.add(call.call_id)
             try:
                 return await gate.behind(self._wait(call))
@@ -167,7 +184,13 @@
         """Answer items that are held."""
         for _ in range(min(most, len(self.held))):
             call, waiting = self.held.pop(0)
-            waiting.callback(self.answer(call))
+            waiting.callback(self._end(call))
+
+    def _end(self, call: ItemCall) -> Answer:
+        answer = self.answer(call)
+        if isinstance(answer, Err) and answer.err_value.outcome is Outcome.NOT_RUN:
+            self.runs[call.call_id] -= 1
+        return answer
 
 
 def reply(text: str, status: int = 200) -> Reply:
@@ -190,6 +213,7 @@
     def __init__(self, cfg: BatchSettings = DEFAULTS, clock: Clock | None = None) -> None:
         invariants.raise_on_failure(True)
         invariants.BROKEN.clear()
+        BROKEN_WORK.seen.clear()
         self.fake = fake_clock()
         self.clock = clock or self.fake.clock
         self.platform = FakePlatform(self.clock)
@@ -238,6 +262,7 @@
         for _ in range(0, ms, step):
             self.fake.advance(step)
         assert invariants.broken_count() == 0, invariants.BROKEN
+        assert BROKEN_WORK.seen == []
 
     def upload(self, batch: Batch, count: int) -> FileRecord:
         """Upload a file of so many items."""
