Hold back what no replica can run, and count on slow runs when refusing

Change: has_room and choose count the unseen sends of the other instances like our own (LoadBook.online_pressure); the duration counted on is mean plus three mean deviations, learnt over some fifty ends; an upstream counts as stopped only after a report could have come. Dispatch should ask routing.has_room.

--- /dev/null
+++ b/misc/policy_sim/overload_run.py
@@ -0,0 +1,205 @@
+"""Compare ways of holding requests back when more come than the replicas can run.
+
+Run as: python -m misc.policy_sim.overload_run [--seed N] [--seconds S]
+Six instances send to nine replicas through their admission queues; every request is due in
+1.5 s. Goodput is the share of the fleet's capacity that ended in answers in time.
+"""
+
+import argparse
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Final, NamedTuple
+
+from misc.policy_sim.engine import Engine, EngineModel, Loop, Sequence
+from misc.policy_sim.routing_run import (
+    HEARTBEAT_MS,
+    LINK_MS,
+    MEAN_TOKENS,
+    POLL_MS,
+    REPLICAS,
+    UPSTREAM,
+    Node,
+    at,
+)
+from papayapier.peer.messages import ReplicaUse
+from papayapier.policy.admission import AdmissionQueue, Waiting
+from papayapier.policy.routing import RouteRequest, choose, has_room
+from papayapier.upstream.api import Replica
+
+DUE_MS: Final = 1_500
+TICK_MS: Final = 10.0
+WARM_UP_MS: Final = 3_000.0
+UNBOUNDED: Final = 1_000_000
+
+HEAD: Final = (
+    "load  skew  gate       goodput  late  refused  given up  engine p99  first p50   p99  peak"
+)
+
+Gate = Callable[[Node, int], bool]
+
+
+class Row(NamedTuple):
+    """Hold the measures of one run."""
+
+    in_time: float
+    late: int
+    refused: int
+    given_up: int
+    engine_wait_p99: float
+    first_p50: float
+    first_p99: float
+    peak_waiting: int
+
+
+def open_gate(node: Node, now: int) -> bool:
+    """Send everything at once."""
+    return True
+
+
+def estimate_gate(node: Node, now: int) -> bool:
+    """Send while some replica's estimate is below its slots."""
+    return any(node.book.estimate(key, now) < node.book.slots(key) for key in node.ids)
+
+
+def policy_gate(node: Node, now: int) -> bool:
+    """Send as the product does."""
+    return has_room(node.book, node.outliers, UPSTREAM, now)
+
+
+GATES: Final[dict[str, Gate]] = {
+    "no gate": open_gate,
+    "estimate": estimate_gate,
+    "policy": policy_gate,
+}
+
+
+class Run:
+    """Hold one run's fleet and measures."""
+
+    def __init__(self, gate: Gate, load: float, skew: float, seed: int) -> None:
+        self.gate = gate
+        self.loop = Loop()
+        self.rand = random.Random(seed)
+        model = EngineModel()
+        self.engines = {f"r{i}": Engine(self.loop, model) for i in range(REPLICAS)}
+        replicas = [Replica(k, UPSTREAM, "", 0, f"dc{i % 3}") for i, k in enumerate(self.engines)]
+        self.nodes = [Node(i, replicas, seed) for i in range(6)]
+        self.weights = [skew, 1.0, 1.0, 1.0, 1.0, 1.0]
+        self.queues = {node.name: AdmissionQueue(UNBOUNDED) for node in self.nodes}
+        full_step = model.base_ms + model.per_sequence_ms * model.slots
+        self.capacity_per_ms = REPLICAS * model.slots / full_step / MEAN_TOKENS
+        self.per_ms = load * self.capacity_per_ms
+        self.ticket = 0
+        self.counts = {"in_time": 0, "late": 0, "refused": 0, "given_up": 0}
+        self.engine_waits: list[float] = []
+        self.firsts: list[float] = []
+        self.peak = 0
+
+    def go(self, seconds: float) -> Row:
+        """Run and return the measures."""
+        for node in self.nodes:
+            for key in self.engines:
+                offset = self.rand.uniform(0, POLL_MS)
+                self.loop.every(POLL_MS, offset, partial(self._poll, node, key))
+            self.loop.every(
+                HEARTBEAT_MS, self.rand.uniform(0, HEARTBEAT_MS), partial(self._beat, node)
+            )
+            self.loop.every(TICK_MS, self.rand.uniform(0, TICK_MS), partial(self._pump, node))
+        self._arrive()
+        self.loop.run(seconds * 1000)
+        capacity = self.capacity_per_ms * (seconds * 1000 - WARM_UP_MS)
+        return Row(
+            self.counts["in_time"] / capacity,
+            self.counts["late"],
+            self.counts["refused"],
+            self.counts["given_up"],
+            at(self.engine_waits, 0.99),
+            at(self.firsts, 0.5),
+            at(self.firsts, 0.99),
+            self.peak,
+        )
+
+    def _poll(self, node: Node, key: str) -> None:
+        node.book.on_report(key, self.engines[key].report())
+
+    def _beat(self, node: Node) -> None:
+        uses = node.book.uses()
+        for peer in self.nodes:
+            if peer is not node:
+                self.loop.after(LINK_MS, partial(self._hear, peer, node.name, uses))
+
+    def _hear(self, node: Node, peer: str, uses: list[ReplicaUse]) -> None:
+        node.book.on_peer_uses(peer, uses, int(self.loop.now))
+
+    def _arrive(self) -> None:
+        self.loop.after(self.rand.expovariate(self.per_ms), self._arrive)
+        node = self.rand.choices(self.nodes, self.weights)[0]
+        now = int(self.loop.now)
+        self.ticket += 1
+        caller = f"c{self.ticket % 4}"
+        item = Waiting(self.ticket, caller, UPSTREAM, "chat", "normal", now + DUE_MS, 1.0, now)
+        if self.queues[node.name].offer(item, now).is_err():
+            self._count("refused")
+        self._pump(node)
+
+    def _count(self, end: str) -> None:
+        if self.loop.now >= WARM_UP_MS:
+            self.counts[end] += 1
+
+    def _pump(self, node: Node) -> None:
+        now = int(self.loop.now)
+        queue = self.queues[node.name]
+        for _ in queue.expired(now):
+            self._count("given_up")
+        while (item := queue.take(now, lambda _: self.gate(node, now))) is not None:
+            queue.on_started(UPSTREAM, 1.0, now)
+            self._send(node, item)
+
+    def _send(self, node: Node, item: Waiting) -> None:
+        begun = self.loop.now
+        req = RouteRequest(UPSTREAM, "", node.data_centre)
+        key = choose(node.book, node.outliers, req, node.rand, int(begun))
+        assert key is not None
+        node.book.on_sent(key, False, int(begun))
+        tokens = max(1, round(self.rand.expovariate(1 / MEAN_TOKENS)))
+
+        def ended(_: bool) -> None:
+            self.loop.after(LINK_MS, done)
+
+        def done() -> None:
+            now = int(self.loop.now)
+            node.book.on_done(key, False, now)
+            self.queues[node.name].on_ended(UPSTREAM, 1.0, int(begun), now, "chat")
+            self._count("in_time" if now <= item.due_ms else "late")
+            if begun >= WARM_UP_MS:
+                self.engine_waits.append(seq.first_ms - begun)
+                self.firsts.append(seq.first_ms + LINK_MS - item.enqueued_ms)
+            self._pump(node)
+
+        seq = Sequence(tokens, 0.0, ended)
+        self.loop.after(LINK_MS, partial(self.engines[key].submit, seq))
+        self.peak = max(self.peak, len(self.engines[key].waiting))
+
+
+def main() -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=13.0)
+    args = parser.parse_args()
+    print(
+        "load  skew  gate       goodput  late  refused  given up  engine p99  first p50   p99  peak"
+    )
+    for load, skew in ((0.9, 1.0), (1.2, 1.0), (2.0, 1.0), (4.0, 1.0), (2.0, 20.0)):
+        for name, gate in GATES.items():
+            row = Run(gate, load, skew, args.seed).go(args.seconds)
+            print(
+                f"{load:4.1f}  {skew:4.0f}  {name:<9}{row.in_time:9.2f}{row.late:6d}"
+                f"{row.refused:9d}{row.given_up:10d}{row.engine_wait_p99:12.1f}{row.first_p50:11.1f}"
+                f"{row.first_p99:6.0f}{row.peak_waiting:6d}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -26,12 +26,23 @@
     begin: int
     end: int
     change: int
+    own_online: bool
 
 
 class _Row:
     """Hold what is known of one replica."""
 
-    __slots__ = ("batch", "load", "online", "peer_batch", "peer_online", "peers", "since", "steps")
+    __slots__ = (
+        "batch",
+        "load",
+        "online",
+        "peer_batch",
+        "peer_online",
+        "peers",
+        "since",
+        "since_own",
+        "steps",
+    )
 
     def __init__(self) -> None:
         self.load: Load | None = None
@@ -42,6 +53,7 @@
         self.peer_batch = 0
         self.steps: deque[_Step] = deque()
         self.since = 0.0
+        self.since_own = 0
 
 
 class LoadBook:
@@ -72,7 +84,9 @@
         taken = load.at_ms - self._lag_ms
         while row.steps and row.steps[0].end <= taken:
             row.steps.popleft()
-        row.since = sum(_part_after(step, taken) for step in row.steps)
+        row.since = sum(_part_after(step, taken) for step in row.steps if not step.own_online)
+        own = (step for step in row.steps if step.own_online and step.end > taken)
+        row.since_own = sum(step.change for step in own)
 
     def on_sent(self, replica_id: str, batch: bool, now: int) -> None:
         """Count a call that this instance has opened."""
@@ -107,7 +121,21 @@
         load = row.load
         if load is None or now - load.at_ms > REPORT_STALE_MS:
             return float(own + row.peer_online + row.peer_batch)
-        return max(float(own), load.running + load.waiting + row.since)
+        return max(float(own), load.running + load.waiting + row.since + row.since_own)
+
+    def online_pressure(self, replica_id: str, now: int) -> float:
+        """Estimate the online calls at a replica as if all instances had sent like this one.
+
+        Only what this instance sent since the last report is known at once. At the limit of
+        a replica the others do the same in the same moment, and together they would pass it
+        by their number.
+        """
+        row = self._rows.get(replica_id)
+        if row is None:
+            return 0.0
+        batch = row.batch + row.peer_batch
+        unseen = max(0, row.since_own) * len(row.peers)
+        return max(float(row.online), self.estimate(replica_id, now) - batch + unseen)
 
     def online_at(self, replica_id: str) -> int:
         """Return the online calls known to be open, ours and the peers'."""
@@ -159,12 +187,13 @@
 
     def _count(self, replica_id: str, batch: bool, change: int, now: int) -> None:
         row = self._row(replica_id)
+        row.steps.append(_Step(now, now, change, not batch))
         if batch:
             row.batch += change
+            row.since += change
         else:
             row.online += change
-        row.steps.append(_Step(now, now, change))
-        row.since += change
+            row.since_own += change
 
     def _set_peer(self, peer: str, use: ReplicaUse, told_at: int, now: int) -> None:
         row = self._row(use.replica)
@@ -176,7 +205,7 @@
         change = use.online + use.batch - online - batch
         if change == 0 or row.load is None:
             return
-        step = _Step(told_at, now, change)
+        step = _Step(told_at, now, change, False)
         row.steps.append(step)
         row.since += _part_after(step, row.load.at_ms - self._lag_ms)
 
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -28,6 +28,7 @@
 DRAWS: Final = 5
 OTHERS_SHARE: Final = 0.5
 BATCH_WEIGHT: Final = 0.5
+FULL_FACTOR: Final = 1.15
 NEAR_BONUS_CALLS: Final = 0.5
 AFFINITY_FACTOR: Final = 1.25
 AFFINITY_SLACK_CALLS: Final = 1.0
@@ -59,10 +60,25 @@
         cached = _cached(book, usable, req, now)
         if cached is not None:
             return cached
+    usable = [replica for replica in usable if not _full(book, replica, now)] or usable
     drawn = usable if len(usable) <= DRAWS else rand.sample(usable, DRAWS)
     return min(drawn, key=lambda replica: (_cost(book, replica, req, now), rand.random())).id
 
 
+def has_room(book: LoadBook, outliers: Outliers, upstream: str, now: int) -> bool:
+    """Tell whether some replica could run one more online call at once.
+
+    Engines queue in order of arrival and know no priorities: a call that waits in an engine
+    can no longer be overtaken by an urgent one, so it waits in the admission queue instead.
+    Batch streams do not count, since they give way. A few calls more than there are slots
+    keep a replica busy until the next report.
+    """
+    return any(
+        not _full(book, replica, now) and not outliers.ejected(replica.id, now)
+        for replica in book.usable(upstream, now)
+    )
+
+
 def subset(replica_ids: Sequence[str], instance_id: str, size: int) -> list[str]:
     """Return the replicas that an instance talks to, at most size of them.
 
@@ -83,6 +99,10 @@
     return next(within, None)
 
 
+def _full(book: LoadBook, replica: Replica, now: int) -> bool:
+    return book.online_pressure(replica.id, now) >= FULL_FACTOR * book.slots(replica.id)
+
+
 def _cost(book: LoadBook, replica: Replica, req: RouteRequest, now: int) -> float:
     own = book.own(replica.id)
     others = max(0.0, book.estimate(replica.id, now) - own.online - own.batch)
--- a/papayapier/policy/service_rate.py
+++ b/papayapier/policy/service_rate.py
@@ -4,7 +4,7 @@
 little about what it can do. Old observations fade with the time spent waiting. Where nobody
 has waited yet, the rate is what the calls in flight and their duration imply (Little's law).
 An upstream that stops taking altogether is seen before the average says so: the time since
-the last start bounds the rate.
+the last start bounds the rate, after a grace that covers the gap between two load reports.
 """
 
 import math
@@ -13,8 +13,19 @@
 HALF_LIFE_MS: Final = 2_000.0
 SEED_MS: Final = 200.0
 SILENT_STARTS: Final = 3.0
+SILENT_GRACE_MS: Final = 500
 RESEED_AFTER_MS: Final = 5_000
-DURATION_WEIGHT: Final = 0.1
+DURATION_WEIGHT: Final = 0.02
+DEVIATIONS: Final = 3.0
+
+
+class _Duration:
+    __slots__ = ("count", "deviation_ms", "mean_ms")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean_ms = 0.0
+        self.deviation_ms = 0.0
 
 
 class ServiceRate:
@@ -23,19 +34,17 @@
     __slots__ = (
         "_backlog_since",
         "_cost",
-        "_deviation_ms",
+        "_durations",
         "_idle_since",
         "_in_flight",
         "_last_taken",
         "_mark",
-        "_mean_ms",
         "_span_ms",
     )
 
     def __init__(self) -> None:
         self._in_flight = 0.0
-        self._mean_ms: dict[str, float] = {}
-        self._deviation_ms: dict[str, float] = {}
+        self._durations: dict[str, _Duration] = {}
         self._cost = 0.0
         self._span_ms = 0.0
         self._mark = 0
@@ -50,14 +59,13 @@
     def on_ended(self, cost: float, profile: str, duration_ms: float) -> None:
         """Count an end."""
         self._in_flight = max(0.0, self._in_flight - cost)
-        mean = self._mean_ms.get(profile)
-        if mean is None:
-            self._mean_ms[profile] = duration_ms
-            self._deviation_ms[profile] = 0.0
-            return
-        self._mean_ms[profile] = mean + DURATION_WEIGHT * (duration_ms - mean)
-        deviation = self._deviation_ms[profile]
-        self._deviation_ms[profile] += DURATION_WEIGHT * (abs(duration_ms - mean) - deviation)
+        known = self._durations.setdefault(profile, _Duration())
+        known.count += 1
+        weight = max(DURATION_WEIGHT, 1 / known.count)
+        off = duration_ms - known.mean_ms
+        known.mean_ms += weight * off
+        if known.count > 1:
+            known.deviation_ms += weight * (abs(off) - known.deviation_ms)
 
     def on_backlog(self, now: int) -> None:
         """Take that requests are waiting because no replica takes another."""
@@ -95,20 +103,23 @@
             return None
         if span == 0.0:
             return None
-        silent_ms = max(1, now - self._last_taken)
+        silent_ms = max(1, now - self._last_taken - SILENT_GRACE_MS)
         return min(self._cost / span, SILENT_STARTS / silent_ms)
 
     def duration_ms(self, profile: str) -> float:
-        """Return how long a request of a profile is likely to run; 0 when not known."""
-        if profile not in self._mean_ms:
-            return 0.0
-        return self._mean_ms[profile] + self._deviation_ms[profile]
+        """Return how long a request of a profile may well run; 0 when not known.
+
+        Counting on the mean, every second request that has waited would end too late, and
+        the replica's work on it would be lost, most of all under overload.
+        """
+        known = self._durations.get(profile)
+        return known.mean_ms + DEVIATIONS * known.deviation_ms if known else 0.0
 
     def _implied(self) -> float:
-        if not self._mean_ms or self._in_flight == 0.0:
+        if not self._durations or self._in_flight == 0.0:
             return 0.0
-        mean = sum(self._mean_ms.values()) / len(self._mean_ms)
-        return self._in_flight / max(1.0, mean)
+        means = [known.mean_ms for known in self._durations.values()]
+        return self._in_flight / max(1.0, sum(means) / len(means))
 
     def _fade(self, now: int) -> None:
         passed = now - self._mark
