Bound what callers send and leave unread; answer every failure as JSON

Cause: twisted.web keeps a whole body before a route runs, with or without a stated length, and closing while the caller still sends loses the answer; unknown paths and unexpected exceptions gave HTML; a caller that reads nothing made the instance keep its whole stream; a number header with a superscript digit raised; the event with finish_reason but no text was not passed on; a caller that left was logged as a refusal; "first token" left out the time in the queue and in failed attempts. A stream's writer is bounded at 256 kB unread, then the connection is aborted (event 210) and the work cancelled. Whole answers state their length. A request whose model belongs to another upstream than its profile is refused. Conclusion: what a caller can make an instance hold is bounded, and each refusal has the one form.

--- a/papayapier/entry/answers.py
+++ b/papayapier/entry/answers.py
@@ -51,4 +51,10 @@
     """Set the status and headers of a JSON answer and return its body."""
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", JSON_TYPE)
-    return codec.to_json(value)
+    return whole_body(request, codec.to_json(value))
+
+
+def whole_body(request: "WebRequest", body: bytes) -> bytes:
+    """State the length of a body, so that its reader sees when it was cut short."""
+    request.setHeader(b"Content-Length", str(len(body)).encode())
+    return body
--- a/papayapier/entry/chat.py
+++ b/papayapier/entry/chat.py
@@ -6,9 +6,16 @@
 
 from typing import TYPE_CHECKING, Final, NamedTuple, TypedDict
 
+import msgspec
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+from papayapier import codec, events
 from papayapier.entry.answers import refusal_body, reply_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from papayapier.entry.web import WebRequest
     from papayapier.errors import Refusal
     from papayapier.upstream.api import Reply, Token
@@ -17,6 +24,8 @@
 COMPLETIONS_PATH: Final = "/v1/completions"
 STREAM_TYPE: Final = b"text/event-stream"
 STREAM_END: Final = b"data: [DONE]\n\n"
+# Beyond what the transport and the kernel hold; some thousand tokens.
+MAX_UNREAD_BYTES: Final = 256_000
 
 
 class ChatMessage(TypedDict):
@@ -42,6 +51,18 @@
     finish_reason: str
 
 
+class Delta(TypedDict):
+    """Hold the piece of a chat stream, which is empty in the last event."""
+
+
+class ChatEnd(TypedDict):
+    """Hold the one choice of the event that ends a chat stream."""
+
+    index: int
+    delta: Delta
+    finish_reason: str
+
+
 class Usage(NamedTuple):
     """Count the tokens generated."""
 
@@ -49,53 +70,157 @@
 
 
 class Completion(NamedTuple):
-    """Hold a whole answer in the OpenAI form."""
+    """Hold a whole answer, or the event that ends a stream, in the OpenAI form."""
 
     id: str
     model: str
-    choices: tuple[ChatChoice | TextChoice, ...]
+    choices: tuple[ChatChoice | ChatEnd | TextChoice, ...]
     usage: Usage
     object: str
 
 
+class _EventChoice(TypedDict, total=False):
+    finish_reason: str | None
+
+
+class _Event(TypedDict):
+    choices: list[_EventChoice]
+
+
+_EVENT: Final = msgspec.json.Decoder(_Event)
+
+
 class ChatAnswer:
     """Own the caller's side of one generated answer."""
 
-    __slots__ = ("_model", "_path", "_request", "_stream", "started")
+    __slots__ = ("_last", "_model", "_now", "_path", "_reader", "_request", "_stream", "first_ms")
 
-    def __init__(self, request: "WebRequest", path: str, model: str, stream: bool) -> None:
+    def __init__(
+        self,
+        request: "WebRequest",
+        path: str,
+        model: str,
+        stream: bool,
+        now: "Callable[[], int]",
+    ) -> None:
         self._request = request
         self._path = path
         self._model = model
         self._stream = stream
-        self.started = False
+        self._now = now
+        self._reader: _Reader | None = None
+        self._last = b""
+        self.first_ms = 0
 
     def on_token(self, token: "Token") -> None:
         """Pass one event of the stream on to the caller."""
+        if not self.first_ms:
+            self.first_ms = self._now()
         if not self._stream:
             return
-        if not self.started:
-            self.started = True
-            self._request.setHeader(b"Content-Type", STREAM_TYPE)
-            self._request.setHeader(b"Cache-Control", b"no-store")
-        self._request.write(b"data: " + token.data + b"\n\n")
+        if self._reader is None:
+            self._reader = self._start()
+        self._last = token.data
+        self._reader.write(b"data: " + token.data + b"\n\n")
+
+    def _start(self) -> "_Reader":
+        self._request.setHeader(b"Content-Type", STREAM_TYPE)
+        self._request.setHeader(b"Cache-Control", b"no-store")
+        return _Reader(self._request)
 
-    def finish(self, call_id: str, reply: "Reply") -> bytes | None:
+    def started(self) -> bool:
+        """Tell whether a part of the answer has gone out."""
+        return self._reader is not None
+
+    def finish(self, call_id: str, reply: "Reply") -> bytes:
         """End the answer; the end mark tells the caller that it is whole."""
-        if self._stream:
+        if not self._stream:
+            return reply_json(self._request, self._whole(call_id, reply))
+        if self._reader is None:
+            self._reader = self._start()
+        self._reader.end()
+        if _says_finish(self._last):
             return STREAM_END
+        # An engine may tell the reason in an event without a token, which is not passed on.
+        return b"data: " + codec.to_json(self._end(call_id, reply)) + b"\n\n" + STREAM_END
+
+    def _whole(self, call_id: str, reply: "Reply") -> Completion:
         kind = "chat.completion" if self._path == CHAT_PATH else "text_completion"
-        choices = (self._choice(reply),)
-        body = Completion(call_id, self._model, choices, Usage(reply.tokens), kind)
-        return reply_json(self._request, body)
+        usage = Usage(reply.tokens)
+        return Completion(call_id, self._model, (self._choice(reply),), usage, kind)
 
     def _choice(self, reply: "Reply") -> ChatChoice | TextChoice:
-        end = reply.finish_reason
+        reason = reply.finish_reason
         if self._path == CHAT_PATH:
             message = ChatMessage(role="assistant", content=reply.text)
-            return ChatChoice(index=0, message=message, finish_reason=end)
-        return TextChoice(index=0, text=reply.text, finish_reason=end)
+            return ChatChoice(index=0, message=message, finish_reason=reason)
+        return TextChoice(index=0, text=reply.text, finish_reason=reason)
+
+    def _end(self, call_id: str, reply: "Reply") -> Completion:
+        reason = reply.finish_reason
+        usage = Usage(reply.tokens)
+        if self._path == CHAT_PATH:
+            chat_end = ChatEnd(index=0, delta=Delta(), finish_reason=reason)
+            return Completion(call_id, self._model, (chat_end,), usage, "chat.completion.chunk")
+        text_end = TextChoice(index=0, text="", finish_reason=reason)
+        return Completion(call_id, self._model, (text_end,), usage, "text_completion")
 
     def break_off(self, refusal: "Refusal") -> bytes:
         """End a stream that has begun, without its end mark and with the reason."""
+        if self._reader is not None:
+            self._reader.end()
         return b"data: " + refusal_body(refusal) + b"\n\n"
+
+
+def _says_finish(event: bytes) -> bool:
+    if not event:
+        return False
+    choices = _EVENT.decode(event)["choices"]
+    return bool(choices and choices[0].get("finish_reason"))
+
+
+@implementer(IPushProducer)
+class _Reader:
+    """Write to a caller, as long as it reads.
+
+    A generation can't be slowed down to the pace of its caller. What a caller that stops
+    reading does not take would pile up in this process's memory; it shows as a process that
+    grows with the number of stalled callers. So the connection of a caller that is too far
+    behind is closed, which also cancels its work at the upstream.
+    """
+
+    def __init__(self, request: "WebRequest") -> None:
+        self._request = request
+        self._paused = False
+        self._unread = 0
+        self._open = True
+        request.registerProducer(self, True)
+
+    def write(self, data: bytes) -> None:
+        if self._paused:
+            self._unread += len(data)
+            if self._unread > MAX_UNREAD_BYTES:
+                self._close()
+        if self._open:
+            self._request.write(data)
+
+    def end(self) -> None:
+        if self._open:
+            self._open = False
+            self._request.unregisterProducer()
+
+    def _close(self) -> None:
+        if self._open:
+            self._open = False
+            events.emit(events.CALLER_SLOW, unread_bytes=self._unread)
+            self._request.transport.abortConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self._paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._paused = False
+        self._unread = 0
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self._open = False
--- a/papayapier/entry/online_routes.py
+++ b/papayapier/entry/online_routes.py
@@ -11,11 +11,12 @@
 import xxhash
 from klein import Klein
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from papayapier import events
+from papayapier.clock import MS_PER_S
 from papayapier.dispatch.api import OnlineRequest
-from papayapier.entry.answers import refuse, reply_json
+from papayapier.entry.answers import refuse, reply_json, whole_body
 from papayapier.entry.chat import CHAT_PATH, COMPLETIONS_PATH, ChatAnswer
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.upstream.engine_calls import parse_generation
@@ -29,7 +30,7 @@
     from papayapier.entry.callers import CallerAuth
     from papayapier.entry.web import WebRequest
     from papayapier.metrics import Metrics
-    from papayapier.upstream.api import Reply
+    from papayapier.upstream.api import Reply, Token
 
 DEFAULT_PROFILE: Final = "default"
 SERVICES: Final = "/services/"
@@ -102,15 +103,30 @@
     if isinstance(parsed, Err):
         refusal = not_run(ErrorKind.BAD_REQUEST, parsed.err_value)
         return _refused(deps, request, head.ok_value.profile.name, refusal)
-    answer = ChatAnswer(request, path, parsed.ok_value.model, parsed.ok_value.stream)
+    mismatch = _mismatch(deps, head.ok_value.profile, parsed.ok_value.model)
+    if mismatch is not None:
+        return _refused(deps, request, head.ok_value.profile.name, mismatch)
+    model, stream = parsed.ok_value.model, parsed.ok_value.stream
+    answer = ChatAnswer(request, path, model, stream, deps.clock.now)
     req = _online(head.ok_value, "POST", path, body, "application/json")
     req = req._replace(generates=True, prefix=parsed.ok_value.prefix)
-    done = await _run(deps, request, req, head.ok_value.key, answer.on_token)
+    done = await _run(deps, req, head.ok_value.key, answer)
     if isinstance(done, Err):
         return _refused(deps, request, req.profile.name, done.err_value, answer)
     return answer.finish(req.call_id, done.ok_value)
 
 
+def _mismatch(deps: OnlineDeps, profile: "Profile", model: str) -> Refusal | None:
+    """Refuse a request whose profile belongs to another upstream than its model.
+
+    A model that is no upstream's name may be an adapter, which only the engine knows.
+    """
+    if model == profile.upstream or model not in deps.upstream_names():
+        return None
+    reason = f"model: {model} is not served under profile {profile.name}, for {profile.upstream}"
+    return not_run(ErrorKind.BAD_REQUEST, reason)
+
+
 async def _service(deps: OnlineDeps, request: "WebRequest", name: str, rest: str) -> bytes | None:
     head = _read_head(deps, request)
     if isinstance(head, Err):
@@ -123,13 +139,13 @@
     path = _service_path(request, name)
     content_type = request.getHeader("content-type") or "application/octet-stream"
     req = _online(head.ok_value, request.method.decode(), path, body, content_type)
-    done = await _run(deps, request, req, head.ok_value.key, lambda _: None)
+    done = await _run(deps, req, head.ok_value.key, None)
     if isinstance(done, Err):
         return _refused(deps, request, profile.name, done.err_value)
     reply = done.ok_value
     request.setResponseCode(reply.status)
     request.setHeader(b"Content-Type", reply.content_type.encode())
-    return reply.body
+    return whole_body(request, reply.body)
 
 
 def _service_path(request: "WebRequest", name: str) -> str:
@@ -159,7 +175,7 @@
     if refusal is not None:
         return Err(refusal)
     length = request.getHeader("content-length") or "0"
-    if length.isdigit() and int(length) > deps.max_body_bytes:
+    if is_number(length) and int(length) > deps.max_body_bytes:
         reason = f"the body is over {deps.max_body_bytes} bytes"
         return Err(not_run(ErrorKind.TOO_LARGE, reason))
     caller = deps.auth(request)
@@ -176,7 +192,7 @@
     key = request.getHeader("idempotency-key") or ""
     call_id = _call_id(caller.ok_value, key)
     request.setHeader(b"X-Papayapier-Call", call_id.encode())
-    request.setHeader(b"X-Request-Id", (request.getHeader("x-request-id") or call_id).encode())
+    request.setHeader(b"X-Request-Id", _request_id(request, call_id))
     return Ok(_Head(caller.ok_value, profile, key, due.ok_value, call_id))
 
 
@@ -186,12 +202,22 @@
     stated = request.getHeader("x-papayapier-due-ms")
     if stated is None:
         return Ok(now + profile.due_ms)
-    if not stated.isdigit():
+    if not is_number(stated):
         reason = f"X-Papayapier-Due-Ms: expected whole milliseconds, got {stated}"
         return Err(not_run(ErrorKind.BAD_REQUEST, reason))
     return Ok(now + min(int(stated), profile.due_ms))
 
 
+def _request_id(request: "WebRequest", call_id: str) -> bytes:
+    """Return the caller's own name of the request as it came, or ours."""
+    return (request.getHeader("x-request-id") or call_id).encode("latin-1")
+
+
+def is_number(text: str) -> bool:
+    """Tell whether a header is a whole number; isdigit alone also takes a superscript."""
+    return text.isascii() and text.isdigit()
+
+
 def _call_id(caller: str, key: str) -> str:
     if not key:
         return uuid.uuid4().hex
@@ -199,18 +225,35 @@
 
 
 async def _run(
-    deps: OnlineDeps, request: "WebRequest", req: OnlineRequest, key: str, on_token: "OnToken"
+    deps: OnlineDeps, req: OnlineRequest, key: str, answer: ChatAnswer | None
 ) -> Result["Reply", Refusal]:
     started = deps.clock.now()
-    done = await deps.run(req, key, on_token)
+    try:
+        done = await deps.run(req, key, answer.on_token if answer else _no_token)
+    except CancelledError:
+        _caller_gone(deps, req)
+        raise
     if isinstance(done, Ok):
+        ended = deps.clock.now()
+        first = (answer.first_ms if answer else 0) or ended
         profile = req.profile.name
         deps.metrics.requests.labels(profile, "answered").inc()
-        deps.metrics.latency.labels(profile).observe((deps.clock.now() - started) / 1000)
-        deps.metrics.first_token.labels(profile).observe(done.ok_value.first_token_ms / 1000)
+        deps.metrics.latency.labels(profile).observe((ended - started) / MS_PER_S)
+        deps.metrics.first_token.labels(profile).observe((first - started) / MS_PER_S)
+    elif done.err_value.kind is ErrorKind.CANCELLED:
+        _caller_gone(deps, req)
     return done
 
 
+def _no_token(_token: "Token") -> None:
+    """Drop a token; the answer of a plain service has none."""
+
+
+def _caller_gone(deps: OnlineDeps, req: OnlineRequest) -> None:
+    deps.metrics.requests.labels(req.profile.name, "gone").inc()
+    events.emit(events.CALLER_GONE, call=req.call_id, profile=req.profile.name)
+
+
 def _refused(
     deps: OnlineDeps,
     request: "WebRequest",
@@ -218,6 +261,14 @@
     refusal: Refusal,
     answer: ChatAnswer | None = None,
 ) -> bytes | None:
+    if refusal.kind is not ErrorKind.CANCELLED:
+        _count_refusal(deps, profile, refusal)
+    if answer is not None and answer.started():
+        return answer.break_off(refusal)
+    return whole_body(request, refuse(request, refusal))
+
+
+def _count_refusal(deps: OnlineDeps, profile: str, refusal: Refusal) -> None:
     deps.metrics.requests.labels(profile, "refused").inc()
     deps.metrics.refusals.labels(refusal.kind.value, refusal.outcome.value).inc()
     events.emit(
@@ -227,6 +278,3 @@
         outcome=refusal.outcome.value,
         reason=refusal.reason,
     )
-    if answer is not None and answer.started:
-        return answer.break_off(refusal)
-    return refuse(request, refusal)
--- a/papayapier/entry/web.py
+++ b/papayapier/entry/web.py
@@ -3,7 +3,7 @@
 twisted's own IRequest is an interface without types, which the type checker cannot read.
 """
 
-from typing import IO, Protocol
+from typing import IO, Any, Protocol
 
 from twisted.internet.defer import Deferred
 
@@ -13,6 +13,8 @@
 
     method: bytes
     uri: bytes
+    path: bytes
+    transport: Any
     args: dict[bytes, list[bytes]]
     content: IO[bytes]
 
@@ -28,5 +30,11 @@
     def write(self, data: bytes) -> None:
         """Send a part of the answer."""
 
+    def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
+        """Name who is told that the caller does not keep up."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Tell that nobody needs to know any more."""
+
     def notifyFinish(self) -> Deferred[None]:  # noqa: N802
         """Return a Deferred that fails when the connection is lost first."""
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -56,6 +56,12 @@
     208, "claims_unreadable", Level.ERROR, "claim object cannot be read"
 )
 CALLER_GONE: Final = Event(205, "caller_gone", Level.INFO, "caller closed its connection")
+REQUEST_CRASHED: Final = Event(
+    209, "request_crashed", Level.ERROR, "request ended by an unexpected exception"
+)
+CALLER_SLOW: Final = Event(
+    210, "caller_slow", Level.WARNING, "caller does not read its stream, connection closed"
+)
 
 REPLICA_EJECTED: Final = Event(301, "replica_ejected", Level.WARNING, "replica taken out of use")
 REPLICA_RETURNED: Final = Event(302, "replica_returned", Level.INFO, "replica back in use")
@@ -134,6 +140,23 @@
     703, "peer_refused", Level.WARNING, "message from a peer not understood"
 )
 
+CONTROLLER_BEGAN: Final = Event(
+    801, "controller_began", Level.INFO, "this instance gives orders to engines"
+)
+CONTROLLER_LOST: Final = Event(
+    802, "controller_lost", Level.WARNING, "another instance gives orders to engines"
+)
+ORDER_GIVEN: Final = Event(803, "order_given", Level.INFO, "order given to an engine")
+ORDER_DONE: Final = Event(804, "order_done", Level.INFO, "order seen in effect")
+ORDER_FAILED: Final = Event(805, "order_failed", Level.WARNING, "order not in effect")
+ORDER_HELD: Final = Event(806, "order_held", Level.WARNING, "wanted order is held back")
+ORDER_FENCED: Final = Event(
+    807, "order_fenced", Level.WARNING, "engine has seen a higher fencing number"
+)
+ORDERS_TASK_FAILED: Final = Event(
+    808, "orders_task_failed", Level.ERROR, "a task of the orders failed and starts again"
+)
+
 INVARIANT_BROKEN: Final = Event(901, "invariant_broken", Level.ERROR, "internal check failed")
 
 
--- a/papayapier/listen.py
+++ b/papayapier/listen.py
@@ -6,9 +6,18 @@
 from klein import Klein
 from result import Err, Ok, Result
 from twisted.internet.error import CannotListenError
-from twisted.web.server import Site
+from twisted.python.failure import Failure
+from werkzeug.exceptions import HTTPException
 
-IDLE_TIMEOUT_S: Final = 75
+from papayapier.entry.answers import refuse, whole_body
+from papayapier.entry.site import BodyLimit, CountingSite
+from papayapier.entry.web import WebRequest
+from papayapier.errors import ErrorKind, not_run
+
+BACKLOG: Final = 1024
+BODY_BYTES: Final = 4_000_000
+UPLOAD_BYTES: Final = 1_000_000_000
+UPLOAD_PATH: Final = b"/v1/files"
 
 
 class Listening(NamedTuple):
@@ -16,20 +25,45 @@
 
     port: int
     handle: Any
-    site: Site
+    site: CountingSite
+
 
+def make_body_limit(body_bytes: int, upload_bytes: int = UPLOAD_BYTES) -> BodyLimit:
+    """Bound bodies; only an uploaded file may be large, and is kept on disk."""
+    return lambda path: upload_bytes if path == UPLOAD_PATH else body_bytes
 
-def listen(reactor: Any, app: Klein, field: str, host: str, port: int) -> Result[Listening, str]:
+
+def listen(
+    reactor: Any,
+    app: Klein,
+    field: str,
+    host: str,
+    port: int,
+    body_limit: BodyLimit | None = None,
+) -> Result[Listening, str]:
     """Listen; the error names the settings field and the address."""
-    site = Site(app.resource(), timeout=IDLE_TIMEOUT_S)
-    site.noisy = False
+    _answer_unrouted(app)
+    site = CountingSite(app.resource(), reactor, body_limit or make_body_limit(BODY_BYTES))
     try:
-        handle = reactor.listenTCP(port, site, interface=host, backlog=1024)
+        handle = reactor.listenTCP(port, site, interface=host, backlog=BACKLOG)
     except CannotListenError as exc:
         return Err(f"{field}: cannot listen on {host}:{port}: {_why(exc)}")
     return Ok(Listening(handle.getHost().port, handle, site))
 
 
+def _answer_unrouted(app: Klein) -> None:
+    """Refuse what no route takes in the form of every other refusal."""
+
+    handle: Any = app.handle_errors
+
+    @handle(HTTPException)  # type: ignore[untyped-decorator]
+    def unrouted(request: WebRequest, _failure: Failure) -> bytes:
+        method = request.method.decode("ascii", "replace")
+        path = request.path.decode("ascii", "replace")
+        refusal = not_run(ErrorKind.NOT_FOUND, f"no route takes {method} {path}")
+        return whole_body(request, refuse(request, refusal))
+
+
 def _why(exc: CannotListenError) -> str:
     cause = exc.socketError
     if getattr(cause, "errno", None) == errno.EADDRINUSE:
--- /dev/null
+++ b/tests/log_catcher.py
@@ -0,0 +1,22 @@
+"""Keep the numbered events that were logged, for a test to look at."""
+
+from typing import Any
+
+import logbook
+
+from papayapier.events import Event
+
+
+class LogCatcher(logbook.Handler):  # type: ignore[misc]
+    """Collect every event."""
+
+    def __init__(self) -> None:
+        super().__init__(logbook.DEBUG, bubble=False)
+        self.seen: list[tuple[Event, dict[str, Any]]] = []
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self.seen.append((record.extra["event"], record.extra["fields"]))
+
+    def fields(self, event: Event) -> list[dict[str, Any]]:
+        """Return the fields of each log line of an event."""
+        return [fields for seen, fields in self.seen if seen is event]
--- /dev/null
+++ b/tests/raw_client.py
@@ -0,0 +1,70 @@
+"""Talk HTTP to a server byte by byte, so that a test can be a caller of any kind."""
+
+import json
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol, connectionDone
+
+
+class RawClient(Protocol):
+    """Hold one connection and everything that has come on it."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.closed: Deferred[None] = Deferred()
+        self._awaited: list[tuple[bytes, Deferred[None]]] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.received += data
+        for text, seen in list(self._awaited):
+            if text in self.received:
+                self._awaited.remove((text, seen))
+                seen.callback(None)
+
+    def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
+        for text, seen in self._awaited:
+            seen.errback(AssertionError(f"closed before {text!r}: {self.received!r}"))
+        self.closed.callback(None)
+
+    def write(self, data: bytes) -> None:
+        transport: Any = self.transport
+        transport.write(data)
+
+    def stop_reading(self) -> None:
+        transport: Any = self.transport
+        transport.pauseProducing()
+
+    def abort(self) -> None:
+        transport: Any = self.transport
+        transport.abortConnection()
+
+    def until(self, text: bytes) -> Deferred[None]:
+        """Return a Deferred that fires when a text has come."""
+        seen: Deferred[None] = Deferred()
+        self._awaited.append((text, seen))
+        self.dataReceived(b"")
+        return seen
+
+    def json(self) -> Any:
+        """Return the JSON body of the last answer."""
+        return json.loads(self.received.rpartition(b"\r\n\r\n")[2])
+
+    def status(self) -> int:
+        """Return the status of the first answer."""
+        return int(self.received.split(b" ", 2)[1])
+
+
+async def connect(port: int) -> RawClient:
+    """Open a connection to a local port."""
+    endpoint = TCP4ClientEndpoint(reactor, "127.0.0.1", port)
+    client: RawClient = await connectProtocol(endpoint, RawClient())
+    return client
+
+
+def post(path: str, body: bytes, *headers: str) -> bytes:
+    """Write a POST request."""
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
