Run scenarios against real processes

Cause: the promises must hold across processes that are killed, paused and stopped, judged by what the stand-ins counted.

--- /dev/null
+++ b/tests/scenario/jobs.py
@@ -0,0 +1,128 @@
+"""Submit the batch jobs of a case and check their results against what was asked."""
+
+import hashlib
+from collections import Counter
+from typing import Any, Final, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from papayapier.load.calls import call, call_json
+from papayapier.standin.answers import expected_text
+
+CHAT_URL: Final = "/v1/chat/completions"
+ITEM_TOKENS: Final = 12
+
+
+class Job(NamedTuple):
+    """Hold a job as accepted; bodies are by custom id."""
+
+    id: str
+    bodies: dict[str, bytes]
+
+
+class JobState(NamedTuple):
+    """Hold how far a job is."""
+
+    status: str
+    completed: int
+    failed: int
+
+
+def make_bodies(name: str, number: int, engines: bool) -> dict[str, bytes]:
+    """Make the bodies of a job's items; they are the same on every call."""
+    return {f"{name}-{i}": _body(f"{name}-{i}", engines) for i in range(number)}
+
+
+async def submit(
+    address: str, upstream: str, profile: str, key: str, bodies: dict[str, bytes], engines: bool
+) -> Result[Job, str]:
+    """Upload the items and create the job."""
+    url = CHAT_URL if engines else f"/services/{upstream}/notes"
+    endpoint = CHAT_URL if engines else f"/services/{upstream}"
+    lines = [_line(custom_id, url, body) for custom_id, body in bodies.items()]
+    uploaded = await call_json_lines(f"http://{address}/v1/files", b"\n".join(lines) + b"\n")
+    if isinstance(uploaded, Err):
+        return uploaded
+    wanted = {
+        "input_file_id": uploaded.ok_value["id"],
+        "endpoint": endpoint,
+        "completion_window": "24h",
+    }
+    headers = {"X-Papayapier-Profile": profile, "Idempotency-Key": key}
+    created = await call_json("POST", f"http://{address}/v1/batches", wanted, headers)
+    return created.map(lambda answer: Job(str(answer["id"]), bodies))
+
+
+async def call_json_lines(url: str, body: bytes) -> Result[Any, str]:
+    """Post JSON lines and return the answer's document."""
+    answered = await call("POST", url, body, {"Content-Type": "application/jsonl"})
+    return answered.map(msgspec.json.decode)
+
+
+async def cancel(address: str, job: Job) -> Result[Any, str]:
+    """Cancel a job."""
+    return await call_json("POST", f"http://{address}/v1/batches/{job.id}/cancel")
+
+
+async def state(address: str, job: Job) -> Result[JobState, str]:
+    """Read how far a job is."""
+    got = await call_json("GET", f"http://{address}/v1/batches/{job.id}")
+    return got.map(_state)
+
+
+async def wrong_results(address: str, job: Job) -> Result[list[str], str]:
+    """Return each result that is doubled, missing, foreign or not the item's own."""
+    got = await call_json("GET", f"http://{address}/v1/batches/{job.id}")
+    if isinstance(got, Err):
+        return got
+    lines: list[Any] = []
+    for field in ("output_file_id", "error_file_id"):
+        file_id = got.ok_value.get(field)
+        if not file_id:
+            continue
+        content = await call("GET", f"http://{address}/v1/files/{file_id}/content")
+        if isinstance(content, Err):
+            return content
+        lines += [msgspec.json.decode(line) for line in content.ok_value.splitlines()]
+    return Ok(_wrong(job, lines))
+
+
+def _wrong(job: Job, lines: list[Any]) -> list[str]:
+    times = Counter(str(line["custom_id"]) for line in lines)
+    found = [f"{name} has {number} results" for name, number in times.items() if number > 1]
+    found += [f"{name} is not of the job" for name in times.keys() - job.bodies.keys()]
+    found += [f"{name} has no result" for name in job.bodies.keys() - times.keys()]
+    found += [
+        f"{line['custom_id']} has another item's result"
+        for line in lines
+        if not line.get("error") and not _own(line, job.bodies.get(line["custom_id"], b""))
+    ]
+    return found
+
+
+def _own(line: Any, body: bytes) -> bool:
+    answer = line["response"]["body"]
+    if "echo" in answer:
+        return bool(answer["echo"] == hashlib.sha256(body).hexdigest())
+    asked = msgspec.json.decode(body)
+    text = answer["choices"][0]["message"]["content"]
+    return bool(text == expected_text(asked["messages"][0]["content"], asked["max_tokens"]))
+
+
+def _body(custom_id: str, engines: bool) -> bytes:
+    if not engines:
+        return msgspec.json.encode({"note": custom_id})
+    message = {"role": "user", "content": f"summary of {custom_id}"}
+    document = {"model": "base", "messages": [message], "max_tokens": ITEM_TOKENS}
+    return msgspec.json.encode(document)
+
+
+def _line(custom_id: str, url: str, body: bytes) -> bytes:
+    document = {"custom_id": custom_id, "method": "POST", "url": url, "body": msgspec.Raw(body)}
+    return msgspec.json.encode(document)
+
+
+def _state(answer: Any) -> JobState:
+    counts = answer["request_counts"]
+    return JobState(str(answer["status"]), int(counts["completed"]), int(counts["failed"]))
--- /dev/null
+++ b/tests/scenario/requests.py
@@ -0,0 +1,88 @@
+"""Send the online requests of a case in the background and keep what became of them."""
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from papayapier.load.answer import End, Verdict
+from papayapier.load.client import Answered, Client, now_us, send
+from papayapier.load.mix import CHAT_PATH, Request
+from papayapier.load.scenario import RequestClass
+from tests.scenario.steps import Send
+
+TOKENS = 20
+
+
+class Group:
+    """Hold the requests of one send step, and their answers as they come."""
+
+    def __init__(self, label: str) -> None:
+        self.label = label
+        self.sent = 0
+        self.answers: list[Answered] = []
+
+    def start(self, client: Client, address: str, requests: list[Request]) -> None:
+        """Send all the requests at once."""
+        for request in requests:
+            self.sent += 1
+            work = Deferred.fromCoroutine(send(client, address, request, now_us(client.clock)))
+            work.addCallback(self.answers.append)
+
+    def count(self, end: End) -> int:
+        """Return how many requests ended in a way."""
+        return sum(answer.verdict.end is end for answer in self.answers)
+
+    def ended(self) -> bool:
+        """Tell whether no request is under way."""
+        return len(self.answers) == self.sent
+
+    def refused(self, outcome: str) -> list[Answered]:
+        """Return the requests that were refused with an outcome."""
+        return [answer for answer in self.answers if answer.verdict.outcome == outcome]
+
+    def summary(self) -> str:
+        """Return the counts by end, in a fixed order."""
+        counts = [(end.value, self.count(end)) for end in End]
+        return ", ".join(f"{number} {name}" for name, number in counts if number)
+
+    def worst(self) -> list[Verdict]:
+        """Return what there is to say of requests that were not answered."""
+        return [a.verdict for a in self.answers if a.verdict.end is not End.WHOLE][:3]
+
+
+def make_requests(step: Send, upstream: str, case_id: str) -> list[Request]:
+    """Make the requests of a step; with a key the same step makes the same work again."""
+    return [_request(step, upstream, case_id, index) for index in range(step.number)]
+
+
+def _request(step: Send, upstream: str, case_id: str, index: int) -> Request:
+    subject = f"{step.key or step.label}-{index}"
+    cls = RequestClass(
+        name=step.label,
+        kind="service" if step.kind == "service" else "chat",
+        profile=step.profile,
+        path=f"/services/{upstream}/passes",
+        stream=step.kind == "stream",
+    )
+    return Request(
+        cls=cls,
+        request_id=f"{case_id}-{step.label}-{index}",
+        key=f"{step.key}-{index}" if step.key else "",
+        caller="scenario",
+        path=cls.path if cls.kind == "service" else CHAT_PATH,
+        body=_body(step, subject),
+        prompt=subject,
+        max_tokens=TOKENS,
+    )
+
+
+def _body(step: Send, subject: str) -> bytes:
+    if step.kind == "service":
+        return msgspec.json.encode({"pass": subject})
+    return msgspec.json.encode(
+        {
+            "model": "base",
+            "messages": [{"role": "user", "content": subject}],
+            "max_tokens": TOKENS,
+            "stream": step.kind == "stream",
+        }
+    )
