Add a rate-limited weight store to the platform stand-in

Cause: the platform's weight store limits its rate, and orders to load spend it; without a stand-in nothing showed what an order does when it is refused weights. Change: GET /weights/NAME with a limit in bytes a second (429 over it), its counts and a switch; a stand-in engine reads from it before it loads, tries again after retry_ms, and drops the order from its list when its tries are used up, so that reading back its state shows the failure. Fleets with a platform in the process use it, without a limit unless one is set.

--- a/papayapier/standin/engine.py
+++ b/papayapier/standin/engine.py
@@ -20,6 +20,7 @@
 from papayapier.standin.outputs import make_output
 from papayapier.standin.switches import Control, Mode
 from papayapier.standin.web import Json
+from papayapier.standin.weights import make_fetch
 
 GENERATE_PATHS: Final = (jobs.CHAT_PATH, jobs.COMPLETIONS_PATH)
 OTHER_ID: Final = "another-request"
@@ -49,7 +50,9 @@
     def __init__(
         self, reactor: Any, clock: Clock, params: EngineParams, host: str, port: int
     ) -> None:
-        self.core = EngineCore(clock, params)
+        source = params.weights.address
+        fetch = make_fetch(reactor, source) if source else None
+        self.core = EngineCore(clock, params, fetch)
         link = Link(clock, params.link_delay_ms)
         self._listener = Listener(reactor, self._handle, host, port, link)
         self._crashes = Crashes(clock, self._listener, self.core.crash)
--- a/papayapier/standin/engine_core.py
+++ b/papayapier/standin/engine_core.py
@@ -10,7 +10,7 @@
 from papayapier.standin.engine_steps import Batch, EngineParams, Sequence
 from papayapier.standin.jobs import Job
 from papayapier.standin.load_report import LaggedReports, LoadReport
-from papayapier.standin.orders import Order, Orders
+from papayapier.standin.orders import Fetch, Order, Orders
 from papayapier.standin.outputs import Output
 from papayapier.standin.prefix_cache import PrefixCache, block_names
 from papayapier.standin.switches import LATE_FACTOR, Mode, Switches
@@ -51,7 +51,7 @@
         "tokens",
     )
 
-    def __init__(self, clock: Clock, params: EngineParams) -> None:
+    def __init__(self, clock: Clock, params: EngineParams, fetch: Fetch | None = None) -> None:
         self.switches = Switches()
         self.started: Counter[str] = Counter()
         self.finished: Counter[str] = Counter()
@@ -61,7 +61,7 @@
         self._clock = clock
         self._params = params
         self._timers = Timers(clock)
-        self.orders = Orders(params, self._timers, self._start_step)
+        self.orders = Orders(params, self._timers, self._start_step, fetch)
         self._batch = Batch(params, self.cache)
         self._runs: dict[_Run, None] = {}
         self._timer: Timer | None = None
--- a/papayapier/standin/engine_steps.py
+++ b/papayapier/standin/engine_steps.py
@@ -16,6 +16,17 @@
 NORMAL_STRIDE: Final = 1
 
 
+class WeightSource(NamedTuple):
+    """Tell an engine where its weights are (HOST:PORT), and how it tries to get them.
+
+    Without an address an engine has all weights on its own disk.
+    """
+
+    address: str = ""
+    tries: int = 5
+    retry_ms: int = 500
+
+
 class EngineParams(NamedTuple):
     """Set an engine's normal behaviour; link_delay_ms is the way to its callers, one way."""
 
@@ -33,6 +44,7 @@
     version: str = "1"
     seed: int = 1
     link_delay_ms: float = 0.0
+    weights: WeightSource = WeightSource()
 
 
 class Sequence:
--- a/papayapier/standin/limits.py
+++ b/papayapier/standin/limits.py
@@ -1,4 +1,4 @@
-"""Limit the rate of calls with a token bucket."""
+"""Limit a rate with a token bucket."""
 
 from typing import Final
 
@@ -8,7 +8,7 @@
 
 
 class Bucket:
-    """Allow a number of calls a second, and a burst of BURST_MS worth of them."""
+    """Allow an amount a second (calls or bytes), and a burst of BURST_MS worth of it."""
 
     __slots__ = ("_at_ms", "_clock", "_level")
 
@@ -17,16 +17,16 @@
         self._at_ms = clock.now()
         self._level: float | None = None
 
-    def take(self, per_s: int) -> bool:
-        """Take one call, unless the bucket is empty; a rate of 0 means no limit."""
+    def take(self, per_s: int, amount: int = 1) -> bool:
+        """Take an amount, unless there is too little; a rate of 0 means no limit."""
         if per_s == 0:
             return True
         now = self._clock.now()
-        most = max(1.0, per_s * BURST_MS / MS_PER_S)
+        most = max(float(amount), per_s * BURST_MS / MS_PER_S)
         gained = (now - self._at_ms) * per_s / MS_PER_S
         self._level = most if self._level is None else min(most, self._level + gained)
         self._at_ms = now
-        if self._level < 1.0:
+        if self._level < amount:
             return False
-        self._level -= 1.0
+        self._level -= amount
         return True
--- a/papayapier/standin/orders.py
+++ b/papayapier/standin/orders.py
@@ -1,14 +1,20 @@
 """Model how an engine takes orders: fencing check, load time and what it then has."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import Final, Literal, NamedTuple, TypedDict
+from typing import Any, Final, Literal, NamedTuple, TypedDict
 
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from papayapier import events
 from papayapier.standin.engine_steps import EngineParams
 from papayapier.standin.timers import Timers
 
 KEPT_ORDERS: Final = 1_000
 
+# Read the weights of a name; tell whether they came whole.
+Fetch = Callable[[str], Coroutine[Any, Any, bool]]
 OrderKind = Literal["load_model", "load_adapter", "load_version", "change_role"]
 
 
@@ -35,12 +41,31 @@
 class Orders:
     """Keep what an engine has loaded; an order takes effect after its load time.
 
-    While a model, version or role loads, the engine admits no sequences.
+    While a model, version or role loads, the engine admits no sequences. With a fetch, what
+    is to be loaded is first read from the weight store. An order whose weights do not come
+    in a number of tries has failed: the engine no longer lists it.
     """
 
-    __slots__ = ("_on_loaded", "_params", "_timers", "loading", "state", "times")
-
-    def __init__(self, params: EngineParams, timers: Timers, on_loaded: Callable[[], None]) -> None:
+    __slots__ = (
+        "_fetch",
+        "_fetching",
+        "_on_loaded",
+        "_params",
+        "_timers",
+        "loading",
+        "state",
+        "times",
+    )
+
+    def __init__(
+        self,
+        params: EngineParams,
+        timers: Timers,
+        on_loaded: Callable[[], None],
+        fetch: Fetch | None = None,
+    ) -> None:
+        self._fetch = fetch
+        self._fetching: set[Deferred[bool]] = set()
         self._params = params
         self._timers = timers
         self._on_loaded = on_loaded
@@ -50,6 +75,9 @@
 
     def restart(self) -> None:
         """Forget what was loaded; the highest fencing number is kept, as if on disk."""
+        fetching, self._fetching = self._fetching, set()
+        for task in fetching:
+            task.cancel()
         self.loading = 0
         self.state = _initial(self._params, self.state.fence)
 
@@ -66,15 +94,56 @@
         return True
 
     def _load(self, order: Order) -> None:
-        blocks = order["kind"] != "load_adapter"
-        self.loading += blocks
-        self._timers.call_later(self._params.order_ms, partial(self._loaded, order, blocks))
-
-    def _loaded(self, order: Order, blocks: bool) -> None:
-        self.loading -= blocks
+        self.loading += _blocks(order)
+        if self._fetch is None or order["kind"] == "change_role":
+            self._begin_load(order)
+        else:
+            self._fetch_weights(order, self._fetch, self._params.weights.tries)
+
+    def _fetch_weights(self, order: Order, fetch: Fetch, tries: int) -> None:
+        task = Deferred.fromCoroutine(fetch(order["name"]))
+        self._fetching.add(task)
+
+        def ended(got: bool) -> None:
+            if task not in self._fetching:
+                # A crash has cancelled it; going on would load into the restarted engine.
+                return
+            self._fetching.remove(task)
+            if got:
+                self._begin_load(order)
+                return
+            if tries <= 1:
+                self._give_up(order)
+                return
+            again = partial(self._fetch_weights, order, fetch, tries - 1)
+            self._timers.call_later(self._params.weights.retry_ms, again)
+
+        task.addErrback(_not_got).addCallback(ended)
+
+    def _begin_load(self, order: Order) -> None:
+        self._timers.call_later(self._params.order_ms, partial(self._loaded, order))
+
+    def _loaded(self, order: Order) -> None:
+        self.loading -= _blocks(order)
         self.state = _with(self.state, order["kind"], order["name"])
         self._on_loaded()
 
+    def _give_up(self, order: Order) -> None:
+        self.loading -= _blocks(order)
+        left = [ident for ident in self.state.orders if ident != order["order_id"]]
+        self.state = self.state._replace(orders=left)
+        self._on_loaded()
+
+
+def _blocks(order: Order) -> bool:
+    return order["kind"] != "load_adapter"
+
+
+def _not_got(failure: Failure) -> bool:
+    if failure.check(CancelledError) is None:
+        events.emit(events.STANDIN_FAILED, reason=repr(failure.value))
+    return False
+
 
 def _initial(params: EngineParams, fence: int) -> EngineState:
     return EngineState(list(params.models), [], "mixed", params.version, fence, [])
--- a/papayapier/standin/platform.py
+++ b/papayapier/standin/platform.py
@@ -25,6 +25,7 @@
 from papayapier.standin.platform_calls import INSTANCE_PATH, OBJECT_PATH, Answer, Look
 from papayapier.standin.switches import read_switches
 from papayapier.standin.timers import Timers
+from papayapier.standin.weights import WEIGHT_PATH, WeightParams, WeightStore
 from papayapier.store.api import Member
 
 RETRY_AFTER: Final = "1"
@@ -43,6 +44,7 @@
     list_lag_ms: int = 500
     history: int = 10_000
     link_delay_ms: float = 0.0
+    weights: WeightParams = WeightParams()
 
 
 class PlatformControl(TypedDict, total=False):
@@ -63,12 +65,13 @@
     reads_per_s: int
     writes_per_s: int
     list_lag_ms: int
+    weight_bytes_per_s: int
     leaving: list[str]
     removed: list[str]
 
 
 class PlatformCounts(NamedTuple):
-    """Hold the counts of GET /counts."""
+    """Hold the counts of GET /counts; weights are read, and limited, apart from objects."""
 
     reads: int
     writes: int
@@ -76,6 +79,8 @@
     bytes_in: int
     bytes_out: int
     limited: int
+    weight_reads: int
+    weights_limited: int
 
 
 class PlatformServer:
@@ -91,6 +96,7 @@
         "_reads_bucket",
         "_timers",
         "_watches",
+        "_weights",
         "_writes",
         "_writes_bucket",
         "instances",
@@ -112,6 +118,7 @@
         self._crashes = Crashes(clock, self._listener, self._polls.forget_all)
         self._reads_bucket = Bucket(clock)
         self._writes_bucket = Bucket(clock)
+        self._weights = WeightStore(clock, params.weights)
         self._reads = self._writes = self._watches = self._limited = 0
         self._listener.open()
 
@@ -157,6 +164,8 @@
             bytes_in=traffic.bytes_in,
             bytes_out=traffic.bytes_out,
             limited=self._limited,
+            weight_reads=self._weights.reads,
+            weights_limited=self._weights.limited,
         )
 
     def close(self) -> Deferred[None]:
@@ -183,6 +192,8 @@
             self._handle_control(request)
         elif path == "/counts":
             web.send_json(request, web.Json(200, self.counts()._asdict()))
+        elif path.startswith(WEIGHT_PATH):
+            self._handle_weights(request)
         elif self.switches["outage"]:
             self._answer(request, calls.failed(503, "outage"))
         elif request.method == b"GET":
@@ -212,6 +223,14 @@
             return Err(f"must not be negative: {', '.join(negative)}")
         return read
 
+    def _handle_weights(self, request: Request) -> None:
+        body = self._weights.read(self.switches["weight_bytes_per_s"])
+        if body is None:
+            web.set_header(request, "retry-after", RETRY_AFTER)
+            self._answer(request, calls.failed(429, "over the rate limit of the weight store"))
+            return
+        self._answer(request, Answer(200, body, calls.VALUE_TYPE))
+
     def _handle_read(self, request: Request, path: str) -> None:
         if not self._reads_bucket.take(self.switches["reads_per_s"]):
             self._refuse_rate(request)
@@ -324,6 +343,7 @@
         reads_per_s=params.reads_per_s,
         writes_per_s=params.writes_per_s,
         list_lag_ms=params.list_lag_ms,
+        weight_bytes_per_s=params.weights.bytes_per_s,
         leaving=[],
         removed=[],
     )
--- a/papayapier/standin/run.py
+++ b/papayapier/standin/run.py
@@ -62,8 +62,14 @@
 
 
 async def run_fleet(reactor: Any, clock: Clock, fleet: FleetParams) -> Fleet:
-    """Start a platform and replicas, and list the replicas as static members."""
+    """Start a platform and replicas, and list the replicas as static members.
+
+    Unless told otherwise, the engines take their weights from the platform's process.
+    """
     platform = await start_platform(reactor, clock, fleet.platform, fleet.host, fleet.platform_port)
+    if not fleet.engine.weights.address:
+        source = fleet.engine.weights._replace(address=f"{fleet.host}:{platform.port}")
+        fleet = fleet._replace(engine=fleet.engine._replace(weights=source))
     replicas = await run_replicas(reactor, clock, fleet)
     for member in replicas.members:
         platform.register(member)
--- /dev/null
+++ b/papayapier/standin/weights.py
@@ -0,0 +1,62 @@
+"""Stand in for the weight store, which limits its rate, and read from it as an engine does.
+
+The store gives every name the same number of bytes. It is a service beside the object API:
+an outage of that leaves it alone.
+"""
+
+from typing import Any, Final, NamedTuple, cast
+from urllib.parse import quote
+
+import treq
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
+
+from papayapier.clock import Clock
+from papayapier.standin.limits import Bucket
+from papayapier.standin.orders import Fetch
+
+WEIGHT_PATH: Final = "/weights/"
+OK: Final = 200
+
+
+class WeightParams(NamedTuple):
+    """Set the weight store's normal behaviour; bytes_per_s 0 means no limit."""
+
+    size_bytes: int = 100_000
+    bytes_per_s: int = 0
+
+
+class WeightStore:
+    """Hold the rate limit and count what is read."""
+
+    __slots__ = ("_bucket", "_size_bytes", "limited", "reads")
+
+    def __init__(self, clock: Clock, params: WeightParams) -> None:
+        self._bucket = Bucket(clock)
+        self._size_bytes = params.size_bytes
+        self.reads = 0
+        self.limited = 0
+
+    def read(self, bytes_per_s: int) -> bytes | None:
+        """Return the weights of any name, or None over the rate limit."""
+        if not self._bucket.take(bytes_per_s, self._size_bytes):
+            self.limited += 1
+            return None
+        self.reads += 1
+        return bytes(self._size_bytes)
+
+
+def make_fetch(reactor: Any, address: str) -> Fetch:
+    """Make an engine's way to read weights."""
+    agent = cast(Any, Agent(reactor, pool=HTTPConnectionPool(reactor, persistent=False)))
+
+    async def fetch(name: str) -> bool:
+        url = f"http://{address}{WEIGHT_PATH}{quote(name)}"
+        try:
+            answer = await treq.get(url, agent=agent)
+            await answer.content()
+        except (ConnectError, ResponseNeverReceived, ResponseFailed):
+            return False
+        return bool(answer.code == OK)
+
+    return fetch
--- /dev/null
+++ b/tests/test_standin_weights.py
@@ -0,0 +1,141 @@
+"""Test the weight store, and engines whose orders read from it."""
+
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import FakeClock, fake_clock
+from papayapier.standin.engine_steps import EngineParams, WeightSource
+from papayapier.standin.orders import Order, Orders
+from papayapier.standin.platform import PlatformParams
+from papayapier.standin.run import Fleet, FleetParams, run_fleet
+from papayapier.standin.timers import Timers
+from papayapier.standin.weights import WeightParams
+from tests.standin_case import REACTOR, Got, StandInCase
+
+ORDER_MS = 300
+RETRY_MS = 50
+TRIES = 3
+PARAMS = EngineParams(order_ms=ORDER_MS, weights=WeightSource("", TRIES, RETRY_MS))
+
+
+class Engine:
+    """Hold the orders of an engine whose weights come when the test says so."""
+
+    def __init__(self, fake: FakeClock) -> None:
+        self.asked: list[Deferred[bool]] = []
+        self.timers = Timers(fake.clock)
+        self.orders = Orders(PARAMS, self.timers, lambda: None, self.fetch)
+
+    async def fetch(self, name: str) -> bool:
+        self.asked.append(Deferred())
+        return await self.asked[-1]
+
+    def crash(self) -> None:
+        self.timers.cancel_all()
+        self.orders.restart()
+
+
+def load(name: str) -> Order:
+    return Order(order_id=f"1-{name}", fence=1, kind="load_model", name=name)
+
+
+def test_limited_weights_make_an_order_slower() -> None:
+    fake = fake_clock()
+    engine = Engine(fake)
+    engine.orders.take(load("m"))
+    engine.asked[0].callback(False)
+    fake.advance(RETRY_MS)
+    engine.asked[1].callback(True)
+    assert (engine.orders.loading, engine.orders.state.models) == (1, ["base"])
+    fake.advance(ORDER_MS)
+    assert (engine.orders.loading, engine.orders.state.models) == (0, ["base", "m"])
+
+
+def test_order_fails_when_its_weights_never_come() -> None:
+    # Symptom: an order that an engine had accepted never took effect.
+    # Sequence: the weight store refused every read of the engine's tries.
+    # Cause: an engine gives up, and tells nobody but by its state.
+    fake = fake_clock()
+    engine = Engine(fake)
+    engine.orders.take(load("m"))
+    assert engine.orders.state.orders == ["1-m"]
+    for number in range(TRIES):
+        engine.asked[number].callback(False)
+        fake.advance(RETRY_MS)
+    assert len(engine.asked) == TRIES
+    state = engine.orders.state
+    assert (engine.orders.loading, state.models, state.orders) == (0, ["base"], [])
+    assert engine.orders.times == {"1-m": 1}
+
+
+def test_crash_ends_a_load() -> None:
+    # Symptom: an engine that had just restarted had a model that nobody had ordered since.
+    # Sequence: it crashed while it read weights; they came after the restart.
+    # Cause: the read outlived the process that had asked for it.
+    fake = fake_clock()
+    engine = Engine(fake)
+    engine.orders.take(load("m"))
+    engine.crash()
+    fake.advance(RETRY_MS + ORDER_MS)
+    assert len(engine.asked) == 1
+    assert (engine.orders.loading, engine.orders.state.models) == (0, ["base"])
+
+
+class WeightStoreTest(StandInCase):
+    """Test the store and the engines over sockets."""
+
+    fleet: Fleet
+
+    async def start(self, weights: WeightParams) -> None:
+        source = WeightSource("", TRIES, retry_ms=1)
+        params = FleetParams(
+            engines=1,
+            services=0,
+            platform=PlatformParams(latency_ms=0, weights=weights),
+            engine=EngineParams(order_ms=0, weights=source),
+        )
+        self.fleet = await run_fleet(REACTOR, self.clock, params)
+        self.addCleanup(lambda: Deferred.fromCoroutine(self.fleet.close()))
+
+    async def read(self) -> Got:
+        return await self.call(self.fleet.platform.port, "GET", "/weights/a/b")
+
+    async def order(self, name: str) -> None:
+        got = await self.call(self.fleet.engines[0].port, "POST", "/orders", load(name))
+        assert got.value == {"accepted": True}
+
+    async def test_rate_limit(self) -> None:
+        await self.start(WeightParams(size_bytes=1_000, bytes_per_s=1))
+        assert len((await self.read()).text) == 1_000
+        refused = await self.read()
+        assert (refused.status, refused.headers["retry-after"]) == (429, "1")
+        self.fleet.platform.control({"weight_bytes_per_s": 0, "outage": True})
+        assert (await self.read()).status == 200
+        counts = self.fleet.platform.counts()
+        assert (counts.weight_reads, counts.weights_limited, counts.limited) == (2, 1, 0)
+
+    async def test_orders_read_from_the_platforms_process(self) -> None:
+        await self.start(WeightParams(size_bytes=1_000, bytes_per_s=1))
+        orders = self.fleet.engines[0].core.orders
+        await self.order("first")
+        await self.until(lambda: orders.loading == 0)
+        await self.order("second")
+        await self.until(lambda: orders.loading == 0)
+        assert (orders.state.models, orders.state.orders) == (["base", "first"], ["1-first"])
+        counts = self.fleet.platform.counts()
+        assert (counts.weight_reads, counts.weights_limited) == (1, TRIES)
+
+    async def test_unreachable_store_fails_the_order(self) -> None:
+        await self.start(WeightParams())
+        self.fleet.platform.control({"refuse_connections": True})
+        await self.until(lambda: not self.fleet.platform.listening())
+        await self.order("first")
+        orders = self.fleet.engines[0].core.orders
+        await self.until(lambda: orders.loading == 0)
+        assert orders.state.models == ["base"]
+
+    async def test_closing_ends_a_read(self) -> None:
+        await self.start(WeightParams(size_bytes=8_000_000))
+        self.fleet.platform.control({"slow_ms": 10_000})
+        await self.order("first")
+        await self.until(lambda: self.fleet.platform.counts().weight_reads == 1)
+        assert self.fleet.engines[0].core.orders.loading == 1
