Share capacity between callers, judge jobs at risk by what is in front of them

Cause: order by slack alone lets one caller's early jobs take everything; a job's own rate says nothing while it waits. Renewals went through the same view of the store as bulk writes.

--- a/papayapier/batch/api.py
+++ b/papayapier/batch/api.py
@@ -52,6 +52,8 @@
 
     instance and boot together name this run of the instance. profile looks one up by name.
     live_instances lists the instances that the platform shows as live, this one included.
+    lease_store is a view of the store for leases alone, with precedence over other calls:
+    bulk writes must not delay a renewal until the lease lapses.
     """
 
     clock: Clock
@@ -65,3 +67,4 @@
     live_instances: Callable[[], Sequence[str]]
     tell_peers: Callable[[Message], object]
     metrics: Metrics
+    lease_store: Store | None = None
--- a/papayapier/batch/background.py
+++ b/papayapier/batch/background.py
@@ -5,15 +5,20 @@
 """
 
 from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
 from papayapier import events
 
+if TYPE_CHECKING:
+    from papayapier.clock import Clock, Timer
+
 T = TypeVar("T")
 
+AGAIN_MS: Final = 1_000
+
 
 def start(
     work: Coroutine[Deferred[Any], Any, T], name: str, on_failure: Callable[[], None] | None = None
@@ -30,3 +35,33 @@
 
     done.addErrback(report)
     return done
+
+
+class Loop:
+    """Run a coroutine that is to go on for ever, and start it again when it fails."""
+
+    def __init__(
+        self, clock: "Clock", make: Callable[[], Coroutine[Deferred[Any], Any, None]], name: str
+    ) -> None:
+        self._clock = clock
+        self._make = make
+        self._name = name
+        self._running: Deferred[None] | None = None
+        self._again: Timer | None = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start the coroutine."""
+        self._running = start(self._make(), self._name, self._start_later)
+
+    def _start_later(self) -> None:
+        if not self._stopped:
+            self._again = self._clock.call_later(AGAIN_MS, self.start)
+
+    def stop(self) -> None:
+        """Cancel the coroutine for good."""
+        self._stopped = True
+        if self._again is not None and self._again.active():
+            self._again.cancel()
+        if self._running is not None:
+            self._running.cancel()
--- a/papayapier/batch/ending.py
+++ b/papayapier/batch/ending.py
@@ -14,7 +14,7 @@
 from papayapier import codec, events
 from papayapier.batch import keys, saves
 from papayapier.batch.opening import OpenError, read_results
-from papayapier.batch.records import Checkpoint, JobRecord, JobState, Tally
+from papayapier.batch.records import Checkpoint, FileRecord, JobRecord, JobState, Tally
 from papayapier.batch.registry import JobRegistry
 from papayapier.batch.results import cancelled_tally, view_task
 from papayapier.batch.work import JobWork
@@ -154,6 +154,8 @@
         marked = await saves.create(self._deps, mark, MARK)
         if isinstance(marked, Err) and marked.err_value is not StoreError.CONFLICT:
             return
+        if not await self._keep_input(record, expires):
+            return
         ended = await saves.create(self._deps, keys.ended_key(record.job_id), codec.pack(record))
         if isinstance(ended, Err) and ended.err_value is not StoreError.CONFLICT:
             return
@@ -171,6 +173,19 @@
         self._deps.tell_peers(JobChanged(record.job_id, job.version))
         self._registry.drop(record.job_id)
 
+    async def _keep_input(self, record: JobRecord, until_ms: int) -> bool:
+        """Let the input stay as long as the results, which are found by the ids in it."""
+        key = keys.file_key(record.file_id)
+        read = await self._deps.store.get(key)
+        if isinstance(read, Err):
+            return read.err_value is StoreError.NOT_FOUND
+        file = codec.unpack(read.ok_value.value, FileRecord)
+        if isinstance(file, Err) or file.ok_value.expires_ms >= until_ms:
+            return True
+        value = codec.pack(file.ok_value._replace(expires_ms=until_ms))
+        done = await saves.update(self._deps, key, value, read.ok_value.version)
+        return isinstance(done, Ok)
+
     def _report(self, job: JobWork, error: OpenError) -> None:
         if not isinstance(error, StoreError):
             events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
@@ -183,7 +198,6 @@
         return False
     for name in listed.ok_value.versions:
         job.on_done(int(name), None)
-    job.listed = True
     return True
 
 
--- a/papayapier/batch/keeper.py
+++ b/papayapier/batch/keeper.py
@@ -66,7 +66,7 @@
         self._seen: dict[int, _Seen] = {}
         self._stopping = False
         self._hurry: Deferred[None] | None = None
-        self._loop: Deferred[None] | None = None
+        self._loop = background.Loop(deps.clock, self._run, "lease keeper")
 
     # What the work asks
 
@@ -98,10 +98,7 @@
 
     def start(self) -> None:
         """Begin the rounds."""
-        self._loop = background.start(self._run(), "lease keeper", self._start_again)
-
-    def _start_again(self) -> None:
-        self._deps.clock.call_later(self._deps.cfg.renew_ms, self.start)
+        self._loop.start()
 
     def kick(self) -> None:
         """Begin the next round now."""
@@ -301,8 +298,7 @@
             self._leases[shard].release()
         await gatherResults([Deferred.fromCoroutine(self._stop_shard(shard)) for shard in held])
         await self.session.end()
-        if self._loop is not None:
-            self._loop.cancel()
+        self._loop.stop()
         for shard in held:
             self._drop_if(shard, self._leases[shard].released())
         self._deps.tell_peers(ShardsReleased(held))
--- /dev/null
+++ b/papayapier/batch/opener.py
@@ -0,0 +1,109 @@
+"""Open tasks shortly before their items are needed, within the bound on memory."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from result import Err
+
+from papayapier import events
+from papayapier.batch import background
+from papayapier.batch.opening import Grant, OpenError, open_task
+from papayapier.batch.records import CHUNK_BYTES
+from papayapier.batch.work import JobWork, OpenTask
+from papayapier.store.api import StoreError
+from papayapier.store.watch import Pauses
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.config.profiles import Profile
+
+AHEAD: Final = 2
+MIN_AHEAD: Final = 16
+UNREADABLE_PAUSE_MS: Final = 30_000
+
+
+class Opener:
+    """Open pending tasks of jobs; one that cannot be opened now stays pending."""
+
+    def __init__(
+        self,
+        deps: "BatchDeps",
+        grant: Callable[[JobWork, int], Grant | None],
+        profile_of: "Callable[[JobWork], Profile]",
+        on_opened: Callable[[OpenTask], None],
+        go_on: Callable[[], None],
+    ) -> None:
+        self._deps = deps
+        self._grant = grant
+        self._profile_of = profile_of
+        self._on_opened = on_opened
+        self._go_on = go_on
+        self._pauses = Pauses(deps.rand)
+
+    def open_ahead(self, jobs: list[JobWork], capacity: int, room_bytes: int) -> None:
+        """Open the next tasks of an upstream when the open ones will soon be used up."""
+        wanted = max(MIN_AHEAD, AHEAD * capacity)
+        ahead = sum(_unsent(job) for job in jobs)
+        for job in jobs:
+            for task in list(job.pending) if ahead < wanted else ():
+                if ahead >= wanted or room_bytes < CHUNK_BYTES:
+                    return
+                if not self._may_open(job, task):
+                    continue
+                job.pending.remove(task)
+                job.opening.add(task)
+                ahead += job.spans[task].size()
+                room_bytes -= CHUNK_BYTES
+                again = partial(self._put_back_later, job, task, UNREADABLE_PAUSE_MS)
+                background.start(self._open(job, task), f"opening of task {task}", again)
+
+    def _may_open(self, job: JobWork, task: int) -> bool:
+        """Tell whether a task's lease is held; a doubtful one leaves the task pending."""
+        return self._grant(job, job.shards[task]) is not None
+
+    async def _open(self, job: JobWork, task: int) -> None:
+        grant = self._grant(job, job.shards[task])
+        if grant is None:
+            job.opening.discard(task)
+            job.pending.appendleft(task)
+            return
+        idempotent = self._profile_of(job).idempotent
+        opened = await open_task(self._deps, job, task, grant, idempotent)
+        if isinstance(opened, Err):
+            self._open_later(job, task, opened.err_value)
+            return
+        self._pauses.reset()
+        if task not in job.opening:
+            return
+        job.opening.discard(task)
+        # The lease may have changed hands meanwhile: then what was read may be old.
+        if self._grant(job, grant.shard) != grant:
+            job.pending.appendleft(task)
+            self._go_on()
+            return
+        self._on_opened(opened.ok_value)
+
+    def _open_later(self, job: JobWork, task: int, error: OpenError) -> None:
+        pause: float = UNREADABLE_PAUSE_MS
+        if isinstance(error, StoreError):
+            pause = self._pauses.next_ms()
+        else:
+            events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
+
+        self._put_back_later(job, task, pause)
+
+    def _put_back_later(self, job: JobWork, task: int, pause: float) -> None:
+        self._deps.clock.call_later(pause, partial(self._put_back, job, task))
+
+    def _put_back(self, job: JobWork, task: int) -> None:
+        if task in job.opening:
+            job.opening.discard(task)
+            job.pending.appendleft(task)
+            self._go_on()
+
+
+def _unsent(job: JobWork) -> int:
+    opening = sum(job.spans[task].size() for task in job.opening)
+    states = [task.state for task in job.open.values()]
+    return opening + sum(state.startable() + state.unintended() for state in states)
--- a/papayapier/batch/risk.py
+++ b/papayapier/batch/risk.py
@@ -1,35 +1,42 @@
 """Tell early which jobs may miss their due time.
 
-Every instance judges by its own part of a job: shards are spread evenly, so what is left
-here and how fast it goes here stand for the whole. Only the holder of a job's home shard
-reports it, so that the sum of the metric over all instances counts each job once.
+Every instance judges by its own part of the jobs: shards are spread evenly, so what is left
+here and how fast it goes here stand for the whole. A job has to wait for the jobs in front
+of it, so their items count too. Only the holder of a job's home shard reports it, so that
+the sum of the metric over all instances counts each job once.
 """
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 from papayapier import events
-from papayapier.batch.runner import job_load
-from papayapier.batch.work import JobWork
+from papayapier.clock import MS_PER_S
 from papayapier.policy import deadlines
 
 if TYPE_CHECKING:
     from papayapier.batch.api import BatchDeps
     from papayapier.batch.registry import JobRegistry
+    from papayapier.batch.runner import Runner
+    from papayapier.batch.work import JobWork
 
 ROUND_MS: Final = 1_000
-SETTLE_MS: Final = 5_000
 
 
 class RiskWatch:
     """Judge the active jobs again and again."""
 
     def __init__(
-        self, deps: "BatchDeps", registry: "JobRegistry", holds_shard: Callable[[int], bool]
+        self,
+        deps: "BatchDeps",
+        registry: "JobRegistry",
+        runner: "Runner",
+        holds_shard: Callable[[int], bool],
     ) -> None:
         self._deps = deps
         self._registry = registry
+        self._runner = runner
         self._holds_shard = holds_shard
+        self._judged_ms = deps.clock.now()
 
     async def run(self) -> None:
         """Judge until cancelled."""
@@ -39,32 +46,47 @@
 
     def judge(self) -> None:
         """Judge every job, and report those at home here."""
-        count = 0
-        for job in self._registry.jobs.values():
-            at_risk = self._is_at_risk(job)
-            if self._holds_shard(job.home):
-                count += at_risk
-                if at_risk != job.at_risk:
-                    self._report(job, at_risk)
-            job.at_risk = at_risk
-        self._deps.metrics.jobs_at_risk.set(count)
-
-    def _is_at_risk(self, job: JobWork) -> bool:
         now = self._deps.clock.now()
-        load = job_load(job, now)
-        wall = self._deps.clock.wall()
-        # A job that has only just begun has no rate yet that says anything.
-        if now - job.seen_ms < SETTLE_MS:
-            return load.items_left > 0 and wall >= load.due_wall_ms
-        return deadlines.at_risk(load, load.rate, wall)
+        turns = self._runner.turns.by_upstream(self._runner.jobs.values())
+        busy = [name for name, jobs in turns.items() if any(job.in_flight() for job in jobs)]
+        self._runner.rates.update(now - self._judged_ms, busy)
+        self._judged_ms = now
+        for jobs in turns.values():
+            self._judge_in_turn(jobs)
+        judged = {job.record.job_id for jobs in turns.values() for job in jobs}
+        mine = [job for job in self._registry.jobs.values() if self._holds_shard(job.home)]
+        for job in mine:
+            if job.record.job_id not in judged:
+                self._judge_elsewhere(job, now)
+        self._deps.metrics.jobs_at_risk.set(sum(job.at_risk for job in mine))
+
+    def _judge_in_turn(self, jobs: "list[JobWork]") -> None:
+        in_front = 0
+        for job in jobs:
+            load = self._runner.turns.load(job)
+            in_front += load.items_left
+            waiting = load._replace(items_left=in_front if load.items_left else 0)
+            self._set(job, load, deadlines.at_risk(waiting, load.rate, self._deps.clock.wall()))
+
+    def _judge_elsewhere(self, job: "JobWork", now: int) -> None:
+        """Judge a job of which nothing is left here by what is recorded of it."""
+        done = job.items_done()
+        elapsed = max(1, now - job.seen_ms)
+        left = job.record.items() - done
+        load = self._runner.turns.load(job)._replace(items_left=left, rate=done / elapsed)
+        self._set(job, load, deadlines.at_risk(load, load.rate, self._deps.clock.wall()))
+
+    def _set(self, job: "JobWork", load: deadlines.JobLoad, at_risk: bool) -> None:
+        if at_risk != job.at_risk and self._holds_shard(job.home):
+            self._report(load, at_risk)
+        job.at_risk = at_risk
 
-    def _report(self, job: JobWork, at_risk: bool) -> None:
-        load = job_load(job, self._deps.clock.now())
+    def _report(self, load: deadlines.JobLoad, at_risk: bool) -> None:
         event = events.JOB_AT_RISK if at_risk else events.JOB_SAFE
         events.emit(
             event,
-            job=job.record.job_id,
+            job=load.job_id,
             due_ms=load.due_wall_ms,
             items_left=load.items_left,
-            items_per_s=round(load.rate * 1000, 2),
+            items_per_s=round(load.rate * MS_PER_S, 2),
         )
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -6,21 +6,17 @@
 items go on until the bound is reached, and then wait.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from result import Err
-
-from papayapier import events
-from papayapier.batch import background
 from papayapier.batch.commits import CommitCalls, Commits
-from papayapier.batch.opening import Grant, OpenError, open_task
+from papayapier.batch.opener import Opener
+from papayapier.batch.opening import Grant
 from papayapier.batch.records import CHUNK_BYTES, Tally
 from papayapier.batch.sending import Sender
+from papayapier.batch.turns import Rates, Turns, caller_caps
 from papayapier.batch.work import JobWork, OpenTask
-from papayapier.policy import deadlines
-from papayapier.store.api import StoreError
-from papayapier.store.watch import Pauses
 
 if TYPE_CHECKING:
     from papayapier.batch.api import BatchDeps
@@ -28,12 +24,9 @@
     from papayapier.config.profiles import Profile
 
 SLICE_ITEMS: Final = 32
-AHEAD: Final = 2
-MIN_AHEAD: Final = 16
 MIN_INTENTS: Final = 8
 MAX_INTENTS: Final = 64
 TICK_MS: Final = 500
-UNREADABLE_PAUSE_MS: Final = 30_000
 HAND_OVER_POLL_MS: Final = 20
 
 
@@ -69,8 +62,10 @@
             holds.may_commit, self._on_saved, self._on_recorded, self._on_given_up, self._on_lost
         )
         self._commits = Commits(deps, holder, commit_calls)
-        self._sender = Sender(deps, self._may_send, self._on_change)
-        self._pauses = Pauses(deps.rand)
+        self.rates = Rates()
+        self.turns = Turns(deps.clock, self.rates, lambda job: self.profile_of(job).upstream)
+        self._sender = Sender(deps, self._may_send, self._on_change, self.rates.on_ended)
+        self._opener = Opener(deps, holds.grant, self.profile_of, self._on_opened, self.pump_soon)
         self._pump_timer: Timer | None = None
         self._tick_timer: Timer | None = None
         self._stopping = False
@@ -82,12 +77,14 @@
         """Run the unfinished tasks of a job that are in a shard held."""
         self.jobs[job.record.job_id] = job
         job.adopt(shard)
+        self.turns.forget()
         self._keep_ticking()
         self.pump_soon()
 
     def drop_job(self, job: JobWork) -> None:
         """Stop everything of a job at once; what is not recorded stays so."""
         self.jobs.pop(job.record.job_id, None)
+        self.turns.forget()
         job.pending.clear()
         job.opening.clear()
         for task in list(job.open.values()):
@@ -161,32 +158,40 @@
     def _pump(self) -> None:
         self._pump_timer = None
         more = False
-        for upstream, jobs in self._turns().items():
+        for upstream, jobs in self.turns.by_upstream(self.jobs.values()).items():
             more = self._serve(upstream, jobs) or more
         if more:
             self.pump_soon()
 
-    def _turns(self) -> dict[str, list[JobWork]]:
-        """Return the jobs of each upstream in the order in which they are to be served."""
-        loads = [job_load(job, self._deps.clock.now()) for job in self.jobs.values() if job.runs()]
-        turns: dict[str, list[JobWork]] = {}
-        for job_id in deadlines.order(loads, self._deps.clock.wall()):
-            job = self.jobs[job_id]
-            turns.setdefault(self.profile_of(job).upstream, []).append(job)
-        return turns
-
     def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
         """Hand out one slice of an upstream's items; tell whether there is more to do now."""
         room = self._deps.dispatch.room(upstream)
         left = min(room, SLICE_ITEMS) if self.bytes_held() < self._limit() else 0
+        running = sum(job.in_flight() for job in jobs)
+        caps = caller_caps(jobs, room + running)
+        flying: Counter[str] = Counter()
         for job in jobs:
-            profile = self.profile_of(job)
-            for task in list(job.open.values()):
-                left -= self._send_some(task, left, profile)
-                self._intend_some(task, room)
-        self._open_ahead(jobs, room)
+            flying[job.record.caller] += job.in_flight()
+        for job in jobs:
+            caller = job.record.caller
+            sent = self._send_of(job, min(left, caps[caller] - flying[caller]), room)
+            flying[caller] += sent
+            left -= sent
+        for job in jobs:
+            if left == 0:
+                break
+            left -= self._send_of(job, left, room)
+        self._opener.open_ahead(jobs, room + running, self._limit() - self.bytes_held())
         return left == 0 and room > SLICE_ITEMS
 
+    def _send_of(self, job: JobWork, most: int, room: int) -> int:
+        profile = self.profile_of(job)
+        sent = 0
+        for task in list(job.open.values()):
+            sent += self._send_some(task, most - sent, profile)
+            self._intend_some(task, room)
+        return sent
+
     def _send_some(self, task: OpenTask, most: int, profile: "Profile") -> int:
         sent = 0
         while sent < most and self._may_send(task):
@@ -210,65 +215,6 @@
         if task.state.intend(most):
             self._commits.kick(task)
 
-    def _open_ahead(self, jobs: list[JobWork], room: int) -> None:
-        """Open the next tasks of an upstream when the open ones will soon be used up."""
-        running = sum(job.in_flight() for job in jobs)
-        wanted = max(MIN_AHEAD, AHEAD * (room + running))
-        ahead = sum(_unsent(job) for job in jobs)
-        held = self.bytes_held()
-        for job in jobs:
-            for task in [task for task in job.pending if self._may_open(job, task)]:
-                if ahead >= wanted or held + CHUNK_BYTES > self._limit():
-                    return
-                job.pending.remove(task)
-                job.opening.add(task)
-                ahead += job.spans[task].size()
-                held += CHUNK_BYTES
-                background.start(self._open(job, task), f"opening of task {task}")
-
-    def _may_open(self, job: JobWork, task: int) -> bool:
-        """Tell whether a task's lease is held; a doubtful one leaves the task pending."""
-        return self._holds.grant(job, job.shards[task]) is not None
-
-    async def _open(self, job: JobWork, task: int) -> None:
-        grant = self._holds.grant(job, job.shards[task])
-        if grant is None:
-            job.opening.discard(task)
-            job.pending.appendleft(task)
-            return
-        idempotent = self.profile_of(job).idempotent
-        opened = await open_task(self._deps, job, task, grant, idempotent)
-        if isinstance(opened, Err):
-            self._open_later(job, task, opened.err_value)
-            return
-        self._pauses.reset()
-        if task not in job.opening:
-            return
-        job.opening.discard(task)
-        # The lease may have changed hands meanwhile: then what was read may be old.
-        if self._holds.grant(job, grant.shard) != grant or self._stopping:
-            job.pending.appendleft(task)
-            self.pump_soon()
-            return
-        job.open[task] = opened.ok_value
-        self._commits.on_opened(opened.ok_value)
-        self._on_change(opened.ok_value)
-
-    def _open_later(self, job: JobWork, task: int, error: OpenError) -> None:
-        pause: float = UNREADABLE_PAUSE_MS
-        if isinstance(error, StoreError):
-            pause = self._pauses.next_ms()
-        else:
-            events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
-
-        def put_back() -> None:
-            if task in job.opening:
-                job.opening.discard(task)
-                job.pending.appendleft(task)
-                self.pump_soon()
-
-        self._deps.clock.call_later(pause, put_back)
-
     def profile_of(self, job: JobWork) -> "Profile":
         """Return the profile in force, as strict about repeating as the job was accepted."""
         accepted = job.record.profile
@@ -306,6 +252,13 @@
         self._commits.kick(task)
         self.pump_soon()
 
+    def _on_opened(self, task: OpenTask) -> None:
+        if self._stopping:
+            return
+        task.job.open[task.span.task] = task
+        self._commits.on_opened(task)
+        self._on_change(task)
+
     def _on_saved(self, task: OpenTask) -> None:
         task.state.wake(self._deps.clock.now())
         self.pump_soon()
@@ -338,23 +291,3 @@
         self.pump_soon()
         if self.jobs:
             self._keep_ticking()
-
-
-def job_load(job: JobWork, now: int) -> deadlines.JobLoad:
-    """Describe to the policy what this instance has left of a job, and how fast it goes."""
-    elapsed = now - job.seen_ms
-    rate = job.ended_here / elapsed if elapsed > 0 else 0.0
-    return deadlines.JobLoad(
-        job_id=job.record.job_id,
-        caller=job.record.caller,
-        due_wall_ms=job.record.due_ms,
-        items_left=job.items_left(),
-        in_flight=job.in_flight(),
-        rate=rate,
-    )
-
-
-def _unsent(job: JobWork) -> int:
-    opening = sum(job.spans[task].size() for task in job.opening)
-    states = [task.state for task in job.open.values()]
-    return opening + sum(state.startable() + state.unintended() for state in states)
--- a/papayapier/batch/sending.py
+++ b/papayapier/batch/sending.py
@@ -33,10 +33,12 @@
         deps: "BatchDeps",
         may_send: Callable[[OpenTask], bool],
         on_change: Callable[[OpenTask], None],
+        on_ended: Callable[[str], None],
     ) -> None:
         self._deps = deps
         self._may_send = may_send
         self._on_change = on_change
+        self._on_ended = on_ended
 
     def send(self, task: OpenTask, item: int, profile: "Profile") -> None:
         """Hand an item that the task's state has given out to the dispatch."""
@@ -73,6 +75,8 @@
         except CancelledError:
             self._on_cancelled(task, item, run)
             return
+        if isinstance(answer, Ok):
+            self._on_ended(profile.upstream)
         self._on_answer(task, item, run, answer)
 
     def _on_cancelled(self, task: OpenTask, item: int, run: ItemRun) -> None:
@@ -113,7 +117,6 @@
                 return
         result = verdict.result._replace(attempts=state.attempts_of(item))
         state.end(result)
-        task.job.ended_here += 1
         self._report(task, result, answer)
 
     def _pause_ms(self, attempts: int) -> int:
--- a/papayapier/batch/start.py
+++ b/papayapier/batch/start.py
@@ -1,7 +1,7 @@
 """Wire the parts of batch work together."""
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from result import Result
 
@@ -23,9 +23,6 @@
 from papayapier.peer.messages import JobChanged, Message, ShardsReleased
 from papayapier.store.watch import Pauses
 
-if TYPE_CHECKING:
-    from twisted.internet.defer import Deferred
-
 EXPIRY_SHARD: Final = 0
 
 
@@ -89,15 +86,20 @@
         keeper_calls = KeeperCalls(
             self._on_held, self._on_lost, self._hand_over, self._careful, self._on_revived
         )
-        self.keeper = Keeper(deps, holder, keeper_calls)
+        lease_deps = deps._replace(store=deps.lease_store or deps.store)
+        self.keeper = Keeper(lease_deps, holder, keeper_calls)
         holds = Holds(self._grant, self.keeper.may_send, self.keeper.may_commit)
         self._runner = Runner(
             deps, holder, holds, RunnerCalls(self._on_recorded, self._on_superseded)
         )
         self._ender = Ender(deps, holder, self.registry, self.keeper.may_commit)
         self._expiry = Expiry(deps, self.registry, lambda: self.keeper.may_commit(EXPIRY_SHARD))
-        self._risk = RiskWatch(deps, self.registry, self.keeper.may_commit)
-        self._loops: list[Deferred[None]] = []
+        self._risk = RiskWatch(deps, self.registry, self._runner, self.keeper.may_commit)
+        self._loops = [
+            background.Loop(deps.clock, self._ender.run, "ending of jobs"),
+            background.Loop(deps.clock, self._expiry.run, "expiry"),
+            background.Loop(deps.clock, self._risk.run, "watch for jobs at risk"),
+        ]
         self._to_adopt: dict[str, set[int]] = {}
         self._adopting = False
 
@@ -105,18 +107,15 @@
         """Start everything that goes on by itself."""
         self.registry.start()
         self.keeper.start()
-        self._loops = [
-            background.start(self._ender.run(), "ending of jobs"),
-            background.start(self._expiry.run(), "expiry"),
-            background.start(self._risk.run(), "watch for jobs at risk"),
-        ]
+        for loop in self._loops:
+            loop.start()
 
     async def stop(self) -> None:
         """Hand over what runs here, and stop."""
         self._runner.begin_stop()
         await self.keeper.stop()
         for loop in self._loops:
-            loop.cancel()
+            loop.stop()
         self.registry.stop()
         self._runner.stop()
 
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -82,10 +82,8 @@
         "at_risk",
         "careful",
         "done",
-        "ended_here",
         "home",
         "list_again_ms",
-        "listed",
         "next_look_ms",
         "open",
         "opening",
@@ -109,13 +107,11 @@
         self.opening: set[int] = set()
         self.done: set[int] = set()
         self.tallies: dict[int, Tally] = {}
-        self.listed = False
         self.list_again_ms = 0
         self.seen_ms = now
         self.next_look_ms = now
         self.at_risk = False
         self.careful: set[int] = set()
-        self.ended_here = 0
 
     def runs(self) -> bool:
         """Tell whether items of the job may be started."""
