--- a/tests/test_standin_models.py
+++ b/tests/test_standin_models.py
@@ -123,6 +123,25 @@
     assert instances.shown() == []
 
 
+def test_bucket_counts_amounts() -> None:
+    fake = fake_clock()
+    bucket = Bucket(fake.clock)
+    rate = 100
+    assert [bucket.take(rate, amount) for amount in (30, 30, 20, 1)] == [True, False, True, False]
+    fake.advance(100)
+    assert [bucket.take(rate, amount) for amount in (11, 10)] == [False, True]
+
+
+def test_amount_above_the_burst_passes_once_the_rate_has_paid_for_it() -> None:
+    fake = fake_clock()
+    bucket = Bucket(fake.clock)
+    assert [bucket.take(100, 1_000), bucket.take(100, 1)] == [True, False]
+    fake.advance(9_990)
+    assert not bucket.take(100, 1_000)
+    fake.advance(10)
+    assert bucket.take(100, 1_000)
+
+
 def test_bucket_allows_a_burst_and_then_the_rate() -> None:
     fake = fake_clock()
     bucket = Bucket(fake.clock)
--- a/tests/test_standin_weights.py
+++ b/tests/test_standin_weights.py
@@ -75,6 +75,7 @@
     engine = Engine(fake)
     engine.orders.take(load("m"))
     engine.crash()
+    assert engine.asked[0].called
     fake.advance(RETRY_MS + ORDER_MS)
     assert len(engine.asked) == 1
     assert (engine.orders.loading, engine.orders.state.models) == (0, ["base"])
