Let stand-in engines refuse a model that they have not loaded

Cause: the stand-in answered for any model, so nothing could show that a request went to a replica before its model, or adapter, was loaded there. Change: with checks_models an engine answers 404 for what it has not loaded, and takes nothing in. The default stays as it was: any model is answered for.

--- a/papayapier/standin/engine.py
+++ b/papayapier/standin/engine.py
@@ -125,6 +125,9 @@
             web.send_json(request, Json(400, {"error": read.err_value}))
             return
         job = read.ok_value
+        if not self.core.has_loaded(job.model):
+            web.send_json(request, Json(404, {"error": f"model {job.model!r} is not loaded"}))
+            return
         mode = self.core.switches.take()
         if mode is Mode.CRASH:
             self._crashes.crash()
--- a/papayapier/standin/engine_core.py
+++ b/papayapier/standin/engine_core.py
@@ -81,6 +81,11 @@
         """Return the number of sequences that hold a slot now."""
         return self._batch.running
 
+    def has_loaded(self, model: str) -> bool:
+        """Tell whether requests for a model or adapter are answered."""
+        state = self.orders.state
+        return not self._params.checks_models or model in [*state.models, *state.adapters]
+
     def accept(self, job: Job, output: Output, mode: Mode) -> Callable[[], None]:
         """Take a job in and return the call that cancels it."""
         run = _Run(job, output)
--- a/papayapier/standin/engine_steps.py
+++ b/papayapier/standin/engine_steps.py
@@ -28,7 +28,10 @@
 
 
 class EngineParams(NamedTuple):
-    """Set an engine's normal behaviour; link_delay_ms is the way to its callers, one way."""
+    """Set an engine's normal behaviour; link_delay_ms is the way to its callers, one way.
+
+    With checks_models, a request for anything but a loaded model or adapter is refused.
+    """
 
     slots: int = 32
     base_ms: float = 5.0
@@ -41,6 +44,7 @@
     checks_fence: bool = True
     order_ms: int = 300
     models: tuple[str, ...] = ("base",)
+    checks_models: bool = False
     version: str = "1"
     seed: int = 1
     link_delay_ms: float = 0.0
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -125,6 +125,22 @@
         assert models == ["base", "m2"]
         assert (await self.post("/orders", {"order_id": "o3"})).status == 400
 
+    async def test_model_that_is_not_loaded_is_refused(self) -> None:
+        # Symptom: answers of a model came from replicas that had never loaded it.
+        # Sequence: a replica was sent a request before the order to load had ended.
+        # Cause: the engine answered for whatever model a request named.
+        await self.start(checks_models=True, models=("m",))
+        self.server.control(Control(mode=Mode.HANG, times=1))
+        assert (await self.ask("a", ident="no", model="n")).status == 404
+        self.server.control(Control(mode=Mode.OK))
+        for number, kind in enumerate(("load_model", "load_adapter")):
+            name = f"n-{number}"
+            order = {"order_id": name, "fence": 1, "kind": kind, "name": name}
+            assert (await self.post("/orders", order)).status == 200
+            assert (await self.ask("a", model=name)).status == 200
+        assert (await self.ask("a")).status == 200
+        assert self.server.counts().started == {"r": 3}
+
     async def test_loading_a_model_holds_new_work_back(self) -> None:
         await self.start(order_ms=30)
         await self.post("/orders", {"order_id": "o", "fence": 1, "kind": "load_model", "name": "n"})
