--- a/papayapier/load/chaos_world.py
+++ b/papayapier/load/chaos_world.py
@@ -211,7 +211,7 @@
             self._clock.call_later(BALANCER_LAG_MS, self._rebalance)
             await instance.kill()
             # Work of the lost instance that still sleeps must not go on: it is gone.
-            place.timers.pause()
+            place.timers.end()
             place.timers = PausableTimers(self._clock.timers)
         else:
             self._clock.call_later(BALANCER_LAG_MS, self._rebalance)
--- a/papayapier/load/pausing.py
+++ b/papayapier/load/pausing.py
@@ -49,6 +49,7 @@
     def __init__(self, inner: Timers) -> None:
         self._inner = inner
         self._held: list[HeldTimer] = []
+        self._ended = False
         self.paused = False
 
     def seconds(self) -> float:
@@ -69,8 +70,15 @@
         """Hold every call from now on."""
         self.paused = True
 
+    def end(self) -> None:
+        """Hold every call for good: the instance is lost, and no resume() wakes it up."""
+        self._ended = True
+        self.pause()
+
     def resume(self) -> None:
         """Run what has become due meanwhile, in its order."""
+        if self._ended:
+            return
         self.paused = False
         held, self._held = self._held, []
         for timer in held:
