Give up batch slots when another instance's online calls outgrow its share

Cause: with a balancer that sends 20 times as many callers to one instance, that instance's calls waited for slots held by the others' batch streams. Change: from the peers' heartbeats each instance works out by how much others pass their shares and gives up its part; calls that a report shows waiting for a slot take more away.

--- a/misc/policy_sim/batch_run.py
+++ b/misc/policy_sim/batch_run.py
@@ -24,6 +24,8 @@
 LINK_MS: Final = 1.0
 POLL_MS: Final = 100.0
 HEARTBEAT_MS: Final = 500.0
+EARLY_MS: Final = 50.0
+EARLY_CALLS: Final = 4
 TICK_MS: Final = 20.0
 WARM_UP_MS: Final = 3_000.0
 BURST_EVERY_MS: Final = 10_000.0
@@ -32,6 +34,7 @@
 ONLINE_TOKENS: Final = 40
 BATCH_TOKENS: Final = 200
 UPSTREAM: Final = "model"
+CASES: Final = ((0.15, 0.0, 1.0), (0.08, 0.0, 1.0), (0.15, 2.0, 1.0), (0.15, 0.0, 20.0))
 HEAD: Final = (
     "way                   first p50    p99    p99.9  gap p50   p99  total p50    p99"
     "   batch/s  yields/s  of idle"
@@ -39,13 +42,17 @@
 
 
 class Setup(NamedTuple):
-    """Set one run; online is the base load as a share of all slots."""
+    """Set one run; online is the base load as a share of all slots.
+
+    skew is how many times the traffic of another one the first instance gets.
+    """
 
     name: str
     rule: BatchRule | None
     online: float = 0.15
     prefill_ms: float = 0.0
     yields: bool = True
+    skew: float = 1.0
 
 
 class Row(NamedTuple):
@@ -75,6 +82,8 @@
         self.outliers.on_listed(replicas)
         self.streams: dict[str, list[Sequence]] = {replica.id: [] for replica in replicas}
         self.kept: list[int] = []
+        self.told_ms = 0.0
+        self.told: dict[str, int] = {}
         for replica in replicas:
             self.share.set_upstream(replica.id, UPSTREAM)
         if setup.rule:
@@ -95,6 +104,7 @@
             Replica(key, UPSTREAM, "", 0, f"dc{i % 3}") for i, key in enumerate(self.engines)
         ]
         self.nodes = [Node(i, replicas, setup, seed) for i in range(INSTANCES)]
+        self.weights = [setup.skew, *[1.0] * (INSTANCES - 1)]
         self.first: list[float] = []
         self.gap: list[float] = []
         self.total: list[float] = []
@@ -139,8 +149,19 @@
         node.book.on_report(key, report)
         node.share.on_report(key, report)
 
+    def _beat_early(self, node: Node) -> None:
+        """Tell the peers at once when many online calls were opened or ended."""
+        if self.loop.now < node.told_ms + EARLY_MS:
+            return
+        online = {use.replica: use.online for use in node.book.uses()}
+        keys = online.keys() | node.told.keys()
+        if sum(abs(online.get(k, 0) - node.told.get(k, 0)) for k in keys) >= EARLY_CALLS:
+            self._beat(node)
+
     def _beat(self, node: Node) -> None:
         uses = node.book.uses()
+        node.told = {use.replica: use.online for use in uses}
+        node.told_ms = self.loop.now
         for peer in self.nodes:
             if peer is not node:
                 self.loop.after(LINK_MS, self._told(peer, node, uses))
@@ -153,7 +174,7 @@
         if self.loop.now % BURST_EVERY_MS >= BURST_EVERY_MS - BURST_MS:
             rate *= BURST_FACTOR
         self.loop.after(self.rand.expovariate(rate), self._arrive)
-        self._send_online(self.rand.choice(self.nodes))
+        self._send_online(self.rand.choices(self.nodes, self.weights)[0])
 
     def _send_online(self, node: Node) -> None:
         begun = self.loop.now
@@ -184,6 +205,7 @@
             self._yield(node, key)
 
     def _tick(self, node: Node) -> None:
+        self._beat_early(node)
         for key in self.engines:
             if self.setup.yields:
                 self._yield(node, key)
@@ -248,12 +270,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=33.0)
     args = parser.parse_args()
-    for online, prefill_ms in ((0.15, 0.0), (0.08, 0.0), (0.15, 2.0)):
-        print(f"online {online:.2f} of slots, bursts x{BURST_FACTOR:.0f}, prefill {prefill_ms} ms")
+    for online, prefill_ms, skew in CASES:
+        print(f"online {online} of slots, prefill {prefill_ms} ms, first instance x{skew:.0f}")
         print(HEAD)
         idle = 0.0
         for setup in setups(online, prefill_ms):
-            row = Run(setup, args.seed).go(args.seconds)
+            row = Run(setup._replace(skew=skew), args.seed).go(args.seconds)
             idle = idle or row.idle_per_s
             print(
                 f"{setup.name:<22}{at(row.first, 0.5):9.1f}{at(row.first, 0.99):8.1f}"
--- a/papayapier/policy/batch_share.py
+++ b/papayapier/policy/batch_share.py
@@ -10,6 +10,9 @@
    it sends takes the place of one of its own batch streams at once and without a message,
    and no two instances use the same idle slot. (Giving whole replicas to instances leaves
    some with none: misc/slot_ownership.py prints how often.)
+   An instance whose online calls outgrow its share takes slots of the others. They hear of
+   it from its heartbeat, or see calls waiting in the replica's report, and give up their
+   part.
 2. Headroom. An instance holds back the slots that its online calls took at their recent
    peak; the peak is forgotten with a half-life. Bursts find free slots, and batch streams
    are not cancelled and resumed for every single online call.
@@ -32,6 +35,7 @@
 from papayapier.policy.rendezvous import score
 from papayapier.upstream.api import Load
 
+CUT_EVERY_MS: Final = 300
 REFRESH_MS: Final = 100
 LEARNING_SHARE: Final = 0.5
 MAX_RAMP_STEP_MS: Final = 40
@@ -62,12 +66,23 @@
 class _Row:
     """Hold what is known of one replica."""
 
-    __slots__ = ("cap", "fresh_ms", "pace", "peak", "peak_ms", "ramp", "ramp_ms", "running")
+    __slots__ = (
+        "cap",
+        "cut",
+        "cut_ms",
+        "fresh_ms",
+        "pace",
+        "peak",
+        "peak_ms",
+        "ramp",
+        "ramp_ms",
+    )
 
     def __init__(self) -> None:
         self.pace = Pace()
-        self.running = 0
         self.cap = 0
+        self.cut = 0
+        self.cut_ms = 0
         self.fresh_ms = -REFRESH_MS
         self.peak = 0.0
         self.peak_ms = 0
@@ -83,7 +98,7 @@
         self._instances: tuple[str, ...] = (instance_id,)
         self._rules: dict[str, BatchRule] = {}
         self._upstreams: dict[str, str] = {}
-        self._places: dict[str, int] = {}
+        self._places: dict[str, dict[str, int]] = {}
         self._rows: dict[str, _Row] = {}
         self._online_ms: dict[str, int] = {}
 
@@ -113,7 +128,7 @@
     def on_report(self, replica_id: str, load: Load) -> None:
         """Take a load report, which pairs running calls with a step time."""
         row = self._row(replica_id)
-        row.running = load.running
+        self._cut(row, load)
         if load.step_ms > 0 and load.running > 0:
             row.pace.observe(load.running, load.slots, load.step_ms)
 
@@ -144,9 +159,26 @@
             row.fresh_ms = now
         reserve = _reserve(row, point, book.own(replica_id).online, now)
         room = self._dealt(replica_id, row.cap) - reserve
+        room -= max(row.cut, self._outgrown(replica_id, book, row.cap))
         limit = max(0, min(self._dealt(replica_id, int(slots * rule.share)), room))
         return self._ramped(row, limit, point.ramp_ms, now)
 
+    def _cut(self, row: _Row, load: Load) -> None:
+        """Give up a part of the calls seen waiting for a slot; take it back bit by bit.
+
+        Calls that wait for a slot are some that no share or heartbeat accounts for. A call
+        that waits only for the next step does not count: there are slots for it. A report
+        shows the effect of a cut only after its lag, so cuts keep that distance.
+        """
+        if load.at_ms < row.cut_ms + CUT_EVERY_MS:
+            return
+        row.cut_ms = load.at_ms
+        over = load.running + load.waiting - load.slots
+        if over > 0:
+            row.cut += math.ceil(over / len(self._instances))
+        else:
+            row.cut = max(0, row.cut - 1)
+
     def _ramped(self, row: _Row, limit: int, ramp_ms: float, now: int) -> int:
         """Lower the limit at once, but raise it by one stream at a time.
 
@@ -168,15 +200,27 @@
             row = self._rows[replica_id] = _Row()
         return row
 
-    def _dealt(self, replica_id: str, slots: int) -> int:
-        """Return this instance's part of the first slots of a replica."""
-        place = self._places.get(replica_id)
-        if place is None:
-            ranked = sorted(self._instances, key=lambda instance: score(replica_id, instance))
-            place = self._places[replica_id] = ranked.index(self._instance)
-        count = len(self._instances)
+    def _dealt(self, replica_id: str, slots: int, instance: str = "") -> int:
+        """Return an instance's part (this one's by default) of the first slots of a replica."""
+        places = self._places.get(replica_id)
+        if places is None:
+            ranked = sorted(self._instances, key=lambda name: score(replica_id, name))
+            places = self._places[replica_id] = {name: i for i, name in enumerate(ranked)}
+        count = len(places)
+        place = places.get(instance or self._instance, count - 1)
         return (slots + count - 1 - place) // count
 
+    def _outgrown(self, replica_id: str, book: LoadBook, cap: int) -> int:
+        """Return this instance's part of the slots by which others outgrow their shares."""
+        over = 0
+        fitting = 1
+        for peer, online in book.peers_online(replica_id).items():
+            excess = online - self._dealt(replica_id, cap, peer)
+            over += max(0, excess)
+            fitting += excess < 0
+        fitting = max(fitting, len(self._instances) // 2)
+        return math.ceil(over / fitting)
+
 
 def _reserve(row: _Row, point: Isolate, online: int, now: int) -> int:
     """Return the slots held back for online calls: those open, or the fading recent peak."""
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -142,6 +142,11 @@
         row = self._rows.get(replica_id)
         return row.online + row.peer_online if row else 0
 
+    def peers_online(self, replica_id: str) -> dict[str, int]:
+        """Return the online calls that each peer has open at a replica."""
+        row = self._rows.get(replica_id)
+        return {peer: use[0] for peer, use in row.peers.items()} if row else {}
+
     def batch_at(self, replica_id: str) -> int:
         """Return the batch calls known to be open, ours and the peers'."""
         row = self._rows.get(replica_id)
--- a/tests/test_policy_batch.py
+++ b/tests/test_policy_batch.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from papayapier.config.profiles import BatchRule, Isolation
+from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.batch_share import POINTS, BatchShare
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.pace import Pace
@@ -86,6 +87,32 @@
         assert share.to_yield("r0", book, 60_001) >= calls
 
 
+def test_shares_shrink_when_another_instance_outgrows_its_own() -> None:
+    # Symptom: online calls of one instance wait for slots that batch of the others holds.
+    # Sequence: the balancer sends nearly all callers to one instance, which yields all its
+    # batch streams and goes on sending; the others keep theirs.
+    # Cause: each instance looked only at its own online calls.
+    names = [f"i{i}" for i in range(4)]
+    limits = []
+    for name in names[1:]:
+        share, book = make(name, names, "throughput")
+        report(share, book, 1, 0)
+        settle(share, book, 50_000, 60_000)
+        book.on_peer_uses("i0", [ReplicaUse("r0", 26, 0)], 60_000)
+        limits.append(share.limit("r0", book, 60_010))
+    assert sum(limits) + 26 <= SLOTS
+
+
+def test_calls_that_wait_for_a_slot_take_batch_streams_away() -> None:
+    share, book = make("i0", ["i0", "i1"], "throughput")
+    report(share, book, 1, 0)
+    before = settle(share, book, 50_000, 60_000)
+    share.on_report("r0", Load(SLOTS, 6, SLOTS, 6.9, 60_000))
+    assert share.limit("r0", book, 60_010) == before - 3
+    share.on_report("r0", Load(20, 2, SLOTS, 6.2, 60_400))
+    assert settle(share, book, 60_400, 61_000) == before - 2
+
+
 def test_room_returns_gradually_after_a_burst() -> None:
     # Symptom: the first-token p99 after a burst is worse than in it.
     # Sequence: the burst ends; all instances resume their batch streams in one step.
