Don't refuse a key for other content before it is known to be claimed

Cause: the claims state machine found a refusal "not run, key used for another request" for the request that had run: the instance compared it with its own attempt, which had not claimed the key yet and was about to find that it could not. Change: a delivery with other content waits until the other attempt has claimed the key or lost it. Drain also waits for claims that are handed out.

--- a/papayapier/claims/group.py
+++ b/papayapier/claims/group.py
@@ -87,10 +87,6 @@
         archived = self._view.archive_of(claim) is not None
         return Known(self._view.head.get(claim), archived)
 
-    def waiting(self) -> bool:
-        """Tell whether any op has not ended."""
-        return bool(self._ops)
-
     def stop(self) -> None:
         """Stop; ops that have not ended never will."""
         if self._task is not None:
--- a/papayapier/claims/local.py
+++ b/papayapier/claims/local.py
@@ -29,7 +29,7 @@
 class Attempt:
     """Hold one attempt on a key."""
 
-    __slots__ = ("_waiting", "answer", "content", "id", "state", "token")
+    __slots__ = ("_deciding", "_waiting", "answer", "content", "id", "state", "token")
 
     def __init__(self, claim: bytes, token: bytes, content: bytes) -> None:
         self.id = claim
@@ -38,6 +38,16 @@
         self.state = AttemptState.CLAIMING
         self.answer: SavedAnswer | None = None
         self._waiting: list[Deferred[bool]] = []
+        self._deciding: list[Deferred[bool]] = []
+
+    def when_decided(self) -> Deferred[bool]:
+        """Return a Deferred that fires when it is known whether the key was claimed."""
+        decided: Deferred[bool] = Deferred()
+        if self.state is AttemptState.CLAIMING:
+            self._deciding.append(decided)
+        else:
+            decided.callback(True)
+        return decided
 
     def when_ended(self) -> Deferred[bool]:
         """Return a Deferred that fires when the attempt is abandoned or done."""
@@ -48,13 +58,17 @@
             self._waiting.append(ended)
         return ended
 
+    def may_send(self) -> None:
+        """Note that the key was claimed and the request may be sent."""
+        self.state = AttemptState.SENDING
+        self._deciding = _fire(self._deciding)
+
     def end(self, state: AttemptState, answer: SavedAnswer | None) -> None:
         """Set the end, and wake those who wait for it."""
         self.state = state
         self.answer = answer
-        waiting, self._waiting = self._waiting, []
-        for ended in waiting:
-            ended.callback(True)
+        self._deciding = _fire(self._deciding)
+        self._waiting = _fire(self._waiting)
 
 
 class Attempts:
@@ -91,6 +105,10 @@
             del self._by_id[attempt.id]
         attempt.end(state, answer)
 
+    def ids(self) -> set[bytes]:
+        """Return the ids of all attempts that are not forgotten."""
+        return {attempt.id for attempt in self._by_token.values()}
+
     def forget(self, attempt: Attempt) -> None:
         """Drop an attempt whose end is in the store, or whose claim never will be."""
         self._by_token.pop(attempt.token, None)
@@ -98,6 +116,12 @@
             del self._by_id[attempt.id]
 
 
+def _fire(waiting: list[Deferred[bool]]) -> list[Deferred[bool]]:
+    for one in waiting:
+        one.callback(True)
+    return []
+
+
 async def until(clock: Clock, done: Deferred[T], due_ms: int) -> T | None:
     """Wait for a Deferred, at most until a time; None also stands for its failure."""
     gate: Deferred[T | None] = Deferred()
--- a/papayapier/claims/service.py
+++ b/papayapier/claims/service.py
@@ -130,9 +130,13 @@
         for shard in self._shards:
             shard.stop()
 
+    def unsettled(self) -> set[bytes]:
+        """Return the ids of the claims of this process whose end is not in the store yet."""
+        return self._attempts.ids()
+
     async def drain(self, due_ms: int) -> bool:
-        """Wait until all ends of claims are in the store; False if some are not by the due time."""
-        while any(shard.waiting() for shard in self._shards):
+        """Wait until the ends of all claims are in the store; False if time runs out."""
+        while self.unsettled():
             if self._deps.clock.now() >= due_ms:
                 return False
             await self._deps.clock.sleep(DRAIN_STEP_MS)
@@ -195,12 +199,21 @@
     async def _join(self, met: Attempt, req: _Request) -> "Begun | _Again":
         """Wait for the attempt of another delivery of the same request on this instance."""
         if met.content != req.content:
-            return Err(_key_conflict())
+            return await self._join_other(met, req)
         if not await until(self._deps.clock, met.when_ended(), req.due_ms):
-            reason = "another delivery of this request is running"
-            return Err(unknown(ErrorKind.STILL_RUNNING, reason, RETRY_AFTER_MS))
+            return Err(_still_running())
         return Ok(Done(met.answer)) if met.state is AttemptState.DONE else _Again(None)
 
+    async def _join_other(self, met: Attempt, req: _Request) -> "Begun | _Again":
+        """Refuse a key that was used for another request, once it has been.
+
+        An attempt that only tries to claim the key may find that it belongs to the very
+        request that would be refused here as not run.
+        """
+        if not await until(self._deps.clock, met.when_decided(), req.due_ms):
+            return Err(_still_running())
+        return _Again(None) if met.state is AttemptState.ABANDONED else Err(_key_conflict())
+
     async def _claim(self, req: _Request, supersedes: Token | None) -> "Begun | _Again":
         """Write a claim of this delivery."""
         if self._deps.clock.now() >= req.due_ms:
@@ -215,7 +228,7 @@
             self._give_up(attempt, op)
             raise
         if self._deps.clock.now() < req.due_ms and isinstance(op.end, Kept):
-            attempt.state = AttemptState.SENDING
+            attempt.may_send()
             return Ok(New(attempt.token))
         known = self._shard(req.id).known(req.id)
         self._give_up(attempt, op)
@@ -341,6 +354,11 @@
     return not_run(ErrorKind.KEY_CONFLICT, "the key was used for another request")
 
 
+def _still_running() -> Refusal:
+    reason = "another delivery with this key is running"
+    return unknown(ErrorKind.STILL_RUNNING, reason, RETRY_AFTER_MS)
+
+
 def _store_down() -> Refusal:
     reason = (
         "the key could not be claimed, so this delivery was not sent; "
