Mend three faults that the state machine of whole instances found

Cause: (1) a job that came while leases were in doubt was taken up by nobody, and stood still for good; (2) a planned stop during a hand-over met a transition that the lease did not have; (3) a renewal under way at a planned stop could make the deletion of the session fail, so that the shards waited for the lease to expire. Change: confirmed leases take up what was missed; the transition; the version is read anew.

--- a/papayapier/batch/leases.py
+++ b/papayapier/batch/leases.py
@@ -77,6 +77,7 @@
 
 for _state in (_away, _taking, _doubtful):
     _state.upon(Lease.lapse).loop().returns(False)
+for _state in (_away, _taking, _doubtful, _releasing):
     _state.upon(Lease.release).loop().returns(None)
 for _state in (_away, _taking, _held, _releasing):
     _state.upon(Lease.confirmed).loop().returns(None)
--- a/papayapier/batch/sessions.py
+++ b/papayapier/batch/sessions.py
@@ -28,6 +28,7 @@
 
 MARGIN_SHARE: Final = 10
 STALE_LEASES: Final = 20
+END_TRIES: Final = 3
 
 
 class Session:
@@ -93,8 +94,14 @@
     async def end(self) -> None:
         """Delete the session, which gives back every lease at once."""
         self._ended = True
-        if self._version:
-            await saves.delete(self._deps, self._key, self._version)
+        for _ in range(END_TRIES):
+            # A renewal may still be under way, so the version is read anew each time.
+            read = await self._deps.store.get(self._key)
+            if isinstance(read, Err):
+                return
+            deleted = await saves.delete(self._deps, self._key, read.ok_value.version)
+            if isinstance(deleted, Ok):
+                return
 
 
 class Observer:
--- a/papayapier/batch/start.py
+++ b/papayapier/batch/start.py
@@ -166,6 +166,10 @@
         return any(shard in job.careful for job in self.registry.jobs.values())
 
     def _on_revived(self) -> None:
+        # A job that came while the leases were in doubt has been taken up by nobody.
+        held = set(self.keeper.held())
+        for job in self.registry.jobs.values():
+            self._adopt_later(job, held - job.adopted)
         self._runner.on_holds_changed()
 
     def _grant(self, job: JobWork, shard: int) -> Grant | None:
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -79,6 +79,7 @@
     """Hold one active job, and the tasks of it that are this instance's to run."""
 
     __slots__ = (
+        "adopted",
         "at_risk",
         "careful",
         "done",
@@ -112,6 +113,7 @@
         self.next_look_ms = now
         self.at_risk = False
         self.careful: set[int] = set()
+        self.adopted: set[int] = set()
 
     def runs(self) -> bool:
         """Tell whether items of the job may be started."""
@@ -123,11 +125,13 @@
 
     def adopt(self, shard: int) -> None:
         """Take the unfinished tasks of a shard into the pending ones."""
+        self.adopted.add(shard)
         known = self.opening.union(self.open, self.pending)
         self.pending.extend(task for task in self.tasks_of(shard) if task not in known)
 
     def forget(self, shard: int) -> None:
         """Drop the pending tasks of a shard."""
+        self.adopted.discard(shard)
         self.pending = deque(task for task in self.pending if self.shards[task] != shard)
         self.opening = {task for task in self.opening if self.shards[task] != shard}
 
