--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -43,26 +43,26 @@
     data_centre: str
     exclude: frozenset[str] = frozenset()
     batch: bool = False
+    idempotent: bool = True
 
 
 def choose(
     book: LoadBook, outliers: Outliers, req: RouteRequest, rand: random.Random, now: int
 ) -> str | None:
     """Return the replica for a call, or None when no replica may take it."""
-    usable = [
-        replica
-        for replica in book.usable(req.upstream, now)
-        if replica.id not in req.exclude and not outliers.ejected(replica.id, now)
-    ]
+    usable = _candidates(book, outliers, req.upstream, req.exclude, now)
     if not usable:
         return None
+    usable = _without_probes(outliers, usable, req)
     if req.prefix and len(usable) > 1:
-        cached = _cached(book, usable, req, now)
+        cached = _cached(book, outliers, usable, req, now)
         if cached is not None:
             return cached
     usable = [replica for replica in usable if not _full(book, replica, now)] or usable
     drawn = usable if len(usable) <= DRAWS else rand.sample(usable, DRAWS)
-    return min(drawn, key=lambda replica: (_cost(book, replica, req, now), rand.random())).id
+    costs = [(_cost(book, outliers, one, req, now), rand.random(), one.id) for one in drawn]
+    _, _, chosen = min(costs)
+    return chosen
 
 
 def has_room(book: LoadBook, outliers: Outliers, upstream: str, now: int) -> bool:
@@ -73,10 +73,8 @@
     Batch streams do not count, since they give way. A few calls more than there are slots
     keep a replica busy until the next report.
     """
-    return any(
-        not _full(book, replica, now) and not outliers.ejected(replica.id, now)
-        for replica in book.usable(upstream, now)
-    )
+    candidates = _candidates(book, outliers, upstream, frozenset(), now)
+    return any(not _full(book, replica, now) for replica in candidates)
 
 
 def subset(replica_ids: Sequence[str], instance_id: str, size: int) -> list[str]:
@@ -89,9 +87,32 @@
     return ranked[:size]
 
 
-def _cached(book: LoadBook, usable: Sequence[Replica], req: RouteRequest, now: int) -> str | None:
+def _candidates(
+    book: LoadBook, outliers: Outliers, upstream: str, exclude: frozenset[str], now: int
+) -> Sequence[Replica]:
+    """Return the replicas in use; if all are ejected, trying one is better than refusing."""
+    usable = [one for one in book.usable(upstream, now) if one.id not in exclude]
+    return [one for one in usable if not outliers.ejected(one.id, now)] or usable
+
+
+def _without_probes(
+    outliers: Outliers, usable: Sequence[Replica], req: RouteRequest
+) -> Sequence[Replica]:
+    """Leave out returning replicas for a call that could not be repeated after a failure."""
+    if req.idempotent:
+        return usable
+    return [replica for replica in usable if not outliers.returning(replica.id)] or usable
+
+
+def _cached(
+    book: LoadBook,
+    outliers: Outliers,
+    usable: Sequence[Replica],
+    req: RouteRequest,
+    now: int,
+) -> str | None:
     """Return the replica that has the prefix cached if its load is within the bound."""
-    costs = {replica.id: _cost(book, replica, req, now) for replica in usable}
+    costs = {replica.id: _cost(book, outliers, replica, req, now) for replica in usable}
     slack = AFFINITY_SLACK_CALLS / max(book.slots(replica.id) for replica in usable)
     bound = AFFINITY_FACTOR * sum(costs.values()) / len(costs) + slack
     ranked = sorted(costs, key=lambda replica_id: -score(req.prefix, replica_id))
@@ -103,11 +124,14 @@
     return book.online_pressure(replica.id, now) >= FULL_FACTOR * book.slots(replica.id)
 
 
-def _cost(book: LoadBook, replica: Replica, req: RouteRequest, now: int) -> float:
+def _cost(
+    book: LoadBook, outliers: Outliers, replica: Replica, req: RouteRequest, now: int
+) -> float:
     own = book.own(replica.id)
     others = max(0.0, book.estimate(replica.id, now) - own.online - own.batch)
     calls = own.online + OTHERS_SHARE * others / book.sharers(replica.id)
     calls += own.batch if req.batch else BATCH_WEIGHT * own.batch
     if replica.data_centre != req.data_centre:
         calls += NEAR_BONUS_CALLS
+    calls += outliers.penalty(replica.id, now)
     return calls / book.slots(replica.id)
