Test the parts of batch work; open tasks ahead per caller

Cause: a test showed that capacity kept for a second caller found nothing to run: tasks were opened ahead for the upstream as a whole, and the first caller's were ahead enough. Change: tasks are opened ahead for each caller; tests of lines, uploads, ids, tasks, placement, shares, risk, lost answers, expiry, large results and slow readers.

--- a/papayapier/batch/opener.py
+++ b/papayapier/batch/opener.py
@@ -1,5 +1,6 @@
 """Open tasks shortly before their items are needed, within the bound on memory."""
 
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, Final
@@ -41,22 +42,32 @@
         self._go_on = go_on
         self._pauses = Pauses(deps.rand)
 
-    def open_ahead(self, jobs: list[JobWork], capacity: int, room_bytes: int) -> None:
-        """Open the next tasks of an upstream when the open ones will soon be used up."""
-        wanted = max(MIN_AHEAD, AHEAD * capacity)
-        ahead = sum(_unsent(job) for job in jobs)
+    def open_ahead(self, jobs: list[JobWork], caps: dict[str, int], room_bytes: int) -> None:
+        """Open the next tasks of an upstream when a caller's open ones will soon be used up.
+
+        Each caller is looked at on its own: else the tasks of one with early jobs would be
+        ahead enough, and another's part of the capacity would find nothing to run.
+        """
+        ahead: Counter[str] = Counter()
+        for job in jobs:
+            ahead[job.record.caller] += _unsent(job)
         for job in jobs:
-            for task in list(job.pending) if ahead < wanted else ():
-                if ahead >= wanted or room_bytes < CHUNK_BYTES:
-                    return
-                if not self._may_open(job, task):
-                    continue
-                job.pending.remove(task)
-                job.opening.add(task)
-                ahead += job.spans[task].size()
+            caller = job.record.caller
+            wanted = max(MIN_AHEAD, AHEAD * caps[caller])
+            if ahead[caller] >= wanted:
+                continue
+            for task in [task for task in job.pending if self._may_open(job, task)]:
+                if ahead[caller] >= wanted or room_bytes < CHUNK_BYTES:
+                    break
+                ahead[caller] += job.spans[task].size()
                 room_bytes -= CHUNK_BYTES
-                again = partial(self._put_back_later, job, task, UNREADABLE_PAUSE_MS)
-                background.start(self._open(job, task), f"opening of task {task}", again)
+                self._open_soon(job, task)
+
+    def _open_soon(self, job: JobWork, task: int) -> None:
+        job.pending.remove(task)
+        job.opening.add(task)
+        again = partial(self._put_back_later, job, task, UNREADABLE_PAUSE_MS)
+        background.start(self._open(job, task), f"opening of task {task}", again)
 
     def _may_open(self, job: JobWork, task: int) -> bool:
         """Tell whether a task's lease is held; a doubtful one leaves the task pending."""
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -181,7 +181,7 @@
             if left == 0:
                 break
             left -= self._send_of(job, left, room)
-        self._opener.open_ahead(jobs, room + running, self._limit() - self.bytes_held())
+        self._opener.open_ahead(jobs, caps, self._limit() - self.bytes_held())
         return left == 0 and room > SLICE_ITEMS
 
     def _send_of(self, job: JobWork, most: int, room: int) -> int:
--- /dev/null
+++ b/tests/test_batch_parts.py
@@ -0,0 +1,316 @@
+"""Test the parts of batch work one by one."""
+
+import json
+from collections import Counter
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from papayapier.batch import ids, keys, saves
+from papayapier.batch.files import FileIntake
+from papayapier.batch.lines import LineError, endpoint_of, parse_line
+from papayapier.batch.placement import owners
+from papayapier.batch.tasks import place, split, task_items
+from papayapier.batch.turns import caller_caps
+from papayapier.entry.streaming import write_all
+from papayapier.errors import ErrorKind
+from papayapier.settings import BatchSettings
+from papayapier.store.api import StoreError
+from papayapier.upstream.api import Reply
+from tests.batch_world import CALLER, DEFAULTS, URL, World, now
+from tests.fake_store import Fault
+
+DERANDOMIZED = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+DAY_MS = 86_400_000
+KEPT_MS = 1_500_000
+
+
+def line(custom_id: str = "c", url: str = URL, body: str = "{}", **more: Any) -> bytes:
+    rest = "".join(f', "{key}": {json.dumps(value)}' for key, value in more.items())
+    return f'{{"custom_id": "{custom_id}", "url": "{url}", "body": {body}{rest}}}'.encode()
+
+
+class TestLines:
+    def test_body_is_kept_as_it_came(self) -> None:
+        parsed = parse_line(line(body='{"b":1,  "a": 1.50}'), 1)
+        item = parsed.unwrap()
+        assert item is not None and item.body == b'{"b":1,  "a": 1.50}'
+
+    def test_faults_are_named(self) -> None:
+        faults = {
+            line(custom_id=""): "length >= 1",
+            line(url="/v1/unknown"): "url: /v1/unknown is not served",
+            line(url="/services/"): "url: /services/ is not served",
+            line(body="[]"): "body: expected an object",
+            line(method="GET"): "method: /v1/chat/completions takes POST",
+            line(url="/services/gate/x", method="BREW"): "method: BREW is not served",
+            b'{"custom_id": "c"}': "missing required field `url`",
+            b"\xff": "malformed",
+            b"{": "truncated",
+        }
+        for text, reason in faults.items():
+            fault = parse_line(text, 7)
+            assert isinstance(fault, Err), text
+            assert fault.err_value.line == 7 and reason in fault.err_value.reason, fault
+
+    def test_endpoint_of_a_service(self) -> None:
+        assert endpoint_of("/services/gate/passes/1") == "/services/gate"
+        assert parse_line(b"  ", 1) == Ok(None)
+        assert parse_line(b"x" * 800_000, 2) == Err(LineError(2, "over 700000 bytes"))
+
+
+class TestFileIntake:
+    def intake(self, **cfg: int) -> tuple[World, FileIntake]:
+        world = World(BatchSettings(shards=1, **cfg))
+        return world, world.start("a").new_file(CALLER, "in", "batch")
+
+    @DERANDOMIZED
+    @given(count=st.integers(1, 25), cuts=st.lists(st.integers(1, 90), min_size=1, max_size=9))
+    def test_pieces_of_any_size(self, count: int, cuts: list[int]) -> None:
+        world, intake = self.intake(chunk_items=10)
+        data = b"\n".join(line(f"c{n}", body=f'{{"n":{n}}}') for n in range(count))
+        while data:
+            piece, data = data[: cuts[0]], data[cuts[0] :]
+            cuts = cuts[1:] + cuts[:1]
+            assert now(intake.feed(piece)) is None
+        record = now(intake.finish()).unwrap()
+        assert record.items() == count and max(record.chunks) <= 10
+        lines = now(joined(world.instances["a"].views.input_lines(record, print)))
+        assert [json.loads(one)["body"]["n"] for one in lines.splitlines()] == list(range(count))
+
+    def test_refusals_name_the_line(self) -> None:
+        cases = {
+            line("a") + b"\n" + line("b") + b"\n" + line("a"): "line 3: custom_id: the same as",
+            line("a") + b"\n\n" + line("b"): "line 2: blank line",
+            b"\n".join(line(f"c{n}") for n in range(6)): "line 6: over 5 items",
+            b"": "the file has no items",
+            b"y" * 800_000: "line 1: over 700000 bytes",
+        }
+        for data, reason in cases.items():
+            _, intake = self.intake(max_items=5)
+            refusal = now(intake.feed(data)) or now(intake.finish()).unwrap_err()
+            assert refusal.reason.startswith(reason)
+
+    def test_large_items_make_small_chunks(self) -> None:
+        world, intake = self.intake()
+        for n in range(20):
+            assert now(intake.feed(line(f"c{n}", body=json.dumps({"t": "x" * 99_000})))) is None
+            now(intake.feed(b"\n"))
+        record = now(intake.finish()).unwrap()
+        assert sum(record.chunks) == 20 and max(record.chunks) <= 4
+        assert max(len(one.value) for one in world.platform.objects.values()) < 1_000_000
+
+
+class TestIds:
+    def test_place_of_an_id_in_blocks(self) -> None:
+        index = ids.IdIndex()
+        for n in range(ids.BLOCK_IDS + 10):
+            index.add(f"c{n}")
+        assert index.duplicate() is None and index.inline() == b""
+        first, second = index.blocks()
+        assert ids.find(first, "c99999") == 99_999 and ids.find(first, "c100003") is None
+        assert ids.find(second, "c100003") == 3
+
+
+class TestTasks:
+    @DERANDOMIZED
+    @given(
+        chunks=st.lists(st.integers(1, 40), min_size=1, max_size=6),
+        most=st.integers(1, 50),
+        pick=st.integers(0, 1_000),
+    )
+    def test_tasks_cover_every_item_once(self, chunks: list[int], most: int, pick: int) -> None:
+        spans = split(chunks, most)
+        covered = [(s.chunk, n) for s in spans for n in range(s.start, s.stop)]
+        assert covered == [(c, n) for c, count in enumerate(chunks) for n in range(count)]
+        assert max(span.size() for span in spans) <= most
+        item = pick % sum(chunks)
+        span, within = place(spans, chunks, item)
+        assert covered[item] == (span.chunk, span.start + within)
+
+    def test_size_of_tasks(self) -> None:
+        assert task_items(300, 1_000, 6, True) == 50
+        assert task_items(6_000, 1_000, 6, True) == 500
+        assert task_items(750_000, 1_000, 6, True) == 1_000
+        assert task_items(750_000, 1_000, 6, False) == 100
+
+
+class TestPlacement:
+    def test_shares_are_even_and_few_shards_move(self) -> None:
+        names = [f"entry-{n}" for n in range(6)]
+        before = owners(32, names)
+        assert set(Counter(before).values()) <= {2, 5, 6}
+        after = owners(32, names[1:])
+        moved = sum(a != b for a, b in zip(before, after, strict=True) if a != "entry-0")
+        assert moved <= 16
+
+
+class TestCallerCaps:
+    def test_parts_are_equal_but_for_jobs_at_risk(self) -> None:
+        world = World()
+        batch = world.start("a")
+        jobs = []
+        for caller in ("north", "south"):
+            record = world.submit(batch, world.upload(batch, 5)).record
+            job = batch.registry.take(record._replace(job_id=caller, caller=caller), 1)
+            jobs.append(job)
+        assert caller_caps(jobs, 16) == {"north": 8, "south": 8}
+        jobs[1].at_risk = True
+        assert caller_caps(jobs, 16) == {"north": 4, "south": 12}
+
+    def test_many_early_jobs_do_not_starve_another_caller(self) -> None:
+        # Symptom: a caller's small job waits for hours behind another caller's jobs.
+        # Sequence: one caller submits large jobs with early due times, then the other comes.
+        # Cause: capacity goes by due time alone.
+        world = World()
+        world.fleet.hold = True
+        batch = world.start("a")
+        world.advance(2_000)
+        file = world.upload(batch, 400)
+        early = world.request(file)._replace(due_ms=world.clock.wall() + 60_000)
+        now(batch.jobs.accept(early)).unwrap()
+        later = world.request(file)._replace(due_ms=world.clock.wall() + DAY_MS)
+        intake = batch.new_file("karavany", "in", "batch")
+        now(intake.feed(line()))
+        small = later._replace(caller="karavany", file_id=now(intake.finish()).unwrap().file_id)
+        world.advance(200)
+        accepted = now(batch.jobs.accept(small)).unwrap()
+        world.advance(200)
+        world.fleet.release(1)
+        world.advance(1_000)
+        assert any(accepted.record.job_id in call.call_id for call, _ in world.fleet.held)
+
+
+class TestRisk:
+    def test_job_at_risk_is_told_early(self) -> None:
+        world = World()
+        world.fleet.hold = True
+        batch = world.start("a")
+        world.advance(2_000)
+        request = world.request(world.upload(batch, 400))
+        due = world.clock.wall() + 120_000
+        now(batch.jobs.accept(request._replace(due_ms=due))).unwrap()
+        for _ in range(10):
+            world.advance(1_000)
+            world.fleet.release(1)
+        gauge = batch.deps.metrics.registry.get_sample_value
+        assert gauge("papayapier_jobs_at_risk") == 1
+        assert world.clock.wall() < due - 100_000
+        world.fleet.hold = False
+        world.fleet.release()
+        world.advance(3_000)
+        assert gauge("papayapier_jobs_at_risk") == 0
+
+
+class TestSaves:
+    def test_offer_after_a_lost_answer_finds_its_own_value(self) -> None:
+        # Symptom: a task drops its results, though the store has them.
+        # Sequence: the write takes effect, its answer and all repeats are lost; minutes later
+        # the same write is offered again and conflicts.
+        # Cause: the conflict is taken for another writer's.
+        world = World()
+        deps = world.start("a").deps
+        world.platform.fail(Fault.LOST_AFTER, call="create", key="x")
+        world.platform.fail(Fault.LOST_BEFORE, key="x", times=1_000)
+        first = later(world, saves.offer(deps, "x", b"mine", 0, False))
+        assert first == Err(StoreError.LOST)
+        world.platform.clear_faults()
+        assert isinstance(now(saves.offer(deps, "x", b"mine", 0, True)), Ok)
+        assert now(saves.offer(deps, "x", b"other", 0, True)) == Err(StoreError.CONFLICT)
+
+
+class TestExpiry:
+    def test_what_is_past_its_time_goes(self) -> None:
+        world = World(DEFAULTS._replace(retention_ms=KEPT_MS))
+        batch = world.start("a")
+        world.advance(2_000)
+        job = world.submit(batch, world.upload(batch, 100))
+        unused = world.upload(batch, 5)
+        world.advance(5_000)
+        assert world.job(batch, job).ended
+        now(batch.delete_file(CALLER, unused.file_id)).unwrap()
+        world.advance(800_000, step=1_000)
+        assert not keys_of(world, unused.file_id)
+        assert keys_of(world, job.record.job_id) and keys_of(world, job.record.file_id)
+        world.advance(KEPT_MS, step=1_000)
+        assert not keys_of(world, job.record.job_id) and not keys_of(world, job.record.file_id)
+        assert not [key for key in world.platform.objects if key.startswith("expiry/")]
+
+    def test_input_of_an_active_job_stays(self) -> None:
+        world = World(DEFAULTS._replace(retention_ms=KEPT_MS))
+        world.fleet.hold = True
+        batch = world.start("a")
+        world.advance(2_000)
+        job = world.submit(batch, world.upload(batch, 100))
+        refused = now(batch.delete_file(CALLER, job.record.file_id)).unwrap_err()
+        assert refused.kind is ErrorKind.STILL_RUNNING
+        world.advance(KEPT_MS + 200_000, step=1_000)
+        assert keys_of(world, job.record.file_id)
+
+
+class TestLargeResults:
+    def test_results_over_one_object(self) -> None:
+        world = World()
+        batch = world.start("a")
+        world.advance(2_000)
+        text = json.dumps({"text": "x" * 90_000}).encode()
+        big = Reply(200, "application/json", text, "", 1, "stop", None, 1, 1)
+        world.fleet.answer = lambda call: Ok(big)
+        job = world.submit(batch, world.upload(batch, 60))
+        world.advance(5_000)
+        assert world.job(batch, job).record.tally.completed == 60
+        lines = world.lines(batch, job)
+        assert len({one["custom_id"] for one in lines}) == 60
+        assert any(key.startswith(keys.spill_prefix("")[:6]) for key in world.platform.objects)
+
+
+class TestStreaming:
+    def test_slow_reader_stops_the_reading(self) -> None:
+        # Symptom: an instance runs out of memory while a caller downloads results.
+        # Sequence: the caller reads slowly; the pieces are read from the store at full speed.
+        # Cause: nothing waits for the connection.
+        request: Any = SlowRequest()
+        done: list[bool] = []
+        Deferred.fromCoroutine(write_all(request, request.pieces())).addCallback(done.append)
+        assert (request.made, done) == (1, [])
+        request.pace.resumeProducing()
+        assert (request.made, done) == (2, [])
+        request.pace.stopProducing()
+        assert (request.made, done) == (2, [False])
+
+
+class SlowRequest:
+    """Pause the writer after each piece."""
+
+    pace: Any = None
+    made = 0
+
+    def registerProducer(self, pace: Any, _streaming: bool) -> None:  # noqa: N802
+        self.pace = pace
+
+    def write(self, _data: bytes) -> None:
+        self.pace.pauseProducing()
+
+    async def pieces(self) -> Any:
+        for _ in range(5):
+            self.made += 1
+            yield b"piece"
+
+
+def keys_of(world: World, part: str) -> list[str]:
+    kept = [key for key in world.platform.objects if not key.startswith("expiry/")]
+    return [key for key in kept if part in key]
+
+
+async def joined(pieces: Any) -> bytes:
+    return b"".join([piece async for piece in pieces])
+
+
+def later(world: World, work: Any) -> Any:
+    out: list[Any] = []
+    Deferred.fromCoroutine(work).addBoth(out.append)
+    world.advance(20_000, step=500)
+    return out[0]
