Give orders to engines from one controller by lease

Cause: engines take orders to load weights or change role; some ignore fencing numbers, the weight store is rate-limited, and a rollout must not take serving capacity below the need. Found on the way: after an overdue order a replica counted as serving again, so a version that no replica can load went to all of them, one after the other; it now counts as not serving until an order is seen in effect or nothing is wanted that it lacks.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -44,6 +44,13 @@
 PROCESS_PAUSED: Final = Event(104, "process_paused", Level.WARNING, "the process was paused")
 NOT_READY: Final = Event(105, "not_ready", Level.WARNING, "instance says it is not ready")
 READY: Final = Event(106, "ready", Level.INFO, "instance says it is ready")
+DRAIN_LIMIT: Final = Event(
+    107, "drain_limit", Level.ERROR, "planned stop ended at its limit with work left"
+)
+HAND_OVER_FAILED: Final = Event(
+    108, "hand_over_failed", Level.ERROR, "batch work was not handed over"
+)
+UNHANDLED_ERROR: Final = Event(109, "unhandled_error", Level.ERROR, "an error that nothing handles")
 STANDIN_FAILED: Final = Event(190, "standin_failed", Level.ERROR, "a stand-in failed")
 
 REQUEST_REFUSED: Final = Event(201, "request_refused", Level.INFO, "online request refused")
--- /dev/null
+++ b/papayapier/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Bring model engines to the wanted state by orders from one controller."""
--- /dev/null
+++ b/papayapier/orders/plan.py
@@ -0,0 +1,264 @@
+"""Decide which order to give next; no I/O, no clock, no randomness.
+
+The plan is the controller's memory of each replica: what it was last seen to have, and the
+one order that may be under way there. An order's answer proves little (it can be lost, and
+some engines accept orders whatever their number), so an order ends only by what reading back
+shows, or after the longest time that one may take; only then can the replica get another.
+
+Four limits hold back an order that is wanted:
+- Handover. Engines that ignore fencing numbers would also take a late order of the
+  controller before. For those, a new controller waits until the old lease and then the
+  longest order have passed. With the others it goes on at once, but takes the last order in
+  the engine's list for under way if it is not in effect.
+- Capacity. A replica with an order counts as not serving until the order is seen to have
+  taken effect, and no order may bring the serving replicas of its upstream below the need.
+  A version that breaks replicas therefore stops its own rollout.
+- Weights. Loads are spaced and counted, since the weight store limits the rate of all reads
+  together. A new controller begins with a whole gap.
+- Failure. After a failed order the replica waits ever longer, and after several failures of
+  an item the other replicas of the upstream are not given it.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from enum import Enum
+from math import ceil
+from typing import Final, NamedTuple
+
+from papayapier.config.upstreams import UpstreamWanted
+from papayapier.orders.memory import HALT_FAILURES, Answered, Ended, ReplicaMemory, Sight
+from papayapier.orders.needs import Item, assign_roles, make_order, missing
+from papayapier.upstream.orders import EngineState, Order
+
+ROLES_WAIT_MS: Final = 10_000
+
+
+class OrderLimits(NamedTuple):
+    """Bound what one controller does; lease_ms is that of the controller's lease."""
+
+    lease_ms: int
+    load_gap_ms: int
+    loads_at_once: int
+
+
+class Give(NamedTuple):
+    """Ask the controller to give an order."""
+
+    replica_id: str
+    order: Order
+
+
+class Look(NamedTuple):
+    """Ask the controller to read a replica's state."""
+
+    replica_id: str
+
+
+class NoteKind(Enum):
+    """Name what an operator is told about orders."""
+
+    GIVEN = "given"
+    DONE = "done"
+    FAILED = "failed"
+    HELD = "held"
+
+
+class Note(NamedTuple):
+    """Tell an operator about an order, or about one that is wanted and held back."""
+
+    kind: NoteKind
+    replica_id: str
+    item: Item
+    reason: str
+
+
+class OrderPlan:
+    """Decide the next orders while this instance is controller."""
+
+    def __init__(self, limits: OrderLimits, need: Callable[[str], int]) -> None:
+        self._limits = limits
+        self._need = need
+        self._wanted: dict[str, UpstreamWanted] = {}
+        self._replicas: dict[str, ReplicaMemory] = {}
+        self._groups: dict[str, list[ReplicaMemory]] = {}
+        self._begun_ms = 0
+        self._clean = False
+        self._loads = 0
+        self._last_load_ms = 0
+        self._number = 0
+        self._notes: list[Note] = []
+        self._held: dict[str, str] = {}
+
+    def begin(self, now: int, clean: bool) -> None:
+        """Begin as controller: nothing seen before counts.
+
+        clean tells that the controller before left nothing under way.
+        """
+        self._begun_ms = now
+        self._clean = clean
+        self._last_load_ms = now
+        sights = [replica.sight for replica in self._replicas.values()]
+        self._replicas = {}
+        self.set_replicas(sights)
+
+    def set_wanted(self, wanted: Iterable[UpstreamWanted]) -> None:
+        """Take the wanted state of all upstreams."""
+        self._wanted = {upstream.name: upstream for upstream in wanted}
+        for replica in self._replicas.values():
+            replica.busy = True
+
+    def set_replicas(self, sights: Iterable[Sight]) -> None:
+        """Take the listed replicas; one that is gone or leaving is forgotten."""
+        known = self._replicas
+        self._replicas = {}
+        for sight in sights:
+            replica = known.get(sight.replica_id) or ReplicaMemory(sight)
+            replica.sight = sight
+            self._replicas[sight.replica_id] = replica
+        self._group()
+        self._held = {id: why for id, why in self._held.items() if id in self._replicas}
+
+    def seen(self, replica_id: str, state: EngineState, asked_ms: int, now: int) -> None:
+        """Take a state that was asked for at a time."""
+        replica = self._replicas.get(replica_id)
+        if replica is None or asked_ms < self._begun_ms:
+            return
+        wanted = self._wanted.get(replica.sight.upstream)
+        longest_ms = wanted.orders.longest_order_ms if wanted else 0
+        self._note_end(replica, replica.seen(state, asked_ms, now, longest_ms))
+
+    def answered(self, replica_id: str, order_id: str, answer: Answered, now: int) -> None:
+        """Take the answer to an order."""
+        replica = self._replicas.get(replica_id)
+        if replica is not None:
+            self._note_end(replica, replica.answered(order_id, answer, now))
+
+    def steps(self, fence: int, now: int) -> list[Give | Look]:
+        """Decide what to do now; the orders returned count as given."""
+        for replica in self._replicas.values():
+            self._note_end(replica, replica.check_overdue(now))
+        self._loads = sum(item.is_load for item in self.underway().values())
+        steps: list[Give | Look] = []
+        for name in sorted(self._wanted):
+            steps += self._orders_of(self._wanted[name], fence, now)
+        for replica in self._replicas.values():
+            if replica.sight.upstream in self._wanted and replica.look_due(now):
+                steps.append(Look(replica.sight.replica_id))
+        return steps
+
+    def busy(self) -> bool:
+        """Tell whether any replica lacks something or has an order under way."""
+        wanted = (r for r in self._replicas.values() if r.sight.upstream in self._wanted)
+        return any(replica.busy or replica.underway() for replica in wanted)
+
+    def notes(self) -> list[Note]:
+        """Return and forget what operators are to be told."""
+        notes, self._notes = self._notes, []
+        return notes
+
+    def underway(self) -> dict[str, Item]:
+        """Return the items of the orders under way, by replica."""
+        items = {id: replica.underway() for id, replica in self._replicas.items()}
+        return {id: item for id, item in items.items() if item is not None}
+
+    def _group(self) -> None:
+        """Sort the replicas by upstream once, since every step goes through them."""
+        self._groups = {}
+        for replica in sorted(self._replicas.values(), key=lambda r: r.sight.replica_id):
+            self._groups.setdefault(replica.sight.upstream, []).append(replica)
+
+    def _orders_of(self, wanted: UpstreamWanted, fence: int, now: int) -> list[Give]:
+        replicas = self._groups.get(wanted.name, [])
+        roles = self._roles(wanted, replicas, now)
+        gives = []
+        for replica in replicas:
+            if replica.state is None:
+                continue
+            items = missing(wanted, replica.state, roles.get(replica.sight.replica_id, ""))
+            replica.busy = bool(items)
+            if not items:
+                replica.forgive()
+            elif self._allowed(replica, items[0], wanted, replicas, now):
+                gives.append(self._give(replica, items[0], wanted, fence, now))
+        return gives
+
+    def _roles(
+        self, wanted: UpstreamWanted, replicas: Sequence[ReplicaMemory], now: int
+    ) -> dict[str, str]:
+        """Assign roles once all replicas were read, or those that can be read.
+
+        Otherwise a replica would be moved into a role that another, not yet read, has.
+        """
+        roles = {replica.sight.replica_id: replica.role() for replica in replicas}
+        known = {id: role for id, role in roles.items() if role is not None}
+        if len(known) < len(roles) and now < self._begun_ms + ROLES_WAIT_MS:
+            return {}
+        return assign_roles(wanted, known)
+
+    def _allowed(
+        self,
+        replica: ReplicaMemory,
+        item: Item,
+        wanted: UpstreamWanted,
+        replicas: Sequence[ReplicaMemory],
+        now: int,
+    ) -> bool:
+        """Tell whether an order may be given now; long waits are told to operators."""
+        rule = wanted.orders
+        handover_ms = self._begun_ms + self._limits.lease_ms + rule.longest_order_ms
+        if not replica.may_be_ordered(now):
+            return False
+        if not (rule.checks_fence or self._clean) and now < handover_ms:
+            return False
+        if item.is_load and not self._load_allowed(now):
+            return False
+        why = self._held_back(replica, item, wanted, replicas)
+        if why and self._held.get(replica.sight.replica_id) != why:
+            self._note(NoteKind.HELD, replica, item, why)
+        self._held[replica.sight.replica_id] = why
+        return not why
+
+    def _held_back(
+        self,
+        replica: ReplicaMemory,
+        item: Item,
+        wanted: UpstreamWanted,
+        replicas: Sequence[ReplicaMemory],
+    ) -> str:
+        """Return the reason why operators may have to help, or nothing."""
+        halting = [other.sight.replica_id for other in replicas if other.halts(item)]
+        if halting and not replica.halts(item):
+            return f"it failed {HALT_FAILURES} times on {halting[0]}"
+        if not item.takes_capacity or not replica.serves():
+            return ""
+        serving = sum(other.serves() for other in replicas)
+        need = self._needed(wanted, len(replicas))
+        return "" if serving - 1 >= need else f"{serving} replicas serve and {need} are needed"
+
+    def _needed(self, wanted: UpstreamWanted, listed: int) -> int:
+        rule = wanted.orders
+        share = ceil(rule.min_serving_share * listed)
+        return max(rule.min_serving, share, self._need(wanted.name))
+
+    def _load_allowed(self, now: int) -> bool:
+        spaced = now >= self._last_load_ms + self._limits.load_gap_ms
+        return spaced and self._loads < self._limits.loads_at_once
+
+    def _give(
+        self, replica: ReplicaMemory, item: Item, wanted: UpstreamWanted, fence: int, now: int
+    ) -> Give:
+        self._number += 1
+        order = make_order(fence, self._number, item)
+        replica.give(order, item, now, now + wanted.orders.longest_order_ms)
+        if item.is_load:
+            self._last_load_ms = now
+            self._loads += 1
+        self._note(NoteKind.GIVEN, replica, item, order.order_id)
+        return Give(replica.sight.replica_id, order)
+
+    def _note_end(self, replica: ReplicaMemory, ended: Ended | None) -> None:
+        if ended is not None:
+            kind = NoteKind.FAILED if ended.why else NoteKind.DONE
+            self._note(kind, replica, ended.item, ended.why)
+
+    def _note(self, kind: NoteKind, replica: ReplicaMemory, item: Item, why: str) -> None:
+        self._notes.append(Note(kind, replica.sight.replica_id, item, why))
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -142,6 +142,18 @@
     retention_ms: Positive = 86_400_000
 
 
+class OrderSettings(NamedTuple):
+    """Set how the controller gives orders to engines.
+
+    loads_per_min and loads_at_once keep all loads together inside the weight store's rate.
+    """
+
+    lease_ms: PositiveMs = 6_000
+    renew_ms: PositiveMs = 2_000
+    loads_per_min: Annotated[int, Meta(ge=1, le=10_000)] = 12
+    loads_at_once: Annotated[int, Meta(ge=1, le=1_000)] = 2
+
+
 class Settings(NamedTuple):
     """Hold everything that one process must know to start."""
 
@@ -156,6 +168,7 @@
     drain: DrainSettings = DrainSettings()
     log: LogSettings = LogSettings()
     claims: ClaimSettings = ClaimSettings()
+    orders: OrderSettings = OrderSettings()
 
 
 def load(path: Path) -> Result[Settings, str]:
