Stop an instance without cutting off a connection, within its limit

Cause: a planned stop counted only the dispatch's own requests. Requests still coming, uploads, downloads, answers in the send buffer and batch items did not count; kept connections were never told to close, so callers on them kept an instance alive until its limit or were reset; the limit was not kept while batch work was handed over, and its passing was not logged. A failed start logged lines beside its own, and exceptions that nobody awaited showed only as the library's text. Change: stopping.py takes the instance through the steps of policy.drain: answers carry Connection: close from the first signal; after the balancer's lag, ports close and connections without a request are closed; the stop is whole when no connection, item or hand-over is left. At the limit event 107 names what is left and DRAIN_WHOLE is broken. Handing over batch work runs beside it. kill() drops connections before anything else is heard of it. serve holds log lines back until the instance has started, and logs unhandled failures as event 109.

--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -1,18 +1,12 @@
-"""Hold one running instance, and stop it without cutting off a request.
+"""Hold one running instance, tell whether it is ready, and end it."""
 
-A planned stop goes in steps (policy.drain): the instance shows itself as leaving and goes on
-serving until the balancer has noticed; then it stops listening and takes no new work; it
-ends when nothing is under way. Work that others can take over is given back at once.
-"""
-
-from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from result import Err
-from twisted.internet.defer import maybeDeferred
 
 from papayapier import events, invariants
 from papayapier.errors import ErrorKind, Refusal, not_run
-from papayapier.invariants import Promise, check
+from papayapier.stopping import PlannedStop, StopDeps, stop_listening
 
 if TYPE_CHECKING:
     from papayapier.batch.start import Batch
@@ -31,7 +25,6 @@
     from papayapier.upstream.api import Upstreams
     from papayapier.upstream.reports import Reports
 
-DRAIN_TICK_MS: Final = 50
 PULSE_MS: Final = 250
 CLAIMS_LIMIT_MS: Final = 10_000
 PAUSE_FACTOR: Final = 4
@@ -141,42 +134,39 @@
         self._pulse_timer = self.parts.clock.call_later(PULSE_MS, self._pulse)
 
     async def leave(self) -> None:
-        """Stop gracefully; returns when nothing is left under way."""
+        """Stop gracefully; returns when nothing is left under way, or at the limit."""
         parts = self.parts
-        parts.drain.leave(parts.clock.now())
-        events.emit(events.PROCESS_LEAVING, under_way=parts.online.under_way())
+        stop = PlannedStop(
+            StopDeps(
+                clock=parts.clock,
+                drain=parts.drain,
+                listening=self._listening,
+                online=parts.online.under_way,
+                items=parts.lanes.under_way,
+                hand_over=parts.batch.stop,
+            )
+        )
         parts.reporter.mark_leaving()
-        await parts.batch.stop()
-        await self._drained()
-        check(parts.online.under_way() == 0, Promise.DRAIN_WHOLE, left=parts.online.under_way())
-        # A claim whose end is not in the store would be unknown to everybody from now on.
-        await parts.claims.drain(parts.clock.now() + CLAIMS_LIMIT_MS)
-        await parts.reporter.withdraw()
-        await self._close()
-
-    async def _drained(self) -> None:
-        parts = self.parts
-        listening = True
-        while True:
-            state = parts.drain.tick(parts.clock.now(), parts.online.under_way())
-            if listening and state in ("draining", "stopped"):
-                await self._stop_listening()
-                listening = False
-            if state == "stopped":
-                return
-            await parts.clock.sleep(DRAIN_TICK_MS)
-
-    async def _stop_listening(self) -> None:
-        for one in self._listening:
-            await maybeDeferred(one.handle.stopListening)
+        try:
+            await stop.run()
+        finally:
+            # A claim whose end is not in the store would be unknown to everybody from now on.
+            await parts.claims.drain(parts.clock.now() + CLAIMS_LIMIT_MS)
+            await parts.reporter.withdraw()
+            await self._close()
 
     async def kill(self) -> None:
         """Vanish as a lost machine would: say nothing to anybody, drop every connection."""
-        self.parts.drain.abandon()
-        await self._stop_listening()
-        self.parts.hub.close()
-        await self.parts.upstreams.close()
-        await self.parts.store.close()
+        parts = self.parts
+        parts.drain.abandon()
+        # First whatever could still be heard of this instance, then what runs on it.
+        parts.claims.stop()
+        parts.hub.close()
+        self._drop_connections()
+        await stop_listening(self._listening)
+        self._drop_connections()
+        await parts.upstreams.close()
+        await parts.store.close()
         await self._close()
 
     async def _close(self) -> None:
@@ -191,14 +181,10 @@
         parts.lanes.close()
         await parts.config.stop()
         parts.hub.close()
-        for one in self._listening:
-            _close_connections(one)
+        self._drop_connections()
         await parts.upstreams.close()
         await parts.store.close()
 
-
-def _close_connections(listening: "Listening") -> None:
-    """Close what is still open, which by now is only idle kept connections."""
-    channels: Any = getattr(listening.site, "channels", ())
-    for channel in list(channels):
-        channel.loseConnection()
+    def _drop_connections(self) -> None:
+        for one in self._listening:
+            one.site.close_all()
--- a/papayapier/serve.py
+++ b/papayapier/serve.py
@@ -5,8 +5,10 @@
 import sys
 from typing import TYPE_CHECKING, Any, Final
 
+import logbook
 from result import Err, Result
 from twisted.internet.defer import Deferred
+from twisted.logger import LogEvent, globalLogBeginner
 
 from papayapier import events
 from papayapier.clock import real_clock
@@ -17,10 +19,37 @@
     from twisted.python.failure import Failure
 
     from papayapier.instance import Instance
-    from papayapier.settings import Settings
+    from papayapier.settings import LogSettings, Settings
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
+SEED_BITS: Final = 64
+
+
+class _HeldLogs(logbook.Handler):  # type: ignore[misc]
+    """Hold log lines back until it is known whether the instance starts.
+
+    One that cannot start says so in one line; what its parts log while they are closed
+    again would only hide that line.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._records: list[logbook.LogRecord] = []
+        self.push_application()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        record.keep_open = True
+        self._records.append(record)
+
+    def release(self, cfg: "LogSettings") -> None:
+        """Log what was held back, and everything from now on."""
+        self.pop_application()
+        handler = start_logs(cfg)
+        for record in self._records:
+            if handler.should_handle(record):
+                handler.emit(record)
+        self._records.clear()
 
 
 class _Process:
@@ -29,48 +58,55 @@
     def __init__(self, reactor: Any, cfg: "Settings") -> None:
         self._reactor = reactor
         self._cfg = cfg
+        self._logs = _HeldLogs()
         self._instance: Instance | None = None
         self._leaving = False
+        self.started = False
         self.exit_code = EXIT_OK
 
     async def start(self) -> None:
-        rand = random.SystemRandom()
-        clock = real_clock()
+        seed = random.SystemRandom().getrandbits(SEED_BITS)
         started: Result[Instance, str] = await start_instance(
-            self._reactor, clock, self._cfg, random.Random(rand.getrandbits(64))
+            self._reactor, real_clock(), self._cfg, random.Random(seed)
         )
         if isinstance(started, Err):
-            self.fail(started.err_value)
+            self._fail(started.err_value)
             return
         self._instance = started.ok_value
+        self.started = True
+        self._logs.release(self._cfg.log)
         if self._leaving:
-            await self._leave()
+            await self._leave(self._instance)
+
+    def crashed(self, failure: "Failure") -> None:
+        if not self.started:
+            self._logs.release(self._cfg.log)
+        events.emit(events.UNHANDLED_ERROR, traceback=failure.getTraceback())
+        self._fail(f"internal error: {failure.value!r}")
 
-    def fail(self, reason: str) -> None:
+    def _fail(self, reason: str) -> None:
         """End the process with one clear line."""
         print(f"papayapier: {reason}", file=sys.stderr)
         self.exit_code = EXIT_FAILED
         self._stop_reactor()
 
-    def crashed(self, failure: "Failure") -> None:
-        self.fail(f"internal error: {failure.getTraceback()}")
-
     def on_signal(self, _number: int, _frame: object) -> None:
-        """Leave gracefully on the first signal and at once on the second."""
+        """Take a signal; the reactor looks at it between two events."""
         self._reactor.callFromThread(self._signalled)
 
     def _signalled(self) -> None:
+        """Leave gracefully on the first signal and at once on the second."""
         if self._leaving:
             self.exit_code = EXIT_FAILED
             self._stop_reactor()
             return
         self._leaving = True
         if self._instance is not None:
-            Deferred.fromCoroutine(self._leave()).addErrback(self.crashed)
+            leaving = Deferred.fromCoroutine(self._leave(self._instance))
+            leaving.addErrback(self.crashed)
 
-    async def _leave(self) -> None:
-        assert self._instance is not None
-        await self._instance.leave()
+    async def _leave(self, instance: "Instance") -> None:
+        await instance.leave()
         self._stop_reactor()
 
     def _stop_reactor(self) -> None:
@@ -83,7 +119,8 @@
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
-    start_logs(cfg.log)
+    observer: Any = _log_failure
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
     process = _Process(reactor, cfg)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, process.on_signal)
@@ -91,5 +128,21 @@
         lambda: Deferred.fromCoroutine(process.start()).addErrback(process.crashed)
     )
     reactor.run(installSignalHandlers=False)
-    events.emit(events.PROCESS_STOPPED, exit_code=process.exit_code)
+    if process.started:
+        events.emit(events.PROCESS_STOPPED, exit_code=process.exit_code)
     return process.exit_code
+
+
+def _log_failure(event: LogEvent) -> None:
+    """Log what the library reports of an exception that no code of ours has taken.
+
+    Without this, a failure that nobody awaits would show only as twisted's own lines on
+    standard error, if at all, and no alert by event number would see it.
+    """
+    failure: Failure | None = event.get("log_failure")
+    if failure is not None:
+        events.emit(
+            events.UNHANDLED_ERROR,
+            error=repr(failure.value),
+            traceback=failure.getTraceback(),
+        )
--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -13,7 +13,7 @@
     """Hold one connection and everything that has come on it."""
 
     def __init__(self) -> None:
-        self.received = b""
+        self.received = bytearray()
         self.closed: Deferred[None] = Deferred()
         self._awaited: list[tuple[bytes, Deferred[None]]] = []
 
@@ -25,10 +25,14 @@
                 seen.callback(None)
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
-        for text, seen in self._awaited:
-            seen.errback(AssertionError(f"closed before {text!r}: {self.received!r}"))
+        self._fail_awaited()
         self.closed.callback(None)
 
+    def _fail_awaited(self) -> None:
+        awaited, self._awaited = self._awaited, []
+        for text, seen in awaited:
+            seen.errback(AssertionError(f"closed before {text!r}: {self.received!r}"))
+
     def write(self, data: bytes) -> None:
         transport: Any = self.transport
         transport.write(data)
@@ -37,6 +41,10 @@
         transport: Any = self.transport
         transport.pauseProducing()
 
+    def go_on_reading(self) -> None:
+        transport: Any = self.transport
+        transport.resumeProducing()
+
     def abort(self) -> None:
         transport: Any = self.transport
         transport.abortConnection()
@@ -46,15 +54,29 @@
         seen: Deferred[None] = Deferred()
         self._awaited.append((text, seen))
         self.dataReceived(b"")
+        if self.closed.called:
+            self._fail_awaited()
         return seen
 
+    async def until_any(self, *texts: bytes) -> None:
+        """Wait until one of some texts has come, or the connection has closed."""
+        ended: Deferred[None] = Deferred()
+
+        def end(_: object) -> None:
+            if not ended.called:
+                ended.callback(None)
+
+        for text in texts:
+            self.until(text).addBoth(end)
+        await ended
+
     def json(self) -> Any:
         """Return the JSON body of the last answer."""
         return json.loads(self.received.rpartition(b"\r\n\r\n")[2])
 
     def status(self) -> int:
         """Return the status of the first answer."""
-        return int(self.received.split(b" ", 2)[1])
+        return int(bytes(self.received.split(b" ", 2)[1]))
 
 
 async def connect(port: int) -> RawClient:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,50 +1,17 @@
 """Test what callers see of the entry over real sockets, with scripted work behind it."""
 
-import json
-from collections.abc import Awaitable, Callable
-from typing import Any
 
-from klein import Klein
-from result import Err, Ok, Result
-from twisted.internet import reactor
+from result import Err
 from twisted.internet.defer import Deferred
 from twisted.trial.unittest import TestCase
 
 from papayapier import events
 from papayapier.clock import real_clock
-from papayapier.config.profiles import Profile
 from papayapier.dispatch.api import OnlineRequest, OnToken
 from papayapier.entry import chat
-from papayapier.entry.callers import caller_auth
-from papayapier.entry.online_routes import OnlineDeps, add_online_routes
-from papayapier.errors import ErrorKind, Refusal, not_run, unknown
-from papayapier.listen import listen, make_body_limit
-from papayapier.metrics import make_metrics
-from papayapier.upstream.api import Reply, Token
-from tests.log_catcher import LogCatcher
-from tests.raw_client import RawClient, connect, post
-
-Ended = Result[Reply, Refusal]
-Work = Callable[[OnlineRequest, OnToken], Awaitable[Ended]]
-
-BODY_LIMIT = 20_000
-CHAT = "X-Papayapier-Profile: chat"
-GATE = "X-Papayapier-Profile: gate"
-PROFILES = {
-    "chat": Profile("chat", "lm", "normal", 10_000, True),
-    "gate": Profile("gate", "gate", "urgent", 2_000, False),
-}
-ANSWER = Ok(Reply(200, "application/json", b'{"ok":1}', "a b", 2, "stop", None, 1, 2))
-
-
-def question(stream: bool = False, **changes: Any) -> bytes:
-    body = {"model": "lm", "messages": [{"role": "user", "content": "open?"}], "stream": stream}
-    return json.dumps(body | changes).encode()
-
-
-def token(text: str, finish: str | None = None) -> Token:
-    choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
-    return Token(text, json.dumps({"id": "x", "choices": [choice]}).encode(), 0)
+from papayapier.errors import ErrorKind, not_run, unknown
+from tests.entry_world import ANSWER, BODY_LIMIT, CHAT, GATE, Ended, EntryWorld, question, token
+from tests.raw_client import post
 
 
 def chunked(*parts: bytes) -> bytes:
@@ -57,64 +24,8 @@
     timeout = 30
 
     def setUp(self) -> None:
-        self.work: Work = self._answer
-        self.asked: list[OnlineRequest] = []
-        self.refusing: Refusal | None = None
-        app = Klein()
-        add_online_routes(
-            app,
-            OnlineDeps(
-                clock=real_clock(),
-                metrics=make_metrics(),
-                auth=caller_auth(()),
-                max_body_bytes=BODY_LIMIT,
-                profile=PROFILES.get,
-                upstream_names=lambda: ["gate", "lm"],
-                run=self.serve,
-                refusing=lambda: self.refusing,
-            ),
-        )
-        net: Any = reactor
-        limit = make_body_limit(BODY_LIMIT)
-        self.listening = listen(net, app, "entry.port", "127.0.0.1", 0, limit).unwrap()
-        self.site = self.listening.site
-        self.clients: list[RawClient] = []
-        self.logs = LogCatcher()
-        self.logs.push_application()
-        self.addCleanup(lambda: Deferred.fromCoroutine(self._stop()))
-
-    async def _stop(self) -> None:
-        self.logs.pop_application()
-        for client in self.clients:
-            client.abort()
-            await client.closed
-        await self.listening.handle.stopListening()
-        await self.closed()
-
-    async def closed(self) -> None:
-        """Wait until the site has no connection."""
-        while self.site.connections:
-            await real_clock().sleep(1)
-
-    async def serve(self, req: OnlineRequest, _key: str, on_token: OnToken) -> Ended:
-        self.asked.append(req)
-        return await self.work(req, on_token)
-
-    async def _answer(self, _req: OnlineRequest, _on_token: OnToken) -> Ended:
-        return ANSWER
-
-    async def send(self, request: bytes, until: bytes = b"}") -> RawClient:
-        client = await connect(self.listening.port)
-        self.clients.append(client)
-        client.write(request)
-        await client.until(until)
-        return client
-
-    async def refused(self, request: bytes) -> tuple[int, Any]:
-        client = await self.send(request, b"retry_after_ms")
-        await client.until(b"}}")
-        assert b"Content-Type: application/json" in client.received
-        return client.status(), client.json()["error"]
+        self.world = EntryWorld()
+        self.addCleanup(lambda: Deferred.fromCoroutine(self.world.stop()))
 
     def test_refusals_name_what_is_wrong(self) -> Deferred[None]:
         long_name = "X-Papayapier-Caller: " + "x" * 65
@@ -150,10 +61,10 @@
 
         async def run() -> None:
             for request, status, kind, reason in cases:
-                got, error = await self.refused(request)
+                got, error = await self.world.refused(request)
                 assert (got, error["kind"], error["outcome"]) == (status, kind, "not_run"), error
                 assert error["reason"].startswith(reason) or reason in error["reason"], error
-            assert self.asked == []
+            assert self.world.asked == []
 
         return Deferred.fromCoroutine(run())
 
@@ -169,15 +80,15 @@
 
         async def run() -> None:
             for request in (announced.encode(), in_chunks.encode() + chunked(part, part, part)):
-                client = await self.send(request, b"}}")
+                client = await self.world.send(request, b"}}")
                 assert (client.status(), client.json()["error"]["kind"]) == (413, "too_large")
                 assert b"Connection: close" in client.received
                 assert b"100 Continue" not in client.received
                 for _ in range(200):
                     client.write(part)
                 await client.closed
-            assert self.asked == []
-            assert self.site.open_requests() == 0
+            assert self.world.asked == []
+            assert self.world.site.open_requests() == 0
 
         return Deferred.fromCoroutine(run())
 
@@ -187,12 +98,14 @@
         in_chunks = (head + "Transfer-Encoding: chunked\r\n\r\n").encode()
 
         async def run() -> None:
-            client = await self.send(in_chunks + chunked(part, part) + b"0\r\n\r\n", b'{"ok":1}')
-            client.received = b""
+            client = await self.world.send(
+                in_chunks + chunked(part, part) + b"0\r\n\r\n", b'{"ok":1}'
+            )
+            client.received.clear()
             client.write(post("/services/gate/x?a=%20b", part + part, GATE))
             await client.until(b'{"ok":1}')
-            assert [req.body for req in self.asked] == [part + part] * 2
-            assert self.asked[1].path == "/x?a=%20b"
+            assert [req.body for req in self.world.asked] == [part + part] * 2
+            assert self.world.asked[1].path == "/x?a=%20b"
 
         return Deferred.fromCoroutine(run())
 
@@ -208,15 +121,15 @@
             raise ZeroDivisionError
 
         async def run() -> None:
-            self.work = crash
-            status, error = await self.refused(post("/services/gate/x", b"", GATE))
+            self.world.work = crash
+            status, error = await self.world.refused(post("/services/gate/x", b"", GATE))
             assert (status, error["kind"], error["outcome"]) == (500, "internal", "unknown")
             started.append(True)
             body = question(stream=True)
-            client = await self.send(post("/v1/chat/completions", body, CHAT), b"0\r\n\r\n")
+            client = await self.world.send(post("/v1/chat/completions", body, CHAT), b"0\r\n\r\n")
             assert b'"outcome":"unknown"' in client.received
             assert b"[DONE]" not in client.received
-            crashed = self.logs.fields(events.REQUEST_CRASHED)
+            crashed = self.world.logs.fields(events.REQUEST_CRASHED)
             assert [one["error"] for one in crashed] == ["ZeroDivisionError()"] * 2
 
         started: list[bool] = []
@@ -231,14 +144,14 @@
             return ends.pop(0)
 
         async def run() -> None:
-            self.work = stream
+            self.world.work = stream
             request = post("/v1/chat/completions", question(stream=True), CHAT)
-            whole = await self.send(request, b"0\r\n\r\n")
+            whole = await self.world.send(request, b"0\r\n\r\n")
             assert b"text/event-stream" in whole.received
             assert whole.received.count(b"data: {") == 3
             assert b'"delta":{},"finish_reason":"stop"' in whole.received
             assert b"data: [DONE]\n\n" in whole.received
-            broken = await self.send(request, b"0\r\n\r\n")
+            broken = await self.world.send(request, b"0\r\n\r\n")
             assert broken.received.count(b"data: {") == 3
             assert b'"kind":"upstream_failed","outcome":"unknown"' in broken.received
             assert b"[DONE]" not in broken.received
@@ -251,9 +164,9 @@
             return ANSWER
 
         async def run() -> None:
-            self.work = stream
+            self.world.work = stream
             request = post("/v1/chat/completions", question(stream=True), CHAT)
-            whole = await self.send(request, b"0\r\n\r\n")
+            whole = await self.world.send(request, b"0\r\n\r\n")
             assert whole.received.count(b'"stop"') == 1
 
         return Deferred.fromCoroutine(run())
@@ -276,16 +189,16 @@
                 ended.callback(None)
 
         async def run() -> None:
-            self.work = stream
-            client = await self.send(
+            self.world.work = stream
+            client = await self.world.send(
                 post("/v1/chat/completions", question(stream=True), CHAT), b"data:"
             )
             client.stop_reading()
             await ended
-            (slow,) = self.logs.fields(events.CALLER_SLOW)
+            (slow,) = self.world.logs.fields(events.CALLER_SLOW)
             assert slow["unread_bytes"] <= chat.MAX_UNREAD_BYTES + 2 * len(text.data)
-            await self.closed()
-            assert self.logs.fields(events.CALLER_GONE)
+            await self.world.closed()
+            assert self.world.logs.fields(events.CALLER_GONE)
 
         return Deferred.fromCoroutine(run())
 
@@ -299,21 +212,22 @@
             return ANSWER
 
         async def run() -> None:
-            self.work = wait
-            client = await connect(self.listening.port)
+            self.world.work = wait
+            client = await self.world.connect()
             client.write(post("/services/gate/x", b"", GATE))
             await begun
             client.abort()
             await cancelled
-            await self.closed()
-            assert self.logs.fields(events.CALLER_GONE)
+            await self.world.closed()
+            assert self.world.logs.fields(events.CALLER_GONE)
 
         return Deferred.fromCoroutine(run())
 
     def test_leaving_instance_refuses_truthfully(self) -> Deferred[None]:
         async def run() -> None:
-            self.refusing = not_run(ErrorKind.LEAVING, "the instance is shutting down", 250)
-            status, error = await self.refused(post("/services/gate/x", b"", GATE))
+            leaving = not_run(ErrorKind.LEAVING, "the instance is shutting down", 250)
+            self.world.refusing = lambda: leaving
+            status, error = await self.world.refused(post("/services/gate/x", b"", GATE))
             assert (status, error["kind"], error["outcome"]) == (503, "leaving", "not_run")
 
         return Deferred.fromCoroutine(run())
--- /dev/null
+++ b/tests/test_instance.py
@@ -0,0 +1,343 @@
+"""Test the planned stop of an instance and the life of its process."""
+
+import json
+import tempfile
+from pathlib import Path
+from signal import SIGTERM
+from typing import Any
+
+import pytest
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.error import ConnectionRefusedError
+from twisted.trial.unittest import TestCase
+
+from papayapier import events, invariants
+from papayapier.clock import fake_clock, real_clock
+from papayapier.dispatch.api import OnlineRequest, OnToken
+from papayapier.errors import ErrorKind, not_run
+from papayapier.policy.drain import Drain, DrainPlan
+from papayapier.standin.run import Fleet, FleetParams, run_fleet
+from papayapier.standin.switches import Mode
+from papayapier.stopping import PlannedStop, StopDeps
+from tests.entry_world import ANSWER, CHAT, GATE, Ended, EntryWorld
+from tests.raw_client import connect, post
+from tests.scenario.processes import Child, start
+
+LAG_MS = 3_000
+LIMIT_MS = 60_000
+GATE_CALL = post("/services/gate/x", b"", GATE)
+
+
+async def turns(count: int) -> None:
+    """Let the sockets have some turns of the reactor."""
+    for _ in range(count):
+        await real_clock().sleep(1)
+
+
+class TestPlannedStop(TestCase):
+    """Stop an entry over real sockets, with the steps of the stop on a fake clock."""
+
+    timeout = 30
+
+    def setUp(self) -> None:
+        self.world = EntryWorld()
+        self.addCleanup(lambda: Deferred.fromCoroutine(self.world.stop()))
+        self.world.work = self.hang
+        self.hanging: list[Deferred[None]] = []
+        self.time = fake_clock()
+        self.drain = Drain(DrainPlan(LAG_MS, LIMIT_MS))
+        leaving = not_run(ErrorKind.LEAVING, "the instance is shutting down")
+        self.world.refusing = lambda: None if self.drain.accepts() else leaving
+        self.handed_over: Deferred[None] = Deferred()
+        self.stop = PlannedStop(
+            StopDeps(
+                clock=self.time.clock,
+                drain=self.drain,
+                listening=(self.world.listening,),
+                online=lambda: len(self.hanging),
+                items=lambda: 0,
+                hand_over=self.hand_over,
+            )
+        )
+
+    async def hand_over(self) -> None:
+        await self.handed_over
+
+    async def hang(self, _req: OnlineRequest, _on_token: OnToken) -> Ended:
+        done: Deferred[None] = Deferred()
+        self.hanging.append(done)
+        try:
+            await done
+        finally:
+            self.hanging.remove(done)
+        return ANSWER
+
+    async def until_hanging(self, count: int) -> None:
+        while len(self.hanging) < count:
+            await real_clock().sleep(1)
+
+    async def pass_time(self, delay_ms: int) -> None:
+        for step in range(delay_ms // 50):
+            self.time.advance(50)
+            if step % 10 == 0:
+                await turns(1)
+        await turns(20)
+
+    def test_stop_waits_for_what_is_under_way_and_refuses_the_rest(self) -> Deferred[None]:
+        # Symptom: callers see connections reset or closed without an answer at a restart.
+        # Sequence: a request runs, another is half sent, a third connection is idle; the
+        # instance is told to stop; the second request comes whole after the balancer's lag.
+        # Cause: only running work was counted, and the connections were closed under it.
+        async def run() -> None:
+            busy = await self.world.connect()
+            busy.write(GATE_CALL)
+            await self.until_hanging(1)
+            half, idle = await self.world.connect(), await self.world.connect()
+            half.write(GATE_CALL[:30])
+            idle.write(post("/v1/elsewhere", b""))
+            await idle.until(b"}}")
+            assert b"Connection: close" not in idle.received
+            stopped = Deferred.fromCoroutine(self.stop.run())
+            self.handed_over.callback(None)
+
+            await self.pass_time(LAG_MS - 100)
+            late = await self.world.connect()
+            late.write(GATE_CALL)
+            await self.until_hanging(2)
+            self.hanging[1].callback(None)
+            await late.closed
+            assert (late.status(), b"Connection: close" in late.received) == (200, True)
+            assert not idle.closed.called
+
+            await self.pass_time(200)
+            await idle.closed
+            half.write(GATE_CALL[30:])
+            await half.closed
+            assert (half.status(), half.json()["error"]["outcome"]) == (503, "not_run")
+            with pytest.raises(ConnectionRefusedError):
+                await connect(self.world.listening.port)
+            assert not stopped.called
+
+            self.hanging[0].callback(None)
+            await busy.closed
+            assert busy.received.endswith(b'{"ok":1}')
+            await self.pass_time(100)
+            await stopped
+
+        return Deferred.fromCoroutine(run())
+
+    def test_stop_waits_until_answers_have_been_read(self) -> Deferred[None]:
+        # Symptom: the end of a large answer is missing after a restart.
+        # Sequence: an answer is written whole, its caller reads slowly, the process ends.
+        # Cause: a request counts as done when its answer is in this process's buffer.
+        async def run() -> None:
+            size = 30_000_000
+            big = ANSWER.unwrap()._replace(body=b"x" * size)
+
+            async def answer(_req: OnlineRequest, _on_token: OnToken) -> Ended:
+                return ANSWER.map(lambda _: big)
+
+            self.world.work = answer
+            slow = await self.world.send(GATE_CALL, b"\r\n\r\n")
+            slow.stop_reading()
+            stopped = Deferred.fromCoroutine(self.stop.run())
+            self.handed_over.callback(None)
+            await self.pass_time(LAG_MS + 1_000)
+            assert (self.world.site.open_requests(), stopped.called) == (0, False)
+            slow.go_on_reading()
+            await slow.closed
+            assert len(slow.received.partition(b"\r\n\r\n")[2]) == size
+            await self.pass_time(100)
+            await stopped
+
+        return Deferred.fromCoroutine(run())
+
+    def test_limit_ends_the_stop_and_names_what_was_left(self) -> Deferred[None]:
+        async def run() -> None:
+            broken = invariants.broken_count()
+            client = await self.world.connect()
+            client.write(GATE_CALL)
+            await self.until_hanging(1)
+            stopped = Deferred.fromCoroutine(self.stop.run())
+            await self.pass_time(LIMIT_MS + 100)
+            await stopped
+            (left,) = self.world.logs.fields(events.DRAIN_LIMIT)
+            assert left == {
+                "connections": 1,
+                "requests": 1,
+                "online": 1,
+                "items": 0,
+                "handing_over": 1,
+            }
+            assert invariants.broken_count() == broken + 1
+            invariants.BROKEN.clear()
+
+        return Deferred.fromCoroutine(run())
+
+    def test_failed_hand_over_does_not_keep_the_stop(self) -> Deferred[None]:
+        async def run() -> None:
+            stopped = Deferred.fromCoroutine(self.stop.run())
+            await self.pass_time(LAG_MS + 100)
+            assert not stopped.called
+            self.handed_over.errback(ZeroDivisionError())
+            await self.pass_time(100)
+            await stopped
+            assert self.world.logs.fields(events.HAND_OVER_FAILED)
+
+        return Deferred.fromCoroutine(run())
+
+
+class TestProcess(TestCase):
+    """Run "papayapier serve" against stand-ins of this process."""
+
+    timeout = 60
+
+    def setUp(self) -> Deferred[None]:  # type: ignore[override]
+        self.children: list[Child] = []
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(lambda: Deferred.fromCoroutine(self.close()))
+        return Deferred.fromCoroutine(self.begin())
+
+    async def begin(self) -> None:
+        params = FleetParams(engines=2, services=1)
+        self.fleet: Fleet = await run_fleet(reactor, real_clock(), params)
+
+    async def close(self) -> None:
+        for child in self.children:
+            child.signal(SIGTERM)
+            child.signal(SIGTERM)
+            await child.ended
+        await self.fleet.close()
+        self.folder.cleanup()
+
+    def serve(self, name: str = "a", **changes: Any) -> Child:
+        settings = {
+            "instance": {"id": name, "data_centre": "dc-a", "region": "local"},
+            "platform": {"host": "127.0.0.1", "port": self.fleet.platform.port},
+            "entry": {"port": 0},
+            "operator": {"port": 0},
+            "peer": {"port": 0},
+            "drain": {"balancer_lag_ms": 300, "limit_ms": 20_000},
+        }
+        path = Path(self.folder.name) / f"{name}.json"
+        path.write_text(json.dumps(settings | changes))
+        child = start(name, "serve", "--settings", str(path))
+        self.children.append(child)
+        return child
+
+    async def ready(self, child: Child) -> int:
+        """Put the profiles in force, and return the callers' port."""
+        started = await child.document_with("entry_port")
+        operator, entry = started["operator_port"], started["entry_port"]
+        for name, upstream in (("chat", "lm"), ("gate", "gate")):
+            profile = {
+                "name": name,
+                "upstream": upstream,
+                "urgency": "normal",
+                "due_ms": 20_000,
+                "idempotent": name == "chat",
+            }
+            change = {
+                "profile": profile,
+                "based_on": 0,
+                "reason": "test",
+                "change_id": f"test-{name}-1",
+            }
+            url = f"http://127.0.0.1:{operator}/v1/profiles/{name}"
+            answer = await treq.put(url, json=change, persistent=False)
+            assert answer.code in (200, 201), await answer.text()
+        while True:
+            url = f"http://127.0.0.1:{entry}/readyz"
+            answer = await treq.get(url, persistent=False)
+            await answer.content()
+            if answer.code == 200:
+                return int(entry)
+            await real_clock().sleep(20)
+
+    def test_signal_under_load_cuts_off_nothing(self) -> Deferred[None]:
+        # Symptom: callers see connections reset at a planned restart.
+        # Sequence: callers send streams one after another, on kept and on new connections;
+        # SIGTERM; they go on until no connection can be made.
+        # Cause: connections closed with requests on them, or before their answers were sent.
+        ends: list[str] = []
+
+        async def caller(port: int, keep: bool) -> None:
+            body = b'{"model":"lm","prompt":"open?","max_tokens":8,"stream":true}'
+            how = "Connection: keep-alive" if keep else "Connection: close"
+            request = post("/v1/completions", body, CHAT, how)
+            while True:
+                try:
+                    client = await connect(port)
+                except ConnectionRefusedError:
+                    return
+                while not client.closed.called:
+                    client.received.clear()
+                    client.write(request)
+                    await client.until_any(b"0\r\n\r\n", b"}}")
+                    ends.append(judge(client.received))
+                    if b"Connection: close" in client.received:
+                        await client.closed
+
+        def judge(received: bytearray) -> str:
+            if b"[DONE]" in received:
+                return "whole"
+            return "leaving" if b'"kind":"leaving","outcome":"not_run"' in received else "cut"
+
+        async def run() -> None:
+            child = self.serve()
+            port = await self.ready(child)
+            callers = [Deferred.fromCoroutine(caller(port, keep=n % 2 == 0)) for n in range(8)]
+            while len(ends) < 50:
+                await real_clock().sleep(5)
+            child.signal(SIGTERM)
+            await gatherResults(callers)
+            await child.ended
+            assert set(ends) <= {"whole", "leaving"}, ends
+            assert (child.exit_code, child.logged(events.INVARIANT_BROKEN.number)) == (0, 0)
+            assert child.logged(events.DRAIN_LIMIT.number) == 0
+
+        return Deferred.fromCoroutine(run())
+
+    def test_second_signal_ends_at_once(self) -> Deferred[None]:
+        async def run() -> None:
+            child = self.serve()
+            port = await self.ready(child)
+            self.fleet.services[0].control({"mode": Mode.HANG, "times": 0})
+            client = await connect(port)
+            client.write(GATE_CALL)
+            while not self.fleet.services[0].counts().total:
+                await real_clock().sleep(5)
+            child.signal(SIGTERM)
+            await child.document_with("handing_over")
+            await real_clock().sleep(400)
+            assert child.exit_code is None
+            child.signal(SIGTERM)
+            await child.ended
+            await client.closed
+            assert child.exit_code == 1
+
+        return Deferred.fromCoroutine(run())
+
+    def test_failed_start_is_told_in_one_line(self) -> Deferred[None]:
+        taken = {"port": 0}
+        cases: list[tuple[str, dict[str, Any], str, int]] = [
+            ("entry", {"entry": taken}, "entry.port: cannot listen on 127.0.0.1:", 1),
+            ("operator", {"operator": taken}, "operator.port: cannot listen on 127.0.0.1:", 1),
+            ("peer", {"peer": taken}, "peer", 1),
+            ("platform", {"platform": {"host": "127.0.0.1", "port": 9}}, "platform: 127.0.", 1),
+            ("unknown", {"entry": {"prot": 80}}, "entry", 2),
+            ("kind", {"entry": {"port": "x"}}, "entry.port: expected `int`, got `str`", 2),
+        ]
+
+        async def run() -> None:
+            taken["port"] = self.fleet.platform.port
+            children = [self.serve(name, **changes) for name, changes, _, _ in cases]
+            for child, (name, _, reason, code) in zip(children, cases, strict=True):
+                await child.ended
+                assert child.exit_code == code, name
+                (line,) = child.tail
+                assert line.startswith("papayapier: ") and reason in line, line
+
+        return Deferred.fromCoroutine(run())
