--- a/misc/build.py
+++ b/misc/build.py
@@ -3,33 +3,60 @@
     python3 misc/build.py           writes dist/papayapier
 
 A PyInstaller one-file program is a parent that starts a child, against "a process starts no
-other process"; a shiv zipapp replaces nothing and starts nothing.
+other process"; a shiv zipapp replaces nothing and starts nothing. shiv's own compiling of
+bytecode stays off, because it starts processes too.
+
+pip installs the pinned libraries; the package itself is copied beside them. If pip built it
+too, the file would hold modules that have since been deleted (setuptools keeps them in its
+build folder) and the name of a temporary folder, so that no two builds were alike.
 """
 
+import shutil
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 from typing import Final
 
 ROOT: Final = Path(__file__).resolve().parent.parent
-SHIV: Final = ROOT / ".venv" / "bin" / "shiv"
+BIN: Final = ROOT / ".venv" / "bin"
 TARGET: Final = ROOT / "dist" / "papayapier"
+PACKAGE: Final = "papayapier"
+ENTRY_POINT: Final = "papayapier.main:run"
 
 
 def main() -> int:
     """Build the zipapp; return the exit code."""
-    if not SHIV.exists():
+    if not (BIN / "shiv").exists():
         print("build: run python3 runtests.py once to make the environment", file=sys.stderr)
         return 1
-    TARGET.parent.mkdir(exist_ok=True)
-    build = [str(SHIV), "--console-script", "papayapier", "--python", "/usr/bin/env python3"]
-    build += ["--reproducible", "--output-file", str(TARGET)]
-    build += ["--requirement", str(ROOT / "requirements.txt"), str(ROOT)]
-    code = subprocess.run(build, cwd=ROOT).returncode
+    with tempfile.TemporaryDirectory() as folder:
+        libraries = Path(folder)
+        code = install(libraries) or pack(libraries)
     if code == 0:
         print(f"{TARGET.relative_to(ROOT)}: {TARGET.stat().st_size // 1_000_000} MB")
     return code
 
 
+def install(folder: Path) -> int:
+    """Put the libraries and the package into a folder; return the exit code."""
+    pip = [str(BIN / "python"), "-m", "pip", "install", "--quiet", "--no-compile"]
+    pip += ["--target", str(folder), "--requirement", str(ROOT / "requirements.txt")]
+    code = subprocess.run(pip, cwd=ROOT).returncode
+    # Commands of the libraries, which nobody runs and which name this machine's Python.
+    shutil.rmtree(folder / "bin", ignore_errors=True)
+    ignored = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / PACKAGE, folder / PACKAGE, ignore=ignored)
+    return code
+
+
+def pack(folder: Path) -> int:
+    """Make the zipapp of a folder; return the exit code."""
+    TARGET.parent.mkdir(exist_ok=True)
+    shiv = [str(BIN / "shiv"), "--entry-point", ENTRY_POINT, "--python", "/usr/bin/env python3"]
+    shiv += ["--reproducible", "--site-packages", str(folder), "--output-file", str(TARGET)]
+    return subprocess.run(shiv, cwd=ROOT).returncode
+
+
 if __name__ == "__main__":
     sys.exit(main())
