Show orders to operators and let the job commands act for a caller

Cause: batch jobs belong to callers, and results can be longer than memory allows. Change: operator_auth with job_auth for batch routes on the operators' address, /v1/orders and the orders command; job commands name the caller and stream results. Not done: a list of all callers' jobs, which needs a view of the batch package.

--- /dev/null
+++ b/papayapier/entry/operator_auth.py
@@ -0,0 +1,72 @@
+"""Tell which operator is calling.
+
+Operators act for callers on batch jobs: there the caller whose jobs are meant is named in a
+header, which an operator's key makes trustworthy.
+"""
+
+import ipaddress
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final, cast
+
+from result import Err, Ok, Result
+
+from papayapier import events
+from papayapier.entry.callers import caller_auth, holder_of
+from papayapier.errors import ErrorKind, Refusal, not_run
+
+if TYPE_CHECKING:
+    from papayapier.entry.callers import CallerAuth
+    from papayapier.entry.web import WebRequest
+    from papayapier.settings import KeyEntry
+
+OperatorAuth = Callable[["WebRequest"], Result[str, Refusal]]
+
+LOCAL_OPERATOR: Final = "local"
+
+
+def operator_auth(operators: "tuple[KeyEntry, ...]") -> OperatorAuth:
+    """Make the check of operators; with none listed, only this machine's calls pass.
+
+    A key goes nowhere but into the comparison: not into a log, not into the trail.
+    """
+
+    def check(request: "WebRequest") -> Result[str, Refusal]:
+        if operators:
+            name = holder_of(request, operators)
+        else:
+            name = LOCAL_OPERATOR if _is_local(request) else None
+        if name is not None:
+            return Ok(name)
+        events.emit(events.OPERATOR_REFUSED, address=_address(request))
+        reason = "Authorization: operator key missing or not known"
+        return Err(not_run(ErrorKind.UNAUTHORIZED, reason))
+
+    return check
+
+
+def job_auth(operators: "tuple[KeyEntry, ...]") -> "CallerAuth":
+    """Make the check for batch routes on the operators' address; it returns the caller meant."""
+    check = operator_auth(operators)
+    named_caller = caller_auth(())
+
+    def caller_meant(request: "WebRequest") -> Result[str, Refusal]:
+        who = check(request)
+        return who if isinstance(who, Err) else named_caller(request)
+
+    return caller_meant
+
+
+def no_new_work() -> Refusal:
+    """Refuse new work on the operators' address."""
+    return not_run(ErrorKind.BAD_REQUEST, "new work goes to the callers' address")
+
+
+def _is_local(request: "WebRequest") -> bool:
+    try:
+        return ipaddress.ip_address(_address(request)).is_loopback
+    except ValueError:
+        return False
+
+
+def _address(request: "WebRequest") -> str:
+    return str(getattr(cast(Any, request).getClientAddress(), "host", ""))
--- a/papayapier/entry/operator_routes.py
+++ b/papayapier/entry/operator_routes.py
@@ -4,35 +4,34 @@
 operators in the settings only callers on this machine are accepted.
 """
 
-import ipaddress
-from typing import TYPE_CHECKING, Any, Final, NamedTuple, TypeVar, cast
+from typing import TYPE_CHECKING, Any, Final, NamedTuple, TypeVar
 
 from klein import Klein
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
-from papayapier import codec, events
+from papayapier import codec
 from papayapier.config.accept import Accepted, Change, Rejected
 from papayapier.config.records import PROFILES, UPSTREAMS, Subject
 from papayapier.config.trail import LIMIT_DEFAULT, AuditFilter
 from papayapier.entry import operator_bodies as bodies
 from papayapier.entry.answers import ErrorBody, refuse, reply_json
-from papayapier.entry.callers import holder_of
+from papayapier.entry.operator_auth import operator_auth
 from papayapier.errors import ErrorKind, Refusal, not_run
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.web.iweb import IRequest
-
     from papayapier.config.start import Config
+    from papayapier.entry.operator_auth import OperatorAuth
+    from papayapier.entry.web import WebRequest
+    from papayapier.orders.controller import OrdersView
     from papayapier.settings import KeyEntry
 
 T = TypeVar("T")
 
 BODY_MOST: Final = 256_000
 AUDIT_MOST: Final = 10_000
-LOCAL_OPERATOR: Final = "local"
 
 CHANGE_BODIES: Final[dict[str, type[Any]]] = {
     PROFILES: bodies.ProfileChangeBody,
@@ -45,61 +44,81 @@
 
 
 class OperatorDeps(NamedTuple):
-    """Group what the operators' routes need."""
+    """Group what the operators' routes need; without orders the route for them is left out."""
 
     config: "Config"
     operators: "tuple[KeyEntry, ...]"
     status: "Callable[[], bodies.Status]"
+    orders: "Callable[[], OrdersView] | None" = None
+
+
+class _Routes(NamedTuple):
+    """Group what each route works with."""
+
+    config: "Config"
+    auth: "OperatorAuth"
 
 
 def add_operator_routes(app: Klein, deps: OperatorDeps) -> None:
     """Add the operators' routes to an app."""
+    routes = _Routes(deps.config, operator_auth(deps.operators))
     for kind in (PROFILES, UPSTREAMS):
-        _add_kind(app, deps, kind)
+        _add_kind(app, routes, kind)
 
     @app.route("/v1/audit", methods=["GET"])
-    def audit(request: "IRequest") -> Deferred[bytes]:
-        return Deferred.fromCoroutine(_audit(deps, request))
+    def audit(request: "WebRequest") -> Deferred[bytes]:
+        return Deferred.fromCoroutine(_audit(routes, request))
 
     @app.route("/v1/status", methods=["GET"])
-    def status(request: "IRequest") -> bytes:
-        who = _operator(deps, request)
+    def status(request: "WebRequest") -> bytes:
+        who = routes.auth(request)
         if isinstance(who, Err):
             return refuse(request, who.err_value)
         found = deps.status()
         return reply_json(request, bodies.StatusBody(*found, slowest=found.slowest().id))
 
+    show_orders = deps.orders
+    if show_orders is None:
+        return
+
+    @app.route("/v1/orders", methods=["GET"])
+    def orders(request: "WebRequest") -> bytes:
+        who = routes.auth(request)
+        if isinstance(who, Err):
+            return refuse(request, who.err_value)
+        return reply_json(request, show_orders())
 
-def _add_kind(app: Klein, deps: OperatorDeps, kind: str) -> None:
+
+def _add_kind(app: Klein, routes: _Routes, kind: str) -> None:
     """Add the routes of one kind of object."""
     path = f"/v1/{kind}"
 
     @app.route(path, methods=["GET"], endpoint=f"list_{kind}")
-    def list_all(request: "IRequest") -> bytes:
-        return _list(deps, request, kind)
+    def list_all(request: "WebRequest") -> bytes:
+        return _list(routes, request, kind)
 
     @app.route(f"{path}/check", methods=["POST"], endpoint=f"check_{kind}")
-    def check(request: "IRequest") -> bytes:
-        return _check(deps, request, kind)
+    def check(request: "WebRequest") -> bytes:
+        return _check(routes, request, kind)
 
     @app.route(f"{path}/<name>", methods=["GET"], endpoint=f"get_{kind}")
-    def get(request: "IRequest", name: str) -> bytes:
-        return _get(deps, request, Subject(kind, name))
+    def get(request: "WebRequest", name: str) -> bytes:
+        return _get(routes, request, Subject(kind, name))
 
     @app.route(f"{path}/<name>", methods=["PUT"], endpoint=f"put_{kind}")
-    def put(request: "IRequest", name: str) -> Deferred[bytes]:
-        return Deferred.fromCoroutine(_put(deps, request, Subject(kind, name)))
+    def put(request: "WebRequest", name: str) -> Deferred[bytes]:
+        return Deferred.fromCoroutine(_put(routes, request, Subject(kind, name)))
 
     @app.route(f"{path}/<name>", methods=["DELETE"], endpoint=f"delete_{kind}")
-    def delete(request: "IRequest", name: str) -> Deferred[bytes]:
-        return Deferred.fromCoroutine(_delete(deps, request, Subject(kind, name)))
+    def delete(request: "WebRequest", name: str) -> Deferred[bytes]:
+        return Deferred.fromCoroutine(_delete(routes, request, Subject(kind, name)))
 
 
-def _list(deps: OperatorDeps, request: "IRequest", kind: str) -> bytes:
-    who = _operator(deps, request)
+def _list(routes: _Routes, request: "WebRequest", kind: str) -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
-    book = deps.config.book
+    book = routes.config.book
     found = book.profiles() if kind == PROFILES else book.upstreams()
     items = [
         bodies.ItemBody(name, book.version_of(Subject(kind, name).key), wanted)
@@ -108,11 +127,11 @@
     return reply_json(request, bodies.ListBody(book.version(), items))
 
 
-def _get(deps: OperatorDeps, request: "IRequest", subject: Subject) -> bytes:
-    who = _operator(deps, request)
+def _get(routes: _Routes, request: "WebRequest", subject: Subject) -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
-    book = deps.config.book
+    book = routes.config.book
     kind, name = subject
     wanted = book.profile(name) if kind == PROFILES else book.upstream(name)
     if wanted is None:
@@ -122,8 +141,8 @@
     return reply_json(request, bodies.ItemBody(name, version, wanted))
 
 
-def _check(deps: OperatorDeps, request: "IRequest", kind: str) -> bytes:
-    who = _operator(deps, request)
+def _check(routes: _Routes, request: "WebRequest", kind: str) -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
     body = _body(request, CHECK_BODIES[kind])
@@ -131,13 +150,13 @@
         return refuse(request, body.err_value)
     document = body.ok_value[0]
     name = document.get("name", "") if isinstance(document, dict) else ""
-    verdict = deps.config.check(Subject(kind, str(name)), document)
+    verdict = routes.config.check(Subject(kind, str(name)), document)
     errors, warnings = verdict.errors, verdict.warnings
     return reply_json(request, bodies.CheckBody(not errors, errors, warnings, verdict.stranded))
 
 
-async def _put(deps: OperatorDeps, request: "IRequest", subject: Subject) -> bytes:
-    who = _operator(deps, request)
+async def _put(routes: _Routes, request: "WebRequest", subject: Subject) -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
     body = _body(request, CHANGE_BODIES[subject.kind])
@@ -148,11 +167,11 @@
         why = f"{subject.kind.removesuffix('s')}: is null; use DELETE to delete"
         return refuse(request, not_run(ErrorKind.BAD_REQUEST, why))
     change = Change(subject, document, based_on, reason, change_id, who.ok_value, strand)
-    return _answer(request, subject, await deps.config.accept(change))
+    return _answer(request, subject, await routes.config.accept(change))
 
 
-async def _delete(deps: OperatorDeps, request: "IRequest", subject: Subject) -> bytes:
-    who = _operator(deps, request)
+async def _delete(routes: _Routes, request: "WebRequest", subject: Subject) -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
     body = _body(request, bodies.DeleteBody)
@@ -160,10 +179,10 @@
         return refuse(request, body.err_value)
     based_on, reason, change_id, strand = body.ok_value
     change = Change(subject, None, based_on, reason, change_id, who.ok_value, strand)
-    return _answer(request, subject, await deps.config.accept(change))
+    return _answer(request, subject, await routes.config.accept(change))
 
 
-def _answer(request: "IRequest", subject: Subject, done: Result[Accepted, Rejected]) -> bytes:
+def _answer(request: "WebRequest", subject: Subject, done: Result[Accepted, Rejected]) -> bytes:
     match done:
         case Ok(accepted):
             return reply_json(request, bodies.AcceptedBody(subject.name, *accepted))
@@ -171,7 +190,7 @@
             return _rejected(request, rejected)
 
 
-def _rejected(request: "IRequest", rejected: Rejected) -> bytes:
+def _rejected(request: "WebRequest", rejected: Rejected) -> bytes:
     refuse(request, rejected.refusal)
     kind, outcome, reason, retry_after_ms = rejected.refusal
     winner = None if rejected.winner is None else bodies.WinnerBody(*rejected.winner)
@@ -179,14 +198,14 @@
     return codec.to_json(bodies.RejectedBody(error, rejected.problems, winner))
 
 
-async def _audit(deps: OperatorDeps, request: "IRequest") -> bytes:
-    who = _operator(deps, request)
+async def _audit(routes: _Routes, request: "WebRequest") -> bytes:
+    who = routes.auth(request)
     if isinstance(who, Err):
         return refuse(request, who.err_value)
     chosen = _audit_filter(request)
     if isinstance(chosen, Err):
         return refuse(request, not_run(ErrorKind.BAD_REQUEST, chosen.err_value))
-    found = await deps.config.audit(chosen.ok_value)
+    found = await routes.config.audit(chosen.ok_value)
     if isinstance(found, Err):
         why = f"the trail cannot be read: {found.err_value.value}"
         return refuse(request, not_run(ErrorKind.STORE_UNAVAILABLE, why))
@@ -194,7 +213,7 @@
     return reply_json(request, bodies.AuditBody(lines))
 
 
-def _audit_filter(request: "IRequest") -> Result[AuditFilter, str]:
+def _audit_filter(request: "WebRequest") -> Result[AuditFilter, str]:
     arguments: dict[bytes, list[bytes]] = request.args
     given = {key.decode(): values[-1].decode() for key, values in arguments.items()}
     kind = given.get("kind", "")
@@ -210,30 +229,7 @@
     return Ok(AuditFilter(kind, name, who, int(since), int(limit)))
 
 
-def _operator(deps: OperatorDeps, request: "IRequest") -> Result[str, Refusal]:
-    """Return the operator's name; the key itself goes nowhere."""
-    if deps.operators:
-        name = holder_of(request, deps.operators)
-    else:
-        name = LOCAL_OPERATOR if _is_local(request) else None
-    if name is not None:
-        return Ok(name)
-    events.emit(events.OPERATOR_REFUSED, address=_address(request))
-    return Err(not_run(ErrorKind.UNAUTHORIZED, "Authorization: operator key missing or not known"))
-
-
-def _is_local(request: "IRequest") -> bool:
-    try:
-        return ipaddress.ip_address(_address(request)).is_loopback
-    except ValueError:
-        return False
-
-
-def _address(request: "IRequest") -> str:
-    return str(getattr(cast(Any, request).getClientAddress(), "host", ""))
-
-
-def _body(request: "IRequest", kind: type[T]) -> Result[T, Refusal]:
+def _body(request: "WebRequest", kind: type[T]) -> Result[T, Refusal]:
     data: bytes = request.content.read(BODY_MOST + 1)
     if len(data) > BODY_MOST:
         return Err(not_run(ErrorKind.TOO_LARGE, f"the body is over {BODY_MOST} bytes"))
--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -26,6 +26,7 @@
 ADDRESS_VARIABLE: Final = "PAPAYAPIER_OPERATOR"
 KEY_VARIABLE: Final = "PAPAYAPIER_KEY"
 TIMEOUT_S: Final = 30
+OK_STATUS: Final = 200
 USAGE_STATUSES: Final = frozenset({400, 413})
 
 OPTIONS_HELP: Final = (
@@ -56,25 +57,56 @@
     key: str
 
     async def call(
-        self, method: str, path: str, body: object = None, query: dict[str, str] | None = None
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        query: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Result[Answer, str]:
         """Make one call; the error says why there is no answer."""
+        parts: list[bytes] = []
+        done = await self._exchange(method, path, body, query, headers, parts.append)
+        return done.map(lambda status: Answer(status, b"".join(parts)))
+
+    async def stream(
+        self, path: str, headers: dict[str, str], sink: Callable[[bytes], None]
+    ) -> Result[Answer, str]:
+        """Read a long answer part by part; the Answer's body is empty unless it is refused."""
+        refused: list[bytes] = []
+        done = await self._exchange("GET", path, None, None, headers, sink, refused.append)
+        return done.map(lambda status: Answer(status, b"".join(refused)))
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        query: dict[str, str] | None,
+        headers: dict[str, str] | None,
+        sink: Callable[[bytes], None],
+        refused: Callable[[bytes], None] | None = None,
+    ) -> Result[int, str]:
         from twisted.internet import reactor
 
-        headers: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
+        sent: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
+        sent.update(headers or {})
         if self.key:
-            headers["Authorization"] = f"Bearer {self.key}"
+            sent["Authorization"] = f"Bearer {self.key}"
         try:
             response = await treq.request(
                 method,
                 f"http://{self.address}{path}",
-                headers=headers,
+                headers=sent,
                 params=query or {},
                 data=None if body is None else msgspec.json.encode(body),
                 pool=cast(Any, HTTPConnectionPool)(reactor, persistent=False),
                 timeout=TIMEOUT_S,
+                unbuffered=True,
             )
-            return Ok(Answer(response.code, await response.content()))
+            ok = response.code == OK_STATUS
+            await treq.collect(response, sink if ok or refused is None else refused)
+            return Ok(response.code)
         except Exception as exc:  # the library's failures have no common base
             return Err(f"{self.address} does not answer: {_short(exc)}")
 
--- a/papayapier/operate/configuration.py
+++ b/papayapier/operate/configuration.py
@@ -14,6 +14,7 @@
 from papayapier.operate.client import (
     EXIT_OK,
     EXIT_USAGE,
+    OK_STATUS,
     OPTIONS_HELP,
     Answer,
     Client,
@@ -25,7 +26,6 @@
 from papayapier.operate.output import print_json, print_table, show_changes
 
 Subparsers = "argparse._SubParsersAction[argparse.ArgumentParser]"
-OK_STATUS: Final = 200
 
 
 class _Noun(NamedTuple):
--- a/papayapier/operate/jobs.py
+++ b/papayapier/operate/jobs.py
@@ -7,8 +7,10 @@
 
 from result import Err, Ok, Result
 
+from papayapier.entry.callers import ANONYMOUS
 from papayapier.operate.client import (
     EXIT_OK,
+    OK_STATUS,
     OPTIONS_HELP,
     Answer,
     Client,
@@ -19,11 +21,21 @@
 )
 from papayapier.operate.output import print_json, print_table
 
-OK_STATUS: Final = 200
+CALLER_HEADER: Final = "X-Papayapier-Caller"
 BATCHES: Final = "/v1/batches"
 FILES: Final = "/v1/files"
 LIST_LIMIT: Final = 100
-COLUMNS: Final = ("id", "status", "total", "completed", "failed", "created_at", "expires_at")
+COLUMNS: Final = (
+    "id",
+    "status",
+    "profile",
+    "total",
+    "completed",
+    "failed",
+    "unknown",
+    "cancelled",
+    "due_ms",
+)
 
 
 def add_job_commands(subparsers: Any) -> None:
@@ -32,7 +44,7 @@
         "job", help="show and cancel batch jobs, print their results", epilog=OPTIONS_HELP
     )
     actions = parser.add_subparsers(title="actions", required=True, metavar="ACTION")
-    listing = _add(actions, "list", "list jobs, newest first", _list)
+    listing = _add(actions, "list", "list a caller's jobs", _list)
     listing.add_argument("--limit", type=int, default=LIST_LIMIT, help="at most so many jobs")
     for name, text, run in (
         ("show", "print one job", _show),
@@ -44,12 +56,16 @@
 
 def _add(actions: Any, name: str, text: str, run: Run) -> argparse.ArgumentParser:
     parser: argparse.ArgumentParser = actions.add_parser(name, help=text, description=text)
+    parser.add_argument(
+        "--caller", default=ANONYMOUS, metavar="NAME", help="the caller whose jobs are meant"
+    )
     add_options(parser, run)
     return parser
 
 
 async def _list(client: Client, options: argparse.Namespace) -> int:
-    got = await client.call("GET", BATCHES, query={"limit": str(options.limit)})
+    query = {"limit": str(options.limit)}
+    got = await client.call("GET", BATCHES, query=query, headers=_for_caller(options))
     match _checked(got, options):
         case Err(code):
             return code
@@ -63,17 +79,18 @@
 
 
 async def _show(client: Client, options: argparse.Namespace) -> int:
-    got = await client.call("GET", _path(options.id))
+    got = await client.call("GET", _path(options.id), headers=_for_caller(options))
     return _print_job(got, options)
 
 
 async def _cancel(client: Client, options: argparse.Namespace) -> int:
-    got = await client.call("POST", _path(options.id) + "/cancel")
+    got = await client.call("POST", _path(options.id) + "/cancel", headers=_for_caller(options))
     return _print_job(got, options)
 
 
 async def _results(client: Client, options: argparse.Namespace) -> int:
-    match _checked(await client.call("GET", _path(options.id)), options):
+    headers = _for_caller(options)
+    match _checked(await client.call("GET", _path(options.id), headers=headers), options):
         case Err(code):
             return code
         case Ok(answer):
@@ -83,14 +100,20 @@
         return fail(f"{options.id}: no results yet")
     for file_id in files:
         path = f"{FILES}/{quote(file_id, safe='')}/content"
-        match _checked(await client.call("GET", path), options):
+        match _checked(await client.stream(path, headers, _write_out), options):
             case Err(code):
                 return code
-            case Ok(answer):
-                sys.stdout.write(answer.body.decode())
     return EXIT_OK
 
 
+def _write_out(data: bytes) -> None:
+    sys.stdout.buffer.write(data)
+
+
+def _for_caller(options: argparse.Namespace) -> dict[str, str]:
+    return {CALLER_HEADER: options.caller}
+
+
 def _print_job(got: Result[Answer, str], options: argparse.Namespace) -> int:
     match _checked(got, options):
         case Err(code):
--- a/papayapier/operate/reports.py
+++ b/papayapier/operate/reports.py
@@ -9,10 +9,17 @@
 from result import Err, Ok, Result
 
 from papayapier.clock import MS_PER_S
-from papayapier.operate.client import EXIT_OK, EXIT_USAGE, Client, add_options, fail, refused
+from papayapier.operate.client import (
+    EXIT_OK,
+    EXIT_USAGE,
+    OK_STATUS,
+    Client,
+    add_options,
+    fail,
+    refused,
+)
 from papayapier.operate.output import print_json, print_table, show_changes, show_time
 
-OK_STATUS: Final = 200
 UNIT_MS: Final = {"s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
 AGE_PATTERN: Final = re.compile(r"(\d+)([smhd])")
 
@@ -27,6 +34,13 @@
         "instance that answers, and name the one that is furthest behind.",
     )
     add_options(status, _status)
+    orders = subparsers.add_parser(
+        "orders",
+        help="show orders to engines: under way, done, failed, held back",
+        description="Show the orders to engines. Only the instance that gives them knows them; "
+        "the others name it.",
+    )
+    add_options(orders, _orders)
 
 
 def _add_audit(subparsers: Any) -> None:
@@ -97,6 +111,25 @@
     return EXIT_OK
 
 
+async def _orders(client: Client, options: argparse.Namespace) -> int:
+    got = await client.call("GET", "/v1/orders")
+    if isinstance(got, Err):
+        return fail(got.err_value)
+    if got.ok_value.status != OK_STATUS:
+        return refused(got.ok_value, options.json)
+    found = got.ok_value.document()
+    if options.json:
+        print_json(found)
+        return EXIT_OK
+    print(f"orders are given by: {found['controller'] or 'nobody at present'}")
+    underway = [[one["replica"], one["kind"], one["name"]] for one in found["underway"]]
+    print_table(["under way on", "order", "name"], underway)
+    head = ["replica", "kind", "name", "end", "reason"]
+    lately = [[show_time(one["at_ms"]), *(one[c] for c in head)] for one in found["lately"]]
+    print_table(["time", *head], lately)
+    return EXIT_OK
+
+
 def since_ms(text: str | None, now_ms: int) -> Result[int, str]:
     """Read an age or a time as milliseconds since the epoch; a time is UTC unless it says."""
     if text is None:
--- a/tests/test_config_operate.py
+++ b/tests/test_config_operate.py
@@ -18,14 +18,20 @@
 from twisted.web.server import Site
 
 from papayapier import events
+from papayapier.batch.jobs import JobRequest
+from papayapier.batch.start import Batch
 from papayapier.clock import real_clock
 from papayapier.config.start import ConfigDeps, start_config
+from papayapier.entry.batch_routes import add_batch_routes
+from papayapier.entry.operator_auth import job_auth, no_new_work
 from papayapier.entry.operator_bodies import InstanceStatus, Status
 from papayapier.entry.operator_routes import OperatorDeps, add_operator_routes
 from papayapier.main import make_parser
 from papayapier.metrics import make_metrics
 from papayapier.operate import client, configuration, reports
+from papayapier.orders.controller import OrdersView, UnderwayLine
 from papayapier.settings import ConfigSettings, KeyEntry
+from tests.batch_world import URL, World
 from tests.fake_store import FakePlatform
 from tests.test_config import gate
 
@@ -62,7 +68,10 @@
 
     def _listen(self, operators: tuple[KeyEntry, ...]) -> int:
         app = Klein()
-        add_operator_routes(app, OperatorDeps(self.config, operators, self._status))
+        add_operator_routes(app, OperatorDeps(self.config, operators, self._status, self._orders))
+        return self._serve(app)
+
+    def _serve(self, app: Klein) -> int:
         listening: Any = cast(Any, reactor).listenTCP(
             0, Site(app.resource()), interface="127.0.0.1"
         )
@@ -77,6 +86,9 @@
         behind = InstanceStatus("entry-2", "serving", True, "", 2, False, 40)
         return Status("entry-1", [one, behind])
 
+    def _orders(self) -> OrdersView:
+        return OrdersView("entry-1", [UnderwayLine("r1", "load_model", "pass-7b")], [])
+
     async def _call(
         self, method: str, path: str, body: object = None, key: str = KEY
     ) -> client.Answer:
@@ -87,10 +99,10 @@
         """Run a command's coroutine as the command line would; return code and output."""
         options = make_parser().parse_args(list(args))
         here = client.Client(f"127.0.0.1:{port or self.port}", key)
-        out, err = io.StringIO(), io.StringIO()
+        out, err = io.TextIOWrapper(io.BytesIO(), write_through=True), io.StringIO()
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
             code = await options.run(here, options)
-        return code, out.getvalue(), err.getvalue()
+        return code, out.buffer.getvalue().decode(), err.getvalue()
 
     def _file(self, text: str) -> str:
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "file.json"
@@ -105,7 +117,13 @@
 
         self.enterContext(mock.patch.object(events, "emit", emit))
         for key in ("", "wrong-key"):
-            for path in ("/v1/profiles", "/v1/audit", "/v1/status", "/v1/profiles/gate"):
+            for path in (
+                "/v1/profiles",
+                "/v1/audit",
+                "/v1/status",
+                "/v1/orders",
+                "/v1/profiles/gate",
+            ):
                 assert (await self._call("GET", path, key=key)).status == 401
         body = {"profile": gate(), "based_on": 0, "reason": "r", "change_id": "change-01"}
         assert (await self._call("PUT", "/v1/profiles/gate", body)).status == 200
@@ -176,12 +194,45 @@
         assert "pass-7b" in out
         code, out, _ = await self._command("status")
         assert "furthest behind: entry-2" in out
+        code, out, _ = await self._command("orders")
+        assert "given by: entry-1" in out
+        assert "pass-7b" in out
+
+    async def test_job_commands_reach_the_jobs_of_a_caller(self) -> None:
+        world = World(clock=real_clock())
+        batch = world.start("a")
+        self.addCleanup(lambda: Deferred.fromCoroutine(_stop(batch)))
+        app = Klein()
+        add_batch_routes(app, batch, job_auth((ANA,)), no_new_work)
+        port = self._serve(app)
+        item = {"custom_id": "van/1", "url": URL, "body": {"n": 1}}
+        intake = batch.new_file("yard", "notes.jsonl", "batch")
+        assert (await intake.feed(json.dumps(item).encode() + b"\n")) is None
+        file = (await intake.finish()).unwrap()
+        wanted = JobRequest("yard", "", file.file_id, URL, "24h", {}, "notes", 0)
+        job_id = (await batch.jobs.accept(wanted)).unwrap().record.job_id
+        jobs = ("--caller", "yard")
+        assert (await self._command("job", "list", *jobs, key="wrong-key", port=port))[0] == 1
+        code, out, _ = await self._command("job", "list", *jobs, port=port)
+        assert (code, job_id in out) == (0, True)
+        code, _, err = await self._command("job", "show", job_id, port=port)
+        assert (code, "not_found" in err) == (1, True)
+        while '"completed"' not in out:
+            _, out, _ = await self._command("job", "show", job_id, *jobs, "--json", port=port)
+        code, out, _ = await self._command("job", "results", job_id, *jobs, port=port)
+        assert (code, json.loads(out)["custom_id"]) == (0, "van/1")
+        code, out, _ = await self._command("job", "cancel", job_id, *jobs, port=port)
+        assert code == 0
 
     async def test_nobody_listening_is_one_line(self) -> None:
         code, _, err = await self._command("status", port=1)
         assert (code, len(err.splitlines())) == (1, 1)
 
 
+async def _stop(batch: Batch) -> None:
+    await batch.stop()
+
+
 def test_audit_times() -> None:
     now = 1_700_000_000_000
     assert reports.since_ms("2h", now).unwrap() == now - 7_200_000
