Check at each send that the replica is not leaving; log a leaving replica once

Cause: the promise that a leaving upstream gets no new work was not checked where it could break, and the event was logged at every change of the record. upstream_names() walked the whole instance list at each request. Change: check_send checks AT_MOST_ONCE and LEAVING_IDLE right before each online and batch send; events 303 and 306 are logged when the state changes; the names are kept. Conclusion: a send to a leaving replica cannot go unnoticed.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -14,9 +14,8 @@
 
 from papayapier import events
 from papayapier.dispatch.blame import blames_replica, rejection
-from papayapier.dispatch.truth import make_true
+from papayapier.dispatch.truth import check_send, make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
-from papayapier.invariants import Promise, check
 from papayapier.policy.retries import GiveUp, Retry, decide
 from papayapier.policy.routing import RouteRequest, choose
 from papayapier.upstream.api import Call, Failure, Replica, Reply, Sent, Token
@@ -113,12 +112,6 @@
     make_room: "Callable[[str], None]",
 ) -> Result[Reply, Failure]:
     progress.attempts += 1
-    check(
-        req.profile.idempotent or not progress.maybe_sent,
-        Promise.AT_MOST_ONCE,
-        call=req.call_id,
-        replica=replica.id,
-    )
     started = deps.clock.now()
     deps.book.on_sent(replica.id, False, started)
     deps.outliers.on_start(replica.id, started)
@@ -126,6 +119,8 @@
     try:
         # Only now, because what batch must give up is worked out from the calls counted.
         make_room(replica.id)
+        may_run_again = req.profile.idempotent or not progress.maybe_sent
+        check_send(deps.book, replica, req.call_id, may_run_again, started)
         call = _call(req, progress)
         receive = _receiver(deps, req, call, progress, on_token)
         sent = await deps.upstreams.send(replica, call, receive)
--- a/papayapier/dispatch/lanes.py
+++ b/papayapier/dispatch/lanes.py
@@ -17,9 +17,8 @@
 
 from papayapier.dispatch.blame import blames_replica, rejection
 from papayapier.dispatch.items import Item
-from papayapier.dispatch.truth import make_true
+from papayapier.dispatch.truth import check_send, make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
-from papayapier.invariants import Promise, check
 from papayapier.policy.retries import GiveUp, Retry, decide
 from papayapier.upstream.api import Call, Failure, Replica, Reply, Sent
 
@@ -162,14 +161,11 @@
         return [replica for replica in usable if not outliers.ejected(replica.id, now)]
 
     async def _send(self, item: Item, replica: Replica) -> Result[Reply, Failure]:
-        check(
-            item.call.profile.idempotent or not item.maybe_sent,
-            Promise.AT_MOST_ONCE,
-            call=item.call.call_id,
-        )
+        now = self._deps.clock.now()
+        may_run_again = item.call.profile.idempotent or not item.maybe_sent
+        check_send(self._deps.book, replica, item.call.call_id, may_run_again, now)
         item.sends += 1
         item.gave_way = False
-        now = self._deps.clock.now()
         self._deps.outliers.on_start(replica.id, now)
         call = self._call(item, now)
         sent = await item.send(lambda: self._deps.upstreams.send(replica, call, item.receive))
--- a/papayapier/dispatch/truth.py
+++ b/papayapier/dispatch/truth.py
@@ -1,6 +1,22 @@
-"""Keep refusals true about every send of a request, not only about the last one."""
+"""Check each send against the promises, and keep refusals true about all of them."""
+
+from typing import TYPE_CHECKING
 
 from papayapier.errors import Outcome, Refusal
+from papayapier.invariants import Promise, check
+
+if TYPE_CHECKING:
+    from papayapier.policy.loads import LoadBook
+    from papayapier.upstream.api import Replica
+
+
+def check_send(
+    book: "LoadBook", replica: "Replica", call_id: str, may_run_again: bool, now: int
+) -> None:
+    """Check, immediately before a send, that it may be made, and to this replica."""
+    check(may_run_again, Promise.AT_MOST_ONCE, call=call_id, replica=replica.id)
+    usable = book.usable(replica.upstream, now)
+    check(replica in usable, Promise.LEAVING_IDLE, call=call_id, replica=replica.id)
 
 
 def make_true(refusal: Refusal, maybe_sent: bool) -> Refusal:
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -50,6 +50,7 @@
         self._policies = policies
         self._metrics = metrics
         self._members: dict[str, Member] = {}
+        self._upstream_names: list[str] = []
         self._peers: set[str] = set()
         self._silent: set[str] = set()
         self._listeners: FleetListeners | None = None
@@ -82,7 +83,7 @@
 
     def upstream_names(self) -> list[str]:
         """Return the names of all upstreams that have a replica."""
-        return sorted({m.upstream for m in self._members.values() if m.kind == REPLICA})
+        return self._upstream_names
 
     def on_members(self, change: MembersChanged) -> None:
         """Take over a change of the instance list."""
@@ -100,14 +101,18 @@
     def _log(self, member: Member) -> None:
         if member.kind != REPLICA:
             return
+        known = self._members.get(member.id)
+        if known is not None and known.state == member.state:
+            return
         if member.state == LEAVING:
             events.emit(events.REPLICA_LEAVING, replica=member.id)
-        elif member.id not in self._members:
+        else:
             events.emit(events.REPLICA_ADDED, replica=member.id, upstream=member.upstream)
 
     def _tell_policies(self) -> None:
         members = [member for member in self._members.values() if member.kind == REPLICA]
         replicas = [_replica(member) for member in members]
+        self._upstream_names = sorted({replica.upstream for replica in replicas})
         leaving = {member.id for member in members if member.state == LEAVING}
         book, outliers, share = self._policies
         book.on_listed(replicas, leaving)
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -105,7 +105,7 @@
         self.slots = slots
         self.list_replicas()
         self.report()
-        deps = DispatchDeps(
+        self.deps = DispatchDeps(
             clock=self.time.clock,
             rand=random.Random(1),
             data_centre="dc",
@@ -118,8 +118,8 @@
             metrics=self.metrics,
             uses_changed=lambda: None,
         )
-        self.lanes = BatchLanes(deps)
-        self.online = OnlineDispatch(deps, self.lanes.before_online_send)
+        self.lanes = BatchLanes(self.deps)
+        self.online = OnlineDispatch(self.deps, self.lanes.before_online_send)
 
     async def _send(
         self, replica: Replica, call: Call, on_token: OnToken
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,10 +8,19 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred
 
-from papayapier import invariants
+from papayapier import events, invariants
+from papayapier.dispatch.online import OnlineDispatch
 from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
+from papayapier.fleet_view import FleetView, Policies
+from papayapier.metrics import make_metrics
+from papayapier.policy.batch_share import BatchShare
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.store.api import LEAVING, LIVE, REPLICA, Member
+from papayapier.store.members import MembersChanged
 from papayapier.upstream.api import FailureKind, Sent, Token
 from tests.dispatch_world import GATE, NOTES, PASSES, QUESTIONS, Ended, World, outcome, result
+from tests.log_catcher import LogCatcher
 
 
 @pytest.fixture(autouse=True)
@@ -290,6 +299,65 @@
     assert [send.call.call_id for send in world.sends] == ["plain"]
 
 
+# Replicas that leave
+
+
+def test_leaving_replica_gets_nothing_new() -> None:
+    world = World(lm=2, slots=2)
+    online = [world.ask(call_id=f"chat-{number}") for number in range(2)]
+    item = world.item()
+    world.list_replicas(leaving=["lm-0"])
+    for send in list(world.sends):
+        if not send.done.called:
+            send.fail(FailureKind.CUT)
+    world.advance(100)
+    assert {send.replica.id for send in world.sends[3:]} == {"lm-1"}
+    world.list_replicas(leaving=["lm-0", "lm-1"])
+    queued = world.ask(call_id="late", due_ms=500)
+    waiting = world.item(call_id="waiting")
+    for send in world.sends:
+        if not send.done.called:
+            send.answer()
+    world.advance(600)
+    assert all(result(one).is_ok() for one in online)
+    assert outcome(queued) is Outcome.NOT_RUN
+    for left in (item, waiting):
+        drop(left)
+    assert world.at_rest()
+
+
+def test_send_to_a_leaving_replica_is_noticed() -> None:
+    # Symptom: an upstream that was told to leave goes on getting work.
+    # Sequence: the list shows the replica as leaving after it was chosen and before the send.
+    # Cause: anything that lets time pass between choosing a replica and sending to it.
+    world = World()
+    world.online = OnlineDispatch(world.deps, lambda _: world.list_replicas(["lm-0"]))
+    broken: list[Any] = []
+    world.ask().addErrback(broken.append)
+    assert broken[0].check(invariants.BrokenPromiseError)
+    assert "leaving" in broken[0].getErrorMessage()
+
+
+def test_leaving_replica_is_logged_once() -> None:
+    # Symptom: one replica that leaves fills the log.
+    # Sequence: the record of a leaving replica changes, or it is listed again.
+    # Cause: the event was logged at each change of the record.
+    logs = LogCatcher()
+    policies = Policies(LoadBook(), Outliers(), BatchShare("entry-1"))
+    view = FleetView("entry-1", policies, make_metrics())
+    live = Member("lm-0", REPLICA, "lm", "127.0.0.1", 1, 0, "dc", "r", LIVE)
+    leaving = live._replace(state=LEAVING)
+    with logs.applicationbound():
+        for member in (live, leaving, leaving._replace(port=2), leaving, live):
+            view.on_members(MembersChanged([member], []))
+            usable = policies.book.usable("lm", 0)
+            assert [replica.id for replica in usable] == ["lm-0"] * (member.state == LIVE)
+        view.on_members(MembersChanged([], ["lm-0"]))
+    assert len(logs.fields(events.REPLICA_LEAVING)) == 1
+    assert len(logs.fields(events.REPLICA_ADDED)) == 2
+    assert view.upstream_names() == []
+
+
 # Batch items
 
 
