Let only relays follow the store's configuration in a large site

Change: config/follow.py follows the store while the instance is a relay, hears no peer or has not had the whole configuration once; a relay pushes what only the store told it. ConfigDeps gains plan, with a default under which everybody follows.

--- a/papayapier/config/fetch.py
+++ b/papayapier/config/fetch.py
@@ -24,13 +24,17 @@
 
 
 class FetchDeps(NamedTuple):
-    """Group what fetching needs; hurry tells that nothing is in force here yet."""
+    """Group what fetching needs; hurry tells that nothing is in force here yet.
+
+    fetched is told key, version and value of each object that was put in force.
+    """
 
     clock: Clock
     rand: random.Random
     store: Store
     book: ProfileBook
     hurry: Callable[[], bool]
+    fetched: Callable[[str, int, bytes], None]
 
 
 class Fetcher:
@@ -83,7 +87,8 @@
         """Read one object; False asks for a pause."""
         match await self._deps.store.get(key):
             case Ok(stored):
-                self._deps.book.apply(key, stored.version, stored.value)
+                if self._deps.book.apply(key, stored.version, stored.value):
+                    self._deps.fetched(key, stored.version, stored.value)
                 return stored.version >= self._wanted.get(key, 0)
             case Err(StoreError.NOT_FOUND):
                 self._wanted.pop(key, None)
--- /dev/null
+++ b/papayapier/config/follow.py
@@ -0,0 +1,119 @@
+"""Follow the store's configuration, for as long as this instance has to.
+
+In a small site every instance follows the store itself. In a large one only the relays of
+each data centre do (see peer.topology): a waiting watch counts as a call, and all instances
+together would use up the store's reads. The others follow it until they have had the whole
+configuration once, and again when they hear no peer.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from papayapier import events
+from papayapier.clock import Clock, Timer
+from papayapier.config.book import ProfileBook
+from papayapier.config.fetch import FetchDeps, Fetcher
+from papayapier.config.records import CONFIG_PREFIX
+from papayapier.settings import ConfigSettings
+from papayapier.store.api import Change, Store
+from papayapier.store.watch import Follower, FollowPace
+
+REVIEW_MS: Final = 1_000
+KEYS_PER_POLL: Final = 1_000
+
+
+class FollowDeps(NamedTuple):
+    """Group what following needs; must_follow is asked again every second.
+
+    fetched is told key, version and value of each object that came from the store.
+    """
+
+    clock: Clock
+    rand: random.Random
+    store: Store
+    settings: ConfigSettings
+    book: ProfileBook
+    must_follow: Callable[[], bool]
+    fetched: Callable[[str, int, bytes], None]
+
+
+class StoreFollowing:
+    """Own the follower while it is needed, and read what it tells of."""
+
+    def __init__(self, deps: FollowDeps) -> None:
+        self._deps = deps
+        self._follower: Follower | None = None
+        self._timer: Timer | None = None
+        self._heard_ms = 0
+        self._complete = False
+        self._fetcher = Fetcher(
+            FetchDeps(
+                deps.clock,
+                deps.rand,
+                deps.store,
+                deps.book,
+                lambda: not self._complete,
+                deps.fetched,
+            )
+        )
+
+    def start(self) -> None:
+        """Begin to follow where needed."""
+        self._review()
+
+    def stop(self) -> None:
+        """Stop for good."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._unfollow()
+        self._fetcher.stop()
+
+    def complete(self) -> bool:
+        """Tell, and remember, whether all that the store had has been read once."""
+        listed = self._follower is not None and self._follower.listed_ms is not None
+        if listed and self._fetcher.idle():
+            self._complete = True
+        return self._complete
+
+    def heard_ms(self) -> int:
+        """Return when the last listing was begun that the store has answered."""
+        if self._follower is not None:
+            self._heard_ms = max(self._heard_ms, self._follower.listed_ms or 0)
+        return self._heard_ms
+
+    def _review(self) -> None:
+        self._timer = self._deps.clock.call_later(REVIEW_MS, self._review)
+        if not self._deps.must_follow():
+            self._unfollow()
+        elif self._follower is None:
+            self._follow()
+
+    def _follow(self) -> None:
+        # A listing has a thousand keys a page, and each page counts as a read.
+        pages = 1 + len(self._deps.book.objects()) // KEYS_PER_POLL
+        cfg = self._deps.settings
+        self._follower = Follower(
+            self._deps.store,
+            self._deps.clock,
+            self._deps.rand,
+            CONFIG_PREFIX,
+            self._on_change,
+            FollowPace(cfg.watch_ms, cfg.poll_ms * pages),
+        )
+        self._follower.start()
+
+    def _unfollow(self) -> None:
+        self.complete()
+        self.heard_ms()
+        if self._follower is not None:
+            self._follower.stop()
+            self._follower = None
+
+    def _on_change(self, change: Change) -> None:
+        self.complete()
+        if not change.deleted:
+            self._fetcher.want(change.key, change.version)
+        elif self._deps.book.version_of(change.key):
+            # Deletes of ours leave a tombstone, so this was done by hand past the trail.
+            events.emit(events.CONFIG_MISSING, key=change.key, version=change.version)
--- a/papayapier/config/gaps.py
+++ b/papayapier/config/gaps.py
@@ -6,6 +6,7 @@
 object is unreadable here) is asked about ever more rarely.
 """
 
+from collections.abc import Collection
 from typing import Final, NamedTuple
 
 LASTING_MS: Final = 250
@@ -46,6 +47,7 @@
         self._differences[peer] = known._replace(ask_at=now + known.wait_ms, wait_ms=longer_ms)
         return True
 
-    def forget(self, peer: str) -> None:
-        """Drop what is remembered of a peer that is gone."""
-        self._differences.pop(peer, None)
+    def keep(self, peers: Collection[str]) -> None:
+        """Forget peers that are gone; instances are replaced all the time."""
+        if len(self._differences) > len(peers):
+            self._differences = {p: d for p, d in self._differences.items() if p in peers}
--- a/papayapier/config/spread.py
+++ b/papayapier/config/spread.py
@@ -16,15 +16,14 @@
 from papayapier.clock import MS_PER_S, Clock
 from papayapier.config import records
 from papayapier.config.book import ProfileBook
-from papayapier.config.fetch import FetchDeps, Fetcher
 from papayapier.config.folder import FolderKeeper
+from papayapier.config.follow import FollowDeps, StoreFollowing
 from papayapier.config.gaps import GapFinder
-from papayapier.config.records import CONFIG_PREFIX
 from papayapier.metrics import Metrics
 from papayapier.peer.messages import ConfigAsk, ConfigPush, ConfigTell, Heartbeat, Message
+from papayapier.peer.topology import Plan
 from papayapier.settings import ConfigSettings
-from papayapier.store.api import Change, Store
-from papayapier.store.watch import Follower, FollowPace
+from papayapier.store.api import Store
 
 ASK_ID_BITS: Final = 32
 TELL_BYTES: Final = 200_000
@@ -32,7 +31,7 @@
 
 
 class SpreadDeps(NamedTuple):
-    """Group what spreading needs; tell and broadcast never wait."""
+    """Group what spreading needs; tell and broadcast never wait, plan is that of the links."""
 
     clock: Clock
     rand: random.Random
@@ -42,6 +41,7 @@
     tell: Callable[[str, Message], object]
     broadcast: Callable[[Message], object]
     peers: Callable[[], Sequence[str]]
+    plan: Callable[[], Plan]
 
 
 class Spread:
@@ -56,31 +56,34 @@
         self._complete = False
         self._ask_id = deps.rand.getrandbits(ASK_ID_BITS)
         self._asked: dict[int, int] = {}
-        self._fetcher = Fetcher(
-            FetchDeps(deps.clock, deps.rand, deps.store, book, lambda: not self._is_complete())
-        )
-        pace = FollowPace(deps.settings.watch_ms, deps.settings.poll_ms)
-        self._follower = Follower(
-            deps.store, deps.clock, deps.rand, CONFIG_PREFIX, self._on_store_change, pace
+        self._following = StoreFollowing(
+            FollowDeps(
+                deps.clock,
+                deps.rand,
+                deps.store,
+                deps.settings,
+                book,
+                self._must_follow,
+                self._fetched,
+            )
         )
 
     def start(self) -> None:
         """Load the folder's copy and start to poll and watch."""
         self._keeper.load()
         self._book.watch(lambda _key, _version: self._changed())
-        self._follower.start()
+        self._following.start()
 
     async def stop(self) -> None:
         """End the tasks and write the folder's copy."""
-        self._follower.stop()
-        self._fetcher.stop()
+        self._following.stop()
         self._keeper.close()
 
     def fresh(self, now: int) -> Result[None, str]:
         """Tell whether the configuration here may be relied on, or why not."""
         if not self._is_complete():
             return Err("the configuration has not been read from the store or a peer yet")
-        age_ms = now - max(self._heard_peer_ms, self._follower.listed_ms or 0)
+        age_ms = now - max(self._heard_peer_ms, self._following.heard_ms())
         self._deps.metrics.config_age.set(age_ms / MS_PER_S)
         if age_ms > self._deps.settings.stale_after_ms:
             return Err(f"neither the store nor a peer was heard from for {age_ms} ms")
@@ -138,20 +141,23 @@
         if tell.complete and self._asked[tell.ask_id] >= tell.total:
             self._complete = True
 
-    def _on_store_change(self, change: Change) -> None:
-        self._is_complete()
-        if not change.deleted:
-            self._fetcher.want(change.key, change.version)
-        elif self._book.version_of(change.key):
-            # Deletes of ours leave a tombstone, so this was done by hand past the trail.
-            events.emit(events.CONFIG_MISSING, key=change.key, version=change.version)
-
     def _is_complete(self) -> bool:
-        """Tell, and remember, whether the whole configuration has been here since the start."""
-        if self._follower.listed_ms is not None and self._fetcher.idle():
-            self._complete = True
+        """Tell whether the whole configuration has been here once since the start."""
+        self._complete = self._complete or self._following.complete()
         return self._complete
 
+    def _must_follow(self) -> bool:
+        """Tell whether this instance has to follow the store itself."""
+        now = self._deps.clock.now()
+        self._gaps.keep(self._deps.peers())
+        alone = now - self._heard_peer_ms > self._deps.settings.poll_ms
+        return self._deps.plan().relay or alone or not self._is_complete()
+
+    def _fetched(self, key: str, version: int, value: bytes) -> None:
+        """Push what a relay has read and nobody has pushed: the others do not watch."""
+        if not self._deps.plan().full_mesh and self._is_complete():
+            self._deps.broadcast(ConfigPush(key, version, records.without_history(value)))
+
     def _changed(self) -> None:
         self._deps.metrics.config_version.set(self._book.version())
         self._keeper.changed()
--- a/papayapier/config/start.py
+++ b/papayapier/config/start.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from result import Result
 
@@ -16,16 +16,19 @@
 from papayapier.config.trail import AuditFilter, AuditLine
 from papayapier.metrics import Metrics
 from papayapier.peer.messages import Message
+from papayapier.peer.topology import Plan
 from papayapier.settings import ConfigSettings
 from papayapier.store.api import Store, StoreError
 
+EVERYBODY_FOLLOWS: Final = Plan(frozenset(), relay=True, full_mesh=True)
+
 
 class ConfigDeps(NamedTuple):
     """Group what the configuration needs from the rest of the program.
 
     tell and broadcast hand a message to one peer or all and never wait. queued_under counts
     the queued requests and items of a profile; upstream_names lists the upstreams that
-    have replicas.
+    have replicas; plan is that of the links between instances.
     """
 
     clock: Clock
@@ -38,6 +41,7 @@
     peers: Callable[[], Sequence[str]]
     queued_under: Callable[[str], int]
     upstream_names: Callable[[], set[str]]
+    plan: Callable[[], Plan] = lambda: EVERYBODY_FOLLOWS
 
 
 class Config(NamedTuple):
@@ -65,6 +69,7 @@
             deps.tell,
             deps.broadcast,
             deps.peers,
+            deps.plan,
         ),
         book,
     )
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -19,6 +19,7 @@
 from papayapier.errors import ErrorKind, Outcome
 from papayapier.metrics import make_metrics
 from papayapier.peer.messages import Heartbeat, Message
+from papayapier.peer.topology import Plan
 from papayapier.settings import ConfigSettings
 from tests.fake_store import FakePlatform, Fault
 
@@ -31,7 +32,11 @@
 class Fleet:
     """Run several instances' configurations against one platform, with links to cut."""
 
-    def __init__(self, names: str = "abc", cfg: ConfigSettings | None = None) -> None:
+    def __init__(
+        self, names: str = "abc", cfg: ConfigSettings | None = None, relays: str = ""
+    ) -> None:
+        self.relays = relays or names
+        self.full_mesh = not relays
         self.time: FakeClock = fake_clock()
         self.platform = FakePlatform(self.time.clock)
         self.silent: set[tuple[str, str]] = set()
@@ -62,6 +67,7 @@
             peers=lambda: [peer for peer in self.configs if peer != name],
             queued_under=lambda _: self.queued,
             upstream_names=lambda: set(),
+            plan=lambda: Plan(frozenset(), name in self.relays, self.full_mesh),
         )
         self.configs[name] = start_config(deps)
         return self.configs[name]
@@ -303,6 +309,27 @@
         assert fleet.due("b") == 2_000, cut
 
 
+def test_relay_pushes_what_only_the_store_tells() -> None:
+    # Symptom: in a large site most instances stay at the old profile for long.
+    # Sequence: an instance accepts a change and is lost before it pushes.
+    # Cause: only relays watch the store, and nobody told the others.
+    fleet = Fleet("abc", relays="b")
+    fleet.run(3_000)
+    for name in "abc":
+        fleet.beat(name)
+    fleet.run(1_000)
+    before = fleet.platform.calls["list"] + fleet.platform.calls["watch"]
+    fleet.silent = {("a", "b"), ("a", "c")}
+    fleet.apply("a", change(2_000, 0))
+    fleet.beat("b")
+    fleet.run(500)
+    assert fleet.due("c") == 2_000
+    others = fleet.platform.calls["list"] + fleet.platform.calls["watch"] - before
+    assert others <= 3
+    fleet.run(4_000)
+    assert all(c.ready(fleet.time.clock.now()).is_ok() for c in fleet.configs.values())
+
+
 def test_restart_in_an_outage_asks_peers_and_is_ready_only_then() -> None:
     # Symptom: after a restart in an outage an instance refuses a profile that exists.
     # Sequence: store down; an instance starts with nothing; callers are sent to it.
