--- a/papayapier/batch/files.py
+++ b/papayapier/batch/files.py
@@ -14,7 +14,7 @@
 
 from papayapier import codec, events
 from papayapier.batch import keys, saves
-from papayapier.batch.ids import IdIndex
+from papayapier.batch.ids import BUCKETS, IdIndex
 from papayapier.batch.lines import LineError, LineSplitter, endpoint_of, parse_line
 from papayapier.batch.records import CHUNK_BYTES, LINE_BYTES, FileRecord, InputItem
 from papayapier.errors import ErrorKind, Refusal, not_run
@@ -24,6 +24,7 @@
 
 STORE_PATIENCE_MS: Final = 10_000
 MAX_ENDPOINTS: Final = 32
+BUCKETS_AT_ONCE: Final = 8
 ITEM_OVERHEAD: Final = 16
 FILE_KIND: Final = "file"
 MARK: Final = b"1"
@@ -96,7 +97,7 @@
     async def finish(self) -> Result[FileRecord, Refusal]:
         """Store the rest and the record; from then on the file exists."""
         refusal = await self._take_line(self._splitter.rest())
-        refusal = refusal or self._check_whole()
+        refusal = refusal or await self._check_whole()
         if refusal is None and self._items:
             refusal = await self._store_chunk()
         if refusal is None:
@@ -170,14 +171,19 @@
         self._chunk_bytes = 0
         return refusal
 
-    def _check_whole(self) -> Refusal | None:
+    async def _check_whole(self) -> Refusal | None:
         if not self._items and not self._counts:
             return not_run(ErrorKind.BAD_REQUEST, "the file has no items")
-        duplicate = self._index.duplicate()
-        if duplicate is None:
-            return None
-        reason = f"custom_id: the same as on line {duplicate.first + 1}"
-        return self._refuse(LineError(duplicate.second + 1, reason))
+        for bucket in range(BUCKETS):
+            duplicate = self._index.duplicate(bucket)
+            if duplicate is not None:
+                reason = f"custom_id: the same as on line {duplicate.first + 1}"
+                return self._refuse(LineError(duplicate.second + 1, reason))
+            if len(self._counts) > 1 and bucket % BUCKETS_AT_ONCE == 0:
+                # Looking through all ids of a large file at once would hold up online
+                # requests for tens of milliseconds.
+                await self._deps.clock.sleep(0)
+        return None
 
     async def _store_index(self) -> Refusal | None:
         for block, hashes in enumerate(self._index.blocks()):
--- a/papayapier/batch/ids.py
+++ b/papayapier/batch/ids.py
@@ -41,12 +41,10 @@
         self._hashes.append(digest)
         self._buckets[digest % BUCKETS].append(digest)
 
-    def duplicate(self) -> Duplicate | None:
-        """Return two items with the same id, if there are any."""
-        for bucket in self._buckets:
-            if len(set(bucket)) < len(bucket):
-                return self._locate(bucket)
-        return None
+    def duplicate(self, bucket: int) -> Duplicate | None:
+        """Return two items with the same id whose hash is in a bucket, if there are any."""
+        hashes = self._buckets[bucket]
+        return self._locate(hashes) if len(set(hashes)) < len(hashes) else None
 
     def inline(self) -> bytes:
         """Return the whole index when it is small enough for the file's record."""
--- a/papayapier/batch/results.py
+++ b/papayapier/batch/results.py
@@ -33,6 +33,7 @@
 
 NO_CANCEL: Final = 0
 READ_PATIENCE_MS: Final = 30_000
+LINES_AT_ONCE: Final = 100
 OUTPUT: Final = frozenset({ItemState.COMPLETED})
 ERRORS: Final = frozenset({ItemState.FAILED, ItemState.UNKNOWN, ItemState.CANCELLED})
 
@@ -153,9 +154,11 @@
                 on_error(rest.err_value)
                 return
             results = results + rest.ok_value
-        yield b"".join(
-            output_line(record, span, result) for result in results if result.state in states
-        )
+        wanted = [result for result in results if result.state in states]
+        # Small pieces: encoding a whole task at once would hold up online requests.
+        for start in range(0, len(wanted), LINES_AT_ONCE):
+            piece = wanted[start : start + LINES_AT_ONCE]
+            yield b"".join(output_line(record, span, result) for result in piece)
 
 
 async def _cancelled_items(
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -23,7 +23,7 @@
     from papayapier.clock import Timer
     from papayapier.config.profiles import Profile
 
-SLICE_ITEMS: Final = 32
+SLICE_ITEMS: Final = 8
 MIN_INTENTS: Final = 8
 MAX_INTENTS: Final = 64
 TICK_MS: Final = 500
--- a/papayapier/batch/view.py
+++ b/papayapier/batch/view.py
@@ -18,6 +18,7 @@
 from papayapier.batch.records import FileRecord, ItemResult, JobState
 from papayapier.batch.results import (
     ERRORS,
+    LINES_AT_ONCE,
     NO_CANCEL,
     OUTPUT,
     TaskView,
@@ -188,7 +189,10 @@
             if isinstance(read, Err):
                 on_error(read.err_value)
                 return
-            yield b"".join(input_line(item) for item in read.ok_value)
+            items = read.ok_value
+            for start in range(0, len(items), LINES_AT_ONCE):
+                piece = items[start : start + LINES_AT_ONCE]
+                yield b"".join(input_line(item) for item in piece)
 
 
 def cancel_version(job: FoundJob) -> int:
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -264,13 +264,23 @@
         assert invariants.broken_count() == 0, invariants.BROKEN
         assert BROKEN_WORK.seen == []
 
+    def settle(self, work: Any) -> Any:
+        """Return the result of a coroutine, letting as much time pass as it needs."""
+        out: list[Any] = []
+        Deferred.fromCoroutine(work).addBoth(out.append)
+        for _ in range(500):
+            if out:
+                return out[0]
+            self.advance(50)
+        raise AssertionError("still waiting")
+
     def upload(self, batch: Batch, count: int) -> FileRecord:
         """Upload a file of so many items."""
         intake = batch.new_file(CALLER, "in.jsonl", "batch")
         for n in range(count):
             line = {"custom_id": f"c{n}", "url": URL, "body": {"n": n}}
             assert now(intake.feed(json.dumps(line).encode() + b"\n")) is None
-        done: Result[FileRecord, Refusal] = now(intake.finish())
+        done: Result[FileRecord, Refusal] = self.settle(intake.finish())
         return done.unwrap()
 
     def request(self, file: FileRecord, profile: str = "notes", key: str = "") -> JobRequest:
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -287,9 +287,9 @@
         world.advance(50_000, step=100)
         assert ran["notes"] > 0, "work that may be repeated goes on"
         assert ran["bookings"] == 0, "work that may not be repeated stops"
-        refused = now_or_later(world, a.jobs.accept(world.request(file))).unwrap_err()
+        refused = world.settle(a.jobs.accept(world.request(file))).unwrap_err()
         assert (refused.kind, refused.outcome) == (ErrorKind.STORE_UNAVAILABLE, Outcome.NOT_RUN)
-        keyed = now_or_later(world, a.jobs.accept(world.request(file, key="k"))).unwrap_err()
+        keyed = world.settle(a.jobs.accept(world.request(file, key="k"))).unwrap_err()
         assert keyed.outcome is Outcome.UNKNOWN
         world.platform.down = False
         calls = world.platform.calls.total()
@@ -307,11 +307,3 @@
 
 async def _as_coroutine(work: Any) -> Any:
     return await work
-
-
-def now_or_later(world: World, work: Any) -> Any:
-    out: list[Any] = []
-    Deferred.fromCoroutine(work).addBoth(out.append)
-    world.advance(10_000, step=100)
-    assert out
-    return out[0]
--- a/tests/test_batch_parts.py
+++ b/tests/test_batch_parts.py
@@ -76,7 +76,7 @@
             piece, data = data[: cuts[0]], data[cuts[0] :]
             cuts = cuts[1:] + cuts[:1]
             assert now(intake.feed(piece)) is None
-        record = now(intake.finish()).unwrap()
+        record = world.settle(intake.finish()).unwrap()
         assert record.items() == count and max(record.chunks) <= 10
         lines = now(joined(world.instances["a"].views.input_lines(record, print)))
         assert [json.loads(one)["body"]["n"] for one in lines.splitlines()] == list(range(count))
@@ -99,7 +99,7 @@
         for n in range(20):
             assert now(intake.feed(line(f"c{n}", body=json.dumps({"t": "x" * 99_000})))) is None
             now(intake.feed(b"\n"))
-        record = now(intake.finish()).unwrap()
+        record = world.settle(intake.finish()).unwrap()
         assert sum(record.chunks) == 20 and max(record.chunks) <= 4
         assert max(len(one.value) for one in world.platform.objects.values()) < 1_000_000
 
@@ -109,7 +109,7 @@
         index = ids.IdIndex()
         for n in range(ids.BLOCK_IDS + 10):
             index.add(f"c{n}")
-        assert index.duplicate() is None and index.inline() == b""
+        assert not any(map(index.duplicate, range(ids.BUCKETS))) and index.inline() == b""
         first, second = index.blocks()
         assert ids.find(first, "c99999") == 99_999 and ids.find(first, "c100003") is None
         assert ids.find(second, "c100003") == 3
@@ -215,7 +215,7 @@
         deps = world.start("a").deps
         world.platform.fail(Fault.LOST_AFTER, call="create", key="x")
         world.platform.fail(Fault.LOST_BEFORE, key="x", times=1_000)
-        first = later(world, saves.offer(deps, "x", b"mine", 0, False))
+        first = world.settle(saves.offer(deps, "x", b"mine", 0, False))
         assert first == Err(StoreError.LOST)
         world.platform.clear_faults()
         assert isinstance(now(saves.offer(deps, "x", b"mine", 0, True)), Ok)
@@ -307,10 +307,3 @@
 
 async def joined(pieces: Any) -> bytes:
     return b"".join([piece async for piece in pieces])
-
-
-def later(world: World, work: Any) -> Any:
-    out: list[Any] = []
-    Deferred.fromCoroutine(work).addBoth(out.append)
-    world.advance(20_000, step=500)
-    return out[0]
