Measure control traffic by phase, and the growth of the instances' cost

Useful batch tokens now come from the instances' metric, because a job's progress is written in groups and jumped by more than a phase.

--- a/misc/fleet.py
+++ b/misc/fleet.py
@@ -21,7 +21,7 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from misc.fleet_cost import cost_text, with_cost
+from misc.fleet_cost import ENTRY, cost_text, with_cost
 from misc.processes import Process, ProcessGroup
 from papayapier import codec
 
@@ -109,7 +109,7 @@
         settings = _settings(plan, platform, number)
         path = folder / f"entry-{number}.json"
         path.write_text(json.dumps(settings))
-        group.start(f"entry-{number}", "entry", [*PAPAYAPIER, "serve", "--settings", str(path)])
+        group.start(f"entry-{number}", ENTRY, [*PAPAYAPIER, "serve", "--settings", str(path)])
         entries.append(f"{HOST}:{settings['entry']['port']}")
         operators.append(f"{HOST}:{settings['operator']['port']}")
     for entry in entries:
--- a/misc/fleet_cost.py
+++ b/misc/fleet_cost.py
@@ -22,13 +22,18 @@
 
 
 class RequestCost(NamedTuple):
-    """Hold what the entry instances together spent in one phase per online request."""
+    """Hold what the entry instances together spent in one phase per online request.
+
+    us_above_idle leaves out what they spend in a phase without requests or batch work; it is
+    0 when the run has no such phase.
+    """
 
     phase: str
     requests: int
     tokens: int
     cpu_s: float
     us_per_request: float
+    us_above_idle: float
     largest_rss_mb: float
     busiest_core_share: float
     busiest_other: str
@@ -41,7 +46,8 @@
         for phase in _phases(document)
         for process in processes
     ]
-    requests = [_request_cost(phase, document, costs) for phase in _phases(document)]
+    plain = [_request_cost(phase, document, costs) for phase in _phases(document)]
+    requests = [_above_idle(one, plain, document) for one in plain]
     return {
         **document,
         "process_costs": [cost._asdict() for cost in costs],
@@ -52,7 +58,14 @@
 def cost_text(document: dict[str, Any]) -> str:
     """Return the cost per request as a text table."""
     rows = [_row(RequestCost(**cost)) for cost in document["request_costs"]]
-    header = ("phase", "busiest other process", "requests", "entry cpu s", "us/request")
+    header = (
+        "phase",
+        "busiest other process",
+        "requests",
+        "entry cpu s",
+        "us/request",
+        "above idle",
+    )
     title = "cost of the entry instances together"
     return Table(title, (*header, "largest MB", "busiest core"), rows).text()
 
@@ -64,6 +77,7 @@
         str(cost.requests),
         f"{cost.cpu_s:.2f}",
         f"{cost.us_per_request:.0f}",
+        f"{cost.us_above_idle:.0f}",
         f"{cost.largest_rss_mb:.0f}",
         f"{cost.busiest_core_share:.2f}",
     )
@@ -102,7 +116,25 @@
         sum(one["tokens"] for one in classes),
         round(cpu_s, 3),
         round(cpu_s * US_PER_S / requests, 1) if requests else 0.0,
+        0.0,
         max((cost.rss_mb for cost in entries), default=0.0),
         max((cost.core_share for cost in entries), default=0.0),
         f"{busiest.name} {busiest.core_share:.2f}",
     )
+
+
+def _above_idle(
+    cost: RequestCost, plain: list[RequestCost], document: dict[str, Any]
+) -> RequestCost:
+    batch = {one["phase"]: one["batch_tokens_per_s"] for one in document["batch"]}
+    idle = [one for one in plain if not one.requests and abs(batch.get(one.phase, 0)) < 1]
+    if not idle or not cost.requests:
+        return cost
+    idle_cpu_s = idle[0].cpu_s / _counted_ms(document, idle[0].phase)
+    above_s = cost.cpu_s - idle_cpu_s * _counted_ms(document, cost.phase)
+    return cost._replace(us_above_idle=round(above_s * US_PER_S / cost.requests, 1))
+
+
+def _counted_ms(document: dict[str, Any], phase: str) -> int:
+    windows = [one for one in document["windows"] if one["phase"] == phase]
+    return sum(one["end_wall_ms"] - one["start_wall_ms"] for one in windows)
--- a/papayapier/load/batch_meter.py
+++ b/papayapier/load/batch_meter.py
@@ -1,9 +1,9 @@
-"""Measure the batch work of each phase.
+"""Measure the batch work and the control traffic of each phase.
 
 Two figures are taken, because each alone can deceive. Tokens that the engines generated for
 batch (all tokens less those of online answers) show how far idle capacity was used, but
-also count what was generated in vain. Items recorded as done show what was of use, but are
-written in groups and so jump.
+also count what was generated in vain. Tokens of completed items, as the instances count
+them, show what was of use; an item counts as a whole when it ends.
 """
 
 from typing import Final, NamedTuple
@@ -16,10 +16,16 @@
 class Reading(NamedTuple):
     """Hold one reading of the counters; all of them only rise."""
 
-    engine_tokens: int
-    online_tokens: int
-    items_done: int
+    engine_tokens: float
+    online_tokens: float
+    items_done: float
     useful_tokens: float
+    peer_bytes: float = 0.0
+    store_bytes: float = 0.0
+    store_calls: float = 0.0
+
+
+NOTHING: Final = Reading(0, 0, 0.0, 0.0)
 
 
 class BatchResult(NamedTuple):
@@ -34,6 +40,15 @@
     useful_tokens_per_s: float
 
 
+class ControlResult(NamedTuple):
+    """Hold the control traffic of all instances in one phase, per second of counted time."""
+
+    phase: str
+    peer_bytes_per_s: float
+    store_bytes_per_s: float
+    store_calls_per_s: float
+
+
 class BatchMeter:
     """Add up the differences of readings, by phase."""
 
@@ -51,20 +66,20 @@
         if self._begun is None:
             return
         begun_ms, before = self._begun
-        sum_ms, total = self._sums.get(phase, (0, Reading(0, 0, 0, 0.0)))
-        grown = Reading(
-            total.engine_tokens + reading.engine_tokens - before.engine_tokens,
-            total.online_tokens + reading.online_tokens - before.online_tokens,
-            total.items_done + reading.items_done - before.items_done,
-            total.useful_tokens + reading.useful_tokens - before.useful_tokens,
-        )
+        sum_ms, total = self._sums.get(phase, (0, NOTHING))
+        parts = zip(total, reading, before, strict=True)
+        grown = Reading(*(part + new - old for part, new, old in parts))
         self._sums[phase] = (sum_ms + self._clock.now() - begun_ms, grown)
         self._begun = None
 
     def results(self) -> list[BatchResult]:
-        """Return the figures of every phase."""
+        """Return the batch work of every phase."""
         return [_result(phase, ms, total) for phase, (ms, total) in self._sums.items()]
 
+    def control(self) -> list[ControlResult]:
+        """Return the control traffic of every phase."""
+        return [_control(phase, ms, total) for phase, (ms, total) in self._sums.items()]
+
 
 def _result(phase: str, ms: int, total: Reading) -> BatchResult:
     seconds = max(1, ms) / MS_PER_S
@@ -77,3 +92,13 @@
         round(total.items_done / seconds, 2),
         round(total.useful_tokens / seconds, 1),
     )
+
+
+def _control(phase: str, ms: int, total: Reading) -> ControlResult:
+    seconds = max(1, ms) / MS_PER_S
+    return ControlResult(
+        phase,
+        round(total.peer_bytes / seconds, 1),
+        round(total.store_bytes / seconds, 1),
+        round(total.store_calls / seconds, 2),
+    )
--- a/papayapier/load/experiment.py
+++ b/papayapier/load/experiment.py
@@ -14,9 +14,10 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import Clock
-from papayapier.load import jobs
-from papayapier.load.batch_meter import BatchMeter, BatchResult, Reading
+from papayapier.load import instances, jobs
+from papayapier.load.batch_meter import BatchMeter, BatchResult, ControlResult, Reading
 from papayapier.load.client import Answered, make_client
+from papayapier.load.idle import open_idle
 from papayapier.load.instances import InstanceResult, read_instance
 from papayapier.load.ledger import Ledger, only_once
 from papayapier.load.mix import Request
@@ -71,6 +72,7 @@
     windows: list[Window]
     classes: list[ClassResult]
     batch: list[BatchResult]
+    control: list[ControlResult]
     series: list[Series]
     instances: list[InstanceResult]
     compared: int
@@ -111,6 +113,7 @@
             found = await find_standins(options.platform)
             self._standins = self._kept("stand-ins", found)
         await self._put_profiles(self._exp)
+        idle = await open_idle(options.targets, self._exp.idle_connections)
         client = make_client(
             self._clock,
             expected_text,
@@ -129,6 +132,7 @@
         classes = await run.all_phases(self._around())
         await self._end_jobs(())
         await client.close()
+        idle.close()
         return await self._report(run, classes)
 
     def _pick(self) -> str:
@@ -216,17 +220,28 @@
         if self._standins is not None:
             ran = self._kept("counts", await read_ran(self._standins))
             engine_tokens = ran.tokens if ran is not None else 0
-        items = 0
-        useful = 0.0
+        seen = await self._instances()
+        await self._see_ended_jobs()
+        return Reading(
+            engine_tokens,
+            self._online_tokens,
+            instances.total(seen, instances.BATCH_ITEMS),
+            instances.total(seen, instances.BATCH_TOKENS),
+            instances.total(seen, instances.PEER_BYTES),
+            instances.total(seen, instances.STORE_BYTES),
+            instances.total(seen, instances.STORE_CALLS),
+        )
+
+    async def _instances(self) -> list[InstanceResult]:
+        read = [await read_instance(target) for target in self._options.targets]
+        return [one for one in (self._kept("metrics", got) for got in read) if one]
+
+    async def _see_ended_jobs(self) -> None:
+        """Warn when a phase ran out of batch work."""
         for name, submitted in self._jobs.items():
             now = self._kept("progress", await jobs.progress(self._pick(), submitted))
-            if now is None:
-                continue
-            items += now.completed
-            useful += now.completed * submitted.mean_tokens()
-            if now.status in jobs.ENDED:
+            if now is not None and now.status in jobs.ENDED:
                 self._warnings.append(f"job {name} ended ({now.status}) before its phases did")
-        return Reading(engine_tokens, self._online_tokens, items, useful)
 
     def _kept(self, what: str, result: Result[Any, str]) -> Any:
         """Return a value, or keep why there is none."""
@@ -237,13 +252,9 @@
 
     async def _report(self, run: Run, classes: list[ClassResult]) -> Report:
         options = self._options
-        read = [await read_instance(target) for target in options.targets]
-        instances = [one for one in (self._kept("metrics", got) for got in read) if one]
-        broken = [
-            f"{one.target}: {one.broken():g} internal checks failed"
-            for one in instances
-            if one.broken()
-        ]
+        seen = await self._instances()
+        broken = [f"{one.target}: {one.broken():g} internal checks failed" for one in seen]
+        broken = [line for one, line in zip(seen, broken, strict=True) if one.broken()]
         broken += run.wrong + self._broken
         broken += [f"{number} answers: {flaw}" for flaw, number in run.flaws.items() if flaw]
         broken += await self._compare()
@@ -257,8 +268,9 @@
             self._windows,
             classes,
             self._meter.results(),
+            self._meter.control(),
             run.series(),
-            instances,
+            seen,
             self._ledger.named(),
             self._ledger.unnamed,
             broken,
--- a/papayapier/load/instances.py
+++ b/papayapier/load/instances.py
@@ -7,15 +7,21 @@
 
 from papayapier.load.calls import call
 
-# The broken promises come first: a run with any of them has failed.
+BROKEN: Final = "papayapier_invariant_failures"
+BATCH_ITEMS: Final = "papayapier_batch_items_total"
+BATCH_TOKENS: Final = "papayapier_batch_tokens_total"
+STORE_CALLS: Final = "papayapier_store_calls_total"
+STORE_BYTES: Final = "papayapier_store_bytes_total"
+PEER_BYTES: Final = "papayapier_peer_bytes_total"
 SHOWN: Final = (
-    "papayapier_invariant_failures",
+    BROKEN,
     "papayapier_retries_total",
     "papayapier_batch_yields_total",
-    "papayapier_batch_tokens_total",
-    "papayapier_store_calls_total",
-    "papayapier_store_bytes_total",
-    "papayapier_peer_bytes_total",
+    BATCH_ITEMS,
+    BATCH_TOKENS,
+    STORE_CALLS,
+    STORE_BYTES,
+    PEER_BYTES,
 )
 
 
@@ -27,7 +33,12 @@
 
     def broken(self) -> float:
         """Return how many of its internal checks have failed."""
-        return self.metrics.get(SHOWN[0], 0.0)
+        return self.metrics.get(BROKEN, 0.0)
+
+
+def total(instances: list[InstanceResult], name: str) -> float:
+    """Return the sum of a metric over instances."""
+    return sum(one.metrics.get(name, 0.0) for one in instances)
 
 
 async def read_instance(target: str) -> Result[InstanceResult, str]:
--- a/papayapier/load/jobs.py
+++ b/papayapier/load/jobs.py
@@ -43,10 +43,6 @@
     id: str
     items: dict[str, Item]
 
-    def mean_tokens(self) -> float:
-        """Return the mean length of an item's answer."""
-        return sum(item.max_tokens for item in self.items.values()) / len(self.items)
-
 
 class Progress(NamedTuple):
     """Hold a job's status as read."""
--- a/papayapier/load/scenario.py
+++ b/papayapier/load/scenario.py
@@ -135,7 +135,10 @@
 
 
 class Experiment(NamedTuple):
-    """Hold one experiment; a request without an answer after give_up_ms counts as hung."""
+    """Hold one experiment; a request without an answer after give_up_ms counts as hung.
+
+    idle_connections are opened to the instances in turn and held without a request.
+    """
 
     name: Name
     classes: tuple[RequestClass, ...]
@@ -145,6 +148,7 @@
     rounds: Positive = 1
     give_up_ms: PositiveMs = 30_000
     fresh_connections: bool = False
+    idle_connections: Count = 0
     profiles: tuple[Profile, ...] = ()
     jobs: tuple[Job, ...] = ()
     compare: Compare = Compare()
--- a/papayapier/load/table.py
+++ b/papayapier/load/table.py
@@ -44,6 +44,7 @@
         _online(report),
         _refusals(report),
         _batch(report),
+        _control(report),
         _comparison(report),
         _instances(report),
     ]
@@ -106,6 +107,21 @@
     return Table("tokens of the engines", header, rows)
 
 
+def _control(report: Report) -> Table:
+    rows = [
+        (
+            one.phase,
+            "",
+            f"{one.peer_bytes_per_s:.0f}",
+            f"{one.store_bytes_per_s:.0f}",
+            f"{one.store_calls_per_s:.1f}",
+        )
+        for one in report.control
+    ]
+    header = ("phase", "", "peer bytes/s", "store bytes/s", "store calls/s")
+    return Table("control traffic of all instances together", header, rows)
+
+
 def _comparison(report: Report) -> Table:
     rows = [_comparison_row(one) for one in comparisons(report)]
     header = ("phase", "class", "first p50 x", "p99 x", "total p50 x", "p99 x", "gap p99 x")
