Poll load once a second and only replicas not heard from; wire the orders' controller

Cause: idle instances spent most of their processor time on polls of /load, ten a second for each replica, although each answer already carries the load. Change: upstream/reports.py skips a replica whose load came with an answer; load_poll_ms is 1,000; compose.py starts the controller of orders.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -30,6 +30,7 @@
 from papayapier.instance import Instance, Parts, Ports, Readiness
 from papayapier.listen import Listening, listen
 from papayapier.metrics import Metrics, make_metrics
+from papayapier.orders.controller import OrderControl, OrdersDeps, start_orders
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.messages import (
     ClaimAsk,
@@ -56,6 +57,7 @@
 from papayapier.store.members import MemberFollower, Reporter
 from papayapier.upstream.api import Upstreams
 from papayapier.upstream.client import make_upstreams
+from papayapier.upstream.orders import make_orders
 from papayapier.upstream.reports import OnReport, Reports, make_reports
 
 START_TRIES: Final = 5
@@ -96,6 +98,7 @@
     lanes: BatchLanes
     batch: Batch
     claims: Claims
+    orders: OrderControl
 
 
 class _Apps(NamedTuple):
@@ -174,6 +177,7 @@
         cfg.upstream.load_poll_ms,
         upstreams.load,
         OnReport(view.on_load, lambda _replica, _failure: None),
+        lambda replica: policies.book.reported_at(replica.id),
     )
     return _Fleet(policies, view, upstreams, reports)
 
@@ -195,7 +199,8 @@
     config = _start_config(base, fleet, hub, online)
     batch = _start_batch(base, fleet, hub, lanes, config)
     claims = _make_claims(base, hub)
-    work = _Work(hub, config, online, lanes, batch, claims)
+    orders = _start_orders(base, fleet, config)
+    work = _Work(hub, config, online, lanes, batch, claims, orders)
     _subscribe(base, fleet, work)
     return work
 
@@ -283,6 +288,23 @@
     )
 
 
+def _start_orders(base: _Base, fleet: _Fleet, config: Config) -> OrderControl:
+    return start_orders(
+        OrdersDeps(
+            clock=base.clock,
+            rand=base.rand,
+            store=base.budget.view(Priority.LEASE),
+            cfg=base.cfg.orders,
+            instance=base.cfg.instance.id,
+            orders=make_orders(base.reactor, base.clock, base.cfg.upstream),
+            wanted=lambda: list(config.book.upstreams().values()),
+            replicas=lambda: fleet.view.listed_replicas(base.clock.now()),
+            instances=fleet.view.live_entries,
+            need=lambda upstream: fleet.view.replicas_needed(upstream, base.clock.now()),
+        )
+    )
+
+
 def _subscribe(base: _Base, fleet: _Fleet, work: _Work) -> None:
     """Pass peers' messages to the parts that they concern."""
     hub = work.hub
@@ -331,7 +353,10 @@
     operator = Klein()
     add_health_routes(operator, readiness.why_not, base.metrics)
     status = FleetStatus(cfg.instance, work.config.book, work.hub, readiness)
-    add_operator_routes(operator, OperatorDeps(work.config, cfg.operator.operators, status.show))
+    add_operator_routes(
+        operator,
+        OperatorDeps(work.config, cfg.operator.operators, status.show, work.orders.show),
+    )
     return _Apps(entry, operator)
 
 
@@ -357,6 +382,7 @@
 async def _give_up(base: _Base, work: _Work) -> None:
     """Close what was started, when an address cannot be had."""
     work.claims.stop()
+    await work.orders.stop()
     await work.batch.stop()
     await work.config.stop()
     work.hub.close()
@@ -381,6 +407,7 @@
         lanes=work.lanes,
         batch=work.batch,
         claims=work.claims,
+        orders=work.orders,
         reports=fleet.reports,
         upstreams=fleet.upstreams,
         follower=follower,
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -5,12 +5,14 @@
 nowhere else, so that every policy sees the same set of replicas.
 """
 
+import math
 from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
 from papayapier import events
 from papayapier.config.profiles import BatchRule, Profile
 from papayapier.metrics import Metrics
+from papayapier.orders.controller import ListedReplica
 from papayapier.peer.messages import Heartbeat, Message
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.loads import LoadBook
@@ -19,6 +21,7 @@
 from papayapier.store.members import MembersChanged
 from papayapier.upstream.api import Load, Replica
 
+COMFORTABLE_SHARE: Final = 0.7
 STRICTEST_FIRST: Final = ("tail", "static", "throughput", "none")
 
 
@@ -68,6 +71,26 @@
         listed = {m.id for m in self._members.values() if m.kind == ENTRY and m.state == LIVE}
         return sorted((listed - self._silent) | {self._own_id})
 
+    def listed_replicas(self, now: int) -> list[ListedReplica]:
+        """Return the replicas that are not leaving, and whether each is in use."""
+        book, outliers, _ = self._policies
+        return [
+            ListedReplica(replica, not outliers.ejected(replica.id, now))
+            for upstream in self.upstream_names()
+            for replica in book.usable(upstream, now)
+        ]
+
+    def replicas_needed(self, upstream: str, now: int) -> int:
+        """Return how many replicas the online load of an upstream asks for at present."""
+        book = self._policies.book
+        replicas = book.usable(upstream, now)
+        slots = [book.slots(replica.id) for replica in replicas]
+        if not slots:
+            return 1
+        running = [book.estimate(r.id, now) - book.batch_at(r.id) for r in replicas]
+        comfortable = COMFORTABLE_SHARE * sum(slots) / len(slots)
+        return max(1, math.ceil(sum(running) / comfortable))
+
     def on_peers(self, live: Collection[str], silent: Collection[str]) -> None:
         """Take over which peers are heard from and which are not."""
         for gone in self._peers - set(live):
--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -18,6 +18,7 @@
     from papayapier.fleet_view import FleetView
     from papayapier.listen import Listening
     from papayapier.metrics import Metrics
+    from papayapier.orders.controller import OrderControl
     from papayapier.peer.hub import PeerHub
     from papayapier.policy.drain import Drain
     from papayapier.store.api import Store
@@ -49,6 +50,7 @@
     lanes: "BatchLanes"
     batch: "Batch"
     claims: "Claims"
+    orders: "OrderControl"
     reports: "Reports"
     upstreams: "Upstreams"
     follower: "MemberFollower"
@@ -147,6 +149,7 @@
             )
         )
         parts.reporter.mark_leaving()
+        await parts.orders.stop()
         try:
             await stop.run()
         finally:
@@ -167,6 +170,8 @@
         self._drop_connections()
         await parts.upstreams.close()
         await parts.store.close()
+        # With the store closed, this cannot give back the controller's lease.
+        await parts.orders.stop()
         await self._close()
 
     async def _close(self) -> None:
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -169,6 +169,11 @@
         row = self._rows.get(replica_id)
         return row.load.slots if row and row.load and row.load.slots > 0 else ASSUMED_SLOTS
 
+    def reported_at(self, replica_id: str) -> int:
+        """Return when the last report of a replica arrived, or 0."""
+        load = self._row(replica_id).load
+        return 0 if load is None else load.at_ms
+
     def replicas(self, upstream: str) -> list[Replica]:
         """Return the listed replicas of an upstream, leaving ones included."""
         return self._listed.get(upstream, [])
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -89,7 +89,7 @@
     connect_timeout_ms: PositiveMs = 500
     first_byte_ms: PositiveMs = 10_000
     progress_ms: PositiveMs = 2_000
-    load_poll_ms: PositiveMs = 100
+    load_poll_ms: PositiveMs = 1_000
 
 
 class BatchSettings(NamedTuple):
--- a/papayapier/upstream/reports.py
+++ b/papayapier/upstream/reports.py
@@ -1,8 +1,10 @@
 """Poll the load reports of a changing set of replicas.
 
 Each replica is asked again a jittered interval after its last answer, so that at most one
-question to it is open and a slow replica is asked less often. The polls also keep a kept
-connection to each replica in use, and so find out early when connections to it go silent.
+question to it is open and a slow replica is asked less often. A replica whose load arrived
+with the answer to a call meanwhile is not asked: that costs nothing, while a poll is the
+dearest thing an idle instance does. The polls of idle replicas also keep a connection to
+each in use, and so find out early when connections to it go silent.
 """
 
 import random
@@ -21,6 +23,7 @@
 JITTER: Final = 0.2
 
 ReadLoad = Callable[[Replica], Awaitable[Result[Load, Failure]]]
+HeardAt = Callable[[Replica], int]
 
 
 class OnReport(NamedTuple):
@@ -41,10 +44,15 @@
 
 
 def make_reports(
-    clock: Clock, rand: random.Random, every_ms: int, read_load: ReadLoad, on_report: OnReport
+    clock: Clock,
+    rand: random.Random,
+    every_ms: int,
+    read_load: ReadLoad,
+    on_report: OnReport,
+    heard_at: HeardAt = lambda _replica: 0,
 ) -> Reports:
-    """Make polls of no replica yet."""
-    polls = _Polls(clock, rand, every_ms, read_load, on_report)
+    """Make polls of no replica yet; heard_at tells when a load last arrived, or 0."""
+    polls = _Polls(clock, rand, every_ms, read_load, on_report, heard_at)
     return Reports(polls.poll, partial(polls.poll, ()))
 
 
@@ -58,12 +66,14 @@
         every_ms: int,
         read_load: ReadLoad,
         on_report: OnReport,
+        heard_at: HeardAt,
     ) -> None:
         self._clock = clock
         self._rand = rand
         self._every_ms = every_ms
         self._read_load = read_load
         self._on_report = on_report
+        self._heard_at = heard_at
         self._polls: dict[Replica, _Poll] = {}
 
     def poll(self, replicas: Sequence[Replica]) -> None:
@@ -79,8 +89,15 @@
     def _later(self, replica: Replica, poll: "_Poll", delay_ms: float) -> None:
         poll.timer = self._clock.call_later(delay_ms, partial(self._start, replica, poll))
 
+    def _again(self, replica: Replica, poll: "_Poll") -> None:
+        self._later(replica, poll, self._every_ms * self._rand.uniform(1 - JITTER, 1 + JITTER))
+
     def _start(self, replica: Replica, poll: "_Poll") -> None:
         poll.timer = None
+        heard = self._heard_at(replica)
+        if heard and self._clock.now() - heard < self._every_ms * (1 - JITTER):
+            self._again(replica, poll)
+            return
         poll.asking = Deferred.fromCoroutine(self._ask(replica, poll))
         poll.asking.addErrback(_report, replica)
 
@@ -89,7 +106,7 @@
         poll.asking = None
         if poll.stopped:
             return
-        self._later(replica, poll, self._every_ms * self._rand.uniform(1 - JITTER, 1 + JITTER))
+        self._again(replica, poll)
         if isinstance(load, Ok):
             self._on_report.on_load(replica, load.ok_value)
         else:
