Keep a peer's own word on its address over an old record in the list

Cause: the instance list lags. With a peer that had restarted at another port, each reading of the list would have dialled the old address again, and each hello the new one. Change: a record of the list is applied only when it differs from the one read before. A test over real sockets forgets an open connection and sees it replaced. Conclusion: found by that test, whose forwarder was bypassed after the first hello.

--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -81,11 +81,13 @@
         "listed",
         "member",
         "picked",
+        "record",
         "up",
     )
 
     def __init__(self, member: Member, now: Millis) -> None:
         self.member = member
+        self.record: Member | None = member
         self.listed = True
         self.picked = False
         self.adopted = False
@@ -150,7 +152,8 @@
         listed = {m.id: m for m in members if _is_peer(m, self._me.id)}
         steps: list[Step] = []
         for member in listed.values():
-            steps.extend(self._list(member, now))
+            if self._is_news(member):
+                steps.extend(self._list(member, now))
         for peer_id, peer in self._peers.items():
             peer.listed = peer_id in listed
         return [*steps, *self._forget_gone(), *self._follow_plan(now)]
@@ -217,6 +220,19 @@
     def _neighbours(self) -> list[tuple[str, Peer]]:
         return [(i, peer) for i, peer in sorted(self._peers.items()) if peer.neighbour()]
 
+    def _is_news(self, member: Member) -> bool:
+        """Tell whether the list says something else of a member than it did before.
+
+        The list lags. A peer that has restarted elsewhere and said so itself must not be
+        dialled at its old address again each time the old record is read.
+        """
+        known = self._peers.get(member.id)
+        if known is None:
+            return True
+        news = known.record != member
+        known.record = member
+        return news
+
     def _list(self, member: Member, now: Millis) -> list[Step]:
         peer = self._peers.get(member.id)
         if peer is None:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -3,11 +3,13 @@
 import tempfile
 from pathlib import Path
 from random import Random
+from typing import Any, cast
 
 import msgspec
 from result import Err, Ok
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.protocols.portforward import ProxyFactory
 from twisted.trial.unittest import TestCase
 
 from papayapier.clock import Millis, real_clock
@@ -56,6 +58,29 @@
     return Millis(ms)
 
 
+class Between(ProxyFactory):
+    """Forward connections, and forget those there are while new ones work."""
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port)
+        self.made = 0
+        self.proxies: list[Any] = []
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        self.made += 1
+        proxy = super().buildProtocol(addr)
+        self.proxies.append(proxy)
+        return proxy
+
+    def forget_connections(self) -> None:
+        for proxy in self.proxies:
+            proxy.dataReceived = lambda _data: None
+
+    def drop_all(self) -> None:
+        for proxy in self.proxies:
+            proxy.transport.abortConnection()
+
+
 class TestWire:
     def test_round_trip(self) -> None:
         message = Heartbeat("a", 7, LIVE, 3, (ReplicaUse("lm-1", 2, 1),), 5, ("b",))
@@ -149,6 +174,16 @@
         assert steps == [Noted("b", Change.LEAVING)]
         assert roster.live() == ["me"]
 
+    def test_lagging_list_does_not_move_a_peer_back(self) -> None:
+        # Symptom: a peer is dialled anew each time the list is read.
+        # Sequence: it restarted at another port and said hello; the list has the old record.
+        # Cause: the later source is taken for the newer.
+        roster = self.roster("b")
+        hello = Hello("b", 2, "127.0.0.1", 9001, "dc-a", "local")
+        assert roster.hello(hello, at(100)) == [Redial("b")]
+        assert roster.set_members([member("b")], at(200)) == []
+        assert roster.set_members([member("b", port=9002)], at(300)) == [Redial("b")]
+
     def test_moved_peer_is_dialled_at_its_new_address(self) -> None:
         roster = self.roster("b")
         assert roster.set_members([member("b", port=9001)], at(100)) == [Redial("b")]
@@ -348,6 +383,29 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_silent_connection_is_replaced(self) -> Deferred[None]:
+        # Symptom: b counts a as lost for ever, while both live and a hears b.
+        # Sequence: something between them forgets the connection from a to b.
+        # Cause: a sends into it without an error; only b can notice, and must tell a.
+        async def run() -> None:
+            a, b = self.start("a"), self.start("b")
+            between = Between("127.0.0.1", self.ports["b"])
+            port = cast(Any, reactor).listenTCP(0, between, interface="127.0.0.1")
+            self.addCleanup(port.stopListening)
+            b._port = port.getHost().port
+            a.set_members([member("b", b._port)])
+            await self.all_live("a", "b")
+            between.forget_connections()
+            await self.when_live(b, ["b"])
+            await self.when_live(b, ["a", "b"])
+            await self.when_live(a, ["a", "b"])
+            assert between.made >= 2
+            a.close()
+            b.close()
+            between.drop_all()
+
+        return Deferred.fromCoroutine(run())
+
     def test_change_reaches_all_in_a_bounded_topology(self) -> Deferred[None]:
         async def run() -> None:
             names = list("abcdefghij")
