--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections import deque
 from typing import Final, NamedTuple
 
 from papayapier.config.profiles import RetryRule
@@ -16,6 +15,7 @@
 RETRY_SHARE: Final = 0.1
 RETRY_WINDOW_MS: Final = 10_000
 RETRY_FLOOR: Final = 5
+BUCKETS: Final = 10
 BACKOFF_MS: Final = 10
 MAX_BACKOFF_MS: Final = 500
 BUSY_STATUSES: Final = frozenset({429, 503})
@@ -35,8 +35,34 @@
     refusal: Refusal
 
 
+class _Window:
+    """Count requests and retries of the last buckets; each slot holds (bucket, count)."""
+
+    __slots__ = ("_requests", "_retries")
+
+    def __init__(self) -> None:
+        self._requests = [(-1, 0)] * BUCKETS
+        self._retries = [(-1, 0)] * BUCKETS
+
+    def add_request(self, bucket: int) -> None:
+        _add(self._requests, bucket)
+
+    def add_retry(self, bucket: int) -> None:
+        _add(self._retries, bucket)
+
+    def requests(self, bucket: int) -> int:
+        return _recent(self._requests, bucket)
+
+    def retries(self, bucket: int) -> int:
+        return _recent(self._retries, bucket)
+
+
 class RetryBudget:
-    """Bound retries per upstream to a share of its requests, with a small floor."""
+    """Bound retries per upstream to a share of its requests, with a small floor.
+
+    The floor lets an upstream with little traffic repeat at all; it is per window, so a
+    retry storm of one instance never gets above it when requests stop coming.
+    """
 
     def __init__(
         self,
@@ -45,29 +71,26 @@
         floor: int = RETRY_FLOOR,
     ) -> None:
         self._share = share
-        self._window_ms = window_ms
+        self._bucket_ms = max(1, window_ms // BUCKETS)
         self._floor = floor
-        self._requests: dict[str, deque[int]] = {}
-        self._retries: dict[str, deque[int]] = {}
+        self._windows: dict[str, _Window] = {}
 
     def on_request(self, upstream: str, now: int) -> None:
         """Count a request that earns its share of a retry."""
-        self._requests.setdefault(upstream, deque()).append(now)
+        self._window(upstream).add_request(now // self._bucket_ms)
 
     def spend(self, upstream: str, now: int) -> bool:
         """Take one retry out of the budget if there is one."""
-        requests = self._recent(self._requests, upstream, now)
-        retries = self._recent(self._retries, upstream, now)
-        if len(retries) >= max(self._floor, self._share * len(requests)):
+        bucket = now // self._bucket_ms
+        window = self._window(upstream)
+        allowed = max(float(self._floor), self._share * window.requests(bucket))
+        if window.retries(bucket) + 1 > allowed:
             return False
-        retries.append(now)
+        window.add_retry(bucket)
         return True
 
-    def _recent(self, kept: dict[str, deque[int]], upstream: str, now: int) -> deque[int]:
-        times = kept.setdefault(upstream, deque())
-        while times and times[0] <= now - self._window_ms:
-            times.popleft()
-        return times
+    def _window(self, upstream: str) -> _Window:
+        return self._windows.setdefault(upstream, _Window())
 
 
 def decide(
@@ -82,7 +105,11 @@
     rand: random.Random,
     earlier: Sent = Sent.MAYBE,
 ) -> Retry | GiveUp:
-    """Decide about a failed attempt; earlier is Sent.NO if no attempt before can have run."""
+    """Decide about a failed attempt.
+
+    attempts_made counts it in. earlier is Sent.NO only if no attempt before it can have run;
+    a caller that does not know must leave it, or a refusal would say "not run" falsely.
+    """
     maybe_ran = failure.sent is Sent.MAYBE or (attempts_made > 1 and earlier is Sent.MAYBE)
     outcome = Outcome.UNKNOWN if maybe_ran else Outcome.NOT_RUN
     if failure.kind is FailureKind.CANCELLED:
@@ -97,10 +124,9 @@
         return GiveUp(refusal)
     if not budget.spend(upstream, now):
         return GiveUp(refusal)
-    same_replica = failure.kind is FailureKind.SILENT or (
-        failure.kind is FailureKind.CUT and failure.sent is Sent.NO
+    return Retry(
+        after_ms, fresh_connection=True, exclude=not _only_connection(failure, attempts_made)
     )
-    return Retry(after_ms, fresh_connection=True, exclude=not same_replica)
 
 
 def hedge(
@@ -118,6 +144,19 @@
     return elapsed_ms >= rule.hedge_after_ms and budget.spend(upstream, now)
 
 
+def _only_connection(failure: Failure, attempts_made: int) -> bool:
+    """Tell whether the connection is more likely at fault than the replica.
+
+    Something between the two ends may have lost track of a kept connection while the
+    replica is well: new connections work. When a new one is silent too, it is the replica.
+    """
+    if attempts_made > 1:
+        return False
+    if failure.kind is FailureKind.SILENT:
+        return True
+    return failure.kind is FailureKind.CUT and failure.sent is Sent.NO
+
+
 def _backoff(failure: Failure, attempts_made: int, rand: random.Random) -> int:
     if attempts_made <= 1 and failure.status not in BUSY_STATUSES:
         return 0
@@ -131,3 +170,13 @@
     if failure.kind in (FailureKind.BROKEN, FailureKind.WRONG_ID):
         return ErrorKind.BROKEN_ANSWER
     return ErrorKind.UPSTREAM_FAILED
+
+
+def _add(slots: list[tuple[int, int]], bucket: int) -> None:
+    place = bucket % BUCKETS
+    held, count = slots[place]
+    slots[place] = (bucket, count + 1 if held == bucket else 1)
+
+
+def _recent(slots: list[tuple[int, int]], bucket: int) -> int:
+    return sum(count for held, count in slots if bucket - BUCKETS < held <= bucket)
