Measure the cost of an entry instance per request and per token end to end

Cause: docs/MEASUREMENTS.md knew the upstream client's cost alone. Change: misc/bench_entry.py runs stand-ins, one instance and callers as three processes, reads the instance's processor time around each part and takes off what it spends without requests; the cost of a token is the slope between streams of 2 and of 202 tokens.

--- /dev/null
+++ b/misc/bench_entry.py
@@ -0,0 +1,254 @@
+"""Measure what a request, and each token of a stream, costs an entry instance end to end.
+
+Run it from the repository's root: python -m misc.bench_entry
+
+The stand-ins, the instance and the callers (this process) are three processes. The processor
+time of the instance alone is read from /proc around each part of a round. What it spends
+without requests is measured first and taken off. Streams of two lengths are run, and the
+cost of a token is the slope between them.
+"""
+
+import argparse
+import json
+import pstats
+import sys
+import tempfile
+from pathlib import Path
+from statistics import median
+from typing import Any, Final, NamedTuple, cast
+
+import treq
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.internet.task import react
+
+from misc.processes import Process, ProcessGroup
+from papayapier.clock import real_clock
+
+reactor = cast(Any, installed_reactor)
+
+HOST: Final = "127.0.0.1"
+SHORT_TOKENS: Final = 2
+LONG_TOKENS: Final = 202
+IDLE_MS: Final = 4_000
+US_PER_S: Final = 1_000_000
+PROFILE_LINES: Final = 80
+END: Final = b"0\r\n\r\n"
+PROFILES: Final = (("chat", "lm"), ("gate", "gate"))
+
+
+class Part(NamedTuple):
+    """Describe the requests of one part of a round."""
+
+    name: str
+    path: str
+    profile: str
+    body: bytes
+    calls: int
+
+
+class Row(NamedTuple):
+    """Hold the processor time of the instance, in microseconds, and the idle share of a core."""
+
+    us_per_service_call: float
+    us_per_unary_call: float
+    us_per_short_stream: float
+    us_per_token: float
+    idle_core_share: float
+
+
+def main() -> None:
+    """Run the benchmark and print a table or JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--calls", type=int, default=1_000, help="calls of a part")
+    parser.add_argument("--streams", type=int, default=240, help="long streams of a round")
+    parser.add_argument("--callers", type=int, default=24, help="connections of callers")
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument("--profile", default="", metavar="ORDER", help="print where time goes")
+    args = parser.parse_args()
+    react(lambda _: Deferred.fromCoroutine(_run(args)))
+
+
+async def _run(args: argparse.Namespace) -> None:
+    with tempfile.TemporaryDirectory() as name, ProcessGroup(Path(name)) as group:
+        stats = Path(name) / "profile"
+        standin = _start_standins(group)
+        platform = json.loads(standin.first_line())["platform_port"]
+        instance = _start_instance(group, Path(name), platform, stats if args.profile else None)
+        port = await _ready(instance)
+        parts = _parts(args)
+        rounds = [await _round(instance, port, parts, args.callers) for _ in range(args.rounds)]
+        if args.profile:
+            instance.signal(15)
+            instance.wait(30)
+            _print_profile(stats, args.profile)
+    _print(rounds, args.json)
+
+
+def _start_standins(group: ProcessGroup) -> Process:
+    command = ["standin", "--engines", "3", "--services", "1"]
+    return group.start("standins", "standin", [sys.executable, "-m", "papayapier", *command])
+
+
+def _start_instance(
+    group: ProcessGroup, folder: Path, platform: int, profile: Path | None
+) -> Process:
+    settings = {
+        "instance": {"id": "bench", "data_centre": "dc-a", "region": "local"},
+        "platform": {"host": HOST, "port": platform},
+        "entry": {"port": 0},
+        "operator": {"port": 0},
+        "peer": {"port": 0},
+        "drain": {"balancer_lag_ms": 100},
+    }
+    path = folder / "settings.json"
+    path.write_text(json.dumps(settings))
+    profiler = ["-m", "cProfile", "-o", str(profile)] if profile else []
+    command = [sys.executable, *profiler, "-m", "papayapier", "serve", "--settings", str(path)]
+    return group.start("instance", "entry", command)
+
+
+async def _ready(instance: Process) -> int:
+    """Put the profiles in force, and return the callers' port."""
+    clock = real_clock()
+    while (started := _started(instance.errors)) is None:
+        if instance.ended():
+            raise RuntimeError(instance.errors.read_text())
+        await clock.sleep(50)
+    for name, upstream in PROFILES:
+        profile = {
+            "name": name,
+            "upstream": upstream,
+            "urgency": "normal",
+            "due_ms": 60_000,
+            "idempotent": True,
+        }
+        change = {
+            "profile": profile,
+            "based_on": 0,
+            "reason": "benchmark",
+            "change_id": f"bench-{name}",
+        }
+        url = f"http://{HOST}:{started['operator_port']}/v1/profiles/{name}"
+        answer = await treq.put(url, json=change, persistent=False)
+        if answer.code not in (200, 201):
+            raise RuntimeError(await answer.text())
+    await clock.sleep(2_000)
+    return int(started["entry_port"])
+
+
+def _started(log: Path) -> dict[str, Any] | None:
+    for line in log.read_text().splitlines():
+        document: dict[str, Any] = json.loads(line)
+        if "entry_port" in document:
+            return document
+    return None
+
+
+def _parts(args: argparse.Namespace) -> list[Part]:
+    def chat(name: str, tokens: int, stream: bool, count: int) -> Part:
+        body = {"model": "lm", "prompt": "open?", "max_tokens": tokens, "stream": stream}
+        return Part(name, "/v1/completions", "chat", json.dumps(body).encode(), count)
+
+    return [
+        Part("service", "/services/gate/calls/x", "gate", b"{}", args.calls),
+        chat("unary", SHORT_TOKENS, False, args.calls),
+        chat("short", SHORT_TOKENS, True, args.calls),
+        chat("long", LONG_TOKENS, True, args.streams),
+    ]
+
+
+async def _round(instance: Process, port: int, parts: list[Part], callers: int) -> Row:
+    idle_s, idle_ms = await _cost(instance, real_clock().sleep(IDLE_MS))
+    idle_share = idle_s / (idle_ms / 1_000)
+    us: dict[str, float] = {}
+    for part in parts:
+        used_s, took_ms = await _cost(instance, _send_all(port, part, callers))
+        us[part.name] = US_PER_S * (used_s - idle_share * took_ms / 1_000) / part.calls
+    per_token = (us["long"] - us["short"]) / (LONG_TOKENS - SHORT_TOKENS)
+    return Row(us["service"], us["unary"], us["short"], per_token, idle_share)
+
+
+async def _cost(instance: Process, work: Deferred[Any]) -> tuple[float, int]:
+    """Return the processor time that the instance uses during some work, and the time."""
+    instance.sample()
+    await work
+    instance.sample()
+    before, after = instance.samples[-2:]
+    return after.cpu_s - before.cpu_s, after.wall_ms - before.wall_ms
+
+
+def _send_all(port: int, part: Part, callers: int) -> Deferred[Any]:
+    left = [part.calls]
+    return gatherResults(
+        [Deferred.fromCoroutine(_send_one_by_one(port, part, left)) for _ in range(callers)]
+    )
+
+
+async def _send_one_by_one(port: int, part: Part, left: list[int]) -> None:
+    endpoint = TCP4ClientEndpoint(reactor, HOST, port)
+    caller: _Caller = await connectProtocol(endpoint, _Caller())
+    head = (
+        f"POST {part.path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {len(part.body)}\r\n"
+        f"X-Papayapier-Profile: {part.profile}\r\n\r\n"
+    )
+    while left[0] > 0:
+        left[0] -= 1
+        await caller.send(head.encode() + part.body)
+    await caller.close()
+
+
+class _Caller(Protocol):
+    """Send requests over one connection, and read as little of the answers as can be."""
+
+    def __init__(self) -> None:
+        self._head = b""
+        self._left = 0
+        self._done: Deferred[None] = Deferred()
+        self._closed: Deferred[None] = Deferred()
+
+    def send(self, request: bytes) -> Deferred[None]:
+        self._head = b""
+        self._done = Deferred()
+        cast(Any, self.transport).write(request)
+        return self._done
+
+    def close(self) -> Deferred[None]:
+        cast(Any, self.transport).loseConnection()
+        return self._closed
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self._head:
+            self._head, _, body = data.partition(b"\r\n\r\n")
+            assert self._head.startswith(b"HTTP/1.1 200"), data
+            if b"Content-Length: " in self._head:
+                length = self._head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0]
+                assert len(body) == int(length)
+                self._done.callback(None)
+                return
+        if data.endswith(END):
+            self._done.callback(None)
+
+    def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
+        self._closed.callback(None)
+
+
+def _print(rounds: list[Row], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps([row._asdict() for row in rounds]))
+        return
+    print(f"{'':24}{'median':>10}{'lowest':>10}{'highest':>10}")
+    for number, name in enumerate(Row._fields):
+        values = [row[number] for row in rounds]
+        print(f"{name:24}{median(values):10.3f}{min(values):10.3f}{max(values):10.3f}")
+
+
+def _print_profile(stats: Path, order: str) -> None:
+    pstats.Stats(str(stats)).sort_stats(order).print_stats(PROFILE_LINES)
+
+
+if __name__ == "__main__":
+    main()
