Seal tasks of a cancelled job for good; split only jobs that are too small

Cause: the state machine found a cancelled job whose final counts changed: a paused holder that had not heard of the cancel met the sealed checkpoint as a conflict, read it and went on.

--- a/papayapier/batch/ending.py
+++ b/papayapier/batch/ending.py
@@ -13,7 +13,7 @@
 
 from papayapier import codec, events
 from papayapier.batch import keys, saves
-from papayapier.batch.opening import OpenError, read_results
+from papayapier.batch.opening import OpenError, Unreadable, read_results
 from papayapier.batch.records import Checkpoint, FileRecord, JobRecord, JobState, Tally
 from papayapier.batch.registry import JobRegistry
 from papayapier.batch.results import cancelled_tally, view_task
@@ -122,7 +122,7 @@
         await self._close(job, record)
 
     async def _seal(self, job: JobWork, task: int) -> bool:
-        """Take the next version of a checkpoint, so that no holder can add an intent to it.
+        """Seal a checkpoint at its next version, so that no holder can add an intent to it.
 
         A holder that was paused through the cancel could else still store an intent and
         send the item, and the job's final count would be wrong.
@@ -133,7 +133,7 @@
         if isinstance(read, Err):
             if read.err_value is not StoreError.NOT_FOUND:
                 return False
-            sealed = Checkpoint(writer, 0, 0, [], [], [], [], [])
+            sealed = Checkpoint(writer, 0, 0, [], [], [], [], [], sealed=True)
             done = await saves.create(self._deps, key, codec.pack(sealed))
             return isinstance(done, Ok)
         stored = read.ok_value
@@ -141,7 +141,7 @@
         if isinstance(checkpoint, Err):
             return False
         versions = [*checkpoint.ok_value.versions, stored.version]
-        sealed = checkpoint.ok_value._replace(writer=writer, versions=versions)
+        sealed = checkpoint.ok_value._replace(writer=writer, versions=versions, sealed=True)
         value = codec.pack(sealed)
         done = await saves.update(self._deps, key, value, stored.version)
         return isinstance(done, Ok)
@@ -187,7 +187,7 @@
         return isinstance(done, Ok)
 
     def _report(self, job: JobWork, error: OpenError) -> None:
-        if not isinstance(error, StoreError):
+        if isinstance(error, Unreadable):
             events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
 
 
--- a/papayapier/batch/opener.py
+++ b/papayapier/batch/opener.py
@@ -9,7 +9,7 @@
 
 from papayapier import events
 from papayapier.batch import background
-from papayapier.batch.opening import Grant, OpenError, open_task
+from papayapier.batch.opening import Grant, OpenError, Unreadable, open_task
 from papayapier.batch.records import CHUNK_BYTES
 from papayapier.batch.work import JobWork, OpenTask
 from papayapier.store.api import StoreError
@@ -99,7 +99,7 @@
         pause: float = UNREADABLE_PAUSE_MS
         if isinstance(error, StoreError):
             pause = self._pauses.next_ms()
-        else:
+        elif isinstance(error, Unreadable):
             events.emit(events.INPUT_MISSING, key=error.key, reason=error.reason)
 
         self._put_back_later(job, task, pause)
--- a/papayapier/batch/opening.py
+++ b/papayapier/batch/opening.py
@@ -30,7 +30,13 @@
     reason: str
 
 
-OpenError = StoreError | Unreadable
+class Sealed(NamedTuple):
+    """Say that the job was cancelled, which this instance has not heard of yet."""
+
+    key: str
+
+
+OpenError = StoreError | Unreadable | Sealed
 
 
 async def open_task(
@@ -53,6 +59,8 @@
     checkpoint = codec.unpack(read.ok_value.value, Checkpoint)
     if isinstance(checkpoint, Err):
         return Err(Unreadable(key, checkpoint.err_value))
+    if checkpoint.ok_value.sealed:
+        return Err(Sealed(key))
     version = read.ok_value.version
     resumed = await _resume(deps, items, rules, checkpoint.ok_value, version)
     if isinstance(resumed, Err):
--- a/papayapier/batch/records.py
+++ b/papayapier/batch/records.py
@@ -148,7 +148,8 @@
     writer tells one write from any other. versions holds the store's versions of the earlier
     checkpoints, so that a reader can tell which results were recorded before a cancel.
     intents are the items that may have been sent and have no result. attempts counts failed
-    attempts of items that have not ended. spilled names parts with further results.
+    attempts of items that have not ended. spilled names parts with further results. sealed
+    says that the job is cancelled and the task may not be gone on with.
     """
 
     writer: str
@@ -159,6 +160,7 @@
     attempts: list[tuple[int, int]]
     results: list[ItemResult]
     spilled: list[str]
+    sealed: bool = False
 
 
 class TaskResults(NamedTuple):
--- a/papayapier/batch/tasks.py
+++ b/papayapier/batch/tasks.py
@@ -11,7 +11,7 @@
 import xxhash
 
 MIN_TASK_ITEMS: Final = 50
-MAX_SPREAD: Final = 32
+MAX_INSTANCES: Final = 16
 TASKS_PER_INSTANCE: Final = 2
 GUARDED_TASK_ITEMS: Final = 100
 
@@ -31,8 +31,11 @@
 
 def task_items(items: int, chunk_items: int, instances: int, idempotent: bool) -> int:
     """Choose how many items a task of a new job may have."""
-    spread = min(MAX_SPREAD, TASKS_PER_INSTANCE * max(1, instances))
-    wanted = max(MIN_TASK_ITEMS, -(-items // spread))
+    served_by = min(MAX_INSTANCES, max(1, instances))
+    wanted = chunk_items
+    if items < served_by * chunk_items:
+        # Whole chunks would leave instances without a task.
+        wanted = max(MIN_TASK_ITEMS, -(-items // (TASKS_PER_INSTANCE * served_by)))
     if not idempotent:
         wanted = min(wanted, GUARDED_TASK_ITEMS)
     return min(wanted, chunk_items)
--- a/papayapier/batch/view.py
+++ b/papayapier/batch/view.py
@@ -206,4 +206,4 @@
     """Refuse because something stored cannot be read."""
     if isinstance(error, StoreError):
         return unavailable()
-    return not_run(ErrorKind.INTERNAL, f"{error.key}: {error.reason}")
+    return not_run(ErrorKind.INTERNAL, f"{error.key} is not readable")
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -238,6 +238,31 @@
         world.advance(5_000)
         assert check_whole(world, other, found) == {"cancelled": 50}
 
+    def test_paused_holder_adds_nothing_to_a_cancelled_job(self) -> None:
+        # Symptom: items that may not be repeated go out after a cancel, and the counts of the
+        # ended job change.
+        # Sequence: a holder is paused for less than its lease; the job is cancelled and ended
+        # elsewhere; the holder goes on, and has not heard of it.
+        # Cause: its checkpoint conflicts, so it reads the task again and goes on with it.
+        world = started("a", "b")
+        world.fleet.hold = True
+        batch = world.instances["a"]
+        found = world.submit(batch, world.upload(batch, 70), "bookings")
+        world.advance(500)
+        paused = next(n for n in "ab" if world.instances[n].status().items_in_flight)
+        other = "b" if paused == "a" else "a"
+        world.peers_cut = True
+        world.platform.fail(Fault.SLOW, call="watch", store=paused, times=10, delay_ms=60_000)
+        world.gates[paused].shut = True
+        now(world.instances[other].jobs.cancel(CALLER, found.record.job_id)).unwrap()
+        world.advance(2_500)
+        world.gates[paused].open()
+        world.fleet.hold = False
+        world.fleet.release()
+        world.advance(LEASE_MS)
+        ended = check_whole(world, other, found)
+        assert sum(world.fleet.runs.values()) <= ended["unknown"] < 70
+
 
 class TestStore:
     def test_lost_answer_to_the_accepting_write(self) -> None:
