Send a heartbeat with each new peer connection; test early heartbeats

Cause: a new or replaced connection carried only a hello, so that the peer counted as down until the next regular heartbeat; and nothing tested that changed open calls are told early. Change: the hello is followed by a heartbeat; a test with heartbeats every 10 minutes sees both.

--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -210,15 +210,17 @@
         return heartbeat._replace(uses=bound_uses(heartbeat.uses))
 
     def _send_heartbeat(self, heartbeat: Heartbeat, now: Millis) -> None:
-        full = heartbeat._replace(unheard=self._roster.unheard(now), every_ms=self._pace_ms)
         neighbours = self._links.neighbours()
-        size = self._broadcast(neighbours, full)
+        size = self._broadcast(neighbours, self._complete(heartbeat, now))
         self._pace_ms = heartbeat_pace(
             self._cfg.heartbeat_ms, size, len(neighbours), self._cfg.bytes_per_s
         )
         self._last_sent = heartbeat
         self._last_sent_at = now
 
+    def _complete(self, heartbeat: Heartbeat, now: Millis) -> Heartbeat:
+        return heartbeat._replace(unheard=self._roster.unheard(now), every_ms=self._pace_ms)
+
     def _broadcast(self, peer_ids: Sequence[str], message: Message) -> int:
         """Send one frame to several peers and return its size."""
         now = self._clock.now()
@@ -296,10 +298,13 @@
             self._announce_live()
 
     def _redial(self, peer_id: str) -> None:
+        """Open a lasting connection; the heartbeat saves the peer from waiting for the next."""
         address = self._address(peer_id)
+        now = self._clock.now()
         if address is not None:
-            self._links.connect(peer_id, address, True, self._clock.now())
+            self._links.connect(peer_id, address, True, now)
             self.tell(peer_id, self._hello())
+            self.tell(peer_id, self._complete(self._own_heartbeat(), now))
 
     def _connect_passing(self, peer_id: str, now: Millis) -> bool:
         address = self._address(peer_id)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,6 +1,7 @@
 """Test the protocol between instances."""
 
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -298,10 +299,18 @@
         for hub in self.hubs.values():
             hub.close()
 
-    def start(self, name: str, port: int = 0, boot: int = 1, full_mesh: int = 16) -> PeerHub:
+    def start(
+        self,
+        name: str,
+        port: int = 0,
+        boot: int = 1,
+        full_mesh: int = 16,
+        heartbeat_ms: int = 20,
+        uses: Sequence[ReplicaUse] = (),
+    ) -> PeerHub:
         cfg = PeerSettings(
             port=port,
-            heartbeat_ms=20,
+            heartbeat_ms=heartbeat_ms,
             silent_after_ms=400,
             full_mesh=full_mesh,
             bytes_per_s=1_000_000,
@@ -310,7 +319,13 @@
         me = Identity(name, boot, "127.0.0.1", "dc-a", "local")
         rand = Random(name)
         hub = PeerHub(
-            reactor, real_clock(), cfg, me, lambda: beat(name, boot), self.metrics[name], rand
+            reactor,
+            real_clock(),
+            cfg,
+            me,
+            lambda: beat(name, boot)._replace(uses=tuple(uses)),
+            self.metrics[name],
+            rand,
         )
         self.hubs[name] = hub
         self.ports[name] = hub.start().unwrap()
@@ -348,6 +363,24 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_changed_uses_are_told_before_the_next_heartbeat(self) -> Deferred[None]:
+        # Symptom: batch work gives way half a second after an online burst has begun.
+        # Sequence: a burst arrives at one instance, batch runs on another.
+        # Cause: open calls are told with the regular heartbeats only.
+        async def run() -> None:
+            uses: list[ReplicaUse] = []
+            told: Deferred[tuple[ReplicaUse, ...]] = Deferred()
+            a = self.start("a", heartbeat_ms=600_000, uses=uses)
+            b = self.start("b", heartbeat_ms=600_000)
+            self.introduce()
+            await self.all_live("a", "b")
+            b.subscribe(Heartbeat, lambda _, heartbeat: told.callback(heartbeat.uses))
+            uses.append(ReplicaUse("lm-1", 7, 0))
+            a.uses_changed()
+            assert await told == (ReplicaUse("lm-1", 7, 0),)
+
+        return Deferred.fromCoroutine(run())
+
     def test_ask_and_timeout(self) -> Deferred[None]:
         async def run() -> None:
             a, b = self.start("a"), self.start("b")
