Judge leaving engines in a chaos run only while they are leaving

The engine was told to leave at 96,629 ms and the run healed everything, listing it as live again, 1 ms later; its new calls were right. Ruled out: a late instance list (the platform was undisturbed) and routing to a leaving replica (Promise.LEAVING_IDLE stayed quiet). Change: healing counts as a disturbance; a second order to leave is not ended by the first one's end; a shorter platform fault no longer shortens the time that counts as disturbed. Conclusion: the check is as strict as before for engines that are leaving.

--- a/papayapier/load/chaos_world.py
+++ b/papayapier/load/chaos_world.py
@@ -86,6 +86,7 @@
         self._balanced: list[Spot] = []
         self._crashed: set[int] = set()
         self.disturbed_ms = 0
+        self._leaving_until: dict[int, int] = {}
         self.leaving_watch: Callable[[int], None] = lambda _engine: None
 
     @property
@@ -144,7 +145,12 @@
                 self._take_down(event)
 
     def heal(self) -> None:
-        """End every fault at once."""
+        """End every fault at once.
+
+        Engines that were leaving are listed as live again, so a watch on their new work that
+        is still open would take ordinary calls for broken promises.
+        """
+        self.disturbed_ms = max(self.disturbed_ms, self._clock.now())
         self._heal_platform()
         for replica in (*self.fleet.engines, *self.fleet.services):
             self._heal_replica(replica)
@@ -175,7 +181,7 @@
 
     def _platform_fault(self, event: Planned) -> None:
         self.fleet.platform.control(cast(PlatformControl, event.control))
-        self.disturbed_ms = self._clock.now() + event.ms
+        self.disturbed_ms = max(self.disturbed_ms, self._clock.now() + event.ms)
         self._clock.call_later(event.ms, self._heal_platform)
 
     def _heal_platform(self) -> None:
@@ -185,7 +191,15 @@
         member = self.fleet.members[event.target]
         self.fleet.platform.register(member._replace(state=LEAVING))
         self.leaving_watch(event.target)
-        self._clock.call_later(event.ms, lambda: self.fleet.platform.register(member))
+        until_ms = self._clock.now() + event.ms
+        self._leaving_until[event.target] = until_ms
+
+        def end() -> None:
+            # The same engine may have been told to leave once more meanwhile.
+            if self._leaving_until[event.target] == until_ms:
+                self.fleet.platform.register(member)
+
+        self._clock.call_later(event.ms, end)
 
     def _pause(self, event: Planned) -> None:
         timers = self._places[event.target].timers
