--- a/papayapier/orders/controller.py
+++ b/papayapier/orders/controller.py
@@ -242,11 +242,14 @@
         """Run a task for ever: if it stopped, wanted orders would never be given."""
 
         def again() -> None:
+            if not self._stopped:
+                self._deps.clock.call_later(RESTART_MS, restart)
+
+        def restart() -> None:
             if not self._stopped:
                 self._loop(make)
 
-        task = self._follow(Deferred.fromCoroutine(make()))
-        task.addCallback(lambda _: self._deps.clock.call_later(RESTART_MS, again))
+        self._follow(Deferred.fromCoroutine(make())).addCallback(lambda _: again())
 
     def _follow(self, task: "Deferred[None]") -> "Deferred[None]":
         self._tasks.add(task)
--- a/papayapier/orders/memory.py
+++ b/papayapier/orders/memory.py
@@ -42,7 +42,7 @@
 
 
 class ReplicaMemory:
-    """Hold one replica; busy tells that it lacks something wanted."""
+    """Hold one replica; busy tells that it lacks, or may lack, something wanted."""
 
     __slots__ = (
         "_asked_ms",
@@ -134,6 +134,7 @@
             return None
         if self.state is None and self._facts is None:
             self._adopt(state, now, longest_ms)
+        self.busy = self.busy or state != self.state
         self.state = state
         self._asked_ms = asked_ms
         if self._facts is None or self._life is None or asked_ms < self._facts.given_ms:
--- a/papayapier/orders/plan.py
+++ b/papayapier/orders/plan.py
@@ -168,10 +168,12 @@
 
     def _orders_of(self, wanted: UpstreamWanted, fence: int, now: int) -> list[Give]:
         replicas = self._groups.get(wanted.name, [])
-        roles = self._roles(wanted, replicas, now)
+        roles = self._roles(wanted, replicas, now) if wanted.roles else {}
         gives = []
         for replica in replicas:
-            if replica.state is None:
+            # Where no role depends on the others, only a new state can bring a new order.
+            settled = not replica.busy and not wanted.roles
+            if replica.state is None or settled:
                 continue
             items = missing(wanted, replica.state, roles.get(replica.sight.replica_id, ""))
             replica.busy = bool(items)
