Log ejected replicas and publish each replica's use

Cause: events 301 and 302 and the metrics replica_in_flight and batch_limit were declared and never set, so an operator could not see an ejection. Conclusion: what OPERATIONS.md names for a slow or failing replica now exists.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -413,6 +413,7 @@
         follower=follower,
         reporter=reporter,
         store=base.store,
+        publish=fleet.view.publish,
     )
     instance = Instance(parts, opened.ports, opened.handles, base.metrics)
     work.claims.start()
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -56,6 +56,7 @@
         self._upstream_names: list[str] = []
         self._peers: set[str] = set()
         self._silent: set[str] = set()
+        self._ejected: dict[str, set[str]] = {}
         self._listeners: FleetListeners | None = None
 
     def connect(self, listeners: FleetListeners) -> None:
@@ -71,6 +72,30 @@
         listed = {m.id for m in self._members.values() if m.kind == ENTRY and m.state == LIVE}
         return sorted((listed - self._silent) | {self._own_id})
 
+    def publish(self, now: int) -> None:
+        """Show each replica's use in the metrics, and log who was ejected or came back."""
+        book, outliers, share = self._policies
+        for upstream in self.upstream_names():
+            usable = book.usable(upstream, now)
+            in_use = [replica for replica in usable if outliers.healthy(replica.id)]
+            self._metrics.replicas_usable.labels(upstream).set(len(in_use))
+            self._note_ejected(upstream, {r.id for r in usable} - {r.id for r in in_use})
+            for replica in usable:
+                own = book.own(replica.id)
+                in_flight = self._metrics.replica_in_flight
+                in_flight.labels(replica.id, "online").set(own.online)
+                in_flight.labels(replica.id, "batch").set(own.batch)
+                limit = share.limit(replica.id, book, now)
+                self._metrics.batch_limit.labels(replica.id).set(limit)
+
+    def _note_ejected(self, upstream: str, ejected: set[str]) -> None:
+        before = self._ejected.get(upstream, set())
+        for replica_id in sorted(ejected - before):
+            events.emit(events.REPLICA_EJECTED, replica=replica_id, upstream=upstream)
+        for replica_id in sorted(before - ejected):
+            events.emit(events.REPLICA_RETURNED, replica=replica_id, upstream=upstream)
+        self._ejected[upstream] = ejected
+
     def listed_replicas(self, now: int) -> list[ListedReplica]:
         """Return the replicas that are not leaving, and whether each is in use."""
         book, outliers, _ = self._policies
@@ -144,12 +169,6 @@
             share.set_upstream(replica.id, replica.upstream)
         if self._listeners is not None:
             self._listeners.poll(replicas)
-        self._count_usable(replicas, leaving)
-
-    def _count_usable(self, replicas: list[Replica], leaving: Collection[str]) -> None:
-        for upstream in self.upstream_names():
-            usable = [r for r in replicas if r.upstream == upstream and r.id not in leaving]
-            self._metrics.replicas_usable.labels(upstream).set(len(usable))
 
     def on_load(self, replica: Replica, load: Load) -> None:
         """Take over a load report."""
--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -9,6 +9,8 @@
 from papayapier.stopping import PlannedStop, StopDeps, stop_listening
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from papayapier.batch.start import Batch
     from papayapier.claims.service import Claims
     from papayapier.clock import Clock, Timer
@@ -40,7 +42,7 @@
 
 
 class Parts(NamedTuple):
-    """Group the parts of an instance that stop with it."""
+    """Group the parts of an instance that stop with it; publish brings metrics up to date."""
 
     clock: "Clock"
     drain: "Drain"
@@ -56,6 +58,7 @@
     follower: "MemberFollower"
     reporter: "Reporter"
     store: "Store"
+    publish: "Callable[[int], None]"
 
 
 class Readiness:
@@ -132,6 +135,7 @@
             events.emit(events.PROCESS_PAUSED, late_ms=late)
         self._last_pulse = now
         self.metrics.invariant_failures.set(invariants.broken_count())
+        self.parts.publish(now)
         self.metrics.peers_live.set(len(self.parts.hub.live()) - 1)
         self._pulse_timer = self.parts.clock.call_later(PULSE_MS, self._pulse)
 
--- a/papayapier/policy/outliers.py
+++ b/papayapier/policy/outliers.py
@@ -159,6 +159,11 @@
         elif row.state == "returning":
             self._on_good_probe(replica_id, row, now)
 
+    def healthy(self, replica_id: str) -> bool:
+        """Tell whether a replica is neither ejected nor still being probed."""
+        row = self._rows.get(replica_id)
+        return row is None or row.state == "healthy"
+
     def ejected(self, replica_id: str, now: int) -> bool:
         """Tell whether a replica is out of use, or has as many probes as it may have."""
         row = self._rows.get(replica_id)
