--- a/papayapier/config/accept.py
+++ b/papayapier/config/accept.py
@@ -294,8 +294,13 @@
 
 
 def _tell(subject: Subject, winner: Winner) -> str:
+    """Tell which change won, with the values of an update and the names of other fields."""
     fields = ", ".join(
-        f"{change['path']} {change['before']!r} -> {change['after']!r}"
+        (
+            f"{change['path']} {change['before']!r} -> {change['after']!r}"
+            if winner.entry["action"] == "update"
+            else change["path"]
+        )
         for change in winner.entry["changes"]
     )
     return (
--- a/papayapier/config/book.py
+++ b/papayapier/config/book.py
@@ -120,7 +120,7 @@
             # Two contents under one version mean that a peer or a folder holds another
             # store's configuration: neither is "the" accepted one, and a higher version
             # of it could replace ours. The counter and event 901 show it.
-            same = version < held.version or value == held.value
+            same = version < held.version or records.same_document(value, held.value)
             invariants.check(same, Promise.CONFIG_FORWARD, key=key, version=version)
             return False
         return self._put(subject, InForce(version, value, None))
--- a/papayapier/config/records.py
+++ b/papayapier/config/records.py
@@ -127,6 +127,17 @@
             return value
 
 
+def same_document(one: bytes, other: bytes) -> bool:
+    """Tell whether two stored forms hold the same document, whichever release encoded them."""
+    if one == other:
+        return True
+    match (decode(one), decode(other)):
+        case (Ok(left), Ok(right)):
+            return left["document"] == right["document"]
+        case _:
+            return False
+
+
 def typed(subject: Subject, document: Document) -> Result[Wanted, str]:
     """Turn a stored document into its record, leaving out fields of newer releases."""
     kind = KINDS[subject.kind]
--- a/papayapier/operate/output.py
+++ b/papayapier/operate/output.py
@@ -43,4 +43,10 @@
 
 def show_changes(changes: Sequence[dict[str, Any]]) -> str:
     """Return field changes in one line."""
-    return ", ".join(f"{c['path']}: {show(c['before'])} -> {show(c['after'])}" for c in changes)
+    return ", ".join(_show_change(change) for change in changes)
+
+
+def _show_change(change: dict[str, Any]) -> str:
+    if change["before"] is None:
+        return f"{change['path']}: {show(change['after'])}"
+    return f"{change['path']}: {show(change['before'])} -> {show(change['after'])}"
