Take the claims' types from claims.api

Cause: the claims package moved its public types. Change: dispatch/claimed.py imports them from there.

--- a/papayapier/dispatch/claimed.py
+++ b/papayapier/dispatch/claimed.py
@@ -11,8 +11,8 @@
 from twisted.internet.defer import Deferred
 
 from papayapier import codec, events
+from papayapier.claims.api import Done, New, Running, Unknown
 from papayapier.claims.records import SavedAnswer, content_hash
-from papayapier.claims.service import Done, New, Running, Unknown
 from papayapier.errors import ANSWERS, ErrorKind, Outcome, Refusal, unknown
 from papayapier.upstream.api import Reply
 from papayapier.upstream.api import Token as StreamToken
@@ -22,7 +22,8 @@
 
     from twisted.python.failure import Failure as TwistedFailure
 
-    from papayapier.claims.service import Begun, Claims, Token
+    from papayapier.claims.api import Begun, Token
+    from papayapier.claims.service import Claims
     from papayapier.dispatch.api import OnlineRequest, OnToken
     from papayapier.dispatch.online import OnlineDispatch
 
