Do not take a confirmed cancel back while the end of a job is counted

The home instance read the counts of the last tasks; a cancel came meanwhile; the record in memory was then that of the cancel, with its version, and the conditional update to "ending" succeeded on top of it. Conclusion: the new test fails without the change and passes with it.

--- a/papayapier/batch/ending.py
+++ b/papayapier/batch/ending.py
@@ -77,7 +77,9 @@
 
     async def _end_completed(self, job: JobWork) -> None:
         tally = await self._count_recorded(job)
-        if tally is None:
+        # A cancel may have come while results were read. The record is then that of the
+        # cancel, with its version, and the update below would take the cancel back.
+        if tally is None or job.record.state is not JobState.RUNNING:
             return
         now = self._deps.clock.wall()
         record = job.record._replace(state=JobState.ENDING, tally=tally, tally_ms=now, ended_ms=now)
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -238,6 +238,28 @@
         world.advance(5_000)
         assert check_whole(world, other, found) == {"cancelled": 50}
 
+    def test_cancel_while_the_end_is_counted(self) -> None:
+        # Symptom: a cancel is confirmed, and the job ends as completed.
+        # Sequence: the last results are recorded; while the home instance reads their counts,
+        # the cancel arrives.
+        # Cause: the record is taken from memory after the reading, and with it the cancel's
+        # version, so that the conditional update succeeds.
+        world = started("a", "b")
+        world.fleet.hold = True
+        batch = world.instances["a"]
+        found = world.submit(batch, world.upload(batch, 200))
+        world.advance(500)
+        world.platform.fail(Fault.SLOW, call="get", key="results/", times=50, delay_ms=3_000)
+        world.fleet.hold = False
+        world.fleet.release()
+        world.advance(2_000)
+        assert sum(key.startswith("results/") for key in world.platform.objects) == 4
+        cancelled = now(batch.jobs.cancel(CALLER, found.record.job_id)).unwrap()
+        assert cancelled.record.state is JobState.CANCELLING
+        world.platform.clear_faults()
+        world.advance(20_000)
+        assert world.job(batch, found).record.state is JobState.CANCELLED
+
     def test_paused_holder_adds_nothing_to_a_cancelled_job(self) -> None:
         # Symptom: items that may not be repeated go out after a cancel, and the counts of the
         # ended job change.
