Let the job commands reach the operators' address; let only relays follow the store

Cause: papayapier job answered not found, and ConfigDeps.plan was not wired, so every instance of a large site would watch the store. Change: compose.py.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -25,6 +25,7 @@
 from papayapier.entry.callers import caller_auth
 from papayapier.entry.health_routes import add_health_routes
 from papayapier.entry.online_routes import OnlineDeps, add_online_routes
+from papayapier.entry.operator_auth import job_auth, no_new_work
 from papayapier.entry.operator_routes import OperatorDeps, add_operator_routes
 from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Ports, Readiness
@@ -243,6 +244,7 @@
             peers=lambda: [view.id for view in hub.views() if view.up],
             queued_under=online.queued_under,
             upstream_names=lambda: set(fleet.view.upstream_names()),
+            plan=hub.plan,
         )
     )
 
@@ -352,6 +354,7 @@
     add_batch_routes(entry, work.batch, auth, readiness.refusing)
     operator = Klein()
     add_health_routes(operator, readiness.why_not, base.metrics)
+    add_batch_routes(operator, work.batch, job_auth(cfg.operator.operators), no_new_work)
     status = FleetStatus(cfg.instance, work.config.book, work.hub, readiness)
     add_operator_routes(
         operator,
