Word unreadable and malformed settings files plainly

Cause: 'papayapier check' printed an errno tuple and Python byte quotes. Change: settings.py and codec.py reword them. Measurement: 'cannot be read: no such file or directory', 'not valid json: unclosed object starting near 1'. Conclusion: one plain line each.

--- a/papayapier/codec.py
+++ b/papayapier/codec.py
@@ -6,10 +6,11 @@
 msgspec then does all the checking and names the path of the field at fault.
 """
 
+import re
 from functools import cache, partial, reduce
 from operator import or_
 from types import UnionType
-from typing import Any, TypeVar, Union, cast, get_args, get_origin, get_type_hints
+from typing import Any, Final, TypeVar, Union, cast, get_args, get_origin, get_type_hints
 
 import msgspec
 import pyjson5
@@ -17,6 +18,8 @@
 
 T = TypeVar("T")
 
+BYTES_QUOTE: Final = re.compile(r"b'(\w+)'")
+
 
 def from_json(text: bytes, cls: type[T]) -> Result[T, str]:
     """Decode strict JSON into a record, or say which field is at fault."""
@@ -31,7 +34,9 @@
     try:
         return from_document(pyjson5.loads(text), cls)
     except pyjson5.Json5Exception as exc:
-        return Err(f"not valid json: {exc.args[0]}")
+        # The library's messages quote some words as Python bytes.
+        why = BYTES_QUOTE.sub(r"\1", str(exc.args[0]))
+        return Err(f"not valid json: {why[:1].lower()}{why[1:]}")
 
 
 def from_document(document: object, cls: type[T]) -> Result[T, str]:
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -175,6 +175,8 @@
     """Read and check a settings file; the error names file, field and reason."""
     try:
         text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        return Err(f"{path}: cannot be read: {exc}")
+    except OSError as exc:
+        return Err(f"{path}: cannot be read: {(exc.strerror or str(exc)).lower()}")
+    except UnicodeDecodeError:
+        return Err(f"{path}: cannot be read: not utf-8 text")
     return codec.from_commented_json(text, Settings).map_err(lambda why: f"{path}: {why}")
