Take the connections that the kernel holds just before a port closes

Cause: 1 of 25 runs of the SIGTERM test showed one request cut: the library closes a port when the reactor next comes round, and the kernel reset a connection made in between, with its request on it. The test itself then hung, because its client noted the end of a connection too late. Change: waiting connections are taken in the same turn of the reactor in which the port closes, up to the whole backlog; the client notes the end first. Conclusion: a few microseconds are left between the last accept and the close; a balancer that has noticed the stop by then sends nothing into them.

--- a/papayapier/stopping.py
+++ b/papayapier/stopping.py
@@ -8,12 +8,13 @@
 at the same time as the rest goes on, since others can take it up at once.
 """
 
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from twisted.internet.defer import Deferred, maybeDeferred
 
 from papayapier import events
 from papayapier.invariants import Promise, check
+from papayapier.listen import BACKLOG
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -117,11 +118,19 @@
 async def stop_listening(listening: "tuple[Listening, ...]") -> None:
     """Close the listening ports, and keep the connections that were made."""
     for one in listening:
-        # The kernel resets the connections that it holds for us; so they are taken first.
-        one.handle.doRead()
+        # The library closes the port when the reactor next comes round. By then callers may
+        # have connected, and the kernel resets every connection that nobody has taken.
+        one.site.reactor.callLater(0, _take_waiting, one.handle)
         await maybeDeferred(one.handle.stopListening)
 
 
+def _take_waiting(port: Any) -> None:
+    """Take all connections that the kernel has made for a port."""
+    if port.connected:
+        port.numberAccepts = BACKLOG
+        port.doRead()
+
+
 async def _as_coroutine(call: "Callable[[], Awaitable[None]]") -> None:
     await call()
 
--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -25,8 +25,8 @@
                 seen.callback(None)
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
-        self._fail_awaited()
         self.closed.callback(None)
+        self._fail_awaited()
 
     def _fail_awaited(self) -> None:
         awaited, self._awaited = self._awaited, []
