Tell dispatch how many calls are free, and free a probe whose call was dropped

Cause: dispatch counts claims in flight against the room, for which yes or no is too little; a cancelled probe held a returning replica out for ten seconds; failed calls taught durations. Change: routing.free_calls replaces has_room; Outliers.on_dropped; ServiceRate learns a duration only with a profile.

--- a/misc/policy_sim/overload_run.py
+++ b/misc/policy_sim/overload_run.py
@@ -24,7 +24,7 @@
 )
 from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.admission import AdmissionQueue, Waiting
-from papayapier.policy.routing import RouteRequest, choose, has_room
+from papayapier.policy.routing import RouteRequest, choose, free_calls
 from papayapier.upstream.api import Replica
 
 DUE_MS: Final = 1_500
@@ -64,7 +64,7 @@
 
 def policy_gate(node: Node, now: int) -> bool:
     """Send as the product does."""
-    return has_room(node.book, node.outliers, UPSTREAM, now)
+    return free_calls(node.book, node.outliers, UPSTREAM, now) > 0
 
 
 GATES: Final[dict[str, Gate]] = {
--- a/papayapier/policy/outliers.py
+++ b/papayapier/policy/outliers.py
@@ -164,6 +164,12 @@
         row = self._rows.get(replica_id)
         return row is None or row.state == "healthy"
 
+    def on_dropped(self, replica_id: str) -> None:
+        """Take that a call ended without a verdict, as when it was cancelled from our side."""
+        row = self._rows.get(replica_id)
+        if row is not None:
+            row.probe_ms = None
+
     def ejected(self, replica_id: str, now: int) -> bool:
         """Tell whether a replica is out of use, or has as many probes as it may have."""
         row = self._rows.get(replica_id)
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -65,8 +65,8 @@
     return chosen
 
 
-def has_room(book: LoadBook, outliers: Outliers, upstream: str, now: int) -> bool:
-    """Tell whether some replica could run one more online call at once.
+def free_calls(book: LoadBook, outliers: Outliers, upstream: str, now: int) -> float:
+    """Return how many more online calls the replicas of an upstream could run at once.
 
     Engines queue in order of arrival and know no priorities: a call that waits in an engine
     can no longer be overtaken by an urgent one, so it waits in the admission queue instead.
@@ -74,7 +74,7 @@
     keep a replica busy until the next report.
     """
     candidates = _candidates(book, outliers, upstream, frozenset(), now)
-    return any(not _full(book, replica, now) for replica in candidates)
+    return sum(max(0.0, _free(book, replica, now)) for replica in candidates)
 
 
 def _candidates(
@@ -124,7 +124,11 @@
 
 
 def _full(book: LoadBook, replica: Replica, now: int) -> bool:
-    return book.online_pressure(replica.id, now) >= FULL_FACTOR * book.slots(replica.id)
+    return _free(book, replica, now) <= 0.0
+
+
+def _free(book: LoadBook, replica: Replica, now: int) -> float:
+    return FULL_FACTOR * book.slots(replica.id) - book.online_pressure(replica.id, now)
 
 
 def _cost(
--- a/papayapier/policy/service_rate.py
+++ b/papayapier/policy/service_rate.py
@@ -57,8 +57,10 @@
         self._in_flight += cost
 
     def on_ended(self, cost: float, profile: str, duration_ms: float) -> None:
-        """Count an end."""
+        """Count an end; without a profile its duration teaches nothing."""
         self._in_flight = max(0.0, self._in_flight - cost)
+        if not profile:
+            return
         known = self._durations.setdefault(profile, _Duration())
         known.count += 1
         weight = max(DURATION_WEIGHT, 1 / known.count)
--- a/tests/test_policy_outliers.py
+++ b/tests/test_policy_outliers.py
@@ -98,6 +98,9 @@
     outliers.on_start("r0", now)
     assert outliers.ejected("r0", now + 1_000)
     assert not outliers.ejected("r0", now + 60_000)
+    outliers.on_start("r0", now + 60_000)
+    outliers.on_dropped("r0")
+    assert not outliers.ejected("r0", now + 60_000)
 
 
 def test_a_replica_ten_times_slower_than_its_siblings_is_ejected() -> None:
--- a/tests/test_policy_routing.py
+++ b/tests/test_policy_routing.py
@@ -6,7 +6,7 @@
 from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
-from papayapier.policy.routing import RouteRequest, choose, has_room
+from papayapier.policy.routing import RouteRequest, choose, free_calls
 from papayapier.policy.subsets import subset
 from papayapier.upstream.api import Load, Replica
 
@@ -92,12 +92,12 @@
         book.on_peer_uses(peer, [ReplicaUse("r0", 6, 0)], 900)
     book.on_report("r0", Load(24, 0, SLOTS, 6.0, 1_000))
     sent = 0
-    while has_room(book, outliers, "model", 1_000):
+    while free_calls(book, outliers, "model", 1_000) > 0:
         book.on_sent("r0", False, 1_000)
         sent += 1
     assert 2 <= sent <= 5
     book.on_done("r0", False, 1_001)
-    assert has_room(book, outliers, "model", 1_001)
+    assert free_calls(book, outliers, "model", 1_001) > 0
 
 
 def test_batch_calls_take_no_room_from_online_calls() -> None:
@@ -105,7 +105,7 @@
     for _ in range(SLOTS):
         book.on_sent("r0", True, 900)
     book.on_report("r0", Load(SLOTS, 0, SLOTS, 6.9, 1_200))
-    assert has_room(book, outliers, "model", 1_200)
+    assert free_calls(book, outliers, "model", 1_200) >= SLOTS
 
 
 def test_subsets_are_bounded_and_load_all_replicas_alike() -> None:
