Measure ejection of a slowed replica in the routing model

Cause: the model never told Outliers how calls ended, so ejection was not in the comparison. Change: routing_run tells it, and adds a way without ejection and a replica ten times slower.

--- a/misc/policy_sim/routing_run.py
+++ b/misc/policy_sim/routing_run.py
@@ -1,8 +1,8 @@
 """Compare ways of choosing a replica while load reports lag.
 
 Run as: python -m misc.policy_sim.routing_run [--seed N] [--seconds S]
-Six instances send to nine replicas; in the last group of rows one replica is three times
-slower. Times are in ms.
+Six instances send to nine replicas; in the last groups of rows one replica is three and ten
+times slower. Times are in ms.
 """
 
 import argparse
@@ -27,6 +27,7 @@
 WARM_UP_MS: Final = 2_000.0
 MEAN_TOKENS: Final = 60
 UPSTREAM: Final = "model"
+NO_OUTLIERS: Final = Outliers()
 
 
 class Node:
@@ -85,6 +86,12 @@
     return choose(node.book, node.outliers, req, node.rand, now) or node.ids[0]
 
 
+def without_ejection(node: Node, now: int) -> str:
+    """Choose as the product does, but never eject."""
+    req = RouteRequest(UPSTREAM, "", node.data_centre)
+    return choose(node.book, NO_OUTLIERS, req, node.rand, now) or node.ids[0]
+
+
 WAYS: Final[dict[str, Callable[[Node, int], str]]] = {
     "random": by_random,
     "least reported": by_least_reported,
@@ -92,6 +99,7 @@
     "two, own calls": by_two_own,
     "least estimated": by_least_estimated,
     "policy": by_policy,
+    "no ejection": without_ejection,
 }
 
 
@@ -135,6 +143,7 @@
         begun = loop.now
         key = way(node, int(begun))
         node.book.on_sent(key, False, int(begun))
+        node.outliers.on_start(key, int(begun))
         tokens = max(1, round(rand.expovariate(1 / MEAN_TOKENS)))
 
         def ended(_: bool) -> None:
@@ -142,8 +151,10 @@
 
         def done() -> None:
             node.book.on_done(key, False, int(loop.now))
+            first_ms = call.first_ms + LINK_MS - begun
+            node.outliers.on_end(key, True, first_ms, int(loop.now))
             if begun >= WARM_UP_MS:
-                firsts.append(call.first_ms + LINK_MS - begun)
+                firsts.append(first_ms)
                 totals.append((loop.now - begun) / tokens)
 
         call = Call(tokens, 0.0, ended)
@@ -172,7 +183,7 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     args = parser.parse_args()
     print("load  slow  way               first p50  first p99  ms/token p50  p99  peak waiting")
-    for load, slow in ((0.5, 1.0), (0.8, 1.0), (0.9, 1.0), (0.7, 3.0)):
+    for load, slow in ((0.5, 1.0), (0.8, 1.0), (0.9, 1.0), (0.7, 3.0), (0.7, 10.0)):
         for name, way in WAYS.items():
             row = run(way, load, slow, args.seed, args.seconds)
             print(
