--- a/papayapier/load/chaos_jobs.py
+++ b/papayapier/load/chaos_jobs.py
@@ -69,12 +69,19 @@
         await gatherResults([Deferred.fromCoroutine(wait) for wait in waits])
 
     def broken_once(self, started: dict[str, int]) -> list[str]:
-        """Return each item of a non-idempotent job that ran more than once."""
+        """Return each item of a non-idempotent job that ran more than once.
+
+        Items are found by their job's id at the start of the call id. If none is found, that
+        is said too, since otherwise a changed form of call id would make this check empty.
+        """
         once = tuple(f"{one.id}-" for one in self.accepted if one.job.profile == ONCE)
+        ran = {call_id: times for call_id, times in started.items() if call_id.startswith(once)}
+        if once and not ran:
+            return ["no engine knows an item of a non-idempotent job by its call id"]
         return [
             f"item {call_id} is not idempotent, and ran {times} times"
-            for call_id, times in started.items()
-            if times > 1 and once and call_id.startswith(once)
+            for call_id, times in ran.items()
+            if times > 1
         ]
 
     def _keep(self, work: "jobs.Work") -> None:
