Open more input ahead for outages, and never fill memory with unfinished tasks

And memory could be full of results of tasks none of which could go on to its end: nothing would be sent and nothing stored, for good. Change: a minute's input is opened ahead, within half of the bound, in equal parts for upstreams, and at least one task for each caller; at the bound the largest task's results are stored apart.

--- a/papayapier/batch/commits.py
+++ b/papayapier/batch/commits.py
@@ -81,7 +81,7 @@
         if not self._allowed(task):
             return False
         state = task.state
-        if state.left() == 0 or state.must_save() or state.held_bytes > SPILL_BYTES:
+        if state.left() == 0 or state.must_save() or _must_spill(task):
             return True
         if task.stopping and not task.running:
             return True
@@ -94,7 +94,7 @@
     async def _store_next(self, task: OpenTask) -> None:
         if not self._wants(task):
             return
-        if task.state.held_bytes > SPILL_BYTES:
+        if _must_spill(task):
             await self._spill(task)
         elif task.state.left() == 0:
             await self._record(task)
@@ -134,6 +134,7 @@
         task.checkpoint_at = self._deps.clock.now() + task.checkpoint_pause
 
     async def _spill(self, task: OpenTask) -> None:
+        task.spill_wanted = False
         results = task.state.take_spill()
         writer = self._next_writer().replace("/", ".")
         key = keys.spill_key(task.job.record.job_id, task.span.task, writer)
@@ -198,5 +199,10 @@
         return f"{self._holder}/{self._writes}"
 
 
+def _must_spill(task: OpenTask) -> bool:
+    held = task.state.held_bytes
+    return held > SPILL_BYTES or (task.spill_wanted and held > 0)
+
+
 def _name(task: OpenTask) -> str:
     return f"task {task.span.task} of {task.job.record.job_id}"
--- a/papayapier/batch/opener.py
+++ b/papayapier/batch/opener.py
@@ -1,9 +1,9 @@
 """Open tasks shortly before their items are needed, within the bound on memory."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from result import Err
 
@@ -24,6 +24,13 @@
 UNREADABLE_PAUSE_MS: Final = 30_000
 
 
+class InputRoom(NamedTuple):
+    """Bound the bytes of input to be opened: the share of an upstream, and the most at all."""
+
+    share: int
+    most: int
+
+
 class Opener:
     """Open pending tasks of jobs; one that cannot be opened now stays pending."""
 
@@ -42,9 +49,14 @@
         self._go_on = go_on
         self._pauses = Pauses(deps.rand)
 
-    def open_ahead(self, jobs: list[JobWork], caps: dict[str, int], room_bytes: int) -> None:
+    def open_ahead(
+        self, jobs: list[JobWork], caps: dict[str, int], items: int, room: InputRoom
+    ) -> None:
         """Open the next tasks of an upstream when a caller's open ones will soon be used up.
 
+        At least so many items of each caller are opened ahead that work can go on for a
+        while when the store does not answer; for ordinary tasks this costs no write.
+
         Each caller is looked at on its own: else the tasks of one with early jobs would be
         ahead enough, and another's part of the capacity would find nothing to run.
         """
@@ -53,14 +65,15 @@
             ahead[job.record.caller] += _unsent(job)
         for job in jobs:
             caller = job.record.caller
-            wanted = max(MIN_AHEAD, AHEAD * caps[caller])
+            wanted = max(MIN_AHEAD, AHEAD * caps[caller], items)
             if ahead[caller] >= wanted:
                 continue
             for task in [task for task in job.pending if self._may_open(job, task)]:
+                room_bytes = room.share if ahead[caller] else room.most
                 if ahead[caller] >= wanted or room_bytes < CHUNK_BYTES:
                     break
                 ahead[caller] += job.spans[task].size()
-                room_bytes -= CHUNK_BYTES
+                room = InputRoom(room.share - CHUNK_BYTES, room.most - CHUNK_BYTES)
                 self._open_soon(job, task)
 
     def _open_soon(self, job: JobWork, task: int) -> None:
@@ -114,6 +127,15 @@
             self._go_on()
 
 
+def input_bytes(jobs: Iterable[JobWork]) -> int:
+    """Return the size of the input of jobs' open tasks, and a bound for those being opened."""
+    held = 0
+    for job in jobs:
+        held += len(job.opening) * CHUNK_BYTES
+        held += sum(task.input_bytes for task in job.open.values())
+    return held
+
+
 def _unsent(job: JobWork) -> int:
     opening = sum(job.spans[task].size() for task in job.opening)
     states = [task.state for task in job.open.values()]
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from papayapier.batch.commits import CommitCalls, Commits
-from papayapier.batch.opener import Opener
+from papayapier.batch.opener import InputRoom, Opener, input_bytes
 from papayapier.batch.opening import Grant
 from papayapier.batch.records import CHUNK_BYTES, Tally
 from papayapier.batch.sending import Sender
@@ -24,6 +24,7 @@
     from papayapier.config.profiles import Profile
 
 SLICE_ITEMS: Final = 8
+OUTAGE_AHEAD_MS: Final = 60_000
 MIN_INTENTS: Final = 8
 MAX_INTENTS: Final = 64
 TICK_MS: Final = 500
@@ -166,7 +167,10 @@
     def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
         """Hand out one slice of an upstream's items; tell whether there is more to do now."""
         room = self._deps.dispatch.room(upstream)
-        left = min(room, SLICE_ITEMS) if self.bytes_held() < self._limit() else 0
+        left = min(room, SLICE_ITEMS)
+        if self.bytes_held() >= self._limit():
+            left = 0
+            self._make_room()
         running = sum(job.in_flight() for job in jobs)
         caps = caller_caps(jobs, room + running)
         flying: Counter[str] = Counter()
@@ -181,9 +185,32 @@
             if left == 0:
                 break
             left -= self._send_of(job, left, room)
-        self._opener.open_ahead(jobs, caps, self._limit() - self.bytes_held())
+        ahead = self.rates.rate(upstream) * OUTAGE_AHEAD_MS / max(1, len(caps))
+        self._opener.open_ahead(jobs, caps, int(ahead), self._input_room(jobs))
         return left == 0 and room > SLICE_ITEMS
 
+    def _input_room(self, jobs: list[JobWork]) -> InputRoom:
+        """Return how many bytes of input may still be opened for an upstream's jobs.
+
+        Input takes half of the memory, in equal parts for each upstream, because tasks of an
+        upstream that stands still keep theirs. The other half is for results, but for a
+        first task of a caller that has none.
+        """
+        upstreams = max(1, self.turns.upstreams())
+        share = max(CHUNK_BYTES, self._limit() // 2 // upstreams)
+        return InputRoom(share - input_bytes(jobs), self._limit() - self.input_bytes())
+
+    def _make_room(self) -> None:
+        """Store the results of the task that holds most, though the task is not finished.
+
+        Else memory could be full of results of tasks none of which can go on to its end.
+        """
+        tasks = [task for job in self.jobs.values() for task in job.open.values()]
+        largest = max(tasks, key=lambda task: task.state.held_bytes, default=None)
+        if largest is not None and not any(task.spill_wanted for task in tasks):
+            largest.spill_wanted = True
+            self._commits.kick(largest)
+
     def _send_of(self, job: JobWork, most: int, room: int) -> int:
         profile = self.profile_of(job)
         sent = 0
@@ -230,11 +257,12 @@
 
     def bytes_held(self) -> int:
         """Return the size of what all open tasks keep in memory."""
-        held = 0
-        for job in self.jobs.values():
-            held += len(job.opening) * CHUNK_BYTES
-            held += sum(task.bytes_held() for task in job.open.values())
-        return held
+        tasks = [task for job in self.jobs.values() for task in job.open.values()]
+        return self.input_bytes() + sum(task.state.held_bytes for task in tasks)
+
+    def input_bytes(self) -> int:
+        """Return the size of the input of all open tasks, and a bound for those being opened."""
+        return input_bytes(self.jobs.values())
 
     def _limit(self) -> int:
         return self._deps.cfg.result_buffer_bytes
--- a/papayapier/batch/turns.py
+++ b/papayapier/batch/turns.py
@@ -73,6 +73,10 @@
             self._ordered_ms = now
         return self._turns
 
+    def upstreams(self) -> int:
+        """Return how many upstreams have jobs."""
+        return len(self._turns)
+
     def _order(self, jobs: "list[JobWork]") -> "dict[str, list[JobWork]]":
         by_id = {job.record.job_id: job for job in jobs}
         turns: dict[str, list[JobWork]] = {}
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -40,6 +40,7 @@
         "saving",
         "shard",
         "span",
+        "spill_wanted",
         "state",
         "stopping",
         "version",
@@ -68,12 +69,9 @@
         self.checkpoint_at = 0
         self.checkpoint_pause = 0
         self.stopping = False
+        self.spill_wanted = False
         self.closed = False
 
-    def bytes_held(self) -> int:
-        """Return the size of what the task keeps in memory."""
-        return self.input_bytes + self.state.held_bytes
-
 
 class JobWork:
     """Hold one active job, and the tasks of it that are this instance's to run."""
--- a/tests/test_batch_parts.py
+++ b/tests/test_batch_parts.py
@@ -20,7 +20,7 @@
 from papayapier.settings import BatchSettings
 from papayapier.store.api import StoreError
 from papayapier.upstream.api import Reply
-from tests.batch_world import CALLER, DEFAULTS, URL, World, now
+from tests.batch_world import CALLER, DEFAULTS, PROFILES, URL, World, now
 from tests.fake_store import Fault
 
 DERANDOMIZED = settings(derandomize=True, deadline=None, database=None, max_examples=60)
@@ -267,6 +267,20 @@
         assert len({one["custom_id"] for one in lines}) == 60
         assert any(key.startswith(keys.spill_prefix("")[:6]) for key in world.platform.objects)
 
+    def test_memory_full_of_unfinished_tasks(self) -> None:
+        # Symptom: batch work stands still for good, with the store and the fleet well.
+        # Sequence: the open tasks' results reach the bound before any task is finished.
+        # Cause: only finished tasks are stored, and at the bound nothing is sent.
+        world = World(DEFAULTS._replace(result_buffer_bytes=1_000_000))
+        batch = world.start("a")
+        world.advance(2_000)
+        text = json.dumps({"text": "x" * 60_000}).encode()
+        big = Reply(200, "application/json", text, "", 1, "stop", None, 1, 1)
+        world.fleet.answer = lambda call: Ok(big)
+        jobs = [world.submit(batch, world.upload(batch, 60), name) for name in PROFILES]
+        world.advance(20_000)
+        assert all(world.job(batch, job).ended for job in jobs)
+
 
 class TestStreaming:
     def test_slow_reader_stops_the_reading(self) -> None:
