Start requests by the routing policy's own view of free calls; free probe slots of dropped calls

Cause: the queue started requests by the lagging estimate while routing went by own calls, so instances overfilled engines at overload; a cancelled or unblamed probe kept its replica's probe slot for 10 s; the load that an answer carries was corrected as if it lagged. Change: dispatch uses routing.free_calls (at least one whole call free), tells outliers of calls without a verdict, passes on whether a request may be a probe; answers.py marks the header's load as not lagging; an upstream whose replicas all leave refuses at once.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -86,7 +86,9 @@
 
 def _pick(deps: "DispatchDeps", req: "OnlineRequest", excluded: frozenset[str]) -> Replica | None:
     upstream = req.profile.upstream
-    route = RouteRequest(upstream, req.prefix, deps.data_centre, excluded, False)
+    route = RouteRequest(
+        upstream, req.prefix, deps.data_centre, excluded, idempotent=req.profile.idempotent
+    )
     now = deps.clock.now()
     chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
     if chosen is None and excluded:
@@ -116,6 +118,7 @@
     deps.book.on_sent(replica.id, False, started)
     deps.outliers.on_start(replica.id, started)
     deps.uses_changed()
+    verdict = False
     try:
         # Only now, because what batch must give up is worked out from the calls counted.
         make_room(replica.id)
@@ -124,9 +127,12 @@
         call = _call(req, progress)
         receive = _receiver(deps, req, call, progress, on_token)
         sent = await deps.upstreams.send(replica, call, receive)
+        verdict = isinstance(sent, Ok) or blames_replica(sent.err_value)
     finally:
         deps.book.on_done(replica.id, False, deps.clock.now())
         deps.uses_changed()
+        if not verdict:
+            deps.outliers.on_dropped(replica.id)
     _learn(deps, replica, sent)
     return sent
 
--- a/papayapier/dispatch/lanes.py
+++ b/papayapier/dispatch/lanes.py
@@ -168,7 +168,13 @@
         item.gave_way = False
         self._deps.outliers.on_start(replica.id, now)
         call = self._call(item, now)
-        sent = await item.send(lambda: self._deps.upstreams.send(replica, call, item.receive))
+        verdict = False
+        try:
+            sent = await item.send(lambda: self._deps.upstreams.send(replica, call, item.receive))
+            verdict = isinstance(sent, Ok) or _blames(item, sent.err_value)
+        finally:
+            if not verdict:
+                self._deps.outliers.on_dropped(replica.id)
         if isinstance(sent, Err) and rejection(sent.err_value) is None:
             item.maybe_sent = item.maybe_sent or sent.err_value.sent is Sent.MAYBE
         self._learn(item, replica, sent)
@@ -207,7 +213,7 @@
             if sent.ok_value.load is not None:
                 self._deps.book.on_report(replica.id, sent.ok_value.load)
             return
-        if not item.gave_way and blames_replica(sent.err_value):
+        if _blames(item, sent.err_value):
             self._deps.outliers.on_end(replica.id, False, None, now)
 
     def _after_failure(self, item: Item, failure: Failure) -> Retry | GiveUp:
@@ -291,3 +297,7 @@
 
 def _no_longer_allowed() -> Refusal:
     return not_run(ErrorKind.CANCELLED, "the item may no longer run")
+
+
+def _blames(item: Item, failure: Failure) -> bool:
+    return not item.gave_way and blames_replica(failure)
--- a/papayapier/dispatch/online.py
+++ b/papayapier/dispatch/online.py
@@ -15,6 +15,7 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.invariants import Promise, check
 from papayapier.policy.admission import Waiting
+from papayapier.policy.routing import free_calls
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -166,9 +167,9 @@
         if now >= req.due_ms:
             return not_run(ErrorKind.DEADLINE, "the due time has passed")
         upstream = req.profile.upstream
-        if not self._deps.book.replicas(upstream):
-            # Waiting for a replica that nobody has listed would only use up the due time.
-            reason = f"upstream {upstream} has no replica"
+        if not self._deps.book.usable(upstream, now):
+            # Waiting for a replica that is not there would only use up the due time.
+            reason = f"upstream {upstream} has no usable replica"
             return not_run(ErrorKind.NO_UPSTREAM, reason, NOT_LISTED_RETRY_MS)
         return None
 
@@ -223,24 +224,10 @@
             self._waiters.pop(waiting.ticket).fired.callback(Ok(None))
 
     def _can_start(self, upstream: str) -> bool:
-        """Tell whether some replica could run one more online request at once.
-
-        Engines queue in order of arrival and know no priorities. A request that waits in
-        an engine can no longer be overtaken by an urgent one, so it waits here instead.
-        Batch streams do not count, since they give way.
-        """
-        book = self._deps.book
+        """Tell whether the replicas could run one more online request at once."""
         now = self._deps.clock.now()
-        claiming = self._claiming.count(upstream, now)
-        free = 0.0
-        for replica in book.usable(upstream, now):
-            if self._deps.outliers.ejected(replica.id, now):
-                continue
-            used = book.estimate(replica.id, now) - book.batch_at(replica.id)
-            free += max(0.0, book.slots(replica.id) - used)
-            if free > claiming:
-                return True
-        return False
+        free = free_calls(self._deps.book, self._deps.outliers, upstream, now)
+        return free >= self._claiming.count(upstream, now) + ONE_REQUEST
 
     def _keep_ticking(self) -> None:
         if self._timer is None and self._waiters:
--- a/papayapier/upstream/answers.py
+++ b/papayapier/upstream/answers.py
@@ -136,7 +136,7 @@
     if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
         return None
     running, waiting, slots = map(int, parts)
-    return Load(running, waiting, slots, 0.0, now_ms)
+    return Load(running, waiting, slots, 0.0, now_ms, lagging=False)
 
 
 def parse_load(status: int, body: bytes, now_ms: int) -> Result[Load, Failure]:
