Hand each token to the kernel at once

Cause: the library writes when the reactor next comes round: for each token of each stream two changes of the poll set and an event of its own. Change: a stream's events are sent directly when nothing waits in the connection's buffer; what the kernel does not take goes through the library as before, in order.

--- a/papayapier/entry/chat.py
+++ b/papayapier/entry/chat.py
@@ -202,7 +202,7 @@
             if self._unread > MAX_UNREAD_BYTES:
                 self._close()
         if self._open:
-            self._request.write(data)
+            self._request.write_now(data)
 
     def end(self) -> None:
         if self._open:
--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -68,6 +68,17 @@
             return
         self.content.write(data)
 
+    def write_now(self, data: bytes) -> None:
+        """Write a part of a streamed answer, and hand it to the kernel at once if it takes it.
+
+        The library writes when the reactor next comes round, which costs two changes of the
+        poll set and an event of its own for each token of each stream.
+        """
+        if self.chunked and not self._disconnected:
+            self.channel.send_now(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self.write(data)
+
     def process(self) -> None:
         """Pass the request on to its route, once it has come whole."""
         try:
@@ -168,6 +179,18 @@
             self.persistent = False
         super().writeHeaders(version, code, reason, headers)
 
+    def send_now(self, data: bytes) -> None:
+        """Send some bytes, without waiting for the reactor unless others wait already."""
+        transport = self.transport
+        sent = 0
+        if not (transport.dataBuffer or transport._tempDataBuffer):
+            sent = transport.writeSomeData(data)
+        if sent == len(data):
+            return
+        # A failed connection is left for the reactor to find, as with every other write.
+        rest = data[sent:] if isinstance(sent, int) and sent > 0 else data
+        transport.write(rest)
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close once everything written has been sent; abort if that takes too long.
 
--- a/papayapier/entry/web.py
+++ b/papayapier/entry/web.py
@@ -30,6 +30,9 @@
     def write(self, data: bytes) -> None:
         """Send a part of the answer."""
 
+    def write_now(self, data: bytes) -> None:
+        """Send a part of a streamed answer without waiting for the reactor."""
+
     def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
         """Name who is told that the caller does not keep up."""
 
--- a/tests/raw_client.py
+++ b/tests/raw_client.py
@@ -1,6 +1,7 @@
 """Talk HTTP to a server byte by byte, so that a test can be a caller of any kind."""
 
 import json
+import socket
 from typing import Any
 
 from twisted.internet import reactor
@@ -41,6 +42,11 @@
         transport: Any = self.transport
         transport.pauseProducing()
 
+    def shrink(self) -> None:
+        """Let the kernel hold little for this connection."""
+        transport: Any = self.transport
+        transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+
     def go_on_reading(self) -> None:
         transport: Any = self.transport
         transport.resumeProducing()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,5 +1,7 @@
 """Test what callers see of the entry over real sockets, with scripted work behind it."""
 
+import re
+import socket
 
 from result import Err
 from twisted.internet.defer import Deferred
@@ -202,6 +204,39 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_slow_caller_gets_its_stream_whole_and_in_order(self) -> Deferred[None]:
+        # Symptom: events of a stream are missing or out of order for slow callers.
+        # Sequence: the kernel takes a part of an event only; more events follow at once.
+        # Cause: bytes sent past the library's buffer must wait for what is in it.
+        count = 1_500
+        paused: Deferred[None] = Deferred()
+
+        async def stream(_req: OnlineRequest, on_token: OnToken) -> Ended:
+            (conn,) = self.world.site.connections
+            conn.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            on_token(token("<0>"))
+            await paused
+            for number in range(1, count):
+                on_token(token(f"<{number}>"))
+            assert conn.transport.dataBuffer or conn.transport._tempDataLen
+            return ANSWER
+
+        async def run() -> None:
+            self.world.work = stream
+            client = await self.world.connect()
+            client.shrink()
+            client.write(post("/v1/chat/completions", question(stream=True), CHAT))
+            await client.until(b"<0>")
+            client.stop_reading()
+            paused.callback(None)
+            client.go_on_reading()
+            await client.until(b"0\r\n\r\n")
+            seen = [int(part) for part in re.findall(rb"<(\d+)>", client.received)]
+            assert seen == list(range(count))
+            assert client.received.count(b"[DONE]") == 1
+
+        return Deferred.fromCoroutine(run())
+
     def test_caller_that_leaves_cancels_its_work(self) -> Deferred[None]:
         begun: Deferred[None] = Deferred()
         cancelled: Deferred[None] = Deferred()
