Test the store adapter against the stand-in platform; pin attempt numbers by a test

Cause: the adapter had met only scripted answers, and a claim whose attempt number did not rise was noticed by the state machine only by chance. Change: all nine calls, a lost answer and an outage run against the stand-in; the archive test asks for a key whose abandoned attempt is archived while the next one is in the head.

--- a/papayapier/store/members.py
+++ b/papayapier/store/members.py
@@ -4,10 +4,13 @@
 says who may be there, never who lives: leases and peers' heartbeats tell that. A list that
 cannot be read changes nothing here, because an outage of the platform must not look like the
 loss of all upstreams.
+
+Until the first reading, a list that somebody else has read stands in (learn): a peer's, or
+the one kept in the data folder. The platform's own list always replaces it.
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from result import Err, Ok
@@ -37,7 +40,12 @@
     """Hold the last list read; tell of each difference to the one before."""
 
     def __init__(
-        self, store: Store, clock: Clock, rng: random.Random, on_members: OnMembers
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        on_members: OnMembers,
+        on_unread: Callable[[], None] = lambda: None,
     ) -> None:
         self.known: dict[str, Member] = {}
         self.read_ms: int | None = None
@@ -45,6 +53,8 @@
         self._clock = clock
         self._rng = rng
         self._on_members = on_members
+        self._on_unread = on_unread
+        self._learnt_ms: int | None = None
         self._task: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -57,13 +67,32 @@
         if self._task is not None:
             self._task.cancel()
 
+    def learn(self, members: Sequence[Member], read_ms: int) -> bool:
+        """Take over a list that somebody else read at a time; return False if it is no news."""
+        if self.read_ms is not None:
+            return False
+        if self._learnt_ms is not None and read_ms <= self._learnt_ms:
+            return False
+        self._learnt_ms = read_ms
+        self._compare({member.id: member for member in members})
+        return True
+
+    def age_ms(self) -> int | None:
+        """Return how long ago the list was read from the platform; None if there is none."""
+        read_ms = self._learnt_ms if self.read_ms is None else self.read_ms
+        return None if read_ms is None else self._clock.now() - read_ms
+
     async def _loop(self) -> None:
         since = 0
         pauses = Pauses(self._rng)
         while True:
-            found = await self._store.members(WAIT_MS, since)
+            # The first reading waits for no change: where the platform is silent, its
+            # time-out is all that delays a start by other means.
+            found = await self._store.members(WAIT_MS if since else 0, since)
             if isinstance(found, Err):
                 since = 0
+                if self.read_ms is None:
+                    self._on_unread()
                 await self._clock.sleep(pauses.next_ms())
                 continue
             pauses.reset()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -291,6 +291,9 @@
     new_token(fleet.begin("b", first))
     assert refusal(fleet.begin("b", first, due_in_ms=50))[0] is ErrorKind.STILL_RUNNING
     new_token(fleet.begin("b", fourth))
+    # The archive has the abandoned attempt on the key and the head the one that followed.
+    fleet.start("c")
+    assert fleet.begin("c", first) == Ok(Running("b"))
     for i in (32, 33):
         fleet.begin("b", f"k{i}")
     fleet.resume("a")
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -12,7 +12,17 @@
 from papayapier.clock import real_clock
 from papayapier.metrics import make_metrics
 from papayapier.settings import PlatformSettings
-from papayapier.store.api import Change, Changes, Entry, Listing, Members, Store, StoreError
+from papayapier.standin.platform import PlatformParams, start_platform
+from papayapier.store.api import (
+    Change,
+    Changes,
+    Entry,
+    Listing,
+    Members,
+    Store,
+    Stored,
+    StoreError,
+)
 from papayapier.store.http import http_store
 from tests.fake_store import make_member
 
@@ -182,3 +192,51 @@
 
 def started(case: Coroutine[Deferred[Any], Any, None]) -> Deferred[None]:
     return Deferred.fromCoroutine(case)
+
+
+class StandInPlatformTest(TestCase):
+    """Drive the adapter against the stand-in, which keeps the protocol's other side."""
+
+    timeout = 20
+
+    def test_every_call(self) -> Any:
+        async def case() -> None:
+            clock = real_clock()
+            params = PlatformParams(list_lag_ms=0)
+            server = await start_platform(REACTOR, clock, params, "127.0.0.1", 0)
+            platform = PlatformSettings("127.0.0.1", server.port, 1_000)
+            store = http_store(REACTOR, clock, platform, make_metrics())
+            try:
+                await self.objects(store)
+                await self.instances(store)
+                server.control({"lose_answers": 1})
+                assert await store.create("lost", b"v") == Err(StoreError.LOST)
+                assert isinstance(await store.get("lost"), Ok)
+                server.control({"outage": True})
+                assert await store.get("lost") == Err(StoreError.UNAVAILABLE)
+            finally:
+                await store.close()
+                await server.close()
+
+        return started(case())
+
+    async def objects(self, store: Store) -> None:
+        first = (await store.create("p/a", b"1")).unwrap()
+        assert await store.create("p/a", b"1") == Err(StoreError.CONFLICT)
+        second = (await store.update("p/a", b"2", first)).unwrap()
+        assert await store.update("p/a", b"3", first) == Err(StoreError.CONFLICT)
+        assert (await store.get("p/a")).unwrap() == Stored("p/a", second, b"2")
+        listing = (await store.list("p/", "", 10)).unwrap()
+        assert listing == Listing([Entry("p/a", second)], False, second)
+        waiting = Deferred.fromCoroutine(cast(Any, store.watch("p/", second, 5_000)))
+        deleted = (await store.delete("p/a", second)).unwrap()
+        (change,) = (await waiting).unwrap().changes
+        assert (change.key, change.deleted, change.version >= deleted) == ("p/a", True, True)
+        assert await store.get("p/a") == Err(StoreError.NOT_FOUND)
+
+    async def instances(self, store: Store) -> None:
+        assert await store.report(make_member("e1")) == Ok(None)
+        known = (await store.members(0, 0)).unwrap()
+        assert known.instances == [make_member("e1")]
+        assert await store.withdraw("e1") == Ok(None)
+        assert (await store.members(0, 0)).unwrap().instances == []
