Look only at the jobs that matter for each slice of items

Change: per slice the jobs with open tasks and the first few of each caller; all are ordered now and then, less often with more jobs, at once when those looked at have run dry.

--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -15,7 +15,7 @@
 from papayapier.batch.opening import Grant
 from papayapier.batch.records import CHUNK_BYTES, Tally
 from papayapier.batch.sending import Sender
-from papayapier.batch.turns import Rates, Turns, caller_caps
+from papayapier.batch.turns import DRY_MS, Rates, Turns, caller_caps
 from papayapier.batch.work import JobWork, OpenTask
 
 if TYPE_CHECKING:
@@ -159,10 +159,12 @@
     def _pump(self) -> None:
         self._pump_timer = None
         more = False
-        for upstream, jobs in self.turns.by_upstream(self.jobs.values()).items():
+        for upstream, jobs in self.turns.served(self.jobs.values()).items():
             more = self._serve(upstream, jobs) or more
         if more:
             self.pump_soon()
+        elif self.turns.dry(self.jobs.values()):
+            self._pump_timer = self._deps.clock.call_later(DRY_MS, self._pump)
 
     def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
         """Hand out one slice of an upstream's items; tell whether there is more to do now."""
@@ -205,7 +207,7 @@
 
         Else memory could be full of results of tasks none of which can go on to its end.
         """
-        tasks = [task for job in self.jobs.values() for task in job.open.values()]
+        tasks = [task for job in self.turns.busy() for task in job.open.values()]
         largest = max(tasks, key=lambda task: task.state.held_bytes, default=None)
         if largest is not None and not any(task.spill_wanted for task in tasks):
             largest.spill_wanted = True
@@ -257,12 +259,12 @@
 
     def bytes_held(self) -> int:
         """Return the size of what all open tasks keep in memory."""
-        tasks = [task for job in self.jobs.values() for task in job.open.values()]
+        tasks = [task for job in self.turns.busy() for task in job.open.values()]
         return self.input_bytes() + sum(task.state.held_bytes for task in tasks)
 
     def input_bytes(self) -> int:
         """Return the size of the input of all open tasks, and a bound for those being opened."""
-        return input_bytes(self.jobs.values())
+        return input_bytes(self.turns.busy())
 
     def _limit(self) -> int:
         return self._deps.cfg.result_buffer_bytes
--- a/papayapier/batch/turns.py
+++ b/papayapier/batch/turns.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import TYPE_CHECKING, Final
 
 from papayapier.policy import deadlines
@@ -17,6 +17,9 @@
     from papayapier.clock import Clock
 
 ORDER_MS: Final = 100
+ORDER_JOB_MS: Final = 2
+DRY_MS: Final = 20
+FIRST_JOBS: Final = 4
 RISK_WEIGHT: Final = 3
 SMOOTHING: Final = 0.2
 
@@ -56,7 +59,7 @@
         self._clock = clock
         self._rates = rates
         self._upstream_of = upstream_of
-        self._turns: dict[str, list[JobWork]] = {}
+        self._served: dict[str, list[JobWork]] = {}
         self._ordered_ms: int | None = None
 
     def forget(self) -> None:
@@ -65,26 +68,46 @@
 
     def by_upstream(self, jobs: "Iterable[JobWork]") -> "dict[str, list[JobWork]]":
         """Return the jobs of each upstream, the one to be served first in front."""
-        now = self._clock.now()
-        # Ordering looks at every task of every job; done for each slice of items it would
-        # take more time than the items.
-        if self._ordered_ms is None or now - self._ordered_ms >= ORDER_MS:
-            self._turns = self._order([job for job in jobs if job.runs()])
-            self._ordered_ms = now
-        return self._turns
-
-    def upstreams(self) -> int:
-        """Return how many upstreams have jobs."""
-        return len(self._turns)
-
-    def _order(self, jobs: "list[JobWork]") -> "dict[str, list[JobWork]]":
+        loads = [self.load(job) for job in jobs if job.runs()]
         by_id = {job.record.job_id: job for job in jobs}
         turns: dict[str, list[JobWork]] = {}
-        for job_id in deadlines.order([self.load(job) for job in jobs], self._clock.wall()):
+        for job_id in deadlines.order(loads, self._clock.wall()):
             job = by_id[job_id]
             turns.setdefault(self._upstream_of(job), []).append(job)
         return turns
 
+    def served(self, jobs: "Collection[JobWork]") -> "dict[str, list[JobWork]]":
+        """Return, in the same order, the jobs to be looked at for each slice of items.
+
+        These are all with open tasks, and the first few of each caller that have work to
+        hand out. Ordering and looking at all jobs for each slice would take more time than
+        the items when there are hundreds; so it is done now and then.
+        """
+        now = self._clock.now()
+        if self._ordered_ms is None or now - self._ordered_ms >= self._keep_ms(jobs):
+            turns = self.by_upstream(jobs)
+            self._served = {upstream: _first_of(turns[upstream]) for upstream in turns}
+            self._ordered_ms = now
+        return self._served
+
+    def _keep_ms(self, jobs: "Collection[JobWork]") -> int:
+        """Return how long an order is kept: longer with more jobs, less when it has run dry."""
+        return DRY_MS if self.dry(jobs) else max(ORDER_MS, ORDER_JOB_MS * len(jobs))
+
+    def dry(self, jobs: "Iterable[JobWork]") -> bool:
+        """Tell whether the jobs looked at have nothing to hand out, and others have."""
+        if any(job.has_unsent() for job in self.busy()):
+            return False
+        return any(job.has_unsent() for job in jobs)
+
+    def busy(self) -> "list[JobWork]":
+        """Return the jobs that may have open tasks."""
+        return [job for jobs in self._served.values() for job in jobs]
+
+    def upstreams(self) -> int:
+        """Return how many upstreams have jobs."""
+        return len(self._served)
+
     def load(self, job: "JobWork") -> deadlines.JobLoad:
         """Describe to the policy what this instance has left of a job."""
         return deadlines.JobLoad(
@@ -97,6 +120,18 @@
         )
 
 
+def _first_of(jobs: "list[JobWork]") -> "list[JobWork]":
+    counts: Counter[str] = Counter()
+    found: list[JobWork] = []
+    for job in jobs:
+        waits = job.has_unsent() and counts[job.record.caller] < FIRST_JOBS
+        if waits:
+            counts[job.record.caller] += 1
+        if waits or job.open or job.opening:
+            found.append(job)
+    return found
+
+
 def caller_caps(jobs: "Sequence[JobWork]", capacity: int) -> dict[str, int]:
     """Return how many items of each caller may be in flight while others have work too."""
     weights: dict[str, int] = {}
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -139,6 +139,10 @@
         if tally is not None:
             self.tallies[task] = tally
 
+    def has_unsent(self) -> bool:
+        """Tell whether items of the job could be handed out now or after opening a task."""
+        return bool(self.pending) or any(task.state.startable() for task in self.open.values())
+
     def items_left(self) -> int:
         """Return how many items this instance still has to run."""
         waiting = sum(self.spans[task].size() for task in self.pending)
