Follow a profile that becomes non-idempotent while tasks are open

Cause: a task was run to its end by the rule under which it was opened, so items could be sent again after operators had declared that they may not be. Change: such a task sends nothing more, is stored and opened again by the new rule. The handing out of items moves from the runner into a module of its own, feeder. Conclusion: a test changes the profile mid-job and then loses the holder; no item runs twice.

--- /dev/null
+++ b/papayapier/batch/feeder.py
@@ -0,0 +1,175 @@
+"""Hand items of open tasks to the dispatch, in the order of their jobs' need.
+
+Items are handed out in slices between which the event loop is free, so that batch work delays
+no online request by more than one slice. The bytes of all open tasks together are bounded:
+while the store takes no results, items go on until the bound is reached, and then wait.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from papayapier.batch.opener import InputRoom, input_bytes
+from papayapier.batch.records import CHUNK_BYTES
+from papayapier.batch.turns import DRY_MS, Rates, Turns, caller_caps
+from papayapier.batch.work import JobWork, OpenTask
+
+if TYPE_CHECKING:
+    from papayapier.batch.api import BatchDeps
+    from papayapier.clock import Timer
+    from papayapier.config.profiles import Profile
+
+SLICE_ITEMS: Final = 8
+OUTAGE_AHEAD_MS: Final = 60_000
+MIN_INTENTS: Final = 8
+MAX_INTENTS: Final = 64
+
+
+class FeederCalls(NamedTuple):
+    """Group what the feeder asks of the runner's other parts; kick has a task stored."""
+
+    profile_of: "Callable[[JobWork], Profile]"
+    may_send: Callable[[OpenTask], bool]
+    send: "Callable[[OpenTask, int, Profile], None]"
+    kick: Callable[[OpenTask], None]
+    open_ahead: Callable[[list[JobWork], dict[str, int], int, InputRoom], None]
+
+
+class Feeder:
+    """Keep the dispatch supplied with items."""
+
+    def __init__(
+        self,
+        deps: "BatchDeps",
+        jobs: dict[str, JobWork],
+        turns: Turns,
+        rates: Rates,
+        calls: FeederCalls,
+    ) -> None:
+        self._deps = deps
+        self._jobs = jobs
+        self._turns = turns
+        self._rates = rates
+        self._calls = calls
+        self._timer: Timer | None = None
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Hand out nothing more."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def feed_soon(self) -> None:
+        """Hand out items in the next turn of the event loop."""
+        if self._timer is None and not self._stopped and self._jobs:
+            self._timer = self._deps.clock.call_later(0, self._feed)
+
+    def _feed(self) -> None:
+        self._timer = None
+        more = False
+        for upstream, jobs in self._turns.served(self._jobs.values()).items():
+            more = self._serve(upstream, jobs) or more
+        if more:
+            self.feed_soon()
+        elif self._turns.dry(self._jobs.values()):
+            self._timer = self._deps.clock.call_later(DRY_MS, self._feed)
+
+    def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
+        """Hand out one slice of an upstream's items; tell whether there is more to do now."""
+        room = self._deps.dispatch.room(upstream)
+        left = min(room, SLICE_ITEMS)
+        if self.bytes_held() >= self._limit():
+            left = 0
+            self._make_room()
+        running = sum(job.in_flight() for job in jobs)
+        caps = caller_caps(jobs, room + running)
+        flying: Counter[str] = Counter()
+        for job in jobs:
+            flying[job.record.caller] += job.in_flight()
+        for job in jobs:
+            caller = job.record.caller
+            sent = self._send_of(job, min(left, caps[caller] - flying[caller]), room)
+            flying[caller] += sent
+            left -= sent
+        for job in jobs:
+            if left == 0:
+                break
+            left -= self._send_of(job, left, room)
+        ahead = self._rates.rate(upstream) * OUTAGE_AHEAD_MS / max(1, len(caps))
+        self._calls.open_ahead(jobs, caps, int(ahead), self._input_room(jobs))
+        return left == 0 and room > SLICE_ITEMS
+
+    def _input_room(self, jobs: list[JobWork]) -> InputRoom:
+        """Return how many bytes of input may still be opened for an upstream's jobs.
+
+        Input takes half of the memory, in equal parts for each upstream, because tasks of an
+        upstream that stands still keep theirs. The other half is for results, but for a
+        first task of a caller that has none.
+        """
+        upstreams = max(1, self._turns.upstreams())
+        share = max(CHUNK_BYTES, self._limit() // 2 // upstreams)
+        return InputRoom(share - input_bytes(jobs), self._limit() - self.input_bytes())
+
+    def _make_room(self) -> None:
+        """Store the results of the task that holds most, though the task is not finished.
+
+        Else memory could be full of results of tasks none of which can go on to its end.
+        """
+        tasks = [task for job in self._turns.busy() for task in job.open.values()]
+        largest = max(tasks, key=lambda task: task.state.held_bytes, default=None)
+        if largest is not None and not any(task.spill_wanted for task in tasks):
+            largest.spill_wanted = True
+            self._calls.kick(largest)
+
+    def _send_of(self, job: JobWork, most: int, room: int) -> int:
+        profile = self._calls.profile_of(job)
+        sent = 0
+        for task in list(job.open.values()):
+            if task.state.rules.idempotent and not profile.idempotent:
+                self._reopen(task)
+            sent += self._send_some(task, most - sent, profile)
+            self._intend_some(task, room)
+        return sent
+
+    def _reopen(self, task: OpenTask) -> None:
+        """Stop a task whose items may not be repeated any more, to open it by that rule."""
+        if not task.stopping:
+            task.stopping = True
+            task.reopen = True
+            self._calls.kick(task)
+
+    def _send_some(self, task: OpenTask, most: int, profile: "Profile") -> int:
+        sent = 0
+        while sent < most and self._calls.may_send(task):
+            item = task.state.take()
+            if item is None:
+                break
+            self._calls.send(task, item, profile)
+            sent += 1
+        return sent
+
+    def _intend_some(self, task: OpenTask, room: int) -> None:
+        """Write the next intents shortly before they are needed.
+
+        Items that are intended and not sent become unknown when the instance is lost, so no
+        more are intended than would fill the capacity seen now.
+        """
+        running = len(task.running)
+        if room == 0 or task.stopping or task.state.startable() > running // 2:
+            return
+        most = max(MIN_INTENTS, min(MAX_INTENTS, room + running))
+        if task.state.intend(most):
+            self._calls.kick(task)
+
+    def bytes_held(self) -> int:
+        """Return the size of what all open tasks keep in memory."""
+        tasks = [task for job in self._turns.busy() for task in job.open.values()]
+        return self.input_bytes() + sum(task.state.held_bytes for task in tasks)
+
+    def input_bytes(self) -> int:
+        """Return the size of the input of all open tasks, and a bound for those being opened."""
+        return input_bytes(self._turns.busy())
+
+    def _limit(self) -> int:
+        return self._deps.cfg.result_buffer_bytes
--- a/papayapier/batch/runner.py
+++ b/papayapier/batch/runner.py
@@ -1,21 +1,19 @@
-"""Open tasks as capacity allows, and hand their items out in the order of their jobs' need.
+"""Run the tasks of the shards that this instance holds, from adoption to hand-over.
 
-Items are handed out in slices between which the event loop is free, so that batch work delays
-no online request by more than one slice. Tasks are opened as far ahead as the next items
-need. The bytes of all open tasks together are bounded: while the store takes no results,
-items go on until the bound is reached, and then wait.
+The work is done by parts that know nothing of each other: the opener reads tasks, the feeder
+hands out their items, the sender takes in how they end, and commits store what has to last.
 """
 
-from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from papayapier.batch.commits import CommitCalls, Commits
-from papayapier.batch.opener import InputRoom, Opener, input_bytes
+from papayapier.batch.feeder import Feeder, FeederCalls
+from papayapier.batch.opener import Opener
 from papayapier.batch.opening import Grant
-from papayapier.batch.records import CHUNK_BYTES, Tally
+from papayapier.batch.records import Tally
 from papayapier.batch.sending import Sender
-from papayapier.batch.turns import DRY_MS, Rates, Turns, caller_caps
+from papayapier.batch.turns import Rates, Turns
 from papayapier.batch.work import JobWork, OpenTask
 
 if TYPE_CHECKING:
@@ -23,10 +21,6 @@
     from papayapier.clock import Timer
     from papayapier.config.profiles import Profile
 
-SLICE_ITEMS: Final = 8
-OUTAGE_AHEAD_MS: Final = 60_000
-MIN_INTENTS: Final = 8
-MAX_INTENTS: Final = 64
 TICK_MS: Final = 500
 HAND_OVER_POLL_MS: Final = 20
 
@@ -66,11 +60,18 @@
         self.rates = Rates()
         self.turns = Turns(deps.clock, self.rates, lambda job: self.profile_of(job).upstream)
         self._sender = Sender(deps, self._may_send, self._on_change, self.rates.on_ended)
-        self._opener = Opener(deps, holds.grant, self.profile_of, self._on_opened, self.pump_soon)
-        self._pump_timer: Timer | None = None
+        self._opener = Opener(deps, holds.grant, self.profile_of, self._on_opened, self._go_on)
+        feeder_calls = FeederCalls(
+            self.profile_of,
+            self._may_send,
+            self._sender.send,
+            self._commits.kick,
+            self._opener.open_ahead,
+        )
+        self._feeder = Feeder(deps, self.jobs, self.turns, self.rates, feeder_calls)
         self._tick_timer: Timer | None = None
         self._stopping = False
-        deps.dispatch.watch_room(self.pump_soon)
+        deps.dispatch.watch_room(self._go_on)
 
     # Jobs and shards
 
@@ -80,7 +81,7 @@
         job.adopt(shard)
         self.turns.forget()
         self._keep_ticking()
-        self.pump_soon()
+        self._feeder.feed_soon()
 
     def drop_job(self, job: JobWork) -> None:
         """Stop everything of a job at once; what is not recorded stays so."""
@@ -142,107 +143,16 @@
     def begin_stop(self) -> None:
         """Send and open nothing more."""
         self._stopping = True
+        self._feeder.stop()
 
     def stop(self) -> None:
-        """Stop the timers."""
-        for timer in (self._pump_timer, self._tick_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
-
-    # Handing out items
-
-    def pump_soon(self) -> None:
-        """Hand out items in the next turn of the event loop."""
-        if self._pump_timer is None and not self._stopping and self.jobs:
-            self._pump_timer = self._deps.clock.call_later(0, self._pump)
-
-    def _pump(self) -> None:
-        self._pump_timer = None
-        more = False
-        for upstream, jobs in self.turns.served(self.jobs.values()).items():
-            more = self._serve(upstream, jobs) or more
-        if more:
-            self.pump_soon()
-        elif self.turns.dry(self.jobs.values()):
-            self._pump_timer = self._deps.clock.call_later(DRY_MS, self._pump)
-
-    def _serve(self, upstream: str, jobs: list[JobWork]) -> bool:
-        """Hand out one slice of an upstream's items; tell whether there is more to do now."""
-        room = self._deps.dispatch.room(upstream)
-        left = min(room, SLICE_ITEMS)
-        if self.bytes_held() >= self._limit():
-            left = 0
-            self._make_room()
-        running = sum(job.in_flight() for job in jobs)
-        caps = caller_caps(jobs, room + running)
-        flying: Counter[str] = Counter()
-        for job in jobs:
-            flying[job.record.caller] += job.in_flight()
-        for job in jobs:
-            caller = job.record.caller
-            sent = self._send_of(job, min(left, caps[caller] - flying[caller]), room)
-            flying[caller] += sent
-            left -= sent
-        for job in jobs:
-            if left == 0:
-                break
-            left -= self._send_of(job, left, room)
-        ahead = self.rates.rate(upstream) * OUTAGE_AHEAD_MS / max(1, len(caps))
-        self._opener.open_ahead(jobs, caps, int(ahead), self._input_room(jobs))
-        return left == 0 and room > SLICE_ITEMS
-
-    def _input_room(self, jobs: list[JobWork]) -> InputRoom:
-        """Return how many bytes of input may still be opened for an upstream's jobs.
-
-        Input takes half of the memory, in equal parts for each upstream, because tasks of an
-        upstream that stands still keep theirs. The other half is for results, but for a
-        first task of a caller that has none.
-        """
-        upstreams = max(1, self.turns.upstreams())
-        share = max(CHUNK_BYTES, self._limit() // 2 // upstreams)
-        return InputRoom(share - input_bytes(jobs), self._limit() - self.input_bytes())
+        """Stop the timer."""
+        if self._tick_timer is not None and self._tick_timer.active():
+            self._tick_timer.cancel()
 
-    def _make_room(self) -> None:
-        """Store the results of the task that holds most, though the task is not finished.
-
-        Else memory could be full of results of tasks none of which can go on to its end.
-        """
-        tasks = [task for job in self.turns.busy() for task in job.open.values()]
-        largest = max(tasks, key=lambda task: task.state.held_bytes, default=None)
-        if largest is not None and not any(task.spill_wanted for task in tasks):
-            largest.spill_wanted = True
-            self._commits.kick(largest)
-
-    def _send_of(self, job: JobWork, most: int, room: int) -> int:
-        profile = self.profile_of(job)
-        sent = 0
-        for task in list(job.open.values()):
-            sent += self._send_some(task, most - sent, profile)
-            self._intend_some(task, room)
-        return sent
-
-    def _send_some(self, task: OpenTask, most: int, profile: "Profile") -> int:
-        sent = 0
-        while sent < most and self._may_send(task):
-            item = task.state.take()
-            if item is None:
-                break
-            self._sender.send(task, item, profile)
-            sent += 1
-        return sent
-
-    def _intend_some(self, task: OpenTask, room: int) -> None:
-        """Write the next intents shortly before they are needed.
-
-        Items that are intended and not sent become unknown when the instance is lost, so no
-        more are intended than would fill the capacity seen now.
-        """
-        running = len(task.running)
-        if room == 0 or task.stopping or task.state.startable() > running // 2:
-            return
-        most = max(MIN_INTENTS, min(MAX_INTENTS, room + running))
-        if task.state.intend(most):
-            self._commits.kick(task)
+    def bytes_held(self) -> int:
+        """Return the size of what all open tasks keep in memory."""
+        return self._feeder.bytes_held()
 
     def profile_of(self, job: JobWork) -> "Profile":
         """Return the profile in force, as strict about repeating as the job was accepted."""
@@ -257,30 +167,21 @@
             return False
         return self._holds.may_send(task.shard, task.state.rules.idempotent)
 
-    def bytes_held(self) -> int:
-        """Return the size of what all open tasks keep in memory."""
-        tasks = [task for job in self.turns.busy() for task in job.open.values()]
-        return self.input_bytes() + sum(task.state.held_bytes for task in tasks)
-
-    def input_bytes(self) -> int:
-        """Return the size of the input of all open tasks, and a bound for those being opened."""
-        return input_bytes(self.turns.busy())
-
-    def _limit(self) -> int:
-        return self._deps.cfg.result_buffer_bytes
-
     # What changes
 
+    def _go_on(self) -> None:
+        self._feeder.feed_soon()
+
     def on_holds_changed(self) -> None:
         """Go on with what waited for a lease to be confirmed."""
         for job in list(self.jobs.values()):
             for task in list(job.open.values()):
                 self._commits.kick(task)
-        self.pump_soon()
+        self._feeder.feed_soon()
 
     def _on_change(self, task: OpenTask) -> None:
         self._commits.kick(task)
-        self.pump_soon()
+        self._feeder.feed_soon()
 
     def _on_opened(self, task: OpenTask) -> None:
         if self._stopping:
@@ -291,16 +192,19 @@
 
     def _on_saved(self, task: OpenTask) -> None:
         task.state.wake(self._deps.clock.now())
-        self.pump_soon()
+        self._feeder.feed_soon()
 
     def _on_recorded(self, task: OpenTask, tally: Tally) -> None:
         self._drop(task)
         task.job.on_done(task.span.task, tally)
         self._calls.recorded(task.job)
-        self.pump_soon()
+        self._feeder.feed_soon()
 
     def _on_given_up(self, task: OpenTask) -> None:
         self._drop(task)
+        if task.reopen:
+            task.job.pending.append(task.span.task)
+            self._feeder.feed_soon()
 
     def _on_lost(self, task: OpenTask) -> None:
         self._drop(task)
@@ -318,6 +222,6 @@
             for task in list(job.open.values()):
                 task.state.wake(now)
                 self._commits.kick(task)
-        self.pump_soon()
+        self._feeder.feed_soon()
         if self.jobs:
             self._keep_ticking()
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -36,6 +36,7 @@
         "input_bytes",
         "items",
         "job",
+        "reopen",
         "running",
         "saving",
         "shard",
@@ -70,6 +71,7 @@
         self.checkpoint_pause = 0
         self.stopping = False
         self.spill_wanted = False
+        self.reopen = False
         self.closed = False
 
 
--- a/tests/batch_world.py
+++ b/tests/batch_world.py
@@ -223,6 +223,7 @@
         self.instances: dict[str, Batch] = {}
         self.gates: dict[str, Gate] = {}
         self.peers_cut = False
+        self.profiles = dict(PROFILES)
 
     def start(self, name: str) -> Batch:
         """Start an instance."""
@@ -236,7 +237,7 @@
             cfg=self.cfg,
             instance=name,
             boot=self.rand.getrandbits(32),
-            profile=PROFILES.get,
+            profile=self.profiles.get,
             live_instances=lambda: list(self.instances),
             tell_peers=lambda message: self._tell(name, message),
             metrics=make_metrics(),
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -79,6 +79,24 @@
         world.advance(40_000, step=500)
         assert check_whole(world, "a", found) == {"completed": 60}
 
+    def test_profile_changes_to_what_may_not_be_repeated(self) -> None:
+        # Symptom: items run twice after operators declared that they may not be repeated.
+        # Sequence: the profile changes while tasks are open; then their holder is lost.
+        # Cause: an open task goes on by the rule under which it was opened.
+        world = started("a", "b")
+        world.fleet.hold = True
+        found = world.submit(world.instances["a"], world.upload(world.instances["a"], 200))
+        world.advance(1_000)
+        world.profiles["notes"] = world.profiles["notes"]._replace(idempotent=False)
+        world.fleet.release()
+        world.advance(1_000)
+        world.lose("a")
+        world.fleet.hold = False
+        world.fleet.release()
+        world.advance(LEASE_MS)
+        assert check_whole(world, "b", found)["unknown"] > 0
+        assert set(world.fleet.runs.values()) == {1}
+
 
 class TestLoss:
     def test_takeover_after_loss(self) -> None:
