Say when nothing could be compared; show whether others pay for a flood

A replica that was still crashed at the end made the comparison with what ran empty, while the report named thousands of compared pieces: now the run fails. Phases whose counters cannot be read give no batch figure in place of a negative one.

--- a/papayapier/load/batch_meter.py
+++ b/papayapier/load/batch_meter.py
@@ -57,13 +57,13 @@
         self._begun: tuple[int, Reading] | None = None
         self._sums: dict[str, tuple[int, Reading]] = {}
 
-    def begin(self, reading: Reading) -> None:
+    def begin(self, reading: Reading | None) -> None:
         """Take the reading at which counting starts."""
-        self._begun = (self._clock.now(), reading)
+        self._begun = None if reading is None else (self._clock.now(), reading)
 
-    def end(self, phase: str, reading: Reading) -> None:
-        """Take the reading at which counting ends."""
-        if self._begun is None:
+    def end(self, phase: str, reading: Reading | None) -> None:
+        """Take the reading at which counting ends; without both there is no figure."""
+        if self._begun is None or reading is None:
             return
         begun_ms, before = self._begun
         sum_ms, total = self._sums.get(phase, (0, NOTHING))
--- a/papayapier/load/experiment.py
+++ b/papayapier/load/experiment.py
@@ -215,11 +215,14 @@
 
         return post
 
-    async def _reading(self) -> Reading:
+    async def _reading(self) -> Reading | None:
+        """Read all counters; None when a stand-in cannot tell, as while it is crashed."""
         engine_tokens = 0
         if self._standins is not None:
             ran = self._kept("counts", await read_ran(self._standins))
-            engine_tokens = ran.tokens if ran is not None else 0
+            if ran is None:
+                return None
+            engine_tokens = ran.tokens
         seen = await self._instances()
         await self._see_ended_jobs()
         return Reading(
@@ -284,7 +287,7 @@
             return []
         ran = self._kept("counts", await read_ran(self._standins))
         if ran is None:
-            return []
+            return ["nothing could be compared with what ran: a stand-in does not answer"]
         services = once_only_services(self._exp)
         once = [found for name in services for found in only_once(ran.by_upstream.get(name, {}))]
         return self._ledger.broken(ran.started) + once
--- a/papayapier/load/results.py
+++ b/papayapier/load/results.py
@@ -39,7 +39,8 @@
     """Hold the figures of one class in one phase; rates are per second of counted time.
 
     late counts whole answers after the class's due time. fairness is Jain's index of the
-    callers' answered shares (1 is even), worst_caller the lowest answered share of one.
+    callers' answered shares (1 is even), worst_caller the lowest answered share of one, and
+    worst_other that of one who did not send the most: nobody should pay for another's flood.
     """
 
     phase: str
@@ -59,6 +60,7 @@
     tokens: int
     fairness: float
     worst_caller: float
+    worst_other: float
 
 
 class Tally:
@@ -130,8 +132,15 @@
             tokens=self.tokens,
             fairness=jain(shares),
             worst_caller=min(shares, default=0.0),
+            worst_other=self._worst_other(),
         )
 
+    def _worst_other(self) -> float:
+        most = max(self.sent_by, key=lambda caller: self.sent_by[caller], default="")
+        others = [caller for caller in self.sent_by if caller != most] or list(self.sent_by)
+        shares = [self.whole_by[caller] / self.sent_by[caller] for caller in others]
+        return min(shares, default=0.0)
+
 
 def jain(shares: list[float]) -> float:
     """Return Jain's fairness index: 1 when all are equal, 1/n when one has everything."""
--- a/papayapier/load/table.py
+++ b/papayapier/load/table.py
@@ -82,12 +82,13 @@
             " ".join(f"{end}={count}" for end, count in sorted(one.ends.items())),
             f"{one.fairness:.3f}",
             f"{one.worst_caller:.2f}",
+            f"{one.worst_other:.2f}",
         )
         for one in report.classes
         if one.sent > one.whole
     ]
     header = ("phase", "class", "refusals", "refused p99", "ends", "fairness", "worst caller")
-    return Table("what was not answered", header, rows)
+    return Table("what was not answered", (*header, "worst but the largest"), rows)
 
 
 def _batch(report: Report) -> Table:
