Start in an outage of the platform by a peer's list or the folder's

Cause: replicas and peers were known from the platform's instance list only. An instance restarted in an outage exited, or with a data folder ran without a replica and was never ready. When the platform came back with a list that lacked the entry instances, the view of the fleet dropped peers that were heard, so each instance dealt itself all slots.

Change: peer.contacts names instances to ask; the last list is kept in the data folder; MembersAsk and MembersTell pass the list on with the age of its reading, and the youngest wins until the platform's own list is read, which always replaces it. Instances that are heard count as live whether listed or not. What makes parts of bounded size and what replaces files in the data folder is shared with the configuration.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -30,6 +30,7 @@
 from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Ports, Readiness
 from papayapier.listen import Listening, listen
+from papayapier.membership import MembershipDeps, make_membership, reach_platform
 from papayapier.metrics import Metrics, make_metrics
 from papayapier.orders.controller import OrderControl, OrdersDeps, start_orders
 from papayapier.peer.hub import Identity, PeerHub
@@ -52,17 +53,14 @@
 from papayapier.policy.retries import RetryBudget
 from papayapier.settings import Settings
 from papayapier.status import FleetStatus
-from papayapier.store.api import ENTRY, LIVE, Member, Store
+from papayapier.store.api import Store
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.http import http_store
-from papayapier.store.members import MemberFollower, Reporter
 from papayapier.upstream.api import Upstreams
 from papayapier.upstream.client import make_upstreams
 from papayapier.upstream.orders import make_orders
 from papayapier.upstream.reports import OnReport, Reports, make_reports
 
-START_TRIES: Final = 5
-START_PAUSE_MS: Final = 300
 BOOT_BITS: Final = 48
 ASK_WRITER_MS: Final = 500
 
@@ -121,7 +119,7 @@
 ) -> Result[Instance, str]:
     """Start one instance, or say in one line why it cannot start."""
     base = _make_base(reactor, clock, cfg, rand)
-    reached = await _reach_platform(base)
+    reached = await reach_platform(base.store, base.clock, base.cfg)
     if isinstance(reached, Err):
         await base.store.close()
         return reached
@@ -151,22 +149,6 @@
     )
 
 
-async def _reach_platform(base: _Base) -> Result[None, str]:
-    """Try the platform for a moment, unless a data folder can stand in for it.
-
-    Without either, an instance knows no profile, no peer and no upstream. Saying so at once
-    is worth more than an instance that never becomes ready.
-    """
-    cfg = base.cfg
-    for attempt in range(START_TRIES):
-        if cfg.config.data_folder or isinstance(await base.store.members(0, 0), Ok):
-            return Ok(None)
-        if attempt + 1 < START_TRIES:
-            await base.clock.sleep(START_PAUSE_MS)
-    where = f"{cfg.platform.host}:{cfg.platform.port}"
-    return Err(f"platform: {where} does not answer, and config.data_folder is not set")
-
-
 def _make_fleet(base: _Base) -> _Fleet:
     cfg = base.cfg
     policies = Policies(LoadBook(), Outliers(), BatchShare(cfg.instance.id))
@@ -394,9 +376,17 @@
 
 def _make_instance(base: _Base, fleet: _Fleet, work: _Work, opened: _Open) -> Instance:
     view = base.budget.view
-    follower = MemberFollower(view(Priority.CONFIG), base.clock, base.rand, fleet.view.on_members)
-    reporter = Reporter(
-        view(Priority.LEASE), base.clock, base.rand, _member(base.cfg, opened.ports)
+    members = make_membership(
+        MembershipDeps(
+            base.clock,
+            base.rand,
+            base.cfg,
+            work.hub,
+            view(Priority.CONFIG),
+            view(Priority.LEASE),
+            fleet.view.on_members,
+        ),
+        opened.ports,
     )
     fleet.view.connect(
         FleetListeners(fleet.reports.poll, work.hub.set_members, work.batch.on_members_changed)
@@ -413,15 +403,16 @@
         orders=work.orders,
         reports=fleet.reports,
         upstreams=fleet.upstreams,
-        follower=follower,
-        reporter=reporter,
+        follower=members.follower,
+        reporter=members.reporter,
         store=base.store,
         publish=fleet.view.publish,
+        members_folder=members.folder,
     )
     instance = Instance(parts, opened.ports, opened.handles, base.metrics)
     work.claims.start()
-    follower.start()
-    reporter.start()
+    members.follower.start()
+    members.reporter.start()
     instance.start()
     events.emit(
         events.PROCESS_STARTED,
@@ -431,18 +422,3 @@
         peer_port=opened.ports.peer,
     )
     return instance
-
-
-def _member(cfg: Settings, ports: Ports) -> Member:
-    own = cfg.instance
-    return Member(
-        id=own.id,
-        kind=ENTRY,
-        upstream="",
-        host=own.host,
-        port=ports.entry,
-        peer_port=ports.peer,
-        data_centre=own.data_centre,
-        region=own.region,
-        state=LIVE,
-    )
--- a/papayapier/config/folder.py
+++ b/papayapier/config/folder.py
@@ -4,7 +4,6 @@
 what is read from it counts as unconfirmed until the store or a peer was heard from.
 """
 
-from pathlib import Path
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -12,10 +11,10 @@
 from papayapier import codec, events
 from papayapier.clock import Clock, Timer
 from papayapier.config.book import ProfileBook
+from papayapier.data_folder import read_file, replace_file
 from papayapier.peer.messages import ConfigPush
 
 FILE_NAME: Final = "configuration.msgpack"
-NEW_SUFFIX: Final = ".new"
 SAVE_DELAY_MS: Final = 1_000
 
 
@@ -71,23 +70,14 @@
 
 def load_folder(folder: str) -> Result[list[ConfigPush], str]:
     """Read the copy; a folder without one gives nothing."""
-    path = Path(folder) / FILE_NAME
-    try:
-        data = path.read_bytes()
-    except FileNotFoundError:
+    data = read_file(folder, FILE_NAME)
+    if isinstance(data, Err):
+        return data
+    if data.ok_value is None:
         return Ok([])
-    except OSError as exc:
-        return Err(f"{path}: {exc.strerror}")
-    return codec.unpack(data, SavedConfig).map(lambda saved: saved.objects)
+    return codec.unpack(data.ok_value, SavedConfig).map(lambda saved: saved.objects)
 
 
 def save_folder(folder: str, objects: list[ConfigPush]) -> Result[None, str]:
-    """Replace the copy in one step, so that a crash leaves the old or the new one."""
-    path = Path(folder) / FILE_NAME
-    new = path.with_name(FILE_NAME + NEW_SUFFIX)
-    try:
-        new.write_bytes(codec.pack(SavedConfig(objects)))
-        new.replace(path)
-    except OSError as exc:
-        return Err(f"{path}: {exc.strerror}")
-    return Ok(None)
+    """Replace the copy."""
+    return replace_file(folder, FILE_NAME, codec.pack(SavedConfig(objects)))
--- a/papayapier/config/spread.py
+++ b/papayapier/config/spread.py
@@ -21,12 +21,12 @@
 from papayapier.config.gaps import GapFinder
 from papayapier.metrics import Metrics
 from papayapier.peer.messages import ConfigAsk, ConfigPush, ConfigTell, Heartbeat, Message
+from papayapier.peer.parts import cut_parts
 from papayapier.peer.topology import Plan
 from papayapier.settings import ConfigSettings
 from papayapier.store.api import Store
 
 ASK_ID_BITS: Final = 32
-TELL_BYTES: Final = 200_000
 TELL_OVERHEAD_BYTES: Final = 32
 
 
@@ -124,7 +124,7 @@
         objects = self._book.objects(ask.newer_than)
         if ask.buckets:
             objects = self._book.objects_differing(ask.buckets)
-        parts = _parts(objects)
+        parts = cut_parts(objects, _size)
         for number, part in enumerate(parts, 1):
             more = number < len(parts)
             tell = ConfigTell(ask.ask_id, part, more, self._is_complete(), len(objects))
@@ -163,14 +163,5 @@
         self._keeper.changed()
 
 
-def _parts(objects: list[ConfigPush]) -> list[list[ConfigPush]]:
-    """Cut objects into messages of bounded size; nothing to tell is one empty part."""
-    parts: list[list[ConfigPush]] = [[]]
-    size = 0
-    for item in objects:
-        size += len(item.value) + len(item.key) + TELL_OVERHEAD_BYTES
-        if size > TELL_BYTES and parts[-1]:
-            parts.append([])
-            size = len(item.value)
-        parts[-1].append(item)
-    return parts
+def _size(item: ConfigPush) -> int:
+    return len(item.key) + len(item.value) + TELL_OVERHEAD_BYTES
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -91,6 +91,12 @@
 STORE_TASK_FAILED: Final = Event(
     407, "store_task_failed", Level.ERROR, "store task ended by an unexpected exception"
 )
+MEMBERS_FROM_FOLDER: Final = Event(
+    408, "members_from_folder", Level.INFO, "instance list read from the data folder"
+)
+MEMBERS_FOLDER_FAILED: Final = Event(
+    409, "members_folder_failed", Level.WARNING, "instance list in the data folder cannot be used"
+)
 
 JOB_ACCEPTED: Final = Event(501, "job_accepted", Level.INFO, "batch job accepted")
 JOB_RESENT: Final = Event(502, "job_resent", Level.INFO, "batch job was accepted before")
@@ -146,6 +152,9 @@
 PEER_REFUSED: Final = Event(
     703, "peer_refused", Level.WARNING, "message from a peer not understood"
 )
+MEMBERS_FROM_PEER: Final = Event(
+    704, "members_from_peer", Level.INFO, "instance list taken from a peer"
+)
 
 CONTROLLER_BEGAN: Final = Event(
     801, "controller_began", Level.INFO, "this instance gives orders to engines"
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -67,10 +67,12 @@
         """Return the live entry instances, this one included.
 
         The list alone shows a lost instance for some time yet; its peers' silence tells
-        sooner. An instance that no peer link leads to is taken as the list shows it.
+        sooner. It may also lack those that live: after a long outage the platform has
+        dropped everybody, and an instance that believed this would take all batch work and
+        all slots for itself. An instance that no peer link leads to is taken as listed.
         """
         listed = {m.id for m in self._members.values() if m.kind == ENTRY and m.state == LIVE}
-        return sorted((listed - self._silent) | {self._own_id})
+        return sorted((listed - self._silent) | self._peers | {self._own_id})
 
     def publish(self, now: int) -> None:
         """Show each replica's use in the metrics, and log who was ejected or came back."""
--- a/papayapier/instance.py
+++ b/papayapier/instance.py
@@ -25,6 +25,7 @@
     from papayapier.policy.drain import Drain
     from papayapier.store.api import Store
     from papayapier.store.members import MemberFollower, Reporter
+    from papayapier.store.members_folder import MembersFolder
     from papayapier.upstream.api import Upstreams
     from papayapier.upstream.reports import Reports
 
@@ -59,6 +60,7 @@
     reporter: "Reporter"
     store: "Store"
     publish: "Callable[[int], None]"
+    members_folder: "MembersFolder"
 
 
 class Readiness:
@@ -183,6 +185,7 @@
         if self._pulse_timer is not None and self._pulse_timer.active():
             self._pulse_timer.cancel()
         parts.follower.stop()
+        parts.members_folder.close()
         parts.reporter.stop()
         parts.reports.close()
         parts.online.close()
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -128,6 +128,11 @@
             self._apply(self._roster.set_members(members, self._clock.now()))
             self._announce_live()
 
+    def introduce(self, members: Sequence[Member]) -> None:
+        """Dial instances that no list has shown, to hear whether they are there."""
+        if not self._closed:
+            self._apply(self._roster.introduce(members, self._clock.now()))
+
     def live(self) -> list[str]:
         """Return this instance and the live peers that are not leaving, in order."""
         return self._live
--- /dev/null
+++ b/papayapier/peer/members.py
@@ -0,0 +1,127 @@
+"""Ask a peer for the instance list while the platform cannot be read, and answer such asks.
+
+An instance that starts in an outage knows no replica: the platform alone has the list. Its
+peers read it before. So until its own first reading an instance asks each peer that it hears,
+and takes the list with the youngest reading. Lists are passed on with their age, so that a
+restart after another in the same outage still finds one, and an old list stays old. An ask
+names the age and the digest of what the asker has; a peer that has nothing younger, or the
+same, answers with nothing, so that asking again costs little. The digest is needed for that,
+because a list seems younger by the time on the way each time it is passed on.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+import xxhash
+
+from papayapier import codec, events
+from papayapier.clock import Clock
+from papayapier.peer.messages import Heartbeat, MembersAsk, MembersTell, Message
+from papayapier.peer.parts import cut_parts
+from papayapier.store.api import Member
+from papayapier.store.members import MemberFollower
+
+ASK_ID_BITS: Final = 32
+ASK_AGAIN_MS: Final = 5_000
+ANSWER_MS: Final = 1_000
+MAX_MEMBERS: Final = 100_000
+NO_LIST: Final = -1
+
+
+class MembersDeps(NamedTuple):
+    """Group what the exchange needs; tell returns False when a message was not sent."""
+
+    clock: Clock
+    rand: random.Random
+    tell: Callable[[str, Message], bool]
+    follower: MemberFollower
+
+
+class _Asked(NamedTuple):
+    """Hold the open ask and the parts of its answer that have come."""
+
+    ask_id: int
+    peer: str
+    at_ms: int
+    parts: list[Member]
+
+
+class MembersExchange:
+    """Exchange the instance list with peers."""
+
+    def __init__(self, deps: MembersDeps) -> None:
+        self._deps = deps
+        self._ask_id = deps.rand.getrandbits(ASK_ID_BITS)
+        self._asked: _Asked | None = None
+        self._asked_ms: dict[str, int] = {}
+
+    def on_peer(self, peer: str, message: Message) -> None:
+        """Take a message from a peer."""
+        match message:
+            case Heartbeat():
+                self._consider(peer)
+            case MembersAsk():
+                self._answer(peer, message)
+            case MembersTell():
+                self._take(peer, message)
+
+    def _consider(self, peer: str) -> None:
+        """Ask a peer that is heard, one at a time, while there is no reading of our own."""
+        if self._deps.follower.read_ms is not None:
+            self._asked = None
+            self._asked_ms.clear()
+            return
+        now = self._deps.clock.now()
+        if self._asked is not None and now - self._asked.at_ms < ANSWER_MS:
+            return
+        if peer in self._asked_ms and now - self._asked_ms[peer] < ASK_AGAIN_MS:
+            return
+        self._ask_id += 1
+        if self._deps.tell(peer, MembersAsk(self._ask_id, self._age_ms(), self._digest())):
+            self._asked = _Asked(self._ask_id, peer, now, [])
+            self._asked_ms[peer] = now
+
+    def _answer(self, peer: str, ask: MembersAsk) -> None:
+        age_ms = self._age_ms()
+        members = self._members() if self._is_news(ask, age_ms) else []
+        for part in cut_parts(members, lambda member: len(codec.pack(member))):
+            self._deps.tell(peer, MembersTell(ask.ask_id, part, len(members), age_ms))
+
+    def _is_news(self, ask: MembersAsk, age_ms: int) -> bool:
+        if age_ms == NO_LIST:
+            return False
+        younger = ask.age_ms == NO_LIST or age_ms < ask.age_ms
+        return younger and ask.digest != self._digest()
+
+    def _take(self, peer: str, tell: MembersTell) -> None:
+        asked = self._asked
+        if asked is None or (asked.ask_id, asked.peer) != (tell.ask_id, peer):
+            return
+        asked.parts.extend(tell.members)
+        count = len(asked.parts)
+        if count < tell.total <= MAX_MEMBERS:
+            # A part can be lost when the link is replaced between two of them. A list with
+            # a hole would drop members, so it is taken only when all of it is here.
+            return
+        self._asked = None
+        if not 0 < tell.total == count:
+            return
+        now = self._deps.clock.now()
+        if self._deps.follower.learn(asked.parts, now - tell.age_ms):
+            events.emit(events.MEMBERS_FROM_PEER, peer=peer, members=count, age_ms=tell.age_ms)
+
+    def _members(self) -> list[Member]:
+        return list(self._deps.follower.known.values())
+
+    def _digest(self) -> int:
+        return members_digest(self._members())
+
+    def _age_ms(self) -> int:
+        age_ms = self._deps.follower.age_ms()
+        return NO_LIST if age_ms is None else age_ms
+
+
+def members_digest(members: Iterable[Member]) -> int:
+    """Return a digest of an instance list that does not depend on its order."""
+    return xxhash.xxh3_64_intdigest(codec.pack(sorted(members)))
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -7,6 +7,8 @@
 
 from typing import Final, NamedTuple
 
+from papayapier.store.api import Member
+
 
 class ReplicaUse(NamedTuple):
     """Tell how many calls the sender has open at one replica."""
@@ -120,6 +122,26 @@
     """Tell a peer that its copies of changes come later than those of others."""
 
 
+class MembersAsk(NamedTuple):
+    """Ask for an instance list that was read later than the asker's; age -1 is none."""
+
+    ask_id: int
+    age_ms: int
+    digest: int
+
+
+class MembersTell(NamedTuple):
+    """Answer MembersAsk, in several parts where it is long; total counts all parts' members.
+
+    age_ms tells how long ago the list was read from the platform, by whomever it was.
+    """
+
+    ask_id: int
+    members: list[Member]
+    total: int
+    age_ms: int
+
+
 Message = (
     Heartbeat
     | ConfigPush
@@ -132,6 +154,8 @@
     | JobChanged
     | Hello
     | Prune
+    | MembersAsk
+    | MembersTell
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -146,4 +170,6 @@
     9: JobChanged,
     10: Hello,
     11: Prune,
+    12: MembersAsk,
+    13: MembersTell,
 }
--- /dev/null
+++ b/papayapier/peer/parts.py
@@ -0,0 +1,22 @@
+"""Cut what one frame could not hold into parts of bounded size."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, TypeVar
+
+T = TypeVar("T")
+
+PART_BYTES: Final = 200_000
+
+
+def cut_parts(items: Iterable[T], size_of: Callable[[T], int]) -> list[list[T]]:
+    """Cut items into parts of bounded size; no items are one empty part."""
+    parts: list[list[T]] = [[]]
+    filled = 0
+    for item in items:
+        size = size_of(item)
+        if filled + size > PART_BYTES and parts[-1]:
+            parts.append([])
+            filled = 0
+        parts[-1].append(item)
+        filled += size
+    return parts
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -158,6 +158,15 @@
             peer.listed = peer_id in listed
         return [*steps, *self._forget_gone(), *self._follow_plan(now)]
 
+    def introduce(self, members: Sequence[Member], now: Millis) -> list[Step]:
+        """Learn of instances that the settings name; the next list says whether they stay."""
+        steps: list[Step] = []
+        for member in members:
+            known = self._peers.get(member.id)
+            if _is_peer(member, self._me.id) and (known is None or not known.up):
+                steps.extend(self._list(member, now))
+        return [*steps, *self._follow_plan(now)]
+
     def hello(self, hello: Hello, now: Millis) -> list[Step]:
         """Learn of a peer that dialled this instance as its neighbour.
 
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -60,6 +60,16 @@
     operators: tuple[KeyEntry, ...] = ()
 
 
+class Contact(NamedTuple):
+    """Locate one instance among those to ask when the platform cannot be reached."""
+
+    id: Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+    host: Ip
+    peer_port: Annotated[int, Meta(ge=1, le=65535)]
+    data_centre: str
+    region: str
+
+
 class PeerSettings(NamedTuple):
     """Set the address and pace of the protocol between instances.
 
@@ -67,7 +77,8 @@
     open calls changed by early_calls, at most one per early_ms, and only while early ones stay
     within early_bytes_per_s on average. Up to full_mesh instances all hear each other; beyond,
     each picks some (picks) in its data centre, and relays connect the data centres. key_file
-    holds shared keys, one a line; the first signs.
+    holds shared keys, one a line; the first signs. contacts are a few instances that a start
+    asks for the instance list while the platform cannot be reached; naming itself does no harm.
     """
 
     port: Port = 8082
@@ -81,6 +92,7 @@
     picks: Annotated[int, Meta(ge=3, le=32)] = 4
     relays: Annotated[int, Meta(ge=1, le=8)] = 2
     key_file: str = ""
+    contacts: tuple[Contact, ...] = ()
 
 
 class UpstreamSettings(NamedTuple):
