Bound the size of an uploaded file

Cause: only the number of items was bounded, and one item may have 700,000 bytes. Conclusion: a file over the bound is refused as too_large, not_run.

--- a/papayapier/batch/files.py
+++ b/papayapier/batch/files.py
@@ -86,6 +86,9 @@
         """Take the next bytes, and store the chunks that they fill."""
         self._sha256.update(data)
         self._byte_count += len(data)
+        if self._byte_count > self._deps.cfg.max_file_bytes:
+            reason = f"the file is over {self._deps.cfg.max_file_bytes} bytes"
+            return not_run(ErrorKind.TOO_LARGE, reason)
         for line in self._splitter.feed(data):
             refusal = await self._take_line(line)
             if refusal is not None:
--- a/papayapier/batch/records.py
+++ b/papayapier/batch/records.py
@@ -1,7 +1,7 @@
 """Define what batch work keeps in the platform's store, as msgpack arrays.
 
-Fields are only added at the end with a default, so that two releases can read each other's
-records during an upgrade.
+Fields are only added at the end with a default, so that a newer release reads what an older
+one has written.
 """
 
 from enum import Enum
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -115,6 +115,7 @@
     retention_ms: Positive = 604_800_000
     max_items: Positive = 750_000
     result_buffer_bytes: Positive = 16_000_000
+    max_file_bytes: Positive = 1_000_000_000
 
 
 class ConfigSettings(NamedTuple):
--- a/tests/test_batch_parts.py
+++ b/tests/test_batch_parts.py
@@ -94,6 +94,11 @@
             refusal = now(intake.feed(data)) or now(intake.finish()).unwrap_err()
             assert refusal.reason.startswith(reason)
 
+    def test_file_over_its_bound(self) -> None:
+        _, intake = self.intake(max_file_bytes=1_000)
+        assert now(intake.feed(line() + b"\n" + b" " * 900)) is None
+        assert now(intake.feed(b" " * 900)).kind is ErrorKind.TOO_LARGE
+
     def test_large_items_make_small_chunks(self) -> None:
         world, intake = self.intake()
         for n in range(20):
