Count items that end by a loss; drop pending tasks that another holder has recorded

Cause: items that became unknown or failed when their holder was lost were in no metric. A task recorded by a holder believed lost stayed pending here and ran again in vain. Change: the metric and event 523 for both; tasks known as recorded leave the pending ones.

--- a/papayapier/batch/opener.py
+++ b/papayapier/batch/opener.py
@@ -101,6 +101,8 @@
         if task not in job.opening:
             return
         job.opening.discard(task)
+        if task in job.done:
+            return
         # The lease may have changed hands meanwhile: then what was read may be old.
         if self._grant(job, grant.shard) != grant:
             job.pending.appendleft(task)
--- a/papayapier/batch/opening.py
+++ b/papayapier/batch/opening.py
@@ -6,7 +6,7 @@
 
 from papayapier import codec, events
 from papayapier.batch import keys
-from papayapier.batch.records import Checkpoint, InputItem, ItemResult, TaskResults
+from papayapier.batch.records import Checkpoint, InputItem, ItemResult, TaskResults, tally_of
 from papayapier.batch.task_state import TaskRules, TaskState
 from papayapier.batch.work import JobWork, OpenTask
 from papayapier.store.api import Store, StoreError
@@ -92,9 +92,20 @@
     if lost:
         ids = [item.custom_id for item in items]
         state.on_loss(checkpoint.intents, ids, deps.clock.wall())
+        _report_loss(deps, spilled.ok_value + checkpoint.results, state)
     return Ok(state)
 
 
+def _report_loss(deps: "BatchDeps", before: list[ItemResult], state: TaskState) -> None:
+    """Count the items that ended by the loss of their holder."""
+    known = tally_of(before)
+    for name in ("failed", "unknown"):
+        count = getattr(state.tally, name) - getattr(known, name)
+        if count:
+            deps.metrics.batch_items.labels(name).inc(count)
+            events.emit(events.ITEMS_LOST, state=name, items=count)
+
+
 async def read_chunk(store: Store, file_id: str, chunk: int) -> Result[list[InputItem], OpenError]:
     """Read one chunk of an input file."""
     key = keys.chunk_key(file_id, chunk)
--- a/papayapier/batch/work.py
+++ b/papayapier/batch/work.py
@@ -138,6 +138,8 @@
     def on_done(self, task: int, tally: Tally | None) -> None:
         """Note that a task's results are recorded."""
         self.done.add(task)
+        if task in self.pending:
+            self.pending.remove(task)
         if tally is not None:
             self.tallies[task] = tally
 
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -120,6 +120,7 @@
 BATCH_BROKEN: Final = Event(520, "batch_broken", Level.ERROR, "background work failed")
 INPUT_MISSING: Final = Event(521, "input_missing", Level.ERROR, "input of a job is not readable")
 OUTPUT_CUT: Final = Event(522, "output_cut", Level.WARNING, "a file could not be read to its end")
+ITEMS_LOST: Final = Event(523, "items_lost", Level.WARNING, "items ended by a loss")
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "change accepted")
 CONFIG_APPLIED: Final = Event(602, "config_applied", Level.INFO, "object in force")
