Share the check of an operator answer between the commands

Cause: jobs.py and configuration.py each had their own function that turns an instance's answer into a document or an exit code, and the three report commands repeated the same four lines. Change: operate.client.checked is the one home; refusing an answer is private to it. Output and exit codes stay as they are.

--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -153,7 +153,18 @@
     return code
 
 
-def refused(answer: Answer, as_json: bool) -> int:
+def checked(got: Result[Answer, str], options: argparse.Namespace) -> Result[Answer, int]:
+    """Return the answer, or print what went wrong and give the exit code."""
+    match got:
+        case Err(why):
+            return Err(fail(why))
+        case Ok(answer) if answer.status != OK_STATUS:
+            return Err(_refused(answer, options.json))
+        case Ok(answer):
+            return Ok(answer)
+
+
+def _refused(answer: Answer, as_json: bool) -> int:
     """Print why an instance refused; wrong input and a failure have different codes."""
     if as_json:
         print(answer.body.decode("utf-8", "replace"))
--- a/papayapier/operate/configuration.py
+++ b/papayapier/operate/configuration.py
@@ -14,14 +14,13 @@
 from papayapier.operate.client import (
     EXIT_OK,
     EXIT_USAGE,
-    OK_STATUS,
     OPTIONS_HELP,
     Answer,
     Client,
     Run,
     add_options,
+    checked,
     fail,
-    refused,
 )
 from papayapier.operate.output import print_json, print_table, show_changes
 
@@ -249,13 +248,7 @@
 
 def _checked(got: Result[Answer, str], options: argparse.Namespace) -> Result[Any, int]:
     """Return the answer's document, or print what went wrong and give the exit code."""
-    match got:
-        case Err(why):
-            return Err(fail(why))
-        case Ok(answer) if answer.status != OK_STATUS:
-            return Err(refused(answer, options.json))
-        case Ok(answer):
-            return Ok(answer.document())
+    return checked(got, options).map(Answer.document)
 
 
 def _read_file(path: Path) -> Result[Any, str]:
--- a/papayapier/operate/jobs.py
+++ b/papayapier/operate/jobs.py
@@ -10,14 +10,13 @@
 from papayapier.entry.callers import ANONYMOUS
 from papayapier.operate.client import (
     EXIT_OK,
-    OK_STATUS,
     OPTIONS_HELP,
     Answer,
     Client,
     Run,
     add_options,
+    checked,
     fail,
-    refused,
 )
 from papayapier.operate.output import print_json, print_table
 
@@ -66,7 +65,7 @@
 async def _list(client: Client, options: argparse.Namespace) -> int:
     query = {"limit": str(options.limit)}
     got = await client.call("GET", BATCHES, query=query, headers=_for_caller(options))
-    match _checked(got, options):
+    match checked(got, options):
         case Err(code):
             return code
         case Ok(answer):
@@ -90,7 +89,7 @@
 
 async def _results(client: Client, options: argparse.Namespace) -> int:
     headers = _for_caller(options)
-    match _checked(await client.call("GET", _path(options.id), headers=headers), options):
+    match checked(await client.call("GET", _path(options.id), headers=headers), options):
         case Err(code):
             return code
         case Ok(answer):
@@ -100,7 +99,7 @@
         return fail(f"{options.id}: no results yet")
     for file_id in files:
         path = f"{FILES}/{quote(file_id, safe='')}/content"
-        match _checked(await client.stream(path, headers, _write_out), options):
+        match checked(await client.stream(path, headers, _write_out), options):
             case Err(code):
                 return code
     return EXIT_OK
@@ -115,7 +114,7 @@
 
 
 def _print_job(got: Result[Answer, str], options: argparse.Namespace) -> int:
-    match _checked(got, options):
+    match checked(got, options):
         case Err(code):
             return code
         case Ok(answer):
@@ -134,13 +133,3 @@
 
 def _path(job_id: str) -> str:
     return f"{BATCHES}/{quote(job_id, safe='')}"
-
-
-def _checked(got: Result[Answer, str], options: argparse.Namespace) -> Result[Answer, int]:
-    match got:
-        case Err(why):
-            return Err(fail(why))
-        case Ok(answer) if answer.status != OK_STATUS:
-            return Err(refused(answer, options.json))
-        case Ok(answer):
-            return Ok(answer)
--- a/papayapier/operate/reports.py
+++ b/papayapier/operate/reports.py
@@ -12,11 +12,10 @@
 from papayapier.operate.client import (
     EXIT_OK,
     EXIT_USAGE,
-    OK_STATUS,
     Client,
     add_options,
+    checked,
     fail,
-    refused,
 )
 from papayapier.operate.output import print_json, print_table, show_changes, show_time
 
@@ -69,11 +68,11 @@
     query["since"] = str(since.ok_value)
     query["limit"] = str(options.limit)
     got = await client.call("GET", "/v1/audit", query=query)
-    if isinstance(got, Err):
-        return fail(got.err_value)
-    if got.ok_value.status != OK_STATUS:
-        return refused(got.ok_value, options.json)
-    found = got.ok_value.document()
+    match checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            found = answer.document()
     if options.json:
         print_json(found)
         return EXIT_OK
@@ -95,11 +94,11 @@
 
 async def _status(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("GET", "/v1/status")
-    if isinstance(got, Err):
-        return fail(got.err_value)
-    if got.ok_value.status != OK_STATUS:
-        return refused(got.ok_value, options.json)
-    found = got.ok_value.document()
+    match checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            found = answer.document()
     if options.json:
         print_json(found)
         return EXIT_OK
@@ -113,11 +112,11 @@
 
 async def _orders(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("GET", "/v1/orders")
-    if isinstance(got, Err):
-        return fail(got.err_value)
-    if got.ok_value.status != OK_STATUS:
-        return refused(got.ok_value, options.json)
-    found = got.ok_value.document()
+    match checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            found = answer.document()
     if options.json:
         print_json(found)
         return EXIT_OK
