Test the exchange of instance lists and the folder's copy by themselves

Cause: the tests over sockets show neither a lost part, nor lists of equal content, nor a wall clock that was set back.

--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,142 @@
+"""Test how the instance list passes from peer to peer and is kept in the data folder."""
+
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from papayapier import codec, events
+from papayapier.clock import FakeClock, fake_clock
+from papayapier.peer.members import ASK_AGAIN_MS, MembersDeps, MembersExchange
+from papayapier.peer.messages import Heartbeat, Message
+from papayapier.peer.parts import PART_BYTES
+from papayapier.store.api import ENTRY, LIVE, REPLICA, Member
+from papayapier.store.members import MemberFollower
+from papayapier.store.members_folder import (
+    OLDEST_MS,
+    SAVE_DELAY_MS,
+    AgedMembers,
+    MembersFolder,
+)
+from tests.fake_store import FakePlatform
+from tests.log_catcher import LogCatcher
+
+HOST = "127.0.0.1"
+
+
+class Knower:
+    """Hold one side of the exchange of lists; what it sends is kept."""
+
+    def __init__(self, time: FakeClock) -> None:
+        self.sent: list[Any] = []
+        store = FakePlatform(time.clock).store()
+        self.follower = MemberFollower(store, time.clock, Random(2), lambda _change: None)
+        self.exchange = MembersExchange(
+            MembersDeps(time.clock, Random(3), self.tell, self.follower)
+        )
+
+    def tell(self, _peer: str, message: Message) -> bool:
+        self.sent.append(message)
+        return True
+
+    def taken(self) -> list[Any]:
+        sent, self.sent = self.sent, []
+        return sent
+
+    def ids(self) -> list[str]:
+        return sorted(self.follower.known)
+
+
+class TestExchange:
+    def setup_method(self) -> None:
+        self.time = fake_clock()
+        self.time.advance(60_000)
+        self.knows, self.asks = Knower(self.time), Knower(self.time)
+
+    def members(self, count: int) -> list[Member]:
+        return [
+            Member(f"lm-{n}", REPLICA, "lm", HOST, 1, 0, "dc-a", "local", LIVE)
+            for n in range(count)
+        ]
+
+    def answer(self) -> list[Any]:
+        """Let a heartbeat arrive, and return the answer to what is asked then."""
+        self.asks.exchange.on_peer("a", Heartbeat("a", 1, "serving", 0))
+        for ask in self.asks.taken():
+            self.knows.exchange.on_peer("b", ask)
+        return self.knows.taken()
+
+    def test_long_list_comes_in_parts_and_only_whole(self) -> None:
+        # Symptom: after a restart in an outage some replicas get no work.
+        # Sequence: the list has several parts; the link is replaced between two of them.
+        # Cause: a list with a hole was taken for the whole one.
+        self.knows.follower.learn(self.members(6_000), self.time.clock.now())
+        first, *rest = self.answer()
+        assert rest and all(len(codec.pack(part)) < 2 * PART_BYTES for part in (first, *rest))
+        for part in rest:
+            self.asks.exchange.on_peer("a", part)
+        assert self.asks.ids() == []
+        assert self.answer() == []
+        self.time.advance(ASK_AGAIN_MS)
+        for part in self.answer():
+            self.asks.exchange.on_peer("a", part)
+        assert len(self.asks.ids()) == 6_000
+        assert self.asks.follower.age_ms() == ASK_AGAIN_MS
+
+    def test_only_younger_lists_are_told_and_taken(self) -> None:
+        now = self.time.clock.now()
+        self.knows.follower.learn(self.members(1), now - 5_000)
+        self.asks.follower.learn(self.members(2), now - 4_000)
+        assert [part.members for part in self.answer()] == [[]]
+        self.time.advance(ASK_AGAIN_MS)
+        self.knows.follower.learn(self.members(1), now - 3_000)
+        (told,) = self.answer()
+        self.asks.exchange.on_peer("stranger", told)
+        assert self.asks.ids() == ["lm-0", "lm-1"]
+        self.asks.exchange.on_peer("a", told)
+        assert self.asks.ids() == ["lm-0"]
+        self.time.advance(ASK_AGAIN_MS)
+        self.knows.follower.learn(self.members(1), now)
+        assert [part.members for part in self.answer()] == [[]], "the same list again"
+
+    def test_list_of_the_platform_is_never_replaced_by_told_ones(self) -> None:
+        self.knows.follower.learn(self.members(3), self.time.clock.now())
+        (told,) = self.answer()
+        self.asks.follower.start()
+        self.time.advance(1_000)
+        assert (self.asks.follower.read_ms is not None, self.asks.ids()) == (True, [])
+        self.asks.exchange.on_peer("a", told)
+        assert not self.asks.follower.learn(self.members(3), self.time.clock.now())
+        assert self.asks.ids() == []
+        self.time.advance(ASK_AGAIN_MS)
+        assert self.answer() == []
+        self.asks.follower.stop()
+
+
+def test_folder_copy_of_a_later_wall_clock_counts_as_oldest() -> None:
+    # Symptom: after a restart in an outage calls go to replicas that are long gone.
+    # Sequence: the copy is written while the machine's clock is ahead; the clock is set back.
+    # Cause: a copy from the future seemed younger than any peer's list.
+    with tempfile.TemporaryDirectory() as folder:
+        listed = AgedMembers([Member("b", ENTRY, "", HOST, 1, 2, "dc-a", "local", LIVE)], 50)
+        for wall_ms, age_ms in ((2_000_000, 1_050), (1_000_000, OLDEST_MS)):
+            written = fake_clock(2_000_000)
+            keeper = MembersFolder(folder, written.clock, lambda: listed)
+            keeper.changed()
+            written.advance(SAVE_DELAY_MS)
+            now = fake_clock(wall_ms + (SAVE_DELAY_MS + 1_000 if age_ms < OLDEST_MS else 0))
+            copy = MembersFolder(folder, now.clock, lambda: listed).load()
+            assert copy == AgedMembers(listed.members, age_ms)
+
+
+def test_folder_that_cannot_be_used_is_an_event() -> None:
+    with tempfile.TemporaryDirectory() as folder, LogCatcher() as logs:
+        time = fake_clock()
+        keeper = MembersFolder(folder, time.clock, lambda: AgedMembers([], 0))
+        assert keeper.load() is None
+        (Path(folder) / "instances.msgpack").write_bytes(b"\xc1")
+        assert keeper.load() is None
+        missing = MembersFolder(f"{folder}/none", time.clock, lambda: AgedMembers([], 0))
+        missing.changed()
+        missing.close()
+        assert len(logs.fields(events.MEMBERS_FOLDER_FAILED)) == 2
