--- a/papayapier/main.py
+++ b/papayapier/main.py
@@ -2,7 +2,7 @@
 
 Every command is a function from its parsed arguments to an exit code: 0 for success, 1 for a
 failure while running, 2 for wrong input. Commands are registered by the package that owns
-them; nothing heavy is imported before it is known which command runs.
+them; what runs an instance or stand-ins is imported only by the commands that do so.
 """
 
 import argparse
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -10,7 +10,7 @@
 import treq
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.trial.unittest import TestCase
 
 from papayapier import events, invariants
@@ -270,7 +270,8 @@
             while True:
                 try:
                     client = await connect(port)
-                except ConnectionRefusedError:
+                except ConnectError:
+                    # Refused, or reset while connecting: nothing had been sent.
                     return
                 while not client.closed.called:
                     client.received.clear()
