Remove the list of ejections that nothing took

Cause: Outliers appended every ejection and return to a list for a log that reads the state instead (fleet_view), so take_changes was called by one test only and the list grew for as long as the process ran. It would show as memory rising slowly while a replica keeps failing. Change: the list, its record Ejection and the reasons passed to it are gone; which replica is ejected and when is as before. The test that read the list now asserts the state after each probe, which also shows that no earlier probe brings the replica back. An unused alias in operate/configuration.py goes as well.

--- a/papayapier/operate/configuration.py
+++ b/papayapier/operate/configuration.py
@@ -24,8 +24,6 @@
 )
 from papayapier.operate.output import print_json, print_table, show_changes
 
-Subparsers = "argparse._SubParsersAction[argparse.ArgumentParser]"
-
 
 class _Noun(NamedTuple):
     """Describe one kind of object to the command line; columns are paths in a document."""
--- a/papayapier/policy/outliers.py
+++ b/papayapier/policy/outliers.py
@@ -14,7 +14,7 @@
 import math
 from collections.abc import Sequence
 from statistics import median
-from typing import Final, NamedTuple, Protocol
+from typing import Final, Protocol
 
 from automat import TypeMachineBuilder
 
@@ -35,14 +35,6 @@
 PENALTY_HALF_LIFE_MS: Final = 1_000.0
 
 
-class Ejection(NamedTuple):
-    """Tell that a replica was ejected, or that it is back in full use."""
-
-    replica_id: str
-    ejected: bool
-    reason: str
-
-
 class Health(Protocol):
     """Describe the inputs of a replica's state of health."""
 
@@ -124,7 +116,6 @@
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
         self._siblings: dict[str, list[str]] = {}
-        self._changes: list[Ejection] = []
 
     def on_listed(self, replicas: Sequence[Replica]) -> None:
         """Take the instance list's replicas."""
@@ -155,9 +146,9 @@
             row.first_token_ms += weight * (first_token_ms - row.first_token_ms)
             row.samples += 1
         if self._slow(replica_id, row) and self._may_eject(replica_id):
-            self._eject(replica_id, row, "first token far later than the siblings'", now)
+            self._eject(row, now)
         elif row.state == "returning":
-            self._on_good_probe(replica_id, row, now)
+            self._on_good_probe(row, now)
 
     def healthy(self, replica_id: str) -> bool:
         """Tell whether a replica is neither ejected nor still being probed."""
@@ -195,30 +186,22 @@
         age = max(0, now - row.failed_ms)
         return PENALTY_CALLS * row.failures * math.pow(0.5, age / PENALTY_HALF_LIFE_MS)
 
-    def take_changes(self) -> list[Ejection]:
-        """Return the ejections and returns since the last time, for the log."""
-        changes = self._changes
-        self._changes = []
-        return changes
-
     def _on_failure(self, replica_id: str, row: _Row, now: int) -> None:
         row.failures = min(row.failures + 1, FAILURES_IN_A_ROW)
         row.failed_ms = now
-        if row.state == "returning":
-            self._eject(replica_id, row, "a probe failed", now)
-        elif row.failures >= FAILURES_IN_A_ROW and self._may_eject(replica_id):
-            self._eject(replica_id, row, "failures in a row", now)
+        too_many = row.failures >= FAILURES_IN_A_ROW and self._may_eject(replica_id)
+        if row.state == "returning" or too_many:
+            self._eject(row, now)
 
-    def _on_good_probe(self, replica_id: str, row: _Row, now: int) -> None:
+    def _on_good_probe(self, row: _Row, now: int) -> None:
         row.good_probes += 1
         if row.good_probes < GOOD_PROBES:
             return
         row.machine.recover()
         row.state = row.machine.name()
         row.healthy_ms = now
-        self._changes.append(Ejection(replica_id, False, "probes went well"))
 
-    def _eject(self, replica_id: str, row: _Row, reason: str, now: int) -> None:
+    def _eject(self, row: _Row, now: int) -> None:
         forgiven = (now - row.healthy_ms) // FORGIVE_MS if row.state == "healthy" else 0
         row.ejections = max(0, row.ejections - forgiven)
         row.until_ms = now + min(FIRST_EJECTION_MS << row.ejections, MAX_EJECTION_MS)
@@ -229,7 +212,6 @@
         row.good_probes = 0
         row.machine.eject()
         row.state = row.machine.name()
-        self._changes.append(Ejection(replica_id, True, reason))
 
     def _may_eject(self, replica_id: str) -> bool:
         """Tell whether the replicas out of use, this one included, stay a minority."""
--- a/tests/test_policy_outliers.py
+++ b/tests/test_policy_outliers.py
@@ -70,7 +70,7 @@
     outliers, book = make(5), LoadBook()
     book.on_listed(replicas(5), ())
     fail(outliers, "r0", 4, 0)
-    outliers.take_changes()
+    healthy = []
     now = FIRST_EJECTION_MS
     for _ in range(GOOD_PROBES):
         sent = 0
@@ -83,10 +83,9 @@
         outliers.on_start("r0", now)
         assert outliers.ejected("r0", now)
         outliers.on_end("r0", True, 10.0, now + 5)
+        healthy.append(outliers.healthy("r0"))
         now += 10
-    assert [(change.replica_id, change.ejected) for change in outliers.take_changes()] == [
-        ("r0", False)
-    ]
+    assert healthy == [False] * (GOOD_PROBES - 1) + [True]
     assert not outliers.returning("r0")
 
 
