--- a/misc/policy_sim/affinity_run.py
+++ b/misc/policy_sim/affinity_run.py
@@ -6,37 +6,24 @@
 """
 
 import argparse
-import random
 from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 from itertools import accumulate
 from typing import Final, NamedTuple
 
-from misc.policy_sim.engine import Engine, EngineModel, Loop, Sequence
-from misc.policy_sim.routing_run import (
-    HEARTBEAT_MS,
-    INSTANCES,
-    LINK_MS,
-    MEAN_TOKENS,
-    POLL_MS,
-    REPLICAS,
-    UPSTREAM,
-    WARM_UP_MS,
-    Node,
-    at,
-)
-from papayapier.peer.messages import ReplicaUse
+from misc.policy_sim.engine import Sequence
+from misc.policy_sim.fleet import LINK_MS, MEAN_TOKENS, UPSTREAM, Fleet, Node, quantile
 from papayapier.policy.rendezvous import score
 from papayapier.policy.routing import RouteRequest, choose
-from papayapier.upstream.api import Replica
 
 PREFIXES: Final = 300
 CACHED: Final = 60
 HIT_MS: Final = 0.5
 MISS_MS: Final = 6.0
+WARM_UP_MS: Final = 2_000.0
 
-Way = Callable[[Node, str, int], str]
+Strategy = Callable[[Node, str, int], str]
 
 
 class Row(NamedTuple):
@@ -63,7 +50,7 @@
     return _chosen(node, prefix, now)
 
 
-WAYS: Final[dict[str, Way]] = {"by load": without, "by prefix": always, "policy": policy}
+STRATEGIES: Final[dict[str, Strategy]] = {"by load": without, "by prefix": always, "policy": policy}
 
 
 def _chosen(node: Node, prefix: str, now: int) -> str:
@@ -74,17 +61,15 @@
 class Run:
     """Hold one run's fleet and measures."""
 
-    def __init__(self, way: Way, load: float, seed: int) -> None:
-        self.way = way
-        self.loop = Loop()
-        self.rand = random.Random(seed)
-        model = EngineModel()
-        self.engines = {f"r{i}": Engine(self.loop, model) for i in range(REPLICAS)}
-        self.caches: dict[str, OrderedDict[str, None]] = {k: OrderedDict() for k in self.engines}
-        replicas = [Replica(k, UPSTREAM, "", 0, f"dc{i % 3}") for i, k in enumerate(self.engines)]
-        self.nodes = [Node(i, replicas, seed) for i in range(INSTANCES)]
-        full_step = model.base_ms + model.per_sequence_ms * model.slots
-        self.per_ms = load * REPLICAS * model.slots / full_step / MEAN_TOKENS
+    def __init__(self, strategy: Strategy, load: float, seed: int) -> None:
+        self.strategy = strategy
+        self.fleet = Fleet(seed)
+        self.loop = self.fleet.loop
+        self.rand = self.fleet.rand
+        self.per_ms = load * self.fleet.calls_per_ms
+        self.caches: dict[str, OrderedDict[str, None]] = {
+            key: OrderedDict() for key in self.fleet.engines
+        }
         self.weights = list(accumulate(1 / (rank + 1) for rank in range(PREFIXES)))
         self.firsts: list[float] = []
         self.paces: list[float] = []
@@ -93,37 +78,26 @@
 
     def go(self, seconds: float) -> Row:
         """Run and return the measures."""
-        for node in self.nodes:
-            for key in self.engines:
-                offset = self.rand.uniform(0, POLL_MS)
-                self.loop.every(POLL_MS, offset, partial(self._poll, node, key))
-            offset = self.rand.uniform(0, HEARTBEAT_MS)
-            self.loop.every(HEARTBEAT_MS, offset, partial(self._beat, node))
+        for node in self.fleet.nodes:
+            self.fleet.start_node(node)
         self._arrive()
         self.loop.run(seconds * 1000)
         hits = self.hits / max(1, self.calls)
-        return Row(hits, at(self.firsts, 0.5), at(self.firsts, 0.99), at(self.paces, 0.99))
-
-    def _poll(self, node: Node, key: str) -> None:
-        node.book.on_report(key, self.engines[key].report())
-
-    def _beat(self, node: Node) -> None:
-        uses = node.book.uses()
-        for peer in self.nodes:
-            if peer is not node:
-                self.loop.after(LINK_MS, partial(self._hear, peer, node.name, uses))
-
-    def _hear(self, node: Node, peer: str, uses: list[ReplicaUse]) -> None:
-        node.book.on_peer_uses(peer, uses, int(self.loop.now))
+        return Row(
+            hits,
+            quantile(self.firsts, 0.5),
+            quantile(self.firsts, 0.99),
+            quantile(self.paces, 0.99),
+        )
 
     def _arrive(self) -> None:
         self.loop.after(self.rand.expovariate(self.per_ms), self._arrive)
         rank = self.rand.choices(range(PREFIXES), cum_weights=self.weights)[0]
-        self._send(self.rand.choice(self.nodes), f"prefix-{rank}")
+        self._send(self.rand.choice(self.fleet.nodes), f"prefix-{rank}")
 
     def _send(self, node: Node, prefix: str) -> None:
         begun = self.loop.now
-        key = self.way(node, prefix, int(begun))
+        key = self.strategy(node, prefix, int(begun))
         node.book.on_sent(key, False, int(begun))
         tokens = max(1, round(self.rand.expovariate(1 / MEAN_TOKENS)))
 
@@ -137,7 +111,7 @@
                 self.paces.append((self.loop.now - begun) / tokens)
 
         seq = Sequence(tokens, self._prefill_ms(key, prefix), ended)
-        self.loop.after(LINK_MS, partial(self.engines[key].submit, seq))
+        self.loop.after(LINK_MS, partial(self.fleet.engines[key].submit, seq))
 
     def _prefill_ms(self, key: str, prefix: str) -> float:
         cache = self.caches[key]
@@ -160,8 +134,8 @@
     args = parser.parse_args()
     print("load  way         hits  first p50  first p99  ms/token p99")
     for load in (0.3, 0.5, 0.6):
-        for name, way in WAYS.items():
-            row = Run(way, load, args.seed).go(args.seconds)
+        for name, strategy in STRATEGIES.items():
+            row = Run(strategy, load, args.seed).go(args.seconds)
             print(
                 f"{load:4.2f}  {name:<10}{row.hits:6.2f}{row.first_p50:11.1f}"
                 f"{row.first_p99:11.1f}{row.pace_p99:14.1f}"
--- a/misc/policy_sim/batch_run.py
+++ b/misc/policy_sim/batch_run.py
@@ -12,18 +12,22 @@
 from typing import Final, NamedTuple
 
 from misc.policy_sim.engine import Engine, EngineModel, Loop, Sequence
+from misc.policy_sim.fleet import (
+    HEARTBEAT_MS,
+    INSTANCES,
+    LINK_MS,
+    POLL_MS,
+    REPLICAS,
+    UPSTREAM,
+    Node,
+    list_replicas,
+    quantile,
+)
 from papayapier.config.profiles import BatchRule, Isolation
 from papayapier.policy.batch_share import BatchShare
-from papayapier.policy.loads import LoadBook
-from papayapier.policy.outliers import Outliers
 from papayapier.policy.routing import RouteRequest, choose
 from papayapier.upstream.api import Replica
 
-INSTANCES: Final = 6
-REPLICAS: Final = 9
-LINK_MS: Final = 1.0
-POLL_MS: Final = 100.0
-HEARTBEAT_MS: Final = 500.0
 EARLY_MS: Final = 50.0
 EARLY_CALLS: Final = 4
 TICK_MS: Final = 20.0
@@ -33,7 +37,6 @@
 BURST_FACTOR: Final = 5.0
 ONLINE_TOKENS: Final = 40
 BATCH_TOKENS: Final = 200
-UPSTREAM: Final = "model"
 CASES: Final = ((0.15, 0.0, 1.0), (0.08, 0.0, 1.0), (0.15, 2.0, 1.0), (0.15, 0.0, 20.0))
 HEAD: Final = (
     "way                   first p50    p99    p99.9  gap p50   p99  total p50    p99"
@@ -65,24 +68,17 @@
     gap: list[float]
     total: list[float]
     batch_per_s: float
-    online_per_s: float
     idle_per_s: float
     yields_per_s: float
 
 
-class Node:
+class BatchNode(Node):
     """Run one instance's online calls and batch streams."""
 
     def __init__(self, index: int, replicas: list[Replica], setup: Setup, seed: int) -> None:
-        self.name = f"i{index}"
-        self.data_centre = f"dc{index % 3}"
-        self.rand = random.Random(f"{seed}/{index}")
-        self.book = LoadBook()
-        self.outliers = Outliers()
+        super().__init__(index, replicas, seed)
         self.share = BatchShare(self.name)
         self.share.set_instances([f"i{i}" for i in range(INSTANCES)])
-        self.book.on_listed(replicas, ())
-        self.outliers.on_listed(replicas)
         self.streams: dict[str, list[Sequence]] = {replica.id: [] for replica in replicas}
         self.kept: list[int] = []
         self.told_ms = 0.0
@@ -103,20 +99,16 @@
         model = EngineModel()
         self.model = model
         self.engines = {f"r{i}": Engine(self.loop, model) for i in range(REPLICAS)}
-        replicas = [
-            Replica(key, UPSTREAM, "", 0, f"dc{i % 3}") for i, key in enumerate(self.engines)
-        ]
-        self.nodes = [Node(i, replicas, setup, seed) for i in range(INSTANCES)]
+        replicas = list_replicas(self.engines)
+        self.nodes = [BatchNode(i, replicas, setup, seed) for i in range(INSTANCES)]
         self.weights = [setup.skew, *[1.0] * (INSTANCES - 1)]
         self.first: list[float] = []
         self.gap: list[float] = []
         self.total: list[float] = []
         self.batch_tokens = 0
-        self.online_tokens = 0
         self.online_slot_ms = 0.0
         self.yields = 0
-        full_step = model.base_ms + model.per_sequence_ms * model.slots
-        self.per_ms = setup.online * REPLICAS * model.slots / full_step / ONLINE_TOKENS
+        self.per_ms = setup.online * REPLICAS * model.slots / model.full_step_ms() / ONLINE_TOKENS
 
     def go(self, seconds: float) -> Row:
         """Run and return the measures."""
@@ -127,19 +119,17 @@
         self.loop.run(end)
         span = (end - WARM_UP_MS) / 1000
         slots = REPLICAS * self.model.slots
-        full_step = self.model.base_ms + self.model.per_sequence_ms * self.model.slots
         idle = slots - self.online_slot_ms / (span * 1000)
         return Row(
-            sorted(self.first),
-            sorted(self.gap),
-            sorted(self.total),
+            self.first,
+            self.gap,
+            self.total,
             self.batch_tokens / span,
-            self.online_tokens / span,
-            idle * 1000 / full_step,
+            idle * 1000 / self.model.full_step_ms(),
             self.yields / span,
         )
 
-    def _start(self, node: Node) -> None:
+    def _start(self, node: BatchNode) -> None:
         for key in self.engines:
             offset = self.rand.uniform(0, POLL_MS)
             self.loop.every(POLL_MS, offset, lambda k=key: self._poll(node, k))  # type: ignore[misc]
@@ -147,12 +137,12 @@
         if self.setup.rule:
             self.loop.every(TICK_MS, self.rand.uniform(0, TICK_MS), lambda: self._tick(node))
 
-    def _poll(self, node: Node, key: str) -> None:
+    def _poll(self, node: BatchNode, key: str) -> None:
         report = self.engines[key].report()
-        node.book.on_report(key, report)
+        node.on_report(key, report)
         node.share.on_report(key, report)
 
-    def _beat_early(self, node: Node) -> None:
+    def _beat_early(self, node: BatchNode) -> None:
         """Tell the peers at once when many online calls were opened or ended."""
         if self.loop.now < node.told_ms + EARLY_MS:
             return
@@ -161,7 +151,7 @@
         if sum(abs(online.get(k, 0) - node.told.get(k, 0)) for k in keys) >= EARLY_CALLS:
             self._beat(node)
 
-    def _beat(self, node: Node) -> None:
+    def _beat(self, node: BatchNode) -> None:
         uses = node.book.uses()
         node.told = {use.replica: use.online for use in uses}
         node.told_ms = self.loop.now
@@ -169,7 +159,7 @@
             if peer is not node:
                 self.loop.after(LINK_MS, self._told(peer, node, uses))
 
-    def _told(self, peer: Node, node: Node, uses: list) -> Callable[[], None]:  # type: ignore[type-arg]
+    def _told(self, peer: BatchNode, node: BatchNode, uses: list) -> Callable[[], None]:  # type: ignore[type-arg]
         return lambda: peer.book.on_peer_uses(node.name, uses, int(self.loop.now))
 
     def _arrive(self) -> None:
@@ -179,7 +169,7 @@
         self.loop.after(self.rand.expovariate(rate), self._arrive)
         self._send_online(self.rand.choices(self.nodes, self.weights)[0])
 
-    def _send_online(self, node: Node) -> None:
+    def _send_online(self, node: BatchNode) -> None:
         begun = self.loop.now
         req = RouteRequest(UPSTREAM, "", node.data_centre)
         key = choose(node.book, node.outliers, req, node.rand, int(begun))
@@ -199,7 +189,6 @@
             self.first.append(seq.first_ms + LINK_MS - begun)
             self.gap.append(gap)
             self.total.append(self.loop.now - begun)
-            self.online_tokens += tokens
             self.online_slot_ms += seq.last_ms - begun - LINK_MS
 
         seq = Sequence(tokens, self.setup.prefill_ms, ended)
@@ -207,7 +196,7 @@
         if self.setup.rule and self.setup.yields:
             self._yield(node, key)
 
-    def _tick(self, node: Node) -> None:
+    def _tick(self, node: BatchNode) -> None:
         self._beat_early(node)
         for key in self.engines:
             if self.setup.yields:
@@ -217,12 +206,12 @@
             for _ in range(node.share.room(key, node.book, int(self.loop.now))):
                 self._send_batch(node, key)
 
-    def _works(self, node: Node) -> bool:
+    def _works(self, node: BatchNode) -> bool:
         if 0 < self.setup.all_work_from_ms <= self.loop.now:
             return True
         return int(node.name[1:]) < self.setup.workers
 
-    def _yield(self, node: Node, key: str) -> None:
+    def _yield(self, node: BatchNode, key: str) -> None:
         count = node.share.to_yield(key, node.book, int(self.loop.now))
         streams = node.streams[key]
         for seq in sorted(streams, key=lambda seq: seq.made)[:count]:
@@ -231,7 +220,7 @@
             self.yields += self.loop.now >= WARM_UP_MS
             self.loop.after(LINK_MS, lambda s=seq: self.engines[key].cancel(s))  # type: ignore[misc]
 
-    def _send_batch(self, node: Node, key: str) -> None:
+    def _send_batch(self, node: BatchNode, key: str) -> None:
         tokens = node.kept.pop() if node.kept else BATCH_TOKENS
         node.book.on_sent(key, True, int(self.loop.now))
 
@@ -252,11 +241,6 @@
         self.loop.after(LINK_MS, lambda: self.engines[key].submit(seq))
 
 
-def at(ordered: list[float], share: float) -> float:
-    """Return a quantile of sorted values."""
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
-
-
 def setups(online: float, prefill_ms: float) -> list[Setup]:
     """List the runs of one table."""
 
@@ -288,10 +272,10 @@
             row = Run(setup._replace(skew=skew), args.seed).go(args.seconds)
             idle = idle or row.idle_per_s
             print(
-                f"{setup.name:<22}{at(row.first, 0.5):9.1f}{at(row.first, 0.99):8.1f}"
-                f"{at(row.first, 0.999):8.1f}"
-                f"{at(row.gap, 0.5):9.2f}{at(row.gap, 0.99):6.2f}"
-                f"{at(row.total, 0.5):10.0f}{at(row.total, 0.99):8.0f}"
+                f"{setup.name:<22}{quantile(row.first, 0.5):9.1f}{quantile(row.first, 0.99):8.1f}"
+                f"{quantile(row.first, 0.999):8.1f}"
+                f"{quantile(row.gap, 0.5):9.2f}{quantile(row.gap, 0.99):6.2f}"
+                f"{quantile(row.total, 0.5):10.0f}{quantile(row.total, 0.99):8.0f}"
                 f"{row.batch_per_s:10.0f}{row.yields_per_s:9.1f}{row.batch_per_s / idle:9.2f}"
             )
 
--- a/misc/policy_sim/engine.py
+++ b/misc/policy_sim/engine.py
@@ -69,6 +69,10 @@
     lag_ms: float = 200.0
     prefill_per_step_ms: float = 10.0
 
+    def full_step_ms(self) -> float:
+        """Return how long a step lasts with all slots in use."""
+        return self.base_ms + self.per_sequence_ms * self.slots
+
 
 class _Past(NamedTuple):
     at_ms: float
--- /dev/null
+++ b/misc/policy_sim/fleet.py
@@ -0,0 +1,89 @@
+"""Model a fleet: engines, and instances that know them by reports and by heartbeats.
+
+The runs in this package differ in what the instances do; the links, the polling of reports
+and the heartbeats between instances are the same and stand here.
+"""
+
+import random
+from collections.abc import Iterable, Sequence
+from functools import partial
+from typing import Final
+
+from misc.policy_sim.engine import Engine, EngineModel, Loop
+from papayapier.peer.messages import ReplicaUse
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.upstream.api import Load, Replica
+
+INSTANCES: Final = 6
+REPLICAS: Final = 9
+DATA_CENTRES: Final = 3
+LINK_MS: Final = 1.0
+POLL_MS: Final = 100.0
+HEARTBEAT_MS: Final = 500.0
+MEAN_TOKENS: Final = 60
+UPSTREAM: Final = "model"
+
+
+class Node:
+    """Hold what one instance knows."""
+
+    def __init__(self, index: int, replicas: Sequence[Replica], seed: int) -> None:
+        self.name = f"i{index}"
+        self.data_centre = f"dc{index % DATA_CENTRES}"
+        self.book = LoadBook()
+        self.outliers = Outliers()
+        self.rand = random.Random(f"{seed}/{index}")
+        self.book.on_listed(replicas, ())
+        self.outliers.on_listed(replicas)
+        self.ids = [replica.id for replica in replicas]
+        self.reported: dict[str, float] = dict.fromkeys(self.ids, 0.0)
+
+    def on_report(self, key: str, load: Load) -> None:
+        """Take a load report."""
+        self.reported[key] = load.running + load.waiting
+        self.book.on_report(key, load)
+
+
+class Fleet:
+    """Hold the engines and the instances of one run, and the virtual time that they share."""
+
+    def __init__(self, seed: int) -> None:
+        self.loop = Loop()
+        self.rand = random.Random(seed)
+        model = EngineModel()
+        self.engines = {f"r{i}": Engine(self.loop, model) for i in range(REPLICAS)}
+        replicas = list_replicas(self.engines)
+        self.nodes = [Node(i, replicas, seed) for i in range(INSTANCES)]
+        self.calls_per_ms = REPLICAS * model.slots / model.full_step_ms() / MEAN_TOKENS
+
+    def start_node(self, node: Node) -> None:
+        """Let an instance poll the engines and send heartbeats, from random times on."""
+        for key in self.engines:
+            offset = self.rand.uniform(0, POLL_MS)
+            self.loop.every(POLL_MS, offset, partial(self._poll, node, key))
+        offset = self.rand.uniform(0, HEARTBEAT_MS)
+        self.loop.every(HEARTBEAT_MS, offset, partial(self._send_heartbeat, node))
+
+    def _poll(self, node: Node, key: str) -> None:
+        node.on_report(key, self.engines[key].report())
+
+    def _send_heartbeat(self, node: Node) -> None:
+        uses = node.book.uses()
+        for peer in self.nodes:
+            if peer is not node:
+                self.loop.after(LINK_MS, partial(self._on_heartbeat, peer, node.name, uses))
+
+    def _on_heartbeat(self, node: Node, peer: str, uses: list[ReplicaUse]) -> None:
+        node.book.on_peer_uses(peer, uses, int(self.loop.now))
+
+
+def list_replicas(keys: Iterable[str]) -> list[Replica]:
+    """List the engines as replicas of one upstream, spread over the data centres."""
+    return [Replica(key, UPSTREAM, "", 0, f"dc{i % DATA_CENTRES}") for i, key in enumerate(keys)]
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return a quantile of measured values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
--- a/misc/policy_sim/overload_run.py
+++ b/misc/policy_sim/overload_run.py
@@ -6,26 +6,22 @@
 """
 
 import argparse
-import random
 from collections.abc import Callable
 from functools import partial
 from typing import Final, NamedTuple
 
-from misc.policy_sim.engine import Engine, EngineModel, Loop, Sequence
-from misc.policy_sim.routing_run import (
-    HEARTBEAT_MS,
+from misc.policy_sim.engine import Sequence
+from misc.policy_sim.fleet import (
+    INSTANCES,
     LINK_MS,
     MEAN_TOKENS,
-    POLL_MS,
-    REPLICAS,
     UPSTREAM,
+    Fleet,
     Node,
-    at,
+    quantile,
 )
-from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.admission import AdmissionQueue, Waiting
 from papayapier.policy.routing import RouteRequest, choose, free_calls
-from papayapier.upstream.api import Replica
 
 DUE_MS: Final = 1_500
 TICK_MS: Final = 10.0
@@ -79,17 +75,12 @@
 
     def __init__(self, gate: Gate, load: float, skew: float, seed: int) -> None:
         self.gate = gate
-        self.loop = Loop()
-        self.rand = random.Random(seed)
-        model = EngineModel()
-        self.engines = {f"r{i}": Engine(self.loop, model) for i in range(REPLICAS)}
-        replicas = [Replica(k, UPSTREAM, "", 0, f"dc{i % 3}") for i, k in enumerate(self.engines)]
-        self.nodes = [Node(i, replicas, seed) for i in range(6)]
-        self.weights = [skew, 1.0, 1.0, 1.0, 1.0, 1.0]
-        self.queues = {node.name: AdmissionQueue(UNBOUNDED) for node in self.nodes}
-        full_step = model.base_ms + model.per_sequence_ms * model.slots
-        self.capacity_per_ms = REPLICAS * model.slots / full_step / MEAN_TOKENS
-        self.per_ms = load * self.capacity_per_ms
+        self.fleet = Fleet(seed)
+        self.loop = self.fleet.loop
+        self.rand = self.fleet.rand
+        self.per_ms = load * self.fleet.calls_per_ms
+        self.weights = [skew, *[1.0] * (INSTANCES - 1)]
+        self.queues = {node.name: AdmissionQueue(UNBOUNDED) for node in self.fleet.nodes}
         self.ticket = 0
         self.counts = {"in_time": 0, "late": 0, "refused": 0, "given_up": 0}
         self.engine_waits: list[float] = []
@@ -98,43 +89,26 @@
 
     def go(self, seconds: float) -> Row:
         """Run and return the measures."""
-        for node in self.nodes:
-            for key in self.engines:
-                offset = self.rand.uniform(0, POLL_MS)
-                self.loop.every(POLL_MS, offset, partial(self._poll, node, key))
-            self.loop.every(
-                HEARTBEAT_MS, self.rand.uniform(0, HEARTBEAT_MS), partial(self._beat, node)
-            )
+        for node in self.fleet.nodes:
+            self.fleet.start_node(node)
             self.loop.every(TICK_MS, self.rand.uniform(0, TICK_MS), partial(self._pump, node))
         self._arrive()
         self.loop.run(seconds * 1000)
-        capacity = self.capacity_per_ms * (seconds * 1000 - WARM_UP_MS)
+        capacity = self.fleet.calls_per_ms * (seconds * 1000 - WARM_UP_MS)
         return Row(
             self.counts["in_time"] / capacity,
             self.counts["late"],
             self.counts["refused"],
             self.counts["given_up"],
-            at(self.engine_waits, 0.99),
-            at(self.firsts, 0.5),
-            at(self.firsts, 0.99),
+            quantile(self.engine_waits, 0.99),
+            quantile(self.firsts, 0.5),
+            quantile(self.firsts, 0.99),
             self.peak,
         )
 
-    def _poll(self, node: Node, key: str) -> None:
-        node.book.on_report(key, self.engines[key].report())
-
-    def _beat(self, node: Node) -> None:
-        uses = node.book.uses()
-        for peer in self.nodes:
-            if peer is not node:
-                self.loop.after(LINK_MS, partial(self._hear, peer, node.name, uses))
-
-    def _hear(self, node: Node, peer: str, uses: list[ReplicaUse]) -> None:
-        node.book.on_peer_uses(peer, uses, int(self.loop.now))
-
     def _arrive(self) -> None:
         self.loop.after(self.rand.expovariate(self.per_ms), self._arrive)
-        node = self.rand.choices(self.nodes, self.weights)[0]
+        node = self.rand.choices(self.fleet.nodes, self.weights)[0]
         now = int(self.loop.now)
         self.ticket += 1
         caller = f"c{self.ticket % 4}"
@@ -178,8 +152,8 @@
             self._pump(node)
 
         seq = Sequence(tokens, 0.0, ended)
-        self.loop.after(LINK_MS, partial(self.engines[key].submit, seq))
-        self.peak = max(self.peak, len(self.engines[key].waiting))
+        self.loop.after(LINK_MS, partial(self.fleet.engines[key].submit, seq))
+        self.peak = max(self.peak, len(self.fleet.engines[key].waiting))
 
 
 def main() -> None:
@@ -188,9 +162,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=13.0)
     args = parser.parse_args()
-    print(
-        "load  skew  gate       goodput  late  refused  given up  engine p99  first p50   p99  peak"
-    )
+    print(HEAD)
     for load, skew in ((0.9, 1.0), (1.2, 1.0), (2.0, 1.0), (4.0, 1.0), (2.0, 20.0)):
         for name, gate in GATES.items():
             row = Run(gate, load, skew, args.seed).go(args.seconds)
