--- a/papayapier/policy/admission.py
+++ b/papayapier/policy/admission.py
@@ -1,6 +1,6 @@
 """Queue online requests, start them in a fair order, and refuse early what would be late.
 
-Each upstream has a line of its own (fair_line.py), so that one whose replicas are full or
+Each upstream has a queue of its own (fair_queue.py), so that one whose replicas are full or
 gone holds up nobody else. A request is refused the moment its estimated wait and run would
 pass its due time, both when it comes and later, if the upstream has become slower meanwhile:
 a caller that hears at once can go elsewhere or retry, while one that is held until its due
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from papayapier.errors import ErrorKind, Refusal, not_run
-from papayapier.policy.fair_line import FairLine, Waiting
+from papayapier.policy.fair_queue import FairQueue, Waiting
 from papayapier.policy.service_rate import ServiceRate
 
 __all__ = ["AdmissionQueue", "Waiting"]
@@ -40,7 +40,7 @@
         self._max_queued = max_queued
         self._entries: dict[int, Waiting] = {}
         self._late: dict[int, Waiting] = {}
-        self._lines: dict[str, FairLine] = {}
+        self._queues: dict[str, FairQueue] = {}
         self._rates: dict[str, ServiceRate] = {}
         self._by_caller: dict[str, int] = {}
         self._reviewed_ms = 0
@@ -54,13 +54,13 @@
             return Err(refusal)
         self._entries[entry.ticket] = entry
         self._by_caller[entry.caller] = self._by_caller.get(entry.caller, 0) + 1
-        self._lines.setdefault(entry.upstream, FairLine()).add(entry)
+        self._queues.setdefault(entry.upstream, FairQueue()).add(entry)
         return Ok(None)
 
     def take(self, now: int, can_start: Callable[[str], bool]) -> Waiting | None:
         """Return the next request to start, or None; can_start answers for an upstream."""
         self._now = now
-        for upstream in list(self._lines):
+        for upstream in list(self._queues):
             if not can_start(upstream):
                 self._rate(upstream).on_backlog(now)
                 continue
@@ -76,7 +76,7 @@
         entry = self._entries.get(ticket)
         if entry is None:
             return False
-        self._lines[entry.upstream].remove(entry)
+        self._queues[entry.upstream].remove(entry)
         self._forget(entry)
         return True
 
@@ -85,7 +85,7 @@
         self._now = now
         if now >= self._reviewed_ms + max(REVIEW_MS, REVIEW_MS_PER_ENTRY * self.depth()):
             self._reviewed_ms = now
-            for upstream in list(self._lines):
+            for upstream in list(self._queues):
                 self._review(upstream, now)
         late = list(self._late.values())
         self._late.clear()
@@ -94,10 +94,10 @@
     def retry_after_ms(self, entry: Waiting, now: int) -> int:
         """Return after what time a request like this is likely to be in time."""
         rate = self._rate(entry.upstream).per_ms(now)
-        line = self._lines.get(entry.upstream)
-        if rate is None or line is None:
+        queue = self._queues.get(entry.upstream)
+        if rate is None or queue is None:
             return MIN_RETRY_AFTER_MS
-        ahead = line.cost_ahead(entry) + entry.cost
+        ahead = queue.cost_ahead(entry) + entry.cost
         wait = ahead / rate if rate > 0 else float(MAX_RETRY_AFTER_MS)
         over = wait + self._rate(entry.upstream).duration_ms(entry.profile)
         over -= entry.due_ms - entry.enqueued_ms
@@ -129,13 +129,13 @@
         if free <= 0 or self.queued_by(entry.caller) >= max(1, allowed):
             kind = ErrorKind.CALLER_LIMIT if free > 0 else ErrorKind.OVERLOADED
             return not_run(kind, "the queue is full", self.retry_after_ms(entry, now))
-        line = self._lines.get(entry.upstream)
-        if line is None:
+        queue = self._queues.get(entry.upstream)
+        if queue is None:
             return None
-        if len(line) >= max(1, allowed * UPSTREAM_ROOM_FACTOR):
+        if len(queue) >= max(1, allowed * UPSTREAM_ROOM_FACTOR):
             reason = f"the queue for {entry.upstream} is full"
             return not_run(ErrorKind.OVERLOADED, reason, self.retry_after_ms(entry, now))
-        if not self._too_late(entry, line.cost_ahead(entry), ADMIT_TOLERANCE, now):
+        if not self._too_late(entry, queue.cost_ahead(entry), ADMIT_TOLERANCE, now):
             return None
         reason = "the estimated wait would pass the due time"
         return not_run(ErrorKind.OVERLOADED, reason, self.retry_after_ms(entry, now))
@@ -146,10 +146,10 @@
         return _late(entry, ahead, rate.per_ms(now), needed, tolerance, now)
 
     def _take_from(self, upstream: str, now: int) -> Waiting | None:
-        line = self._lines[upstream]
+        queue = self._queues[upstream]
         rate = self._rate(upstream)
-        while len(line):
-            entry = line.take()
+        while len(queue):
+            entry = queue.take()
             self._forget(entry)
             # A request that was just offered is started without looking at the usual
             # duration. Else a duration learnt while the upstream was slow would refuse
@@ -160,8 +160,8 @@
                 self._late[entry.ticket] = entry
                 continue
             rate.on_taken(entry.cost, now)
-            if upstream in self._lines:
-                self._lines[upstream] = self._lines.pop(upstream)
+            if upstream in self._queues:
+                self._queues[upstream] = self._queues.pop(upstream)
             return entry
         return None
 
@@ -170,7 +170,7 @@
         rate = self._rate(upstream)
         per_ms = rate.per_ms(now)
         late = []
-        for entry, ahead in self._lines[upstream].costs_ahead():
+        for entry, ahead in self._queues[upstream].costs_ahead():
             needed = rate.duration_ms(entry.profile)
             if _late(entry, ahead, per_ms, needed, REVIEW_TOLERANCE, now):
                 late.append(entry)
@@ -183,8 +183,8 @@
         left = self._by_caller.pop(entry.caller) - 1
         if left:
             self._by_caller[entry.caller] = left
-        if not len(self._lines[entry.upstream]):
-            del self._lines[entry.upstream]
+        if not len(self._queues[entry.upstream]):
+            del self._queues[entry.upstream]
             self._rate(entry.upstream).on_empty(self._now)
 
     def _rate(self, upstream: str) -> ServiceRate:
--- a/papayapier/policy/fair_line.py
+++ b/papayapier/policy/fair_queue.py
@@ -105,7 +105,7 @@
             self.tags = {key: kept for key, kept in self.tags.items() if kept > self.now}
 
 
-class FairLine:
+class FairQueue:
     """Hold the queued requests of one upstream."""
 
     def __init__(self) -> None:
@@ -116,10 +116,6 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def entries(self) -> Iterator[Waiting]:
-        """Return the queued requests, oldest first."""
-        return iter(list(self._entries.values()))
-
     def add(self, entry: Waiting) -> None:
         """Queue a request."""
         group = self._classes[entry.urgency]
