--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -6,9 +6,8 @@
 """
 
 import random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
-from klein import Klein
 from result import Err, Ok, Result
 
 from papayapier import events
@@ -18,21 +17,14 @@
 from papayapier.clock import Clock
 from papayapier.config.start import Config, ConfigDeps, start_config
 from papayapier.dispatch.api import DispatchDeps
-from papayapier.dispatch.claimed import make_runner
 from papayapier.dispatch.lanes import BatchLanes
 from papayapier.dispatch.online import OnlineDispatch
-from papayapier.entry.batch_routes import add_batch_routes
-from papayapier.entry.callers import caller_auth
-from papayapier.entry.health_routes import add_health_routes
-from papayapier.entry.online_routes import OnlineDeps, add_online_routes
-from papayapier.entry.operator_auth import job_auth, no_new_work
-from papayapier.entry.operator_routes import OperatorDeps, add_operator_routes
 from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
-from papayapier.instance import Instance, Parts, Ports, Readiness
-from papayapier.listen import Listening, listen
+from papayapier.instance import Instance, Parts, Readiness
 from papayapier.membership import MembershipDeps, make_membership, reach_platform
-from papayapier.metrics import Metrics, make_metrics
+from papayapier.metrics import make_metrics
 from papayapier.orders.controller import OrderControl, OrdersDeps, start_orders
+from papayapier.parts import Base, Fleet, Work
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.messages import (
     ClaimAsk,
@@ -48,72 +40,22 @@
 from papayapier.policy.admission import AdmissionQueue
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.drain import Drain, DrainPlan
+from papayapier.policy.first_byte import FirstByteTimes
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.retries import RetryBudget
 from papayapier.settings import Settings
-from papayapier.status import FleetStatus
-from papayapier.store.api import Store
-from papayapier.store.budget import Budget, Priority, make_budget
+from papayapier.store.budget import Priority, make_budget
 from papayapier.store.http import http_store
-from papayapier.upstream.api import Upstreams
+from papayapier.surfaces import Open, make_apps, open_surfaces
 from papayapier.upstream.client import make_upstreams
 from papayapier.upstream.orders import make_orders
-from papayapier.upstream.reports import OnReport, Reports, make_reports
+from papayapier.upstream.reports import OnReport, make_reports
 
 BOOT_BITS: Final = 48
 ASK_WRITER_MS: Final = 500
 
 
-class _Base(NamedTuple):
-    """Hold what every other part needs; boot names this run of the instance."""
-
-    reactor: Any
-    clock: Clock
-    rand: random.Random
-    cfg: Settings
-    metrics: Metrics
-    store: Store
-    budget: Budget
-    drain: Drain
-    boot: int
-
-
-class _Fleet(NamedTuple):
-    """Hold what is known of replicas and how they are reached."""
-
-    policies: Policies
-    view: FleetView
-    upstreams: Upstreams
-    reports: Reports
-
-
-class _Work(NamedTuple):
-    """Hold the parts that do the work and talk with peers about it."""
-
-    hub: PeerHub
-    config: Config
-    online: OnlineDispatch
-    lanes: BatchLanes
-    batch: Batch
-    claims: Claims
-    orders: OrderControl
-
-
-class _Apps(NamedTuple):
-    """Hold the two HTTP surfaces."""
-
-    entry: Klein
-    operator: Klein
-
-
-class _Open(NamedTuple):
-    """Hold the open addresses."""
-
-    ports: Ports
-    handles: tuple[Listening, Listening]
-
-
 async def start_instance(
     reactor: Any, clock: Clock, cfg: Settings, rand: random.Random
 ) -> Result[Instance, str]:
@@ -126,17 +68,17 @@
     fleet = _make_fleet(base)
     work = _make_work(base, fleet)
     readiness = Readiness(clock, base.drain, work.config, fleet.view)
-    listening = _listen(base, work, _make_apps(base, fleet, work, readiness))
+    listening = open_surfaces(base, work, make_apps(base, fleet, work, readiness))
     if isinstance(listening, Err):
-        await _give_up(base, work)
+        await _give_up(base, fleet, work)
         return listening
     return Ok(_make_instance(base, fleet, work, listening.ok_value))
 
 
-def _make_base(reactor: Any, clock: Clock, cfg: Settings, rand: random.Random) -> _Base:
+def _make_base(reactor: Any, clock: Clock, cfg: Settings, rand: random.Random) -> Base:
     metrics = make_metrics()
     store = http_store(reactor, clock, cfg.platform, metrics)
-    return _Base(
+    return Base(
         reactor=reactor,
         clock=clock,
         rand=rand,
@@ -149,7 +91,7 @@
     )
 
 
-def _make_fleet(base: _Base) -> _Fleet:
+def _make_fleet(base: Base) -> Fleet:
     cfg = base.cfg
     policies = Policies(LoadBook(), Outliers(), BatchShare(cfg.instance.id))
     view = FleetView(cfg.instance.id, policies, base.metrics)
@@ -162,10 +104,10 @@
         OnReport(view.on_load, lambda _replica, _failure: None),
         lambda replica: policies.book.reported_at(replica.id),
     )
-    return _Fleet(policies, view, upstreams, reports)
+    return Fleet(policies, view, upstreams, reports)
 
 
-def _make_work(base: _Base, fleet: _Fleet) -> _Work:
+def _make_work(base: Base, fleet: Fleet) -> Work:
     cfg = base.cfg
 
     def heartbeat() -> Heartbeat:
@@ -183,18 +125,18 @@
     batch = _start_batch(base, fleet, hub, lanes, config)
     claims = _make_claims(base, hub)
     orders = _start_orders(base, fleet, config)
-    work = _Work(hub, config, online, lanes, batch, claims, orders)
+    work = Work(hub, config, online, lanes, batch, claims, orders)
     _subscribe(base, fleet, work)
     return work
 
 
-def _make_hub(base: _Base, heartbeat: Any) -> PeerHub:
+def _make_hub(base: Base, heartbeat: Any) -> PeerHub:
     own = base.cfg.instance
     me = Identity(own.id, base.boot, own.host, own.data_centre, own.region)
     return PeerHub(base.reactor, base.clock, base.cfg.peer, me, heartbeat, base.metrics, base.rand)
 
 
-def _make_dispatch(base: _Base, fleet: _Fleet, hub: PeerHub) -> DispatchDeps:
+def _make_dispatch(base: Base, fleet: Fleet, hub: PeerHub) -> DispatchDeps:
     return DispatchDeps(
         clock=base.clock,
         rand=base.rand,
@@ -203,6 +145,7 @@
         outliers=fleet.policies.outliers,
         queue=AdmissionQueue(base.cfg.entry.max_queued),
         budget=RetryBudget(),
+        first_bytes=FirstByteTimes(),
         share=fleet.policies.share,
         upstreams=fleet.upstreams,
         metrics=base.metrics,
@@ -210,7 +153,7 @@
     )
 
 
-def _start_config(base: _Base, fleet: _Fleet, hub: PeerHub, online: OnlineDispatch) -> Config:
+def _start_config(base: Base, fleet: Fleet, hub: PeerHub, online: OnlineDispatch) -> Config:
     def tell_peer(peer_id: str, message: Message) -> None:
         hub.tell(peer_id, message)
 
@@ -232,13 +175,14 @@
 
 
 def _start_batch(
-    base: _Base, fleet: _Fleet, hub: PeerHub, lanes: BatchLanes, config: Config
+    base: Base, fleet: Fleet, hub: PeerHub, lanes: BatchLanes, config: Config
 ) -> Batch:
     return start_batch(
         BatchDeps(
             clock=base.clock,
             rand=base.rand,
             store=base.budget.view(Priority.BULK),
+            lease_store=base.budget.view(Priority.LEASE),
             dispatch=BatchDispatch(lanes.room, lanes.run, lanes.watch_room),
             cfg=base.cfg.batch,
             instance=base.cfg.instance.id,
@@ -251,7 +195,7 @@
     )
 
 
-def _make_claims(base: _Base, hub: PeerHub) -> Claims:
+def _make_claims(base: Base, hub: PeerHub) -> Claims:
     async def ask_writer(writer: str, reference: str) -> str:
         told = await hub.ask(writer, lambda ask_id: ClaimAsk(ask_id, reference), ASK_WRITER_MS)
         if isinstance(told, Ok) and isinstance(told.ok_value, ClaimTell):
@@ -272,7 +216,7 @@
     )
 
 
-def _start_orders(base: _Base, fleet: _Fleet, config: Config) -> OrderControl:
+def _start_orders(base: Base, fleet: Fleet, config: Config) -> OrderControl:
     return start_orders(
         OrdersDeps(
             clock=base.clock,
@@ -289,7 +233,7 @@
     )
 
 
-def _subscribe(base: _Base, fleet: _Fleet, work: _Work) -> None:
+def _subscribe(base: Base, fleet: Fleet, work: Work) -> None:
     """Pass peers' messages to the parts that they concern."""
     hub = work.hub
     for kind in (Heartbeat, ConfigPush, ConfigAsk, ConfigTell):
@@ -315,66 +259,18 @@
     work.config.book.watch(tell_profiles)
 
 
-def _make_apps(base: _Base, fleet: _Fleet, work: _Work, readiness: Readiness) -> _Apps:
-    cfg = base.cfg
-    auth = caller_auth(cfg.entry.callers)
-    entry = Klein()
-    add_health_routes(entry, readiness.why_not, base.metrics)
-    add_online_routes(
-        entry,
-        OnlineDeps(
-            clock=base.clock,
-            metrics=base.metrics,
-            auth=auth,
-            max_body_bytes=cfg.entry.max_body_bytes,
-            profile=work.config.book.profile,
-            upstream_names=fleet.view.upstream_names,
-            run=make_runner(work.online, work.claims),
-            refusing=readiness.refusing,
-        ),
-    )
-    add_batch_routes(entry, work.batch, auth, readiness.refusing)
-    operator = Klein()
-    add_health_routes(operator, readiness.why_not, base.metrics)
-    add_batch_routes(operator, work.batch, job_auth(cfg.operator.operators), no_new_work)
-    status = FleetStatus(cfg.instance, work.config.book, work.hub, readiness)
-    add_operator_routes(
-        operator,
-        OperatorDeps(work.config, cfg.operator.operators, status.show, work.orders.show),
-    )
-    return _Apps(entry, operator)
-
-
-def _listen(base: _Base, work: _Work, apps: _Apps) -> Result[_Open, str]:
-    cfg = base.cfg
-    host = cfg.instance.host
-    entry = listen(base.reactor, apps.entry, "entry.port", host, cfg.entry.port)
-    if isinstance(entry, Err):
-        return entry
-    operator = listen(base.reactor, apps.operator, "operator.port", host, cfg.operator.port)
-    if isinstance(operator, Err):
-        entry.ok_value.handle.stopListening()
-        return operator
-    handles = (entry.ok_value, operator.ok_value)
-    peer = work.hub.start()
-    if isinstance(peer, Err):
-        for handle in handles:
-            handle.handle.stopListening()
-        return Err(f"peer: {peer.err_value}")
-    return Ok(_Open(Ports(handles[0].port, handles[1].port, peer.ok_value), handles))
-
-
-async def _give_up(base: _Base, work: _Work) -> None:
+async def _give_up(base: Base, fleet: Fleet, work: Work) -> None:
     """Close what was started, when an address cannot be had."""
     work.claims.stop()
     await work.orders.stop()
     await work.batch.stop()
     await work.config.stop()
     work.hub.close()
+    await fleet.upstreams.close()
     await base.store.close()
 
 
-def _make_instance(base: _Base, fleet: _Fleet, work: _Work, opened: _Open) -> Instance:
+def _make_instance(base: Base, fleet: Fleet, work: Work, opened: Open) -> Instance:
     view = base.budget.view
     members = make_membership(
         MembershipDeps(
--- /dev/null
+++ b/papayapier/surfaces.py
@@ -0,0 +1,84 @@
+"""Make the HTTP surfaces of an instance, and open its addresses."""
+
+from typing import NamedTuple
+
+from klein import Klein
+from result import Err, Ok, Result
+
+from papayapier.dispatch.claimed import make_runner
+from papayapier.entry.batch_routes import add_batch_routes
+from papayapier.entry.callers import caller_auth
+from papayapier.entry.health_routes import add_health_routes
+from papayapier.entry.online_routes import OnlineDeps, add_online_routes
+from papayapier.entry.operator_auth import job_auth, no_new_work
+from papayapier.entry.operator_routes import OperatorDeps, add_operator_routes
+from papayapier.instance import Ports, Readiness
+from papayapier.listen import Listening, listen, make_body_limit
+from papayapier.parts import Base, Fleet, Work
+from papayapier.status import FleetStatus
+
+
+class Apps(NamedTuple):
+    """Hold the two HTTP surfaces."""
+
+    entry: Klein
+    operator: Klein
+
+
+class Open(NamedTuple):
+    """Hold the open addresses."""
+
+    ports: Ports
+    handles: tuple[Listening, Listening]
+
+
+def make_apps(base: Base, fleet: Fleet, work: Work, readiness: Readiness) -> Apps:
+    """Make the callers' and the operators' routes."""
+    cfg = base.cfg
+    auth = caller_auth(cfg.entry.callers)
+    entry = Klein()
+    add_health_routes(entry, readiness.why_not, base.metrics)
+    add_online_routes(
+        entry,
+        OnlineDeps(
+            clock=base.clock,
+            metrics=base.metrics,
+            auth=auth,
+            max_body_bytes=cfg.entry.max_body_bytes,
+            profile=work.config.book.profile,
+            upstream_names=fleet.view.upstream_names,
+            run=make_runner(work.online, work.claims),
+            refusing=readiness.refusing,
+        ),
+    )
+    add_batch_routes(entry, work.batch, auth, readiness.refusing)
+    operator = Klein()
+    add_health_routes(operator, readiness.why_not, base.metrics)
+    add_batch_routes(operator, work.batch, job_auth(cfg.operator.operators), no_new_work)
+    status = FleetStatus(cfg.instance, work.config.book, work.hub, readiness)
+    add_operator_routes(
+        operator,
+        OperatorDeps(work.config, cfg.operator.operators, status.show, work.orders.show),
+    )
+    return Apps(entry, operator)
+
+
+def open_surfaces(base: Base, work: Work, apps: Apps) -> Result[Open, str]:
+    """Listen for callers, operators and peers; the error names the settings field."""
+    cfg = base.cfg
+    host = cfg.instance.host
+    limit = make_body_limit(cfg.entry.max_body_bytes, cfg.batch.max_file_bytes)
+    entry = listen(base.reactor, apps.entry, "entry.port", host, cfg.entry.port, limit)
+    if isinstance(entry, Err):
+        return entry
+    operator = listen(base.reactor, apps.operator, "operator.port", host, cfg.operator.port)
+    if isinstance(operator, Err):
+        entry.ok_value.handle.stopListening()
+        return operator
+    handles = (entry.ok_value, operator.ok_value)
+    peer = work.hub.start()
+    if isinstance(peer, Err):
+        for handle in handles:
+            handle.handle.stopListening()
+        return Err(f"peer: {peer.err_value}")
+    return Ok(Open(Ports(handles[0].port, handles[1].port, peer.ok_value), handles))
