Keep the delayed save of the data folder in one place

Cause: the copies of the configuration and of the instance list each had the same timer, closed flag and last save. Change: data_folder.DelayedSave holds them; when and what is saved is as before.

--- a/papayapier/config/folder.py
+++ b/papayapier/config/folder.py
@@ -9,9 +9,9 @@
 from result import Err, Ok, Result
 
 from papayapier import codec, events
-from papayapier.clock import Clock, Timer
+from papayapier.clock import Clock
 from papayapier.config.book import ProfileBook
-from papayapier.data_folder import read_file, replace_file
+from papayapier.data_folder import DelayedSave, read_file, replace_file
 from papayapier.peer.messages import ConfigPush
 
 FILE_NAME: Final = "configuration.msgpack"
@@ -29,10 +29,8 @@
 
     def __init__(self, folder: str, clock: Clock, book: ProfileBook) -> None:
         self._folder = folder
-        self._clock = clock
         self._book = book
-        self._timer: Timer | None = None
-        self._closed = False
+        self._saving = DelayedSave(clock, SAVE_DELAY_MS, self._save)
 
     def load(self) -> None:
         """Put the copy's objects into the book."""
@@ -49,18 +47,12 @@
 
     def changed(self) -> None:
         """Save soon; changes that come together are saved together."""
-        if self._folder and not self._closed and not self._pending():
-            self._timer = self._clock.call_later(SAVE_DELAY_MS, self._save)
+        if self._folder:
+            self._saving.changed()
 
     def close(self) -> None:
         """Save what is still to be saved and stop."""
-        self._closed = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-            self._save()
-
-    def _pending(self) -> bool:
-        return self._timer is not None and self._timer.active()
+        self._saving.close()
 
     def _save(self) -> None:
         match save_folder(self._folder, self._book.objects()):
--- a/papayapier/store/members_folder.py
+++ b/papayapier/store/members_folder.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 
 from papayapier import codec, events
-from papayapier.clock import Clock, Timer
-from papayapier.data_folder import read_file, replace_file
+from papayapier.clock import Clock
+from papayapier.data_folder import DelayedSave, read_file, replace_file
 from papayapier.store.api import Member
 
 FILE_NAME: Final = "instances.msgpack"
@@ -40,8 +40,7 @@
         self._folder = folder
         self._clock = clock
         self._current = current
-        self._timer: Timer | None = None
-        self._closed = False
+        self._saving = DelayedSave(clock, SAVE_DELAY_MS, self._save)
 
     def load(self) -> AgedMembers | None:
         """Return the copy, if there is one that can be read."""
@@ -64,18 +63,12 @@
 
     def changed(self) -> None:
         """Save soon; changes that come together are saved together."""
-        if self._folder and not self._closed and not self._pending():
-            self._timer = self._clock.call_later(SAVE_DELAY_MS, self._save)
+        if self._folder:
+            self._saving.changed()
 
     def close(self) -> None:
         """Save what is still to be saved and stop."""
-        self._closed = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-            self._save()
-
-    def _pending(self) -> bool:
-        return self._timer is not None and self._timer.active()
+        self._saving.close()
 
     def _save(self) -> None:
         members, age_ms = self._current()
