Drop two fields of a parsed generation that nothing reads

Cause: max_tokens and resume_text were kept in Generation, but the body goes to the engine as the caller wrote it, and nobody asked for them. Change: the fields go; a body with a negative max_tokens or a resume_text that is no text is refused as before.

--- a/papayapier/upstream/engine_calls.py
+++ b/papayapier/upstream/engine_calls.py
@@ -14,13 +14,11 @@
 
 
 class Generation(NamedTuple):
-    """Hold what is read from a body; max_tokens is 0 when the caller set none."""
+    """Hold what is read from a body."""
 
     model: str
     stream: bool
-    max_tokens: int
     prefix: str
-    resume_text: str
 
 
 class _Part(TypedDict):
@@ -56,18 +54,9 @@
         return Err(_plain(exc))
     if "messages" not in read and "prompt" not in read:
         return Err("messages: missing, and there is no prompt")
-    max_tokens = read.get("max_tokens") or 0
-    if max_tokens < 0:
+    if (read.get("max_tokens") or 0) < 0:
         return Err("max_tokens: must not be negative")
-    return Ok(
-        Generation(
-            model=read["model"],
-            stream=bool(read.get("stream")),
-            max_tokens=max_tokens,
-            prefix=_prefix(read),
-            resume_text=read.get("resume_text") or "",
-        )
-    )
+    return Ok(Generation(read["model"], bool(read.get("stream")), _prefix(read)))
 
 
 def streaming_body(body: bytes, received: str) -> bytes:
