Print each operator answer by one function

Cause: six commands repeated the same steps: check the answer, print it as JSON if that is asked for, else print a table, end with 0. Change: operate.client.show_answer does this and takes the function that prints the table.

--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -18,6 +18,8 @@
 from twisted.python.failure import Failure
 from twisted.web.client import HTTPConnectionPool
 
+from papayapier.operate.output import print_json
+
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
@@ -153,6 +155,22 @@
     return code
 
 
+def show_answer(
+    got: Result[Answer, str], options: argparse.Namespace, show: Callable[[Any], None]
+) -> int:
+    """Print an answer's document by a function, or as JSON where that is asked for."""
+    match checked(got, options):
+        case Err(code):
+            return code
+        case Ok(answer):
+            found = answer.document()
+    if options.json:
+        print_json(found)
+    else:
+        show(found)
+    return EXIT_OK
+
+
 def checked(got: Result[Answer, str], options: argparse.Namespace) -> Result[Answer, int]:
     """Return the answer, or print what went wrong and give the exit code."""
     match got:
--- a/papayapier/operate/configuration.py
+++ b/papayapier/operate/configuration.py
@@ -21,6 +21,7 @@
     add_options,
     checked,
     fail,
+    show_answer,
 )
 from papayapier.operate.output import print_json, print_table, show_changes
 
@@ -106,20 +107,15 @@
 async def _list(client: Client, options: argparse.Namespace) -> int:
     noun: _Noun = options.noun
     got = await client.call("GET", f"/v1/{noun.kind}")
-    match _checked(got, options):
-        case Err(code):
-            return code
-        case Ok(found):
-            pass
-    if options.json:
-        print_json(found)
-        return EXIT_OK
+    return show_answer(got, options, lambda found: _print_items(noun, found["items"]))
+
+
+def _print_items(noun: _Noun, items: list[dict[str, Any]]) -> None:
     rows = [
         [item["name"], item["version"], *(_cell(item["document"], c) for c in noun.columns)]
-        for item in found["items"]
+        for item in items
     ]
     print_table(["name", "version", *noun.columns], rows)
-    return EXIT_OK
 
 
 async def _get(client: Client, options: argparse.Namespace) -> int:
--- a/papayapier/operate/jobs.py
+++ b/papayapier/operate/jobs.py
@@ -5,20 +5,20 @@
 from typing import Any, Final
 from urllib.parse import quote
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from papayapier.entry.callers import ANONYMOUS
 from papayapier.operate.client import (
     EXIT_OK,
     OPTIONS_HELP,
-    Answer,
     Client,
     Run,
     add_options,
     checked,
     fail,
+    show_answer,
 )
-from papayapier.operate.output import print_json, print_table
+from papayapier.operate.output import print_table
 
 CALLER_HEADER: Final = "X-Papayapier-Caller"
 BATCHES: Final = "/v1/batches"
@@ -65,26 +65,17 @@
 async def _list(client: Client, options: argparse.Namespace) -> int:
     query = {"limit": str(options.limit)}
     got = await client.call("GET", BATCHES, query=query, headers=_for_caller(options))
-    match checked(got, options):
-        case Err(code):
-            return code
-        case Ok(answer):
-            found = answer.document()
-    if options.json:
-        print_json(found)
-        return EXIT_OK
-    print_table(COLUMNS, [_row(job) for job in found["data"]])
-    return EXIT_OK
+    return show_answer(got, options, lambda found: _print_jobs(found["data"]))
 
 
 async def _show(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("GET", _path(options.id), headers=_for_caller(options))
-    return _print_job(got, options)
+    return show_answer(got, options, lambda job: _print_jobs([job]))
 
 
 async def _cancel(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("POST", _path(options.id) + "/cancel", headers=_for_caller(options))
-    return _print_job(got, options)
+    return show_answer(got, options, lambda job: _print_jobs([job]))
 
 
 async def _results(client: Client, options: argparse.Namespace) -> int:
@@ -113,17 +104,8 @@
     return {CALLER_HEADER: options.caller}
 
 
-def _print_job(got: Result[Answer, str], options: argparse.Namespace) -> int:
-    match checked(got, options):
-        case Err(code):
-            return code
-        case Ok(answer):
-            job = answer.document()
-    if options.json:
-        print_json(job)
-        return EXIT_OK
-    print_table(COLUMNS, [_row(job)])
-    return EXIT_OK
+def _print_jobs(jobs: list[dict[str, Any]]) -> None:
+    print_table(COLUMNS, [_row(job) for job in jobs])
 
 
 def _row(job: dict[str, Any]) -> list[object]:
--- a/papayapier/operate/reports.py
+++ b/papayapier/operate/reports.py
@@ -10,14 +10,13 @@
 
 from papayapier.clock import MS_PER_S
 from papayapier.operate.client import (
-    EXIT_OK,
     EXIT_USAGE,
     Client,
     add_options,
-    checked,
     fail,
+    show_answer,
 )
-from papayapier.operate.output import print_json, print_table, show_changes, show_time
+from papayapier.operate.output import print_table, show_changes, show_time
 
 UNIT_MS: Final = {"s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
 AGE_PATTERN: Final = re.compile(r"(\d+)([smhd])")
@@ -68,14 +67,10 @@
     query["since"] = str(since.ok_value)
     query["limit"] = str(options.limit)
     got = await client.call("GET", "/v1/audit", query=query)
-    match checked(got, options):
-        case Err(code):
-            return code
-        case Ok(answer):
-            found = answer.document()
-    if options.json:
-        print_json(found)
-        return EXIT_OK
+    return show_answer(got, options, _print_audit)
+
+
+def _print_audit(found: dict[str, Any]) -> None:
     rows = [
         [
             show_time(line["entry"]["at_ms"]),
@@ -89,44 +84,33 @@
         for line in found["lines"]
     ]
     print_table(["time", "who", "action", "object", "version", "reason", "changes"], rows)
-    return EXIT_OK
 
 
 async def _status(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("GET", "/v1/status")
-    match checked(got, options):
-        case Err(code):
-            return code
-        case Ok(answer):
-            found = answer.document()
-    if options.json:
-        print_json(found)
-        return EXIT_OK
+    return show_answer(got, options, _print_status)
+
+
+def _print_status(found: dict[str, Any]) -> None:
     head = ["id", "state", "ready", "config_version", "agrees", "heard_ms_ago", "data_centre"]
     print_table(
         [*head, "reason"], [[one[c] for c in [*head, "reason"]] for one in found["instances"]]
     )
     print(f"furthest behind: {found['slowest']} (as known to {found['instance']})")
-    return EXIT_OK
 
 
 async def _orders(client: Client, options: argparse.Namespace) -> int:
     got = await client.call("GET", "/v1/orders")
-    match checked(got, options):
-        case Err(code):
-            return code
-        case Ok(answer):
-            found = answer.document()
-    if options.json:
-        print_json(found)
-        return EXIT_OK
+    return show_answer(got, options, _print_orders)
+
+
+def _print_orders(found: dict[str, Any]) -> None:
     print(f"orders are given by: {found['controller'] or 'nobody at present'}")
     underway = [[one["replica"], one["kind"], one["name"]] for one in found["underway"]]
     print_table(["under way on", "order", "name"], underway)
     head = ["replica", "kind", "name", "end", "reason"]
     lately = [[show_time(one["at_ms"]), *(one[c] for c in head)] for one in found["lately"]]
     print_table(["time", *head], lately)
-    return EXIT_OK
 
 
 def since_ms(text: str | None, now_ms: int) -> Result[int, str]:
