Move the state machine of the claims tests to a file of its own

Change: the machine is tests/test_claims_machine.py; what both use is in claims_bench. No test or check is changed.

--- a/tests/claims_bench.py
+++ b/tests/claims_bench.py
@@ -1,12 +1,14 @@
 """Run several instances' claims over one fake platform, with pauses and crashes."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Final, NamedTuple
 
 from result import Ok
 from twisted.internet.defer import Deferred
 
+from papayapier import invariants
 from papayapier.claims.api import AskWriter, Begun, New
 from papayapier.claims.records import SavedAnswer
 from papayapier.claims.service import ClaimDeps, Claims
@@ -19,6 +21,17 @@
 STEP_MS: Final = 5
 PEER_MS: Final = 20
 LONGEST_MS: Final = 60_000
+CONTENTS: Final = (b"content-1", b"content-2")
+
+
+@contextmanager
+def promises_checked() -> Iterator[None]:
+    """Raise where a promise is broken, and fail where that was not seen."""
+    invariants.raise_on_failure(True)
+    before = invariants.broken_count()
+    yield
+    # A check that fails inside a callback raises where nobody looks, but is counted.
+    assert invariants.broken_count() == before
 
 
 class Instance:
