Split the tests of orders by job

Cause: tests/test_orders.py had 381 lines with a fake fleet, a state machine and cases. No test or check is changed.

--- /dev/null
+++ b/tests/orders_world.py
@@ -0,0 +1,150 @@
+"""Run controllers of orders over a fake platform and fake engines."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import fake_clock
+from papayapier.config.upstreams import OrderRule, UpstreamWanted
+from papayapier.orders.controller import (
+    ListedReplica,
+    OrderControl,
+    OrdersDeps,
+    start_orders,
+)
+from papayapier.orders.plan import OrderLimits
+from papayapier.settings import OrderSettings
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.orders import EngineState, Order, OrderAnswer, OrderKind, Orders
+from tests.fake_store import FakePlatform
+
+LONGEST_MS = 20_000
+LEASE_MS = 6_000
+GAP_MS = 3_000
+LIMITS = OrderLimits(LEASE_MS, GAP_MS, 2)
+EMPTY = EngineState((), (), "mixed", "", 0, ())
+
+
+class FakeEngine:
+    """Take orders and have them in effect after a time; count what it is told to load."""
+
+    def __init__(self, now: Any, checks_fence: bool, models: tuple[str, ...] = ("base",)) -> None:
+        self.now = now
+        self.checks_fence = checks_fence
+        self.models = models
+        self.state = EMPTY._replace(models=models)
+        self.loading: list[tuple[int, Order]] = []
+        self.overlaps = 0
+        self.taken: Counter[tuple[OrderKind, str]] = Counter()
+        self.load_ms = 4_000
+
+    def take(self, order: Order) -> OrderAnswer:
+        self.settle()
+        if self.checks_fence and order.fence < self.state.fence:
+            return OrderAnswer(False, self.state.fence)
+        self.overlaps += bool(self.loading)
+        self.taken[order.kind, order.name] += 1
+        fence = max(order.fence, self.state.fence) if self.checks_fence else 0
+        self.state = self.state._replace(fence=fence, orders=(*self.state.orders, order.order_id))
+        self.loading.append((self.now() + self.load_ms, order))
+        return OrderAnswer(True, fence)
+
+    def settle(self) -> None:
+        for due, order in list(self.loading):
+            if self.now() >= due:
+                self.loading.remove((due, order))
+                self._put(order)
+
+    def _put(self, order: Order) -> None:
+        state = self.state
+        if order.kind is OrderKind.LOAD_MODEL:
+            state = state._replace(models=tuple(dict.fromkeys((*state.models, order.name))))
+        elif order.kind is OrderKind.LOAD_ADAPTER:
+            state = state._replace(adapters=(*state.adapters, order.name))
+        elif order.kind is OrderKind.LOAD_VERSION:
+            state = state._replace(version=order.name)
+        else:
+            state = state._replace(role=order.name)
+        self.state = state
+
+    def restart(self) -> None:
+        self.loading = []
+        self.state = EMPTY._replace(models=self.models, fence=self.state.fence)
+
+    def read(self) -> EngineState:
+        self.settle()
+        return self.state
+
+
+def wanted_pass(checks_fence: bool = True, **fields: Any) -> UpstreamWanted:
+    rule = OrderRule(checks_fence, LONGEST_MS, min_serving=2, min_serving_share=0.5)
+    return UpstreamWanted(name="pass", orders=rule, **fields)
+
+
+class World:
+    """Run several controllers against one platform and one set of engines."""
+
+    def __init__(self, names: str, checks_fence: bool, replicas: int = 4) -> None:
+        self.time = fake_clock()
+        self.platform = FakePlatform(self.time.clock)
+        self.checks_fence = checks_fence
+        self.wanted = [wanted_pass(checks_fence, version="v2")]
+        self.engines = {
+            f"r{n}": FakeEngine(self.time.clock.now, checks_fence) for n in range(replicas)
+        }
+        self.given: list[tuple[int, str, str, Order]] = []
+        self.lose_answers = 0
+        self.controls: dict[str, OrderControl] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        async def give(replica: Replica, order: Order) -> Result[OrderAnswer, Failure]:
+            self.given.append((int(self.time.clock.now()), name, replica.id, order))
+            answer = self.engines[replica.id].take(order)
+            if self.lose_answers:
+                self.lose_answers -= 1
+                return Err(Failure(FailureKind.CUT, Sent.MAYBE, "cut"))
+            return Ok(answer)
+
+        async def state(replica: Replica) -> Result[EngineState, Failure]:
+            return Ok(self.engines[replica.id].read())
+
+        unused: Any = None
+        self.controls[name] = start_orders(
+            OrdersDeps(
+                clock=self.time.clock,
+                rand=random.Random(name),
+                store=self.platform.store(name),
+                cfg=OrderSettings(),
+                instance=name,
+                orders=Orders(give, state, unused, unused, unused),
+                wanted=lambda: self.wanted,
+                replicas=lambda: [
+                    ListedReplica(Replica(id, "pass", "127.0.0.1", 1, "dc-a"), True)
+                    for id in self.engines
+                ],
+                instances=lambda: sorted(self.controls),
+                need=lambda _: 0,
+            )
+        )
+
+    def run(self, ms: int) -> None:
+        for _ in range(ms // 250):
+            self.time.advance(250)
+
+    def stop(self, name: str) -> None:
+        Deferred.fromCoroutine(_stop(self.controls.pop(name)))
+
+    def controller(self) -> str:
+        return next(n for n, c in self.controls.items() if c.show().controller == n)
+
+    def versions(self) -> list[str]:
+        return [engine.read().version for engine in self.engines.values()]
+
+
+async def _stop(control: OrderControl) -> None:
+    await control.stop()
