Use partial in the batch simulation where lambdas needed a type ignore

"beat" stood for heartbeat. Change: functools.partial, typed; no ignore is left. The names say heartbeat.

--- a/misc/policy_sim/batch_run.py
+++ b/misc/policy_sim/batch_run.py
@@ -8,7 +8,7 @@
 
 import argparse
 import random
-from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple
 
 from misc.policy_sim.engine import Engine, EngineModel, Loop, Sequence
@@ -24,6 +24,7 @@
     quantile,
 )
 from papayapier.config.profiles import BatchRule, Isolation
+from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.routing import RouteRequest, choose
 from papayapier.upstream.api import Replica
@@ -132,8 +133,10 @@
     def _start(self, node: BatchNode) -> None:
         for key in self.engines:
             offset = self.rand.uniform(0, POLL_MS)
-            self.loop.every(POLL_MS, offset, lambda k=key: self._poll(node, k))  # type: ignore[misc]
-        self.loop.every(HEARTBEAT_MS, self.rand.uniform(0, HEARTBEAT_MS), lambda: self._beat(node))
+            self.loop.every(POLL_MS, offset, partial(self._poll, node, key))
+        self.loop.every(
+            HEARTBEAT_MS, self.rand.uniform(0, HEARTBEAT_MS), lambda: self._send_heartbeat(node)
+        )
         if self.setup.rule:
             self.loop.every(TICK_MS, self.rand.uniform(0, TICK_MS), lambda: self._tick(node))
 
@@ -142,25 +145,25 @@
         node.on_report(key, report)
         node.share.on_report(key, report)
 
-    def _beat_early(self, node: BatchNode) -> None:
+    def _send_early_heartbeat(self, node: BatchNode) -> None:
         """Tell the peers at once when many online calls were opened or ended."""
         if self.loop.now < node.told_ms + EARLY_MS:
             return
         online = {use.replica: use.online for use in node.book.uses()}
         keys = online.keys() | node.told.keys()
         if sum(abs(online.get(k, 0) - node.told.get(k, 0)) for k in keys) >= EARLY_CALLS:
-            self._beat(node)
+            self._send_heartbeat(node)
 
-    def _beat(self, node: BatchNode) -> None:
+    def _send_heartbeat(self, node: BatchNode) -> None:
         uses = node.book.uses()
         node.told = {use.replica: use.online for use in uses}
         node.told_ms = self.loop.now
         for peer in self.nodes:
             if peer is not node:
-                self.loop.after(LINK_MS, self._told(peer, node, uses))
+                self.loop.after(LINK_MS, partial(self._on_heartbeat, peer, node.name, uses))
 
-    def _told(self, peer: BatchNode, node: BatchNode, uses: list) -> Callable[[], None]:  # type: ignore[type-arg]
-        return lambda: peer.book.on_peer_uses(node.name, uses, int(self.loop.now))
+    def _on_heartbeat(self, node: BatchNode, peer: str, uses: list[ReplicaUse]) -> None:
+        node.book.on_peer_uses(peer, uses, int(self.loop.now))
 
     def _arrive(self) -> None:
         rate = self.per_ms
@@ -197,7 +200,7 @@
             self._yield(node, key)
 
     def _tick(self, node: BatchNode) -> None:
-        self._beat_early(node)
+        self._send_early_heartbeat(node)
         for key in self.engines:
             if self.setup.yields:
                 self._yield(node, key)
@@ -218,7 +221,7 @@
             streams.remove(seq)
             node.book.on_done(key, True, int(self.loop.now))
             self.yields += self.loop.now >= WARM_UP_MS
-            self.loop.after(LINK_MS, lambda s=seq: self.engines[key].cancel(s))  # type: ignore[misc]
+            self.loop.after(LINK_MS, partial(self.engines[key].cancel, seq))
 
     def _send_batch(self, node: BatchNode, key: str) -> None:
         tokens = node.kept.pop() if node.kept else BATCH_TOKENS
