Write no access log

Cause: twisted.web formats a log line for each request, which then goes nowhere. Change: the site's log does nothing.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -255,6 +255,9 @@
         self.leaving = False
         self.connections: set[Connection] = set()
 
+    def log(self, request: object) -> None:
+        """Write no access log: nothing reads it, and events and metrics say what matters."""
+
     def open_requests(self) -> int:
         """Return how many requests are being read, run or answered."""
         return sum(len(one.requests) for one in self.connections)
