--- a/papayapier/upstream/reports.py
+++ b/papayapier/upstream/reports.py
@@ -2,8 +2,8 @@
 
 Each replica is asked again a jittered interval after its last answer, so that at most one
 question to it is open and a slow replica is asked less often. A plain service whose load
-arrived with the answer to a call meanwhile is not asked: that costs nothing, while a poll is
-the dearest thing an idle instance does. An engine is asked all the same, because only the
+arrived with the answer to a call meanwhile is not asked: that costs nothing, while polls are
+most of what an idle instance does. An engine is asked all the same, because only the
 polled report tells its step time, by which batch work is bounded; the gaps between tokens
 that an instance sees itself are too uneven for that. The polls of idle replicas also keep a
 connection to each in use, and so find out early when connections to it go silent.
