Follow replicas by subset and region

Cause: docs/CAPACITY.md works out 106 % of a core for an instance that follows all 7,100 replicas; policy/subsets.py was built and not called. Change: fleet_view.py follows about upstream.subset (32) replicas of each upstream in its own region, others only when the own region has none; orders still see all replicas; the need for replicas is scaled from the sample. Not measured at size. Conclusion: the calculation of 3.2 % of a core for control now describes what runs.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -19,7 +19,7 @@
 from papayapier.dispatch.api import DispatchDeps
 from papayapier.dispatch.lanes import BatchLanes
 from papayapier.dispatch.online import OnlineDispatch
-from papayapier.fleet_view import FleetListeners, FleetView, Policies, peer_uses_reader
+from papayapier.fleet_view import FleetListeners, FleetView, Place, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Readiness
 from papayapier.membership import MembershipDeps, make_membership, reach_platform
 from papayapier.metrics import make_metrics
@@ -94,7 +94,8 @@
 def _make_fleet(base: Base) -> Fleet:
     cfg = base.cfg
     policies = Policies(LoadBook(), Outliers(), BatchShare(cfg.instance.id))
-    view = FleetView(cfg.instance.id, policies, base.metrics)
+    place = Place(cfg.instance.id, cfg.instance.region, cfg.upstream.subset)
+    view = FleetView(place, policies, base.metrics)
     upstreams = make_upstreams(base.reactor, base.clock, cfg.upstream, base.metrics)
     reports = make_reports(
         base.clock,
--- a/papayapier/fleet_view.py
+++ b/papayapier/fleet_view.py
@@ -17,6 +17,7 @@
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
+from papayapier.policy.subsets import subset
 from papayapier.store.api import ENTRY, LEAVING, LIVE, REPLICA, Member
 from papayapier.store.members import MembersChanged
 from papayapier.upstream.api import Load, Replica
@@ -33,6 +34,14 @@
     share: BatchShare
 
 
+class Place(NamedTuple):
+    """Name this instance, its region, and how many replicas of an upstream it follows."""
+
+    id: str
+    region: str
+    subset: int
+
+
 class FleetListeners(NamedTuple):
     """Group those who are told of changes.
 
@@ -48,8 +57,9 @@
 class FleetView:
     """Own the list of members as this instance knows it."""
 
-    def __init__(self, own_id: str, policies: Policies, metrics: Metrics) -> None:
-        self._own_id = own_id
+    def __init__(self, own: Place, policies: Policies, metrics: Metrics) -> None:
+        self._own_id = own.id
+        self._own = own
         self._policies = policies
         self._metrics = metrics
         self._members: dict[str, Member] = {}
@@ -100,11 +110,11 @@
 
     def listed_replicas(self, now: int) -> list[ListedReplica]:
         """Return the replicas that are not leaving, and whether each is in use."""
-        book, outliers, _ = self._policies
+        outliers = self._policies.outliers
         return [
-            ListedReplica(replica, not outliers.ejected(replica.id, now))
-            for upstream in self.upstream_names()
-            for replica in book.usable(upstream, now)
+            ListedReplica(_replica(member), not outliers.ejected(member.id, now))
+            for member in self._members.values()
+            if member.kind == REPLICA and member.state != LEAVING
         ]
 
     def replicas_needed(self, upstream: str, now: int) -> int:
@@ -115,8 +125,9 @@
         if not slots:
             return 1
         running = [book.estimate(r.id, now) - book.batch_at(r.id) for r in replicas]
-        comfortable = COMFORTABLE_SHARE * sum(slots) / len(slots)
-        return max(1, math.ceil(sum(running) / comfortable))
+        listed = sum(1 for m in self._members.values() if m.upstream == upstream)
+        # What is followed is a fair sample of what is listed.
+        return max(1, math.ceil(listed * sum(running) / (COMFORTABLE_SHARE * sum(slots))))
 
     def on_peers(self, live: Collection[str], silent: Collection[str]) -> None:
         """Take over which peers are heard from and which are not."""
@@ -160,9 +171,10 @@
             events.emit(events.REPLICA_ADDED, replica=member.id, upstream=member.upstream)
 
     def _tell_policies(self) -> None:
-        members = [member for member in self._members.values() if member.kind == REPLICA]
+        listed = [member for member in self._members.values() if member.kind == REPLICA]
+        self._upstream_names = sorted({member.upstream for member in listed})
+        members = [m for name in self._upstream_names for m in self._followed(name, listed)]
         replicas = [_replica(member) for member in members]
-        self._upstream_names = sorted({replica.upstream for replica in replicas})
         leaving = {member.id for member in members if member.state == LEAVING}
         book, outliers, share = self._policies
         book.on_listed(replicas, leaving)
@@ -172,6 +184,28 @@
         if self._listeners is not None:
             self._listeners.poll(replicas)
 
+    def _followed(self, upstream: str, listed: list[Member]) -> list[Member]:
+        """Return the replicas of an upstream that this instance sends to and asks for load.
+
+        In a large fleet, connections and load reports of all instances with all replicas
+        would grow with the product of both. Other regions are left out while the own one has
+        replicas, because the regions lose each other for minutes.
+        """
+        region = self._own.region
+        members = [member for member in listed if member.upstream == upstream]
+        members = [member for member in members if member.region == region] or members
+        if len(members) <= self._own.subset:
+            return members
+        entries = {
+            member.id
+            for member in self._members.values()
+            if member.kind == ENTRY and member.region == region
+        }
+        ids = sorted(member.id for member in members)
+        instances = sorted(entries | {self._own_id})
+        chosen = set(subset(ids, instances, self._own_id, self._own.subset))
+        return [member for member in members if member.id in chosen]
+
     def on_load(self, replica: Replica, load: Load) -> None:
         """Take over a load report."""
         self._policies.book.on_report(replica.id, load)
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -96,12 +96,13 @@
 
 
 class UpstreamSettings(NamedTuple):
-    """Set the timers towards upstreams."""
+    """Set the timers towards upstreams, and how many replicas of each are followed."""
 
     connect_timeout_ms: PositiveMs = 500
     first_byte_ms: PositiveMs = 10_000
     progress_ms: PositiveMs = 2_000
     load_poll_ms: PositiveMs = 1_000
+    subset: Positive = 32
 
 
 class BatchSettings(NamedTuple):
--- a/tests/test_outage_start.py
+++ b/tests/test_outage_start.py
@@ -14,7 +14,7 @@
 from papayapier import events
 from papayapier.clock import Clock, Timers, real_clock
 from papayapier.compose import start_instance
-from papayapier.fleet_view import FleetView, Policies
+from papayapier.fleet_view import FleetView, Place, Policies
 from papayapier.load.pausing import HeldTimer, PausableTimers
 from papayapier.metrics import make_metrics
 from papayapier.policy.batch_share import BatchShare
@@ -278,7 +278,9 @@
 def test_peer_that_is_heard_counts_as_live_without_being_listed() -> None:
     # Symptom and sequence as in the last test of the class, for the view of the fleet: by it
     # batch shards and slots are dealt out.
-    view = FleetView("a", Policies(LoadBook(), Outliers(), BatchShare("a")), make_metrics())
+    view = FleetView(
+        Place("a", "r", 32), Policies(LoadBook(), Outliers(), BatchShare("a")), make_metrics()
+    )
     record = Member("b", ENTRY, "", HOST, 1, 2, "dc-a", "local", LIVE)
     view.on_members(MembersChanged([record], []))
     view.on_peers(["a", "b"], [])
