End what dispatch tests leave open

The coroutine was a request of a dispatch test's world, ended by the garbage collector during another test. Ruled out: a fault in the load tool or the upstream client (neither was on the traceback). Change: a world cancels at the end of its test whatever is still open. Conclusion: the verdict of a test no longer depends on the collector.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -49,6 +49,9 @@
 PASSES = Profile("passes", "gate", "batch", 3_600_000, False, retry=RetryRule(attempts=3))
 
 
+WORLDS: "list[World]" = []
+
+
 class Send:
     """Hold one send to a replica; a cancel ends it as the client does."""
 
@@ -94,6 +97,8 @@
     """Hold the dispatch, and what it has sent."""
 
     def __init__(self, lm: int = 1, gate: int = 0, slots: int = 1, queued: int = 100) -> None:
+        WORLDS.append(self)
+        self._open: list[Deferred[Ended]] = []
         self.time = fake_clock()
         self.sends: list[Send] = []
         self.slow_cancels = False
@@ -168,7 +173,7 @@
         req = OnlineRequest(
             call_id, "sulina", profile, "POST", path, BODY, "", generates, "open?", due
         )
-        return Deferred.fromCoroutine(self.online.run(req, on_token, claim))
+        return self._started(Deferred.fromCoroutine(self.online.run(req, on_token, claim)))
 
     def item(
         self,
@@ -180,7 +185,24 @@
         path = CHAT if profile.upstream == "lm" else "/passes"
         due = self.time.clock.wall() + 3_600_000
         call = ItemCall(call_id, "sulina", profile, "POST", path, BODY, due, allowed)
-        return Deferred.fromCoroutine(self.lanes.run(call))
+        return self._started(Deferred.fromCoroutine(self.lanes.run(call)))
+
+    def _started(self, ended: Deferred[Ended]) -> Deferred[Ended]:
+        self._open.append(ended)
+        return ended
+
+    def close(self) -> None:
+        """End what a test has left open.
+
+        A coroutine that nobody refers to any more is ended by the garbage collector, at a
+        time of its own, and its errors are then reported as those of another test.
+        """
+        self.slow_cancels = False
+        for ended in self._open:
+            ended.addErrback(lambda _: None)
+            ended.cancel()
+        self.online.close()
+        self.lanes.close()
 
     def at_rest(self) -> bool:
         """Tell whether nothing is queued, running or counted as open."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,7 +11,7 @@
 from papayapier import events, invariants
 from papayapier.dispatch.online import OnlineDispatch
 from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
-from papayapier.fleet_view import FleetView, Policies
+from papayapier.fleet_view import FleetView, Place, Policies
 from papayapier.metrics import make_metrics
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.loads import LoadBook
@@ -19,7 +19,17 @@
 from papayapier.store.api import LEAVING, LIVE, REPLICA, Member
 from papayapier.store.members import MembersChanged
 from papayapier.upstream.api import FailureKind, Sent, Token
-from tests.dispatch_world import GATE, NOTES, PASSES, QUESTIONS, Ended, World, outcome, result
+from tests.dispatch_world import (
+    GATE,
+    NOTES,
+    PASSES,
+    QUESTIONS,
+    WORLDS,
+    Ended,
+    World,
+    outcome,
+    result,
+)
 from tests.log_catcher import LogCatcher
 
 
@@ -28,6 +38,8 @@
     invariants.raise_on_failure(True)
     yield
     invariants.raise_on_failure(False)
+    while WORLDS:
+        WORLDS.pop().close()
 
 
 def drop(ended: Deferred[Any]) -> None:
@@ -368,7 +380,7 @@
     # Cause: the event was logged at each change of the record.
     logs = LogCatcher()
     policies = Policies(LoadBook(), Outliers(), BatchShare("entry-1"))
-    view = FleetView("entry-1", policies, make_metrics())
+    view = FleetView(Place("entry-1", "r", 32), policies, make_metrics())
     live = Member("lm-0", REPLICA, "lm", "127.0.0.1", 1, 0, "dc", "r", LIVE)
     leaving = live._replace(state=LEAVING)
     with logs.applicationbound():
