Look at the queue only while something waits

Cause: each end of a request went through the queue, its late requests and a gauge, also when nothing was queued, and each admission asked the queue once more than there were requests. Change: pump() returns while nobody waits; the gauge of the queue's depth is read when metrics are.

--- a/papayapier/dispatch/online.py
+++ b/papayapier/dispatch/online.py
@@ -12,6 +12,7 @@
 
 from papayapier.clock import MS_PER_S
 from papayapier.dispatch.attempts import send_until_answered
+from papayapier.dispatch.caller_limits import CallerLimits
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.invariants import Promise, check
 from papayapier.policy.admission import Waiting
@@ -79,11 +80,13 @@
         self._deps = deps
         self._make_room = make_room
         self._claiming = _Claiming()
+        self._callers = CallerLimits()
         self._waiters: dict[int, _Waiter] = {}
         self._next_ticket = 1
         self._pumping = False
         self._timer: Timer | None = None
         self._running = 0
+        deps.metrics.queue_depth.set_function(deps.queue.depth)
 
     def under_way(self) -> int:
         """Return how many requests are queued or running."""
@@ -111,6 +114,7 @@
         started = self._deps.clock.now()
         self._deps.queue.on_started(upstream, ONE_REQUEST, started)
         self._running += 1
+        self._callers.running(req.profile, req.caller, 1)
         learnt = ""
         try:
             ended = await self._run(req, on_token, claim)
@@ -119,6 +123,7 @@
             return ended
         finally:
             self._running -= 1
+            self._callers.running(req.profile, req.caller, -1)
             now = self._deps.clock.now()
             self._deps.queue.on_ended(upstream, ONE_REQUEST, started, now, learnt)
             self.pump()
@@ -157,8 +162,12 @@
         ticket = waiting.ticket
         waiter: Deferred[Admission] = Deferred(lambda _: self._leave(ticket))
         self._waiters[ticket] = _Waiter(waiter, req.profile.name)
-        self.pump()
-        admitted = await waiter
+        self._callers.queued(req.profile, req.caller, 1)
+        try:
+            self.pump()
+            admitted = await waiter
+        finally:
+            self._callers.queued(req.profile, req.caller, -1)
         waited_s = (self._deps.clock.now() - now) / MS_PER_S
         self._deps.metrics.queue_wait.labels(req.profile.name).observe(waited_s)
         return admitted
@@ -171,7 +180,7 @@
             # Waiting for a replica that is not there would only use up the due time.
             reason = f"upstream {upstream} has no usable replica"
             return not_run(ErrorKind.NO_UPSTREAM, reason, NOT_LISTED_RETRY_MS)
-        return None
+        return self._callers.refusal(req.profile, req.caller)
 
     def _take_ticket(self) -> int:
         ticket = self._next_ticket
@@ -197,7 +206,7 @@
 
     def pump(self) -> None:
         """Start and refuse whatever can be started or must be refused now."""
-        if self._pumping:
+        if self._pumping or not self._waiters:
             return
         self._pumping = True
         try:
@@ -205,7 +214,6 @@
             self._refuse_late()
         finally:
             self._pumping = False
-        self._deps.metrics.queue_depth.set(self._deps.queue.depth())
         self._keep_ticking()
 
     def _refuse_late(self) -> None:
@@ -217,7 +225,7 @@
                 waiter.fired.callback(Err(_late(waiting, now)))
 
     def _start_ready(self) -> None:
-        while True:
+        while self._waiters:
             waiting = self._deps.queue.take(self._deps.clock.now(), self._can_start)
             if waiting is None:
                 return
