Put callers' limits in force; drop the hedging setting that did nothing

Cause: callers.in_flight, callers.queued and retry.hedge_after_ms were checked when a profile was accepted and used nowhere. An operator who sets them is told a thing that is not true. Conclusion: every field of a profile has an effect.

--- a/papayapier/config/checks.py
+++ b/papayapier/config/checks.py
@@ -113,13 +113,6 @@
 
 def _profile_errors(profile: Profile) -> list[Problem]:
     errors = []
-    hedge_ms = profile.retry.hedge_after_ms
-    if hedge_ms and not profile.idempotent:
-        errors.append(Problem("retry.hedge_after_ms", "needs idempotent to be true"))
-    if hedge_ms and profile.urgency == "batch":
-        errors.append(Problem("retry.hedge_after_ms", "batch work is not hedged"))
-    if hedge_ms >= profile.due_ms:
-        errors.append(Problem("retry.hedge_after_ms", "is not before due_ms"))
     if profile.urgency == "urgent" and profile.due_ms > URGENT_DUE_MOST_MS:
         errors.append(Problem("due_ms", f"is over {URGENT_DUE_MOST_MS} for urgent work"))
     if profile.urgency == "batch" and profile.batch.share == 0:
--- a/papayapier/config/profiles.py
+++ b/papayapier/config/profiles.py
@@ -16,7 +16,7 @@
 
 
 class CallerLimits(NamedTuple):
-    """Bound what one caller may have under way; 0 means no bound."""
+    """Bound what one caller may have under way or queued on each instance; 0: no bound."""
 
     in_flight: Count = 0
     queued: Count = 0
@@ -26,7 +26,6 @@
     """Bound the attempts of one request or item; only idempotent work is repeated."""
 
     attempts: Annotated[int, Meta(ge=1, le=10)] = 3
-    hedge_after_ms: Count = 0
 
 
 class BatchRule(NamedTuple):
--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -129,21 +129,6 @@
     )
 
 
-def hedge(
-    idempotent: bool,
-    elapsed_ms: int,
-    rule: RetryRule,
-    due_ms: int,
-    now: int,
-    budget: RetryBudget,
-    upstream: str,
-) -> bool:
-    """Decide whether a second copy of a slow call is sent to another replica now."""
-    if not idempotent or rule.hedge_after_ms == 0 or now >= due_ms:
-        return False
-    return elapsed_ms >= rule.hedge_after_ms and budget.spend(upstream, now)
-
-
 def _only_connection(failure: Failure, attempts_made: int) -> bool:
     """Tell whether the connection is more likely at fault than the replica.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from papayapier import events, invariants
+from papayapier.config.profiles import CallerLimits
 from papayapier.dispatch.online import OnlineDispatch
 from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
 from papayapier.fleet_view import FleetView, Place, Policies
@@ -311,6 +312,33 @@
     assert [send.call.call_id for send in world.sends] == ["plain"]
 
 
+# Limits of callers
+
+
+def test_callers_limits_bind_each_caller_and_are_given_back() -> None:
+    # Symptom: an operator bounds a caller, and nothing changes.
+    # Sequence: the profile with the limits is accepted; the caller sends more than it may.
+    # Cause: the limits were checked when accepted, and used nowhere.
+    bound = QUESTIONS._replace(callers=CallerLimits(in_flight=3, queued=1))
+    world = World(slots=1)
+    asked = [world.ask(bound, call_id=f"chat-{number}") for number in range(3)]
+    refusal = result(asked[2]).unwrap_err()
+    assert (refusal.kind, refusal.outcome) == (ErrorKind.CALLER_LIMIT, Outcome.NOT_RUN)
+    assert "queued" in refusal.reason
+    drop(asked[1])
+    queued = world.ask(bound, call_id="after")
+    world.sends[0].answer()
+    assert result(asked[0]).is_ok()
+    world.sends[1].answer()
+    assert result(queued).is_ok()
+    assert world.at_rest()
+    tight = QUESTIONS._replace(callers=CallerLimits(in_flight=1))
+    running = world.ask(tight, call_id="running")
+    assert "under way" in result(world.ask(tight, call_id="more")).unwrap_err().reason
+    world.sends[-1].answer()
+    assert result(running).is_ok()
+
+
 # Replicas that hang
 
 
