--- a/papayapier/load/command.py
+++ b/papayapier/load/command.py
@@ -15,6 +15,7 @@
 
 from papayapier import codec
 from papayapier.clock import real_clock
+from papayapier.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from papayapier.load import scenario
 from papayapier.logs import start_logs
 from papayapier.settings import LogSettings
@@ -22,9 +23,6 @@
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
 
 KEY_VARIABLE: Final = "PAPAYAPIER_OPERATOR_KEY"
 ADDRESS: Final = re.compile(r"[^\s:/]+:\d{1,5}")
--- a/papayapier/main.py
+++ b/papayapier/main.py
@@ -14,10 +14,7 @@
 from result import Err
 
 from papayapier import VERSION
-
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
+from papayapier.exits import EXIT_OK, EXIT_USAGE
 
 Command = Callable[[argparse.Namespace], int]
 
--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -18,12 +18,9 @@
 from twisted.python.failure import Failure
 from twisted.web.client import HTTPConnectionPool
 
+from papayapier.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from papayapier.operate.output import print_json
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
-
 ADDRESS_DEFAULT: Final = "127.0.0.1:8081"
 ADDRESS_VARIABLE: Final = "PAPAYAPIER_OPERATOR"
 KEY_VARIABLE: Final = "PAPAYAPIER_KEY"
--- a/papayapier/operate/configuration.py
+++ b/papayapier/operate/configuration.py
@@ -11,9 +11,8 @@
 
 from papayapier.config import checks, records
 from papayapier.config.records import PROFILES, UPSTREAMS, Subject
+from papayapier.exits import EXIT_OK, EXIT_USAGE
 from papayapier.operate.client import (
-    EXIT_OK,
-    EXIT_USAGE,
     OPTIONS_HELP,
     Answer,
     Client,
--- a/papayapier/operate/jobs.py
+++ b/papayapier/operate/jobs.py
@@ -8,8 +8,8 @@
 from result import Err, Ok
 
 from papayapier.entry.callers import ANONYMOUS
+from papayapier.exits import EXIT_OK
 from papayapier.operate.client import (
-    EXIT_OK,
     OPTIONS_HELP,
     Client,
     Run,
--- a/papayapier/operate/reports.py
+++ b/papayapier/operate/reports.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 
 from papayapier.clock import MS_PER_S
+from papayapier.exits import EXIT_USAGE
 from papayapier.operate.client import (
-    EXIT_USAGE,
     Client,
     add_options,
     fail,
--- a/papayapier/serve.py
+++ b/papayapier/serve.py
@@ -14,6 +14,7 @@
 from papayapier import events
 from papayapier.clock import real_clock
 from papayapier.compose import start_instance
+from papayapier.exits import EXIT_FAILED, EXIT_OK
 from papayapier.logs import start_logs
 
 if TYPE_CHECKING:
@@ -22,8 +23,6 @@
     from papayapier.instance import Instance
     from papayapier.settings import LogSettings, Settings
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
 # Collections of the middle generation between two of the oldest, half of the usual number:
 # the oldest holds little garbage then, and its collection is short.
 COLLECT_OLDEST_AFTER: Final = 5
--- a/papayapier/standin/command.py
+++ b/papayapier/standin/command.py
@@ -4,23 +4,20 @@
 import signal
 import sys
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
 from papayapier import codec
 from papayapier.clock import real_clock
+from papayapier.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from papayapier.standin.engine_steps import EngineParams
 from papayapier.standin.platform import PlatformParams
 from papayapier.standin.run import Fleet, FleetParams, run_fleet, run_replicas
 from papayapier.standin.service import ServiceParams
 from papayapier.store.api import Member
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
-
 
 class StandinParams(NamedTuple):
     """Hold a file of parameters for the three kinds of stand-in."""
