Encode whole answers without a second pass

Cause: a whole answer was a NamedTuple, which the codec first turns into dictionaries, part by part, and then encodes. Change: it is a TypedDict, which msgspec encodes as it is. Measurement: site, connection and routes on an in-memory transport with scripted work, 2,000 requests under cProfile: 745.0 function calls per unary chat before, 679.0 after. Processor time, lowest of 8 alternate runs: 198 us before, 227 after, while service calls, which the change does not touch, read 175 and 222: the busy machine moved more than the change. Conclusion: a tenth fewer steps; time not told by these runs.

--- a/papayapier/entry/chat.py
+++ b/papayapier/entry/chat.py
@@ -4,14 +4,14 @@
 again would be most of an instance's processor time.
 """
 
-from typing import TYPE_CHECKING, Final, NamedTuple, TypedDict
+from typing import TYPE_CHECKING, Final, TypedDict
 
 import msgspec
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
-from papayapier import codec, events
-from papayapier.entry.answers import refusal_body, reply_json
+from papayapier import events
+from papayapier.entry.answers import JSON_TYPE, refusal_body, whole_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,18 +63,18 @@
     finish_reason: str
 
 
-class Usage(NamedTuple):
+class Usage(TypedDict):
     """Count the tokens generated."""
 
     completion_tokens: int
 
 
-class Completion(NamedTuple):
+class Completion(TypedDict):
     """Hold a whole answer, or the event that ends a stream, in the OpenAI form."""
 
     id: str
     model: str
-    choices: tuple[ChatChoice | ChatEnd | TextChoice, ...]
+    choices: list[ChatChoice | ChatEnd | TextChoice]
     usage: Usage
     object: str
 
@@ -135,19 +135,19 @@
     def finish(self, call_id: str, reply: "Reply") -> bytes:
         """End the answer; the end mark tells the caller that it is whole."""
         if not self._stream:
-            return reply_json(self._request, self._whole(call_id, reply))
+            self._request.setHeader(b"Content-Type", JSON_TYPE)
+            return whole_body(self._request, msgspec.json.encode(self._whole(call_id, reply)))
         if self._reader is None:
             self._reader = self._start()
         self._reader.end()
         if _says_finish(self._last):
             return STREAM_END
         # An engine may tell the reason in an event without a token, which is not passed on.
-        return b"data: " + codec.to_json(self._end(call_id, reply)) + b"\n\n" + STREAM_END
+        return b"data: " + msgspec.json.encode(self._end(call_id, reply)) + b"\n\n" + STREAM_END
 
     def _whole(self, call_id: str, reply: "Reply") -> Completion:
         kind = "chat.completion" if self._path == CHAT_PATH else "text_completion"
-        usage = Usage(reply.tokens)
-        return Completion(call_id, self._model, (self._choice(reply),), usage, kind)
+        return self._completion(call_id, reply, self._choice(reply), kind)
 
     def _choice(self, reply: "Reply") -> ChatChoice | TextChoice:
         reason = reply.finish_reason
@@ -158,12 +158,17 @@
 
     def _end(self, call_id: str, reply: "Reply") -> Completion:
         reason = reply.finish_reason
-        usage = Usage(reply.tokens)
         if self._path == CHAT_PATH:
             chat_end = ChatEnd(index=0, delta=Delta(), finish_reason=reason)
-            return Completion(call_id, self._model, (chat_end,), usage, "chat.completion.chunk")
+            return self._completion(call_id, reply, chat_end, "chat.completion.chunk")
         text_end = TextChoice(index=0, text="", finish_reason=reason)
-        return Completion(call_id, self._model, (text_end,), usage, "text_completion")
+        return self._completion(call_id, reply, text_end, "text_completion")
+
+    def _completion(
+        self, call_id: str, reply: "Reply", choice: ChatChoice | ChatEnd | TextChoice, kind: str
+    ) -> Completion:
+        usage = Usage(completion_tokens=reply.tokens)
+        return Completion(id=call_id, model=self._model, choices=[choice], usage=usage, object=kind)
 
     def break_off(self, refusal: "Refusal") -> bytes:
         """End a stream that has begun, without its end mark and with the reason."""
