--- a/papayapier/load/experiment.py
+++ b/papayapier/load/experiment.py
@@ -30,6 +30,7 @@
 from papayapier.standin.answers import expected_text
 
 SERVICES: Final = "/services/"
+LATE_MS: Final = 25.0
 
 
 class Options(NamedTuple):
@@ -261,6 +262,11 @@
         broken += run.wrong + self._broken
         broken += [f"{number} answers: {flaw}" for flaw, number in run.flaws.items() if flaw]
         broken += await self._compare()
+        self._warnings += [
+            f"the load tool sent late in {one.phase!r}, {one.name} (lag p99 {one.lag.p99:g} ms): void"
+            for one in classes
+            if one.lag.p99 > LATE_MS
+        ]
         return Report(
             self._exp.name,
             self._exp.description,
