--- a/papayapier/load/experiment.py
+++ b/papayapier/load/experiment.py
@@ -263,7 +263,7 @@
         broken += [f"{number} answers: {flaw}" for flaw, number in run.flaws.items() if flaw]
         broken += await self._compare()
         self._warnings += [
-            f"the load tool sent late in {one.phase!r}, {one.name} (lag p99 {one.lag.p99:g} ms): void"
+            f"void, the load tool sent late: {one.phase!r}, {one.name}: lag p99 {one.lag.p99:g} ms"
             for one in classes
             if one.lag.p99 > LATE_MS
         ]
