Give the claim of a crashed run an end

Cause: a keyed run that raised left its claim open: resends waited for it and a planned stop waited for the claim; with its caller gone, the failure was dropped. Conclusion: every claimed run has an end that others can be told.

--- a/papayapier/dispatch/claimed.py
+++ b/papayapier/dispatch/claimed.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from papayapier import codec, events
 from papayapier.claims.api import Done, New, Running, Unknown
@@ -20,8 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from twisted.python.failure import Failure as TwistedFailure
-
     from papayapier.claims.api import Begun, Token
     from papayapier.claims.service import Claims
     from papayapier.dispatch.api import OnlineRequest, OnToken
@@ -51,9 +50,12 @@
     """Wait for a run in such a way that the end of waiting does not end the run."""
     waiter: Deferred[Ended] = Deferred()
 
-    def ended(result: "Ended | TwistedFailure") -> None:
+    def ended(result: "Ended | Failure") -> None:
         if not waiter.called:
             waiter.callback(result)
+        elif isinstance(result, Failure):
+            # The caller has gone, and nobody else would hear of it.
+            events.emit(events.UNHANDLED_ERROR, traceback=result.getTraceback())
 
     def receive(token: StreamToken) -> None:
         if not waiter.called:
@@ -78,7 +80,15 @@
 
     async def run(self, on_token: "OnToken") -> Ended:
         """Run the request unless it has been run, and keep its end for resends."""
-        ended = await self._online.run(self._req, on_token, self._claim)
+        try:
+            ended = await self._online.run(self._req, on_token, self._claim)
+        except Exception:
+            # A claim without an end would have every resend wait for this run, and a
+            # planned stop for the claim.
+            if self._token is not None:
+                refusal = unknown(ErrorKind.INTERNAL, "the instance failed on this request")
+                self._keep(self._token, Err(refusal))
+            raise
         if self._earlier is not None:
             return self._earlier
         if self._token is not None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 """Test how online requests and batch items are sent, resumed, stopped and refused."""
 
+from collections.abc import Awaitable
 from typing import Any
 
 import pytest
@@ -8,8 +9,13 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred
 
-from papayapier import events, invariants
+from papayapier import codec, events, invariants
+from papayapier.claims.api import Begun, New
+from papayapier.claims.records import SavedAnswer
+from papayapier.claims.service import Claims
 from papayapier.config.profiles import CallerLimits
+from papayapier.dispatch.api import OnlineRequest
+from papayapier.dispatch.claimed import make_runner
 from papayapier.dispatch.online import OnlineDispatch
 from papayapier.errors import ErrorKind, Outcome, Refusal, not_run
 from papayapier.fleet_view import FleetView, Place, Policies
@@ -339,6 +345,41 @@
     assert result(running).is_ok()
 
 
+def test_claim_of_a_crashed_run_has_an_end() -> None:
+    # Symptom: resends wait for a run that is over, and a planned stop for its claim.
+    # Sequence: a keyed request is claimed and sent; its caller leaves; then something raises.
+    # Cause: only a run that returned told its claim how it had ended, and the failure of one
+    # whose caller had gone was dropped.
+    world = World(lm=0, gate=1)
+    kept: list[SavedAnswer] = []
+
+    class Scripted(Claims):
+        def __init__(self) -> None:
+            """Need nothing."""
+
+        async def begin(self, caller: str, key: str, content: bytes, due_ms: int) -> Begun:
+            return Ok(New(b"t"))
+
+        def finish(self, token: bytes, answer: SavedAnswer) -> None:
+            kept.append(answer)
+
+    logs = LogCatcher()
+    run = make_runner(world.online, Scripted())
+    now = world.time.clock.now()
+    req = OnlineRequest("abc", "a", GATE, "POST", "/x", b"", "", False, "", now + 1_000)
+    with logs.applicationbound():
+        drop(Deferred.fromCoroutine(_as_coroutine(run(req, "key", lambda _: None))))
+        world.sends[0].done.errback(ZeroDivisionError())
+    (answer,) = kept
+    assert codec.unpack(answer.body, Refusal).unwrap().outcome is Outcome.UNKNOWN
+    assert len(logs.fields(events.UNHANDLED_ERROR)) == 1
+    assert world.at_rest()
+
+
+async def _as_coroutine(ended: Awaitable[Ended]) -> Ended:
+    return await ended
+
+
 # Replicas that hang
 
 
