Type the forgetful proxy of the peer tests

Change: the proxy is typed as what the library leaves untyped. Measurement: mypy, black and ruff clean; tests/test_peer.py passes. Conclusion: no behaviour changed.

--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -70,7 +70,7 @@
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         self.made += 1
-        proxy = super().buildProtocol(addr)
+        proxy: Any = super().buildProtocol(addr)
         self.proxies.append(proxy)
         if self.forgetting:
             proxy.dataReceived = lambda _data: None
