Log a crashed claimed run as a crashed request

Change: claimed.py emits 209, request_crashed; its test names that event. Measurement: test_docs, test_dispatch and test_entry pass; mypy, black and ruff clean. Conclusion: operators find it among the events of online requests.

--- a/papayapier/dispatch/claimed.py
+++ b/papayapier/dispatch/claimed.py
@@ -55,7 +55,7 @@
             waiter.callback(result)
         elif isinstance(result, Failure):
             # The caller has gone, and nobody else would hear of it.
-            events.emit(events.UNHANDLED_ERROR, traceback=result.getTraceback())
+            events.emit(events.REQUEST_CRASHED, traceback=result.getTraceback())
 
     def receive(token: StreamToken) -> None:
         if not waiter.called:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -372,7 +372,7 @@
         world.sends[0].done.errback(ZeroDivisionError())
     (answer,) = kept
     assert codec.unpack(answer.body, Refusal).unwrap().outcome is Outcome.UNKNOWN
-    assert len(logs.fields(events.UNHANDLED_ERROR)) == 1
+    assert len(logs.fields(events.REQUEST_CRASHED)) == 1
     assert world.at_rest()
 
 
