--- a/misc/make_docs.py
+++ b/misc/make_docs.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from papayapier import codec, errors, events, settings
+from papayapier.node import settings as node_settings
 
 DOCS: Final = Path(__file__).resolve().parent.parent / "docs"
 MADE: Final = "This page is made from the code by `python3 -m misc.make_docs`."
@@ -65,12 +66,24 @@
         "One JSON file with comments per instance; `papayapier check FILE` checks it.",
         "A key without a default is required.",
     ]
-    sections = get_type_hints(settings.Settings, include_extras=True)
-    for name, section in sections.items():
-        lines += ["", f"## `{name}`", "", (section.__doc__ or "").strip(), ""]
+    lines += _sections(settings.Settings, "##")
+    lines += ["", "## On the users' platform", "", "`entry` and `keeper` read these; the"]
+    lines += ["platform fills in `deploy/settings.json`."]
+    lines += _sections(node_settings.NodeSettings, "###")
+    return "\n".join(lines) + "\n"
+
+
+def _sections(record: Any, heading: str) -> list[str]:
+    lines = []
+    for name, hint in get_type_hints(record, include_extras=True).items():
+        section = next((part for part in (hint, *get_args(hint)) if hasattr(part, "_fields")), None)
+        if section is None:
+            lines += ["", f"{heading} `{name}`", "", _type_name(hint)]
+            continue
+        lines += ["", f"{heading} `{name}`", "", (section.__doc__ or "").strip(), ""]
         lines += ["| key | type | default |", "| --- | --- | --- |"]
         lines += [_row(section, key) for key in section._fields]
-    return "\n".join(lines) + "\n"
+    return lines
 
 
 def _row(section: Any, key: str) -> str:
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -98,29 +98,35 @@
 async def _serve(routes: ForwardRoutes, request: Any) -> None:
     refusal = routes.refusing()
     if refusal is not None:
-        return refuse_raw(routes, request, "", refusal)
+        refuse_raw(routes, request, "", refusal)
+        return
     table = routes.table()
     if table is None:
         reason = "no configuration is known yet"
-        return refuse_raw(routes, request, "", not_run(ErrorKind.NO_UPSTREAM, reason, MS_PER_S))
+        refuse_raw(routes, request, "", not_run(ErrorKind.NO_UPSTREAM, reason, MS_PER_S))
+        return
     other = routes.jobs.other(request)
     if other is not None:
-        return await other
+        await other
+        return
     host = request.getHeader("host") or ""
     route = table.find(host, request.path.decode("latin-1"))
     if route is None:
         reason = f"no route for host {host}, configuration {table.cfg.version}"
-        return refuse_raw(routes, request, "", not_run(ErrorKind.NOT_FOUND, reason))
+        refuse_raw(routes, request, "", not_run(ErrorKind.NOT_FOUND, reason))
+        return
     if route.kind is WorkKind.JOB:
-        return await routes.jobs.submit(request, route)
-    return await _forward(routes, request, route)
+        await routes.jobs.submit(request, route)
+    else:
+        await _forward(routes, request, route)
 
 
 async def _forward(routes: ForwardRoutes, request: Any, route: Route) -> None:
     now = routes.clock.now()
     read = _read_request(routes, request, route, now)
     if isinstance(read, Err):
-        return refuse_raw(routes, request, route.name, read.err_value)
+        refuse_raw(routes, request, route.name, read.err_value)
+        return
     req = read.ok_value
     ask = Ask(req.profile, route.name, min(req.due_ms, now + wait_limit_ms(route.objective_ms)))
     reader = _Reader(routes, request, req) if req.stream else None
