--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -84,11 +84,22 @@
     def render(self, request: Any) -> Any:
         """Serve one request; its caller's leaving cancels what is done for it."""
         work = Deferred.fromCoroutine(_serve(self._routes, request))
-        request.notifyFinish().addErrback(lambda _why: work.cancel())
+        request.notifyFinish().addErrback(_caller_gone, request, work)
         work.addErrback(_failed, request)
         return NOT_DONE_YET
 
 
+def _caller_gone(_why: object, request: Any, work: Deferred[None]) -> None:
+    """Stop what is done for a caller that has gone, where stopping is of use.
+
+    A call on a job is seen through: a record whose write was begun must be settled, and its
+    caller asks again elsewhere.
+    """
+    request.gone = True
+    if not request.see_through:
+        work.cancel()
+
+
 def _failed(failure: Any, request: Any) -> None:
     if failure.check(CancelledError, ConnectionDone, ConnectionLost):
         return
@@ -107,6 +118,7 @@
         return
     other = routes.jobs.other(request)
     if other is not None:
+        request.see_through = True
         await other
         return
     host = request.getHeader("host") or ""
@@ -116,6 +128,7 @@
         refuse_raw(routes, request, "", not_run(ErrorKind.NOT_FOUND, reason))
         return
     if route.kind is WorkKind.JOB:
+        request.see_through = True
         await routes.jobs.submit(request, route)
     else:
         await _forward(routes, request, route)
@@ -245,7 +258,7 @@
     routes: ForwardRoutes, request: Any, profile: str, refusal: Refusal, due_ms: int | None = None
 ) -> None:
     """Answer a refusal with the status that states truly whether the request may have run."""
-    if refusal.kind is ErrorKind.CANCELLED:
+    if refusal.kind is ErrorKind.CANCELLED or request.gone:
         return
     request_id = request.getHeader(routes.names.request_id) or ""
     _count_refusal(routes, request_id, profile, refusal)
--- a/papayapier/entry/job_routes.py
+++ b/papayapier/entry/job_routes.py
@@ -78,6 +78,8 @@
 
 
 def _write(request: Any, answer: Answer) -> None:
+    if request.gone:
+        return
     request.setResponseCode(answer.status)
     request.setHeader(b"Content-Type", answer.content_type)
     request.setHeader(b"Content-Length", str(len(answer.body)).encode())
--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -45,6 +45,10 @@
 
     # The library would add a type of its own to an answer that states none.
     defaultContentType = None  # noqa: N815
+    # The caller has closed its connection; nothing may be written any more.
+    gone = False
+    # What is done for the request goes on without its caller.
+    see_through = False
     _limit = 0
     _taken = 0
     _refused = False
--- a/papayapier/standin/platform_calls.py
+++ b/papayapier/standin/platform_calls.py
@@ -62,7 +62,9 @@
     if not limit.isdigit():
         return failed(400, "limit must be a number")
     page = objects.list(web.query(request, "prefix"), web.query(request, "after"), int(limit))
-    return Answer(200, codec.to_json(page))
+    listed = [{"key": one.key, "version": one.version} for one in page.objects]
+    body = {"objects": listed, "more": page.more, "revision": page.revision}
+    return Answer(200, codec.to_json(body))
 
 
 def write_object(objects: Objects, request: Request) -> Answer:
@@ -113,7 +115,11 @@
             return failed(410, "the history starts later: list again")
         if not found.ok_value.changes and not last:
             return None
-        return Answer(200, codec.to_json(found.ok_value))
+        changes = [
+            {"key": one.key, "version": one.version, "deleted": one.deleted}
+            for one in found.ok_value.changes
+        ]
+        return Answer(200, codec.to_json({"changes": changes, "revision": found.ok_value.revision}))
 
     return look
 
