Keep batch streams until online calls fill a replica; know replicas soon after an outage

Streams are now started only where two slots stay free, and kept until online calls fill the replica. Cause 2: a keeper that the store had turned away for 7 s read the list again 6 s after the store's return (pauses grow to 5 s), and sent to a replica that was leaving. The longest pause is a setting now, half a second on the platform. Ruled out for 2: a lost watch or a follower that ended (the log shows neither).

--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -23,7 +23,7 @@
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.work import Item, JobWork
 from papayapier.metrics import Metrics
-from papayapier.policy.batch_room import batch_limit
+from papayapier.policy.batch_room import Use, keep_limit, start_limit
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.rendezvous import score
@@ -322,7 +322,7 @@
         for run in self._runs.values():
             by_replica.setdefault(run.replica.id, []).append(run)
         for replica_id, runs in by_replica.items():
-            over = len(runs) - limit_at(self._deps, replica_id)
+            over = len(runs) - keep_limit(use_of(self._deps, replica_id))
             for run in runs[len(runs) - over :] if over > 0 else ():
                 events.emit(
                     events.ITEM_YIELDED, item=run.item.item.id, replica=replica_id, over=over
@@ -361,10 +361,10 @@
         events.emit(events.BATCH_BROKEN, reason=repr(why.value), traceback=why.getTraceback())
 
 
-def limit_at(deps: RunnerDeps, replica_id: str) -> int:
-    """Return how many batch streams this instance may have at a replica now."""
+def use_of(deps: RunnerDeps, replica_id: str) -> Use:
+    """Return what is known of the open calls at a replica."""
     sharing = sorted(deps.sharing(), key=lambda one: score(replica_id, one))
-    return batch_limit(
+    return Use(
         deps.book.slots(replica_id),
         deps.book.online_at(replica_id),
         deps.book.own(replica_id).batch,
@@ -397,5 +397,5 @@
 
     def _limit(self, replica_id: str) -> int:
         if replica_id not in self._limits:
-            self._limits[replica_id] = limit_at(self._deps, replica_id)
+            self._limits[replica_id] = start_limit(use_of(self._deps, replica_id))
         return self._limits[replica_id]
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -118,7 +118,8 @@
 
 def follow(base: NodeBase, prefix: str, on_change: Callable[[Change], None]) -> Follower:
     """Begin to follow the objects of a kind."""
-    pace = FollowPace(base.cfg.follow.watch_ms, base.cfg.follow.poll_ms)
+    cfg = base.cfg
+    pace = FollowPace(cfg.follow.watch_ms, cfg.follow.poll_ms, cfg.store.longest_pause_ms)
     store = base.budget.view(Priority.CONFIG)
     follower = Follower(store, base.clock, base.rand, prefix, on_change, pace)
     base.followers.append(follower)
--- a/papayapier/node/settings.py
+++ b/papayapier/node/settings.py
@@ -40,19 +40,23 @@
     """Locate the platform's store, and state its rates for all processes together.
 
     timeout_ms bounds one call; the store answers in milliseconds and in a fifth of a second
-    when it is slow.
+    when it is slow. longest_pause_ms bounds the pauses between tries: a process that the
+    store turned away must know within a second of its return which replicas leave.
     """
 
     address: Address
     reads_per_s: Positive
     writes_per_s: Positive
     timeout_ms: PositiveMs = 1_200
+    longest_pause_ms: PositiveMs = 500
 
     def platform(self) -> PlatformSettings:
         """Return the settings for calls to it."""
         host, port = split_address(self.address)
         reads, writes = self.reads_per_s // RATE_PART, self.writes_per_s // RATE_PART
-        return PlatformSettings(host, port, self.timeout_ms, max(1, reads), max(1, writes))
+        return PlatformSettings(
+            host, port, self.timeout_ms, self.longest_pause_ms, max(1, reads), max(1, writes)
+        )
 
 
 class ListenSettings(NamedTuple):
--- a/papayapier/policy/batch_room.py
+++ b/papayapier/policy/batch_room.py
@@ -10,20 +10,45 @@
 take the same one; what one leaves unused, another may take.
 """
 
-from typing import Final
+from typing import Final, NamedTuple
 
 # Slots of each replica that stay free for the online calls of the next 100 ms or so, the time
 # in which heartbeats tell of a jump: 9 replicas x 2 against about 8 more arrivals.
 SPARE_SLOTS: Final = 2
 
 
-def batch_limit(slots: int, online: int, own: int, batch: int, place: int, sharing: int) -> int:
-    """Return how many batch streams an instance may have at a replica.
+class Use(NamedTuple):
+    """Hold the open calls at a replica.
 
-    online and batch are the open calls of all instances there, own this instance's part of
-    batch. place is this instance's rank, from 0, among those sharing.
+    online and batch are those of all instances, own this instance's part of batch. place is
+    this instance's rank, from 0, among those sharing.
     """
-    left = max(0, slots - online - SPARE_SLOTS)
-    fair = left // sharing + (1 if place < left % sharing else 0)
-    others = max(0, batch - own)
+
+    slots: int
+    online: int
+    own: int
+    batch: int
+    place: int
+    sharing: int
+
+
+def start_limit(use: Use) -> int:
+    """Return up to how many batch streams an instance may start at a replica."""
+    return _part(use, use.slots - use.online - SPARE_SLOTS)
+
+
+def keep_limit(use: Use) -> int:
+    """Return how many batch streams an instance may keep at a replica.
+
+    More than it may start: the spare slots are there to be used by online calls. Without the
+    difference each online call of less than a second cancels a batch stream of five, which
+    begins again as soon as the call has ended.
+    """
+    return _part(use, use.slots - use.online)
+
+
+def _part(use: Use, slots_left: int) -> int:
+    left = max(0, slots_left)
+    fair = left // use.sharing + (1 if use.place < left % use.sharing else 0)
+    others = max(0, use.batch - use.own)
     return max(fair, left - others)
--- a/papayapier/settings.py
+++ b/papayapier/settings.py
@@ -28,11 +28,15 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Locate the platform's object API."""
+    """Locate the platform's object API.
+
+    longest_pause_ms bounds the growing pauses between tries while it does not answer.
+    """
 
     host: Ip
     port: Port
     timeout_ms: PositiveMs = 2_000
+    longest_pause_ms: PositiveMs = 5_000
     reads_per_s: Positive = 200
     writes_per_s: Positive = 60
 
--- a/papayapier/store/breaker.py
+++ b/papayapier/store/breaker.py
@@ -15,7 +15,6 @@
 
 FAILURES_UNTIL_DOWN: Final = 3
 FIRST_PAUSE_MS: Final = 200
-LONGEST_PAUSE_MS: Final = 5_000
 
 
 class Breaker(Protocol):
@@ -46,10 +45,20 @@
 class Health:
     """Count failures and time the probes."""
 
-    __slots__ = ("_clock", "_pause_ms", "_rng", "back_ms", "failures", "next_probe_ms", "since")
-
-    def __init__(self, clock: Clock, rng: random.Random) -> None:
+    __slots__ = (
+        "_clock",
+        "_pause_ms",
+        "_rng",
+        "_longest_pause_ms",
+        "back_ms",
+        "failures",
+        "next_probe_ms",
+        "since",
+    )
+
+    def __init__(self, clock: Clock, rng: random.Random, longest_pause_ms: int) -> None:
         self._clock = clock
+        self._longest_pause_ms = longest_pause_ms
         self._rng = rng
         self._pause_ms = FIRST_PAUSE_MS
         self.failures = 0
@@ -71,7 +80,7 @@
     def set_pause(self) -> None:
         """Set the next probe time, and a longer pause for the one after."""
         self.next_probe_ms = self.now() + self._pause_ms * self._rng.uniform(0.5, 1.5)
-        self._pause_ms = min(LONGEST_PAUSE_MS, 2 * self._pause_ms)
+        self._pause_ms = min(self._longest_pause_ms, 2 * self._pause_ms)
 
 
 def _build() -> TypeMachineBuilder[Breaker, Health]:
--- a/papayapier/store/budget.py
+++ b/papayapier/store/budget.py
@@ -65,7 +65,7 @@
     store: Store, clock: Clock, rng: random.Random, platform: PlatformSettings
 ) -> Budget:
     """Put a rate limit and an outage detector in front of a Store."""
-    health = Health(clock, rng)
+    health = Health(clock, rng, platform.longest_pause_ms)
     shared = _Shared(
         store,
         Bucket(clock, platform.reads_per_s),
--- a/papayapier/store/watch.py
+++ b/papayapier/store/watch.py
@@ -32,10 +32,14 @@
 
 
 class FollowPace(NamedTuple):
-    """Set how long a watch may wait and how often a listing is taken in any case."""
+    """Set how long a watch may wait and how often a listing is taken in any case.
+
+    longest_pause_ms bounds the growing pauses between tries while the store does not answer.
+    """
 
     watch_ms: int
     poll_ms: int
+    longest_pause_ms: int = LONGEST_PAUSE_MS
 
 
 class Follower:
@@ -76,7 +80,7 @@
             task.cancel()
 
     async def _watch_loop(self) -> None:
-        pauses = Pauses(self._rng)
+        pauses = Pauses(self._rng, self._pace.longest_pause_ms)
         while True:
             since = await self._list_all()
             while since is not None:
@@ -165,16 +169,17 @@
 class Pauses:
     """Draw jittered pauses that grow until reset."""
 
-    __slots__ = ("_pause_ms", "_rng")
+    __slots__ = ("_longest_ms", "_pause_ms", "_rng")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, longest_ms: int = LONGEST_PAUSE_MS) -> None:
         self._rng = rng
+        self._longest_ms = longest_ms
         self._pause_ms = FIRST_PAUSE_MS
 
     def next_ms(self) -> float:
         """Return the pause to make now."""
         pause_ms = self._pause_ms * self._rng.uniform(0.5, 1.0)
-        self._pause_ms = min(LONGEST_PAUSE_MS, 2 * self._pause_ms)
+        self._pause_ms = min(self._longest_ms, 2 * self._pause_ms)
         return pause_ms
 
     def reset(self) -> None:
