--- a/papayapier/jobs/commits.py
+++ b/papayapier/jobs/commits.py
@@ -30,12 +30,15 @@
 
 
 class CommitDeps(NamedTuple):
-    """Group what commits work with; taken_over is told of items that others have listed."""
+    """Group what commits work with; taken_over is told of items that others have listed,
+    written of each group created here.
+    """
 
     clock: Clock
     rand: random.Random
     store: Store
     taken_over: Callable[[list[Item]], None]
+    written: Callable[[JobWork], None]
 
 
 async def load_groups(deps: CommitDeps, work: JobWork) -> Result[None, StoreError]:
@@ -76,6 +79,7 @@
     done = await create_settled(settling, group_key(work.job_id, number), encode(group), due_ms)
     if isinstance(done, Ok):
         work.take_group(number, group)
+        deps.written(work)
         return True
     if done.err_value in (StoreError.CONFLICT, StoreError.LOST):
         return isinstance(await load_groups(deps, work), Ok) and work.groups > number
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
 
 from papayapier import events
 from papayapier.clock import Clock
@@ -30,8 +31,9 @@
 from papayapier.store.writes import Settling, create_settled, update_settled
 
 WRITE_ID_BITS: Final = 64
-# How long a waiting read looks again for a new group; half of a caller's reading interval.
-LOOK_AGAIN_MS: Final = 250
+# A look at the store stands for this long: callers read about twice a second, and a position
+# that one instance has shown must be shown by all a second later.
+LOOK_STANDS_MS: Final = 400
 END_TRIES: Final = 8
 # Views of jobs kept in memory, and the text that they may hold together.
 VIEWS_MAX: Final = 2_000
@@ -57,10 +59,13 @@
 class _View:
     """Hold what has been read of one job."""
 
-    __slots__ = ("groups", "record", "results", "text_bytes")
+    __slots__ = ("groups", "looked_ms", "record", "results", "text_bytes", "told", "waiting")
 
     def __init__(self, record: JobRecord) -> None:
         self.record = record
+        self.looked_ms = -LOOK_STANDS_MS
+        self.told = 0
+        self.waiting: list[Deferred[None]] = []
         self.results: list[ItemResult] = []
         self.groups = 0
         self.text_bytes = 0
@@ -68,6 +73,13 @@
     def complete(self) -> bool:
         return len(self.results) >= self.record.total
 
+    def tell(self, groups: int) -> None:
+        """Take how many groups there are, and wake who waits for one."""
+        self.told = max(self.told, groups)
+        waiting, self.waiting = self.waiting, []
+        for one in waiting:
+            one.callback(None)
+
 
 class JobDesk:
     """Serve the callers' calls on batch jobs."""
@@ -106,17 +118,36 @@
             return view
         one = view.ok_value
         while len(one.results) <= after and not one.complete():
-            more = await self._read_group(job_id, one)
-            if isinstance(more, Err):
-                return more
-            if more.ok_value:
-                continue
+            now = self._deps.clock.now()
+            if one.told > one.groups or now >= one.looked_ms + LOOK_STANDS_MS:
+                more = await self._read_group(job_id, one)
+                if isinstance(more, Err):
+                    return more
+                if more.ok_value:
+                    continue
             left_ms = due_ms - self._deps.clock.now()
             if left_ms <= 0:
                 break
-            await self._deps.clock.sleep(min(left_ms, LOOK_AGAIN_MS))
+            await self._told_or(one, left_ms)
         return Ok(Page(one.record.total, one.results[after:]))
 
+    def on_groups(self, job_id: str, groups: int) -> None:
+        """Take from a peer that a job has so many groups; who waits for one need not look."""
+        view = self._views.get(job_id)
+        if view is not None and groups > view.groups:
+            view.tell(groups)
+
+    async def _told_or(self, view: _View, wait_ms: int) -> None:
+        """Wait until a peer tells of a new group, or for the time given."""
+        told: Deferred[None] = Deferred()
+        view.waiting.append(told)
+        timer = self._deps.clock.call_later(wait_ms, lambda: _end_wait(view, told))
+        try:
+            await told
+        finally:
+            if timer.active():
+                timer.cancel()
+
     async def item(self, job_id: str, item_id: str) -> Result[JobItem, Refusal]:
         """Return an item as it was submitted."""
         view = await self._view(job_id)
@@ -191,9 +222,11 @@
     async def _read_group(self, job_id: str, view: _View) -> Result[bool, Refusal]:
         """Read the next group; False says that there is none yet."""
         number = view.groups
+        view.looked_ms = self._deps.clock.now()
         found = await self._deps.store.get(group_key(job_id, number))
         if isinstance(found, Err):
             if found.err_value is StoreError.NOT_FOUND:
+                view.told = min(view.told, number)
                 return Ok(False)
             return Err(_not_read(job_id, found.err_value))
         group = read_group(found.ok_value.value)
@@ -222,6 +255,12 @@
             self._text_bytes -= oldest.text_bytes
 
 
+def _end_wait(view: _View, told: Deferred[None]) -> None:
+    if told in view.waiting:
+        view.waiting.remove(told)
+        told.callback(None)
+
+
 async def read_whole(store: Store, job_id: str, record: JobRecord) -> Result[JobRecord, StoreError]:
     """Return a job with the items that its parts hold."""
     items: tuple[JobItem, ...] = record.items
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -46,7 +46,8 @@
     """Group what the runner works with.
 
     sharing names the live instances that run batch, this one included. head writes the
-    headers for one replica. body decodes the body of an item.
+    headers for one replica. body decodes the body of an item. tell_groups tells the others
+    how many groups of results a job has.
     """
 
     clock: Clock
@@ -62,6 +63,7 @@
     table: Callable[[], RouteTable | None]
     sharing: Callable[[], Sequence[str]]
     uses_changed: Callable[[], None]
+    tell_groups: Callable[[str, int], None]
     metrics: Metrics
 
 
@@ -84,7 +86,9 @@
         self._runs: dict[str, _Run] = {}
         self._timer: Timer | None = None
         self._stopping = False
-        self._commits = CommitDeps(deps.clock, deps.rand, deps.store, self._cancel_items)
+        self._commits = CommitDeps(
+            deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
+        )
 
     def start(self) -> None:
         """Begin to run."""
@@ -339,6 +343,9 @@
             if run is not None:
                 run.task.cancel()
 
+    def _tell_groups(self, work: JobWork) -> None:
+        self._deps.tell_groups(work.job_id, work.groups)
+
     def _commit(self, work: JobWork) -> None:
         self._spawn(self._commit_and_close(work))
 
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -30,6 +30,8 @@
 from papayapier.upstream.raw import SendRaw, make_raw_send
 
 BOOT_BITS: Final = 48
+# Kinds whose changes may be heard of some seconds late, where a connection goes silent.
+SLOW: Final = 3
 
 
 class NodeBase(NamedTuple):
@@ -116,10 +118,13 @@
     return Ok(base)
 
 
-def follow(base: NodeBase, prefix: str, on_change: Callable[[Change], None]) -> Follower:
-    """Begin to follow the objects of a kind."""
+def follow(
+    base: NodeBase, prefix: str, on_change: Callable[[Change], None], slowness: int = 1
+) -> Follower:
+    """Begin to follow the objects of a kind; slowness stretches the waits of a watch."""
     cfg = base.cfg
-    pace = FollowPace(cfg.follow.watch_ms, cfg.follow.poll_ms, cfg.store.longest_pause_ms)
+    watch_ms = cfg.follow.watch_ms * slowness
+    pace = FollowPace(watch_ms, cfg.follow.poll_ms * slowness, cfg.store.longest_pause_ms)
     store = base.budget.view(Priority.CONFIG)
     follower = Follower(store, base.clock, base.rand, prefix, on_change, pace)
     base.followers.append(follower)
@@ -140,7 +145,7 @@
         follow(base, CONFIG_PREFIX, base.routing.on_change),
         follow(base, REPLICAS_PREFIX, base.replicas.on_change),
     )
-    follow(base, NODES, base.nodes.on_change)
+    follow(base, NODES, base.nodes.on_change, SLOW)
     own = base.cfg.instance
     record = NodeRecord(role, own.host, base.cfg.peer.port, own.data_centre, own.region)
     store = base.budget.view(Priority.LEASE)
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -26,6 +26,7 @@
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
 from papayapier.node.processes import Role
 from papayapier.node.settings import NodeSettings, split_address
+from papayapier.peer.messages import JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.readiness import add_readiness
 from papayapier.policy.admission import AdmissionQueue
@@ -153,6 +154,7 @@
     base: NodeBase, forward: ForwardDeps, queue: StartQueue, readiness: _Readiness
 ) -> ForwardRoutes:
     desk = JobDesk(DeskDeps(base.clock, base.rand, base.budget.view(Priority.CLAIM)))
+    base.hub.subscribe(JobChanged, lambda _peer, told: desk.on_groups(told.job_id, told.version))
     wire = JobWire(headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.perform)
     jobs = JobRoutes(
         base.clock,
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -9,11 +9,11 @@
 from papayapier.clock import Clock
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
-from papayapier.node.base import NodeBase, close_base, follow, follow_common, make_base
+from papayapier.node.base import SLOW, NodeBase, close_base, follow, follow_common, make_base
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
 from papayapier.node.settings import NodeSettings
-from papayapier.peer.messages import Heartbeat
+from papayapier.peer.messages import Heartbeat, JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.retirements import RETIREMENTS_PREFIX
 from papayapier.store.budget import Priority
@@ -71,6 +71,7 @@
             table=base.routing.table,
             sharing=sharing,
             uses_changed=base.hub.uses_changed,
+            tell_groups=lambda job_id, groups: base.hub.tell_all(JobChanged(job_id, groups)),
             metrics=base.metrics,
         )
     )
@@ -79,7 +80,7 @@
     follow_common(base, Role.KEEPER)
     follow(base, JOBS, runner.on_change)
     retirement = Retirement(base, runner)
-    follow(base, RETIREMENTS_PREFIX, retirement.on_change)
+    follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOW)
     runner.start()
     events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value)
     return Ok(Keeper(base, runner))
--- a/papayapier/node/settings.py
+++ b/papayapier/node/settings.py
@@ -69,11 +69,12 @@
 class FollowSettings(NamedTuple):
     """Set how the store is followed: how long a watch waits, and how often all is listed.
 
-    A connection that has gone silent hides changes until its watch is overdue.
+    A connection that has gone silent hides changes until its watch is overdue: watch_ms and
+    the store's timeout_ms together bound how long a change can be missed.
     """
 
-    watch_ms: PositiveMs = 2_000
-    poll_ms: PositiveMs = 10_000
+    watch_ms: PositiveMs = 3_000
+    poll_ms: PositiveMs = 20_000
 
 
 class StopSettings(NamedTuple):
--- a/papayapier/store/breaker.py
+++ b/papayapier/store/breaker.py
@@ -47,9 +47,9 @@
 
     __slots__ = (
         "_clock",
+        "_longest_pause_ms",
         "_pause_ms",
         "_rng",
-        "_longest_pause_ms",
         "back_ms",
         "failures",
         "next_probe_ms",
