--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -31,8 +31,8 @@
 from papayapier.store.writes import Settling, create_settled, update_settled
 
 WRITE_ID_BITS: Final = 64
-# A look at the store stands for this long: callers read about twice a second, and a position
-# that one instance has shown must be shown by all a second later.
+# A look at the store that found no new group stands for this long: callers read about twice a
+# second, and a position that one instance has shown must be shown by all a second later.
 LOOK_STANDS_MS: Final = 400
 END_TRIES: Final = 8
 # Views of jobs kept in memory, and the text that they may hold together.
@@ -222,10 +222,13 @@
     async def _read_group(self, job_id: str, view: _View) -> Result[bool, Refusal]:
         """Read the next group; False says that there is none yet."""
         number = view.groups
-        view.looked_ms = self._deps.clock.now()
+        began_ms = self._deps.clock.now()
         found = await self._deps.store.get(group_key(job_id, number))
         if isinstance(found, Err):
             if found.err_value is StoreError.NOT_FOUND:
+                # Only what the store has answered stands, and from when it was asked: a look
+                # under way, or one that found a group, says nothing of the group after it.
+                view.looked_ms = max(view.looked_ms, began_ms)
                 view.told = min(view.told, number)
                 return Ok(False)
             return Err(_not_read(job_id, found.err_value))
--- /dev/null
+++ b/tests/jobs_world.py
@@ -0,0 +1,132 @@
+"""Run job desks and commits against a store in memory, on a clock that the test moves."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import fake_clock
+from papayapier.jobs.desk import DeskDeps, JobDesk
+from papayapier.jobs.records import (
+    ItemEnd,
+    ItemResult,
+    JobItem,
+    JobRecord,
+    ResultGroup,
+    encode,
+    group_key,
+    job_key,
+)
+from papayapier.store.api import Listing, Store, Stored, StoreError
+
+T = TypeVar("T")
+
+JOB = "7c41e09b52d6a3f8"
+
+
+def item(name: str, body: str = "q83v") -> JobItem:
+    """Make an item."""
+    return JobItem(name, f"/jobs/{name}", {}, body, 10)
+
+
+def record(*names: str) -> JobRecord:
+    """Make a job of some items."""
+    items = tuple(item(name) for name in names)
+    return JobRecord("w", "h.example", "/jobs/j", 0, items, len(items))
+
+
+def group(*names: str) -> ResultGroup:
+    """Make a group of results."""
+    return ResultGroup("-".join(names), tuple(ItemResult(n, ItemEnd.DONE, n) for n in names))
+
+
+class MemoryStore:
+    """Hold objects; faults are taken, one a call, from a list of functions of the call."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, tuple[int, bytes]] = {}
+        self.revision = 0
+        self.calls: list[str] = []
+        self.held: list[Deferred[None]] = []
+        self.hold = False
+        self.fault: Callable[[str, str], StoreError | None] = lambda _call, _key: None
+
+    def put(self, key: str, value: bytes) -> int:
+        self.revision += 1
+        self.objects[key] = (self.revision, value)
+        return self.revision
+
+    def release(self) -> None:
+        held, self.held = self.held, []
+        for one in held:
+            one.callback(None)
+
+    def store(self) -> Store:
+        async def get(key: str) -> Result[Stored, StoreError]:
+            self.calls.append(f"get {key}")
+            if self.hold:
+                self.held.append(Deferred())
+                await self.held[-1]
+            fault = self.fault("get", key)
+            if fault is not None:
+                return Err(fault)
+            if key not in self.objects:
+                return Err(StoreError.NOT_FOUND)
+            version, value = self.objects[key]
+            return Ok(Stored(key, version, value))
+
+        async def create(key: str, value: bytes) -> Result[int, StoreError]:
+            self.calls.append(f"create {key}")
+            fault = self.fault("create", key)
+            if fault is StoreError.LOST and key not in self.objects:
+                self.put(key, value)
+            if fault is not None:
+                return Err(fault)
+            if key in self.objects:
+                return Err(StoreError.CONFLICT)
+            return Ok(self.put(key, value))
+
+        async def update(key: str, value: bytes, version: int) -> Result[int, StoreError]:
+            self.calls.append(f"update {key}")
+            if key not in self.objects:
+                return Err(StoreError.NOT_FOUND)
+            if self.objects[key][0] != version:
+                return Err(StoreError.CONFLICT)
+            return Ok(self.put(key, value))
+
+        async def unused(*_args: Any) -> Result[Any, StoreError]:
+            return Ok(Listing([], False, 0))
+
+        return Store(get, create, update, unused, unused, unused, unused, unused, unused)
+
+
+class DeskWorld:
+    """Hold one desk and its store."""
+
+    def __init__(self, memory: MemoryStore | None = None) -> None:
+        self.time = fake_clock()
+        self.memory = memory or MemoryStore()
+        self.desk = JobDesk(DeskDeps(self.time.clock, random.Random(1), self.memory.store()))
+
+    def has_job(self, *names: str) -> None:
+        self.memory.put(job_key(JOB), encode(record(*names)))
+
+    def has_group(self, number: int, *names: str) -> None:
+        self.memory.put(group_key(JOB, number), encode(group(*names)))
+
+    def begin(self, work: Awaitable[T]) -> "Begun[T]":
+        return Begun(work)
+
+
+class Begun(list[T]):
+    """Hold the end of work that has been begun, once it is there."""
+
+    def __init__(self, work: Awaitable[T]) -> None:
+        super().__init__()
+        Deferred.fromCoroutine(work).addCallback(self.append)  # type: ignore[arg-type]
+
+    def end(self) -> T:
+        assert self, "the work has not ended"
+        return self[0]
