--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -14,6 +14,7 @@
 from papayapier.node.processes import NODES, NodeList, NodeRecord, Role, write_down
 from papayapier.node.replica_list import ListedReplica, ReplicaList, ReplicaListDeps
 from papayapier.node.settings import NodeSettings
+from papayapier.node.store_relay import RelayDeps, answer_peers, relayed
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.messages import ConfigPush, Heartbeat, Message
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
@@ -27,7 +28,7 @@
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.watch import Follower, FollowPace, report_failure
 from papayapier.upstream.links import Links
-from papayapier.upstream.raw import SendRaw, make_raw_send
+from papayapier.upstream.raw import RawDeps, SendRaw, make_raw_send
 
 BOOT_BITS: Final = 48
 # Kinds whose changes may be heard of some seconds late, where a connection goes silent.
@@ -53,6 +54,8 @@
     hub: PeerHub
     links: Links
     send: SendRaw
+    # The store by the own way or through a peer.
+    view: Callable[[Priority], Store]
     followers: list[Follower]
     # The process's own tasks that end with it.
     tasks: list[Deferred[None]]
@@ -92,6 +95,11 @@
     if isinstance(listening, Err):
         return listening
     links = Links(reactor, clock, cfg.upstream)
+    replicas = ReplicaList(
+        ReplicaListDeps(clock, REPLICAS_PREFIX, read_replica, store_back_ms, on_replicas)
+    )
+    send = RawDeps(links, read_facts, book.on_report, replicas.on_moved, metrics)
+    relay = RelayDeps(clock, rand, hub, lambda: budget.down_since() is not None)
     base = NodeBase(
         reactor=reactor,
         clock=clock,
@@ -104,13 +112,12 @@
         book=book,
         outliers=outliers,
         routing=routing,
-        replicas=ReplicaList(
-            ReplicaListDeps(clock, REPLICAS_PREFIX, read_replica, store_back_ms, on_replicas)
-        ),
+        replicas=replicas,
         nodes=NodeList(hub.set_members),
         hub=hub,
         links=links,
-        send=make_raw_send(clock, links, read_facts, book.on_report, metrics),
+        send=make_raw_send(send),
+        view=lambda priority: relayed(budget.view(priority), relay),
         followers=[],
         tasks=[],
     )
@@ -125,7 +132,7 @@
     cfg = base.cfg
     watch_ms = cfg.follow.watch_ms * slowness
     pace = FollowPace(watch_ms, cfg.follow.poll_ms * slowness, cfg.store.longest_pause_ms)
-    store = base.budget.view(Priority.CONFIG)
+    store = base.view(Priority.CONFIG)
     follower = Follower(store, base.clock, base.rand, prefix, on_change, pace)
     base.followers.append(follower)
     follower.start()
@@ -148,13 +155,25 @@
     follow(base, NODES, base.nodes.on_change, SLOW)
     own = base.cfg.instance
     record = NodeRecord(role, own.host, base.cfg.peer.port, own.data_centre, own.region)
-    store = base.budget.view(Priority.LEASE)
+    store = base.view(Priority.LEASE)
     task = Deferred.fromCoroutine(write_down(store, base.clock, base.rand, own.id, record))
     task.addErrback(report_failure, "write down")
     base.tasks.append(task)
+    probe = Deferred.fromCoroutine(_probe_store(base))
+    probe.addErrback(report_failure, "probe")
+    base.tasks.append(probe)
     return followed
 
 
+async def _probe_store(base: NodeBase) -> None:
+    """Find out when the store is back, also where every other call goes through a peer."""
+    store = base.budget.view(Priority.CONFIG)
+    while True:
+        await base.clock.sleep(base.cfg.store.longest_pause_ms)
+        if base.budget.down_since() is not None:
+            await store.get(CONFIG_KEY)
+
+
 async def close_base(base: NodeBase) -> None:
     """Close everything."""
     for task in base.tasks:
@@ -170,6 +189,7 @@
     """Pass peers' messages on, and tell them of a new configuration."""
     hub = base.hub
     hub.subscribe(Heartbeat, peer_uses_reader(base.book, base.clock.now))
+    answer_peers(hub, base.budget.view(Priority.BULK))
     live = set(hub.live())
 
     def on_peers() -> None:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -153,7 +153,7 @@
 def _routes(
     base: NodeBase, forward: ForwardDeps, queue: StartQueue, readiness: _Readiness
 ) -> ForwardRoutes:
-    desk = JobDesk(DeskDeps(base.clock, base.rand, base.budget.view(Priority.CLAIM)))
+    desk = JobDesk(DeskDeps(base.clock, base.rand, base.view(Priority.CLAIM)))
     base.hub.subscribe(JobChanged, lambda _peer, told: desk.on_groups(told.job_id, told.version))
     wire = JobWire(headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.perform)
     jobs = JobRoutes(
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -31,9 +31,9 @@
     async def leave(self) -> None:
         """Hand the jobs over, write what is finished, and end."""
         base = self._base
-        base.drain.leave(base.clock.now())
         events.emit(events.PROCESS_LEAVING, running=self._runner.running())
         self._runner.stop()
+        base.drain.leave(base.clock.now())
         while base.drain.tick(base.clock.now(), self._runner.unwritten()) != "stopped":
             await base.clock.sleep(LEAVE_TICK_MS)
         self._runner.close()
@@ -61,7 +61,7 @@
             clock=clock,
             rand=rand,
             me=me,
-            store=base.budget.view(Priority.BULK),
+            store=base.view(Priority.BULK),
             book=base.book,
             outliers=base.outliers,
             send=base.send,
--- a/papayapier/node/replica_list.py
+++ b/papayapier/node/replica_list.py
@@ -71,6 +71,15 @@
         if listed != before:
             self._deps.changed(self.listed())
 
+    def on_moved(self, replica_id: str) -> None:
+        """Take from an answer that another replica has this one's address now.
+
+        The list lags behind; asked again and again, the wrong replica would refuse each time.
+        """
+        if replica_id in self._listed:
+            self._held.pop(replica_id, None)
+            self._remove(replica_id)
+
     def listed(self) -> list[ListedReplica]:
         """Return the entries in use."""
         return list(self._listed.values())
--- a/papayapier/node/retirement.py
+++ b/papayapier/node/retirement.py
@@ -42,16 +42,17 @@
     async def _empty(self, node_id: str) -> None:
         base = self._base
         events.emit(events.RETIRING, instance=node_id, running=self._runner.running())
+        # First the runs: the shares of the replicas are worked out for those that stay.
+        self._runner.stop()
         base.drain.leave(base.clock.now())
         await self._write(node_id, Stage.UNDER_WAY)
-        self._runner.stop()
         while self._runner.unwritten() or self._runner.running():
             await base.clock.sleep(CHECK_MS)
         await self._write(node_id, Stage.DONE)
         events.emit(events.RETIRED, instance=node_id)
 
     async def _write(self, node_id: str, stage: Stage) -> None:
-        store = self._base.budget.view(Priority.CONFIG)
+        store = self._base.view(Priority.CONFIG)
         pauses = Pauses(self._base.rand)
         while True:
             done = await store.update(status_key(node_id), write_stage(stage), ANY_VERSION)
--- /dev/null
+++ b/papayapier/node/store_relay.py
@@ -0,0 +1,264 @@
+"""Reach the platform's store through a peer, where it turns this process away or is silent.
+
+The store may answer some machines and not others, or the way to it may be cut for one. Without
+this, such a process refuses batch jobs, cannot tell what is listed, and sends to replicas that
+have gone, although the process beside it knows and could write. Every call that goes this way
+is one that may be made twice: reads, and writes under a condition, which take effect once.
+
+A call whose own answer is late goes through a peer as well, and the first definite answer
+counts. Where both copies of a create reach the store, the second is told of a conflict with the
+first; callers of create read the object then, as they must after any lost answer.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, Generic, NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from papayapier import events
+from papayapier.clock import Clock
+from papayapier.peer.hub import PeerHub
+from papayapier.peer.messages import Message, StoreAsk, StoreChange, StoreTell
+from papayapier.store.api import (
+    Change,
+    Changes,
+    Entry,
+    Listing,
+    Store,
+    Stored,
+    StoreError,
+)
+from papayapier.store.watch import report_failure
+
+T = TypeVar("T")
+
+# The store answers in some 4 ms, and in 200 ms when it is slow fifty-fold.
+LATE_MS: Final = 250
+ASK_MS: Final = 1_000
+PEERS_TRIED: Final = 2
+
+GET: Final = "get"
+CREATE: Final = "create"
+UPDATE: Final = "update"
+LIST: Final = "list"
+WATCH: Final = "watch"
+ASK_FAILED: Final = StoreTell(0, StoreError.LOST.value)
+# Nobody was asked, so nothing was sent.
+NOBODY: Final = StoreTell(0, StoreError.UNAVAILABLE.value)
+NO_ID: Final = 0
+
+
+class RelayDeps(NamedTuple):
+    """Group what the relay works with; down tells whether the own way is known to fail."""
+
+    clock: Clock
+    rand: random.Random
+    hub: PeerHub
+    down: Callable[[], bool]
+
+
+def relayed(own: Store, deps: RelayDeps) -> Store:
+    """Put the way through peers beside a Store."""
+    relay = _Relay(deps)
+
+    async def get(key: str) -> Result[Stored, StoreError]:
+        async def ask() -> Result[Stored, StoreError]:
+            told = await relay.ask(StoreAsk(NO_ID, GET, key))
+            return _read(told).map(lambda tell: Stored(key, tell.version, tell.value))
+
+        return await relay.either(lambda: own.get(key), ask)
+
+    async def create(key: str, value: bytes) -> Result[int, StoreError]:
+        async def ask() -> Result[int, StoreError]:
+            return _written(await relay.ask(StoreAsk(NO_ID, CREATE, key, value)))
+
+        return await relay.either(lambda: own.create(key, value), ask)
+
+    async def update(key: str, value: bytes, version: int) -> Result[int, StoreError]:
+        async def ask() -> Result[int, StoreError]:
+            return _written(await relay.ask(StoreAsk(NO_ID, UPDATE, key, value, version)))
+
+        return await relay.either(lambda: own.update(key, value, version), ask)
+
+    async def list_(prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
+        async def ask() -> Result[Listing, StoreError]:
+            told = await relay.ask(StoreAsk(NO_ID, LIST, prefix, after=after))
+            return _read(told).map(_listing)
+
+        return await relay.either(lambda: own.list(prefix, after, limit), ask)
+
+    async def watch(prefix: str, since: int, wait_ms: int) -> Result[Changes, StoreError]:
+        if not deps.down():
+            return await own.watch(prefix, since, wait_ms)
+        ask = StoreAsk(NO_ID, WATCH, prefix, version=since, wait_ms=wait_ms)
+        return _read(await relay.ask(ask, wait_ms)).map(_changes)
+
+    return own._replace(get=get, create=create, update=update, list=list_, watch=watch)
+
+
+class _Relay:
+    """Ask peers, the one first that answered last."""
+
+    def __init__(self, deps: RelayDeps) -> None:
+        self._deps = deps
+        self._good = ""
+
+    async def either(
+        self,
+        own: Callable[[], Awaitable[Result[T, StoreError]]],
+        ask: Callable[[], Awaitable[Result[T, StoreError]]],
+    ) -> Result[T, StoreError]:
+        """Return the first definite answer of this process's own way and a peer's."""
+        race: _Race[T] = _Race()
+        race.run(own)
+        timer = self._deps.clock.call_later(LATE_MS, lambda: race.run(ask))
+        try:
+            ended = await race.ended
+        finally:
+            if timer.active():
+                timer.cancel()
+        if _definite(ended) or race.runs > 1:
+            return ended
+        return await _after(ended, ask)
+
+    async def ask(self, ask: StoreAsk, wait_ms: int = 0) -> StoreTell:
+        """Ask peers until one has reached the store."""
+        told = NOBODY
+        asked_all = True
+        for peer_id in self._peers():
+            answer = await self._deps.hub.ask(
+                peer_id, lambda ask_id: ask._replace(ask_id=ask_id), ASK_MS + wait_ms
+            )
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, StoreTell):
+                told = answer.ok_value
+                if told.error not in _NOT_REACHED:
+                    self._good = peer_id
+                    return told
+            else:
+                asked_all = False
+        # A peer that did not answer may yet make the call.
+        return told if asked_all else ASK_FAILED
+
+    def _peers(self) -> list[str]:
+        up = [view.id for view in self._deps.hub.views() if view.up and not view.leaving]
+        self._deps.rand.shuffle(up)
+        up.sort(key=lambda one: one != self._good)
+        return up[:PEERS_TRIED]
+
+
+_NOT_REACHED: Final = frozenset(
+    {StoreError.UNAVAILABLE.value, StoreError.LOST.value, StoreError.LIMITED.value}
+)
+
+
+class _Race(Generic[T]):
+    """Run up to two ways of one call, and end with the first definite answer.
+
+    Where none is definite the last one counts, or LOST if either was: its copy may take effect.
+    """
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.ended: Deferred[Result[T, StoreError]] = Deferred()
+        self._open = 0
+        self._lost: Result[T, StoreError] | None = None
+
+    def run(self, way: Callable[[], Awaitable[Result[T, StoreError]]]) -> None:
+        self.runs += 1
+        self._open += 1
+        Deferred.fromCoroutine(_as_coroutine(way)).addBoth(self._on_end)
+
+    def _on_end(self, end: "Result[T, StoreError] | Failure") -> None:
+        self._open -= 1
+        if isinstance(end, Failure):
+            events.emit(events.STORE_TASK_FAILED, task="relay", reason=repr(end.value))
+            end = Err(StoreError.LOST)
+        if end == Err(StoreError.LOST):
+            self._lost = end
+        if not self.ended.called and (_definite(end) or not self._open):
+            self.ended.callback(end if _definite(end) else self._lost or end)
+
+
+async def _as_coroutine(
+    way: Callable[[], Awaitable[Result[T, StoreError]]],
+) -> Result[T, StoreError]:
+    return await way()
+
+
+async def _after(
+    first: Result[T, StoreError], ask: Callable[[], Awaitable[Result[T, StoreError]]]
+) -> Result[T, StoreError]:
+    """Ask a peer after the own way has failed; a write that was lost stays in doubt."""
+    second = await ask()
+    return second if _definite(second) or first != Err(StoreError.LOST) else first
+
+
+def _definite(end: Result[T, StoreError]) -> bool:
+    return isinstance(end, Ok) or end.err_value not in (
+        StoreError.UNAVAILABLE,
+        StoreError.LOST,
+        StoreError.LIMITED,
+    )
+
+
+def _read(told: StoreTell) -> Result[StoreTell, StoreError]:
+    if not told.error:
+        return Ok(told)
+    error = StoreError(told.error)
+    return Err(StoreError.UNAVAILABLE if error is StoreError.LOST else error)
+
+
+def _written(told: StoreTell) -> Result[int, StoreError]:
+    return Err(StoreError(told.error)) if told.error else Ok(told.version)
+
+
+def _listing(told: StoreTell) -> Listing:
+    found = [Entry(one.key, one.version, one.value) for one in told.changes]
+    return Listing(found, told.more, told.version)
+
+
+def _changes(told: StoreTell) -> Changes:
+    return Changes([Change(*one) for one in told.changes], told.version)
+
+
+def answer_peers(hub: PeerHub, own: Store) -> None:
+    """Make calls for peers that ask, by this process's own way only."""
+
+    def on_ask(peer_id: str, ask: StoreAsk) -> None:
+        done = Deferred.fromCoroutine(_perform(own, ask))
+        done.addCallback(lambda tell: hub.tell(peer_id, tell))
+        done.addErrback(report_failure, "relay")
+
+    hub.subscribe(StoreAsk, on_ask)
+
+
+async def _perform(own: Store, ask: StoreAsk) -> Message:
+    tell = StoreTell(ask.ask_id, "")
+    if ask.call == GET:
+        got = await own.get(ask.key)
+        if isinstance(got, Ok):
+            return tell._replace(version=got.ok_value.version, value=got.ok_value.value)
+        return tell._replace(error=got.err_value.value)
+    if ask.call == LIST:
+        listed = await own.list(ask.key, ask.after, 0)
+        if isinstance(listed, Err):
+            return tell._replace(error=listed.err_value.value)
+        page = listed.ok_value
+        found = tuple(StoreChange(one.key, one.version, False, one.value) for one in page.objects)
+        return tell._replace(version=page.revision, changes=found, more=page.more)
+    if ask.call == WATCH:
+        seen = await own.watch(ask.key, ask.version, ask.wait_ms)
+        if isinstance(seen, Err):
+            return tell._replace(error=seen.err_value.value)
+        changes = tuple(StoreChange(*one) for one in seen.ok_value.changes)
+        return tell._replace(version=seen.ok_value.revision, changes=changes)
+    if ask.call == CREATE:
+        written = await own.create(ask.key, ask.value)
+    else:
+        written = await own.update(ask.key, ask.value, ask.version)
+    if isinstance(written, Err):
+        return tell._replace(error=written.err_value.value)
+    return tell._replace(version=written.ok_value)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -142,6 +142,42 @@
     age_ms: int
 
 
+class StoreAsk(NamedTuple):
+    """Ask a peer to make one call to the platform's store; call names it.
+
+    For a listing key is the prefix and after the place, for a watch version is the revision
+    and wait_ms how long to wait.
+    """
+
+    ask_id: int
+    call: str
+    key: str
+    value: bytes = b""
+    version: int = 0
+    after: str = ""
+    wait_ms: int = 0
+
+
+class StoreChange(NamedTuple):
+    """Hold one object or change of a StoreTell."""
+
+    key: str
+    version: int
+    deleted: bool
+    value: bytes
+
+
+class StoreTell(NamedTuple):
+    """Answer StoreAsk; error is empty for success, else the name of the store's error."""
+
+    ask_id: int
+    error: str
+    version: int = 0
+    value: bytes = b""
+    changes: tuple[StoreChange, ...] = ()
+    more: bool = False
+
+
 Message = (
     Heartbeat
     | ConfigPush
@@ -156,6 +192,8 @@
     | Prune
     | MembersAsk
     | MembersTell
+    | StoreAsk
+    | StoreTell
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -172,4 +210,6 @@
     11: Prune,
     12: MembersAsk,
     13: MembersTell,
+    14: StoreAsk,
+    15: StoreTell,
 }
--- a/papayapier/upstream/raw.py
+++ b/papayapier/upstream/raw.py
@@ -11,7 +11,6 @@
 from result import Err, Ok, Result
 from twisted.web.http_headers import Headers
 
-from papayapier.clock import Clock
 from papayapier.metrics import Metrics
 from papayapier.upstream.answers import Collected
 from papayapier.upstream.api import Failure, FailureKind, Load, Replica, Sent
@@ -84,15 +83,27 @@
 SendRaw = Callable[[Replica, RawCall, StreamTaker | None], Awaitable[Result[RawAnswer, Failure]]]
 
 
-def make_raw_send(
-    clock: Clock, links: Links, read_facts: ReadFacts, on_load: OnLoad, metrics: Metrics
-) -> SendRaw:
-    """Make the call that sends a request to a replica; on_load is told each answer's load."""
+class RawDeps(NamedTuple):
+    """Group what sends work with.
+
+    on_load is told each answer's load, on_moved a replica whose address is another's now.
+    """
+
+    links: Links
+    read_facts: ReadFacts
+    on_load: OnLoad
+    on_moved: Callable[[str], None]
+    metrics: Metrics
+
+
+def make_raw_send(deps: RawDeps) -> SendRaw:
+    """Make the call that sends a request to a replica."""
+    links, metrics = deps.links, deps.metrics
 
     async def send(
         replica: Replica, call: RawCall, taker: StreamTaker | None
     ) -> Result[RawAnswer, Failure]:
-        reader = _Reader(call, taker, read_facts)
+        reader = _Reader(call, taker, deps.read_facts)
         out = Outgoing(
             call.method,
             call.target,
@@ -104,7 +115,9 @@
         )
         ended = await links.run(replica, out, reader.sink())
         if reader.facts is not None and reader.facts.load is not None:
-            on_load(replica.id, reader.facts.load)
+            deps.on_load(replica.id, reader.facts.load)
+        if reader.facts is not None and reader.facts.moved:
+            deps.on_moved(replica.id)
         if isinstance(ended, Ok):
             metrics.upstream_calls.labels(replica.upstream, ANSWERED).inc()
             return Ok(reader.answer())
