--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -67,7 +67,7 @@
         cached = _cached(book, outliers, usable, req, now)
         if cached is not None:
             return cached
-    drawn = _drawn(book, usable, rand, now)
+    drawn = _drawn(book, usable, rand, now) if not req.told else usable
     costs = [(_cost(book, outliers, one, req, now), rand.random(), one.id) for one in drawn]
     _, _, chosen = min(costs)
     return chosen
