--- /dev/null
+++ b/tests/site/replicas.py
@@ -0,0 +1,86 @@
+"""Stand in for replicas of the platform: streams of events and whole answers, with faults."""
+
+import itertools
+from typing import Any, Final
+
+from twisted.internet import reactor as installed
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from tests.site.store import StandinStore
+
+reactor: Any = installed
+_Resource: Any = Resource
+
+EVENTS: Final = 6
+EVENT_S: Final = 0.02
+_NUMBERS = itertools.count(1)
+
+
+class StandinReplica(_Resource):  # type: ignore[misc]
+    """Serve one replica; runs counts what it has begun, by request id.
+
+    cut_after breaks every stream after that many events; hang answers nothing; shed rejects.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, store: StandinStore, service: str) -> None:
+        super().__init__()
+        self.id = f"i-{next(_NUMBERS)}"
+        self.runs: list[str] = []
+        self.cut_after = 0
+        self.hang = False
+        self.shed = False
+        self._store = store
+        self._service = service
+        self._port = reactor.listenTCP(0, Site(self), interface="127.0.0.1")
+        self.address = f"127.0.0.1:{self._port.getHost().port}"
+        self.register("ready")
+
+    def register(self, state: str) -> None:
+        """Write this replica's entry."""
+        entry = {"service": self._service, "address": self.address, "zone": "z1", "slots": 4}
+        self._store.put("servers", self.id, {**entry, "state": state})
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._port.stopListening()
+
+    def render(self, request: Any) -> Any:
+        request_id = request.getHeader("X-Request-Id")
+        if request.getHeader("X-Expect-Instance") != self.id:
+            return _refuse(request, 421)
+        if self.shed:
+            return _refuse(request, 503)
+        self.runs.append(request_id)
+        if self.hang:
+            return NOT_DONE_YET
+        request.setHeader("X-Request-Id", request_id)
+        request.setHeader("X-Server-Stamp", "signed")
+        request.setHeader("X-Server-Load", "1,0,4")
+        if b"/stream/" not in request.path and b"/job/" not in request.path:
+            return b"whole answer"
+        after = int(request.getHeader("Last-Event-Id") or 0)
+        request.setHeader("Content-Type", "text/event-stream")
+        reactor.callLater(EVENT_S, self._event, request, after + 1, 1)
+        return NOT_DONE_YET
+
+    def _event(self, request: Any, number: int, sent: int) -> None:
+        if request._disconnected:
+            return
+        if number > EVENTS:
+            request.finish()
+            return
+        if self.cut_after and sent > self.cut_after:
+            request.write(f"id: {number}\nda".encode())
+            reactor.callLater(0, request.transport.abortConnection)
+            return
+        request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        reactor.callLater(EVENT_S, self._event, request, number + 1, sent + 1)
+
+
+def _refuse(request: Any, status: int) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("X-Not-Executed", "1")
+    return b""
