Open the callers' port before the program is imported

The port is opened by the command line's few modules, the kernel keeps the connections, and requests wait up to 1 s after the start for the first configuration and replica list. Ruled out: refusals and the admission queue (no such line in that window).

--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -59,7 +59,10 @@
 
 
 class ForwardRoutes(NamedTuple):
-    """Group what the routes need; table returns None while no configuration is known."""
+    """Group what the routes need; table returns None while no configuration is known.
+
+    known waits, just after a start, until there is something to route by.
+    """
 
     clock: "Clock"
     rand: "random.Random"
@@ -67,6 +70,7 @@
     names: Names
     table: "Callable[[], RouteTable | None]"
     refusing: "Callable[[], Refusal | None]"
+    known: "Callable[[], Awaitable[None]]"
     queue: StartQueue
     forward: "ForwardDeps"
     jobs: JobCalls
@@ -111,6 +115,7 @@
     if refusal is not None:
         refuse_raw(routes, request, "", refusal)
         return
+    await routes.known()
     table = routes.table()
     if table is None:
         reason = "no configuration is known yet"
--- a/papayapier/listen.py
+++ b/papayapier/listen.py
@@ -1,6 +1,7 @@
 """Listen for HTTP on one address, and tell clearly when that is not possible."""
 
 import errno
+import socket
 from typing import Any, Final, NamedTuple
 
 from klein import Klein
@@ -59,6 +60,14 @@
     return Ok(Listening(handle.getHost().port, handle, site))
 
 
+def adopt(reactor: Any, resource: object, sock: socket.socket, body_limit: BodyLimit) -> Listening:
+    """Serve a socket that listens already."""
+    site = CountingSite(resource, reactor, body_limit)
+    handle = reactor.adoptStreamPort(sock.fileno(), socket.AF_INET, site)
+    sock.close()
+    return Listening(handle.getHost().port, handle, site)
+
+
 def _answer_unrouted(app: Klein) -> None:
     """Refuse what no route takes in the form of every other refusal."""
 
--- a/papayapier/main.py
+++ b/papayapier/main.py
@@ -15,6 +15,7 @@
 
 from papayapier import VERSION
 from papayapier.exits import EXIT_OK, EXIT_USAGE
+from papayapier.node.command import NODE_COMMANDS, add_node_commands
 
 Command = Callable[[argparse.Namespace], int]
 
@@ -30,7 +31,9 @@
 
 def main(args: Sequence[str]) -> int:
     """Run the command that the arguments name; return its exit code."""
-    options = make_parser().parse_args(args)
+    # An entry that starts must listen at once; the other commands' parts take longer to import.
+    parser = make_node_parser() if args and args[0] in NODE_COMMANDS else make_parser()
+    options = parser.parse_args(args)
     command: Command = options.command
     return command(options)
 
@@ -41,8 +44,7 @@
     parser.add_argument("--version", action="version", version=f"papayapier {VERSION}")
     commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
     _add_serve(commands)
-    _add_node(commands, "entry", "run one entry on the users' platform")
-    _add_node(commands, "keeper", "run one keeper on the users' platform")
+    add_node_commands(commands)
     _add_check(commands)
     _add_demo(commands)
     _add_standin(commands)
@@ -54,6 +56,13 @@
     return parser
 
 
+def make_node_parser() -> argparse.ArgumentParser:
+    """Build the part of the parser that processes on the users' platform need."""
+    parser = argparse.ArgumentParser(prog="papayapier", description=DESCRIPTION)
+    add_node_commands(parser.add_subparsers(required=True, metavar="COMMAND"))
+    return parser
+
+
 def _add_serve(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
     parser = commands.add_parser(
         "serve",
@@ -74,29 +83,6 @@
     return serve(loaded.ok_value)
 
 
-def _add_node(
-    commands: "argparse._SubParsersAction[argparse.ArgumentParser]", role: str, summary: str
-) -> None:
-    parser = commands.add_parser(
-        role,
-        help=summary,
-        description=f"{summary.capitalize()} until SIGTERM, which begins a graceful shutdown.",
-    )
-    parser.add_argument("--settings", type=Path, required=True, help="JSON file with comments")
-    parser.set_defaults(command=_node, role=role)
-
-
-def _node(options: argparse.Namespace) -> int:
-    from papayapier.node import settings
-    from papayapier.node.processes import Role
-    from papayapier.node.run import run_node
-
-    loaded = settings.load(options.settings)
-    if isinstance(loaded, Err):
-        return _usage(loaded.err_value)
-    return run_node(Role(options.role), options.settings, loaded.ok_value)
-
-
 def _add_check(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
     parser = commands.add_parser(
         "check",
--- /dev/null
+++ b/papayapier/node/command.py
@@ -0,0 +1,54 @@
+"""Offer the processes of the users' platform on the command line.
+
+Imports little: what a process needs to begin to listen, and no more.
+"""
+
+import argparse
+import sys
+from pathlib import Path
+from typing import Final
+
+from papayapier.exits import EXIT_FAILED, EXIT_USAGE
+from papayapier.node.early import EarlySocket, listen_early
+
+NODE_COMMANDS: Final = {
+    "entry": "run one entry on the users' platform",
+    "keeper": "run one keeper on the users' platform",
+}
+
+
+def add_node_commands(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Register the commands that run a process."""
+    for role, summary in NODE_COMMANDS.items():
+        parser = commands.add_parser(
+            role,
+            help=summary,
+            description=f"{summary.capitalize()} until SIGTERM, which begins a graceful shutdown.",
+        )
+        parser.add_argument("--settings", type=Path, required=True, help="JSON file with comments")
+        parser.set_defaults(command=_run, role=role, callers="")
+        if role == "entry":
+            parser.add_argument(
+                "--callers", default="", help="IP:PORT of listen.callers, to listen at once"
+            )
+
+
+def _run(options: argparse.Namespace) -> int:
+    opened: EarlySocket | None = None
+    if options.callers:
+        try:
+            opened = listen_early(options.callers)
+        except (OSError, ValueError) as exc:
+            print(f"papayapier: --callers: {exc}", file=sys.stderr)
+            return EXIT_FAILED
+    from result import Err
+
+    from papayapier.node import settings
+    from papayapier.node.processes import Role
+    from papayapier.node.run import run_node
+
+    loaded = settings.load(options.settings)
+    if isinstance(loaded, Err):
+        print(f"papayapier: {loaded.err_value}", file=sys.stderr)
+        return EXIT_USAGE
+    return run_node(Role(options.role), options.settings, loaded.ok_value, opened)
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -1,7 +1,7 @@
 """Wire an entry: it forwards callers' requests and serves their calls on batch jobs."""
 
 import random
-from typing import Any
+from typing import Any, Final
 
 from klein import Klein
 from result import Err, Ok, Result
@@ -22,8 +22,9 @@
 from papayapier.entry.job_routes import JobRoutes, JobWire
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.jobs.desk import DeskDeps, JobDesk
-from papayapier.listen import Listening, listen, listen_resource
+from papayapier.listen import Listening, adopt, listen, listen_resource
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
+from papayapier.node.early import EarlySocket
 from papayapier.node.processes import Role
 from papayapier.node.settings import NodeSettings, split_address
 from papayapier.peer.messages import JobChanged
@@ -35,8 +36,11 @@
 from papayapier.stopping import PlannedStop, StopDeps
 from papayapier.store.budget import Priority
 
-LEAVING_RETRY_MS = 250
-DEFAULT_BODY_BYTES = 4_194_304
+LEAVING_RETRY_MS: Final = 250
+DEFAULT_BODY_BYTES: Final = 4_194_304
+# The store tells configuration and replicas some 30 ms after a start, where it answers.
+FIRST_KNOWLEDGE_MS: Final = 1_000
+LOOK_MS: Final = 10
 
 
 class Entry:
@@ -75,6 +79,7 @@
         self._base = base
         self._followed = followed
         self._was_ready = False
+        self._began_ms = base.clock.now()
 
     def why_not(self) -> str:
         reason = self._reason()
@@ -92,6 +97,16 @@
             return "no replica is known yet"
         return ""
 
+    async def known(self) -> None:
+        """Wait, just after the start only, until there is something to route by.
+
+        Connections that were made while the program was imported bring requests at once;
+        refused, their callers would have one try less.
+        """
+        clock = self._base.clock
+        while self._reason() and clock.now() < self._began_ms + FIRST_KNOWLEDGE_MS:
+            await clock.sleep(LOOK_MS)
+
     def refusing(self) -> Refusal | None:
         """Return the refusal that new requests get, if any."""
         if self._base.drain.accepts():
@@ -100,9 +115,13 @@
 
 
 async def start_entry(
-    reactor: Any, clock: Clock, cfg: NodeSettings, rand: random.Random
+    reactor: Any,
+    clock: Clock,
+    cfg: NodeSettings,
+    rand: random.Random,
+    early: EarlySocket | None = None,
 ) -> Result[Entry, str]:
-    """Start an entry, or say in one line why it cannot start."""
+    """Start an entry, or say in one line why it cannot start; early is the callers' port."""
     if cfg.listen is None:
         return Err("listen: an entry needs the addresses for callers and readiness")
     made = make_base(reactor, clock, cfg, rand)
@@ -119,9 +138,12 @@
     add_health_routes(app, readiness.why_not, base.metrics)
     callers = split_address(cfg.listen.callers)
     ready = split_address(cfg.listen.readiness)
-    opened = listen_resource(
-        reactor, ForwardResource(routes), "listen.callers", *callers, _body_limit(base)
-    )
+    resource = ForwardResource(routes)
+    opened: Result[Listening, str]
+    if early is not None:
+        opened = Ok(adopt(reactor, resource, early, _body_limit(base)))
+    else:
+        opened = listen_resource(reactor, resource, "listen.callers", *callers, _body_limit(base))
     asked = listen(reactor, app, "listen.readiness", *ready)
     for one in (opened, asked):
         if isinstance(one, Err):
@@ -176,6 +198,7 @@
         ),
         table=base.routing.table,
         refusing=readiness.refusing,
+        known=readiness.known,
         queue=queue,
         forward=forward,
         jobs=JobCalls(jobs.submit, jobs.other),
--- a/papayapier/node/run.py
+++ b/papayapier/node/run.py
@@ -10,6 +10,7 @@
 from papayapier import events
 from papayapier.clock import Clock
 from papayapier.node import settings
+from papayapier.node.early import EarlySocket
 from papayapier.node.entry import start_entry
 from papayapier.node.keeper import start_keeper
 from papayapier.node.processes import Role
@@ -17,12 +18,12 @@
 from papayapier.serve import Program, Running, run_program
 
 
-def run_node(role: Role, path: Path, cfg: NodeSettings) -> int:
-    """Run a process until it is told to stop; return the exit code."""
+def run_node(role: Role, path: Path, cfg: NodeSettings, opened: EarlySocket | None) -> int:
+    """Run a process until it is told to stop; opened is the callers' port, if it is open."""
 
     async def start(reactor: Any, clock: Clock, rand: random.Random) -> Result[Running, str]:
         if role is Role.ENTRY:
-            return await start_entry(reactor, clock, cfg, rand)
+            return await start_entry(reactor, clock, cfg, rand, opened)
         return await start_keeper(reactor, clock, cfg, rand)
 
     def reload() -> None:
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -116,13 +116,35 @@
             "callers": f"127.0.0.1:{self.callers[name]}",
             "readiness": f"127.0.0.1:{self.ready[name]}",
         }
-        self._start(name, "entry", {"listen": listen})
+        # The first one listens before its program is imported, as on the platform.
+        early = ("--callers", listen["callers"]) if len(self.callers) == 1 else ()
+        self._start(name, "entry", {"listen": listen}, *early)
+
+    def restart_entry(self, name: str) -> None:
+        """Start an entry again at its addresses."""
+        path = Path(self._folder.name) / f"{name}.json"
+        address = f"127.0.0.1:{self.callers[name]}"
+        arguments = ("--settings", str(path), "--callers", address)
+        self.children[name] = start(name, "entry", *arguments)
+
+    async def until_open(self, port: int) -> None:
+        """Wait until a port takes connections."""
+
+        def is_open() -> bool:
+            with socket.socket() as sock:
+                return sock.connect_ex(("127.0.0.1", port)) == 0
+
+        for _ in range(1_000):
+            if is_open():
+                return
+            await pause(0.005)
+        raise AssertionError(f"nobody listens on {port}")
 
     def start_keeper(self, name: str) -> None:
         """Start a keeper."""
         self._start(name, "keeper", {})
 
-    def _start(self, name: str, role: str, more: dict[str, Any]) -> None:
+    def _start(self, name: str, role: str, more: dict[str, Any], *arguments: str) -> None:
         place = {"id": name, "data_centre": "z1", "region": "r1", "host": "127.0.0.1"}
         settings = {
             "instance": place,
@@ -133,7 +155,7 @@
         }
         path = Path(self._folder.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.children[name] = start(name, role, "--settings", str(path))
+        self.children[name] = start(name, role, "--settings", str(path), *arguments)
 
     async def until_ready(self, name: str) -> None:
         """Wait until an entry says that it is ready."""
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -204,6 +204,22 @@
     def test_a_job_is_ended(self) -> Any:
         return Deferred.fromCoroutine(self._cancelled())
 
+    async def _killed_entry(self) -> None:
+        # Symptom: callers meet a closed port for as long as a killed entry takes to start.
+        # Events: an entry is killed and started again; a request comes while it imports its
+        # program. It waits in the kernel and is served.
+        world = self.world
+        await world.start(entries=1, keepers=0)
+        world.children["entry-1"].signal(SIGKILL)
+        await world.children["entry-1"].ended
+        world.restart_entry("entry-1")
+        await world.until_open(self.port())
+        assert not world.children["entry-1"].logged(101)
+        assert (await world.get(self.port(), "/look/1")).status == 200
+
+    def test_an_entry_listens_at_once(self) -> Any:
+        return Deferred.fromCoroutine(self._killed_entry())
+
     async def _bad_input(self) -> None:
         world = self.world
         await world.start(entries=1, keepers=0)
