List a job's new groups of results in one call

Each job has a kind of results of its own, so that one listing gives all groups after the last known one; results gather for 250 ms instead of 100. Ruled out: one kind for all jobs with a listing (it returns up to 1 MB of other jobs' results).

--- a/papayapier/jobs/commits.py
+++ b/papayapier/jobs/commits.py
@@ -14,15 +14,16 @@
 
 from papayapier import events
 from papayapier.clock import Clock
-from papayapier.jobs.records import ItemResult, ResultGroup, encode, group_key, read_group
+from papayapier.jobs.groups import read_groups
+from papayapier.jobs.records import ItemResult, ResultGroup, encode, group_key
 from papayapier.jobs.work import Item, JobWork
 from papayapier.store.api import Store, StoreError
 from papayapier.store.writes import Settling, create_settled
 
 WRITE_ID_BITS: Final = 64
-# Items that end together are written together: one call in place of several, while a tenth
+# Items that end together are written together: one call in place of several, while a quarter
 # of a second later is nothing to a job that is due in many.
-GATHER_MS: Final = 100
+GATHER_MS: Final = 250
 SETTLE_MS: Final = 2_000
 PAUSE_MS: Final = 200
 # The store takes values of 1 MiB at most, and what is stored is escaped once more.
@@ -44,16 +45,15 @@
 async def load_groups(deps: CommitDeps, work: JobWork) -> Result[None, StoreError]:
     """Read the groups that are stored and not yet known."""
     while True:
-        found = await deps.store.get(group_key(work.job_id, work.groups))
-        if isinstance(found, Err):
-            if found.err_value is StoreError.NOT_FOUND:
-                return Ok(None)
-            return found
-        group = read_group(found.ok_value.value)
-        if isinstance(group, Err):
-            events.emit(events.INPUT_MISSING, job=work.job_id, reason=group.err_value)
-            return Err(StoreError.UNAVAILABLE)
-        deps.taken_over(work.take_group(work.groups, group.ok_value))
+        known = work.groups
+        read = await read_groups(deps.store, work.job_id, known)
+        if isinstance(read, Err):
+            return read
+        if not read.ok_value:
+            return Ok(None)
+        for number, group in enumerate(read.ok_value, known):
+            if number == work.groups:
+                deps.taken_over(work.take_group(number, group))
 
 
 async def commit(deps: CommitDeps, work: JobWork) -> None:
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -14,15 +14,15 @@
 from papayapier import events
 from papayapier.clock import Clock
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
+from papayapier.jobs.groups import read_groups
 from papayapier.jobs.records import (
     ItemResult,
     JobItem,
     JobRecord,
+    ResultGroup,
     encode,
-    group_key,
     job_key,
     part_key,
-    read_group,
     read_items,
     read_record,
     split_items,
@@ -120,7 +120,7 @@
         while len(one.results) <= after and not one.complete():
             now = self._deps.clock.now()
             if one.told > one.groups or now >= one.looked_ms + LOOK_STANDS_MS:
-                more = await self._read_group(job_id, one)
+                more = await self._read_groups(job_id, one)
                 if isinstance(more, Err):
                     return more
                 if more.ok_value:
@@ -219,31 +219,32 @@
             return Err(_not_read(job_id, StoreError.UNAVAILABLE))
         return Ok(self._keep(job_id, _View(whole.ok_value)))
 
-    async def _read_group(self, job_id: str, view: _View) -> Result[bool, Refusal]:
-        """Read the next group; False says that there is none yet."""
-        number = view.groups
+    async def _read_groups(self, job_id: str, view: _View) -> Result[bool, Refusal]:
+        """Read the next groups; False says that there is none yet."""
+        known = view.groups
         began_ms = self._deps.clock.now()
-        found = await self._deps.store.get(group_key(job_id, number))
-        if isinstance(found, Err):
-            if found.err_value is StoreError.NOT_FOUND:
-                # Only what the store has answered stands, and from when it was asked: a look
-                # under way, or one that found a group, says nothing of the group after it.
-                view.looked_ms = max(view.looked_ms, began_ms)
-                view.told = min(view.told, number)
-                return Ok(False)
-            return Err(_not_read(job_id, found.err_value))
-        group = read_group(found.ok_value.value)
-        if isinstance(group, Err):
-            return Err(unknown(ErrorKind.INTERNAL, group.err_value))
-        if view.groups == number:
-            view.groups += 1
-            view.results += group.ok_value.results
-            size = sum(len(one.text) for one in group.ok_value.results)
-            view.text_bytes += size
-            self._text_bytes += size
-            self._bound()
+        read = await read_groups(self._deps.store, job_id, known)
+        if isinstance(read, Err):
+            return Err(_not_read(job_id, StoreError.UNAVAILABLE))
+        if not read.ok_value:
+            # Only what the store has answered stands, and from when it was asked: a look
+            # under way, or one that found a group, says nothing of the group after it.
+            view.looked_ms = max(view.looked_ms, began_ms)
+            view.told = min(view.told, known)
+            return Ok(False)
+        for number, group in enumerate(read.ok_value, known):
+            if number == view.groups:
+                self._take(view, group)
         return Ok(True)
 
+    def _take(self, view: _View, group: ResultGroup) -> None:
+        view.groups += 1
+        view.results += group.results
+        size = sum(len(one.text) for one in group.results)
+        view.text_bytes += size
+        self._text_bytes += size
+        self._bound()
+
     def _keep(self, job_id: str, view: _View) -> _View:
         view = self._views.setdefault(job_id, view)
         self._views.move_to_end(job_id)
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -10,7 +10,8 @@
 
 JOBS: Final = "papayapier-jobs/"
 PARTS: Final = "papayapier-parts/"
-RESULTS: Final = "papayapier-results/"
+# A kind for each job, so that one call lists all the groups that are not yet known.
+RESULTS: Final = "papayapier-results-"
 # The store takes values of 1 MiB at most, and what is stored is escaped once more.
 PART_BYTES: Final = 800_000
 
@@ -78,9 +79,14 @@
     return f"{PARTS}{job_id}.{number:03}"
 
 
+def groups_prefix(job_id: str) -> str:
+    """Return what the keys of a job's groups begin with."""
+    return f"{RESULTS}{job_id}/"
+
+
 def group_key(job_id: str, number: int) -> str:
     """Return the key of a group of results."""
-    return f"{RESULTS}{job_id}.{number:05}"
+    return f"{groups_prefix(job_id)}{number:05}"
 
 
 def encode(value: JobRecord | ResultGroup | tuple[JobItem, ...]) -> bytes:
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -19,7 +19,7 @@
     group_key,
     job_key,
 )
-from papayapier.store.api import Listing, Store, Stored, StoreError
+from papayapier.store.api import Entry, Listing, Store, Stored, StoreError
 
 T = TypeVar("T")
 
@@ -96,10 +96,22 @@
                 return Err(StoreError.CONFLICT)
             return Ok(self.put(key, value))
 
+        async def list_(prefix: str, after: str, _limit: int) -> Result[Listing, StoreError]:
+            self.calls.append(f"list {prefix}")
+            if self.hold:
+                self.held.append(Deferred())
+                await self.held[-1]
+            fault = self.fault("list", prefix)
+            if fault is not None:
+                return Err(fault)
+            keys = sorted(key for key in self.objects if key.startswith(prefix) and key > after)
+            found = [Entry(key, *self.objects[key]) for key in keys]
+            return Ok(Listing(found, False, self.revision))
+
         async def unused(*_args: Any) -> Result[Any, StoreError]:
-            return Ok(Listing([], False, 0))
+            raise AssertionError("not used")
 
-        return Store(get, create, update, unused, unused, unused, unused, unused, unused)
+        return Store(get, create, update, unused, list_, unused, unused, unused, unused)
 
 
 class DeskWorld:
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -75,7 +75,8 @@
             since = int(request.args[b"watch"][0])
             wait_s = int(request.args[b"waitMs"][0]) / 1000
             return self._watch(request, kind, since, wait_s)
-        items = [self.objects[kind, one] for one in self.names(kind)]
+        after = request.args.get(b"after", [b""])[0].decode()
+        items = [self.objects[kind, one] for one in self.names(kind) if one > after]
         return _answer(
             request, 200, {"items": items, "truncated": False, "currentRev": self.revision}
         )
