--- /dev/null
+++ b/tests/forward_world.py
@@ -0,0 +1,118 @@
+"""Run the forwarding of one entry on a fake clock against scripted replicas."""
+
+import random
+from typing import Any
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from papayapier.clock import fake_clock
+from papayapier.config.profiles import Profile, RetryRule
+from papayapier.dispatch.forwarding import ForwardDeps, RawRequest, forward
+from papayapier.errors import Refusal
+from papayapier.metrics import make_metrics
+from papayapier.policy.admission import AdmissionQueue
+from papayapier.policy.first_byte import FirstByteTimes
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.policy.retries import RetryBudget
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.exchange import Head
+from papayapier.upstream.raw import RawAnswer, RawCall, StreamTaker
+
+Ended = Result[RawAnswer, Refusal]
+
+
+class Send:
+    """Hold one send to a replica."""
+
+    def __init__(self, replica: Replica, call: RawCall, taker: StreamTaker | None) -> None:
+        self.replica = replica
+        self.call = call
+        self.taker = taker
+        self.done: Deferred[Result[RawAnswer, Failure]] = Deferred(lambda _: self._cancel())
+
+    def events(self, *numbers: int) -> None:
+        """Send whole events of a stream."""
+        assert self.taker is not None
+        self.taker.on_head(Head(200, Headers(), 0))
+        for number in numbers:
+            self.data(f"id: {number}\ndata: {number}\n\n".encode())
+
+    def data(self, data: bytes) -> None:
+        assert self.taker is not None
+        assert self.taker.on_data(data, 1) is None
+
+    def answer(self, status: int = 200, body: bytes = b"whole") -> None:
+        self.done.callback(Ok(RawAnswer(status, Headers(), body)))
+
+    def fail(self, kind: FailureKind, sent: Sent, status: int = 0) -> None:
+        self.done.callback(Err(Failure(kind, sent, kind.value, status, fresh=True)))
+
+    def _cancel(self) -> None:
+        self.fail(FailureKind.CANCELLED, Sent.MAYBE)
+
+
+class Caller:
+    """Take a stream as a caller does."""
+
+    def __init__(self) -> None:
+        self.heads = 0
+        self.body = b""
+
+    def begin(self, answer: Head) -> None:
+        self.heads += 1
+
+    def write(self, data: bytes) -> None:
+        self.body += data
+
+
+class ForwardWorld:
+    """Hold the parts and the sends that were made."""
+
+    def __init__(self, replicas: int = 3) -> None:
+        self.time = fake_clock()
+        self.sends: list[Send] = []
+        self.book = LoadBook()
+        self.outliers = Outliers()
+        self.replicas = [Replica(f"r{n}", "lm", "h", n, "dc") for n in range(replicas)]
+        self.book.on_listed(self.replicas, ())
+        self.outliers.on_listed(self.replicas)
+        self.deps = ForwardDeps(
+            clock=self.time.clock,
+            rand=random.Random(3),
+            data_centre="dc",
+            book=self.book,
+            outliers=self.outliers,
+            queue=AdmissionQueue(100),
+            budget=RetryBudget(),
+            first_bytes=FirstByteTimes(),
+            send=self._send,
+            head=lambda headers, _replica, _left, _last: headers,
+            metrics=make_metrics(),
+            uses_changed=lambda: None,
+        )
+
+    async def _send(
+        self, replica: Replica, call: RawCall, taker: StreamTaker | None
+    ) -> Result[RawAnswer, Failure]:
+        send = Send(replica, call, taker)
+        self.sends.append(send)
+        return await send.done
+
+    def begin(
+        self, idempotent: bool, caller: Caller | None = None, attempts: int = 3
+    ) -> list[Ended]:
+        """Forward a request; its end is put into the list returned."""
+        profile = Profile("p", "lm", "urgent", 5_000, idempotent, retry=RetryRule(attempts))
+        due = self.time.clock.now() + 5_000
+        req = RawRequest("id-1", profile, "POST", "/a", Headers(), b"", caller is not None, "", due)
+        ends: list[Ended] = []
+        work: Any = Deferred.fromCoroutine(forward(self.deps, req, caller))
+        work.addCallback(ends.append)
+        return ends
+
+    def open_calls(self) -> int:
+        """Return how many calls the book counts as open."""
+        return sum(use.online for use in self.book.uses())
--- /dev/null
+++ b/tests/test_event_cutter.py
@@ -0,0 +1,58 @@
+"""Test that only whole events are passed on, unchanged, and that their ids are known."""
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from papayapier.upstream.event_cutter import MAX_EVENT_BYTES, EventCutter, read_events
+
+STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 8))
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_any_cut_of_the_bytes_gives_the_same_stream(places: list[int]) -> None:
+    cutter = EventCutter()
+    cuts = [0, *sorted(places), len(STREAM)]
+    parts = [STREAM[a:b] for a, b in pairwise(cuts)]
+    out = b"".join(cutter.feed(part) or b"" for part in parts)
+    assert out == STREAM
+    assert cutter.last_id == 7
+
+
+def test_half_an_event_is_dropped_when_the_stream_breaks_off() -> None:
+    # Symptom: a resumed stream with half an event, or one twice.
+    # Events: a replica breaks off in the middle of event 3; another goes on after event 2.
+    cutter = EventCutter()
+    assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda") == (
+        b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    )
+    assert cutter.last_id == 2
+    cutter.restart()
+    assert cutter.feed(b"id: 3\ndata: c\n\n") == b"id: 3\ndata: c\n\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "last"),
+    [
+        (b"data: a\n\n", -1),
+        (b"data: id: 9\n\n", -1),
+        (b"id: 4\r\ndata: a\r\n\r\n", 4),
+        (b"data: a\nid: 5\n\n", 5),
+        (b"id: x\ndata: a\n\n", -1),
+    ],
+)
+def test_ids_are_read_from_their_own_field(data: bytes, last: int) -> None:
+    cutter = EventCutter()
+    assert cutter.feed(data) == data
+    assert cutter.last_id == last
+
+
+def test_an_endless_event_is_refused() -> None:
+    assert EventCutter().feed(b"data: " + b"x" * (MAX_EVENT_BYTES + 1)) is None
+
+
+def test_events_with_several_data_lines_are_joined() -> None:
+    events = read_events(b"id: 1\ndata: a\ndata: b\n\n: comment\n\nid: 2\ndata:c\n\n")
+    assert [(event.id, event.data) for event in events] == [(1, "a\nb"), (2, "c")]
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,133 @@
+"""Test that requests are repeated only where they may be, and refused truthfully."""
+
+import pytest
+from result import Err, Ok
+
+from papayapier.errors import Outcome
+from papayapier.peer.messages import ReplicaUse
+from papayapier.upstream.api import FailureKind, Sent
+from tests.forward_world import Caller, ForwardWorld
+
+LOST = [
+    (FailureKind.CUT, Sent.MAYBE),
+    (FailureKind.SILENT, Sent.MAYBE),
+    (FailureKind.BROKEN, Sent.MAYBE),
+    (FailureKind.WRONG_ID, Sent.MAYBE),
+]
+
+
+@pytest.mark.parametrize(("kind", "sent"), LOST)
+def test_a_request_that_may_run_once_is_sent_once(kind: FailureKind, sent: Sent) -> None:
+    world = ForwardWorld()
+    ends = world.begin(idempotent=False)
+    world.sends[0].fail(kind, sent)
+    assert len(world.sends) == 1
+    ended = ends[0]
+    assert isinstance(ended, Err)
+    assert ended.err_value.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_replica_that_did_not_run_it_costs_no_attempt(idempotent: bool) -> None:
+    # Symptom: a request is refused although other replicas are free.
+    # Events: a full replica answers that it did not run the request, where the route allows
+    # one replica. Cause: the answer was counted as a run.
+    world = ForwardWorld()
+    ends = world.begin(idempotent, attempts=1)
+    world.sends[0].fail(FailureKind.STATUS, Sent.NO, 503)
+    world.time.advance(100)
+    assert len(world.sends) == 2
+    assert world.sends[1].replica != world.sends[0].replica
+    world.sends[1].answer()
+    assert isinstance(ends[0], Ok)
+
+
+def test_when_all_replicas_reject_the_refusal_is_not_run() -> None:
+    world = ForwardWorld()
+    ends = world.begin(idempotent=False)
+    while not ends:
+        world.sends[-1].fail(FailureKind.STATUS, Sent.NO, 503)
+        world.time.advance(1_000)
+    ended = ends[0]
+    assert isinstance(ended, Err)
+    assert ended.err_value.outcome is Outcome.NOT_RUN
+    assert len(world.sends) <= 5
+
+
+def test_one_send_of_unknown_fate_makes_the_whole_unknown() -> None:
+    world = ForwardWorld()
+    ends = world.begin(idempotent=True, attempts=2)
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(1_000)
+    for _ in range(6):
+        if ends:
+            break
+        world.sends[-1].fail(FailureKind.CONNECT, Sent.NO)
+        world.time.advance(1_000)
+    ended = ends[0]
+    assert isinstance(ended, Err)
+    assert ended.err_value.outcome is Outcome.UNKNOWN
+
+
+def test_a_failed_answer_is_passed_on_when_no_other_replica_does_better() -> None:
+    world = ForwardWorld()
+    ends = world.begin(idempotent=True, attempts=2)
+    world.sends[0].answer(500, b"first")
+    world.time.advance(1_000)
+    world.sends[1].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(1_000)
+    assert ends[0].unwrap().status == 500
+
+
+def test_a_failed_answer_to_a_request_that_may_run_once_is_final() -> None:
+    world = ForwardWorld()
+    ends = world.begin(idempotent=False)
+    world.sends[0].answer(500, b"failed")
+    assert ends[0].unwrap().body == b"failed"
+    assert len(world.sends) == 1
+
+
+def test_a_broken_stream_goes_on_elsewhere_after_the_last_whole_event() -> None:
+    # Symptom: pieces of a stream are missing, come twice or are joined.
+    # Events: the replica breaks off within event 3; another one resumes after event 2.
+    world = ForwardWorld()
+    caller = Caller()
+    ends = world.begin(idempotent=True, caller=caller)
+    world.sends[0].events(1, 2)
+    world.sends[0].data(b"id: 3\nda")
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(100)
+    assert world.sends[1].replica != world.sends[0].replica
+    world.sends[1].events(3, 4)
+    world.sends[1].answer()
+    assert isinstance(ends[0], Ok)
+    assert caller.heads == 1
+    assert caller.body == b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3, 4))
+
+
+def test_a_broken_stream_that_may_not_be_resumed_ends() -> None:
+    world = ForwardWorld()
+    caller = Caller()
+    ends = world.begin(idempotent=False, caller=caller)
+    world.sends[0].events(1)
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    assert isinstance(ends[0], Err)
+    assert len(world.sends) == 1
+
+
+def test_calls_are_counted_as_long_as_they_are_open() -> None:
+    world = ForwardWorld()
+    world.begin(idempotent=True)
+    assert world.open_calls() == 1
+    world.sends[0].answer()
+    assert world.open_calls() == 0
+
+
+def test_calls_spread_over_replicas_that_peers_use_less() -> None:
+    # Before: an entry weighed its own calls only, and met full replicas while others idled.
+    world = ForwardWorld()
+    uses = [ReplicaUse("r0", 6, 0), ReplicaUse("r1", 1, 0), ReplicaUse("r2", 6, 0)]
+    world.book.on_peer_uses("peer", uses, world.time.clock.now())
+    for _ in range(4):
+        world.begin(idempotent=True)
+    assert {send.replica.id for send in world.sends} == {"r1"}
--- /dev/null
+++ b/tests/test_jobs_commits.py
@@ -0,0 +1,99 @@
+"""Test that results are listed once and keep their positions, whoever writes them.
+
+Symptom that these rules prevent: an item stands at two positions, or a position changes.
+Events: two instances run the same job, because one took the other for dead; answers to writes
+are lost, writes take effect late, calls fail in any order.
+"""
+
+import random
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import fake_clock
+from papayapier.jobs.commits import CommitDeps, commit, load_groups
+from papayapier.jobs.records import ItemEnd, groups_prefix, read_group
+from papayapier.jobs.work import JobWork
+from papayapier.store.api import StoreError
+from tests.jobs_world import JOB, MemoryStore, record
+
+NAMES = [f"item-{number}" for number in range(6)]
+
+
+class Writer:
+    """Hold one instance that runs the job."""
+
+    def __init__(self, memory: MemoryStore, clock: Any, seed: int) -> None:
+        self.work = JobWork(JOB, record(*NAMES))
+        self.deps = CommitDeps(
+            clock, random.Random(seed), memory.store(), lambda _items: None, lambda _work: None
+        )
+
+    def load(self) -> None:
+        Deferred.fromCoroutine(load_groups(self.deps, self.work))
+
+    def finish(self, name: str) -> None:
+        if name in self.work.items:
+            self.work.finish(name, ItemEnd.DONE)
+            Deferred.fromCoroutine(commit(self.deps, self.work))
+
+
+class TwoWriters(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = fake_clock()
+        self.memory = MemoryStore()
+        self.faults: list[StoreError | None] = []
+        self.memory.fault = lambda _call, _key: self.faults.pop(0) if self.faults else None
+        self.writers = [Writer(self.memory, self.time.clock, seed) for seed in (1, 2)]
+        self.shown: list[str] = []
+
+    @rule(which=st.integers(0, 1), name=st.sampled_from(NAMES))
+    def finish(self, which: int, name: str) -> None:
+        self.writers[which].finish(name)
+
+    @rule(
+        faults=st.lists(
+            st.sampled_from([None, StoreError.LOST, StoreError.UNAVAILABLE, StoreError.LIMITED]),
+            max_size=4,
+        )
+    )
+    def fail(self, faults: list[StoreError | None]) -> None:
+        self.faults = faults
+
+    @rule(ms=st.integers(1, 800))
+    def wait(self, ms: int) -> None:
+        self.time.advance(ms)
+
+    @rule(which=st.integers(0, 1))
+    def restart(self, which: int) -> None:
+        self.writers[which] = Writer(self.memory, self.time.clock, which + 10)
+        self.writers[which].load()
+
+    def listed(self) -> list[str]:
+        keys = sorted(key for key in self.memory.objects if key.startswith(groups_prefix(JOB)))
+        groups = [read_group(self.memory.objects[key][1]).unwrap() for key in keys]
+        return [result.id for group in groups for result in group.results]
+
+    @invariant()
+    def each_item_stands_once_and_stays(self) -> None:
+        listed = self.listed()
+        assert len(set(listed)) == len(listed)
+        assert listed[: len(self.shown)] == self.shown
+        self.shown = listed
+
+    def teardown(self) -> None:
+        """Whatever was finished is listed once the store answers again."""
+        self.faults = []
+        for _ in range(60):
+            self.time.advance(300)
+        finished = {name for one in self.writers for name in NAMES if name not in one.work.items}
+        assert finished <= set(self.listed())
+        assert not any(one.work.unwritten for one in self.writers)
+
+
+TwoWriters.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+TestTwoWriters = TwoWriters.TestCase
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,157 @@
+"""Test the adapter: what the platform's messages are decoded to, and what is refused."""
+
+import json
+from typing import Any
+
+import pytest
+from result import Err, Ok
+from twisted.web.http_headers import Headers
+
+from papayapier.config.route_table import RouteTable, WorkKind
+from papayapier.config.routing_book import RoutingBook
+from papayapier.jobs.desk import Page
+from papayapier.jobs.records import ItemEnd, ItemResult
+from papayapier.platform import headers, job_calls
+from papayapier.platform.configuration import CONFIG_KEY, read_configuration
+from papayapier.platform.replicas import read_replica
+from papayapier.store.api import Change
+from papayapier.upstream.api import Load, Replica
+from tests.site.world import HOST, configuration
+
+REPLICA = Replica("i-1", "lm", "10.0.0.1", 80, "z")
+
+
+def encoded(version: int = 1, **changes: Any) -> bytes:
+    return json.dumps(configuration(version, **changes)).encode()
+
+
+def test_routes_say_what_may_be_repeated() -> None:
+    cfg = read_configuration(encoded()).unwrap()
+    repeatable = {route.name: route.repeatable() for route in cfg.routes}
+    assert repeatable == {
+        "look": True,
+        "once": False,
+        "ask": False,
+        "ask-again": True,
+        "job": False,
+    }
+    job = next(route for route in cfg.routes if route.kind is WorkKind.JOB)
+    assert (job.due_ms, job.give_up_ms) == (10_000, 60_000)
+
+
+def test_the_longest_prefix_of_the_host_is_chosen() -> None:
+    document = configuration()
+    document["routes"].append({**document["routes"][0], "name": "deep", "pathPrefix": "/look/a/"})
+    table = RouteTable(read_configuration(json.dumps(document).encode()).unwrap())
+    names = [table.find(HOST + ":80", path) for path in ("/look/a/b", "/look/b", "/other/")]
+    assert [route and route.name for route in names] == ["deep", "look", None]
+    assert table.find("elsewhere", "/look/b") is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("kind", "odd"), ("service", ""), ("timeoutMs", "long"), ("maxAttempts", [])],
+)
+def test_a_bad_configuration_names_the_field(field: str, value: Any) -> None:
+    read = read_configuration(encoded(**{field: value}))
+    assert isinstance(read, Err)
+    assert field in read.err_value
+
+
+def test_an_older_configuration_never_comes_back() -> None:
+    # Symptom: a route that was dropped is served again.
+    # Events: a newer version comes by a peer; the store's older answer arrives late.
+    book = RoutingBook(CONFIG_KEY, read_configuration)
+    book.on_change(Change(CONFIG_KEY, 7, False, encoded(3)))
+    assert book.offer(9, encoded(5), "peer")
+    book.on_change(Change(CONFIG_KEY, 8, False, encoded(4)))
+    assert not book.offer(10, encoded(4), "peer")
+    book.on_change(Change(CONFIG_KEY, 11, False, b"{}"))
+    book.on_change(Change(CONFIG_KEY, 12, True))
+    assert book.version() == 5
+
+
+def test_an_entry_of_a_replica() -> None:
+    entry = {"service": "lm", "address": "10.0.0.1:80", "zone": "z", "slots": 8, "callSeq": 4}
+    listed = read_replica("i-1", json.dumps({**entry, "state": "draining"}).encode()).unwrap()
+    assert listed == (REPLICA, 8, True)
+    assert isinstance(read_replica("i-1", b'{"service":"lm"}'), Err)
+    assert isinstance(read_replica("i-1", b'{"service":"lm","address":"x","zone":""}'), Err)
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    sent = Headers(
+        {
+            "Connection": ["close, X-Own"],
+            "X-Own": ["1"],
+            "Keep-Alive": ["timeout=5"],
+            "Transfer-Encoding": ["chunked"],
+            "X-Model": ["m"],
+            "Host": ["h"],
+        }
+    )
+    kept = {name for name, _ in headers.end_to_end(sent).getAllRawHeaders()}
+    assert kept == {b"X-Model", b"Host"}
+
+
+def test_a_request_names_its_replica_and_what_is_left() -> None:
+    out = headers.for_replica(Headers({"X-Deadline-Ms": ["5000"]}), REPLICA, 1_200, 7)
+    values = {name: value for name, [value] in out.getAllRawHeaders()}
+    assert values[b"X-Expect-Instance"] == b"i-1"
+    assert values[b"X-Deadline-Ms"] == b"1200"
+    assert values[b"Last-Event-Id"] == b"7"
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [("3,1,8", Load(3, 1, 8, 0.0, 5, lagging=False)), ("3,1", None), ("a,b,c", None), ("", None)],
+)
+def test_the_load_of_an_answer(text: str, load: Load | None) -> None:
+    facts = headers.read_facts(200, Headers({"X-Server-Load": [text]}), 5)
+    assert facts.load == load
+
+
+def test_what_states_that_a_request_did_not_run() -> None:
+    assert headers.read_facts(503, Headers({"X-Not-Executed": ["1"]}), 0).not_run
+    assert headers.read_facts(421, Headers(), 0).not_run
+    assert not headers.read_facts(503, Headers(), 0).not_run
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "call"),
+    [
+        ("GET", "/v1/lots/j", job_calls.ReadCall("j", 2)),
+        ("DELETE", "/v1/lots/j", job_calls.EndCall("j")),
+        ("GET", "/v1/items/j", job_calls.BodyCall("j", "i")),
+        ("POST", "/v1/items/j", None),
+        ("GET", "/other", None),
+    ],
+)
+def test_calls_on_jobs(method: str, path: str, call: object) -> None:
+    query = {b"after": [b"2"], b"id": [b"i"]}
+    assert job_calls.read_call(method, path, query) == call
+
+
+def test_a_page_is_cut_where_it_grows_too_long() -> None:
+    results = [ItemResult(f"i{n}", ItemEnd.DONE, "x" * 400_000) for n in range(4)]
+    page = json.loads(job_calls.write_page(Page(9, results), 3))
+    assert (len(page["results"]), page["nextToken"], page["total"]) == (2, 5, 9)
+    assert page["results"][0]["state"] == "completed"
+
+
+@pytest.mark.parametrize(
+    ("item", "named"),
+    [
+        ({"body": "%%"}, "body"),
+        ({"id": 5}, "id"),
+        ({"headers": {"a": 1}}, "headers"),
+        ({"tokens": "many"}, "tokens"),
+    ],
+)
+def test_a_bad_item_is_named(item: dict[str, Any], named: str) -> None:
+    good = {"id": "a", "path": "/p", "headers": {}, "body": "", "tokens": 1}
+    read = job_calls.read_items(json.dumps({"items": [{**good, **item}]}).encode())
+    assert isinstance(read, Err)
+    assert named in read.err_value
+    assert isinstance(job_calls.read_items(json.dumps({"items": [good]}).encode()), Ok)
+    assert isinstance(job_calls.read_items(json.dumps({"items": [good, good]}).encode()), Err)
