Write bounded logs that never wait, a line for each request, and gather changes

Cause 1: a reader that stops reading would hold up every request at a full pipe; lines wait in a bounded buffer, floods of one event are cut by the second, and both are counted in a line.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -62,6 +62,7 @@
     prompt: str
     due_ms: int
     last_event: int = NO_EVENT
+    arrived_ms: int = 0
 
 
 class Reader(Protocol):
@@ -137,10 +138,22 @@
 class _Progress:
     """Keep what one request has sent and received over all its attempts."""
 
-    __slots__ = ("answer", "attempts", "excluded", "fresh", "maybe_sent", "rejections", "stream")
+    __slots__ = (
+        "answer",
+        "attempts",
+        "began_ms",
+        "excluded",
+        "fresh",
+        "maybe_sent",
+        "rejections",
+        "replicas",
+        "stream",
+    )
 
-    def __init__(self, req: RawRequest, reader: Reader | None) -> None:
+    def __init__(self, req: RawRequest, reader: Reader | None, began_ms: int) -> None:
         self.attempts = 0
+        self.began_ms = began_ms
+        self.replicas: list[str] = []
         self.rejections = 0
         self.excluded = NONE_EXCLUDED
         self.fresh = not req.profile.idempotent
@@ -156,7 +169,7 @@
 
     A good answer to a stream has been written to the reader; any other is returned.
     """
-    progress = _Progress(req, reader)
+    progress = _Progress(req, reader, deps.clock.now())
     deps.budget.on_request(req.profile.upstream, deps.clock.now())
     while True:
         replica = _pick(deps, req, progress.excluded)
@@ -164,6 +177,7 @@
             return _end(progress, _no_replica(req))
         sent = await _send_once(deps, req, replica, progress)
         if isinstance(sent, Ok):
+            _note_end(deps, req, progress, sent.ok_value)
             return sent
         decision = _after_failure(deps, req, sent.err_value, progress)
         if isinstance(decision, GiveUp):
@@ -171,6 +185,23 @@
         await _before_retry(deps, req, replica, decision, progress)
 
 
+def _note_end(deps: ForwardDeps, req: RawRequest, progress: _Progress, answer: RawAnswer) -> None:
+    """Log how a request went, in one line that says where its time was spent."""
+    now = deps.clock.now()
+    first = progress.stream.began_ms if progress.stream is not None else 0
+    events.emit(
+        events.REQUEST_ENDED,
+        request=req.request_id,
+        profile=req.profile.name,
+        upstream=req.profile.upstream,
+        status=answer.status,
+        replicas=progress.replicas,
+        waited_ms=progress.began_ms - req.arrived_ms,
+        first_ms=(first or now) - progress.began_ms,
+        run_ms=now - progress.began_ms,
+    )
+
+
 def _end(progress: _Progress, refusal: Refusal) -> Result[RawAnswer, Refusal]:
     """End without a good answer: a replica's own answer says more than any refusal."""
     if progress.answer is not None:
@@ -207,6 +238,7 @@
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress
 ) -> Result[RawAnswer, Failure]:
     progress.attempts += 1
+    progress.replicas.append(replica.id)
     started = deps.clock.now()
     deps.book.on_sent(replica.id, False, started)
     deps.outliers.on_start(replica.id, started)
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -187,6 +187,7 @@
             prompt=_shared_prompt(request.getHeader(names.prompt)) if route.by_prompt else "",
             due_ms=now + limit_ms,
             last_event=last,
+            arrived_ms=now,
         )
     )
 
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -59,6 +59,9 @@
 SETTINGS_UNREADABLE: Final = Event(
     113, "settings_unreadable", Level.ERROR, "settings cannot be read, the old ones stay in force"
 )
+LINES_LEFT_OUT: Final = Event(
+    114, "lines_left_out", Level.WARNING, "log lines were left out, by event number or unread"
+)
 STANDIN_FAILED: Final = Event(190, "standin_failed", Level.ERROR, "a stand-in failed")
 
 REQUEST_REFUSED: Final = Event(201, "request_refused", Level.INFO, "online request refused")
@@ -74,6 +77,7 @@
 REQUEST_CRASHED: Final = Event(
     209, "request_crashed", Level.ERROR, "request ended by an unexpected exception"
 )
+REQUEST_ENDED: Final = Event(211, "request_ended", Level.INFO, "request answered by a replica")
 CALLER_SLOW: Final = Event(
     210, "caller_slow", Level.WARNING, "caller does not read its stream, connection closed"
 )
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -31,8 +31,6 @@
 from papayapier.upstream.raw import RawDeps, SendRaw, make_raw_send
 
 BOOT_BITS: Final = 48
-# Kinds whose changes may be heard of some seconds late, where a connection goes silent.
-SLOW: Final = 3
 
 
 class NodeBase(NamedTuple):
@@ -125,13 +123,35 @@
     return Ok(base)
 
 
+class Haste(NamedTuple):
+    """Say how soon changes of a kind must be known.
+
+    slowness stretches the waits of a watch; gather_ms is the pause after each change.
+    """
+
+    slowness: int
+    gather_ms: int
+
+
+# In force everywhere within two seconds, and few.
+AT_ONCE: Final = Haste(1, 0)
+# A leaving replica gets nothing new within two seconds; many come and go together.
+SOON: Final = Haste(1, 300)
+# Hundreds may come together after a loss of power, and nothing waits for one of them.
+SLOWLY: Final = Haste(3, 1_500)
+
+
 def follow(
-    base: NodeBase, prefix: str, on_change: Callable[[Change], None], slowness: int = 1
+    base: NodeBase, prefix: str, on_change: Callable[[Change], None], haste: Haste
 ) -> Follower:
-    """Begin to follow the objects of a kind; slowness stretches the waits of a watch."""
+    """Begin to follow the objects of a kind."""
     cfg = base.cfg
-    watch_ms = cfg.follow.watch_ms * slowness
-    pace = FollowPace(watch_ms, cfg.follow.poll_ms * slowness, cfg.store.longest_pause_ms)
+    pace = FollowPace(
+        cfg.follow.watch_ms * haste.slowness,
+        cfg.follow.poll_ms * haste.slowness,
+        cfg.store.longest_pause_ms,
+        haste.gather_ms,
+    )
     store = base.view(Priority.CONFIG)
     follower = Follower(store, base.clock, base.rand, prefix, on_change, pace)
     base.followers.append(follower)
@@ -149,10 +169,10 @@
 def follow_common(base: NodeBase, role: Role) -> Followed:
     """Follow configuration, replicas and processes, and write this process down."""
     followed = Followed(
-        follow(base, CONFIG_PREFIX, base.routing.on_change),
-        follow(base, REPLICAS_PREFIX, base.replicas.on_change),
+        follow(base, CONFIG_PREFIX, base.routing.on_change, AT_ONCE),
+        follow(base, REPLICAS_PREFIX, base.replicas.on_change, SOON),
     )
-    follow(base, NODES, base.nodes.on_change, SLOW)
+    follow(base, NODES, base.nodes.on_change, SLOWLY)
     own = base.cfg.instance
     record = NodeRecord(role, own.host, base.cfg.peer.port, own.data_centre, own.region)
     store = base.view(Priority.LEASE)
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -9,7 +9,15 @@
 from papayapier.clock import Clock
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
-from papayapier.node.base import SLOW, NodeBase, close_base, follow, follow_common, make_base
+from papayapier.node.base import (
+    SLOWLY,
+    SOON,
+    NodeBase,
+    close_base,
+    follow,
+    follow_common,
+    make_base,
+)
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
 from papayapier.node.settings import NodeSettings
@@ -78,9 +86,9 @@
     base.hub.on_change(runner.review)
     base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump())
     follow_common(base, Role.KEEPER)
-    follow(base, JOBS, runner.on_change)
+    follow(base, JOBS, runner.on_change, SOON)
     retirement = Retirement(base, runner)
-    follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOW)
+    follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOWLY)
     runner.start()
     events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value)
     return Ok(Keeper(base, runner))
--- a/papayapier/node/run.py
+++ b/papayapier/node/run.py
@@ -3,12 +3,14 @@
 import random
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
+import logbook
 from result import Err, Result
 
 from papayapier import events
-from papayapier.clock import Clock
+from papayapier.clock import Clock, real_clock
+from papayapier.logs import start_bounded_logs
 from papayapier.node import settings
 from papayapier.node.early import EarlySocket
 from papayapier.node.entry import start_entry
@@ -36,4 +38,10 @@
         changed = [name for name, before, now in pairs if before != now]
         events.emit(events.SETTINGS_RELOADED, changed=changed)
 
-    return run_program(Program(start, cfg.log, sys.stdout, reload))
+    def start_logs() -> logbook.Handler:
+        from twisted.internet import reactor
+
+        clock = real_clock()
+        return start_bounded_logs(cfg.log, sys.stdout.fileno(), cast(Any, reactor), clock.now)
+
+    return run_program(Program(start, start_logs, reload))
--- a/papayapier/serve.py
+++ b/papayapier/serve.py
@@ -4,7 +4,8 @@
 import random
 import signal
 import sys
-from typing import TYPE_CHECKING, Any, Final, NamedTuple, Protocol, TextIO
+from functools import partial
+from typing import TYPE_CHECKING, Any, Final, NamedTuple, Protocol
 
 import logbook
 from result import Err, Result
@@ -23,7 +24,7 @@
     from twisted.python.failure import Failure
 
     from papayapier.clock import Clock
-    from papayapier.settings import LogSettings, Settings
+    from papayapier.settings import Settings
 
 # Collections of the middle generation between two of the oldest, half of the usual number:
 # the oldest holds little garbage then, and its collection is short.
@@ -50,7 +51,7 @@
     def release(self, program: "Program") -> None:
         """Log what was held back, and everything from now on."""
         self.pop_application()
-        handler = start_logs(program.log, program.log_to)
+        handler = program.start_logs()
         for record in self._records:
             if handler.should_handle(record):
                 handler.emit(record)
@@ -68,8 +69,7 @@
     """Describe what a process runs; reload is told of SIGHUP."""
 
     start: "Callable[[Any, Clock, random.Random], Awaitable[Result[Running, str]]]"
-    log: "LogSettings"
-    log_to: TextIO
+    start_logs: "Callable[[], logbook.Handler]"
     reload: "Callable[[], None]"
 
 
@@ -144,7 +144,7 @@
     async def start(reactor: Any, clock: "Clock", rand: random.Random) -> Result[Running, str]:
         return await start_instance(reactor, clock, cfg, rand)
 
-    return run_program(Program(start, cfg.log, sys.stderr, _no_reload))
+    return run_program(Program(start, partial(start_logs, cfg.log), _no_reload))
 
 
 def _no_reload() -> None:
--- a/papayapier/store/watch.py
+++ b/papayapier/store/watch.py
@@ -35,11 +35,14 @@
     """Set how long a watch may wait and how often a listing is taken in any case.
 
     longest_pause_ms bounds the growing pauses between tries while the store does not answer.
+    gather_ms is a pause after each change: a watch ends at the first one, so that a hundred
+    that come one by one would cost every follower a hundred calls.
     """
 
     watch_ms: int
     poll_ms: int
     longest_pause_ms: int = LONGEST_PAUSE_MS
+    gather_ms: int = 0
 
 
 class Follower:
@@ -64,6 +67,7 @@
         self._live: dict[str, int] = {}
         self._deleted: dict[str, int] = {}
         self._floor = 0
+        self._changed = False
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -87,6 +91,7 @@
                 since = await self._watch_once(since)
                 if since is not None:
                     pauses.reset()
+                    await self._gather()
             # A listing that succeeds resets nothing: where listings work and watches are cut
             # at once, this loop would otherwise list without a pause.
             await self._clock.sleep(pauses.next_ms())
@@ -96,6 +101,11 @@
             await self._clock.sleep(self._pace.poll_ms * self._rng.uniform(0.8, 1.0))
             await self._list_all()
 
+    async def _gather(self) -> None:
+        changed, self._changed = self._changed, False
+        if changed and self._pace.gather_ms:
+            await self._clock.sleep(self._pace.gather_ms)
+
     async def _watch_once(self, since: int) -> int | None:
         """Wait for changes; return the revision reached, or None to list again."""
         found = await self._store.watch(self._prefix, since, self._pace.watch_ms)
@@ -103,6 +113,7 @@
             events.emit(events.WATCH_RESTARTED, prefix=self._prefix, reason=found.err_value.value)
             return None
         for change in found.ok_value.changes:
+            self._changed = True
             self._learn(change)
         return found.ok_value.revision
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -34,6 +34,7 @@
     "instance": (1,),
     "invariants": (9,),
     "jobs": (5,),
+    "logs": (1,),
     "node": (1, 3, 4),
     "operate": (6,),
     "orders": (8,),
