--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -32,6 +32,10 @@
 from papayapier.upstream.raw import RawAnswer, RawCall, SendRaw
 
 TICK_MS: Final = 50
+# Far below the time in which a waiting online call would notice.
+SOON_MS: Final = 10
+# Instances that run batch at one replica; a small deployment has three in all.
+SHARERS: Final = 3
 # One run is far shorter; a run that goes on this long is resumed elsewhere.
 RUN_LIMIT_MS: Final = 60_000
 # Pause before an item that a replica rejected or broke is sent again.
@@ -85,6 +89,7 @@
         self._owned: dict[str, JobWork] = {}
         self._runs: dict[str, _Run] = {}
         self._timer: Timer | None = None
+        self._soon: Timer | None = None
         self._stopping = False
         self._commits = CommitDeps(
             deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
@@ -101,9 +106,10 @@
             run.task.cancel()
 
     def close(self) -> None:
-        """Stop the timer."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        """Stop the timers."""
+        for timer in (self._timer, self._soon):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     def unwritten(self) -> int:
         """Return how many results are not yet in the store."""
@@ -113,6 +119,11 @@
         """Return how many items run."""
         return len(self._runs)
 
+    def has_closed(self, job_id: str) -> bool:
+        """Tell whether a job is this instance's, and every item of it is listed or ended."""
+        mine = max(self._deps.sharing(), key=lambda one: score(job_id, one)) == self._deps.me
+        return mine and job_id not in self._open and job_id not in self._owned
+
     def on_change(self, change: Change) -> None:
         """Take a change of a job's record."""
         job_id = change.key.removeprefix(JOBS)
@@ -183,6 +194,15 @@
         self._timer = self._deps.clock.call_later(TICK_MS, self._tick)
         self.pump()
 
+    def pump_soon(self) -> None:
+        """Pump once for all that is heard within a moment.
+
+        Hundreds of heartbeats a second come to an instance of a large fleet, and each asks the
+        same question.
+        """
+        if self._soon is None or not self._soon.active():
+            self._soon = self._deps.clock.call_later(SOON_MS, self.pump)
+
     def pump(self) -> None:
         """Give back what online calls need, and start what there is room for."""
         if self._stopping:
@@ -369,14 +389,20 @@
 
 
 def use_of(deps: RunnerDeps, replica_id: str) -> Use:
-    """Return what is known of the open calls at a replica."""
-    sharing = sorted(deps.sharing(), key=lambda one: score(replica_id, one))
+    """Return what is known of the open calls at a replica, and this instance's place there.
+
+    A replica's slots are shared by few instances. What one leaves unused the others may take,
+    and with many that would all take it before they hear of each other.
+    """
+    ranked = sorted(deps.sharing(), key=lambda one: score(replica_id, one), reverse=True)
+    sharing = ranked[:SHARERS]
+    mine = deps.me in sharing
     return Use(
-        deps.book.slots(replica_id),
+        deps.book.slots(replica_id) if mine else 0,
         deps.book.online_at(replica_id),
         deps.book.own(replica_id).batch,
         deps.book.batch_at(replica_id),
-        sharing.index(deps.me),
+        sharing.index(deps.me) if mine else 0,
         len(sharing),
     )
 
--- a/papayapier/logs.py
+++ b/papayapier/logs.py
@@ -90,6 +90,10 @@
             self.doWrite()
         return True
 
+    def has_room(self) -> bool:
+        """Tell whether a few more lines would surely fit."""
+        return self._size <= self._limit // 2
+
     def waiting(self) -> int:
         """Return how many lines wait."""
         return len(self._lines)
@@ -164,6 +168,9 @@
         return (str(self.format(record)) + "\n").encode("utf-8", "replace")
 
     def _tell_left_out(self) -> None:
+        if not self._out.has_room():
+            # The line would be left out itself, and its counts with it.
+            return
         left_out, self._left_out = self._left_out, Counter()
         unread, self._out.left_out = self._out.left_out, 0
         if left_out or unread:
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -16,7 +16,7 @@
 from papayapier.node.settings import NodeSettings
 from papayapier.node.store_relay import RelayDeps, answer_peers, relayed
 from papayapier.peer.hub import Identity, PeerHub
-from papayapier.peer.messages import ConfigPush, Heartbeat, Message
+from papayapier.peer.messages import ConfigPush, Heartbeat, Message, ReplicaUse
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
 from papayapier.platform.headers import read_facts
 from papayapier.platform.replicas import REPLICAS_PREFIX, read_replica
@@ -24,6 +24,7 @@
 from papayapier.policy.drain import Drain, DrainPlan
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
+from papayapier.policy.totals import totals_of
 from papayapier.store.api import Change, Store
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.watch import Follower, FollowPace, report_failure
@@ -60,7 +61,7 @@
 
 
 def make_base(
-    reactor: Any, clock: Clock, cfg: NodeSettings, rand: random.Random
+    reactor: Any, clock: Clock, cfg: NodeSettings, rand: random.Random, role: Role
 ) -> Result[NodeBase, str]:
     """Make the parts, and begin to listen for peers."""
     metrics = make_metrics()
@@ -75,7 +76,15 @@
 
     def heartbeat() -> Heartbeat:
         uses = tuple(book.uses())
-        return Heartbeat(cfg.instance.id, boot, drain.state(), routing.version(), uses)
+        beat = Heartbeat(cfg.instance.id, boot, drain.state(), routing.version(), uses)
+        return beat._replace(totals=totals()) if role is Role.KEEPER else beat
+
+    def totals() -> tuple[ReplicaUse, ...]:
+        """Return the open calls at this keeper's part of the replicas, in a large fleet."""
+        if hub.plan().full_mesh:
+            return ()
+        live = [*(one for one in hub.live() if one in nodes.with_role(Role.KEEPER))]
+        return totals_of(book, live, cfg.instance.id)
 
     def on_replicas(listed: list[ListedReplica]) -> None:
         replicas = [one.replica for one in listed]
@@ -87,8 +96,9 @@
         return None if budget.down_since() is not None else budget.back_ms() or 0
 
     own = cfg.instance
-    me = Identity(own.id, boot, own.host, own.data_centre, own.region)
+    me = Identity(own.id, boot, own.host, own.data_centre, own.region, role is Role.KEEPER)
     hub = PeerHub(reactor, clock, cfg.peer, me, heartbeat, metrics, rand)
+    nodes = NodeList(hub.set_members)
     listening = hub.start()
     if isinstance(listening, Err):
         return listening
@@ -111,7 +121,7 @@
         outliers=outliers,
         routing=routing,
         replicas=replicas,
-        nodes=NodeList(hub.set_members),
+        nodes=nodes,
         hub=hub,
         links=links,
         send=make_raw_send(send),
@@ -119,7 +129,7 @@
         followers=[],
         tasks=[],
     )
-    _subscribe(base)
+    _subscribe(base, role)
     return Ok(base)
 
 
@@ -205,10 +215,12 @@
     await base.raw_store.close()
 
 
-def _subscribe(base: NodeBase) -> None:
+def _subscribe(base: NodeBase, role: Role) -> None:
     """Pass peers' messages on, and tell them of a new configuration."""
     hub = base.hub
     hub.subscribe(Heartbeat, peer_uses_reader(base.book, base.clock.now))
+    if role is Role.ENTRY:
+        hub.subscribe(Heartbeat, lambda peer, beat: base.book.on_totals(peer, beat.totals))
     answer_peers(hub, base.budget.view(Priority.BULK))
     live = set(hub.live())
 
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -124,7 +124,7 @@
     """Start an entry, or say in one line why it cannot start; early is the callers' port."""
     if cfg.listen is None:
         return Err("listen: an entry needs the addresses for callers and readiness")
-    made = make_base(reactor, clock, cfg, rand)
+    made = make_base(reactor, clock, cfg, rand, Role.ENTRY)
     if isinstance(made, Err):
         return made
     base = made.ok_value
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -4,9 +4,11 @@
 from typing import Any, Final
 
 from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.jobs.expiry import Expiry, ExpiryDeps
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
 from papayapier.node.base import (
@@ -24,7 +26,9 @@
 from papayapier.peer.messages import Heartbeat, JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.retirements import RETIREMENTS_PREFIX
+from papayapier.store.api import Change
 from papayapier.store.budget import Priority
+from papayapier.store.watch import report_failure
 
 LEAVE_TICK_MS: Final = 50
 
@@ -52,7 +56,7 @@
     reactor: Any, clock: Clock, cfg: NodeSettings, rand: random.Random
 ) -> Result[Keeper, str]:
     """Start a keeper, or say in one line why it cannot start."""
-    made = make_base(reactor, clock, cfg, rand)
+    made = make_base(reactor, clock, cfg, rand, Role.KEEPER)
     if isinstance(made, Err):
         return made
     base = made.ok_value
@@ -84,9 +88,18 @@
         )
     )
     base.hub.on_change(runner.review)
-    base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump())
+    base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump_soon())
     follow_common(base, Role.KEEPER)
-    follow(base, JOBS, runner.on_change, SOON)
+    expiry = Expiry(ExpiryDeps(clock, base.view(Priority.BULK), cfg.jobs.keep_s, runner.has_closed))
+
+    def on_job(change: Change) -> None:
+        runner.on_change(change)
+        expiry.on_change(change)
+
+    follow(base, JOBS, on_job, SOON)
+    sweeping = Deferred.fromCoroutine(expiry.run())
+    sweeping.addErrback(report_failure, "expiry")
+    base.tasks.append(sweeping)
     retirement = Retirement(base, runner)
     follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOWLY)
     runner.start()
--- a/papayapier/node/processes.py
+++ b/papayapier/node/processes.py
@@ -81,6 +81,7 @@
         data_centre=record.data_centre,
         region=record.region,
         state=LIVE,
+        hub=record.role is Role.KEEPER,
     )
 
 
--- a/papayapier/node/settings.py
+++ b/papayapier/node/settings.py
@@ -89,6 +89,12 @@
         return max(self.reserve_ms, self.within_s * MS_PER_S - self.reserve_ms)
 
 
+class JobSettings(NamedTuple):
+    """Set how long results stay readable after their job was submitted."""
+
+    keep_s: Positive = 120
+
+
 class NodeSettings(NamedTuple):
     """Hold everything that one process must know to start; a keeper listens to nobody."""
 
@@ -99,6 +105,7 @@
     listen: ListenSettings | None = None
     upstream: UpstreamSettings = UpstreamSettings()
     follow: FollowSettings = FollowSettings()
+    jobs: JobSettings = JobSettings()
     log: LogSettings = LogSettings()
     max_queued: Positive = 2_000
 
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -57,6 +57,7 @@
     host: str
     data_centre: str
     region: str
+    hub: bool = False
 
 
 class PeerHub:
@@ -79,7 +80,7 @@
         self._metrics = metrics
         self._rand = rand
         self._seal = NO_SEAL
-        place = Place(me.instance, me.data_centre, me.region)
+        place = Place(me.instance, me.data_centre, me.region, me.hub)
         limits = Limits(cfg.full_mesh, cfg.picks, cfg.relays)
         self._roster = Roster(place, limits, cfg.silent_after_ms)
         self._budget = ByteBudget(cfg.early_bytes_per_s, clock.now())
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -24,7 +24,8 @@
     boot is drawn at process start, so that a restarted instance is told from a paused one.
     config_digest shows what config_version cannot: an object missing below the highest.
     unheard names the peers whose own heartbeats do not arrive at the sender. every_ms is the
-    sender's present pace, by which the receiver judges its silence.
+    sender's present pace, by which the receiver judges its silence. totals holds what all
+    instances together have open at the replicas of which a hub tells.
     """
 
     instance: str
@@ -35,6 +36,7 @@
     config_digest: int = 0
     unheard: tuple[str, ...] = ()
     every_ms: int = 0
+    totals: tuple[ReplicaUse, ...] = ()
 
 
 class Hello(NamedTuple):
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -184,6 +184,7 @@
             data_centre=hello.data_centre,
             region=hello.region,
             state=LIVE if known is None else known.member.state,
+            hub=known is not None and known.member.hub,
         )
         if not _is_peer(member, self._me.id):
             return []
@@ -341,7 +342,7 @@
 
 
 def _place(member: Member) -> Place:
-    return Place(member.id, member.data_centre, member.region)
+    return Place(member.id, member.data_centre, member.region, member.hub)
 
 
 def _view(peer_id: str, peer: Peer, now: Millis) -> PeerView:
--- a/papayapier/peer/topology.py
+++ b/papayapier/peer/topology.py
@@ -13,6 +13,10 @@
   of a region is its gateway to the other regions. A rank is a plane of its own, so that two
   planes have no relay and mostly no gateway in common.
 
+- Hubs, where there are any, are linked with everybody. They hear of every open call and tell
+  the totals (policy/loads.py); a call of one instance then needs a message to each hub and not
+  to each instance, and everybody still knows which replicas are full.
+
 The relays also watch the platform's store for their data centre; the others hear from them.
 docs/CAPACITY.md compares this with direct watches and with gossip.
 """
@@ -33,6 +37,7 @@
     id: str
     data_centre: str
     region: str
+    hub: bool = False
 
 
 class Limits(NamedTuple):
@@ -61,6 +66,7 @@
     picked = set(_near_picks(me.id, near, limits))
     if rank is not None:
         picked |= _relay_links(me, rank, centres)
+    picked |= {place.id for place in others if place.hub or me.hub}
     return Plan(frozenset(picked), rank is not None, False)
 
 
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -43,6 +43,8 @@
         "since",
         "since_own",
         "steps",
+        "total_batch",
+        "total_others",
     )
 
     def __init__(self) -> None:
@@ -55,6 +57,8 @@
         self.steps: deque[_Step] = deque()
         self.since = 0.0
         self.since_own = 0
+        self.total_others = 0
+        self.total_batch = 0
 
 
 class LoadBook:
@@ -69,6 +73,7 @@
         self._batch_open = 0
         self._batch_since = 0
         self._batch_told: dict[str, int] = {}
+        self._totals_told: dict[str, frozenset[str]] = {}
         self._peer_told: dict[str, tuple[int, frozenset[str]]] = {}
 
     def on_listed(
@@ -129,12 +134,32 @@
         self._peer_told[peer] = (now, named)
 
     def on_peer_gone(self, peer: str) -> None:
-        """Forget the open calls of a peer."""
+        """Forget the open calls of a peer, and what it told of others."""
+        self.on_totals(peer, ())
+        self._totals_told.pop(peer, None)
         self._batch_told.pop(peer, None)
         now, named = self._peer_told.pop(peer, (0, frozenset()))
         for replica_id in named:
             self._set_peer(peer, ReplicaUse(replica_id, 0, 0), now, now)
 
+    def on_totals(self, hub: str, totals: Sequence[ReplicaUse]) -> None:
+        """Take what all instances have open at the replicas of which a hub tells.
+
+        Beyond a full mesh an instance hears few peers itself, and would take replicas for
+        free that others have filled. Own calls are known better here than there.
+        """
+        named = {use.replica for use in totals}
+        for gone in self._totals_told.get(hub, frozenset()) - named:
+            self._set_total(ReplicaUse(gone, 0, 0))
+        for use in totals:
+            self._set_total(use)
+        self._totals_told[hub] = frozenset(named)
+
+    def _set_total(self, use: ReplicaUse) -> None:
+        row = self._row(use.replica)
+        row.total_others = max(0, use.online - row.online)
+        row.total_batch = use.batch
+
     def estimate(self, replica_id: str, now: int) -> float:
         """Estimate the calls running and waiting at a replica."""
         row = self._rows.get(replica_id)
@@ -163,7 +188,7 @@
     def online_at(self, replica_id: str) -> int:
         """Return the online calls known to be open, ours and the peers'."""
         row = self._rows.get(replica_id)
-        return row.online + row.peer_online if row else 0
+        return row.online + max(row.peer_online, row.total_others) if row else 0
 
     def peers_online(self, replica_id: str) -> dict[str, int]:
         """Return the online calls that each peer has open at a replica."""
@@ -182,7 +207,15 @@
     def batch_at(self, replica_id: str) -> int:
         """Return the batch calls known to be open, ours and the peers'."""
         row = self._rows.get(replica_id)
-        return row.batch + row.peer_batch if row else 0
+        return max(row.batch + row.peer_batch, row.total_batch) if row else 0
+
+    def used(self) -> list[str]:
+        """Return the replicas at which any instance is known to have calls open."""
+        return [
+            key
+            for key, row in self._rows.items()
+            if row.online + row.batch + row.peer_online + row.peer_batch
+        ]
 
     def own(self, replica_id: str) -> ReplicaUse:
         """Return the calls that this instance has open."""
--- /dev/null
+++ b/papayapier/policy/totals.py
@@ -0,0 +1,21 @@
+"""Decide of which replicas a hub tells the totals of open calls.
+
+Each replica is told of by one hub, which rendezvous hashing gives it to, so that the bytes of
+all hubs together are one row a replica and beat, however many hubs there are.
+"""
+
+from collections.abc import Sequence
+
+from papayapier.peer.messages import ReplicaUse
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.rendezvous import score
+
+
+def totals_of(book: LoadBook, hubs: Sequence[str], own_id: str) -> tuple[ReplicaUse, ...]:
+    """Return the totals at the replicas that are this hub's to tell of."""
+    hubs = hubs if own_id in hubs else [*hubs, own_id]
+    return tuple(
+        ReplicaUse(replica_id, book.online_at(replica_id), book.batch_at(replica_id))
+        for replica_id in book.used()
+        if max(hubs, key=lambda hub: score(replica_id, hub)) == own_id
+    )
--- a/papayapier/store/api.py
+++ b/papayapier/store/api.py
@@ -66,7 +66,10 @@
 
 
 class Member(NamedTuple):
-    """Describe one entry instance or upstream replica in the instance list."""
+    """Describe one entry instance or upstream replica in the instance list.
+
+    A hub exchanges heartbeats with every instance, also beyond a full mesh.
+    """
 
     id: str
     kind: str
@@ -78,6 +81,7 @@
     region: str
     state: str
     static: bool = False
+    hub: bool = False
 
 
 class Members(NamedTuple):
