Explain a request from log lines; soak real processes under faults from outside

Cause: on-call engineers had to search the lines of several processes by hand, and faults were played on the bench only. explain reads lines, orders those of an id by time, and shows the slowest; the soak kills, pauses and replaces processes and replicas, takes the store away, loses its answers, and checks every promise afterwards.

--- a/papayapier/operate/__init__.py
+++ b/papayapier/operate/__init__.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from papayapier.operate.configuration import add_configuration_commands
+from papayapier.operate.explain import add_explain_command
 from papayapier.operate.jobs import add_job_commands
 from papayapier.operate.reports import add_report_commands
 
@@ -22,3 +23,4 @@
     add_configuration_commands(subparsers)
     add_report_commands(subparsers)
     add_job_commands(subparsers)
+    add_explain_command(subparsers)
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -32,15 +32,16 @@
         self.cut_after = 0
         self.hang = False
         self.shed = False
+        self.gone_runs = 0
+        self.service = service
         self._store = store
-        self._service = service
         self._port = reactor.listenTCP(0, Site(self), interface="127.0.0.1")
         self.address = f"127.0.0.1:{self._port.getHost().port}"
         self.register("ready")
 
     def register(self, state: str) -> None:
         """Write this replica's entry."""
-        entry = {"service": self._service, "address": self.address, "zone": "z1", "slots": 4}
+        entry = {"service": self.service, "address": self.address, "zone": "z1", "slots": 4}
         self._store.put("servers", self.id, {**entry, "state": state})
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/site/soak.py
@@ -0,0 +1,246 @@
+"""Soak real processes under faults from outside, and check the promises afterwards.
+
+    python3 -m tests.site.soak --seconds 60 --seed 1
+
+Callers send requests of every kind and jobs, some of them twice and at two entries, while
+processes are killed, paused and replaced, the store goes away and loses answers, and replicas
+hang, break off and leave. What is checked holds at any moment and for any seed.
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections import Counter
+from signal import SIGCONT, SIGKILL, SIGSTOP
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
+
+from twisted.internet import reactor as installed
+from twisted.internet.defer import Deferred, gatherResults
+
+from tests.site.replicas import EVENTS, StandinReplica
+from tests.site.world import SiteWorld, begin, configuration, new_id, pause
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+reactor: Any = installed
+
+TEXT: Final = "\n".join(f"piece {n}" for n in range(1, EVENTS + 1))
+STREAM: Final = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENTS + 1))
+REQUEST_GAP_S: Final = 0.06
+JOB_GAP_S: Final = 0.7
+FAULT_GAP_S: Final = 1.5
+SETTLE_S: Final = 4.0
+ITEMS: Final = 3
+NOT_RUN: Final = (429, 503, 408, 421)
+
+
+class Report(NamedTuple):
+    """Hold what a soak saw; broken is empty when every promise held."""
+
+    answers: Counter[str]
+    faults: Counter[str]
+    jobs: int
+    broken: list[str]
+
+
+class Soak:
+    """Play one soak."""
+
+    def __init__(self, world: SiteWorld, seed: int) -> None:
+        self.world = world
+        self.rand = random.Random(seed)
+        self.answers: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.refused: list[str] = []
+        self.once: list[str] = []
+        self.accepted: list[str] = []
+        self.broken: list[str] = []
+        self.version = 1
+        self.stopping = False
+        self._work: list[Any] = []
+
+    async def run(self, seconds: float) -> Report:
+        """Play, let all settle, and check."""
+        await self.world.start(entries=2, keepers=2)
+        loops = [begin(loop) for loop in (self._requests(), self._jobs(), self._faults())]
+        await pause(seconds)
+        self.stopping = True
+        await gatherResults(loops)
+        await gatherResults(self._work)
+        self._calm()
+        for name in self.world.callers:
+            await self.world.until_ready(name)
+        await pause(SETTLE_S)
+        await self._check()
+        return Report(self.answers, self.faults, len(self.accepted), self.broken)
+
+    def _port(self) -> int:
+        return self.rand.choice(list(self.world.callers.values()))
+
+    async def _requests(self) -> None:
+        while not self.stopping:
+            path = self.rand.choice(["/look/", "/once/", "/stream/once/", "/stream/again/"])
+            self._work.append(begin(self._request(path)))
+            await pause(REQUEST_GAP_S)
+
+    async def _request(self, path: str) -> None:
+        request_id = new_id()
+        if "once" in path:
+            self.once.append(request_id)
+        try:
+            reply = await self.world.get(self._port(), path + "1", X_Request_Id=request_id)
+        except Exception as exc:
+            self.answers[f"{path} {type(exc).__name__}"] += 1
+            return
+        self.answers[f"{path} {reply.status}"] += 1
+        whole = STREAM if "stream" in path else b"whole answer"
+        if reply.status == 200 and reply.body != whole:
+            self.broken.append(f"{request_id}: {path}: not the whole answer: {reply.body[:80]!r}")
+        if reply.status in NOT_RUN and "once" in path:
+            self.refused.append(request_id)
+
+    async def _jobs(self) -> None:
+        number = 0
+        while not self.stopping:
+            number += 1
+            self._work.append(begin(self._job(f"job-{number}")))
+            await pause(JOB_GAP_S)
+
+    async def _job(self, job_id: str) -> None:
+        for _ in range(self.rand.choice([1, 1, 2, 3])):
+            try:
+                reply = await self.world.submit(self._port(), job_id, ITEMS)
+            except Exception as exc:
+                self.answers[f"job {type(exc).__name__}"] += 1
+                continue
+            self.answers[f"job {reply.status}"] += 1
+            if reply.status == 202 and job_id not in self.accepted:
+                self.accepted.append(job_id)
+
+    async def _faults(self) -> None:
+        plays: list[Callable[[], Awaitable[None]]] = [
+            self._store_away,
+            self._writes_lost,
+            self._kill,
+            self._freeze,
+            self._replica_fails,
+            self._replica_replaced,
+            self._configure,
+        ]
+        while not self.stopping:
+            play = self.rand.choice(plays)
+            self.faults[play.__name__.strip("_")] += 1
+            await play()
+            await pause(self.rand.uniform(0.2, FAULT_GAP_S))
+
+    async def _store_away(self) -> None:
+        self.world.store.away = True
+        await pause(self.rand.uniform(0.2, 2.5))
+        self.world.store.away = False
+
+    async def _writes_lost(self) -> None:
+        self.world.store.lose_writes = self.rand.randint(1, 4)
+
+    async def _kill(self) -> None:
+        name = self.rand.choice(list(self.world.children))
+        child = self.world.children[name]
+        child.signal(SIGKILL)
+        await child.ended
+        self.world.restart(name)
+
+    async def _freeze(self) -> None:
+        child = self.rand.choice(list(self.world.children.values()))
+        child.signal(SIGSTOP)
+        await pause(self.rand.uniform(0.2, 2.5))
+        child.signal(SIGCONT)
+
+    async def _replica_fails(self) -> None:
+        replica = self.rand.choice(self.world.replicas)
+        fault = self.rand.choice(["cut", "shed"])
+        replica.cut_after, replica.shed = (2, False) if fault == "cut" else (0, True)
+        await pause(self.rand.uniform(0.2, 1.5))
+        replica.cut_after, replica.shed = 0, False
+
+    async def _replica_replaced(self) -> None:
+        old = self.rand.choice(self.world.replicas)
+        self.world.replicas.append(StandinReplica(self.world.store, old.service))
+        old.register("draining")
+        await pause(0.5)
+        self.world.store.remove("servers", old.id)
+        old.gone_runs = len(old.runs)
+        await pause(0.5)
+
+    async def _configure(self) -> None:
+        self.version += self.rand.randint(1, 3)
+        self.world.store.put("config", "main", configuration(self.version))
+
+    def _calm(self) -> None:
+        self.world.store.away = False
+        self.world.store.lose_writes = 0
+        for replica in self.world.replicas:
+            replica.cut_after, replica.shed = 0, False
+
+    async def _check(self) -> None:
+        runs = Counter(run for replica in self.world.replicas for run in replica.runs)
+        for request_id in self.once:
+            if runs[request_id] > 1:
+                self.broken.append(f"{request_id}: ran {runs[request_id]} times")
+        for request_id in self.refused:
+            if runs[request_id]:
+                self.broken.append(f"{request_id}: refused as not run, and ran")
+        for job_id in self.accepted:
+            await self._check_job(job_id)
+
+    async def _check_job(self, job_id: str) -> None:
+        seen = []
+        for port in self.world.callers.values():
+            results = await self.world.results(port, job_id, ITEMS)
+            seen.append([(one["id"], one["state"], one["text"]) for one in results])
+        if any(one != seen[0] for one in seen):
+            self.broken.append(f"{job_id}: two entries show other results")
+        if {one[0] for one in seen[0]} != {f"{job_id}-{n}" for n in range(ITEMS)}:
+            self.broken.append(f"{job_id}: not each item once: {[one[0] for one in seen[0]]}")
+        for item, state, text in seen[0]:
+            if (state, text) != ("completed", TEXT):
+                self.broken.append(f"{item}: {state}, {len(text)} characters")
+
+
+async def soak(seconds: float, seed: int) -> Report:
+    """Play one soak in a world of its own."""
+    world = SiteWorld()
+    try:
+        return await Soak(world, seed).run(seconds)
+    finally:
+        await world.close()
+
+
+def main() -> int:
+    """Run from the command line; 1 says that a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    options = parser.parse_args()
+    code = [1]
+
+    def done(report: Any) -> None:
+        if isinstance(report, Report):
+            code[0] = 1 if report.broken else 0
+            print(f"seed {options.seed}: {report.jobs} jobs, faults {dict(report.faults)}")
+            print(f"answers {dict(sorted(report.answers.items()))}")
+            print("\n".join(report.broken) or "every promise held")
+        else:
+            print(report)
+        reactor.stop()
+
+    def start() -> None:
+        Deferred.fromCoroutine(soak(options.seconds, options.seed)).addBoth(done)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    return code[0]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -120,12 +120,15 @@
         early = ("--callers", listen["callers"]) if len(self.callers) == 1 else ()
         self._start(name, "entry", {"listen": listen}, *early)
 
-    def restart_entry(self, name: str) -> None:
-        """Start an entry again at its addresses."""
+    def restart(self, name: str) -> None:
+        """Start a process again at its addresses."""
         path = Path(self._folder.name) / f"{name}.json"
-        address = f"127.0.0.1:{self.callers[name]}"
-        arguments = ("--settings", str(path), "--callers", address)
-        self.children[name] = start(name, "entry", *arguments)
+        if name in self.callers:
+            address = f"127.0.0.1:{self.callers[name]}"
+            arguments = ("--settings", str(path), "--callers", address)
+            self.children[name] = start(name, "entry", *arguments)
+        else:
+            self.children[name] = start(name, "keeper", "--settings", str(path))
 
     async def until_open(self, port: int) -> None:
         """Wait until a port takes connections."""
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -7,6 +7,7 @@
 from twisted.trial.unittest import TestCase
 
 from tests.site.replicas import EVENTS
+from tests.site.soak import soak
 from tests.site.world import SiteWorld, begin, configuration, new_id, pause
 
 STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENTS + 1))
@@ -212,7 +213,7 @@
         await world.start(entries=1, keepers=0)
         world.children["entry-1"].signal(SIGKILL)
         await world.children["entry-1"].ended
-        world.restart_entry("entry-1")
+        world.restart("entry-1")
         await world.until_open(self.port())
         assert not world.children["entry-1"].logged(101)
         assert (await world.get(self.port(), "/look/1")).status == 200
@@ -220,6 +221,17 @@
     def test_an_entry_listens_at_once(self) -> Any:
         return Deferred.fromCoroutine(self._killed_entry())
 
+    async def _soak(self) -> None:
+        for one in self.world.replicas:
+            await one.close()
+        self.world.replicas.clear()
+        report = await soak(seconds=8, seed=1)
+        assert report.broken == [], report
+        assert report.jobs > 0
+
+    def test_a_short_soak(self) -> Any:
+        return Deferred.fromCoroutine(self._soak())
+
     async def _bad_input(self) -> None:
         world = self.world
         await world.start(entries=1, keepers=0)
