--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -35,6 +35,9 @@
 # as what an instance knows itself: few calls start meanwhile, so that no herd forms.
 TOLD_SHARE: Final = 0.9
 TOLD_BATCH_SHARE: Final = 0.4
+# Up to here all replicas are compared. With more, as many instances know the same totals some
+# 200 ms late and would all choose the same few replicas; a random draw keeps them apart.
+COMPARED_WHEN_TOLD: Final = 16
 AFFINITY_FACTOR: Final = 1.25
 AFFINITY_SLACK_CALLS: Final = 1.0
 AFFINITY_TRIES: Final = 2
@@ -67,7 +70,8 @@
         cached = _cached(book, outliers, usable, req, now)
         if cached is not None:
             return cached
-    drawn = _drawn(book, usable, rand, now) if not req.told else usable
+    few = req.told and len(usable) <= COMPARED_WHEN_TOLD
+    drawn = usable if few else _drawn(book, usable, rand, now)
     costs = [(_cost(book, outliers, one, req, now), rand.random(), one.id) for one in drawn]
     _, _, chosen = min(costs)
     return chosen
