--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -145,7 +145,10 @@
 
 # In force everywhere within two seconds, and few.
 AT_ONCE: Final = Haste(1, 0)
-# A leaving replica gets nothing new within two seconds; many come and go together.
+# A leaving replica gets nothing new within two seconds. Replicas that have just started change
+# their entries with each of their heartbeats, about one a second each.
+IN_A_SECOND: Final = Haste(1, 800)
+# Jobs come a few a second, and each second that one waits is a second of its time.
 SOON: Final = Haste(1, 300)
 # Hundreds may come together after a loss of power, and nothing waits for one of them.
 SLOWLY: Final = Haste(3, 1_500)
@@ -180,7 +183,7 @@
     """Follow configuration, replicas and processes, and write this process down."""
     followed = Followed(
         follow(base, CONFIG_PREFIX, base.routing.on_change, AT_ONCE),
-        follow(base, REPLICAS_PREFIX, base.replicas.on_change, SOON),
+        follow(base, REPLICAS_PREFIX, base.replicas.on_change, IN_A_SECOND),
     )
     follow(base, NODES, base.nodes.on_change, SLOWLY)
     own = base.cfg.instance
