--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -18,7 +18,7 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
 from papayapier.policy.retries import GiveUp, Retry, decide
-from papayapier.policy.routing import RouteRequest, choose
+from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Token
 from papayapier.upstream.engine_calls import streaming_body
 
@@ -90,15 +90,7 @@
     route = RouteRequest(
         upstream, req.prefix, deps.data_centre, excluded, idempotent=req.profile.idempotent
     )
-    now = deps.clock.now()
-    chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
-    if chosen is None and excluded:
-        # Every replica has failed this request once; the least bad one may have recovered.
-        route = route._replace(exclude=NONE_EXCLUDED)
-        chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
-    if chosen is None:
-        return None
-    return next(replica for replica in deps.book.replicas(upstream) if replica.id == chosen)
+    return pick_replica(deps.book, deps.outliers, route, deps.rand, deps.clock.now())
 
 
 def _no_replica(req: "OnlineRequest") -> Refusal:
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -17,7 +17,7 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
 from papayapier.policy.retries import GiveUp, Retry, decide
-from papayapier.policy.routing import RouteRequest, choose
+from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.event_cutter import NO_EVENT, EventCutter
 from papayapier.upstream.phases import Fault
@@ -219,14 +219,7 @@
         idempotent=req.profile.idempotent,
         told=True,
     )
-    now = deps.clock.now()
-    chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
-    if chosen is None and excluded:
-        route = route._replace(exclude=NONE_EXCLUDED)
-        chosen = choose(deps.book, deps.outliers, route, deps.rand, now)
-    if chosen is None:
-        return None
-    return next(replica for replica in deps.book.replicas(upstream) if replica.id == chosen)
+    return pick_replica(deps.book, deps.outliers, route, deps.rand, deps.clock.now())
 
 
 def _no_replica(req: RawRequest) -> Refusal:
--- /dev/null
+++ b/papayapier/jobs/room.py
@@ -0,0 +1,72 @@
+"""Know how many batch streams this instance may have at each replica, and find one with room."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Final, NamedTuple
+
+from papayapier.clock import Clock
+from papayapier.policy.batch_room import Use, start_limit
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.policy.rendezvous import score
+from papayapier.upstream.api import Replica
+
+# Instances that run batch at one replica; a small deployment has three in all.
+SHARERS: Final = 3
+
+
+class Shared(NamedTuple):
+    """Group what is known of the replicas; sharing names the live instances that run batch."""
+
+    clock: Clock
+    rand: random.Random
+    me: str
+    book: LoadBook
+    outliers: Outliers
+    sharing: Callable[[], Sequence[str]]
+
+
+def use_of(deps: Shared, replica_id: str) -> Use:
+    """Return what is known of the open calls at a replica, and this instance's place there.
+
+    A replica's slots are shared by few instances. What one leaves unused the others may take,
+    and with many that would all take it before they hear of each other.
+    """
+    ranked = sorted(deps.sharing(), key=lambda one: score(replica_id, one), reverse=True)
+    sharing = ranked[:SHARERS]
+    mine = deps.me in sharing
+    return Use(
+        deps.book.slots(replica_id) if mine else 0,
+        deps.book.online_at(replica_id),
+        deps.book.own(replica_id).batch,
+        deps.book.batch_at(replica_id),
+        sharing.index(deps.me) if mine else 0,
+        len(sharing),
+    )
+
+
+class Room:
+    """Find replicas with room, working out each one's limit once."""
+
+    def __init__(self, deps: Shared) -> None:
+        self._deps = deps
+        self._limits: dict[str, int] = {}
+
+    def take(self, upstream: str, now: int) -> Replica | None:
+        """Return the replica with the most room, or None."""
+        best: tuple[int, float, Replica] | None = None
+        for replica in self._deps.book.usable(upstream, now):
+            if self._deps.outliers.ejected(replica.id, now):
+                continue
+            room = self._limit(replica.id) - self._deps.book.own(replica.id).batch
+            if room <= 0:
+                continue
+            ranked = (room, self._deps.rand.random(), replica)
+            if best is None or ranked[:2] > best[:2]:
+                best = ranked
+        return best[2] if best is not None else None
+
+    def _limit(self, replica_id: str) -> int:
+        if replica_id not in self._limits:
+            self._limits[replica_id] = start_limit(use_of(self._deps, replica_id))
+        return self._limits[replica_id]
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -21,9 +21,10 @@
 from papayapier.jobs.desk import read_whole
 from papayapier.jobs.item_run import ItemTaker
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
+from papayapier.jobs.room import Room, Shared, use_of
 from papayapier.jobs.work import Item, JobWork
 from papayapier.metrics import Metrics
-from papayapier.policy.batch_room import Use, keep_limit, start_limit
+from papayapier.policy.batch_room import keep_limit
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.rendezvous import score
@@ -34,8 +35,6 @@
 TICK_MS: Final = 50
 # Far below the time in which a waiting online call would notice.
 SOON_MS: Final = 10
-# Instances that run batch at one replica; a small deployment has three in all.
-SHARERS: Final = 3
 # One run is far shorter; a run that goes on this long is resumed elsewhere.
 RUN_LIMIT_MS: Final = 60_000
 # Pause before an item that a replica rejected or broke is sent again.
@@ -91,6 +90,9 @@
         self._timer: Timer | None = None
         self._soon: Timer | None = None
         self._stopping = False
+        self._shared = Shared(
+            deps.clock, deps.rand, deps.me, deps.book, deps.outliers, deps.sharing
+        )
         self._commits = CommitDeps(
             deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
         )
@@ -211,7 +213,7 @@
         if table is None:
             return
         self._give_way()
-        room = _Room(self._deps)
+        room = Room(self._shared)
         for work, route in self._by_due(table):
             self._start_items(work, route, room)
 
@@ -240,7 +242,7 @@
             work.finish(item_id, ItemEnd.GIVEN_UP)
         self._commit(work)
 
-    def _start_items(self, work: JobWork, route: Route, room: "_Room") -> None:
+    def _start_items(self, work: JobWork, route: Route, room: Room) -> None:
         now = self._deps.clock.now()
         for one in work.waiting(now):
             replica = room.take(route.shares[0].upstream, now)
@@ -346,7 +348,7 @@
         for run in self._runs.values():
             by_replica.setdefault(run.replica.id, []).append(run)
         for replica_id, runs in by_replica.items():
-            over = len(runs) - keep_limit(use_of(self._deps, replica_id))
+            over = len(runs) - keep_limit(use_of(self._shared, replica_id))
             for run in runs[len(runs) - over :] if over > 0 else ():
                 events.emit(
                     events.ITEM_YIELDED, item=run.item.item.id, replica=replica_id, over=over
@@ -386,49 +388,3 @@
 def _report(why: TwistedFailure) -> None:
     if not why.check(CancelledError):
         events.emit(events.BATCH_BROKEN, reason=repr(why.value), traceback=why.getTraceback())
-
-
-def use_of(deps: RunnerDeps, replica_id: str) -> Use:
-    """Return what is known of the open calls at a replica, and this instance's place there.
-
-    A replica's slots are shared by few instances. What one leaves unused the others may take,
-    and with many that would all take it before they hear of each other.
-    """
-    ranked = sorted(deps.sharing(), key=lambda one: score(replica_id, one), reverse=True)
-    sharing = ranked[:SHARERS]
-    mine = deps.me in sharing
-    return Use(
-        deps.book.slots(replica_id) if mine else 0,
-        deps.book.online_at(replica_id),
-        deps.book.own(replica_id).batch,
-        deps.book.batch_at(replica_id),
-        sharing.index(deps.me) if mine else 0,
-        len(sharing),
-    )
-
-
-class _Room:
-    """Find replicas with room, working out each one's limit once."""
-
-    def __init__(self, deps: RunnerDeps) -> None:
-        self._deps = deps
-        self._limits: dict[str, int] = {}
-
-    def take(self, upstream: str, now: int) -> Replica | None:
-        """Return the replica with the most room, or None."""
-        best: tuple[int, float, Replica] | None = None
-        for replica in self._deps.book.usable(upstream, now):
-            if self._deps.outliers.ejected(replica.id, now):
-                continue
-            room = self._limit(replica.id) - self._deps.book.own(replica.id).batch
-            if room <= 0:
-                continue
-            ranked = (room, self._deps.rand.random(), replica)
-            if best is None or ranked[:2] > best[:2]:
-                best = ranked
-        return best[2] if best is not None else None
-
-    def _limit(self, replica_id: str) -> int:
-        if replica_id not in self._limits:
-            self._limits[replica_id] = start_limit(use_of(self._deps, replica_id))
-        return self._limits[replica_id]
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -77,6 +77,18 @@
     return chosen
 
 
+def pick_replica(
+    book: LoadBook, outliers: Outliers, req: RouteRequest, rand: random.Random, now: int
+) -> Replica | None:
+    """Return the replica for a call; when all have failed it, the least bad may have recovered."""
+    chosen = choose(book, outliers, req, rand, now)
+    if chosen is None and req.exclude:
+        chosen = choose(book, outliers, req._replace(exclude=frozenset()), rand, now)
+    if chosen is None:
+        return None
+    return next(replica for replica in book.replicas(req.upstream) if replica.id == chosen)
+
+
 def free_calls(book: LoadBook, outliers: Outliers, upstream: str, now: int) -> float:
     """Return how many more online calls the replicas of an upstream could run at once.
 
