Believe the entries about a keeper that only this one cannot hear

A silent keeper that most live entries hear stays an owner and a sharer, and while one is hidden everybody keeps to a fair part. In large fleets the better of two random replicas is taken. Ruled out: load reports of the replicas as witnesses (tried before, no effect).

--- a/papayapier/jobs/room.py
+++ b/papayapier/jobs/room.py
@@ -1,7 +1,7 @@
 """Know how many batch streams this instance may have at each replica, and find one with room."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
 from papayapier.clock import Clock
@@ -16,7 +16,11 @@
 
 
 class Shared(NamedTuple):
-    """Group what is known of the replicas; sharing names the live instances that run batch."""
+    """Group what is known of the replicas.
+
+    sharing names the live instances that run batch, hidden those of them whose open calls are
+    not heard of here.
+    """
 
     clock: Clock
     rand: random.Random
@@ -24,6 +28,7 @@
     book: LoadBook
     outliers: Outliers
     sharing: Callable[[], Sequence[str]]
+    hidden: Callable[[], Collection[str]]
 
 
 def use_of(deps: Shared, replica_id: str) -> Use:
@@ -35,11 +40,17 @@
     ranked = sorted(deps.sharing(), key=lambda one: score(replica_id, one), reverse=True)
     sharing = ranked[:SHARERS]
     mine = deps.me in sharing
+    own = deps.book.own(replica_id).batch
+    slots = deps.book.slots(replica_id)
+    batch = deps.book.batch_at(replica_id)
+    if not set(deps.hidden()).isdisjoint(sharing):
+        # What a hidden one leaves unused cannot be known, so everybody keeps to a fair part.
+        batch = own + slots
     return Use(
-        deps.book.slots(replica_id) if mine else 0,
+        slots if mine else 0,
         deps.book.online_at(replica_id),
-        deps.book.own(replica_id).batch,
-        deps.book.batch_at(replica_id),
+        own,
+        batch,
         sharing.index(deps.me) if mine else 0,
         len(sharing),
     )
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any, Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -48,7 +48,8 @@
 class RunnerDeps(NamedTuple):
     """Group what the runner works with.
 
-    sharing names the live instances that run batch, this one included. head writes the
+    sharing names the live instances that run batch, this one included, hidden those of them
+    that only others hear. head writes the
     headers for one replica. body decodes the body of an item. tell_groups tells the others
     how many groups of results a job has.
     """
@@ -65,6 +66,7 @@
     request_id: bytes
     table: Callable[[], RouteTable | None]
     sharing: Callable[[], Sequence[str]]
+    hidden: Callable[[], Collection[str]]
     uses_changed: Callable[[], None]
     tell_groups: Callable[[str, int], None]
     metrics: Metrics
@@ -89,9 +91,16 @@
         self._runs: dict[str, _Run] = {}
         self._timer: Timer | None = None
         self._soon: Timer | None = None
+        self._sharing: Sequence[str] = ()
         self._stopping = False
         self._shared = Shared(
-            deps.clock, deps.rand, deps.me, deps.book, deps.outliers, deps.sharing
+            deps.clock,
+            deps.rand,
+            deps.me,
+            deps.book,
+            deps.outliers,
+            deps.sharing,
+            deps.hidden,
         )
         self._commits = CommitDeps(
             deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
@@ -194,6 +203,11 @@
 
     def _tick(self) -> None:
         self._timer = self._deps.clock.call_later(TICK_MS, self._tick)
+        sharing = self._deps.sharing()
+        if sharing != self._sharing:
+            # Also what others say of a silent one changes who shares, and no event tells it.
+            self._sharing = sharing
+            self.review()
         self.pump()
 
     def pump_soon(self) -> None:
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -26,6 +26,7 @@
 from papayapier.peer.messages import Heartbeat, JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.retirements import RETIREMENTS_PREFIX
+from papayapier.policy.witnesses import Witnesses
 from papayapier.store.api import Change
 from papayapier.store.budget import Priority
 from papayapier.store.watch import report_failure
@@ -61,12 +62,22 @@
         return made
     base = made.ok_value
     me = cfg.instance.id
+    witnesses = Witnesses()
 
     def sharing() -> list[str]:
         """Return the live keepers; this one counts unless it leaves and others live."""
-        keepers = base.nodes.with_role(Role.KEEPER)
-        live = [one for one in base.hub.live() if one in keepers and one != me]
-        return live if live and base.drain.state() != "serving" else [*live, me]
+        heard = base.hub.live()
+        entries = [one for one in heard if one in base.nodes.with_role(Role.ENTRY)]
+        keepers = base.nodes.with_role(Role.KEEPER) - {me}
+        live = [one for one in keepers if one in heard or is_cut_off(one, entries)]
+        return sorted(live if live and base.drain.state() != "serving" else [*live, me])
+
+    def is_cut_off(keeper: str, entries: list[str]) -> bool:
+        """Tell whether a keeper that is silent here is heard by the entries, and not leaving."""
+        return keeper in silent() and witnesses.heard(keeper, entries)
+
+    def silent() -> set[str]:
+        return {view.id for view in base.hub.views() if not view.up and not view.leaving}
 
     runner = JobRunner(
         RunnerDeps(
@@ -82,12 +93,14 @@
             request_id=headers.REQUEST_ID,
             table=base.routing.table,
             sharing=sharing,
+            hidden=lambda: silent().intersection(sharing()),
             uses_changed=base.hub.uses_changed,
             tell_groups=lambda job_id, groups: base.hub.tell_all(JobChanged(job_id, groups)),
             metrics=base.metrics,
         )
     )
     base.hub.on_change(runner.review)
+    base.hub.subscribe(Heartbeat, witnesses.on_heartbeat)
     base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump_soon())
     follow_common(base, Role.KEEPER)
     expiry = Expiry(ExpiryDeps(clock, base.view(Priority.BULK), cfg.jobs.keep_s, runner.has_closed))
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -36,8 +36,10 @@
 TOLD_SHARE: Final = 0.9
 TOLD_BATCH_SHARE: Final = 0.4
 # Up to here all replicas are compared. With more, as many instances know the same totals some
-# 200 ms late and would all choose the same few replicas; a random draw keeps them apart.
+# 200 ms late and would all choose the same few replicas; the better of two random ones is the
+# choice that old knowledge harms least.
 COMPARED_WHEN_TOLD: Final = 16
+DRAWS_WHEN_TOLD: Final = 2
 AFFINITY_FACTOR: Final = 1.25
 AFFINITY_SLACK_CALLS: Final = 1.0
 AFFINITY_TRIES: Final = 2
@@ -70,8 +72,10 @@
         cached = _cached(book, outliers, usable, req, now)
         if cached is not None:
             return cached
-    few = req.told and len(usable) <= COMPARED_WHEN_TOLD
-    drawn = usable if few else _drawn(book, usable, rand, now)
+    if req.told and len(usable) <= COMPARED_WHEN_TOLD:
+        drawn = usable
+    else:
+        drawn = _drawn(book, usable, rand, now, DRAWS_WHEN_TOLD if req.told else DRAWS)
     costs = [(_cost(book, outliers, one, req, now), rand.random(), one.id) for one in drawn]
     _, _, chosen = min(costs)
     return chosen
@@ -119,10 +123,10 @@
 
 
 def _drawn(
-    book: LoadBook, usable: Sequence[Replica], rand: random.Random, now: int
+    book: LoadBook, usable: Sequence[Replica], rand: random.Random, now: int, draws: int
 ) -> Sequence[Replica]:
     """Return the replicas to compare: a few at random, full ones only if all are full."""
-    drawn = usable if len(usable) <= DRAWS else rand.sample(usable, DRAWS)
+    drawn = usable if len(usable) <= draws else rand.sample(usable, draws)
     fitting = [replica for replica in drawn if not _full(book, replica, now)]
     if not fitting and len(drawn) < len(usable):
         fitting = [replica for replica in usable if not _full(book, replica, now)]
--- /dev/null
+++ b/tests/test_jobs_room.py
@@ -0,0 +1,40 @@
+"""Test what an instance takes of the slots that it shares with one that it cannot hear."""
+
+import random
+
+from papayapier.clock import fake_clock
+from papayapier.jobs.room import Room, Shared, use_of
+from papayapier.policy.batch_room import SPARE_SLOTS, start_limit
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.upstream.api import Replica
+
+SLOTS = 8
+
+
+def shared(sharing: list[str], hidden: list[str]) -> Shared:
+    book = LoadBook()
+    replica = Replica("r", "lm", "h", 1, "dc")
+    book.on_listed([replica], (), {"r": SLOTS})
+    outliers = Outliers()
+    outliers.on_listed([replica])
+    clock = fake_clock().clock
+    return Shared(clock, random.Random(1), "a", book, outliers, lambda: sharing, lambda: hidden)
+
+
+def test_unused_slots_of_one_that_is_heard_are_taken() -> None:
+    assert start_limit(use_of(shared(["a", "b"], []), "r")) == SLOTS - SPARE_SLOTS
+
+
+def test_a_hidden_one_keeps_its_part() -> None:
+    # Symptom: online streams wait a second at full replicas while two keepers are cut from
+    # each other. Cause: each took all slots, since it saw none of the other's streams.
+    assert start_limit(use_of(shared(["a", "b"], ["b"]), "r")) == (SLOTS - SPARE_SLOTS) // 2
+
+
+def test_room_is_found_where_there_is_some() -> None:
+    room = Room(shared(["a"], []))
+    found = room.take("lm", 0)
+    assert found is not None
+    assert found.id == "r"
+    assert room.take("none", 0) is None
