Give the load of a stand-in a second to be read in its test

The first call ran for 30 ms of real time, and asking the load over a new connection took longer there, so that the second call had begun to run. Ruled out: the stand-in's count (it was 1 two lines before, in this process). The test checks the same; its call runs for a second.

--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -288,7 +288,9 @@
         # Symptom: a call that its caller had given up took effect later.
         # Sequence: the call waited in the service; its connection closed; its turn came.
         # Cause: a plain service does not take back what it has accepted.
-        await self.start(slots=1, work_ms=30)
+        # The first call must still run when the load has been asked over a new connection,
+        # which takes longer than some 30 ms on a busy machine.
+        await self.start(slots=1, work_ms=1_000)
         first = self.begin(self.ask("a"))
         await self.until(lambda: self.server.counts().calls == {"a": 1})
         second = self.begin(self.ask("b"))
