End calls under way when the store is closed

Cause: closing a link dropped kept connections only. A call under way went on, and a task whose call failed made the next one, so connection attempts outlived their instance (test_restarted_instance_serves_by_a_peers_knowledge left a DelayedCall once). Ruled out: the reactor's own connect timeout, which is within the time that the test waits. After: calls under way end at close, later ones fail before anything is sent; the new test fails without the change.

--- a/papayapier/store/link.py
+++ b/papayapier/store/link.py
@@ -79,8 +79,14 @@
         etag = response.headers.getRawHeaders("ETag", [""])[0]
         return Reply(response.code, etag, body)
 
+    under_way: set[Deferred[Reply]] = set()
+    closed = False
+
     async def exchange(req: Request) -> Result[Reply, BaseException]:
+        if closed:
+            return Err(ConnectingCancelledError(address))
         call = Deferred.fromCoroutine(send_and_read(req))
+        under_way.add(call)
         timer = clock.call_later(req.wait_ms + platform.timeout_ms, call.cancel)
         try:
             return Ok(await call)
@@ -91,10 +97,16 @@
                 pool.closeCachedConnections()
             return Err(exc)
         finally:
+            under_way.discard(call)
             if timer.active():
                 timer.cancel()
 
     async def close() -> None:
+        """End what is under way as well: a task whose call fails would make the next one."""
+        nonlocal closed
+        closed = True
+        for call in list(under_way):
+            call.cancel()
         await pool.closeCachedConnections()
 
     return Link(exchange, close)
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -77,6 +77,25 @@
         self.server.replies = list(replies)
         assert [await call() for _ in replies] == expected
 
+    def test_nothing_is_under_way_after_close(self) -> Any:
+        # Symptom: an instance that has been closed goes on calling the platform, and its
+        # connection attempts outlive it.
+        # Sequence: a call waits for its answer; the store is closed; the task whose call has
+        # failed makes the next one.
+        # Cause: closing dropped the kept connections only.
+        async def run() -> None:
+            self.server.replies = [SILENT]
+            waiting = Deferred.fromCoroutine(cast(Any, self.store.get("a")))
+            while not self.server.seen:
+                await real_clock().sleep(1)
+            await self.store.close()
+            assert waiting.called
+            assert await waiting == Err(StoreError.UNAVAILABLE)
+            assert await self.store.create("a", b"1") == Err(StoreError.UNAVAILABLE)
+            assert len(self.server.seen) == 1
+
+        return Deferred.fromCoroutine(run())
+
     def test_write_ends(self) -> Any:
         async def case() -> None:
             await self.ends(
