Run the batch items first that can still be done in time

Cancelled for online calls were the newest runs, also those with the least time left. Ruled out: slots left idle by keepers without jobs (what one leaves others take).

--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -24,7 +24,8 @@
 from papayapier.jobs.room import Room, Shared, use_of
 from papayapier.jobs.work import Item, JobWork
 from papayapier.metrics import Metrics
-from papayapier.policy.batch_room import keep_limit
+from papayapier.policy.batch_order import RunTimes, Standing, standing, victims
+from papayapier.policy.batch_room import keep_limit, start_limit
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.rendezvous import score
@@ -93,6 +94,8 @@
         self._soon: Timer | None = None
         self._sharing: Sequence[str] = ()
         self._stopping = False
+        self._pumping = False
+        self._times: dict[str, RunTimes] = {}
         self._commits = CommitDeps(
             deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
         )
@@ -212,16 +215,36 @@
 
     def pump(self) -> None:
         """Give back what online calls need, and start what there is room for."""
-        if self._stopping:
-            return
         table = self._deps.table()
-        if table is None:
+        if self._stopping or table is None:
+            return
+        if self._pumping:
+            # A run that was cut here has ended; what it leaves is seen by the next round.
+            self.pump_soon()
             return
+        self._pumping = True
+        try:
+            self._pump(table)
+        finally:
+            self._pumping = False
+
+    def _pump(self, table: RouteTable) -> None:
         shared = self._shared()
         self._give_way(shared)
         room = Room(shared)
-        for work, route in self._by_due(table):
-            self._start_items(work, route, room)
+        jobs = self._by_due(table)
+        wall = self._deps.clock.wall()
+        late: list[tuple[JobWork, Route, Item]] = []
+        for work, route in jobs:
+            for one in work.waiting(self._deps.clock.now()):
+                if self._standing(route.shares[0].upstream, work, one, wall).late:
+                    late.append((work, route, one))
+                elif not self._start_in(room, work, route, one):
+                    self._displace(shared, route, wall)
+                    return
+        for work, route, one in late:
+            if not self._start_in(room, work, route, one):
+                return
 
     def _by_due(self, table: RouteTable) -> list[tuple[JobWork, Route]]:
         wall = self._deps.clock.wall()
@@ -237,9 +260,9 @@
             if route.give_up_ms and age_ms > route.give_up_ms + CLOCK_MARGIN_MS:
                 self._give_up(work, "the time in which items are tried has passed")
                 continue
-            late = age_ms > route.due_ms
-            jobs.append((late, work.record.accepted_ms + route.due_ms, work.job_id, work, route))
-        return [(job[3], job[4]) for job in sorted(jobs, key=lambda job: job[:3])]
+            work.due_ms = work.record.accepted_ms + route.due_ms
+            jobs.append((work.due_ms, work.job_id, work, route))
+        return [(job[2], job[3]) for job in sorted(jobs, key=lambda job: job[:2])]
 
     def _give_up(self, work: JobWork, reason: str) -> None:
         events.emit(events.ITEMS_LOST, job=work.job_id, items=len(work.items), reason=reason)
@@ -248,13 +271,30 @@
             work.finish(item_id, ItemEnd.GIVEN_UP)
         self._commit(work)
 
-    def _start_items(self, work: JobWork, route: Route, room: Room) -> None:
-        now = self._deps.clock.now()
-        for one in work.waiting(now):
-            replica = room.take(route.shares[0].upstream, now)
-            if replica is None:
-                return
+    def _standing(self, upstream: str, work: JobWork, one: Item, wall: float) -> Standing:
+        return standing(self._times_at(upstream), len(one.texts), work.due_ms, wall)
+
+    def _times_at(self, upstream: str) -> RunTimes:
+        return self._times.setdefault(upstream, RunTimes())
+
+    def _start_in(self, room: Room, work: JobWork, route: Route, one: Item) -> bool:
+        """Start an item if there is room."""
+        replica = room.take(route.shares[0].upstream, self._deps.clock.now())
+        if replica is not None:
             self._start(work, route, one, replica)
+        return replica is not None
+
+    def _displace(self, shared: Shared, route: Route, wall: float) -> None:
+        """Cut one late run, where an item that can be done in time may start in its place."""
+        upstream = route.shares[0].upstream
+        for run in self._runs.values():
+            replica_id = run.replica.id
+            if run.replica.upstream != upstream or not self._run_standing(run, wall).late:
+                continue
+            # Runs above this line are kept, not started; cutting one there would free nothing.
+            if shared.book.own(replica_id).batch <= start_limit(use_of(shared, replica_id)):
+                self._cut(run, 1)
+                return
 
     def _start(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
         one.running = True
@@ -268,6 +308,7 @@
 
     async def _run(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
         taker = ItemTaker(one)
+        began_ms = self._deps.clock.now()
         sent: Result[RawAnswer, Failure] | None = None
         try:
             sent = await self._deps.send(replica, self._call(work, one, replica), taker)
@@ -276,7 +317,9 @@
         finally:
             self._runs.pop(one.item.id, None)
             one.running = False
-            self._deps.book.on_done(replica.id, True, self._deps.clock.now())
+            now = self._deps.clock.now()
+            one.ran_ms += now - began_ms
+            self._deps.book.on_done(replica.id, True, now)
             self._deps.uses_changed()
         if sent is not None:
             self._ended(work, route, one, replica, sent)
@@ -320,6 +363,7 @@
         answer = sent.ok_value
         if answer.good():
             self._deps.outliers.on_end(replica.id, True, None, now)
+            self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms)
             work.finish(one.item.id, ItemEnd.DONE)
             self._commit(work)
             return
@@ -353,17 +397,24 @@
         return Shared(deps.rand, deps.me, deps.book, deps.outliers, deps.sharing(), deps.hidden())
 
     def _give_way(self, shared: Shared) -> None:
-        """Cancel the newest runs at each replica where online calls need the slots."""
+        """Cut runs at each replica where online calls need the slots."""
         by_replica: dict[str, list[_Run]] = {}
         for run in self._runs.values():
             by_replica.setdefault(run.replica.id, []).append(run)
+        wall = self._deps.clock.wall()
         for replica_id, runs in by_replica.items():
             over = len(runs) - keep_limit(use_of(shared, replica_id))
-            for run in runs[len(runs) - over :] if over > 0 else ():
-                events.emit(
-                    events.ITEM_YIELDED, item=run.item.item.id, replica=replica_id, over=over
-                )
-                run.task.cancel()
+            if over > 0:
+                ranked = ((self._run_standing(run, wall), run) for run in runs)
+                for run in victims(ranked, over):
+                    self._cut(run, over)
+
+    def _run_standing(self, run: _Run, wall: float) -> Standing:
+        return self._standing(run.replica.upstream, run.work, run.item, wall)
+
+    def _cut(self, run: _Run, over: int) -> None:
+        events.emit(events.ITEM_YIELDED, item=run.item.item.id, replica=run.replica.id, over=over)
+        run.task.cancel()
 
     def _cancel_job(self, work: JobWork) -> None:
         for run in [run for run in self._runs.values() if run.work is work]:
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -1,5 +1,6 @@
 """Hold one job that this instance runs: what waits, what runs, what is to be written."""
 
+import math
 from typing import Final
 
 from papayapier.jobs.records import ItemEnd, ItemResult, JobItem, JobRecord, ResultGroup
@@ -11,13 +12,15 @@
 class Item:
     """Hold the state of one item; texts and last_event are what its streams have given."""
 
-    __slots__ = ("failures", "held_until_ms", "item", "last_event", "running", "texts")
+    __slots__ = ("failures", "held_until_ms", "item", "last_event", "ran_ms", "running", "texts")
 
     def __init__(self, item: JobItem) -> None:
         self.item = item
         self.texts: list[str] = []
         self.last_event = NO_EVENT
         self.failures = 0
+        # How long its runs have taken together.
+        self.ran_ms = 0
         self.running = False
         self.held_until_ms = NOT_HELD
 
@@ -38,6 +41,8 @@
         self.items: dict[str, Item] = {item.id: Item(item) for item in record.items}
         self.unwritten: dict[str, ItemResult] = {}
         self.listed = 0
+        # Wall clock; known once the job's route is.
+        self.due_ms = math.inf
 
     def waiting(self, now: int) -> list[Item]:
         """Return the items that may be started."""
