Read jobs without asking the store while every keeper's word has been heard

Ruled out: followers (three processes watch for all by now), writes (some 300 groups). Change: keepers number the groups they tell of, their heartbeats say how many; an entry that has heard as many needs no look (jobs/news.py). It looks again at once when a word is missing, a keeper is silent, new, or in doubt about a write.

--- a/papayapier/jobs/commits.py
+++ b/papayapier/jobs/commits.py
@@ -15,6 +15,7 @@
 from papayapier import events
 from papayapier.clock import Clock
 from papayapier.jobs.groups import read_groups
+from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.records import ItemResult, ResultGroup, encode, group_key
 from papayapier.jobs.work import Item, JobWork
 from papayapier.store.api import Store, StoreError
@@ -32,7 +33,7 @@
 
 class CommitDeps(NamedTuple):
     """Group what commits work with; taken_over is told of items that others have listed,
-    written of each group created here.
+    written of each group that may have been created here. news counts writes under way.
     """
 
     clock: Clock
@@ -40,6 +41,7 @@
     store: Store
     taken_over: Callable[[list[Item]], None]
     written: Callable[[JobWork], None]
+    news: GroupsTold
 
 
 async def load_groups(deps: CommitDeps, work: JobWork) -> Result[None, StoreError]:
@@ -68,6 +70,7 @@
                 await deps.clock.sleep(PAUSE_MS * deps.rand.uniform(0.5, 1.5))
     finally:
         work.committing = False
+        deps.news.end(work.job_id)
 
 
 async def _write_group(deps: CommitDeps, work: JobWork) -> bool:
@@ -76,17 +79,27 @@
     group = _gather(deps, work)
     settling = Settling(deps.store, deps.clock, deps.rand)
     due_ms = deps.clock.now() + SETTLE_MS
+    deps.news.begin(work.job_id, deps.clock.now())
     done = await create_settled(settling, group_key(work.job_id, number), encode(group), due_ms)
     if isinstance(done, Ok):
         work.take_group(number, group)
-        deps.written(work)
+        _tell(deps, work)
         return True
     if done.err_value in (StoreError.CONFLICT, StoreError.LOST):
-        return isinstance(await load_groups(deps, work), Ok) and work.groups > number
+        known = isinstance(await load_groups(deps, work), Ok) and work.groups > number
+        if known:
+            # It may be the group of an earlier try of this very write.
+            _tell(deps, work)
+        return known
     events.emit(events.COMMIT_DELAYED, job=work.job_id, reason=done.err_value.value)
     return False
 
 
+def _tell(deps: CommitDeps, work: JobWork) -> None:
+    deps.news.end(work.job_id)
+    deps.written(work)
+
+
 def _gather(deps: CommitDeps, work: JobWork) -> ResultGroup:
     results: list[ItemResult] = []
     size = 0
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -15,6 +15,7 @@
 from papayapier.clock import Clock
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
 from papayapier.jobs.groups import read_groups
+from papayapier.jobs.news import GroupsHeard
 from papayapier.jobs.records import (
     ItemResult,
     JobItem,
@@ -42,11 +43,12 @@
 
 
 class DeskDeps(NamedTuple):
-    """Group what the desk works with."""
+    """Group what the desk works with; heard judges for how long a look at the store stands."""
 
     clock: Clock
     rand: random.Random
     store: Store
+    heard: GroupsHeard
 
 
 class Page(NamedTuple):
@@ -118,8 +120,7 @@
             return view
         one = view.ok_value
         while len(one.results) <= after and not one.complete():
-            now = self._deps.clock.now()
-            if one.told > one.groups or now >= one.looked_ms + LOOK_STANDS_MS:
+            if one.told > one.groups or not self._look_stands(one):
                 more = await self._read_groups(job_id, one)
                 if isinstance(more, Err):
                     return more
@@ -137,6 +138,12 @@
         if view is not None and groups > view.groups:
             view.tell(groups)
 
+    def _look_stands(self, view: _View) -> bool:
+        now = self._deps.clock.now()
+        if now < view.looked_ms + LOOK_STANDS_MS:
+            return True
+        return self._deps.heard.stands(view.looked_ms, now)
+
     async def _told_or(self, view: _View, wait_ms: int) -> None:
         """Wait until a peer tells of a new group, or for the time given."""
         told: Deferred[None] = Deferred()
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -20,6 +20,7 @@
 from papayapier.jobs.commits import CommitDeps, commit, load_groups
 from papayapier.jobs.desk import read_whole
 from papayapier.jobs.item_run import ItemTaker
+from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.room import Room, Shared, use_of
 from papayapier.jobs.work import Item, JobWork
@@ -70,6 +71,7 @@
     hidden: Callable[[], Collection[str]]
     uses_changed: Callable[[], None]
     tell_groups: Callable[[str, int], None]
+    news: GroupsTold
     metrics: Metrics
 
 
@@ -97,7 +99,7 @@
         self._pumping = False
         self._times: dict[str, RunTimes] = {}
         self._commits = CommitDeps(
-            deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups
+            deps.clock, deps.rand, deps.store, self._cancel_items, self._tell_groups, deps.news
         )
 
     def start(self) -> None:
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -10,6 +10,7 @@
 from papayapier.clock import Clock
 from papayapier.config.routing_book import RoutingBook
 from papayapier.fleet_view import peer_uses_reader
+from papayapier.jobs.news import GroupsTold
 from papayapier.metrics import Metrics, make_metrics
 from papayapier.node.mirrors import MirrorDeps, Way, answer_from, through_hubs
 from papayapier.node.processes import NODES, NodeList, NodeRecord, Role, write_down
@@ -60,6 +61,7 @@
     outliers: Outliers
     routing: RoutingBook
     replicas: ReplicaList
+    news: GroupsTold
     nodes: NodeList
     hub: PeerHub
     links: Links
@@ -86,12 +88,15 @@
     book = LoadBook()
     outliers = Outliers()
     routing = RoutingBook(CONFIG_KEY, read_configuration)
+    news = GroupsTold()
     boot = rand.getrandbits(BOOT_BITS)
 
     def heartbeat() -> Heartbeat:
         uses = tuple(book.uses())
         beat = Heartbeat(cfg.instance.id, boot, drain.state(), routing.version(), uses)
-        return beat._replace(totals=totals()) if role is Role.KEEPER else beat
+        if role is Role.ENTRY:
+            return beat
+        return beat._replace(totals=totals(), groups_told=news.count(clock.now()))
 
     def totals() -> tuple[ReplicaUse, ...]:
         """Return the open calls at this keeper's part of the replicas, in a large fleet."""
@@ -161,6 +166,7 @@
         outliers=outliers,
         routing=routing,
         replicas=replicas,
+        news=news,
         nodes=nodes,
         hub=hub,
         links=links,
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -22,12 +22,13 @@
 from papayapier.entry.job_routes import JobRoutes, JobWire
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.jobs.desk import DeskDeps, JobDesk
+from papayapier.jobs.news import GroupsHeard
 from papayapier.listen import Listening, adopt, listen, listen_resource
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
 from papayapier.node.early import EarlySocket
 from papayapier.node.processes import Role
 from papayapier.node.settings import NodeSettings, split_address
-from papayapier.peer.messages import JobChanged
+from papayapier.peer.messages import Heartbeat, JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.readiness import add_readiness
 from papayapier.policy.admission import AdmissionQueue
@@ -175,8 +176,17 @@
 def _routes(
     base: NodeBase, forward: ForwardDeps, queue: StartQueue, readiness: _Readiness
 ) -> ForwardRoutes:
-    desk = JobDesk(DeskDeps(base.clock, base.rand, base.view(Priority.CLAIM)))
-    base.hub.subscribe(JobChanged, lambda _peer, told: desk.on_groups(told.job_id, told.version))
+    heard = GroupsHeard(lambda: base.nodes.with_role(Role.KEEPER))
+    desk = JobDesk(DeskDeps(base.clock, base.rand, base.view(Priority.CLAIM), heard))
+
+    def on_job(peer_id: str, told: JobChanged) -> None:
+        heard.on_word(peer_id, told)
+        desk.on_groups(told.job_id, told.version)
+
+    base.hub.subscribe(JobChanged, on_job)
+    base.hub.subscribe(
+        Heartbeat, lambda peer_id, beat: heard.on_heartbeat(peer_id, beat, base.clock.now())
+    )
     wire = JobWire(headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.perform)
     jobs = JobRoutes(
         base.clock,
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -77,6 +77,9 @@
             live |= {one for one in cut_off if witnesses.heard(one, entries)}
         return sorted(live if live and base.drain.state() != "serving" else {*live, me})
 
+    def tell_groups(job_id: str, groups: int) -> None:
+        base.hub.tell_all(JobChanged(job_id, groups, base.news.next_number()))
+
     runner = JobRunner(
         RunnerDeps(
             clock=clock,
@@ -93,7 +96,8 @@
             sharing=sharing,
             hidden=lambda: base.hub.silent() & base.nodes.with_role(Role.KEEPER),
             uses_changed=base.hub.uses_changed,
-            tell_groups=lambda job_id, groups: base.hub.tell_all(JobChanged(job_id, groups)),
+            tell_groups=tell_groups,
+            news=base.news,
             metrics=base.metrics,
         )
     )
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -9,6 +9,7 @@
 
 from papayapier.clock import fake_clock
 from papayapier.jobs.desk import DeskDeps, JobDesk
+from papayapier.jobs.news import GroupsHeard
 from papayapier.jobs.records import (
     ItemEnd,
     ItemResult,
@@ -129,7 +130,11 @@
     def __init__(self, memory: MemoryStore | None = None) -> None:
         self.time = fake_clock()
         self.memory = memory or MemoryStore()
-        self.desk = JobDesk(DeskDeps(self.time.clock, random.Random(1), self.memory.store()))
+        self.writers: list[str] = []
+        self.heard = GroupsHeard(lambda: self.writers)
+        self.desk = JobDesk(
+            DeskDeps(self.time.clock, random.Random(1), self.memory.store(), self.heard)
+        )
 
     def has_job(self, *names: str) -> None:
         self.memory.put(job_key(JOB), encode(record(*names)))
--- a/tests/test_jobs_commits.py
+++ b/tests/test_jobs_commits.py
@@ -15,6 +15,7 @@
 
 from papayapier.clock import fake_clock
 from papayapier.jobs.commits import CommitDeps, commit, load_groups
+from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.records import ItemEnd, groups_prefix, read_group
 from papayapier.jobs.work import JobWork
 from papayapier.store.api import StoreError
@@ -29,7 +30,12 @@
     def __init__(self, memory: MemoryStore, clock: Any, seed: int) -> None:
         self.work = JobWork(JOB, record(*NAMES))
         self.deps = CommitDeps(
-            clock, random.Random(seed), memory.store(), lambda _items: None, lambda _work: None
+            clock,
+            random.Random(seed),
+            memory.store(),
+            lambda _items: None,
+            lambda _work: None,
+            GroupsTold(),
         )
 
     def load(self) -> None:
