--- /dev/null
+++ b/papayapier/jobs/runs.py
@@ -0,0 +1,276 @@
+"""Run the items of jobs in the room that online calls leave, and give it back.
+
+Which jobs there are is the runner's to know (runner.py); here is what runs, where, and what
+becomes of each run. Which item goes first is decided by policy/batch_order.py, how many runs a
+replica bears by policy/batch_room.py.
+"""
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from typing import Any, Final, NamedTuple
+
+from result import Err, Result
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.web.http_headers import Headers
+
+from papayapier import events
+from papayapier.clock import Clock
+from papayapier.config.route_table import Route
+from papayapier.dispatch.blame import blames_replica
+from papayapier.jobs.item_run import ItemTaker
+from papayapier.jobs.records import ItemEnd
+from papayapier.jobs.room import Room, Shared, use_of
+from papayapier.jobs.work import Item, JobWork
+from papayapier.policy.batch_order import RunTimes, Standing, standing, victims
+from papayapier.policy.batch_room import keep_limit, start_limit
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.raw import RawAnswer, RawCall, SendRaw
+
+# One run is far shorter; a run that goes on this long is resumed elsewhere.
+RUN_LIMIT_MS: Final = 60_000
+# Pause before an item that a replica rejected or broke is sent again.
+AGAIN_MS: Final = 150
+CANNOT_BE_DONE: Final = 422
+
+
+class RunDeps(NamedTuple):
+    """Group what runs work with.
+
+    sharing names the live instances that run batch, this one included, hidden those of them
+    that only others hear. head writes the headers for one replica. body decodes the body of an
+    item.
+    """
+
+    clock: Clock
+    rand: random.Random
+    me: str
+    book: LoadBook
+    outliers: Outliers
+    send: SendRaw
+    head: Callable[[Headers, Replica, int | None, int], Headers]
+    body: Callable[[Any], bytes]
+    request_id: bytes
+    sharing: Callable[[], Sequence[str]]
+    hidden: Callable[[], Collection[str]]
+    uses_changed: Callable[[], None]
+
+
+class _Run(NamedTuple):
+    """Hold one run under way."""
+
+    work: JobWork
+    item: Item
+    replica: Replica
+    task: Deferred[None]
+
+
+class Runs:
+    """Own the runs under way.
+
+    finished is told of a job with a new result, ended that a run has made room.
+    """
+
+    def __init__(
+        self,
+        deps: RunDeps,
+        finished: Callable[[JobWork], None],
+        ended: Callable[[], None],
+    ) -> None:
+        self._deps = deps
+        self._finished = finished
+        self._ended = ended
+        self._runs: dict[str, _Run] = {}
+        self._times: dict[str, RunTimes] = {}
+
+    def count(self) -> int:
+        """Return how many items run."""
+        return len(self._runs)
+
+    def cancel_all(self) -> None:
+        """Cut every run."""
+        for run in list(self._runs.values()):
+            run.task.cancel()
+
+    def cancel_job(self, work: JobWork) -> None:
+        """Cut the runs of a job."""
+        for run in [run for run in self._runs.values() if run.work is work]:
+            run.task.cancel()
+
+    def cancel_items(self, items: list[Item]) -> None:
+        """Cut the runs of some items."""
+        for one in items:
+            run = self._runs.get(one.item.id)
+            if run is not None:
+                run.task.cancel()
+
+    def give_way_and_start(self, jobs: Sequence[tuple[JobWork, Route]]) -> None:
+        """Give back what online calls need, and start what there is room for.
+
+        Jobs come in order of their due time.
+        """
+        shared = self._shared()
+        self._give_way(shared)
+        room = Room(shared)
+        wall = self._deps.clock.wall()
+        late: list[tuple[JobWork, Route, Item]] = []
+        full: set[str] = set()
+        for work, route in jobs:
+            upstream = route.shares[0].upstream
+            for one in work.waiting(self._deps.clock.now()):
+                if upstream in full:
+                    break
+                if self._standing(upstream, work, one, wall).late:
+                    late.append((work, route, one))
+                elif not self._start_in(room, work, route, one):
+                    self._displace(shared, upstream, wall)
+                    full.add(upstream)
+        for work, route, one in late:
+            upstream = route.shares[0].upstream
+            if upstream not in full and not self._start_in(room, work, route, one):
+                full.add(upstream)
+
+    def _standing(self, upstream: str, work: JobWork, one: Item, wall: float) -> Standing:
+        return standing(self._times_at(upstream), len(one.texts), work.due_ms, wall)
+
+    def _times_at(self, upstream: str) -> RunTimes:
+        return self._times.setdefault(upstream, RunTimes())
+
+    def _start_in(self, room: Room, work: JobWork, route: Route, one: Item) -> bool:
+        """Start an item if there is room."""
+        replica = room.take(route.shares[0].upstream, self._deps.clock.now())
+        if replica is not None:
+            self._start(work, route, one, replica)
+        return replica is not None
+
+    def _displace(self, shared: Shared, upstream: str, wall: float) -> None:
+        """Cut one late run, where an item that can be done in time may start in its place."""
+        for run in self._runs.values():
+            replica_id = run.replica.id
+            if run.replica.upstream != upstream or not self._run_standing(run, wall).late:
+                continue
+            # Runs above this line are kept, not started; cutting one there would free nothing.
+            if shared.book.own(replica_id).batch <= start_limit(use_of(shared, replica_id)):
+                self._cut(run, 1)
+                return
+
+    def _start(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
+        one.running = True
+        now = self._deps.clock.now()
+        self._deps.book.on_sent(replica.id, True, now)
+        self._deps.uses_changed()
+        task = Deferred.fromCoroutine(self._run(work, route, one, replica))
+        if task.called:
+            return
+        self._runs[one.item.id] = _Run(work, one, replica, task)
+
+    async def _run(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
+        taker = ItemTaker(one)
+        began_ms = self._deps.clock.now()
+        sent: Result[RawAnswer, Failure] | None = None
+        try:
+            sent = await self._deps.send(replica, self._call(work, one, replica), taker)
+        except CancelledError:
+            pass
+        finally:
+            self._runs.pop(one.item.id, None)
+            one.running = False
+            now = self._deps.clock.now()
+            one.ran_ms += now - began_ms
+            self._deps.book.on_done(replica.id, True, now)
+            self._deps.uses_changed()
+        if sent is not None:
+            self._judge(work, route, one, replica, sent)
+        self._ended()
+
+    def _call(self, work: JobWork, one: Item, replica: Replica) -> RawCall:
+        headers = Headers({name: [value] for name, value in one.item.headers.items()})
+        headers.setRawHeaders(b"Host", [work.record.host.encode()])
+        headers.setRawHeaders(self._deps.request_id, [one.item.id.encode()])
+        return RawCall(
+            one.item.id,
+            "POST",
+            one.item.path,
+            self._deps.head(headers, replica, None, one.last_event),
+            self._deps.body(one.item),
+            self._deps.clock.now() + RUN_LIMIT_MS,
+            fresh=False,
+            stream=True,
+        )
+
+    def _judge(
+        self,
+        work: JobWork,
+        route: Route,
+        one: Item,
+        replica: Replica,
+        sent: Result[RawAnswer, Failure],
+    ) -> None:
+        if one.item.id not in work.items:
+            return
+        now = self._deps.clock.now()
+        if isinstance(sent, Err):
+            failure = sent.err_value
+            if failure.kind is FailureKind.CANCELLED:
+                return
+            one.held_until_ms = now + AGAIN_MS
+            if failure.sent is Sent.MAYBE and blames_replica(failure):
+                self._deps.outliers.on_end(replica.id, False, None, now)
+            self._note_again(work, one, replica, failure.reason)
+            return
+        answer = sent.ok_value
+        if answer.good():
+            self._deps.outliers.on_end(replica.id, True, None, now)
+            self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms)
+            work.finish(one.item.id, ItemEnd.DONE)
+            self._finished(work)
+            return
+        one.failures += 1
+        one.held_until_ms = now + AGAIN_MS
+        if answer.status == CANNOT_BE_DONE or one.failures >= route.attempts:
+            events.emit(
+                events.ITEM_FAILED,
+                job=work.job_id,
+                item=one.item.id,
+                status=answer.status,
+                failures=one.failures,
+            )
+            work.finish(one.item.id, ItemEnd.GIVEN_UP)
+            self._finished(work)
+            return
+        self._note_again(work, one, replica, f"status {answer.status}")
+
+    def _note_again(self, work: JobWork, one: Item, replica: Replica, reason: str) -> None:
+        events.emit(
+            events.ITEM_AGAIN,
+            job=work.job_id,
+            item=one.item.id,
+            replica=replica.id,
+            after=one.last_event,
+            reason=reason,
+        )
+
+    def _shared(self) -> Shared:
+        deps = self._deps
+        return Shared(deps.rand, deps.me, deps.book, deps.outliers, deps.sharing(), deps.hidden())
+
+    def _give_way(self, shared: Shared) -> None:
+        """Cut runs at each replica where online calls need the slots."""
+        by_replica: dict[str, list[_Run]] = {}
+        for run in self._runs.values():
+            by_replica.setdefault(run.replica.id, []).append(run)
+        wall = self._deps.clock.wall()
+        for replica_id, runs in by_replica.items():
+            over = len(runs) - keep_limit(use_of(shared, replica_id))
+            if over > 0:
+                ranked = ((self._run_standing(run, wall), run) for run in runs)
+                for run in victims(ranked, over):
+                    self._cut(run, over)
+
+    def _run_standing(self, run: _Run, wall: float) -> Standing:
+        return self._standing(run.replica.upstream, run.work, run.item, wall)
+
+    def _cut(self, run: _Run, over: int) -> None:
+        events.emit(events.ITEM_YIELDED, item=run.item.item.id, replica=run.replica.id, over=over)
+        run.task.cancel()
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -11,6 +11,7 @@
 from papayapier.jobs.expiry import Expiry, ExpiryDeps
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
+from papayapier.jobs.runs import RunDeps
 from papayapier.node.base import (
     SLOWLY,
     SOON,
@@ -80,27 +81,22 @@
     def tell_groups(job_id: str, groups: int) -> None:
         base.hub.tell_all(JobChanged(job_id, groups, base.news.next_number()))
 
-    runner = JobRunner(
-        RunnerDeps(
-            clock=clock,
-            rand=rand,
-            me=me,
-            store=base.view(Priority.BULK),
-            book=base.book,
-            outliers=base.outliers,
-            send=base.send,
-            head=headers.for_replica,
-            body=job_calls.item_body,
-            request_id=headers.REQUEST_ID,
-            table=base.routing.table,
-            sharing=sharing,
-            hidden=lambda: base.hub.silent() & base.nodes.with_role(Role.KEEPER),
-            uses_changed=base.hub.uses_changed,
-            tell_groups=tell_groups,
-            news=base.news,
-            metrics=base.metrics,
-        )
+    runs = RunDeps(
+        clock=clock,
+        rand=rand,
+        me=me,
+        book=base.book,
+        outliers=base.outliers,
+        send=base.send,
+        head=headers.for_replica,
+        body=job_calls.item_body,
+        request_id=headers.REQUEST_ID,
+        sharing=sharing,
+        hidden=lambda: base.hub.silent() & base.nodes.with_role(Role.KEEPER),
+        uses_changed=base.hub.uses_changed,
     )
+    store = base.view(Priority.BULK)
+    runner = JobRunner(RunnerDeps(runs, store, base.routing.table, tell_groups, base.news))
     base.hub.on_change(runner.review)
     base.hub.subscribe(Heartbeat, witnesses.on_heartbeat)
     base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump_soon())
