Break off an answer whose request crashes midway, and take a caller that left for no crash

Cause, seen outside the bench (an entry profiled under load whose replicas and callers ended at once): a stream that broke as its caller left raised twice, since there was no connection to abort. The crash of a started stream was answered with an event of our own and a clean end, which a caller would take for the replica's.

--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -107,7 +107,18 @@
 def _failed(failure: Any, request: Any) -> None:
     if failure.check(CancelledError, ConnectionDone, ConnectionLost):
         return
-    request.processingFailed(failure)
+    if not request.gone and not request.startedWriting:
+        request.processingFailed(failure)
+        return
+    events.emit(
+        events.REQUEST_CRASHED,
+        path=request.path.decode("ascii", "replace"),
+        error=repr(failure.value),
+        traceback=failure.getTraceback(),
+    )
+    if not request.gone:
+        # Anything written now would pass for a part of the replica's answer.
+        request.channel.transport.abortConnection()
 
 
 async def _serve(routes: ForwardRoutes, request: Any) -> None:
@@ -238,6 +249,10 @@
     began: int,
 ) -> None:
     name = req.profile.name
+    if request.gone:
+        # Its caller left while the answer's last word was on its way.
+        events.emit(events.CALLER_GONE, request=req.request_id, profile=name)
+        return
     if isinstance(done, Ok):
         routes.metrics.requests.labels(name, "answered").inc()
         took_s = (routes.clock.now() - began) / MS_PER_S
