Carry words of new results in heartbeats of a large fleet, and tell early only whom a change concerns

A message to all for each group of results and early heartbeats about replicas that run no batch are a fifth of them, by count. Ruled out: regular heartbeats of keepers at 400 ms in place of some 340 (too little).

--- a/papayapier/config/route_table.py
+++ b/papayapier/config/route_table.py
@@ -80,6 +80,8 @@
     def __init__(self, cfg: RoutingConfig) -> None:
         self.cfg = cfg
         self._by_host: dict[str, list[Route]] = {}
+        jobs = (route for route in cfg.routes if route.kind is WorkKind.JOB)
+        self.job_upstreams = frozenset(share.upstream for route in jobs for share in route.shares)
         for route in cfg.routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self._by_host.values():
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -149,6 +149,7 @@
         "excluded",
         "fresh",
         "maybe_sent",
+        "placed",
         "rejections",
         "replicas",
         "stream",
@@ -158,6 +159,8 @@
         self.attempts = 0
         self.began_ms = began_ms
         self.replicas: list[str] = []
+        # Sends that a placer chose; the rest were chosen here.
+        self.placed = 0
         self.rejections = 0
         self.excluded = NONE_EXCLUDED
         self.fresh = not req.profile.idempotent
@@ -176,7 +179,7 @@
     progress = _Progress(req, reader, deps.clock.now())
     deps.budget.on_request(req.profile.upstream, deps.clock.now())
     while True:
-        replica = await _pick(deps, req, progress.excluded)
+        replica = await _pick(deps, req, progress)
         if replica is None:
             return _end(progress, _no_replica(req))
         sent = await _send_once(deps, req, replica, progress)
@@ -200,6 +203,7 @@
         upstream=req.profile.upstream,
         status=answer.status,
         replicas=progress.replicas,
+        placed=progress.placed,
         waited_ms=progress.began_ms - req.arrived_ms,
         first_ms=(first or now) - progress.began_ms,
         run_ms=now - progress.began_ms,
@@ -213,13 +217,14 @@
     return Err(make_true(refusal, progress.maybe_sent))
 
 
-async def _pick(deps: ForwardDeps, req: RawRequest, excluded: frozenset[str]) -> Replica | None:
+async def _pick(deps: ForwardDeps, req: RawRequest, progress: "_Progress") -> Replica | None:
+    """Return the replica that a placer names, or one chosen by what is known here."""
     upstream = req.profile.upstream
     route = RouteRequest(
         upstream,
         req.prompt,
         deps.data_centre,
-        excluded,
+        progress.excluded,
         idempotent=req.profile.idempotent,
         told=True,
         fresh=deps.fresh(),
@@ -228,6 +233,7 @@
     if placed is not None:
         for replica in deps.book.usable(upstream, deps.clock.now()):
             if replica.id == placed:
+                progress.placed += 1
                 return replica
     return pick_replica(deps.book, deps.outliers, route, deps.rand, deps.clock.now())
 
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -102,6 +102,7 @@
 STORE_ODD_ANSWER: Final = Event(
     405, "store_odd_answer", Level.WARNING, "store's answer is not understood"
 )
+FOLLOWS: Final = Event(410, "follows", Level.INFO, "store followed by another way")
 STORE_SILENT: Final = Event(406, "store_silent", Level.WARNING, "store call timed out")
 STORE_TASK_FAILED: Final = Event(
     407, "store_task_failed", Level.ERROR, "store task ended by an unexpected exception"
--- a/papayapier/jobs/news.py
+++ b/papayapier/jobs/news.py
@@ -10,10 +10,11 @@
 missing, a writer is silent, begins anew, or does not know whether a write took effect.
 """
 
+from collections import deque
 from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
-from papayapier.peer.messages import NOT_SURE, Heartbeat, JobChanged
+from papayapier.peer.messages import NOT_SURE, Heartbeat, JobWord
 
 # A write that takes longer makes its writer unsure; the store answers in 4 ms, and a heartbeat
 # speaks for all writes begun this long before it.
@@ -22,6 +23,9 @@
 # before; what one instance has shown is then shown by all 0.7 s later, of the second that the
 # platform's page allows.
 WORD_STANDS_MS: Final = 700
+# Words in a heartbeat go out with three or four of them, so that a lost one costs nothing.
+WORDS_REPEATED_MS: Final = 1_500
+KEPT_WORDS: Final = 64
 # A silent writer counts until it has been silent this long, twice the longest cut seen in runs:
 # it may live and write where others hear it.
 FORGET_MS: Final = 20_000
@@ -30,10 +34,11 @@
 class GroupsTold:
     """Count the groups that this instance has told of, and the writes whose end is open."""
 
-    __slots__ = ("_count", "_open")
+    __slots__ = ("_count", "_last", "_open")
 
     def __init__(self) -> None:
         self._count = 0
+        self._last: deque[tuple[int, JobWord]] = deque(maxlen=KEPT_WORDS)
         self._open: dict[str, int] = {}
 
     def begin(self, job_id: str, now: int) -> None:
@@ -44,10 +49,16 @@
         """Take that the end of a job's write is known."""
         self._open.pop(job_id, None)
 
-    def next_number(self) -> int:
-        """Return the number of one more word."""
+    def word(self, job_id: str, groups: int, now: int) -> JobWord:
+        """Return one more word."""
         self._count += 1
-        return self._count
+        word = JobWord(self._count, job_id, groups)
+        self._last.append((now, word))
+        return word
+
+    def last(self, now: int) -> tuple[JobWord, ...]:
+        """Return the words of the last moments, for heartbeats; each goes out several times."""
+        return tuple(word for told, word in self._last if now - told <= WORDS_REPEATED_MS)
 
     def count(self, now: int) -> int:
         """Return how many words there were, or NOT_SURE while a write's end is long open."""
@@ -80,11 +91,11 @@
         self._known: dict[str, _Writer] = {}
         self._silent_since: dict[str, int] = {}
 
-    def on_word(self, writer: str, told: JobChanged) -> None:
+    def on_word(self, writer: str, number: int) -> None:
         """Take a writer's word of a new group."""
         known = self._known.get(writer)
-        if known is not None and told.number == known.heard + 1:
-            self._known[writer] = known._replace(heard=told.number)
+        if known is not None and number == known.heard + 1:
+            self._known[writer] = known._replace(heard=number)
 
     def on_heartbeat(self, writer: str, beat: Heartbeat, now: int) -> None:
         """Take a writer's heartbeat."""
@@ -92,6 +103,10 @@
         if beat.groups_told == NOT_SURE:
             return
         known = self._known.get(writer)
+        if known is not None and known.boot == beat.boot:
+            for word in beat.words:
+                self.on_word(writer, word.number)
+            known = self._known[writer]
         if known is None or known.boot != beat.boot or beat.groups_told > known.heard:
             # What was missed shows only in the store: looks from now on count.
             self._known[writer] = _Writer(beat.boot, beat.groups_told, now, now)
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -100,7 +100,9 @@
         beat = Heartbeat(cfg.instance.id, boot, drain.state(), routing.version(), uses)
         if role is Role.ENTRY:
             return beat
-        return beat._replace(totals=totals(), groups_told=news.count(clock.now()))
+        now = clock.now()
+        words = () if hub.plan().full_mesh else news.last(now)
+        return beat._replace(totals=totals(), groups_told=news.count(now), words=words)
 
     def totals() -> tuple[ReplicaUse, ...]:
         """Return the open calls at this keeper's part of the replicas, in a large fleet."""
@@ -138,10 +140,16 @@
     def hubs() -> list[str]:
         return sorted(nodes.with_role(Role.KEEPER).intersection(hub.live()))
 
+    def may_run_batch(replica_id: str) -> bool:
+        table = routing.table()
+        upstream = parts.key_of.get(replica_id, "").rpartition("/")[0]
+        return table is None or upstream in table.job_upstreams
+
     def concerned(replicas: Collection[str]) -> set[str]:
         """Return the hubs that share some replicas or place their online calls."""
         live = hubs()
-        sharing = {one for replica in replicas for one in sharers_of(replica, live)}
+        batch = [one for one in replicas if may_run_batch(one)]
+        sharing = {one for replica in batch for one in sharers_of(replica, live)}
         keys = {parts.key_of[replica] for replica in replicas if replica in parts.key_of}
         placing = {placer_of(key, live) for key in keys}
         return sharing.union(one for one in placing if one is not None)
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -183,13 +183,16 @@
     desk = JobDesk(DeskDeps(base.clock, base.rand, base.view(Priority.CLAIM), heard))
 
     def on_job(peer_id: str, told: JobChanged) -> None:
-        heard.on_word(peer_id, told)
+        heard.on_word(peer_id, told.number)
         desk.on_groups(told.job_id, told.version)
 
+    def on_beat(peer_id: str, beat: Heartbeat) -> None:
+        heard.on_heartbeat(peer_id, beat, base.clock.now())
+        for word in beat.words:
+            desk.on_groups(word.job_id, word.groups)
+
     base.hub.subscribe(JobChanged, on_job)
-    base.hub.subscribe(
-        Heartbeat, lambda peer_id, beat: heard.on_heartbeat(peer_id, beat, base.clock.now())
-    )
+    base.hub.subscribe(Heartbeat, on_beat)
     wire = JobWire(headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.perform)
     jobs = JobRoutes(
         base.clock,
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -79,7 +79,11 @@
         return sorted(live if live and base.drain.state() != "serving" else {*live, me})
 
     def tell_groups(job_id: str, groups: int) -> None:
-        base.hub.tell_all(JobChanged(job_id, groups, base.news.next_number()))
+        word = base.news.word(job_id, groups, clock.now())
+        # In a large fleet the next heartbeats carry it: a message to everybody for each group
+        # would be a tenth of all messages, and readers wait half a second at most.
+        if base.hub.plan().full_mesh:
+            base.hub.tell_all(JobChanged(job_id, groups, word.number))
 
     runs = RunDeps(
         clock=clock,
--- a/papayapier/node/mirrors.py
+++ b/papayapier/node/mirrors.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
+from papayapier import events
 from papayapier.node.store_tells import (
     changes_told,
     listing_told,
@@ -59,6 +60,12 @@
     def __init__(self) -> None:
         self.direct = True
 
+    def take(self, direct: bool, prefix: str) -> None:
+        """Note where an answer comes from, and log a change of it."""
+        if direct != self.direct:
+            self.direct = direct
+            events.emit(events.FOLLOWS, prefix=prefix, by="store" if direct else "hub")
+
 
 def watchers(hubs: list[str]) -> list[str]:
     """Return the hubs that watch the store for all."""
@@ -73,14 +80,14 @@
         if after == WHOLE_FROM_START:
             told = await others.ask(prefix, WHOLE, 0)
             if isinstance(told, Ok):
-                way.direct = False
+                way.take(False, prefix)
                 return Ok(told_listing(told.ok_value))
-        way.direct = True
+        way.take(True, prefix)
         return await own.list(prefix, after, limit)
 
     async def watch(prefix: str, since: int, wait_ms: int) -> Result[Changes, StoreError]:
         told = await others.ask(prefix, since, wait_ms)
-        way.direct = told == Err(StoreError.UNAVAILABLE)
+        way.take(told == Err(StoreError.UNAVAILABLE), prefix)
         if way.direct:
             return await own.watch(prefix, since, wait_ms)
         return told.map(told_changes)
--- a/papayapier/node/placing.py
+++ b/papayapier/node/placing.py
@@ -53,11 +53,15 @@
             return None
         now = deps.clock.now()
         known = deps.book.usable(req.upstream, now)
-        ejected = {one.id for one in known if deps.outliers.ejected(one.id, now)}
-        shunned = tuple(sorted(req.exclude | ejected))
+        shunned = set(req.exclude)
+        for one in known:
+            # How replicas answer is known where their answers come.
+            returning = not req.idempotent and deps.outliers.returning(one.id)
+            if returning or deps.outliers.ejected(one.id, now):
+                shunned.add(one.id)
         told = await deps.hub.ask(
             hub_id,
-            lambda ask_id: PlaceAsk(ask_id, key, req.prefix, req.data_centre, shunned),
+            lambda ask_id: PlaceAsk(ask_id, key, req.prefix, req.data_centre, tuple(shunned)),
             ANSWER_MS,
         )
         if isinstance(told, Ok) and isinstance(told.ok_value, PlaceTell):
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -18,6 +18,14 @@
     batch: int
 
 
+class JobWord(NamedTuple):
+    """Tell that a job has so many groups of results; number counts the sender's words."""
+
+    number: int
+    job_id: str
+    groups: int
+
+
 class Heartbeat(NamedTuple):
     """Tell that the sender lives, what it applies and what it has open.
 
@@ -26,7 +34,8 @@
     unheard names the peers whose own heartbeats do not arrive at the sender. every_ms is the
     sender's present pace, by which the receiver judges its silence. totals holds what all
     instances together have open at the replicas of which a hub tells. groups_told counts the
-    numbered JobChanged of this boot, or is NOT_SURE.
+    numbered words of this boot, or is NOT_SURE; words are the last ones, where no JobChanged of
+    their own carries them.
     """
 
     instance: str
@@ -39,6 +48,7 @@
     every_ms: int = 0
     totals: tuple[ReplicaUse, ...] = ()
     groups_told: int = -1
+    words: tuple[JobWord, ...] = ()
 
 
 # In place of a count of words: a write may have taken effect or not.
--- a/tests/test_jobs_news.py
+++ b/tests/test_jobs_news.py
@@ -11,7 +11,7 @@
     GroupsHeard,
     GroupsTold,
 )
-from papayapier.peer.messages import NOT_SURE, Heartbeat, JobChanged
+from papayapier.peer.messages import NOT_SURE, Heartbeat
 from tests.jobs_world import JOB, DeskWorld
 
 BEAT_MS = 200
@@ -28,9 +28,9 @@
         self.heard = GroupsHeard(lambda: self.told)
 
     def word(self, writer: str, lost: bool = False) -> None:
-        number = self.told[writer].next_number()
+        word = self.told[writer].word("job", 1, self.now)
         if not lost:
-            self.heard.on_word(writer, JobChanged("job", 1, number))
+            self.heard.on_word(writer, word.number)
 
     def beats(self, times: int = 1) -> None:
         for _ in range(times):
@@ -110,6 +110,22 @@
     assert world.stands(world.now - BEAT_MS)
 
 
+def test_words_that_heartbeats_carry_are_heard() -> None:
+    # In a large fleet no message of their own carries them, and a heartbeat may be lost.
+    world = World("a")
+    world.beats(3)
+    looked_ms = world.now
+    told = world.told["a"]
+    for lost in (False, True, False):
+        told.word("job", 1, world.now)
+        world.now += BEAT_MS
+        beat = Heartbeat("a", 1, "serving", 1, words=told.last(world.now))
+        beat = beat._replace(groups_told=told.count(world.now))
+        if not lost:
+            world.heard.on_heartbeat("a", beat, world.now)
+    assert world.stands(looked_ms)
+
+
 def test_a_write_whose_end_is_known_is_no_doubt() -> None:
     told = GroupsTold()
     told.begin("job", 0)
