Split what a process knows of a large fleet and of the store's return from the wiring

Now node/large_fleet.py and node/store_return.py hold these, with tests of their own. No change of behaviour meant; a replica that is not listed concerns no placer.

--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -12,19 +12,19 @@
 from papayapier.fleet_view import peer_uses_reader
 from papayapier.jobs.news import GroupsTold
 from papayapier.metrics import Metrics, make_metrics
+from papayapier.node.large_fleet import LargeFleet
 from papayapier.node.mirrors import MirrorDeps, Way, answer_from, through_hubs
 from papayapier.node.placing import PlacingDeps, answer_places
 from papayapier.node.processes import NODES, NodeList, NodeRecord, Role, write_down
 from papayapier.node.replica_list import ListedReplica, ReplicaList, ReplicaListDeps
 from papayapier.node.settings import NodeSettings
 from papayapier.node.store_relay import RelayDeps, answer_peers, relayed
+from papayapier.node.store_return import StoreReturn
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.messages import (
-    NEVER_AWAY,
     ConfigPush,
     Heartbeat,
     Message,
-    ReplicaUse,
 )
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
 from papayapier.platform.headers import read_facts
@@ -33,8 +33,7 @@
 from papayapier.policy.drain import Drain, DrainPlan
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
-from papayapier.policy.placers import make_parts, placer_of
-from papayapier.policy.totals import sharers_of, totals_of
+from papayapier.policy.totals import totals_of
 from papayapier.store.api import Change, Store
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.mirror import Mirror
@@ -92,7 +91,6 @@
     outliers = Outliers()
     routing = RoutingBook(CONFIG_KEY, read_configuration)
     news = GroupsTold()
-    parts = make_parts(())
     boot = rand.getrandbits(BOOT_BITS)
 
     def heartbeat() -> Heartbeat:
@@ -101,76 +99,39 @@
         if role is Role.ENTRY:
             return beat
         now = clock.now()
-        words = () if hub.plan().full_mesh else news.last(now)
-        return beat._replace(totals=totals(), groups_told=news.count(now), words=words)
-
-    def totals() -> tuple[ReplicaUse, ...]:
-        """Return the open calls at this keeper's part of the replicas, in a large fleet."""
+        beat = beat._replace(groups_told=news.count(now))
         if hub.plan().full_mesh:
-            return ()
-        live = [*(one for one in hub.live() if one in nodes.with_role(Role.KEEPER))]
-        return totals_of(book, live, cfg.instance.id)
+            return beat
+        totals = totals_of(book, fleet.hubs(), cfg.instance.id)
+        return beat._replace(totals=totals, words=news.last(now))
 
     def on_replicas(listed: list[ListedReplica]) -> None:
         replicas = [one.replica for one in listed]
         slots = {one.replica.id: one.slots for one in listed if one.slots}
         book.on_listed(replicas, {one.replica.id for one in listed if one.leaving}, slots)
         outliers.on_listed(replicas)
-        nonlocal parts
-        parts = make_parts(replicas)
-
-    # What hubs have told of the store's return, in place of calls of this process's own.
-    told_back = 0
-
-    def store_back_ms() -> int | None:
-        if budget.down_since() is not None:
-            return None
-        return max(budget.back_ms() or 0, told_back)
-
-    def on_told_back(ms_ago: int) -> None:
-        nonlocal told_back
-        told_back = max(told_back, clock.now() - ms_ago)
-
-    def back_ms_ago() -> int:
-        back = store_back_ms()
-        if back is None:
-            return 0
-        return clock.now() - back if back else NEVER_AWAY
-
-    def hubs() -> list[str]:
-        return sorted(nodes.with_role(Role.KEEPER).intersection(hub.live()))
-
-    def may_run_batch(replica_id: str) -> bool:
-        table = routing.table()
-        upstream = parts.key_of.get(replica_id, "").rpartition("/")[0]
-        return table is None or upstream in table.job_upstreams
-
-    def concerned(replicas: Collection[str]) -> set[str]:
-        """Return the hubs that share some replicas or place their online calls."""
-        live = hubs()
-        batch = [one for one in replicas if may_run_batch(one)]
-        sharing = {one for replica in batch for one in sharers_of(replica, live)}
-        keys = {parts.key_of[replica] for replica in replicas if replica in parts.key_of}
-        placing = {placer_of(key, live) for key in keys}
-        return sharing.union(one for one in placing if one is not None)
+        fleet.on_replicas(replicas)
+
+    def concerned(changed: Collection[str]) -> Collection[str]:
+        return fleet.concerned(changed)
 
     own = cfg.instance
     me = Identity(own.id, boot, own.host, own.data_centre, own.region, role is Role.KEEPER)
     hub = PeerHub(reactor, clock, cfg.peer, me, heartbeat, metrics, rand, concerned)
     nodes = NodeList(hub.set_members)
+    fleet = LargeFleet(nodes, hub.live, routing.table)
     listening = hub.start()
     if isinstance(listening, Err):
         return listening
     links = Links(reactor, clock, cfg.upstream)
+    store_return = StoreReturn(clock, budget)
     replicas = ReplicaList(
-        ReplicaListDeps(clock, REPLICAS_PREFIX, read_replica, store_back_ms, on_replicas)
+        ReplicaListDeps(clock, REPLICAS_PREFIX, read_replica, store_return.back_ms, on_replicas)
     )
     send = RawDeps(links, read_facts, book.on_report, replicas.on_moved, metrics)
     relay = RelayDeps(clock, rand, hub, lambda: budget.down_since() is not None)
-    placing = PlacingDeps(clock, rand, hub, book, outliers, hubs, lambda: parts)
-    answer_places(placing)
+    placing = PlacingDeps(clock, rand, hub, book, outliers, fleet.hubs, lambda: fleet.parts)
     mirrors: dict[str, Mirror] = {}
-    answer_from(hub, mirrors, back_ms_ago)
     base = NodeBase(
         reactor=reactor,
         clock=clock,
@@ -191,12 +152,14 @@
         links=links,
         send=make_raw_send(send),
         view=lambda priority: relayed(budget.view(priority), relay),
-        through=MirrorDeps(hub, own.id, hubs, on_told_back),
+        through=MirrorDeps(hub, own.id, fleet.hubs, store_return.on_told),
         placing=placing,
         mirrors=mirrors,
         followers=[],
         tasks=[],
     )
+    answer_places(placing)
+    answer_from(hub, mirrors, store_return.ms_ago)
     _subscribe(base, role)
     return Ok(base)
 
--- /dev/null
+++ b/papayapier/node/large_fleet.py
@@ -0,0 +1,50 @@
+"""Know what a large fleet's instances need of its hubs: who they are, and whom a call concerns."""
+
+from collections.abc import Callable, Collection, Sequence
+
+from papayapier.config.route_table import RouteTable
+from papayapier.node.processes import NodeList, Role
+from papayapier.policy.placers import make_parts, placer_of
+from papayapier.policy.totals import sharers_of
+from papayapier.upstream.api import Replica
+
+
+class LargeFleet:
+    """Hold the parts of the upstreams; live names the instances that are heard and not leaving."""
+
+    def __init__(
+        self,
+        nodes: NodeList,
+        live: Callable[[], Sequence[str]],
+        table: Callable[[], RouteTable | None],
+    ) -> None:
+        self.parts = make_parts(())
+        self._nodes = nodes
+        self._live = live
+        self._table = table
+
+    def on_replicas(self, replicas: Sequence[Replica]) -> None:
+        """Take the listed replicas."""
+        self.parts = make_parts(replicas)
+
+    def hubs(self) -> list[str]:
+        """Return the live hubs."""
+        return sorted(self._nodes.with_role(Role.KEEPER).intersection(self._live()))
+
+    def concerned(self, replicas: Collection[str]) -> set[str]:
+        """Return the hubs that share some replicas' batch slots or place their online calls."""
+        hubs = self.hubs()
+        found: set[str] = set()
+        for replica in replicas:
+            if self._may_run_batch(replica):
+                found.update(sharers_of(replica, hubs))
+            key = self.parts.key_of.get(replica)
+            placer = placer_of(key, hubs) if key is not None else None
+            if placer is not None:
+                found.add(placer)
+        return found
+
+    def _may_run_batch(self, replica_id: str) -> bool:
+        table = self._table()
+        upstream = self.parts.key_of.get(replica_id, "").rpartition("/")[0]
+        return table is None or upstream in table.job_upstreams
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,80 @@
+"""Test whom a changed call concerns in a large fleet, and what is known of the store's return."""
+
+from typing import Any, cast
+
+import pytest
+
+from papayapier.clock import fake_clock
+from papayapier.config.route_table import RouteTable
+from papayapier.node.large_fleet import LargeFleet
+from papayapier.node.processes import NodeList
+from papayapier.node.store_return import StoreReturn
+from papayapier.peer.messages import NEVER_AWAY
+from papayapier.policy.totals import SHARERS
+from papayapier.store.api import Change
+from papayapier.upstream.api import Replica
+
+HUBS = [f"hub-{n}" for n in range(8)]
+
+
+class Table:
+    job_upstreams = frozenset({"lm"})
+
+
+def fleet(table: Any) -> LargeFleet:
+    nodes = NodeList(lambda _members: None)
+    for name in [*HUBS, "entry-1"]:
+        role = "keeper" if name in HUBS else "entry"
+        value = f'["{role}","h",1,"dc","r"]'.encode()
+        nodes.on_change(Change(f"papayapier-nodes/{name}", 1, False, value))
+    made = LargeFleet(nodes, lambda: [*HUBS[1:], "entry-1"], lambda: cast(RouteTable, table))
+    made.on_replicas([Replica("i-1", "lm", "h", 1, "dc"), Replica("i-2", "app", "h", 1, "dc")])
+    return made
+
+
+def test_hubs_are_those_that_are_heard() -> None:
+    assert fleet(Table()).hubs() == HUBS[1:]
+
+
+@pytest.mark.parametrize(
+    ("replica", "table", "most"),
+    [("i-1", Table(), SHARERS + 1), ("i-2", Table(), 1), ("i-2", None, SHARERS + 1)],
+)
+def test_a_change_concerns_few(replica: str, table: Any, most: int) -> None:
+    # A replica whose upstream runs no jobs concerns its placer only; while no configuration is
+    # known any may run some.
+    concerned = fleet(table).concerned([replica])
+    assert 1 <= len(concerned) <= most
+    assert concerned <= set(HUBS[1:])
+
+
+def test_a_replica_that_is_not_listed_concerns_no_placer() -> None:
+    assert fleet(Table()).concerned(["i-9"]) == set()
+
+
+class Budget:
+    def __init__(self) -> None:
+        self.down: int | None = None
+        self.back: int | None = None
+
+    def down_since(self) -> int | None:
+        return self.down
+
+    def back_ms(self) -> int | None:
+        return self.back
+
+
+def test_what_a_hub_tells_of_an_outage_counts() -> None:
+    # Symptom: no replica is left for two seconds after an outage.
+    # Events: an entry that makes no calls does not see the outage; entries lapse in it; the hub
+    # tells of their removal.
+    time = fake_clock()
+    budget = Budget()
+    known = StoreReturn(time.clock, cast(Any, budget))
+    assert (known.back_ms(), known.ms_ago()) == (0, NEVER_AWAY)
+    time.advance(5_000)
+    now = time.clock.now()
+    known.on_told(1_000)
+    assert (known.back_ms(), known.ms_ago()) == (now - 1_000, 1_000)
+    budget.down = now
+    assert (known.back_ms(), known.ms_ago()) == (None, 0)
