Give the calls of one dead replica a bound of retries of their own

Cause: all retries of an upstream shared five in ten seconds, or a tenth of its requests. Ruled out: a larger floor, which lets every upstream that fails under load have more; the number of attempts of one request (one was made). Change: a call that ends as its replica's loss (not connected, silent, cut) may be sent again as often as that replica has slots in the window, while at most half of the upstream's replicas lose calls.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -17,7 +17,7 @@
 from papayapier.dispatch.truth import check_send, make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.retries import GiveUp, Retry, decide
+from papayapier.policy.retries import GiveUp, Retry, decide, failed_at
 from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Token
 from papayapier.upstream.engine_calls import streaming_body
@@ -79,7 +79,7 @@
         sent = await _send_once(deps, req, replica, progress, on_token, make_room)
         if isinstance(sent, Ok):
             return Ok(_joined(sent.ok_value, progress))
-        decision = _after_failure(deps, req, sent.err_value, progress)
+        decision = _after_failure(deps, req, replica, sent.err_value, progress)
         if isinstance(decision, GiveUp):
             return Err(make_true(decision.refusal, progress.maybe_sent))
         await _before_retry(deps, req, replica, decision, progress)
@@ -217,7 +217,11 @@
 
 
 def _after_failure(
-    deps: "DispatchDeps", req: "OnlineRequest", failure: Failure, progress: _Progress
+    deps: "DispatchDeps",
+    req: "OnlineRequest",
+    replica: Replica,
+    failure: Failure,
+    progress: _Progress,
 ) -> Retry | GiveUp:
     """Decide what follows a failed send, and note whether it may have run."""
     rejected = rejection(failure)
@@ -236,6 +240,7 @@
         req.profile.upstream,
         deps.rand,
         earlier,
+        failed_at(deps.book, replica),
     )
 
 
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -16,7 +16,7 @@
 from papayapier.dispatch.truth import make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.retries import GiveUp, Retry, decide
+from papayapier.policy.retries import GiveUp, Retry, decide, failed_at
 from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.event_cutter import NO_EVENT, EventCutter
@@ -186,7 +186,7 @@
         if isinstance(sent, Ok):
             _note_end(deps, req, progress, sent.ok_value)
             return sent
-        decision = _after_failure(deps, req, sent.err_value, progress)
+        decision = _after_failure(deps, req, replica, sent.err_value, progress)
         if isinstance(decision, GiveUp):
             return _end(progress, decision.refusal)
         await _before_retry(deps, req, replica, decision, progress)
@@ -328,7 +328,7 @@
 
 
 def _after_failure(
-    deps: ForwardDeps, req: RawRequest, failure: Failure, progress: _Progress
+    deps: ForwardDeps, req: RawRequest, replica: Replica, failure: Failure, progress: _Progress
 ) -> Retry | GiveUp:
     earlier = Sent.MAYBE if progress.maybe_sent else Sent.NO
     progress.maybe_sent = progress.maybe_sent or failure.sent is Sent.MAYBE
@@ -349,6 +349,7 @@
         req.profile.upstream,
         deps.rand,
         earlier,
+        failed_at(deps.book, replica),
     )
 
 
--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -2,7 +2,9 @@
 
 A non-idempotent call is sent again only when the replica cannot have seen it. Retries are
 bounded by a share of the requests, because an upstream that fails under load would else get
-a multiple of it (a retry storm) and never recover.
+a multiple of it (a retry storm) and never recover. The calls that a dead replica took with it
+are no storm: they are as many as it has slots, and other replicas have room. They have a bound of
+their own, as long as most replicas of the upstream have lost nothing.
 """
 
 import random
@@ -10,7 +12,8 @@
 
 from papayapier.config.profiles import RetryRule
 from papayapier.errors import ErrorKind, Outcome, Refusal
-from papayapier.upstream.api import Failure, FailureKind, Sent
+from papayapier.policy.loads import LoadBook
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
 RETRY_SHARE: Final = 0.1
 RETRY_WINDOW_MS: Final = 10_000
@@ -19,6 +22,8 @@
 BACKOFF_MS: Final = 10
 MAX_BACKOFF_MS: Final = 500
 BUSY_STATUSES: Final = frozenset({429, 503})
+# How calls end that a dead replica takes with it, or that are sent before its death is noticed.
+LOST_KINDS: Final = frozenset({FailureKind.CONNECT, FailureKind.SILENT, FailureKind.CUT})
 
 
 class Retry(NamedTuple):
@@ -35,14 +40,34 @@
     refusal: Refusal
 
 
+class FailedAt(NamedTuple):
+    """Name where a call failed: how many calls the replica runs at once, and its siblings too."""
+
+    replica: str
+    slots: int
+    replicas: int
+
+
+NOWHERE: Final = FailedAt("", 0, 0)
+
+
+def failed_at(book: LoadBook, replica: Replica) -> FailedAt:
+    """Return what the budget needs to know of a replica."""
+    return FailedAt(replica.id, book.slots(replica.id), len(book.replicas(replica.upstream)))
+
+
 class _Window:
-    """Count requests and retries of the last buckets; each slot holds (bucket, count)."""
+    """Count requests and retries of the last buckets; each slot holds (bucket, count).
 
-    __slots__ = ("_requests", "_retries")
+    lost holds the retries of calls that a replica took with it, by replica.
+    """
+
+    __slots__ = ("_requests", "_retries", "lost")
 
     def __init__(self) -> None:
         self._requests = [(-1, 0)] * BUCKETS
         self._retries = [(-1, 0)] * BUCKETS
+        self.lost: dict[str, list[tuple[int, int]]] = {}
 
     def add_request(self, bucket: int) -> None:
         _add(self._requests, bucket)
@@ -50,6 +75,15 @@
     def add_retry(self, bucket: int) -> None:
         _add(self._retries, bucket)
 
+    def add_lost(self, replica: str, bucket: int) -> None:
+        _add(self.lost.setdefault(replica, [(-1, 0)] * BUCKETS), bucket)
+
+    def lost_by(self, bucket: int) -> dict[str, int]:
+        """Return the retries of lost calls by replica, and forget who has none left."""
+        counts = {replica: _recent(slots, bucket) for replica, slots in self.lost.items()}
+        self.lost = {replica: slots for replica, slots in self.lost.items() if counts[replica]}
+        return {replica: count for replica, count in counts.items() if count}
+
     def requests(self, bucket: int) -> int:
         return _recent(self._requests, bucket)
 
@@ -89,6 +123,22 @@
         window.add_retry(bucket)
         return True
 
+    def spend_lost(self, upstream: str, at: FailedAt, now: int) -> bool:
+        """Take a retry of a call that a dead replica took with it, as many as it has slots.
+
+        When more than half of the replicas lose calls within the window, the upstream itself fails,
+        and only its shared budget is left. Without the bound of its own, six calls on one of two
+        engines left the sixth without a retry, while the other engine had seven slots free.
+        """
+        bucket = now // self._bucket_ms
+        window = self._window(upstream)
+        lost = window.lost_by(bucket)
+        losers = len(lost.keys() | {at.replica})
+        if lost.get(at.replica, 0) < at.slots and losers <= max(1, at.replicas // 2):
+            window.add_lost(at.replica, bucket)
+            return True
+        return self.spend(upstream, now)
+
     def _window(self, upstream: str) -> _Window:
         return self._windows.setdefault(upstream, _Window())
 
@@ -104,6 +154,7 @@
     upstream: str,
     rand: random.Random,
     earlier: Sent = Sent.MAYBE,
+    at: FailedAt = NOWHERE,
 ) -> Retry | GiveUp:
     """Decide about a failed attempt.
 
@@ -122,7 +173,8 @@
         return GiveUp(refusal)
     if attempts_made >= rule.attempts or now + after_ms >= due_ms:
         return GiveUp(refusal)
-    if not budget.spend(upstream, now):
+    lost = at is not NOWHERE and failure.kind in LOST_KINDS
+    if not (budget.spend_lost(upstream, at, now) if lost else budget.spend(upstream, now)):
         return GiveUp(refusal)
     return Retry(
         after_ms, fresh_connection=True, exclude=not _only_connection(failure, attempts_made)
--- a/tests/test_policy_retries.py
+++ b/tests/test_policy_retries.py
@@ -11,6 +11,7 @@
     RETRY_FLOOR,
     RETRY_SHARE,
     RETRY_WINDOW_MS,
+    FailedAt,
     GiveUp,
     Retry,
     RetryBudget,
@@ -115,3 +116,47 @@
     decision = decide(busy, True, 1, RULE, 1_005, 1_000, budget, "model", rand, Sent.NO)
     assert isinstance(decision, GiveUp)
     assert decision.refusal.kind is ErrorKind.UPSTREAM_FAILED
+
+
+def _retries(budget: RetryBudget, calls: int, at: FailedAt, now: int = 0) -> int:
+    """Count the calls that get a retry after all of them were cut at one replica."""
+    cut = Failure(FailureKind.CUT, Sent.MAYBE, "cut")
+    rand = random.Random(1)
+    decisions = [
+        decide(cut, True, 1, RULE, 60_000, now, budget, "model", rand, Sent.NO, at)
+        for _ in range(calls)
+    ]
+    return sum(1 for one in decisions if isinstance(one, Retry))
+
+
+def test_every_call_of_one_dead_replica_is_sent_again() -> None:
+    # Symptom: "7 whole, 2 refused of 9" although the second engine had seven slots free.
+    # Sequence: nine calls, seven of them on one engine; it crashes and all seven are cut.
+    # Cause: the budget against storms allowed five retries in all.
+    budget = RetryBudget()
+    for _ in range(9):
+        budget.on_request("model", 0)
+    assert _retries(budget, 7, FailedAt("e1", 8, 2)) == 7
+
+
+def test_a_replica_takes_no_more_calls_with_it_than_it_has_slots_and_the_floor() -> None:
+    assert _retries(RetryBudget(), 40, FailedAt("e1", 8, 9)) == 8 + RETRY_FLOOR
+
+
+def test_when_most_replicas_lose_calls_only_the_shared_budget_is_left() -> None:
+    budget = RetryBudget()
+    assert _retries(budget, 8, FailedAt("e1", 8, 3)) == 8
+    assert _retries(budget, 20, FailedAt("e2", 8, 3)) == RETRY_FLOOR
+    later = RETRY_WINDOW_MS + 1_000
+    assert _retries(budget, 8, FailedAt("e2", 8, 3), later) == 8
+
+
+def test_a_status_is_no_loss_of_a_replica() -> None:
+    budget, rand = RetryBudget(), random.Random(1)
+    broken = Failure(FailureKind.STATUS, Sent.MAYBE, "failed", 500)
+    at = FailedAt("e1", 8, 9)
+    decisions = [
+        decide(broken, True, 1, RULE, 60_000, 0, budget, "model", rand, Sent.NO, at)
+        for _ in range(20)
+    ]
+    assert sum(1 for one in decisions if isinstance(one, Retry)) == RETRY_FLOOR
