Write a line for each decision on an item, and find items in lines about several

Change: item_started (where, how loaded, what time is left), item_yielded at info with its reason, item_done (events, run time, time left), items_listed (the group and its items); explain finds an item in a group. Bounded as all lines are.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -143,9 +143,10 @@
 INPUT_MISSING: Final = Event(521, "input_missing", Level.ERROR, "input of a job is not readable")
 OUTPUT_CUT: Final = Event(522, "output_cut", Level.WARNING, "a file could not be read to its end")
 ITEM_AGAIN: Final = Event(524, "item_again", Level.INFO, "item is sent again")
-ITEM_YIELDED: Final = Event(
-    525, "item_yielded", Level.DEBUG, "item's stream cancelled for online calls"
-)
+ITEM_YIELDED: Final = Event(525, "item_yielded", Level.INFO, "item's stream cut to free its slot")
+ITEM_STARTED: Final = Event(528, "item_started", Level.INFO, "item sent to a replica")
+ITEM_DONE: Final = Event(529, "item_done", Level.INFO, "item run to its end")
+ITEMS_LISTED: Final = Event(530, "items_listed", Level.INFO, "group of results written")
 RUN_TAKEN: Final = Event(526, "run_taken", Level.INFO, "this instance runs the job's items")
 RUN_RELEASED: Final = Event(
     527, "run_released", Level.INFO, "another instance runs the job's items"
--- a/papayapier/jobs/commits.py
+++ b/papayapier/jobs/commits.py
@@ -83,6 +83,12 @@
     done = await create_settled(settling, group_key(work.job_id, number), encode(group), due_ms)
     if isinstance(done, Ok):
         work.take_group(number, group)
+        events.emit(
+            events.ITEMS_LISTED,
+            job=work.job_id,
+            group=number,
+            items=[one.id for one in group.results],
+        )
         _tell(deps, work)
         return True
     if done.err_value in (StoreError.CONFLICT, StoreError.LOST):
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -5,6 +5,7 @@
 replica bears by policy/batch_room.py.
 """
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from typing import Any, Final, NamedTuple
@@ -152,7 +153,7 @@
                 continue
             # Runs above this line are kept, not started; cutting one there would free nothing.
             if shared.book.own(replica_id).batch <= start_limit(use_of(shared, replica_id)):
-                self._cut(run, 1)
+                self._cut(run, "late, and another can be in time", 1)
                 return
 
     def _start(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
@@ -160,6 +161,16 @@
         now = self._deps.clock.now()
         self._deps.book.on_sent(replica.id, True, now)
         self._deps.uses_changed()
+        events.emit(
+            events.ITEM_STARTED,
+            job=work.job_id,
+            item=one.item.id,
+            replica=replica.id,
+            after=one.last_event,
+            left_ms=_left_ms(work, self._deps.clock),
+            online=self._deps.book.online_at(replica.id),
+            batch=self._deps.book.batch_at(replica.id),
+        )
         task = Deferred.fromCoroutine(self._run(work, route, one, replica))
         if task.called:
             return
@@ -223,6 +234,15 @@
         if answer.good():
             self._deps.outliers.on_end(replica.id, True, None, now)
             self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms)
+            events.emit(
+                events.ITEM_DONE,
+                job=work.job_id,
+                item=one.item.id,
+                replica=replica.id,
+                events=len(one.texts),
+                ran_ms=one.ran_ms,
+                left_ms=_left_ms(work, self._deps.clock),
+            )
             work.finish(one.item.id, ItemEnd.DONE)
             self._finished(work)
             return
@@ -266,11 +286,23 @@
             if over > 0:
                 ranked = ((self._run_standing(run, wall), run) for run in runs)
                 for run in victims(ranked, over):
-                    self._cut(run, over)
+                    self._cut(run, "online calls need the slot", over)
 
     def _run_standing(self, run: _Run, wall: float) -> Standing:
         return self._standing(run.replica.upstream, run.work, run.item, wall)
 
-    def _cut(self, run: _Run, over: int) -> None:
-        events.emit(events.ITEM_YIELDED, item=run.item.item.id, replica=run.replica.id, over=over)
+    def _cut(self, run: _Run, reason: str, over: int) -> None:
+        events.emit(
+            events.ITEM_YIELDED,
+            job=run.work.job_id,
+            item=run.item.item.id,
+            replica=run.replica.id,
+            reason=reason,
+            over=over,
+        )
         run.task.cancel()
+
+
+def _left_ms(work: JobWork, clock: Clock) -> int:
+    """Return the time until a job's results are due, for a log line; 0 while it is not known."""
+    return int(work.due_ms - clock.wall()) if math.isfinite(work.due_ms) else 0
--- a/papayapier/operate/explain.py
+++ b/papayapier/operate/explain.py
@@ -17,6 +17,8 @@
 
 # The fields by which lines name what they are about.
 SUBJECTS: Final = ("request", "call", "job", "item")
+# The field of lines about several items at once.
+LISTED: Final = "items"
 # What a line says of itself rather than of its subject.
 COMMON: Final = frozenset({"at_ms", "event", "name", "level", "text"})
 WAITED: Final = "waited_ms"
@@ -102,10 +104,17 @@
 
 def about(lines: Iterable[Line], subject: str) -> list[Line]:
     """Return the lines about a subject, in order of time."""
-    found = [line for line in lines if any(line.fields.get(k) == subject for k in SUBJECTS)]
+    found = [line for line in lines if _is_about(line, subject)]
     return sorted(found, key=lambda line: line.at_ms)
 
 
+def _is_about(line: Line, subject: str) -> bool:
+    if any(line.fields.get(key) == subject for key in SUBJECTS):
+        return True
+    listed = line.fields.get(LISTED)
+    return isinstance(listed, list) and subject in listed
+
+
 def slowest(lines: Iterable[Line], count: int) -> list[Line]:
     """Return the lines of the requests that took longest."""
     ended = [line for line in lines if WAITED in line.fields and RUN in line.fields]
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -70,3 +70,22 @@
 def test_a_file_that_cannot_be_read_is_named(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["explain", "r1", "--logs", "/nowhere/log"]) == EXIT_USAGE
     assert "/nowhere/log: cannot be read" in capsys.readouterr().err
+
+
+def test_a_late_item_is_told_from_its_start_to_its_group(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Symptom: an item is late, and no line says where it was between acceptance and result.
+    # Cause: starts and ends of items had no line, and cuts none at the usual level.
+    told = [
+        line(10, "item_started", job="j", item="j-1", replica="i-1", after=-1, left_ms=18_000),
+        line(40, "item_yielded", job="j", item="j-1", replica="i-1", reason="online", over=1),
+        line(50, "item_started", job="j", item="j-2", replica="i-1", after=-1, left_ms=17_960),
+        line(900, "item_done", job="j", item="j-1", replica="i-2", events=3, ran_ms=700),
+        line(950, "items_listed", job="j", group=0, items=["j-1", "j-3"]),
+    ]
+    path = tmp_path / "keeper.log"
+    path.write_text("\n".join(told) + "\n")
+    assert main(["explain", "j-1", "--logs", str(path)]) == EXIT_OK
+    shown = [one.split()[4] for one in capsys.readouterr().out.splitlines()]
+    assert shown == ["item_started", "item_yielded", "item_done", "items_listed"]
