Accept jobs while the store is away, on the disks of two keepers

Cause: a job could be accepted by the store alone, so that every job of an outage was refused, and its caller's second attempt mostly met the same outage. Change: where the store has said nothing for half of the objective, or is known to be away, the entry asks one keeper more than needed to write the record to its disk, synced; one disk more than may be lost at once must hold it before the caller is told. Every holder creates the job once it reaches the store; the first succeeds, the others find it there. A job on too few disks is unknown, never not run. For two seconds after the store's return an entry does not say that a job is missing.

--- a/papayapier/entry/job_routes.py
+++ b/papayapier/entry/job_routes.py
@@ -60,7 +60,9 @@
         due_ms = self.clock.now() + max(ANSWER_MS, limit_ms - ANSWER_MS)
         host = request.getHeader("host") or ""
         path = request.path.decode("latin-1")
-        done = await self.desk.submit(job_id, host, path, items.ok_value, due_ms)
+        done = await self.desk.submit(
+            job_id, host, path, items.ok_value, due_ms, route.objective_ms
+        )
         if isinstance(done, Err):
             return self.refuse(request, route.name, done.err_value)
         return _write(request, Answer(b"{}", status=ACCEPTED))
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -146,6 +146,12 @@
 ITEM_YIELDED: Final = Event(525, "item_yielded", Level.INFO, "item's stream cut to free its slot")
 ITEM_STARTED: Final = Event(528, "item_started", Level.INFO, "item sent to a replica")
 ITEM_DONE: Final = Event(529, "item_done", Level.INFO, "item run to its end")
+JOB_SENT_TO_KEEPERS: Final = Event(
+    531, "job_sent_to_keepers", Level.INFO, "disks asked to hold a job while the store is away"
+)
+JOB_KEPT: Final = Event(532, "job_kept", Level.INFO, "job held on this disk")
+JOB_NOT_KEPT: Final = Event(533, "job_not_kept", Level.WARNING, "disk could not hold or give a job")
+KEPT_JOB_ENDED: Final = Event(534, "kept_job_ended", Level.INFO, "job held here no more")
 ITEMS_LISTED: Final = Event(530, "items_listed", Level.INFO, "group of results written")
 RUN_TAKEN: Final = Event(526, "run_taken", Level.INFO, "this instance runs the job's items")
 RUN_RELEASED: Final = Event(
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -28,6 +29,8 @@
     read_record,
     split_items,
 )
+from papayapier.pending import Pending
+from papayapier.policy.job_keeping import NOT_ASKED, Copies, patience_ms
 from papayapier.store.api import Store, StoreError
 from papayapier.store.writes import Settling, create_settled, update_settled
 
@@ -40,15 +43,25 @@
 VIEWS_MAX: Final = 2_000
 TEXT_MAX_BYTES: Final = 40_000_000
 RETRY_MS: Final = 300
+# The store has not said what became of a call.
+NOT_REACHED: Final = frozenset({StoreError.UNAVAILABLE, StoreError.LOST, StoreError.LIMITED})
 
 
 class DeskDeps(NamedTuple):
-    """Group what the desk works with; heard judges for how long a look at the store stands."""
+    """Group what the desk works with; heard judges for how long a look at the store stands.
+
+    keep puts a job on keepers' disks. store_away tells whether the store is known not to answer.
+    settled tells that what is not in the store is nowhere: after an absence, keepers bring what
+    they have accepted meanwhile.
+    """
 
     clock: Clock
     rand: random.Random
     store: Store
     heard: GroupsHeard
+    keep: Callable[[str, bytes], Awaitable[Copies]]
+    store_away: Callable[[], bool]
+    settled: Callable[[], bool]
 
 
 class Page(NamedTuple):
@@ -92,9 +105,18 @@
         self._text_bytes = 0
 
     async def submit(
-        self, job_id: str, host: str, path: str, items: tuple[JobItem, ...], due_ms: int
+        self,
+        job_id: str,
+        host: str,
+        path: str,
+        items: tuple[JobItem, ...],
+        due_ms: int,
+        objective_ms: int = 0,
     ) -> Result[None, Refusal]:
-        """Accept a job once; every repeat is accepted again."""
+        """Accept a job once; every repeat is accepted again.
+
+        objective_ms is the time in which an acceptance has its full worth.
+        """
         write_id = f"{self._deps.rand.getrandbits(WRITE_ID_BITS):016x}"
         wall = int(self._deps.clock.wall())
         record = JobRecord(write_id, host, path, wall, items, len(items))
@@ -105,12 +127,44 @@
                 return stored
             record = record._replace(items=(), parts=len(parts))
         settling = Settling(self._deps.store, self._deps.clock, self._deps.rand)
-        created = await create_settled(settling, job_key(job_id), encode(record), due_ms)
-        if isinstance(created, Ok):
-            self._keep(job_id, _View(record._replace(items=items)))
-            events.emit(events.JOB_ACCEPTED, job=job_id, items=len(items), write_id=write_id)
-            return Ok(None)
-        return await self._not_created(job_id, created.err_value)
+        value = encode(record)
+        work = create_settled(settling, job_key(job_id), value, due_ms)
+        creating = Pending(self._deps.clock, work)
+        copies = NOT_ASKED
+        if not record.parts:
+            copies = await self._keep_unless_created(job_id, value, creating, objective_ms)
+        if not copies.enough:
+            created = await creating.end()
+            if isinstance(created, Err):
+                return await self._not_created(job_id, created.err_value, copies)
+        self._keep(job_id, _View(record._replace(items=items)))
+        events.emit(
+            events.JOB_ACCEPTED,
+            job=job_id,
+            items=len(items),
+            write_id=write_id,
+            on_disks=copies.enough,
+        )
+        return Ok(None)
+
+    async def _keep_unless_created(
+        self,
+        job_id: str,
+        value: bytes,
+        creating: Pending[Result[int, StoreError]],
+        objective_ms: int,
+    ) -> Copies:
+        """Put a job on disks if the store does not answer for it soon."""
+        wait_ms = patience_ms(objective_ms, self._deps.store_away())
+        created = await creating.within(wait_ms)
+        # What the store has said stands; only where it has said nothing are disks asked.
+        if created is not None and (
+            isinstance(created, Ok) or created.err_value not in NOT_REACHED
+        ):
+            return NOT_ASKED
+        copies = await self._deps.keep(job_id, value)
+        events.emit(events.JOB_SENT_TO_KEEPERS, job=job_id, **copies._asdict())
+        return copies
 
     async def results(self, job_id: str, after: int, wait_ms: int) -> Result[Page, Refusal]:
         """Return the results from a position on; wait for one if there is none."""
@@ -171,7 +225,7 @@
         for _ in range(END_TRIES):
             found = await self._deps.store.get(job_key(job_id))
             if isinstance(found, Err):
-                return Err(_not_read(job_id, found.err_value))
+                return Err(self._not_found(job_id, found.err_value))
             record = read_record(found.ok_value.value)
             if isinstance(record, Err):
                 return Err(unknown(ErrorKind.INTERNAL, record.err_value))
@@ -200,7 +254,12 @@
                 return Err(not_run(ErrorKind.STORE_UNAVAILABLE, "a part was not written", RETRY_MS))
         return Ok(None)
 
-    async def _not_created(self, job_id: str, why: StoreError) -> Result[None, Refusal]:
+    async def _not_created(
+        self, job_id: str, why: StoreError, copies: Copies
+    ) -> Result[None, Refusal]:
+        if copies.maybe_held:
+            # Too few disks hold it to promise it; one that does creates it later.
+            return Err(unknown(ErrorKind.STORE_UNAVAILABLE, f"job {job_id} may be held"))
         if why in (StoreError.CONFLICT, StoreError.LOST):
             # LOST may also mean that the record of another try is there: then it is accepted.
             found = await self._deps.store.get(job_key(job_id))
@@ -217,7 +276,7 @@
             return Ok(known)
         found = await self._deps.store.get(job_key(job_id))
         if isinstance(found, Err):
-            return Err(_not_read(job_id, found.err_value))
+            return Err(self._not_found(job_id, found.err_value))
         record = read_record(found.ok_value.value)
         if isinstance(record, Err):
             return Err(unknown(ErrorKind.INTERNAL, record.err_value))
@@ -226,6 +285,13 @@
             return Err(_not_read(job_id, StoreError.UNAVAILABLE))
         return Ok(self._keep(job_id, _View(whole.ok_value)))
 
+    def _not_found(self, job_id: str, why: StoreError) -> Refusal:
+        """Say that there is no such job only where none can be on its way into the store."""
+        if why is StoreError.NOT_FOUND and not self._deps.settled():
+            reason = f"job {job_id} may be held until the store has it"
+            return not_run(ErrorKind.STORE_UNAVAILABLE, reason, RETRY_MS)
+        return _not_read(job_id, why)
+
     async def _read_groups(self, job_id: str, view: _View) -> Result[bool, Refusal]:
         """Read the next groups; False says that there is none yet."""
         known = view.groups
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -63,6 +63,7 @@
     routing: RoutingBook
     replicas: ReplicaList
     news: GroupsTold
+    store_return: StoreReturn
     nodes: NodeList
     hub: PeerHub
     links: Links
@@ -147,6 +148,7 @@
         routing=routing,
         replicas=replicas,
         news=news,
+        store_return=store_return,
         nodes=nodes,
         hub=hub,
         links=links,
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -1,6 +1,7 @@
 """Wire an entry: it forwards callers' requests and serves their calls on batch jobs."""
 
 import random
+from functools import partial
 from typing import Any, Final
 
 from klein import Klein
@@ -26,6 +27,7 @@
 from papayapier.listen import Listening, adopt, listen, listen_resource
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
 from papayapier.node.early import EarlySocket
+from papayapier.node.keeping import KeepingDeps, keep
 from papayapier.node.placing import asking
 from papayapier.node.processes import Role
 from papayapier.node.settings import NodeSettings, split_address
@@ -43,6 +45,8 @@
 # The store tells configuration and replicas some 30 ms after a start, where it answers.
 FIRST_KNOWLEDGE_MS: Final = 1_000
 LOOK_MS: Final = 10
+# Keepers try every half second at most, one call each, and a start takes them about half a second.
+BRINGING_MS: Final = 2_000
 
 
 class Entry:
@@ -180,7 +184,22 @@
     base: NodeBase, forward: ForwardDeps, queue: StartQueue, readiness: _Readiness
 ) -> ForwardRoutes:
     heard = GroupsHeard(lambda: base.nodes.with_role(Role.KEEPER))
-    desk = JobDesk(DeskDeps(base.clock, base.rand, base.view(Priority.CLAIM), heard))
+    keeping = KeepingDeps(
+        base.hub,
+        lambda: base.nodes.with_role(Role.KEEPER) & frozenset(base.hub.live()),
+        base.cfg.jobs.copies(),
+    )
+    desk = JobDesk(
+        DeskDeps(
+            base.clock,
+            base.rand,
+            base.view(Priority.CLAIM),
+            heard,
+            keep=partial(keep, keeping),
+            store_away=lambda: base.budget.down_since() is not None,
+            settled=partial(_settled, base),
+        )
+    )
 
     def on_job(peer_id: str, told: JobChanged) -> None:
         heard.on_word(peer_id, told.number)
@@ -222,6 +241,12 @@
     return routes
 
 
+def _settled(base: NodeBase) -> bool:
+    """Tell whether keepers have had time to bring what they held into the store."""
+    back = base.store_return.back_ms()
+    return back is not None and (not back or base.clock.now() >= back + BRINGING_MS)
+
+
 def _body_limit(base: NodeBase) -> Any:
     def limit(_path: bytes) -> int:
         table = base.routing.table()
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -12,6 +12,7 @@
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
 from papayapier.jobs.runs import RunDeps
+from papayapier.jobs.vault import Vault, VaultDeps
 from papayapier.node.base import (
     SLOWLY,
     SOON,
@@ -21,6 +22,7 @@
     follow_common,
     make_base,
 )
+from papayapier.node.keeping import answer_keeping, in_threads
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
 from papayapier.node.settings import NodeSettings
@@ -38,9 +40,10 @@
 class Keeper:
     """Hold a running keeper."""
 
-    def __init__(self, base: NodeBase, runner: JobRunner) -> None:
+    def __init__(self, base: NodeBase, runner: JobRunner, vault: Vault | None) -> None:
         self._base = base
         self._runner = runner
+        self._vault = vault
 
     async def leave(self) -> None:
         """Hand the jobs over, write what is finished, and end."""
@@ -51,6 +54,8 @@
         while base.drain.tick(base.clock.now(), self._runner.unwritten()) != "stopped":
             await base.clock.sleep(LEAVE_TICK_MS)
         self._runner.close()
+        if self._vault is not None:
+            self._vault.close()
         await close_base(base)
 
 
@@ -115,8 +120,30 @@
     sweeping = Deferred.fromCoroutine(expiry.run())
     sweeping.addErrback(report_failure, "expiry")
     base.tasks.append(sweeping)
-    retirement = Retirement(base, runner)
+    vault = _start_vault(base) if cfg.jobs.folder else None
+    retirement = Retirement(base, runner, vault)
     follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOWLY)
     runner.start()
     events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value)
-    return Ok(Keeper(base, runner))
+    return Ok(Keeper(base, runner, vault))
+
+
+def _start_vault(base: NodeBase) -> Vault:
+    """Begin to hold jobs for entries, with what an earlier run of this keeper held."""
+    cfg = base.cfg
+    vault = Vault(
+        VaultDeps(
+            base.clock,
+            base.rand,
+            base.view(Priority.CLAIM),
+            cfg.jobs.folder,
+            cfg.jobs.keep_s,
+            cfg.store.longest_pause_ms,
+            in_threads(base.reactor),
+        )
+    )
+    answer_keeping(base.hub, vault)
+    loading = Deferred.fromCoroutine(vault.start())
+    loading.addErrback(report_failure, "vault")
+    base.tasks.append(loading)
+    return vault
--- a/papayapier/node/retirement.py
+++ b/papayapier/node/retirement.py
@@ -1,7 +1,7 @@
 """Empty this machine when the operator asks for it, and say when that is done.
 
-The machine is removed as soon as it says so. Nothing is kept on its disk, so it is empty when
-its jobs run elsewhere and its finished results are in the store.
+The machine is removed as soon as it says so. It is empty when its jobs run elsewhere, its
+finished results are in the store, and so are the jobs that its disk holds.
 """
 
 from typing import Final
@@ -11,6 +11,7 @@
 
 from papayapier import events
 from papayapier.jobs.runner import JobRunner
+from papayapier.jobs.vault import Vault
 from papayapier.node.base import NodeBase
 from papayapier.platform.retirements import RETIREMENTS_PREFIX, Stage, status_key, write_stage
 from papayapier.store.api import Change
@@ -24,9 +25,10 @@
 class Retirement:
     """Take this process out of the work, once."""
 
-    def __init__(self, base: NodeBase, runner: JobRunner) -> None:
+    def __init__(self, base: NodeBase, runner: JobRunner, vault: Vault | None) -> None:
         self._base = base
         self._runner = runner
+        self._vault = vault
         self._begun = False
 
     def on_change(self, change: Change) -> None:
@@ -44,13 +46,18 @@
         events.emit(events.RETIRING, instance=node_id, running=self._runner.running())
         # First the runs: the shares of the replicas are worked out for those that stay.
         self._runner.stop()
+        if self._vault is not None:
+            self._vault.refuse()
         base.drain.leave(base.clock.now())
         await self._write(node_id, Stage.UNDER_WAY)
-        while self._runner.unwritten() or self._runner.running():
+        while self._runner.unwritten() or self._runner.running() or self._holds_jobs():
             await base.clock.sleep(CHECK_MS)
         await self._write(node_id, Stage.DONE)
         events.emit(events.RETIRED, instance=node_id)
 
+    def _holds_jobs(self) -> bool:
+        return self._vault is not None and self._vault.pending() > 0
+
     async def _write(self, node_id: str, stage: Stage) -> None:
         store = self._base.view(Priority.CONFIG)
         pauses = Pauses(self._base.rand)
--- a/papayapier/node/settings.py
+++ b/papayapier/node/settings.py
@@ -90,9 +90,19 @@
 
 
 class JobSettings(NamedTuple):
-    """Set how long results stay readable after their job was submitted."""
+    """Set how long results stay readable after their job was submitted.
+
+    folder is where a keeper holds jobs while the store is away; empty for a machine without a
+    disk. disk_losses is how many disks may be lost at once, so that one more must hold a job.
+    """
 
     keep_s: Positive = 120
+    folder: str = ""
+    disk_losses: Annotated[int, Meta(ge=0, le=100)] = 1
+
+    def copies(self) -> int:
+        """Return how many disks must hold a job."""
+        return self.disk_losses + 1
 
 
 class NodeSettings(NamedTuple):
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -240,6 +240,21 @@
 NEVER_AWAY: Final = -1
 
 
+class KeepAsk(NamedTuple):
+    """Ask a keeper to hold a job on its disk until it is in the store; value is its record."""
+
+    ask_id: int
+    job_id: str
+    value: bytes
+
+
+class KeepTell(NamedTuple):
+    """Answer KeepAsk; kept says that the job is on the disk, synced."""
+
+    ask_id: int
+    kept: bool
+
+
 Message = (
     Heartbeat
     | ConfigPush
@@ -259,6 +274,8 @@
     | MirrorAsk
     | PlaceAsk
     | PlaceTell
+    | KeepAsk
+    | KeepTell
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -280,4 +297,6 @@
     16: MirrorAsk,
     17: PlaceAsk,
     18: PlaceTell,
+    19: KeepAsk,
+    20: KeepTell,
 }
--- a/papayapier/peer/questions.py
+++ b/papayapier/peer/questions.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import Clock, Timer
-from papayapier.peer.messages import ClaimTell, ConfigTell, Message, PlaceTell, StoreTell
+from papayapier.peer.messages import ClaimTell, ConfigTell, KeepTell, Message, PlaceTell, StoreTell
 
 ASK_ID_BITS: Final = 32
 
@@ -59,7 +59,7 @@
 
     def settle(self, sender: str, message: Message) -> bool:
         """Give a message to the question it answers; return False if there is none."""
-        if not isinstance(message, ConfigTell | ClaimTell | StoreTell | PlaceTell):
+        if not isinstance(message, ConfigTell | ClaimTell | StoreTell | PlaceTell | KeepTell):
             return False
         question = self._open.get(message.ask_id)
         if question is None or question.peer_id != sender:
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -20,6 +20,7 @@
     group_key,
     job_key,
 )
+from papayapier.policy.job_keeping import NOT_ASKED, Copies
 from papayapier.store.api import Entry, Listing, Store, Stored, StoreError
 
 T = TypeVar("T")
@@ -131,11 +132,24 @@
         self.time = fake_clock()
         self.memory = memory or MemoryStore()
         self.writers: list[str] = []
+        self.settled = True
+        self.copies = NOT_ASKED
         self.heard = GroupsHeard(lambda: self.writers)
         self.desk = JobDesk(
-            DeskDeps(self.time.clock, random.Random(1), self.memory.store(), self.heard)
+            DeskDeps(
+                self.time.clock,
+                random.Random(1),
+                self.memory.store(),
+                self.heard,
+                self._keep,
+                store_away=lambda: False,
+                settled=lambda: self.settled,
+            )
         )
 
+    async def _keep(self, _job_id: str, _value: bytes) -> Copies:
+        return self.copies
+
     def has_job(self, *names: str) -> None:
         self.memory.put(job_key(JOB), encode(record(*names)))
 
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -144,8 +144,10 @@
         raise AssertionError(f"nobody listens on {port}")
 
     def start_keeper(self, name: str) -> None:
-        """Start a keeper."""
-        self._start(name, "keeper", {})
+        """Start a keeper with a disk."""
+        disk = Path(self._folder.name) / f"{name}-disk"
+        disk.mkdir(exist_ok=True)
+        self._start(name, "keeper", {"jobs": {"folder": str(disk)}})
 
     def _start(self, name: str, role: str, more: dict[str, Any], *arguments: str) -> None:
         place = {"id": name, "data_centre": "z1", "region": "r1", "host": "127.0.0.1"}
--- /dev/null
+++ b/tests/test_kept_jobs.py
@@ -0,0 +1,366 @@
+"""Test that a job accepted while the store is away is there afterwards, once, whatever is lost."""
+
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import fake_clock
+from papayapier.errors import ErrorKind, Outcome
+from papayapier.jobs import kept_files
+from papayapier.jobs.desk import DeskDeps, JobDesk
+from papayapier.jobs.kept_files import KeptJob
+from papayapier.jobs.news import GroupsHeard
+from papayapier.jobs.records import encode, job_key, read_record
+from papayapier.jobs.vault import Vault, VaultDeps
+from papayapier.node.keeping import KeepingDeps, keep
+from papayapier.peer.messages import KeepAsk, KeepTell, Message
+from papayapier.peer.questions import PeerError
+from papayapier.policy.job_keeping import Copies, holders, patience_ms
+from papayapier.store.api import StoreError
+from tests.jobs_world import JOB, Begun, DeskWorld, MemoryStore, item, record
+
+KEEP_S = 120
+LONG_MS = 20_000
+BEGAN_MS = int(fake_clock().clock.wall())
+
+
+async def at_once(call: Callable[[], Any]) -> Any:
+    return call()
+
+
+class Keepers:
+    """Hold keepers with a disk each, and the store that they all reach or do not."""
+
+    def __init__(self, count: int = 3) -> None:
+        self.time = fake_clock()
+        self.memory = MemoryStore()
+        self.folders = {f"k{n}": tempfile.TemporaryDirectory() for n in range(count)}
+        self.vaults: dict[str, Vault] = {}
+        for name in self.folders:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        vault = Vault(
+            VaultDeps(
+                self.time.clock,
+                random.Random(1),
+                self.memory.store(),
+                self.folders[name].name,
+                KEEP_S,
+                500,
+                at_once,
+            )
+        )
+        self.vaults[name] = vault
+        Deferred.fromCoroutine(vault.start())
+
+    def stop(self, name: str) -> None:
+        vault = self.vaults.pop(name, None)
+        if vault is not None:
+            vault.close()
+
+    def wipe(self, name: str) -> None:
+        for path in Path(self.folders[name].name).iterdir():
+            path.unlink()
+
+    def away(self, why: StoreError | None = StoreError.UNAVAILABLE) -> None:
+        self.memory.fault = lambda _call, _key: why
+
+    def back(self) -> None:
+        self.memory.fault = lambda _call, _key: None
+
+    def pending(self) -> int:
+        return sum(vault.pending() for vault in self.vaults.values())
+
+    def files(self) -> int:
+        return sum(len(list(Path(one.name).iterdir())) for one in self.folders.values())
+
+    def close(self) -> None:
+        for name in list(self.vaults):
+            self.stop(name)
+        for folder in self.folders.values():
+            folder.cleanup()
+
+    async def ask(
+        self, peer_id: str, make: Callable[[int], Message], _timeout_ms: int
+    ) -> Result[Message, PeerError]:
+        """Stand in for the peers' link."""
+        ask = make(1)
+        assert isinstance(ask, KeepAsk)
+        if peer_id not in self.vaults:
+            return Err(PeerError.TIMEOUT)
+        return Ok(KeepTell(1, await self.vaults[peer_id].keep(KeptJob(ask.job_id, ask.value))))
+
+    def desk(self) -> JobDesk:
+        deps = KeepingDeps(self, lambda: list(self.vaults), copies=2)  # type: ignore[arg-type]
+
+        async def keep_job(job_id: str, value: bytes) -> Copies:
+            return await keep(deps, job_id, value)
+
+        heard = GroupsHeard(list)
+        return JobDesk(
+            DeskDeps(
+                self.time.clock,
+                random.Random(2),
+                self.memory.store(),
+                heard,
+                keep_job,
+                store_away=lambda: False,
+                settled=lambda: False,
+            )
+        )
+
+
+@pytest.fixture
+def keepers() -> Any:
+    made = Keepers()
+    yield made
+    made.close()
+
+
+def value() -> bytes:
+    return encode(record("a")._replace(accepted_ms=BEGAN_MS))
+
+
+def begin(work: Awaitable[Any]) -> Begun[Any]:
+    return Begun(work)
+
+
+@pytest.mark.parametrize("cut", [0, 10, 40, 60])
+def test_a_torn_file_is_no_job(tmp_path: Path, cut: int) -> None:
+    folder = str(tmp_path)
+    assert kept_files.write(folder, KeptJob(JOB, value())) == Ok(None)
+    assert kept_files.load(folder).unwrap().jobs == [KeptJob(JOB, value())]
+    [path] = tmp_path.iterdir()
+    path.write_bytes(path.read_bytes()[:cut])
+    loaded = kept_files.load(folder).unwrap()
+    assert (loaded.jobs, len(loaded.odd)) == ([], 1)
+
+
+def test_a_disk_that_takes_nothing_holds_nothing(tmp_path: Path) -> None:
+    assert isinstance(kept_files.write(str(tmp_path / "none"), KeptJob(JOB, value())), Err)
+
+
+def test_a_job_is_created_when_the_store_is_back(keepers: Keepers) -> None:
+    keepers.away()
+    kept = begin(keepers.vaults["k0"].keep(KeptJob(JOB, value())))
+    assert kept.end() is True
+    keepers.time.advance(5_000)
+    assert keepers.memory.objects == {}
+    keepers.back()
+    keepers.time.advance(1_000)
+    assert keepers.memory.objects[job_key(JOB)][1] == value()
+    assert (keepers.pending(), keepers.files()) == (0, 0)
+
+
+def test_a_keeper_that_starts_again_goes_on(keepers: Keepers) -> None:
+    keepers.away()
+    begin(keepers.vaults["k0"].keep(KeptJob(JOB, value())))
+    keepers.stop("k0")
+    keepers.back()
+    keepers.start("k0")
+    keepers.time.advance(1_000)
+    assert job_key(JOB) in keepers.memory.objects
+
+
+def test_a_job_that_is_there_already_is_not_touched(keepers: Keepers) -> None:
+    # Also one that its caller has ended: a second record would let its items run again.
+    ended = encode(record("a")._replace(ended=True))
+    keepers.memory.put(job_key(JOB), ended)
+    assert begin(keepers.vaults["k0"].keep(KeptJob(JOB, value()))).end() is True
+    keepers.time.advance(1_000)
+    assert keepers.memory.objects[job_key(JOB)][1] == ended
+    assert keepers.files() == 0
+
+
+def test_a_job_whose_results_may_be_deleted_is_not_created_again(keepers: Keepers) -> None:
+    keepers.away()
+    begin(keepers.vaults["k0"].keep(KeptJob(JOB, value())))
+    keepers.time.advance(KEEP_S * 1_000 + 5_000)
+    keepers.back()
+    keepers.time.advance(5_000)
+    assert keepers.memory.objects == {}
+    assert keepers.files() == 0
+
+
+def test_a_disk_that_will_be_removed_takes_nothing(keepers: Keepers) -> None:
+    keepers.vaults["k0"].refuse()
+    assert begin(keepers.vaults["k0"].keep(KeptJob(JOB, value()))).end() is False
+
+
+def test_whom_to_ask() -> None:
+    keepers = [f"k{n}" for n in range(9)]
+    assert len(holders(JOB, keepers, 2)) == 3
+    assert holders(JOB, keepers, 2) == holders(JOB, reversed(keepers), 2)
+    assert holders(JOB, keepers[:1], 2) == ()
+    assert patience_ms(400, store_away=True) == 0
+    assert patience_ms(400, store_away=False) == 200
+
+
+def submitted(keepers: Keepers, desk: JobDesk, job_id: str = JOB) -> Result[None, Any]:
+    due_ms = keepers.time.clock.now() + 3_000
+    begun = begin(desk.submit(job_id, "h.example", "/jobs/j", (item("a"),), due_ms, 400))
+    keepers.time.advance(3_500)
+    ended: Result[None, Any] = begun.end()
+    return ended
+
+
+@pytest.mark.parametrize("why", [StoreError.UNAVAILABLE, StoreError.LOST])
+def test_a_job_is_accepted_while_the_store_is_away(keepers: Keepers, why: StoreError) -> None:
+    # Symptom: every job that comes in an outage is refused, and so is its second attempt.
+    # Events: the store is away for six seconds; jobs come in that time.
+    # Cause: a job could be accepted by the store alone.
+    keepers.away(why)
+    assert submitted(keepers, keepers.desk()) == Ok(None)
+
+
+def test_a_job_on_too_few_disks_is_not_called_not_run(keepers: Keepers) -> None:
+    keepers.away()
+    desk = keepers.desk()
+    for name in ("k0", "k1"):
+        keepers.vaults[name].refuse()
+    refused = submitted(keepers, desk)
+    assert isinstance(refused, Err)
+    assert refused.err_value.outcome is Outcome.UNKNOWN
+
+
+def test_without_disks_a_refusal_is_true(keepers: Keepers) -> None:
+    keepers.away()
+    desk = keepers.desk()
+    for name in ("k0", "k1"):
+        keepers.stop(name)
+    refused = submitted(keepers, desk)
+    assert isinstance(refused, Err)
+    assert refused.err_value.outcome is Outcome.NOT_RUN
+
+
+def test_disks_are_not_asked_where_the_store_answers(keepers: Keepers) -> None:
+    assert submitted(keepers, keepers.desk()) == Ok(None)
+    assert keepers.files() == 0
+
+
+def test_what_may_be_on_its_way_is_not_called_missing() -> None:
+    # A caller that is told there is no such job gives it up.
+    world = DeskWorld()
+    world.settled = False
+    told: list[Result[Any, Any]] = [
+        world.begin(world.desk.results(JOB, 0, 0)).end(),
+        world.begin(world.desk.end(JOB, 1_000)).end(),
+    ]
+    for one in told:
+        assert isinstance(one, Err)
+        assert one.err_value.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+class Losses(RuleBasedStateMachine):
+    """Submit and end jobs while the store goes away, keepers die and one disk is lost."""
+
+    @initialize()
+    def begin_world(self) -> None:
+        self.keepers = Keepers()
+        self.desk = self.keepers.desk()
+        self.accepted: set[str] = set()
+        self.ended: set[str] = set()
+        self.refused: dict[str, bool] = {}
+        self.away = False
+        self.lost_disks = 0
+        self.number = 0
+
+    def teardown(self) -> None:
+        if hasattr(self, "keepers"):
+            self.settle()
+            self.check()
+            self.keepers.close()
+
+    def check(self) -> None:
+        stored = set(self.keepers.memory.objects)
+        for job_id in self.accepted:
+            assert job_key(job_id) in stored, f"{job_id} was accepted and is lost"
+            kept = read_record(self.keepers.memory.objects[job_key(job_id)][1]).unwrap()
+            assert kept.ended == (job_id in self.ended), f"{job_id}: ended is {kept.ended}"
+        for job_id, not_run in self.refused.items():
+            if not_run and job_id not in self.accepted:
+                assert job_key(job_id) not in stored, f"{job_id} was refused and is there"
+
+    @rule()
+    def go_away(self) -> None:
+        self.away = True
+        self.keepers.away()
+
+    @rule()
+    def settle(self) -> None:
+        self.away = False
+        self.keepers.back()
+        for name in self.keepers.folders:
+            if name not in self.keepers.vaults:
+                self.keepers.start(name)
+        self.keepers.time.advance(LONG_MS)
+        assert self.keepers.pending() == 0
+        self.lost_disks = 0
+
+    def _submit(self, job_id: str) -> None:
+        done = submitted(self.keepers, self.desk, job_id)
+        if isinstance(done, Ok):
+            self.accepted.add(job_id)
+        else:
+            not_run = done.err_value.outcome is Outcome.NOT_RUN
+            self.refused[job_id] = self.refused.get(job_id, True) and not_run
+
+    @rule()
+    def submit(self) -> None:
+        self.number += 1
+        self._submit(f"job-{self.number}")
+
+    @precondition(lambda self: self.number > 0)
+    @rule(back=st.integers(0, 3))
+    def submit_again(self, back: int) -> None:
+        self._submit(f"job-{max(1, self.number - back)}")
+
+    @precondition(lambda self: self.accepted)
+    @rule(pick=st.integers(0, 5))
+    def end(self, pick: int) -> None:
+        job_id = sorted(self.accepted)[pick % len(self.accepted)]
+        due_ms = self.keepers.time.clock.now() + 1_000
+        ended = begin(self.desk.end(job_id, due_ms))
+        self.keepers.time.advance(2_000)
+        if isinstance(ended.end(), Ok):
+            self.ended.add(job_id)
+
+    @rule(number=st.integers(0, 2))
+    def kill(self, number: int) -> None:
+        self.keepers.stop(f"k{number}")
+
+    @rule()
+    def restart_all(self) -> None:
+        for name in self.keepers.folders:
+            self.keepers.stop(name)
+            self.keepers.start(name)
+
+    @precondition(lambda self: self.lost_disks == 0)
+    @rule(number=st.integers(0, 2))
+    def lose_disk(self, number: int) -> None:
+        self.lost_disks += 1
+        name = f"k{number}"
+        self.keepers.stop(name)
+        self.keepers.wipe(name)
+        self.keepers.start(name)
+
+
+Losses.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=400,
+    stateful_step_count=25,
+    suppress_health_check=list(HealthCheck),
+)
+TestLosses = Losses.TestCase
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -106,6 +106,32 @@
     def test_a_store_outage(self) -> Any:
         return Deferred.fromCoroutine(self._outage())
 
+    async def _accepted_in_an_outage(self) -> None:
+        # Symptom: jobs that come while the store is away are refused at every attempt.
+        # Events: the store answers 503; a job comes, twice; all processes are killed and start
+        # again while the store is still away; then it is back.
+        world = self.world
+        await world.start(entries=2, keepers=3)
+        world.store.away = True
+        assert (await world.submit(self.port(), "job-1")).status == 202
+        assert (await world.submit(self.port(2), "job-1")).status == 202
+        for name, child in list(world.children.items()):
+            child.signal(SIGKILL)
+            await child.ended
+            world.restart(name)
+        for port in world.callers.values():
+            await world.until_open(port)
+        assert world.store.names("papayapier-jobs") == []
+        world.store.away = False
+        for name in world.callers:
+            await world.until_ready(name)
+        for port in world.callers.values():
+            assert len(await world.results(port, "job-1", 3)) == 3
+        assert world.store.names("papayapier-jobs") == ["job-1"]
+
+    def test_a_job_is_accepted_in_an_outage(self) -> Any:
+        return Deferred.fromCoroutine(self._accepted_in_an_outage())
+
     async def _sent_twice(self) -> None:
         # Symptom: a job's items run and are listed twice.
         # Events: the write of its record is done and not answered, the caller sends it again
