Keep how far items have come on the keeper's disk

Cause: what keepers had run of their items, and results not yet written, were in memory only. Weighed: a record an event (a sync each), one file appended to (grows, needs compaction), hints in the store (writes are priced). Losing it, or reading an old one, costs time only: the store says what is listed, and an item goes on with the event after the last one that is held.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -152,6 +152,12 @@
 JOB_KEPT: Final = Event(532, "job_kept", Level.INFO, "job held on this disk")
 JOB_NOT_KEPT: Final = Event(533, "job_not_kept", Level.WARNING, "disk could not hold or give a job")
 KEPT_JOB_ENDED: Final = Event(534, "kept_job_ended", Level.INFO, "job held here no more")
+PROGRESS_LOADED: Final = Event(
+    535, "progress_loaded", Level.INFO, "items go on from what the disk holds"
+)
+PROGRESS_NOT_SAVED: Final = Event(
+    536, "progress_not_saved", Level.WARNING, "items' progress on the disk"
+)
 ITEMS_LISTED: Final = Event(530, "items_listed", Level.INFO, "group of results written")
 RUN_TAKEN: Final = Event(526, "run_taken", Level.INFO, "this instance runs the job's items")
 RUN_RELEASED: Final = Event(
--- a/papayapier/jobs/kept_files.py
+++ b/papayapier/jobs/kept_files.py
@@ -1,20 +1,19 @@
 """Keep jobs as files on a keeper's disk: one file a job, whole or worth nothing.
 
-A file begins with a checksum of the rest, so that one torn by a loss of power is known. It is
-synced before anybody is told of it. All calls block; they run in a thread, since a faulty disk
-hangs for seconds.
+A job is synced before anybody is told of it. All calls block; they run in a thread.
 """
 
-import hashlib
-import os
 from pathlib import Path
 from typing import Final, NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
 
+from papayapier import sealed_files
+
 SUFFIX: Final = ".job"
-DIGEST_BYTES: Final = 32
+# The id in hexadecimal is the file's name, which has 255 characters at most.
+LONGEST_ID_BYTES: Final = 120
 
 
 class KeptJob(NamedTuple):
@@ -36,20 +35,13 @@
 
 def write(folder: str, job: KeptJob) -> Result[None, str]:
     """Write and sync a job's file."""
-    body = msgspec.msgpack.encode(job)
-    path = _path(folder, job.job_id)
-    try:
-        with path.open("wb") as file:
-            file.write(hashlib.sha256(body).digest() + body)
-            file.flush()
-            os.fsync(file.fileno())
-    except OSError as exc:
-        return Err(f"{path.name}: {exc.strerror}")
-    return Ok(None)
+    if len(job.job_id.encode()) > LONGEST_ID_BYTES:
+        return Err("the job's id is too long for a file's name")
+    return sealed_files.write(_path(folder, job.job_id), msgspec.msgpack.encode(job))
 
 
 def remove(folder: str, job_id: str) -> Result[None, str]:
-    """Remove a job's file; one that comes back after a loss of power is written once more."""
+    """Remove a job's file; one that comes back after a loss of power is found in the store."""
     path = _path(folder, job_id)
     try:
         path.unlink(missing_ok=True)
@@ -70,23 +62,19 @@
         if isinstance(read, Ok):
             loaded.jobs.append(read.ok_value)
         else:
-            loaded.odd.append(f"{path.name}: {read.err_value}")
+            loaded.odd.append(read.err_value)
     return Ok(loaded)
 
 
 def _read(path: Path) -> Result[KeptJob, str]:
+    body = sealed_files.read(path)
+    if isinstance(body, Err):
+        return body
     try:
-        data = path.read_bytes()
-    except OSError as exc:
-        return Err(str(exc.strerror))
-    digest, body = data[:DIGEST_BYTES], data[DIGEST_BYTES:]
-    if hashlib.sha256(body).digest() != digest:
-        return Err("torn")
-    try:
-        return Ok(_JOB.decode(body))
+        return Ok(_JOB.decode(body.ok_value))
     except msgspec.MsgspecError as exc:
-        return Err(str(exc))
+        return Err(f"{path.name}: {exc}")
 
 
 def _path(folder: str, job_id: str) -> Path:
-    return Path(folder) / (hashlib.sha256(job_id.encode()).hexdigest() + SUFFIX)
+    return Path(folder) / (job_id.encode().hex() + SUFFIX)
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -16,6 +16,7 @@
 from papayapier.jobs.commits import CommitDeps, commit, load_groups
 from papayapier.jobs.desk import read_whole
 from papayapier.jobs.news import GroupsTold
+from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.work import Item, JobWork
@@ -50,6 +51,7 @@
         self._deps = deps
         self._clock = deps.runs.clock
         self._runs = Runs(deps.runs, self._commit, self.pump)
+        self._recalled: dict[str, list[ItemProgress]] = {}
         self._open: dict[str, JobRecord] = {}
         self._owned: dict[str, JobWork] = {}
         self._timer: Timer | None = None
@@ -70,6 +72,17 @@
         """Begin to run."""
         self._tick()
 
+    def recall(self, items: Sequence[ItemProgress]) -> None:
+        """Take how far an earlier run of this process had come."""
+        for one in items:
+            self._recalled.setdefault(one.job_id, []).append(one)
+
+    def progress(self) -> list[ItemProgress]:
+        """Return how far the items of the jobs that are known whole have come."""
+        owned = (one for work in self._owned.values() if work.loaded for one in work.progress())
+        waiting = (one for items in self._recalled.values() for one in items)
+        return [*owned, *waiting]
+
     def stop(self) -> None:
         """Cancel every run; what was finished is still written."""
         self._stopping = True
@@ -133,10 +146,14 @@
         work = self._owned[job_id]
         events.emit(events.RUN_RELEASED, job=job_id, listed=work.listed)
         self._runs.cancel_job(work)
+        if work.loaded:
+            # It may come back, as when a keeper was silent for a moment.
+            self.recall(work.progress())
         if not work.unwritten:
             del self._owned[job_id]
 
     def _end_job(self, job_id: str) -> None:
+        self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if self._open.pop(job_id, None) is not None:
             events.emit(events.JOB_ENDED, job=job_id, reason="cancelled")
@@ -146,6 +163,7 @@
 
     def _forget(self, job_id: str) -> None:
         self._open.pop(job_id, None)
+        self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if work is not None:
             self._runs.cancel_job(work)
@@ -160,6 +178,10 @@
                 work.loaded = isinstance(loaded, Ok)
             if not work.loaded:
                 await self._clock.sleep(LOAD_AGAIN_MS)
+        for saved in self._recalled.pop(work.job_id, ()):
+            work.recall(saved)
+        if work.unwritten:
+            self._commit(work)
         self._close_if_complete(work)
         self.pump()
 
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -3,6 +3,7 @@
 import math
 from typing import Final
 
+from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import ItemEnd, ItemResult, JobItem, JobRecord, ResultGroup
 from papayapier.upstream.event_cutter import NO_EVENT
 
@@ -53,6 +54,34 @@
         one = self.items.pop(item_id)
         self.unwritten[item_id] = ItemResult(item_id, end, one.text())
 
+    def progress(self) -> list[ItemProgress]:
+        """Return how far the items have come that are begun, or done and not yet written."""
+        begun = [
+            ItemProgress(
+                self.job_id, one.item.id, one.last_event, tuple(one.texts), one.ran_ms, one.failures
+            )
+            for one in self.items.values()
+            if one.texts or one.failures
+        ]
+        ended = [
+            ItemProgress(self.job_id, result.id, NO_EVENT, (result.text,), 0, 0, result.end)
+            for result in self.unwritten.values()
+        ]
+        return begun + ended
+
+    def recall(self, saved: ItemProgress) -> None:
+        """Go on with an item from where an earlier run of this process left it."""
+        one = self.items.get(saved.item_id)
+        if one is None:
+            # Another has listed it.
+            return
+        one.texts = list(saved.texts)
+        one.last_event = saved.last_event
+        one.ran_ms = saved.ran_ms
+        one.failures = saved.failures
+        if saved.end is not None:
+            self.finish(saved.item_id, saved.end)
+
     def take_group(self, number: int, group: ResultGroup) -> list[Item]:
         """Learn a group that is stored; return the items that others have listed."""
         assert number == self.groups
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -8,6 +8,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.jobs import progress
 from papayapier.jobs.expiry import Expiry, ExpiryDeps
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
@@ -106,6 +107,8 @@
     )
     store = base.view(Priority.BULK)
     runner = JobRunner(RunnerDeps(runs, store, base.routing.table, tell_groups, base.news))
+    if cfg.jobs.folder:
+        await _start_progress(base, runner)
     base.hub.on_change(runner.review)
     base.hub.subscribe(Heartbeat, witnesses.on_heartbeat)
     base.hub.subscribe(Heartbeat, lambda _peer, _message: runner.pump_soon())
@@ -128,6 +131,17 @@
     return Ok(Keeper(base, runner, vault))
 
 
+async def _start_progress(base: NodeBase, runner: JobRunner) -> None:
+    """Go on from what the disk holds of an earlier run, and begin to keep it there."""
+    folder = base.cfg.jobs.folder
+    deps = progress.SaverDeps(base.clock, folder, in_threads(base.reactor), runner.progress)
+    snapshot = await progress.load_soon(deps)
+    runner.recall(snapshot.items)
+    saving = Deferred.fromCoroutine(progress.save_regularly(deps, snapshot.number))
+    saving.addErrback(report_failure, "progress")
+    base.tasks.append(saving)
+
+
 def _start_vault(base: NodeBase) -> Vault:
     """Begin to hold jobs for entries, with what an earlier run of this keeper held."""
     cfg = base.cfg
