Let every keeper of a small fleet share every replica

Cause: three keepers shared each replica, whom hashing chose. Change: up to six hubs all share every replica; beyond, three do, since each costs a message a change. Test: with 1 to 6 hubs each is among the sharers of each replica; it fails before with 4.

--- a/papayapier/policy/totals.py
+++ b/papayapier/policy/totals.py
@@ -11,14 +11,19 @@
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.rendezvous import score
 
-# Hubs that run batch at one replica, and so must know of its online calls at once; a small
-# deployment has three in all.
+# Hubs that run batch at one replica of a large fleet, and so must know of its online calls at
+# once: each of them costs a message for every change of those.
 SHARERS: Final = 3
+# Up to so many hubs all share every replica; where everybody hears everybody (16 instances), a
+# third or so are hubs. With three of four hubs at each of five replicas, hashing left one hub a
+# single replica: of its 42 items it ran 6 at a time while 40 slots elsewhere were idle.
+ALL_SHARE: Final = 6
 
 
 def sharers_of(replica_id: str, hubs: Sequence[str]) -> list[str]:
     """Return the hubs that share a replica; the first one tells its totals."""
-    return sorted(hubs, key=lambda hub: score(replica_id, hub), reverse=True)[:SHARERS]
+    most = len(hubs) if len(hubs) <= ALL_SHARE else SHARERS
+    return sorted(hubs, key=lambda hub: score(replica_id, hub), reverse=True)[:most]
 
 
 def totals_of(book: LoadBook, hubs: Sequence[str], own_id: str) -> tuple[ReplicaUse, ...]:
--- a/tests/test_jobs_room.py
+++ b/tests/test_jobs_room.py
@@ -2,10 +2,13 @@
 
 import random
 
+import pytest
+
 from papayapier.jobs.room import Room, Shared, use_of
 from papayapier.policy.batch_room import SPARE_SLOTS, start_limit
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
+from papayapier.policy.totals import ALL_SHARE, SHARERS, sharers_of
 from papayapier.upstream.api import Replica
 
 SLOTS = 8
@@ -30,6 +33,22 @@
     assert start_limit(use_of(shared(["a", "b"], ["b"]), "r")) == (SLOTS - SPARE_SLOTS) // 2
 
 
+@pytest.mark.parametrize("hubs", range(1, ALL_SHARE + 1))
+def test_every_hub_of_a_small_fleet_may_use_every_idle_slot(hubs: int) -> None:
+    # Symptom: 37 items wait for 25 s while 40 of 48 slots are idle, and end late or never.
+    # Events: a keeper is added to three; it owns five jobs; no online call is under way.
+    # Cause: three keepers shared each replica, whom hashing chose; the fourth had one replica.
+    names = [f"storage-{number}" for number in range(hubs)]
+    for me in names:
+        for replica in range(8):
+            assert me in sharers_of(f"i-{replica}", names)
+
+
+def test_few_hubs_share_a_replica_of_a_large_fleet() -> None:
+    names = [f"storage-{number}" for number in range(ALL_SHARE + 3)]
+    assert len(sharers_of("i-1", names)) == SHARERS
+
+
 def test_room_is_found_where_there_is_some() -> None:
     room = Room(shared(["a"], []))
     found = room.take("lm", 0)
