--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -13,13 +13,14 @@
 from result import Err, Ok, Result
 
 from papayapier import events
+from papayapier.dispatch.again import Tries, before_again, decide_again
 from papayapier.dispatch.blame import blames_replica, rejection
 from papayapier.dispatch.truth import check_send, make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.retries import GiveUp, Retry, decide, failed_at
+from papayapier.policy.retries import GiveUp, Retry
 from papayapier.policy.routing import RouteRequest, pick_replica
-from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Token
+from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Token
 from papayapier.upstream.engine_calls import streaming_body
 
 if TYPE_CHECKING:
@@ -27,30 +28,18 @@
 
     from papayapier.dispatch.api import DispatchDeps, OnlineRequest, OnToken
 
-NONE_EXCLUDED: Final[frozenset[str]] = frozenset()
 NO_REPLICA_RETRY_MS: Final = 1_000
 
 
 class _Progress:
     """Keep what one request has sent and received over all its attempts."""
 
-    __slots__ = (
-        "attempts",
-        "began_ms",
-        "excluded",
-        "first_token_ms",
-        "fresh",
-        "maybe_sent",
-        "parts",
-    )
+    __slots__ = ("began_ms", "first_token_ms", "parts", "tries")
 
     def __init__(self, began_ms: int, fresh: bool) -> None:
-        self.attempts = 0
+        self.tries = Tries(fresh)
         self.began_ms = began_ms
-        self.excluded = NONE_EXCLUDED
         self.first_token_ms = 0
-        self.fresh = fresh
-        self.maybe_sent = False
         self.parts: list[str] = []
 
     def text(self) -> str:
@@ -68,20 +57,18 @@
     make_room is told the replica of each send before it is made, with the call counted.
     """
     now = deps.clock.now()
-    # A kept connection may have been closed by the replica unnoticed. A second send then
-    # is safe only for idempotent work, so the rest pays for a new connection.
     progress = _Progress(now, fresh=not req.profile.idempotent)
     deps.budget.on_request(req.profile.upstream, now)
     while True:
-        replica = _pick(deps, req, progress.excluded)
+        replica = _pick(deps, req, progress.tries.excluded)
         if replica is None:
-            return Err(make_true(_no_replica(req), progress.maybe_sent))
+            return Err(make_true(_no_replica(req), progress.tries.maybe_sent))
         sent = await _send_once(deps, req, replica, progress, on_token, make_room)
         if isinstance(sent, Ok):
             return Ok(_joined(sent.ok_value, progress))
         decision = _after_failure(deps, req, replica, sent.err_value, progress)
         if isinstance(decision, GiveUp):
-            return Err(make_true(decision.refusal, progress.maybe_sent))
+            return Err(make_true(decision.refusal, progress.tries.maybe_sent))
         await _before_retry(deps, req, replica, decision, progress)
 
 
@@ -106,7 +93,7 @@
     on_token: "OnToken",
     make_room: "Callable[[str], None]",
 ) -> Result[Reply, Failure]:
-    progress.attempts += 1
+    progress.tries.made += 1
     started = deps.clock.now()
     deps.book.on_sent(replica.id, False, started)
     deps.outliers.on_start(replica.id, started)
@@ -115,7 +102,7 @@
     try:
         # Only now, because what batch must give up is worked out from the calls counted.
         make_room(replica.id)
-        may_run_again = req.profile.idempotent or not progress.maybe_sent
+        may_run_again = req.profile.idempotent or not progress.tries.maybe_sent
         check_send(deps.book, replica, req.call_id, may_run_again, started)
         call = _call(req, progress, _first_byte_ms(deps, req, progress, started))
         receive = _receiver(deps, req, call, progress, on_token)
@@ -154,7 +141,7 @@
     """Return the limit of this attempt; what may not be sent again has none of its own."""
     if not req.profile.idempotent:
         return NO_LIMIT
-    attempts_left = req.profile.retry.attempts - progress.attempts + 1
+    attempts_left = req.profile.retry.attempts - progress.tries.made + 1
     return deps.first_bytes.limit_ms(req.profile.upstream, req.due_ms - now, attempts_left)
 
 
@@ -164,14 +151,14 @@
         body = streaming_body(req.body, progress.text())
     return Call(
         call_id=req.call_id,
-        request_id=_request_id(req, progress.attempts),
+        request_id=_request_id(req, progress.tries.made),
         method=req.method,
         path=req.path,
         body=body,
         content_type=req.content_type,
         stream=req.generates,
         due_ms=req.due_ms,
-        fresh=progress.fresh,
+        fresh=progress.tries.fresh,
         plain=not req.generates,
         first_byte_ms=first_byte_ms,
     )
@@ -227,21 +214,9 @@
     rejected = rejection(failure)
     if rejected is not None:
         return GiveUp(rejected)
-    earlier = Sent.MAYBE if progress.maybe_sent else Sent.NO
-    progress.maybe_sent = progress.maybe_sent or failure.sent is Sent.MAYBE
-    return decide(
-        failure,
-        req.profile.idempotent,
-        progress.attempts,
-        req.profile.retry,
-        req.due_ms,
-        deps.clock.now(),
-        deps.budget,
-        req.profile.upstream,
-        deps.rand,
-        earlier,
-        failed_at(deps.book, replica),
-    )
+    earlier = progress.tries.note(failure)
+    made = progress.tries.made
+    return decide_again(deps, req.profile, req.due_ms, replica, failure, earlier, made)
 
 
 async def _before_retry(
@@ -252,17 +227,12 @@
     progress: _Progress,
 ) -> None:
     events.emit(events.REQUEST_RETRIED, call=req.call_id, replica=replica.id)
-    deps.metrics.retries.labels(req.profile.upstream).inc()
-    progress.fresh = progress.fresh or decision.fresh_connection
-    if decision.exclude:
-        progress.excluded = progress.excluded | {replica.id}
-    if decision.after_ms:
-        await deps.clock.sleep(decision.after_ms)
+    await before_again(deps, req.profile, replica, decision, progress.tries)
 
 
 def _joined(reply: Reply, progress: _Progress) -> Reply:
     """Make one answer of the parts that several attempts gave."""
-    if progress.attempts == 1:
+    if progress.tries.made == 1:
         return reply
     return reply._replace(
         text=progress.text() or reply.text,
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -12,11 +12,12 @@
 from twisted.web.http_headers import Headers
 
 from papayapier import events
+from papayapier.dispatch.again import Tries, before_again, decide_again
 from papayapier.dispatch.blame import blames_replica
 from papayapier.dispatch.truth import make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.retries import GiveUp, Retry, decide, failed_at
+from papayapier.policy.retries import GiveUp, Retry
 from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.event_cutter import NO_EVENT, EventCutter
@@ -38,7 +39,6 @@
     from papayapier.upstream.exchange import Head
     from papayapier.upstream.raw import SendRaw
 
-NONE_EXCLUDED: Final[frozenset[str]] = frozenset()
 FULL_RETRY_MS: Final = 200
 # Replicas that say they did not run a request may be asked one after the other; this many
 # are enough to find a free one among a dozen, and bound what a request costs.
@@ -144,27 +144,19 @@
 
     __slots__ = (
         "answer",
-        "attempts",
         "began_ms",
-        "excluded",
-        "fresh",
-        "maybe_sent",
         "placed",
-        "rejections",
         "replicas",
         "stream",
+        "tries",
     )
 
     def __init__(self, req: RawRequest, reader: Reader | None, began_ms: int) -> None:
-        self.attempts = 0
+        self.tries = Tries(fresh=not req.profile.idempotent)
         self.began_ms = began_ms
         self.replicas: list[str] = []
         # Sends that a placer chose; the rest were chosen here.
         self.placed = 0
-        self.rejections = 0
-        self.excluded = NONE_EXCLUDED
-        self.fresh = not req.profile.idempotent
-        self.maybe_sent = False
         self.answer: RawAnswer | None = None
         self.stream = _Stream(reader, req.last_event) if reader is not None else None
 
@@ -214,7 +206,7 @@
     """End without a good answer: a replica's own answer says more than any refusal."""
     if progress.answer is not None:
         return Ok(progress.answer)
-    return Err(make_true(refusal, progress.maybe_sent))
+    return Err(make_true(refusal, progress.tries.maybe_sent))
 
 
 async def _pick(deps: ForwardDeps, req: RawRequest, progress: "_Progress") -> Replica | None:
@@ -224,7 +216,7 @@
         upstream,
         req.prompt,
         deps.data_centre,
-        progress.excluded,
+        progress.tries.excluded,
         idempotent=req.profile.idempotent,
         told=True,
         fresh=deps.fresh(),
@@ -246,7 +238,7 @@
 async def _send_once(
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress
 ) -> Result[RawAnswer, Failure]:
-    progress.attempts += 1
+    progress.tries.made += 1
     progress.replicas.append(replica.id)
     started = deps.clock.now()
     deps.book.on_sent(replica.id, False, started)
@@ -284,7 +276,7 @@
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress, now: int
 ) -> RawCall:
     left_ms = req.due_ms - now
-    attempts_left = req.profile.retry.attempts - progress.attempts + 1
+    attempts_left = req.profile.retry.attempts - progress.tries.made + 1
     wait_ms = NO_LIMIT
     if req.profile.idempotent:
         wait_ms = deps.first_bytes.limit_ms(req.profile.upstream, left_ms, attempts_left)
@@ -296,7 +288,7 @@
         deps.head(req.headers, replica, left_ms, last_event),
         req.body,
         req.due_ms,
-        progress.fresh,
+        progress.tries.fresh,
         req.stream,
         wait_ms,
     )
@@ -330,45 +322,26 @@
 def _after_failure(
     deps: ForwardDeps, req: RawRequest, replica: Replica, failure: Failure, progress: _Progress
 ) -> Retry | GiveUp:
-    earlier = Sent.MAYBE if progress.maybe_sent else Sent.NO
-    progress.maybe_sent = progress.maybe_sent or failure.sent is Sent.MAYBE
-    if failure.sent is Sent.NO:
-        progress.rejections += 1
+    tries = progress.tries
+    earlier = tries.note(failure)
     # A send that did not run uses up none of the replicas that the route allows.
-    made = progress.attempts - progress.rejections
-    if progress.rejections >= REJECTIONS_MAX:
-        made = req.profile.retry.attempts
-    return decide(
-        failure,
-        req.profile.idempotent,
-        made,
-        req.profile.retry,
-        req.due_ms,
-        deps.clock.now(),
-        deps.budget,
-        req.profile.upstream,
-        deps.rand,
-        earlier,
-        failed_at(deps.book, replica),
-    )
+    counted = tries.made - tries.rejections
+    if tries.rejections >= REJECTIONS_MAX:
+        counted = req.profile.retry.attempts
+    return decide_again(deps, req.profile, req.due_ms, replica, failure, earlier, counted)
 
 
 async def _before_retry(
     deps: ForwardDeps, req: RawRequest, replica: Replica, retry: Retry, progress: _Progress
 ) -> None:
-    progress.fresh = True
-    if retry.exclude:
-        progress.excluded |= {replica.id}
     if progress.stream is not None:
         progress.stream.restart()
-    deps.metrics.retries.labels(req.profile.upstream).inc()
     events.emit(
         events.REQUEST_RETRIED,
         request=req.request_id,
         profile=req.profile.name,
         replica=replica.id,
-        attempt=progress.attempts,
+        attempt=progress.tries.made,
         after_ms=retry.after_ms,
     )
-    if retry.after_ms:
-        await deps.clock.sleep(retry.after_ms)
+    await before_again(deps, req.profile, replica, retry, progress.tries)
