--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.trial.unittest import TestCase
 
+from papayapier import events
 from tests.site.replicas import EVENTS
 from tests.site.soak import soak
 from tests.site.world import SiteWorld, begin, configuration, new_id, pause
@@ -112,6 +113,14 @@
         # again while the store is still away; then it is back.
         world = self.world
         await world.start(entries=2, keepers=3)
+        # An entry asks the keepers that are written down and heard; on a busy machine it hears
+        # of the last of them up to 1.5 s after that one has started, and refuses until then.
+        entries = [world.children[name] for name in world.callers]
+        await world.until(
+            lambda: all(one.logged(events.PEER_UP.number) >= 4 for one in entries),
+            "the entries hear the keepers",
+        )
+        await pause(2.0)
         world.store.away = True
         assert (await world.submit(self.port(), "job-1")).status == 202
         assert (await world.submit(self.port(2), "job-1")).status == 202
