--- a/papayapier/jobs/progress.py
+++ b/papayapier/jobs/progress.py
@@ -26,6 +26,9 @@
 SAVE_MS: Final = 1_000
 # A start does not wait longer for a disk that hangs.
 LOAD_MS: Final = 500
+# Some 25 runs of 10 kB are under way, and in an outage of a minute 300 results wait. In a longer
+# one the rest is left out: writing all of it each second would take the disk and the processor.
+MOST_CHARS: Final = 4_000_000
 
 
 class ItemProgress(NamedTuple):
@@ -87,7 +90,7 @@
     empty = False
     while True:
         await deps.clock.sleep(SAVE_MS)
-        items = tuple(deps.progress())
+        items = _bounded(deps.progress())
         if not items and empty:
             continue
         empty = not items
@@ -99,6 +102,18 @@
             events.emit(events.PROGRESS_NOT_SAVED, items=len(items), reason=reason or "well again")
 
 
+def _bounded(items: Sequence[ItemProgress]) -> tuple[ItemProgress, ...]:
+    """Return as many items as a snapshot may hold, those that are done first."""
+    taken = []
+    chars = 0
+    for one in sorted(items, key=lambda item: item.end is None):
+        chars += sum(len(text) for text in one.texts)
+        if chars > MOST_CHARS:
+            break
+        taken.append(one)
+    return tuple(taken)
+
+
 def _writing(folder: str, snapshot: Snapshot) -> Callable[[], Result[None, str]]:
     path = Path(folder) / FILES[snapshot.number % len(FILES)]
     return lambda: sealed_files.write(path, msgspec.msgpack.encode(snapshot))
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -32,6 +32,8 @@
 LOAD_AGAIN_MS: Final = 300
 # Wall clocks of machines differ; an item must not be given up before its time on any.
 CLOCK_MARGIN_MS: Final = 3_000
+# What the disk holds of jobs that have not shown up by then is of jobs that are deleted by now.
+RECALL_MS: Final = 120_000
 
 
 class RunnerDeps(NamedTuple):
@@ -74,6 +76,7 @@
 
     def start(self) -> None:
         """Begin to run."""
+        self._clock.call_later(RECALL_MS, self._recalled.clear)
         self._tick()
 
     def recall(self, items: Sequence[ItemProgress]) -> None:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -197,7 +197,7 @@
             heard,
             keep=partial(keep, keeping),
             store_away=lambda: base.budget.down_since() is not None,
-            settled=partial(_settled, base),
+            settled=partial(_settled, base, base.clock.now()),
         )
     )
 
@@ -241,10 +241,13 @@
     return routes
 
 
-def _settled(base: NodeBase) -> bool:
-    """Tell whether keepers have had time to bring what they held into the store."""
+def _settled(base: NodeBase, began_ms: int) -> bool:
+    """Tell whether keepers have had time to bring what they held into the store.
+
+    A process that has just started does not know whether the store was away.
+    """
     back = base.store_return.back_ms()
-    return back is not None and (not back or base.clock.now() >= back + BRINGING_MS)
+    return back is not None and base.clock.now() >= max(back, began_ms) + BRINGING_MS
 
 
 def _body_limit(base: NodeBase) -> Any:
--- a/tests/test_jobs_progress.py
+++ b/tests/test_jobs_progress.py
@@ -102,6 +102,17 @@
     assert disk.writes <= idle + 2
 
 
+def test_a_snapshot_is_bounded_and_holds_results_first(tmp_path: Path) -> None:
+    # Symptom: in an outage of hours each second's snapshot is larger than the one before.
+    disk = Disk(str(tmp_path))
+    half = "x" * (progress.MOST_CHARS // 2)
+    disk.items = [BEGUN._replace(texts=(half,)), DONE._replace(texts=(half,)), DONE]
+    Deferred.fromCoroutine(progress.save_regularly(disk.deps, 0))
+    disk.time.advance(progress.SAVE_MS)
+    saved = progress.load(str(tmp_path)).items
+    assert [one.end for one in saved] == [ItemEnd.DONE, ItemEnd.DONE]
+
+
 def test_a_full_disk_is_told_once(tmp_path: Path) -> None:
     disk = Disk(str(tmp_path / "none"))
     disk.items = [BEGUN]
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -7,7 +7,7 @@
 from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JobRecord, encode, group_key, job_key, read_group
-from papayapier.jobs.runner import JobRunner, RunnerDeps
+from papayapier.jobs.runner import RECALL_MS, JobRunner, RunnerDeps
 from papayapier.store.api import Change, StoreError
 from tests.jobs_world import JOB, MemoryStore, group, record
 from tests.test_jobs_runs import EVENTS, Answer, RouteTo, World
@@ -97,6 +97,16 @@
     assert world.sent == {}
 
 
+def test_what_the_disk_holds_of_jobs_that_are_gone_is_dropped() -> None:
+    # Symptom: texts of jobs deleted long ago are written to the disk each second.
+    world = RunnerWorld()
+    world.runner.recall([ItemProgress("gone", "a", 7, ("x",), 400, 0)])
+    world.time.advance(RECALL_MS - 1)
+    assert len(world.runner.progress()) == 1
+    world.time.advance(1)
+    assert world.runner.progress() == []
+
+
 def test_a_start_goes_on_from_the_disk() -> None:
     # Symptom: all items that ran begin again after a loss of power.
     world = RunnerWorld()
