Run from the disk only what has just come to be held, and remove files of held jobs for good

Cause: a keeper ran whatever its disk held at a start. Ruled out: progress (the item's end had been recalled and listed), the count of attempts, two owners in calm. Change: only a job that has just been kept runs before the store has it; the folder is synced after a removal. Test: a file that comes back runs nothing and leaves the job as it is; it fails before.

--- a/papayapier/jobs/kept_files.py
+++ b/papayapier/jobs/kept_files.py
@@ -41,10 +41,11 @@
 
 
 def remove(folder: str, job_id: str) -> Result[None, str]:
-    """Remove a job's file; one that comes back after a loss of power is found in the store."""
+    """Remove a job's file for good: without a sync of its folder a loss of power brings it back."""
     path = _path(folder, job_id)
     try:
         path.unlink(missing_ok=True)
+        sealed_files.sync_folder(path.parent)
     except OSError as exc:
         return Err(f"{path.name}: {exc.strerror}")
     return Ok(None)
--- a/papayapier/jobs/vault.py
+++ b/papayapier/jobs/vault.py
@@ -31,9 +31,10 @@
 class VaultDeps(NamedTuple):
     """Group what a vault works with.
 
-    in_thread runs a call that blocks. held is told of each job that is held, to run it while the
-    store is still away. A job is dropped keep_s after its submission: whoever else
-    held it has created it by then, and its results may have been read and deleted.
+    in_thread runs a call that blocks. held is told of each job that comes to be held, to run it
+    while the store is still away; not of those that an earlier run has left, since only the store
+    knows what has become of them. A job is dropped keep_s after its submission: whoever else held
+    it has created it by then, and its results may have been read and deleted.
     """
 
     clock: Clock
@@ -93,6 +94,9 @@
             return False
         events.emit(events.JOB_KEPT, job=job.job_id, bytes=len(job.value))
         self._hold(job)
+        record = read_record(job.value)
+        if job.job_id in self._held and isinstance(record, Ok):
+            self._deps.held(job.job_id, record.ok_value)
         return True
 
     def refuse(self) -> None:
@@ -112,9 +116,6 @@
         if task.called:
             return
         self._held[job.job_id] = task
-        record = read_record(job.value)
-        if isinstance(record, Ok):
-            self._deps.held(job.job_id, record.ok_value)
 
     async def _create(self, job: KeptJob) -> None:
         """Create the job in the store, however long that takes, and remove its file."""
--- a/papayapier/sealed_files.py
+++ b/papayapier/sealed_files.py
@@ -26,6 +26,15 @@
     return Ok(None)
 
 
+def sync_folder(folder: Path) -> None:
+    """Make the names that were removed from a folder stay removed; raise OSError."""
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
 def read(path: Path) -> Result[bytes, str]:
     """Return what was written, or say why it is not there."""
     try:
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -174,6 +174,26 @@
     assert job_key(JOB) in keepers.memory.objects
 
 
+def test_a_file_that_comes_back_runs_nothing(keepers: Keepers) -> None:
+    # Symptom: an item that can never be done reaches replicas a fourth time, and complete jobs run
+    # again (outage-with-power-loss, seed 105761694142 of a small site).
+    # Events: a job was held, created and completed, its file removed; a loss of power brings the
+    # file back, and the store is away again when the keeper starts.
+    # Cause: whatever lay on the disk at a start was run, before the store could tell its end.
+    keepers.away()
+    keepers.stop("k0")
+    assert kept_files.write(keepers.folders["k0"].name, KeptJob(JOB, value())) == Ok(None)
+    keepers.start("k0")
+    keepers.time.advance(5_000)
+    assert (keepers.held, keepers.pending()) == ([], 1)
+    done = encode(record("a")._replace(ended=True))
+    keepers.memory.put(job_key(JOB), done)
+    keepers.back()
+    keepers.time.advance(1_000)
+    assert keepers.memory.objects[job_key(JOB)][1] == done
+    assert (keepers.held, keepers.pending(), keepers.files()) == ([], 0, 0)
+
+
 def test_a_job_that_is_there_already_is_not_touched(keepers: Keepers) -> None:
     # Also one that its caller has ended: a second record would let its items run again.
     ended = encode(record("a")._replace(ended=True))
