Give items up by the time for which their job is known, never by wall clocks

Cause: a job's age was the keeper's wall clock less that of the entry that accepted it, with a margin of 3 s. Ruled out: attempts (its last runs were under way), the end of its job or route. Change: the time since this keeper first owned the job, on the monotonic clock. A new owner counts from its own first knowledge, so that an item is tried longer after a loss, never shorter. Test: clocks an hour and 30 s off, both ways; an item is given up after its time and not before; it fails before.

--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -30,8 +30,6 @@
 # Far below the time in which a waiting online call would notice; each round looks at every run.
 SOON_MS: Final = 20
 LOAD_AGAIN_MS: Final = 300
-# Wall clocks of machines differ; an item must not be given up before its time on any.
-CLOCK_MARGIN_MS: Final = 3_000
 # What the disk holds of jobs that have not shown up by then is of jobs that are deleted by now.
 RECALL_MS: Final = 120_000
 
@@ -55,6 +53,8 @@
         self._runs = Runs(deps.runs, self._commit, self.pump)
         self._recalled: dict[str, list[ItemProgress]] = {}
         self._open: dict[str, JobRecord] = {}
+        # Since when each job is known here, on the monotonic clock.
+        self._known_ms: dict[str, int] = {}
         # Jobs that are known from this keeper's disk only.
         self._held: set[str] = set()
         # Ended or complete jobs, which may come again from a disk.
@@ -158,6 +158,7 @@
 
     def _own(self, job_id: str, record: JobRecord) -> None:
         work = JobWork(job_id, record)
+        self._known_ms.setdefault(job_id, self._clock.now())
         self._owned[job_id] = work
         events.emit(events.RUN_TAKEN, job=job_id, items=record.total)
         self._spawn(self._load(work))
@@ -185,6 +186,7 @@
 
     def _forget(self, job_id: str) -> None:
         self._open.pop(job_id, None)
+        self._known_ms.pop(job_id, None)
         self._held.discard(job_id)
         self._over.discard(job_id)
         self._recalled.pop(job_id, None)
@@ -245,7 +247,6 @@
             self._pumping = False
 
     def _by_due(self, table: RouteTable) -> list[tuple[JobWork, Route]]:
-        wall = self._clock.wall()
         jobs = []
         for work in list(self._owned.values()):
             if not work.loaded or not work.items:
@@ -254,8 +255,11 @@
             if route is None:
                 self._give_up(work, "the job's route is gone")
                 continue
-            age_ms = wall - work.record.accepted_ms
-            if route.give_up_ms and age_ms > route.give_up_ms + CLOCK_MARGIN_MS:
+            # By the time for which the job is known here, never by the wall clock: that of this
+            # machine or of the one that accepted the job may jump, and an item given up too early
+            # is lost, while one that is tried for longer costs a run.
+            known_ms = self._clock.now() - self._known_ms[work.job_id]
+            if route.give_up_ms and known_ms > route.give_up_ms:
                 self._give_up(work, "the time in which items are tried has passed")
                 continue
             work.due_ms = work.record.accepted_ms + route.due_ms
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -2,6 +2,7 @@
 
 from typing import Any, cast
 
+import pytest
 from result import Ok
 
 from papayapier.jobs.news import GroupsTold
@@ -87,6 +88,24 @@
     assert (world.listed(0), world.listed(1)) == (["a"], ["b"])
 
 
+@pytest.mark.parametrize("step_ms", [-3_600_000, 30_000, 3_600_000])
+def test_a_clock_that_jumps_gives_no_item_up(step_ms: int) -> None:
+    # Symptom: an item is listed as given up long before it may be (clocks-and-resets, seed
+    # 759149388742 of a small site).
+    # Events: the wall clock of a keeper, or of the entry that accepted the job, jumps.
+    # Cause: a job's age was the difference of two machines' wall clocks.
+    world = RunnerWorld()
+    early = world.record("a")
+    early = early._replace(accepted_ms=early.accepted_ms - step_ms)
+    world.memory.put(job_key(JOB), encode(early))
+    world.runner.on_change(Change(job_key(JOB), 1, False, encode(early)))
+    world.time.advance(TimedRoute.give_up_ms - 1_000)
+    assert group_key(JOB, 0) not in world.memory.objects
+    for _ in range(4):
+        world.time.advance(1_000)
+    assert world.listed(0) == ["a"]
+
+
 def test_an_ended_job_does_not_come_back_from_a_disk() -> None:
     # Symptom: items of a job run after its caller has ended it.
     world = RunnerWorld()
