Read a job's results through the keeper that owns it, in a large fleet

Each read may come to another entry, which has not seen the job, so that a look which stands for 0.7 s spares nothing.

Now, beyond a full mesh, an entry asks the keeper that owns the job by its id; its desk looks once in 0.7 s, its own groups wake who waits. Who gets no answer, or is told that the job can't be read there, reads itself.

--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -49,13 +49,21 @@
 NOT_REACHED: Final = frozenset({StoreError.UNAVAILABLE, StoreError.LOST, StoreError.LIMITED})
 
 
+class Page(NamedTuple):
+    """Hold the results of a job from one position on."""
+
+    total: int
+    results: list[ItemResult]
+
+
 class DeskDeps(NamedTuple):
     """Group what the desk works with; heard judges for how long a look at the store stands.
 
     keep puts a job on keepers' disks. store_away tells whether the store is known not to answer.
     settled tells that what is not in the store is nowhere: after an absence, keepers bring what
     they have accepted meanwhile. room returns 0 where a job can be done in time, else in how many
-    ms there will be room.
+    ms there will be room. elsewhere reads results, from a position on and with a wait, through
+    another instance; None says that they are to be read here.
     """
 
     clock: Clock
@@ -66,13 +74,7 @@
     store_away: Callable[[], bool]
     settled: Callable[[], bool]
     room: Callable[[JobAsked], Awaitable[int]]
-
-
-class Page(NamedTuple):
-    """Hold the results of a job from one position on."""
-
-    total: int
-    results: list[ItemResult]
+    elsewhere: Callable[[str, int, int], Awaitable[Page | None]]
 
 
 class _View:
@@ -192,6 +194,9 @@
     async def results(self, job_id: str, after: int, wait_ms: int) -> Result[Page, Refusal]:
         """Return the results from a position on; wait for one if there is none."""
         due_ms = self._deps.clock.now() + wait_ms
+        page = await self._deps.elsewhere(job_id, after, wait_ms)
+        if page is not None:
+            return Ok(page)
         view = await self._view(job_id)
         if isinstance(view, Err):
             return view
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -26,6 +26,7 @@
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
 from papayapier.node.early import EarlySocket
 from papayapier.node.health import HealthResource
+from papayapier.node.job_reading import reading
 from papayapier.node.job_room import asking_room
 from papayapier.node.keeping import KeepingDeps, keep
 from papayapier.node.placing import asking
@@ -182,9 +183,13 @@
     base: NodeBase, forward: ForwardDeps, queue: StartQueue, readiness: _Readiness
 ) -> ForwardRoutes:
     heard = GroupsHeard(lambda: base.nodes.with_role(Role.KEEPER), base.hub.live)
+
+    def keepers() -> frozenset[str]:
+        return base.nodes.with_role(Role.KEEPER) & frozenset(base.hub.live())
+
     keeping = KeepingDeps(
         base.hub,
-        lambda: base.nodes.with_role(Role.KEEPER) & frozenset(base.hub.live()),
+        keepers,
         base.cfg.jobs.copies(),
     )
     desk = JobDesk(
@@ -197,6 +202,7 @@
             store_away=lambda: base.budget.down_since() is not None,
             settled=partial(_settled, base, base.clock.now()),
             room=asking_room(base),
+            elsewhere=reading(base.hub, base.clock, keepers),
         )
     )
 
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -9,7 +9,9 @@
 from papayapier import events
 from papayapier.clock import Clock
 from papayapier.jobs import progress
+from papayapier.jobs.desk import DeskDeps, JobDesk
 from papayapier.jobs.expiry import Expiry, ExpiryDeps
+from papayapier.jobs.news import GroupsHeard
 from papayapier.jobs.records import JOBS
 from papayapier.jobs.runner import JobRunner, RunnerDeps
 from papayapier.jobs.runs import RunDeps
@@ -23,6 +25,7 @@
     follow_common,
     make_base,
 )
+from papayapier.node.job_reading import answer_reads, read_here
 from papayapier.node.job_room import answer_room
 from papayapier.node.keeping import answer_keeping, in_threads
 from papayapier.node.processes import Role
@@ -31,6 +34,8 @@
 from papayapier.peer.messages import CallsTold, Heartbeat, JobChanged
 from papayapier.platform import headers, job_calls
 from papayapier.platform.retirements import RETIREMENTS_PREFIX
+from papayapier.policy.job_keeping import NOT_ASKED, Copies
+from papayapier.policy.job_room import GRANTED, JobAsked
 from papayapier.policy.witnesses import Witnesses
 from papayapier.store.api import Change
 from papayapier.store.budget import Priority
@@ -85,7 +90,11 @@
             live |= {one for one in cut_off if witnesses.heard(one, entries)}
         return sorted(live if live and base.drain.state() != "serving" else {*live, me})
 
+    desk = _reading_desk(base)
+    answer_reads(base.hub, desk)
+
     def tell_groups(job_id: str, groups: int) -> None:
+        desk.on_groups(job_id, groups)
         word = base.news.word(job_id, groups, clock.now())
         # In a large fleet the next heartbeats carry it: a message to everybody for each group is
         # by calculation a tenth of all messages, and readers wait half a second at most.
@@ -136,6 +145,31 @@
     return Ok(Keeper(base, runner, vault))
 
 
+def _reading_desk(base: NodeBase) -> JobDesk:
+    """Make the desk at which entries of a large fleet read; jobs are submitted at entries only."""
+
+    async def keep_nothing(_job_id: str, _value: bytes) -> Copies:
+        return NOT_ASKED
+
+    async def no_room_asked(_asked: JobAsked) -> int:
+        return GRANTED
+
+    heard = GroupsHeard(lambda: base.nodes.with_role(Role.KEEPER), base.hub.live)
+    return JobDesk(
+        DeskDeps(
+            base.clock,
+            base.rand,
+            base.view(Priority.CLAIM),
+            heard,
+            keep=keep_nothing,
+            store_away=lambda: base.budget.down_since() is not None,
+            settled=lambda: False,
+            room=no_room_asked,
+            elsewhere=read_here,
+        )
+    )
+
+
 async def _start_progress(base: NodeBase, runner: JobRunner) -> None:
     """Go on from what the disk holds of an earlier run, and begin to keep it there."""
     folder = base.cfg.jobs.folder
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -286,6 +286,32 @@
     retry_ms: int
 
 
+class ResultsAsk(NamedTuple):
+    """Ask a keeper for a job's results from a position on; it waits for one if there is none."""
+
+    ask_id: int
+    job_id: str
+    after: int
+    wait_ms: int
+
+
+class ResultTold(NamedTuple):
+    """Hold one result of a ResultsTell."""
+
+    id: str
+    end: str
+    text: str
+
+
+class ResultsTell(NamedTuple):
+    """Answer ResultsAsk; known says that the sender could read the job."""
+
+    ask_id: int
+    known: bool
+    total: int = 0
+    results: tuple[ResultTold, ...] = ()
+
+
 class KeepAsk(NamedTuple):
     """Ask a keeper to hold a job on its disk until it is in the store; value is its record."""
 
@@ -325,6 +351,8 @@
     | CallsTold
     | RoomAsk
     | RoomTell
+    | ResultsAsk
+    | ResultsTell
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -351,4 +379,6 @@
     21: CallsTold,
     22: RoomAsk,
     23: RoomTell,
+    24: ResultsAsk,
+    25: ResultsTell,
 }
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -20,6 +20,7 @@
     group_key,
     job_key,
 )
+from papayapier.node.job_reading import read_here
 from papayapier.policy.job_keeping import NOT_ASKED, Copies
 from papayapier.policy.job_room import GRANTED, JobAsked
 from papayapier.store.api import Entry, Listing, Store, Stored, StoreError
@@ -148,6 +149,7 @@
                 store_away=lambda: False,
                 settled=lambda: self.settled,
                 room=self._room,
+                elsewhere=read_here,
             )
         )
 
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -21,6 +21,7 @@
 from papayapier.jobs.news import GroupsHeard
 from papayapier.jobs.records import encode, job_key, read_record
 from papayapier.jobs.vault import Vault, VaultDeps
+from papayapier.node.job_reading import read_here
 from papayapier.node.keeping import KeepingDeps, keep
 from papayapier.peer.messages import KeepAsk, KeepTell, Message
 from papayapier.peer.questions import PeerError
@@ -123,6 +124,7 @@
                 store_away=lambda: False,
                 settled=lambda: False,
                 room=has_room,
+                elsewhere=read_here,
             )
         )
 
