Revert the refusal of jobs for want of room

Conclusion: reverted. What "fitted" means is a question to the users; until then nothing is refused.

--- a/papayapier/entry/job_routes.py
+++ b/papayapier/entry/job_routes.py
@@ -6,7 +6,6 @@
 
 from papayapier.entry.answers import JSON_TYPE
 from papayapier.errors import ErrorKind, Refusal, not_run
-from papayapier.policy.job_room import JobAsked
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -62,13 +61,7 @@
         host = request.getHeader("host") or ""
         path = request.path.decode("latin-1")
         done = await self.desk.submit(
-            job_id,
-            host,
-            path,
-            items.ok_value,
-            due_ms,
-            route.objective_ms,
-            JobAsked(job_id, route.shares[0].upstream, len(items.ok_value), route.due_ms),
+            job_id, host, path, items.ok_value, due_ms, route.objective_ms
         )
         if isinstance(done, Err):
             return self.refuse(request, route.name, done.err_value)
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -121,9 +121,6 @@
 )
 
 JOB_ACCEPTED: Final = Event(501, "job_accepted", Level.INFO, "batch job accepted")
-JOB_WITHOUT_ROOM: Final = Event(
-    539, "job_without_room", Level.INFO, "batch job refused, it could not be done in time"
-)
 JOB_RESENT: Final = Event(502, "job_resent", Level.INFO, "batch job was accepted before")
 JOB_CANCELLED: Final = Event(503, "job_cancelled", Level.INFO, "batch job cancelled")
 JOB_ENDED: Final = Event(504, "job_ended", Level.INFO, "batch job has ended")
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -31,7 +31,6 @@
 )
 from papayapier.pending import Pending
 from papayapier.policy.job_keeping import NOT_ASKED, Copies, patience_ms
-from papayapier.policy.job_room import GRANTED, JobAsked
 from papayapier.store.api import Store, StoreError
 from papayapier.store.writes import Settling, create_settled, update_settled
 
@@ -61,9 +60,8 @@
 
     keep puts a job on keepers' disks. store_away tells whether the store is known not to answer.
     settled tells that what is not in the store is nowhere: after an absence, keepers bring what
-    they have accepted meanwhile. room returns 0 where a job can be done in time, else in how many
-    ms there will be room. elsewhere reads results, from a position on and with a wait, through
-    another instance; None says that they are to be read here.
+    they have accepted meanwhile. elsewhere reads results, from a position on and with a wait,
+    through another instance; None says that they are to be read here.
     """
 
     clock: Clock
@@ -73,7 +71,6 @@
     keep: Callable[[str, bytes], Awaitable[Copies]]
     store_away: Callable[[], bool]
     settled: Callable[[], bool]
-    room: Callable[[JobAsked], Awaitable[int]]
     elsewhere: Callable[[str, int, int], Awaitable[Page | None]]
 
 
@@ -118,17 +115,11 @@
         items: tuple[JobItem, ...],
         due_ms: int,
         objective_ms: int = 0,
-        room_for: JobAsked | None = None,
     ) -> Result[None, Refusal]:
         """Accept a job once; every repeat is accepted again.
 
-        objective_ms is the time in which an acceptance has its full worth, room_for what is asked
-        for before it is accepted.
+        objective_ms is the time in which an acceptance has its full worth.
         """
-        if room_for is not None:
-            refused = await self._without_room(room_for)
-            if refused is not None:
-                return Err(refused)
         write_id = f"{self._deps.rand.getrandbits(WRITE_ID_BITS):016x}"
         wall = int(self._deps.clock.wall())
         record = JobRecord(write_id, host, path, wall, items, len(items))
@@ -159,19 +150,6 @@
         )
         return Ok(None)
 
-    async def _without_room(self, asked: JobAsked) -> Refusal | None:
-        """Return the refusal of a job for which there is no room, and that is not accepted yet."""
-        retry_ms = await self._deps.room(asked)
-        if retry_ms == GRANTED or asked.job_id in self._views:
-            return None
-        found = await self._deps.store.get(job_key(asked.job_id))
-        if found != Err(StoreError.NOT_FOUND) or not self._deps.settled():
-            # It has come before, or that cannot be known: only what is not accepted is refused.
-            return None
-        events.emit(events.JOB_WITHOUT_ROOM, **asked._asdict(), retry_ms=retry_ms)
-        reason = f"{asked.items} items cannot be done in {asked.due_ms} ms beside what waits"
-        return not_run(ErrorKind.OVERLOADED, reason, retry_ms)
-
     async def _keep_unless_created(
         self,
         job_id: str,
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -20,7 +20,6 @@
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.work import Item, JobWork
-from papayapier.peer.messages import JobLoad
 from papayapier.policy.rendezvous import score
 from papayapier.store.api import Change, Store
 
@@ -111,18 +110,6 @@
         """Return how many items run."""
         return self._runs.count()
 
-    def loads(self) -> tuple[JobLoad, ...]:
-        """Return what the owned items have yet to run, by upstream."""
-        table = self._deps.table()
-        if table is None:
-            return ()
-        by_upstream: dict[str, list[JobWork]] = {one: [] for one in table.job_upstreams}
-        for work in self._owned.values():
-            route = table.find(work.record.host, work.record.path)
-            if route is not None:
-                by_upstream.setdefault(route.shares[0].upstream, []).append(work)
-        return tuple(self._runs.load(one, jobs) for one, jobs in sorted(by_upstream.items()))
-
     def has_closed(self, job_id: str) -> bool:
         """Tell whether a job is this instance's, and every item of it is listed or ended."""
         mine = self._owner(job_id, self._deps.runs.sharing()) == self._deps.runs.me
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -22,7 +22,6 @@
 from papayapier.jobs.records import ItemEnd
 from papayapier.jobs.room import Room, Shared, use_of
 from papayapier.jobs.work import Item, JobWork
-from papayapier.peer.messages import JobLoad
 from papayapier.policy.batch_order import RunTimes, Standing, standing, victims
 from papayapier.policy.batch_room import keep_limit, start_limit
 from papayapier.policy.loads import LoadBook
@@ -133,17 +132,6 @@
             if upstream not in full and not self._start_in(room, work, route, one):
                 full.add(upstream)
 
-    def load(self, upstream: str, jobs: Sequence[JobWork]) -> JobLoad:
-        """Return what the items of some jobs have yet to run, as far as they can be in time."""
-        times = self._times_at(upstream)
-        wall = self._deps.clock.wall()
-        left_ms = 0.0
-        for work in jobs:
-            for one in work.items.values():
-                if not self._standing(upstream, work, one, wall).late:
-                    left_ms += times.mean_left_ms(len(one.texts))
-        return JobLoad(upstream, round(left_ms), round(times.run_ms()), round(times.taken_ms()))
-
     def _standing(self, upstream: str, work: JobWork, one: Item, wall: float) -> Standing:
         return standing(self._times_at(upstream), len(one.texts), work.due_ms, wall)
 
@@ -171,8 +159,6 @@
     def _start(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
         one.running = True
         now = self._deps.clock.now()
-        if one.began_ms is None:
-            one.began_ms = now
         self._deps.book.on_sent(replica.id, True, now)
         self._deps.uses_changed()
         events.emit(
@@ -247,8 +233,7 @@
         answer = sent.ok_value
         if answer.good():
             self._deps.outliers.on_end(replica.id, True, None, now)
-            taken_ms = one.ran_ms if one.began_ms is None else now - one.began_ms
-            self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms, taken_ms)
+            self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms)
             events.emit(
                 events.ITEM_DONE,
                 job=work.job_id,
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -13,24 +13,13 @@
 class Item:
     """Hold the state of one item; texts and last_event are what its streams have given."""
 
-    __slots__ = (
-        "began_ms",
-        "failures",
-        "held_until_ms",
-        "item",
-        "last_event",
-        "ran_ms",
-        "running",
-        "texts",
-    )
+    __slots__ = ("failures", "held_until_ms", "item", "last_event", "ran_ms", "running", "texts")
 
     def __init__(self, item: JobItem) -> None:
         self.item = item
         self.texts: list[str] = []
         self.last_event = NO_EVENT
         self.failures = 0
-        # When it was first started here, on the monotonic clock.
-        self.began_ms: int | None = None
         # How long its runs have taken together.
         self.ran_ms = 0
         self.running = False
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -24,7 +24,6 @@
 from papayapier.peer.messages import (
     ConfigPush,
     Heartbeat,
-    JobLoad,
     Message,
 )
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
@@ -64,8 +63,6 @@
     routing: RoutingBook
     replicas: ReplicaList
     news: GroupsTold
-    # What tells of the items that this process owns, for its heartbeats.
-    job_loads: list[Callable[[], tuple[JobLoad, ...]]]
     store_return: StoreReturn
     nodes: NodeList
     hub: PeerHub
@@ -95,7 +92,6 @@
     outliers = Outliers()
     routing = RoutingBook(CONFIG_KEY, read_configuration)
     news = GroupsTold()
-    job_loads: list[Callable[[], tuple[JobLoad, ...]]] = []
     boot = rand.getrandbits(BOOT_BITS)
 
     def heartbeat() -> Heartbeat:
@@ -104,8 +100,7 @@
         if role is Role.ENTRY:
             return beat
         now = clock.now()
-        jobs = tuple(load for loads in job_loads for load in loads())
-        beat = beat._replace(groups_told=news.count(now), jobs=jobs)
+        beat = beat._replace(groups_told=news.count(now))
         if hub.plan().full_mesh:
             return beat
         if cfg.instance.id not in hub.plan().hubs:
@@ -155,7 +150,6 @@
         routing=routing,
         replicas=replicas,
         news=news,
-        job_loads=job_loads,
         store_return=store_return,
         nodes=nodes,
         hub=hub,
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -27,7 +27,6 @@
 from papayapier.node.early import EarlySocket
 from papayapier.node.health import HealthResource
 from papayapier.node.job_reading import reading
-from papayapier.node.job_room import asking_room
 from papayapier.node.keeping import KeepingDeps, keep
 from papayapier.node.placing import asking
 from papayapier.node.processes import Role
@@ -201,7 +200,6 @@
             keep=partial(keep, keeping),
             store_away=lambda: base.budget.down_since() is not None,
             settled=partial(_settled, base, base.clock.now()),
-            room=asking_room(base),
             elsewhere=reading(base.hub, base.clock, keepers),
         )
     )
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -26,7 +26,6 @@
     make_base,
 )
 from papayapier.node.job_reading import answer_reads, read_here
-from papayapier.node.job_room import answer_room
 from papayapier.node.keeping import answer_keeping, in_threads
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
@@ -35,7 +34,6 @@
 from papayapier.platform import headers, job_calls
 from papayapier.platform.retirements import RETIREMENTS_PREFIX
 from papayapier.policy.job_keeping import NOT_ASKED, Copies
-from papayapier.policy.job_room import GRANTED, JobAsked
 from papayapier.policy.witnesses import Witnesses
 from papayapier.store.api import Change
 from papayapier.store.budget import Priority
@@ -119,8 +117,6 @@
     runner = JobRunner(RunnerDeps(runs, store, base.routing.table, tell_groups, base.news))
     if cfg.jobs.folder:
         await _start_progress(base, runner)
-    base.job_loads.append(runner.loads)
-    base.tasks.append(answer_room(base, runner.loads))
     base.hub.on_change(runner.review)
     base.hub.subscribe(Heartbeat, witnesses.on_heartbeat)
     # One without open calls makes no slot needed; what it leaves free waits for the next round.
@@ -151,9 +147,6 @@
     async def keep_nothing(_job_id: str, _value: bytes) -> Copies:
         return NOT_ASKED
 
-    async def no_room_asked(_asked: JobAsked) -> int:
-        return GRANTED
-
     heard = GroupsHeard(lambda: base.nodes.with_role(Role.KEEPER), base.hub.live)
     return JobDesk(
         DeskDeps(
@@ -164,7 +157,6 @@
             keep=keep_nothing,
             store_away=lambda: base.budget.down_since() is not None,
             settled=lambda: False,
-            room=no_room_asked,
             elsewhere=read_here,
         )
     )
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -26,19 +26,6 @@
     groups: int
 
 
-class JobLoad(NamedTuple):
-    """Tell of the items that a keeper owns and that can be in time, at one upstream.
-
-    left_ms is how long they have yet to run together, run_ms how long a whole item runs, taken_ms
-    how long it takes from its first start to its end, with the pauses in which it gave way.
-    """
-
-    upstream: str
-    left_ms: int
-    run_ms: int
-    taken_ms: int
-
-
 class Heartbeat(NamedTuple):
     """Tell that the sender lives, what it applies and what it has open.
 
@@ -50,8 +37,7 @@
     numbered words of this boot, or is NOT_SURE; words are the last ones, where no JobChanged of
     their own carries them. gone names the instances that may be hubs and that a hub does not
     hear, or knows to leave: who is no neighbour of theirs hears it from the hubs. picked tells
-    whether the sender picks the receiver by itself, or only answers its pick. jobs tells of the
-    items that the sender owns.
+    whether the sender picks the receiver by itself, or only answers its pick.
     """
 
     instance: str
@@ -67,7 +53,6 @@
     words: tuple[JobWord, ...] = ()
     gone: tuple[str, ...] = ()
     picked: bool = True
-    jobs: tuple[JobLoad, ...] = ()
 
 
 # In place of a count of words: a write may have taken effect or not.
@@ -269,23 +254,6 @@
 NEVER_AWAY: Final = -1
 
 
-class RoomAsk(NamedTuple):
-    """Ask a hub whether a job of so many items can be done in the time that it has."""
-
-    ask_id: int
-    job_id: str
-    upstream: str
-    items: int
-    due_ms: int
-
-
-class RoomTell(NamedTuple):
-    """Answer RoomAsk; retry_ms is 0 where there is room, else the time until there will be."""
-
-    ask_id: int
-    retry_ms: int
-
-
 class ResultsAsk(NamedTuple):
     """Ask a keeper for a job's results from a position on; it waits for one if there is none."""
 
@@ -349,8 +317,6 @@
     | KeepAsk
     | KeepTell
     | CallsTold
-    | RoomAsk
-    | RoomTell
     | ResultsAsk
     | ResultsTell
 )
@@ -377,8 +343,6 @@
     19: KeepAsk,
     20: KeepTell,
     21: CallsTold,
-    22: RoomAsk,
-    23: RoomTell,
-    24: ResultsAsk,
-    25: ResultsTell,
+    22: ResultsAsk,
+    23: ResultsTell,
 }
--- a/papayapier/peer/questions.py
+++ b/papayapier/peer/questions.py
@@ -16,7 +16,6 @@
     Message,
     PlaceTell,
     ResultsTell,
-    RoomTell,
     StoreTell,
 )
 
@@ -24,7 +23,7 @@
 
 MakeAsk = Callable[[int], Message]
 # What settles a question; an instance list is taken from whoever tells it.
-Answer = ConfigTell | ClaimTell | StoreTell | PlaceTell | KeepTell | RoomTell | ResultsTell
+Answer = ConfigTell | ClaimTell | StoreTell | PlaceTell | KeepTell | ResultsTell
 
 
 class PeerError(Enum):
--- a/papayapier/policy/batch_order.py
+++ b/papayapier/policy/batch_order.py
@@ -37,39 +37,24 @@
 class RunTimes:
     """Learn how long whole items run at one upstream."""
 
-    __slots__ = ("_deviation", "_event_ms", "_events", "_taken_ms")
+    __slots__ = ("_deviation", "_event_ms", "_events")
 
     def __init__(self) -> None:
         self._events = 0.0
         self._deviation = 0.0
         self._event_ms = 0.0
-        self._taken_ms = 0.0
 
-    def on_done(self, events: int, ran_ms: int, taken_ms: int = 0) -> None:
-        """Take a whole item: its events, how long it ran in all its runs, and with the pauses."""
+    def on_done(self, events: int, ran_ms: int) -> None:
+        """Take a whole item: its events, and how long it ran in all its runs."""
         if events <= 0:
             return
         event_ms = ran_ms / events
         if not self._events:
             self._events, self._event_ms = float(events), event_ms
-            self._taken_ms = float(taken_ms)
             return
         self._deviation += NEWEST_SHARE * (abs(events - self._events) - self._deviation)
         self._events += NEWEST_SHARE * (events - self._events)
         self._event_ms += NEWEST_SHARE * (event_ms - self._event_ms)
-        self._taken_ms += NEWEST_SHARE * (taken_ms - self._taken_ms)
-
-    def run_ms(self) -> float:
-        """Return how long a whole item runs; 0 while nothing is known."""
-        return self._events * self._event_ms
-
-    def taken_ms(self) -> float:
-        """Return how long an item takes from its first start to its end."""
-        return self._taken_ms
-
-    def mean_left_ms(self, events: int) -> float:
-        """Return how long an item of the usual size with so many events has yet to run."""
-        return max(LEAST_EVENTS_LEFT, self._events - events) * self._event_ms
 
     def left_ms(self, events: int) -> float:
         """Return how long an item with so many events has yet to run; 0 while nothing is known."""
