--- a/papayapier/node/large_fleet.py
+++ b/papayapier/node/large_fleet.py
@@ -1,10 +1,10 @@
-"""Know what a large fleet's instances need of its hubs: who they are, and whom a call concerns."""
+"""Know what a large fleet's instances need of each other: the hubs, and whom a call concerns."""
 
 from collections.abc import Callable, Collection, Sequence
 
 from papayapier.config.route_table import RouteTable
 from papayapier.node.processes import NodeList, Role
-from papayapier.policy.placers import make_parts, placer_of
+from papayapier.policy.placers import make_parts, placer_of, upstream_of
 from papayapier.policy.totals import sharers_of
 from papayapier.upstream.api import Replica
 
@@ -56,5 +56,5 @@
 
     def _may_run_batch(self, replica_id: str) -> bool:
         table = self._table()
-        upstream = self.parts.key_of.get(replica_id, "").rpartition("/")[0]
+        upstream = upstream_of(self.parts.key_of.get(replica_id, ""))
         return table is None or upstream in table.job_upstreams
--- a/papayapier/node/placing.py
+++ b/papayapier/node/placing.py
@@ -17,7 +17,7 @@
 from papayapier.peer.messages import PlaceAsk, PlaceTell
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
-from papayapier.policy.placers import Parts, placer_of
+from papayapier.policy.placers import Parts, placer_of, upstream_of
 from papayapier.policy.routing import RouteRequest, choose
 
 # The way there and back takes 3 ms between data centres; a hub that is busy for longer than this
@@ -93,7 +93,7 @@
     def on_ask(peer_id: str, ask: PlaceAsk) -> None:
         now = deps.clock.now()
         req = RouteRequest(
-            ask.part.rpartition("/")[0],
+            upstream_of(ask.part),
             ask.prompt,
             ask.data_centre,
             frozenset(ask.shunned),
--- a/papayapier/policy/placers.py
+++ b/papayapier/policy/placers.py
@@ -48,10 +48,15 @@
         members.setdefault(key, set()).add(replica_id)
     keys: dict[str, list[str]] = {}
     for key in sorted(members):
-        keys.setdefault(key.rpartition("/")[0], []).append(key)
+        keys.setdefault(upstream_of(key), []).append(key)
     return Parts(key_of, keys, {key: frozenset(ids) for key, ids in members.items()})
 
 
+def upstream_of(key: str) -> str:
+    """Return the upstream of a part."""
+    return key.rpartition("/")[0]
+
+
 def placer_of(key: str, hubs: Sequence[str]) -> str | None:
     """Return the hub that places the calls of a part."""
     return max(hubs, key=lambda hub: score(key, hub), default=None)
