--- a/papayapier/policy/totals.py
+++ b/papayapier/policy/totals.py
@@ -1,7 +1,8 @@
-"""Decide which hubs share a replica, and of which replicas a hub tells the totals of open calls.
+"""Decide who shares a replica's batch slots, and of which replicas a hub tells the open calls.
 
-Each replica is told of by one hub, which rendezvous hashing gives it to, so that the bytes of
-all hubs together are one row a replica and beat, however many hubs there are.
+Whoever runs batch may share a replica, a hub or not. Each replica's totals are told by one hub,
+which rendezvous hashing gives it to, so that the bytes of all hubs together are one row a replica
+and beat, however many hubs there are.
 """
 
 from collections.abc import Sequence
@@ -12,29 +13,28 @@
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.rendezvous import score
 
-# Hubs that run batch at one replica of a large fleet, and so must know of its online calls at
-# once: each of them costs a message for every change of those.
+# Instances that run batch at one replica of a large fleet, and so must know of its online calls
+# at once: each of them costs a message for every change of those. Three, since one that owns many
+# jobs needs more replicas than its part, and one in three may be lost.
 SHARERS: Final = 3
-# Up to so many hubs all share every replica; where everybody hears everybody (16 instances), a
-# third or so are hubs. With three of four hubs at each of five replicas, hashing left one hub a
-# single replica: of its 42 items it ran 6 at a time while 40 slots elsewhere were idle.
+# Up to so many all share every replica; where everybody hears everybody (16 instances), a third or
+# so run batch. With three of four at each of five replicas, hashing left one a single replica: of
+# its 42 items it ran 6 at a time while 40 slots elsewhere were idle.
 ALL_SHARE: Final = 6
-
-
 # Replicas for which the sharers are kept: all of a large fleet, for a few sets of instances.
 KEPT: Final = 4_096
 
 
-def sharers_of(replica_id: str, hubs: Sequence[str]) -> Sequence[str]:
-    """Return the hubs that share a replica; the first one tells its totals."""
-    return _sharers(replica_id, tuple(hubs))
+def sharers_of(replica_id: str, running: Sequence[str]) -> Sequence[str]:
+    """Return those that share a replica, of all that run batch."""
+    return _sharers(replica_id, tuple(running))
 
 
 @lru_cache(KEPT)
-def _sharers(replica_id: str, hubs: tuple[str, ...]) -> tuple[str, ...]:
-    """Rank once for each set of hubs: 13 us among 30, asked for each replica in each round."""
-    most = len(hubs) if len(hubs) <= ALL_SHARE else SHARERS
-    return tuple(sorted(hubs, key=lambda hub: score(replica_id, hub), reverse=True)[:most])
+def _sharers(replica_id: str, running: tuple[str, ...]) -> tuple[str, ...]:
+    """Rank once for each set: 13 us among 30, asked for each replica in each round."""
+    most = len(running) if len(running) <= ALL_SHARE else SHARERS
+    return tuple(sorted(running, key=lambda one: score(replica_id, one), reverse=True)[:most])
 
 
 def totals_of(book: LoadBook, hubs: Sequence[str], own_id: str) -> tuple[ReplicaUse, ...]:
