--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -78,8 +78,8 @@
         self.book = LoadBook()
         self.outliers = Outliers()
         self.replicas = [Replica(f"r{n}", "lm", "h", n, "dc") for n in range(replicas)]
-        self.book.on_listed(self.replicas, ())
-        self.outliers.on_listed(self.replicas)
+        self._numbers = replicas
+        self.list_replicas()
         self.deps = ForwardDeps(
             clock=self.time.clock,
             rand=random.Random(3),
@@ -110,17 +110,40 @@
         return await send.done
 
     def begin(
-        self, idempotent: bool, caller: Caller | None = None, attempts: int = 3
+        self,
+        idempotent: bool,
+        caller: Caller | None = None,
+        attempts: int = 3,
+        body: bytes = b"",
     ) -> list[Ended]:
         """Forward a request; its end is put into the list returned."""
         profile = Profile("p", "lm", "urgent", 5_000, idempotent, retry=RetryRule(attempts))
         due = self.time.clock.now() + 5_000
-        req = RawRequest("id-1", profile, "POST", "/a", Headers(), b"", caller is not None, "", due)
+        req = RawRequest(
+            "id-1", profile, "POST", "/a", Headers(), body, caller is not None, "", due
+        )
         ends: list[Ended] = []
         work: Any = Deferred.fromCoroutine(forward(self.deps, req, caller))
         work.addCallback(ends.append)
         return ends
 
+    def end_replica(self, send: Send) -> None:
+        """End the replica of a send under it; another is listed in its place.
+
+        Every call that is open there ends with it.
+        """
+        gone = send.replica
+        for one in [one for one in self.sends if one.replica == gone and not one.done.called]:
+            one.fail(FailureKind.CUT, Sent.MAYBE)
+        self.replicas.remove(gone)
+        self._numbers += 1
+        self.replicas.append(Replica(f"r{self._numbers}", "lm", "h", self._numbers, "dc"))
+        self.list_replicas()
+
+    def list_replicas(self) -> None:
+        self.book.on_listed(self.replicas, ())
+        self.outliers.on_listed(self.replicas)
+
     def open_calls(self) -> int:
         """Return how many calls the book counts as open."""
         return sum(use.online for use in self.book.uses())
--- /dev/null
+++ b/tests/jobs_run_world.py
@@ -0,0 +1,123 @@
+"""Run the items of jobs on a fake clock against one scripted replica of each upstream."""
+
+import random
+from typing import TYPE_CHECKING, Any, cast
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from papayapier.clock import fake_clock
+from papayapier.jobs.records import JobItem, JobRecord
+from papayapier.jobs.runs import RunDeps, Runs
+from papayapier.jobs.work import Item, JobWork
+from papayapier.policy.batch_room import SPARE_SLOTS
+from papayapier.policy.loads import LoadBook
+from papayapier.policy.outliers import Outliers
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.raw import RawAnswer, RawCall
+
+if TYPE_CHECKING:
+    from papayapier.config.route_table import Route
+
+SLOTS = 4
+ROOM = SLOTS - SPARE_SLOTS
+EVENTS = 100
+RUN_MS = 3_000
+SOON_MS = 1_000
+FAR_MS = 60_000
+
+
+class Share:
+    def __init__(self, upstream: str) -> None:
+        self.upstream = upstream
+
+
+class RouteTo:
+    attempts = 3
+
+    def __init__(self, upstream: str) -> None:
+        self.shares = [Share(upstream)]
+
+
+class Answer:
+    """Stand for a good answer."""
+
+    def good(self) -> bool:
+        return True
+
+
+class World:
+    """Hold one instance that runs batch alone, at one replica of each upstream."""
+
+    def __init__(self, *upstreams: str) -> None:
+        self.time = fake_clock()
+        self.book = LoadBook()
+        self.outliers = Outliers()
+        self.replicas = [Replica(f"{name}-1", name, "h", 1, "dc") for name in upstreams]
+        self.list_replicas()
+        self.sends = 0
+        self.sent: dict[str, Deferred[Any]] = {}
+        self.done: list[str] = []
+        self.jobs: list[tuple[JobWork, Route]] = []
+        self.deps = deps = RunDeps(
+            clock=self.time.clock,
+            rand=random.Random(1),
+            me="a",
+            book=self.book,
+            outliers=self.outliers,
+            send=self._send,
+            head=lambda headers, _replica, _left, _last: headers,
+            body=lambda _item: b"",
+            request_id=b"X-Request-Id",
+            sharing=lambda: ["a"],
+            hidden=lambda: (),
+            uses_changed=lambda: None,
+        )
+        self.runs = Runs(deps, lambda work: self.done.append(work.job_id), lambda: None)
+
+    def list_replicas(self) -> None:
+        self.book.on_listed(self.replicas, (), {one.id: SLOTS for one in self.replicas})
+        self.outliers.on_listed(self.replicas)
+
+    def replace(self, upstream: str) -> None:
+        """End the replica of an upstream, and list another in its place."""
+        self.replicas = [one for one in self.replicas if one.upstream != upstream]
+        self.replicas.append(Replica(f"{upstream}-{self.sends + 1}", upstream, "h", 1, "dc"))
+        self.list_replicas()
+
+    async def _send(
+        self, _replica: Replica, call: RawCall, _taker: Any
+    ) -> Result[RawAnswer, Failure]:
+        self.sends += 1
+        self.sent[call.request_id] = Deferred(lambda _: None)
+        try:
+            sent: Result[RawAnswer, Failure] = await self.sent[call.request_id]
+            return sent
+        finally:
+            del self.sent[call.request_id]
+
+    def job(self, name: str, items: int, due_in_ms: int, upstream: str = "lm") -> JobWork:
+        listed = tuple(JobItem(f"{name}-{n}", "/j", {}, "", 10) for n in range(items))
+        work = JobWork(name, JobRecord("w", "h", "/j", 0, listed, items))
+        work.due_ms = self.time.clock.wall() + due_in_ms
+        self.jobs.append((work, cast(Any, RouteTo(upstream))))
+        self.jobs.sort(key=lambda job: job[0].due_ms)
+        return work
+
+    def learn(self, upstream: str = "lm") -> None:
+        """Run one whole item, so that it is known how long items take."""
+        (item,) = self.job("first", 1, FAR_MS, upstream).items.values()
+        self.pump()
+        self.time.advance(RUN_MS)
+        self.end(item)
+        self.jobs.clear()
+
+    def end(self, one: Item) -> None:
+        one.texts = ["x"] * EVENTS
+        self.sent[one.item.id].callback(Ok(Answer()))
+
+    def lose(self, one: Item, kind: FailureKind, sent: Sent) -> None:
+        self.sent[one.item.id].callback(Err(Failure(kind, sent, kind.value, fresh=True)))
+
+    def pump(self) -> None:
+        self.runs.give_way_and_start(self.jobs)
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -1,7 +1,7 @@
 """Stand in for replicas of the platform: streams of events and whole answers, with faults."""
 
 import itertools
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from twisted.internet import reactor as installed
 from twisted.web.resource import Resource
@@ -9,18 +9,27 @@
 
 from tests.site.store import StandinStore
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 reactor: Any = installed
 _Resource: Any = Resource
 
 EVENTS: Final = 6
 EVENT_S: Final = 0.02
+# A request with this in its path ends each replica that begins to run it.
+CRASHING: Final = b"crash"
+CRASH_S: Final = 0.02
+# The platform's list drops a replica that has ended only after some silence.
+LAPSE_S: Final = 0.5
 _NUMBERS = itertools.count(1)
 
 
 class StandinReplica(_Resource):  # type: ignore[misc]
     """Serve one replica; runs counts what it has begun, by request id.
 
-    cut_after breaks every stream after that many events; hang answers nothing; shed rejects.
+    cut_after breaks every stream after that many events; hang answers nothing; shed rejects. A
+    request whose path has CRASHING in it ends the replica; ended is called then.
     """
 
     isLeaf = True  # noqa: N815
@@ -34,6 +43,9 @@
         self.shed = False
         self.gone_runs = 0
         self.born = 0
+        self.ended: Callable[[], None] | None = None
+        self._channels: set[Any] = set()
+        self._lapse: Any = None
         self.service = service
         self._store = store
         self._port = reactor.listenTCP(0, Site(self), interface="127.0.0.1")
@@ -59,7 +71,22 @@
 
     async def close(self) -> None:
         """Stop serving."""
-        await self._port.stopListening()
+        if self._lapse is not None and self._lapse.active():
+            self._lapse.cancel()
+        if not self._port.disconnected:
+            await self._port.stopListening()
+
+    def _crash(self) -> None:
+        """End: all connections are reset, no new ones are taken, the entry lapses."""
+        if self.ended is None:
+            return
+        ended, self.ended = self.ended, None
+        for channel in self._channels:
+            if channel.transport is not None:
+                channel.transport.abortConnection()
+        self._port.stopListening()
+        self._lapse = reactor.callLater(LAPSE_S, self._store.remove, "servers", self.id)
+        ended()
 
     def render(self, request: Any) -> Any:
         request_id = request.getHeader("X-Request-Id")
@@ -68,6 +95,10 @@
         if self.shed:
             return _refuse(request, 503)
         self.runs.append(request_id)
+        self._channels.add(request.channel)
+        if CRASHING in request.path:
+            reactor.callLater(CRASH_S, self._crash)
+            return NOT_DONE_YET
         if self.hang:
             return NOT_DONE_YET
         request.setHeader("X-Request-Id", request_id)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -98,6 +98,23 @@
         self.ready: dict[str, int] = {}
         self.agent = _Agent(reactor, connectTimeout=2, pool=_Pool(reactor, persistent=False))
 
+    def replace_crashed(self) -> None:
+        """Start another replica for each that a request ends; those stay in the list as well."""
+        for replica in self.replicas:
+            self._replace_when_ended(replica)
+
+    def _replace_when_ended(self, replica: StandinReplica) -> None:
+        def replace() -> None:
+            other = StandinReplica(self.store, replica.service)
+            self.replicas.append(other)
+            self._replace_when_ended(other)
+
+        replica.ended = replace
+
+    def crashed(self) -> int:
+        """Return how many replicas a request has ended."""
+        return sum(one.ended is None for one in self.replicas)
+
     async def start(self, entries: int = 2, keepers: int = 1) -> None:
         """Start the processes, and wait until every entry is ready."""
         for number in range(entries):
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -10,8 +10,8 @@
 from papayapier.jobs.records import JobRecord, encode, group_key, job_key, read_group
 from papayapier.jobs.runner import RECALL_MS, JobRunner, RunnerDeps
 from papayapier.store.api import Change, StoreError
+from tests.jobs_run_world import EVENTS, Answer, RouteTo, World
 from tests.jobs_world import JOB, MemoryStore, group, record
-from tests.test_jobs_runs import EVENTS, Answer, RouteTo, World
 
 
 class TimedRoute(RouteTo):
