Tell a loss twice, ask again whoever was not heard, and refuse before a claim is written

Cause: a loss was told once; a message is dropped while a link is replaced or two parts of a fleet do not hear each other, and nobody would miss it. The product's own requests waited in the queue and wrote a claim before the refusal. Ruled out: digests in heartbeats (bytes in each beat for what is there once in hours); a stored record. Measured: two tests that fail without it (a link cut while a loss is told; two parts that hear each other again). Conclusion: each loss costs one message more; both sides know within a second of the link's return.

--- a/papayapier/dispatch/online.py
+++ b/papayapier/dispatch/online.py
@@ -79,6 +79,10 @@
         request unsent.
         """
 
+        held = self._deps.crashes.refusal(req.call_id, req.work)
+        if held is not None:
+            return Err(held)
+
         async def send() -> "Result[Reply, Refusal]":
             if claim is not None:
                 claimed = await self._claim(req.profile.upstream, claim)
--- a/papayapier/peer/loss_news.py
+++ b/papayapier/peer/loss_news.py
@@ -21,6 +21,9 @@
 # All calls that a replica takes with it end within some ms and are told together; a tenth of a
 # second is far below the seconds in which a caller comes again.
 GATHER_MS: Final = 100
+# A message is lost when its link is being replaced, and nobody would miss it: each loss is told
+# twice.
+AGAIN_MS: Final = 1_000
 # One end takes some ten calls with it; what is more is told with the next message.
 MOST_TOLD: Final = 100
 # Without hubs this many neighbours are asked at a start: one may not know, another be lost.
@@ -42,11 +45,14 @@
 
     def __init__(self, deps: LossNewsDeps) -> None:
         self._deps = deps
+        # Each with the time at which it was seen.
         self._losses: list[tuple[Loss, int]] = []
+        self._again: list[tuple[Loss, int]] = []
         self._answered: list[str] = []
         self._asked: set[str] = set()
         self._was_hub = False
         self._timer: Timer | None = None
+        self._again_timer: Timer | None = None
         deps.watch.connect(self._on_lost, self._on_answered, self._on_held)
         deps.hub.subscribe(LossesTold, self._on_told)
         deps.hub.subscribe(LossesAsk, self._on_ask)
@@ -60,8 +66,9 @@
 
     def close(self) -> None:
         """Stop the timers."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._again_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self._deps.watch.close()
 
     def _on_lost(self, loss: Loss) -> None:
@@ -77,14 +84,26 @@
             self._timer = self._deps.clock.call_later(GATHER_MS, self._tell)
 
     def _tell(self) -> None:
-        now = self._deps.clock.now()
-        losses = [loss._replace(age_ms=now - at) for loss, at in self._losses[:MOST_TOLD]]
-        answered = self._answered[:MOST_TOLD]
-        del self._losses[:MOST_TOLD]
-        del self._answered[:MOST_TOLD]
-        self._tell_hearers(LossesTold(tuple(losses), tuple(answered)))
+        losses, self._losses = self._losses[:MOST_TOLD], self._losses[MOST_TOLD:]
+        answered, self._answered = self._answered[:MOST_TOLD], self._answered[MOST_TOLD:]
+        self._tell_hearers(LossesTold(self._aged(losses), tuple(answered)))
         if self._losses or self._answered:
             self._tell_soon()
+        if losses:
+            self._again = (self._again + losses)[-MOST_TOLD:]
+            self._tell_again_later()
+
+    def _tell_again_later(self) -> None:
+        if self._again_timer is None or not self._again_timer.active():
+            self._again_timer = self._deps.clock.call_later(AGAIN_MS, self._tell_again)
+
+    def _tell_again(self) -> None:
+        self._tell_hearers(LossesTold(self._aged(self._again)))
+        self._again = []
+
+    def _aged(self, losses: list[tuple[Loss, int]]) -> tuple[Loss, ...]:
+        now = self._deps.clock.now()
+        return tuple(loss._replace(age_ms=now - at) for loss, at in losses)
 
     def _tell_hearers(self, message: LossesTold) -> None:
         if not self._has_hubs():
@@ -120,6 +139,8 @@
         if self._is_hub() and not self._was_hub:
             self._asked.clear()
         self._was_hub = self._is_hub()
+        # Whoever was not heard for a while is asked again: neither was told what the other has seen.
+        self._asked.intersection_update(self._deps.hub.live())
         for peer_id in sorted(self._knowing() - self._asked):
             if self._deps.hub.tell(peer_id, LossesAsk()):
                 self._asked.add(peer_id)
--- a/tests/test_loss_news.py
+++ b/tests/test_loss_news.py
@@ -9,7 +9,7 @@
 from papayapier.clock import FakeClock, fake_clock
 from papayapier.dispatch.crash_watch import CrashWatch
 from papayapier.metrics import make_metrics
-from papayapier.peer.loss_news import GATHER_MS, LossNews, LossNewsDeps
+from papayapier.peer.loss_news import AGAIN_MS, GATHER_MS, LossNews, LossNewsDeps
 from papayapier.peer.messages import Loss, LossesAsk, LossesTold, Message
 from papayapier.peer.topology import Plan
 from papayapier.policy.crashes import LOSSES_MOST
@@ -29,6 +29,8 @@
         self.hubs = hubs
         self.links = links
         self.sent: dict[str, int] = defaultdict(int)
+        self.cut = False
+        self.apart: set[str] = set()
 
     def start(self, *names: str) -> list["Node"]:
         nodes = [Node(name, self) for name in names]
@@ -39,6 +41,8 @@
 
     def neighbours(self, name: str) -> set[str]:
         others = set(self.nodes) - {name}
+        if self.apart:
+            others = others & self.apart if name in self.apart else others - self.apart
         if self.links is not None:
             return self.links[name] & others
         if not self.hubs or name in self.hubs:
@@ -78,6 +82,8 @@
 
     def tell(self, peer_id: str, message: Message) -> bool:
         self._net.sent[type(message).__name__] += 1
+        if self._net.cut:
+            return True
         self._net.nodes[peer_id]._handlers[type(message)](self.name, message)
         return True
 
@@ -117,6 +123,35 @@
     assert len(nodes[1].watch.snapshot()) == 8
 
 
+def test_a_loss_is_told_again_once() -> None:
+    # Events: the link to a peer is being replaced while a loss is told.
+    net = Net()
+    one, other = net.start("a", "b")
+    net.cut = True
+    one.lose("r0")
+    net.time.advance(GATHER_MS)
+    net.cut = False
+    assert not other.watch.snapshot()
+    net.time.advance(AGAIN_MS)
+    assert other.watch.snapshot()
+    net.time.advance(10 * AGAIN_MS)
+    assert net.sent["LossesTold"] == 2
+
+
+def test_whoever_is_heard_again_is_asked_again() -> None:
+    # Events: two parts of a fleet do not hear each other; a replica is lost in one of them.
+    net = Net()
+    one, other = net.start("a", "b")
+    net.apart = {"b"}
+    one.changed()
+    other.changed()
+    one.lose("r0")
+    net.time.advance(GATHER_MS + AGAIN_MS)
+    net.apart = set()
+    other.changed()
+    assert other.watch.snapshot()
+
+
 def test_hubs_hear_of_all_and_tell_what_is_held() -> None:
     # Events: replicas are lost at three entries of a large fleet; only hubs are linked with all.
     net = Net(hubs=("h1", "h2"))
