Play a request that ends replicas in the soak

Cause: no play of ours had work that ends the replicas that run it, beside kills, pauses and a store that goes away.

--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -4,7 +4,8 @@
 
 Callers send requests of every kind and jobs, some of them twice and at two entries, while
 processes are killed, paused and replaced, the store goes away and loses answers, and replicas
-hang, break off and leave. What is checked holds at any moment and for any seed.
+hang, break off and leave, and a request that ends the replicas that run it comes again and again.
+What is checked holds at any moment and for any seed.
 """
 
 import argparse
@@ -18,6 +19,8 @@
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
 
+from papayapier.errors import ErrorKind
+from papayapier.policy.crashes import LOSSES_MOST
 from tests.site.replicas import EVENTS, StandinReplica
 from tests.site.world import SiteWorld, begin, configuration, new_id, pause
 
@@ -44,6 +47,10 @@
     {"service": "lm", "address": "127.0.0.1:1", "zone": "z1", "slots": -4, "state": "ready"},
     {"service": "lm", "address": "127.0.0.1:1", "zone": "z1", "slots": 4, "state": "odd"},
 )
+# Where and how often the request that ends replicas comes: far more often than it may end any.
+CRASHING_PATHS: Final = ("/stream/once/crash", "/stream/again/crash", "/look/crash")
+CRASHING_GAP_S: Final = 0.7
+ENDS_REPLICAS: Final = ErrorKind.ENDS_REPLICAS.value.encode()
 NOT_RUN: Final = (429, 503, 408, 421)
 
 
@@ -68,6 +75,8 @@
         self.once: list[str] = []
         self.accepted: list[str] = []
         self.broken: list[str] = []
+        # Faults in which an instance may not see or not keep what a send did, or may not be told.
+        self.unseen: list[str] = []
         self.version = 1
         self.stopping = False
         self._work: list[Any] = []
@@ -75,7 +84,9 @@
     async def run(self, seconds: float) -> Report:
         """Play, let all settle, and check."""
         await self.world.start(entries=2, keepers=2)
-        loops = [begin(loop) for loop in (self._requests(), self._jobs(), self._faults())]
+        self.world.replace_crashed()
+        plays = (self._requests(), self._jobs(), self._faults(), self._crashing())
+        loops = [begin(loop) for loop in plays]
         await pause(seconds)
         self.stopping = True
         await gatherResults(loops)
@@ -101,17 +112,28 @@
         if "once" in path:
             self.once.append(request_id)
         try:
-            reply = await self.world.get(self._port(), path + "1", X_Request_Id=request_id)
+            target = path if "crash" in path else path + "1"
+            reply = await self.world.get(self._port(), target, X_Request_Id=request_id)
         except Exception as exc:
             self.answers[f"{path} {type(exc).__name__}"] += 1
             return
         self.answers[f"{path} {reply.status}"] += 1
+        if "crash" in path:
+            return
+        if reply.status == 503 and reply.body.startswith(ENDS_REPLICAS):
+            self.broken.append(f"{request_id}: {path}: held, and ends no replica")
         whole = STREAM if "stream" in path else b"whole answer"
         if reply.status == 200 and reply.body != whole:
             self.broken.append(f"{request_id}: {path}: not the whole answer: {reply.body[:80]!r}")
         if reply.status in NOT_RUN and "once" in path:
             self.refused.append(request_id)
 
+    async def _crashing(self) -> None:
+        path = self.rand.choice(CRASHING_PATHS)
+        while not self.stopping:
+            self._work.append(begin(self._request(path)))
+            await pause(CRASHING_GAP_S)
+
     async def _jobs(self) -> None:
         number = 0
         while not self.stopping:
@@ -145,6 +167,8 @@
         while not self.stopping:
             play = self.rand.choice(plays)
             self.faults[play.__name__.strip("_")] += 1
+            if play in (self._kill, self._freeze):
+                self.unseen.append(play.__name__)
             await play()
             await pause(self.rand.uniform(0.2, FAULT_GAP_S))
 
@@ -222,6 +246,10 @@
         for request_id in self.once:
             if runs[request_id] > 1:
                 self.broken.append(f"{request_id}: ran {runs[request_id]} times")
+        if self.world.crashed() > LOSSES_MOST + len(self.unseen):
+            self.broken.append(
+                f"{self.world.crashed()} replicas were ended by one request, {self.unseen} apart"
+            )
         for request_id in self.refused:
             if runs[request_id]:
                 self.broken.append(f"{request_id}: refused as not run, and ran")
