Take a replica for ended only where nobody listens, not where it cannot be reached

Cause: found in reading the repair. Whatever could not be connected to was taken for ended, past any later sign of life: after a cut between an instance and its replicas what many callers ask in the same words would have been refused for ten minutes. Ruled out: dropping the mark altogether (replicas of the product's own list start again under their names, and two engines would be ended without end). Measured: a test of a cut that ends, red before: held for 600 s, now until the first answer. Conclusion: a refused connection is the only word that a process has gone; silence waits for a sign of life or the list.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -105,7 +105,7 @@
         base.rand,
         cfg.upstream.load_poll_ms,
         upstreams.load,
-        OnReport(view.on_load, crashes.on_unreachable),
+        OnReport(view.on_load, crashes.on_poll_failed),
         lambda replica: policies.book.reported_at(replica.id),
     )
     return Fleet(policies, view, crashes, upstreams, reports)
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -77,7 +77,7 @@
             events.REQUEST_HELD, request=request_id, work=name, replicas=replicas, hold_ms=hold_ms
         )
         reason = (
-            f"the same request has ended {len(replicas)} replicas that ran it; "
+            f"{len(replicas)} replicas ended while they ran the same request; "
             f"it is not sent for {hold_ms // MS_PER_S} s"
         )
         return not_run(ErrorKind.ENDS_REPLICAS, reason, hold_ms)
@@ -94,16 +94,16 @@
         if isinstance(ended, Ok) or _spoke(ended.err_value):
             self._book.on_alive(replica.id, started_ms)
             self._take_answer(work)
-        elif ended.err_value.kind is FailureKind.CONNECT:
-            self._book.on_unreachable(replica.id)
+        elif ended.err_value.closed:
+            self._book.on_ended(replica.id)
         elif is_lost(ended.err_value):
             self._take_loss(request_id, work(), replica, ended.err_value)
         self._review_if_changed()
 
-    def on_unreachable(self, replica: Replica, failure: Failure) -> None:
+    def on_poll_failed(self, replica: Replica, failure: Failure) -> None:
         """Take how a call that is no send has failed."""
-        if failure.kind is FailureKind.CONNECT:
-            self._book.on_unreachable(replica.id)
+        if failure.closed:
+            self._book.on_ended(replica.id)
 
     def on_told(self, losses: Iterable[Loss], answered: Iterable[str]) -> list[Loss]:
         """Take what a peer or a disk tells; return the losses not known before."""
--- a/papayapier/peer/loss_news.py
+++ b/papayapier/peer/loss_news.py
@@ -17,6 +17,7 @@
 from papayapier.dispatch.crash_watch import CrashWatch
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import Loss, LossesAsk, LossesTold
+from papayapier.policy.rendezvous import score
 
 # All calls that a replica takes with it end within some ms and are told together; a tenth of a
 # second is far below the seconds in which a caller comes again.
@@ -151,4 +152,7 @@
             return live
         if self._has_hubs():
             return live & set(self._deps.hubs())
-        return set(sorted(live)[:ASKED_MOST]) if len(self._asked) < ASKED_MOST else set()
+        if len(self._asked) >= ASKED_MOST:
+            return set()
+        # Not the same few for all of a large fleet.
+        return set(sorted(live, key=lambda one: -score(self._deps.me, one))[:ASKED_MOST])
--- a/papayapier/policy/crashes.py
+++ b/papayapier/policy/crashes.py
@@ -157,10 +157,11 @@
         for work in list(self._unsure.get(replica, ())):
             self._drop(work, lambda lost: lost.replica == replica and lost.heard_ms <= sent_ms)
 
-    def on_unreachable(self, replica: str) -> None:
-        """Take that a replica takes no connections.
+    def on_ended(self, replica: str) -> None:
+        """Take that nobody listens at a replica's address.
 
-        It has ended, and what answers later under its name is another start of it.
+        What answers later under its name is another start of it. A replica that only cannot be
+        reached says nothing: taken for ended, what is asked often would be held after a cut.
         """
         for work in self._unsure.pop(replica, ()):
             for lost in self._works[work].losses:
--- a/papayapier/upstream/api.py
+++ b/papayapier/upstream/api.py
@@ -76,7 +76,8 @@
     """Say why a call has no answer.
 
     fresh says that the connection was new. A silence on one that is not fresh says nothing
-    about the replica itself, and should be followed by another try before it is blamed.
+    about the replica itself, and should be followed by another try before it is blamed. closed
+    says that nobody listens at the replica's address, which a cut of the network does not show.
     """
 
     kind: FailureKind
@@ -84,6 +85,7 @@
     reason: str
     status: int = 0
     fresh: bool = False
+    closed: bool = False
 
 
 class Load(NamedTuple):
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -91,6 +92,7 @@
         self._phases = make_phases(cfg._replace(first_byte_ms=own_limit))
         self._open = True
         self._answered = False
+        self._closed = False
         self._started = False
         self._sent = Sent.NO
         self._lease = pool.lease(self._on_take)
@@ -179,6 +181,7 @@
     def _on_request_failed(self, reason: Any) -> None:
         if not self._open:
             return
+        self._closed = _innermost(reason).check(ConnectionRefusedError) is not None
         self._end(self._phases.lost(_why(reason)))
 
     def _arm(self) -> None:
@@ -250,7 +253,9 @@
                 reason=fault.reason,
                 fresh=self._lease.fresh,
             )
-        return Failure(fault.kind, self._sent, fault.reason, fault.status, self._lease.fresh)
+        return Failure(
+            fault.kind, self._sent, fault.reason, fault.status, self._lease.fresh, self._closed
+        )
 
 
 class _Body:
@@ -282,9 +287,14 @@
     return None
 
 
-def _why(reason: Any) -> str:
-    """Return the innermost reason of the library's nested failures."""
+def _innermost(reason: Any) -> Any:
+    """Return the innermost of the library's nested failures."""
     inner = reason
     while getattr(inner.value, "reasons", None):
         inner = inner.value.reasons[0]
+    return inner
+
+
+def _why(reason: Any) -> str:
+    inner = _innermost(reason)
     return f"{inner.type.__name__}: {inner.getErrorMessage()}"
--- a/tests/test_loss_news.py
+++ b/tests/test_loss_news.py
@@ -215,3 +215,21 @@
     assert entry.holds()
     assert net.sent[LossesTold.__name__] == 1
     assert net.sent[LossesAsk.__name__] == 2
+
+
+@pytest.mark.parametrize("closed", [False, True])
+def test_a_cut_of_the_network_holds_nothing_up_for_long(closed: bool) -> None:
+    # Symptom: what many callers ask in the same words is refused for minutes after a cut.
+    # Events: all replicas fall silent under it, and no connection to them can be made; then the
+    # cut is over. Cause: a replica that could not be reached was taken for one that has ended.
+    net = Net()
+    (node,) = net.start("a")
+    at = [Replica(f"r{number}", "lm", "h", 1, "dc") for number in range(LOSSES_MOST)]
+    cut = Failure(FailureKind.CONNECT, Sent.NO, "no way there", fresh=True, closed=closed)
+    for replica in at:
+        node.lose(replica.id)
+        node.watch.sent("r", lambda: "w", replica, Err(cut), 0)
+    assert node.holds()
+    later = net.time.clock.now() + 1
+    node.watch.sent("r", lambda: "other", at[0], Ok(None), later)
+    assert node.holds() is closed
--- a/tests/test_policy_crashes.py
+++ b/tests/test_policy_crashes.py
@@ -47,7 +47,7 @@
     for number in range(LOSSES_MOST):
         now = START + number * SAME_END_MS
         book.on_lost("w", "r", now)
-        book.on_unreachable("r")
+        book.on_ended("r")
         book.on_alive("r", now + 1)
     assert book.hold_ms("w", now)
 
@@ -73,10 +73,10 @@
     assert bool(book.hold_ms("w", START)) is held
 
 
-def test_one_that_takes_no_connections_has_ended() -> None:
+def test_one_at_whose_address_nobody_listens_has_ended() -> None:
     book = CrashBook()
     lose(book, LOSSES_MOST)
-    book.on_unreachable("r0")
+    book.on_ended("r0")
     book.on_alive("r0", START + 1)
     assert book.hold_ms("w", START + 1)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -122,6 +122,7 @@
         await maybeDeferred(self.port.stopListening)
         failure = await self.failure()
         equal((failure.kind, failure.sent, failure.fresh), (FailureKind.CONNECT, Sent.NO, True))
+        assert failure.closed
 
     async def test_connecting_takes_too_long(self) -> None:
         # Symptom: a call hangs before it is sent. Sequence: the replica's machine is off and
@@ -133,6 +134,7 @@
         self.fake.advance(CFG.connect_timeout_ms)
         failure = (await sending).err_value
         equal((failure.kind, failure.sent, failure.fresh), (FailureKind.CONNECT, Sent.NO, True))
+        assert not failure.closed
 
     async def test_due_before_it_is_sent(self) -> None:
         failure = await self.failure(due_ms=0)
