Tell only losses that stand, say truly when a held request may come again, and bound what waits

A loss was told although the same request's next try had been answered meanwhile, and told again after the teller had taken it back; a caller was told to return in ten minutes while it was not yet known whether the replicas had ended; what waits to be told had no bound; each change looked at every work. Ruled out: telling takings-back as messages of their own (others see the same replica alive, or listed after 10 s). Conclusion: the return time is that of the doubt's end, 10 s at most, until three replicas are known to have gone.

--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from result import Ok, Result
 
@@ -25,6 +25,14 @@
 Work = Callable[[], str]
 
 
+class Hearers(NamedTuple):
+    """Name who is told of losses and answers seen here, and of work that is held from now on."""
+
+    lost: Callable[[Loss], None]
+    answered: Callable[[str], None]
+    held: Callable[[str], None]
+
+
 class CrashWatch:
     """Own the losses, and tell of changes."""
 
@@ -37,20 +45,11 @@
         self._held: frozenset[str] = frozenset()
         self._reviewed = 0
         self._timer: Timer | None = None
-        self._on_lost: list[Callable[[Loss], None]] = []
-        self._on_answered: list[Callable[[str], None]] = []
-        self._on_held: list[Callable[[str], None]] = []
+        self._hearers: Hearers | None = None
 
-    def connect(
-        self,
-        on_lost: Callable[[Loss], None],
-        on_answered: Callable[[str], None],
-        on_held: Callable[[str], None],
-    ) -> None:
-        """Name who is told of losses and answers seen here, and of work that is held from now."""
-        self._on_lost.append(on_lost)
-        self._on_answered.append(on_answered)
-        self._on_held.append(on_held)
+    def connect(self, hearers: Hearers) -> None:
+        """Name who is told."""
+        self._hearers = hearers
 
     def refusal(self, request_id: str, work: Work) -> Refusal | None:
         """Return the refusal of a request whose work is held."""
@@ -58,7 +57,7 @@
             return None
         name = work()
         hold_ms = self._book.hold_ms(name, self._clock.now())
-        return self._refuse(request_id, name, hold_ms) if hold_ms else None
+        return self._refuse(request_id, name) if hold_ms else None
 
     def item_hold_ms(self, work: Work) -> int:
         """Return for how long an item is not sent, in ms; 0 if it may be."""
@@ -69,18 +68,23 @@
         hold_ms = self.item_hold_ms(work)
         if not hold_ms or not self._book.item_done_for(work()):
             return None
-        return self._refuse(item_id, work(), hold_ms)
+        return self._refuse(item_id, work())
 
-    def _refuse(self, request_id: str, name: str, hold_ms: int) -> Refusal:
+    def _refuse(self, request_id: str, name: str) -> Refusal:
         replicas = self._book.replicas(name)
+        return_ms = self._book.return_ms(name, self._clock.now())
         events.emit(
-            events.REQUEST_HELD, request=request_id, work=name, replicas=replicas, hold_ms=hold_ms
+            events.REQUEST_HELD,
+            request=request_id,
+            work=name,
+            replicas=replicas,
+            return_ms=return_ms,
         )
         reason = (
-            f"{len(replicas)} replicas ended while they ran the same request; "
-            f"it is not sent for {hold_ms // MS_PER_S} s"
+            f"{len(replicas)} replicas were lost while they ran the same request; "
+            f"it is not sent for {return_ms // MS_PER_S} s"
         )
-        return not_run(ErrorKind.ENDS_REPLICAS, reason, hold_ms)
+        return not_run(ErrorKind.ENDS_REPLICAS, reason, return_ms)
 
     def sent(
         self,
@@ -121,6 +125,10 @@
         """Return the losses of all works, or of some."""
         return self._book.snapshot(self._clock.now(), only)
 
+    def stands(self, loss: Loss) -> bool:
+        """Tell whether a loss has not been taken back."""
+        return self._book.stands(loss)
+
     def close(self) -> None:
         """Stop the timer."""
         if self._timer is not None and self._timer.active():
@@ -130,16 +138,15 @@
         if self._book.empty():
             return
         name = work()
-        if self._book.on_answered(name):
-            for call in self._on_answered:
-                call(name)
+        if self._book.on_answered(name) and self._hearers is not None:
+            self._hearers.answered(name)
 
     def _take_loss(self, request_id: str, work: str, replica: Replica, failure: Failure) -> None:
         note_lost(request_id, work, replica, failure)
         self._metrics.sends_lost.labels(failure.kind.value).inc()
-        if self._book.on_lost(work, replica.id, self._clock.now()):
-            for call in self._on_lost:
-                call(Loss(work, replica.id, 0))
+        fresh = self._book.on_lost(work, replica.id, self._clock.now())
+        if fresh and self._hearers is not None:
+            self._hearers.lost(Loss(work, replica.id, 0))
 
     def _review_if_changed(self) -> None:
         if self._reviewed != self._book.changes:
@@ -152,8 +159,8 @@
         for work in sorted(held - self._held):
             replicas = self._book.replicas(work)
             events.emit(events.WORK_HELD, work=work, replicas=replicas)
-            for call in self._on_held:
-                call(work)
+            if self._hearers is not None:
+                self._hearers.held(work)
         for work in sorted(self._held - held):
             events.emit(events.WORK_RELEASED, work=work)
         self._held = held
--- a/papayapier/peer/loss_news.py
+++ b/papayapier/peer/loss_news.py
@@ -10,11 +10,12 @@
 replicas more.
 """
 
+from collections import deque
 from collections.abc import Callable, Collection, Sequence
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeVar
 
 from papayapier.clock import Clock, Timer
-from papayapier.dispatch.crash_watch import CrashWatch
+from papayapier.dispatch.crash_watch import CrashWatch, Hearers
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import Loss, LossesAsk, LossesTold
 from papayapier.policy.rendezvous import score
@@ -27,10 +28,15 @@
 AGAIN_MS: Final = 1_000
 # One end takes some ten calls with it; what is more is told with the next message.
 MOST_TOLD: Final = 100
+# What comes faster than it is told, a thousand a second, is not one request's doing.
+MOST_WAITING: Final = 1_000
 # Without hubs this many neighbours are asked at a start: one may not know, another be lost.
 ASKED_MOST: Final = 3
 
 
+T = TypeVar("T")
+
+
 class LossNewsDeps(NamedTuple):
     """Group what the news work with; hubs names the live hubs of a large fleet."""
 
@@ -47,14 +53,14 @@
     def __init__(self, deps: LossNewsDeps) -> None:
         self._deps = deps
         # Each with the time at which it was seen.
-        self._losses: list[tuple[Loss, int]] = []
-        self._again: list[tuple[Loss, int]] = []
-        self._answered: list[str] = []
+        self._losses: deque[tuple[Loss, int]] = deque(maxlen=MOST_WAITING)
+        self._again: deque[tuple[Loss, int]] = deque(maxlen=MOST_TOLD)
+        self._answered: deque[str] = deque(maxlen=MOST_WAITING)
         self._asked: set[str] = set()
         self._was_hub = False
         self._timer: Timer | None = None
         self._again_timer: Timer | None = None
-        deps.watch.connect(self._on_lost, self._on_answered, self._on_held)
+        deps.watch.connect(Hearers(self._on_lost, self._on_answered, self._on_held))
         deps.hub.subscribe(LossesTold, self._on_told)
         deps.hub.subscribe(LossesAsk, self._on_ask)
         deps.hub.on_change(self._ask)
@@ -85,13 +91,12 @@
             self._timer = self._deps.clock.call_later(GATHER_MS, self._tell)
 
     def _tell(self) -> None:
-        losses, self._losses = self._losses[:MOST_TOLD], self._losses[MOST_TOLD:]
-        answered, self._answered = self._answered[:MOST_TOLD], self._answered[MOST_TOLD:]
-        self._tell_hearers(LossesTold(self._aged(losses), tuple(answered)))
+        losses = _take(self._losses)
+        self._tell_standing(losses, tuple(_take(self._answered)))
         if self._losses or self._answered:
             self._tell_soon()
         if losses:
-            self._again = (self._again + losses)[-MOST_TOLD:]
+            self._again.extend(losses)
             self._tell_again_later()
 
     def _tell_again_later(self) -> None:
@@ -99,12 +104,16 @@
             self._again_timer = self._deps.clock.call_later(AGAIN_MS, self._tell_again)
 
     def _tell_again(self) -> None:
-        self._tell_hearers(LossesTold(self._aged(self._again)))
-        self._again = []
+        self._tell_standing(_take(self._again), ())
 
-    def _aged(self, losses: list[tuple[Loss, int]]) -> tuple[Loss, ...]:
+    def _tell_standing(self, losses: list[tuple[Loss, int]], answered: tuple[str, ...]) -> None:
+        """Tell what has not been taken back meanwhile, as where another try was answered."""
         now = self._deps.clock.now()
-        return tuple(loss._replace(age_ms=now - at) for loss, at in losses)
+        stand = tuple(
+            loss._replace(age_ms=now - at) for loss, at in losses if self._deps.watch.stands(loss)
+        )
+        if stand or answered:
+            self._tell_hearers(LossesTold(stand, answered))
 
     def _tell_hearers(self, message: LossesTold) -> None:
         if not self._has_hubs():
@@ -156,3 +165,8 @@
             return set()
         # Not the same few for all of a large fleet.
         return set(sorted(live, key=lambda one: -score(self._deps.me, one))[:ASKED_MOST])
+
+
+def _take(waiting: deque[T]) -> list[T]:
+    """Take as much as one message tells."""
+    return [waiting.popleft() for _ in range(min(len(waiting), MOST_TOLD))]
--- a/papayapier/policy/crashes.py
+++ b/papayapier/policy/crashes.py
@@ -35,6 +35,8 @@
 # silence that they bear, four seconds. What is lost later at the same name is lost by another end:
 # some replicas start again under their name.
 SAME_END_MS: Final = 5_000
+# Whoever waits for the end of a doubt does not come back sooner than this.
+SOONEST_RETURN_MS: Final = 1_000
 # Work that has not come for so long is forgotten.
 FORGET_MS: Final = 3_600_000
 # A crash of a replica brings as many works as it has calls, ten or so; at a hundred bytes a loss
@@ -56,6 +58,10 @@
         self.heard_ms = heard_ms
         self.sure = False
 
+    def settled(self, now: int) -> bool:
+        """Tell whether the list alone can no longer take it back."""
+        return self.sure or self.heard_ms + LISTED_MS <= now
+
 
 class _Work:
     """Hold the losses of one work, and how often it was answered since the first."""
@@ -86,6 +92,8 @@
         self._unsure: dict[str, set[str]] = {}
         self._listed: frozenset[str] = frozenset()
         self._left: dict[str, None] = {}
+        # Works with as many losses as hold one.
+        self._over: set[str] = set()
         # Grows with each change of what is known.
         self.changes = 0
 
@@ -126,7 +134,22 @@
 
     def held(self, now: int) -> frozenset[str]:
         """Return the works that are held."""
-        return frozenset(work for work in self._works if self.hold_ms(work, now))
+        return frozenset(work for work in self._over if self.hold_ms(work, now))
+
+    def return_ms(self, work: str, now: int) -> int:
+        """Return when the caller of held work may come again, in ms.
+
+        While too few of its replicas are known to have ended that is when it will be known.
+        """
+        known = self._works[work]
+        unsure = [lost for lost in known.losses if not lost.settled(now)]
+        if known.count() - len(unsure) >= LOSSES_MOST:
+            return self.hold_ms(work, now)
+        return max(SOONEST_RETURN_MS, min(lost.heard_ms for lost in unsure) + LISTED_MS - now)
+
+    def stands(self, loss: Loss) -> bool:
+        """Tell whether a loss has not been taken back."""
+        return loss.replica in self.replicas(loss.work)
 
     def on_lost(self, work: str, replica: str, now: int) -> bool:
         """Count a replica lost under a work; return whether it is a new loss.
@@ -147,9 +170,7 @@
         if known is None:
             return False
         known.answered += 1
-        self.changes += 1
-        if known.count() <= 0:
-            self._forget(work)
+        self._note_change(work)
         return True
 
     def on_alive(self, replica: str, sent_ms: int) -> None:
@@ -179,7 +200,7 @@
         """Drop losses at replicas that are listed long after, and what is old."""
 
         def seen(lost: _Lost) -> bool:
-            return lost.replica in self._listed and lost.heard_ms + LISTED_MS <= now
+            return lost.replica in self._listed and lost.settled(now)
 
         for work, known in list(self._works.items()):
             if known.last_ms + FORGET_MS <= now:
@@ -208,9 +229,9 @@
         known.last_ms = max(known.last_ms, at_ms)
         if len(known.losses) >= KEPT_LOSSES:
             return False
-        self.changes += 1
         known.losses.append(_Lost(replica, at_ms, heard_ms))
         self._unsure.setdefault(replica, set()).add(work)
+        self._note_change(work)
         return True
 
     def _make_room(self) -> None:
@@ -224,16 +245,25 @@
         known = self._works[work]
         kept = [lost for lost in known.losses if lost.sure or not dropped(lost)]
         gone = {lost.replica for lost in known.losses} - {lost.replica for lost in kept}
-        if gone:
-            self.changes += 1
         known.losses = kept
         for replica in gone:
             self._unlink(work, replica)
-        if known.count() <= 0:
+        if gone:
+            self._note_change(work)
+
+    def _note_change(self, work: str) -> None:
+        self.changes += 1
+        count = self._works[work].count()
+        if count >= LOSSES_MOST:
+            self._over.add(work)
+        else:
+            self._over.discard(work)
+        if count <= 0:
             self._forget(work)
 
     def _forget(self, work: str) -> None:
         self.changes += 1
+        self._over.discard(work)
         for lost in self._works.pop(work).losses:
             self._unlink(work, lost.replica)
 
--- a/tests/test_loss_news.py
+++ b/tests/test_loss_news.py
@@ -123,6 +123,17 @@
     assert len(nodes[1].watch.snapshot()) == 8
 
 
+def test_what_another_try_answered_is_not_told() -> None:
+    # The request beside a crashing one goes on at another replica, and is done.
+    net = Net()
+    one, other = net.start("a", "b")
+    one.lose("r0")
+    at = Replica("r1", "lm", "h", 1, "dc")
+    one.watch.sent("r", lambda: "w", at, Ok(None), 0)
+    net.time.advance(GATHER_MS + AGAIN_MS)
+    assert not other.watch.snapshot()
+
+
 def test_a_loss_is_told_again_once() -> None:
     # Events: the link to a peer is being replaced while a loss is told.
     net = Net()
--- a/tests/test_policy_crashes.py
+++ b/tests/test_policy_crashes.py
@@ -158,3 +158,13 @@
     assert [loss.work for loss in told[:KEPT_LOSSES]] == ["w"] * KEPT_LOSSES
     known = sum(book.knows(f"w{number}") for number in range(2 * WORKS_MOST))
     assert known == WORKS_MOST - 1
+
+
+def test_a_caller_is_told_to_come_when_a_doubt_will_be_over() -> None:
+    book = CrashBook()
+    lose(book, LOSSES_MOST)
+    assert book.return_ms("w", START) == LISTED_MS
+    assert book.return_ms("w", START + LISTED_MS) == HOLD_MS - LISTED_MS
+    for number in range(LOSSES_MOST):
+        book.on_ended(f"r{number}")
+    assert book.return_ms("w", START + 1) == HOLD_MS - 1
