Let all keepers of a large fleet name the same owner of a job

Cause: a hub that did not hear a keeper asked the entries whether they do. Beyond a full mesh entries are linked with hubs only, a keeper that is no hub never stands in their list of peers they miss, and that was taken for hearing it. So hubs counted a keeper that is gone for good as the owner of its jobs, while all others took the next in line, a hub, for it: nobody ran them.

Change: beyond a full mesh everybody goes by the word of most hubs (Roster.vouched), the hub's own among them, for who shares the work; whom a changed call concerns goes by the same word. In a full mesh entries hear every keeper and stay the witnesses.

--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -130,7 +130,7 @@
     me = Identity(own.id, boot, own.host, own.data_centre, own.region, role is Role.KEEPER)
     hub = PeerHub(reactor, clock, cfg.peer, me, heartbeat, metrics, rand, concerned)
     nodes = NodeList(hub.set_members, lambda call: clock.call_later(0, call))
-    fleet = LargeFleet(nodes, hub.live, lambda: hub.plan().hubs, routing.table)
+    fleet = LargeFleet(nodes, hub.live, lambda: hub.plan().hubs, hub.vouched, routing.table)
     listening = hub.start()
     if isinstance(listening, Err):
         return listening
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -77,16 +77,8 @@
 
     def sharing() -> list[str]:
         """Return the live keepers; this one counts unless it leaves and others live."""
-        heard = frozenset(base.hub.live())
-        keepers = base.nodes.with_role(Role.KEEPER) - {me}
-        live = keepers & heard
-        unheard = keepers - heard
-        if unheard:
-            entries = base.nodes.with_role(Role.ENTRY) & heard
-            # Silent here, heard by the entries, and not leaving.
-            cut_off = unheard & base.hub.silent()
-            live |= {one for one in cut_off if witnesses.heard(one, entries)}
-        return sorted(live if live and base.drain.state() != "serving" else {*live, me})
+        others = _others_sharing(base, witnesses)
+        return sorted(others if others and base.drain.state() != "serving" else {*others, me})
 
     desk = _reading_desk(base)
     answer_reads(base.hub, desk)
@@ -142,6 +134,24 @@
     return Ok(Keeper(base, runner, vault))
 
 
+def _others_sharing(base: NodeBase, witnesses: Witnesses) -> frozenset[str]:
+    """Return the other keepers that live, by what all keepers go by."""
+    keepers = base.nodes.with_role(Role.KEEPER) - {base.cfg.instance.id}
+    if not base.hub.plan().full_mesh:
+        # Only hubs are linked with everybody; an entry that has no link with a keeper would not
+        # notice its loss, and cannot be asked.
+        return keepers & base.hub.vouched()
+    heard = frozenset(base.hub.live())
+    unheard = keepers - heard
+    live = keepers & heard
+    if unheard:
+        entries = base.nodes.with_role(Role.ENTRY) & heard
+        # Silent here, heard by the entries, and not leaving.
+        cut_off = unheard & base.hub.silent()
+        live |= {one for one in cut_off if witnesses.heard(one, entries)}
+    return live
+
+
 def _reading_desk(base: NodeBase) -> JobDesk:
     """Make the desk at which entries of a large fleet read; jobs are submitted at entries only."""
 
--- a/papayapier/node/large_fleet.py
+++ b/papayapier/node/large_fleet.py
@@ -12,7 +12,8 @@
 class LargeFleet:
     """Hold the parts of the upstreams.
 
-    live names the instances that are heard and not leaving, chosen those that are to be hubs.
+    live names the instances that are heard and not leaving, chosen those that are to be hubs,
+    vouched those that the hubs take for live.
     """
 
     def __init__(
@@ -20,12 +21,14 @@
         nodes: NodeList,
         live: Callable[[], Sequence[str]],
         chosen: Callable[[], Sequence[str]],
+        vouched: Callable[[], Collection[str]],
         table: Callable[[], RouteTable | None],
     ) -> None:
         self.parts = make_parts(())
         self._nodes = nodes
         self._live = live
         self._chosen = chosen
+        self._vouched = vouched
         self._table = table
 
     def on_replicas(self, replicas: Sequence[Replica]) -> None:
@@ -38,7 +41,8 @@
         return [one for one in self._chosen() if one in live]
 
     def _keepers(self) -> list[str]:
-        return sorted(self._nodes.with_role(Role.KEEPER).intersection(self._live()))
+        """Return the keepers that share the work, by the same word as they go by themselves."""
+        return sorted(self._nodes.with_role(Role.KEEPER).intersection(self._vouched()))
 
     def concerned(self, replicas: Collection[str]) -> set[str]:
         """Return the keepers that share some replicas' batch slots or place their online calls."""
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -103,6 +103,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._live: list[str] = [me.instance]
         self._hubs: tuple[str, ...] = ()
+        self._vouched = frozenset({me.instance} if me.hub else ())
         # Those that are no neighbours and have been told of open calls.
         self._told_calls: set[str] = set()
         self._early_to = early_to
@@ -162,6 +163,10 @@
         """Return the peers that are not heard and have not said that they leave."""
         return self._roster.silent()
 
+    def vouched(self) -> frozenset[str]:
+        """Return whom the hubs of a large fleet take for live, of those that may be hubs."""
+        return self._vouched
+
     def plan(self) -> Plan:
         """Return the plan of links; a relay watches the store for its data centre."""
         return self._roster.plan()
@@ -418,8 +423,10 @@
     def _announce_live(self) -> None:
         live = self._roster.live()
         hubs = self._roster.plan().hubs
-        if (live, hubs) == (self._live, self._hubs):
+        vouched = self._roster.vouched(self._clock.now())
+        if (live, hubs, vouched) == (self._live, self._hubs, self._vouched):
             return
+        self._vouched = vouched
         if hubs != self._hubs and not self._roster.plan().full_mesh:
             events.emit(events.HUBS_CHOSEN, hubs=list(hubs), was=list(self._hubs))
         self._live, self._hubs = live, hubs
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -142,11 +142,34 @@
 
     def live(self) -> list[str]:
         """Return this instance and the peers that are live, in order."""
-        hubs = [self._peers[one].last for one in self._plan.hubs if self._is_up(one)]
-        told = [frozenset(beat.gone) for beat in hubs if beat is not None]
+        told = self._told_gone()
         serving = (i for i, peer in self._peers.items() if _serves(i, peer, told))
         return sorted([self._me.id, *serving])
 
+    def vouched(self, now: Millis) -> frozenset[str]:
+        """Return whom the hubs together take for live, of the instances that may be hubs.
+
+        Whoever runs batch must name the same owner of a job as all others do, hubs or not. Only
+        hubs would notice that somebody is gone, so the word of most of them goes before what
+        this instance hears itself.
+        """
+        told = self._told_gone()
+        if self._me.id in self._plan.hubs:
+            told.append(frozenset(self.gone(now)))
+        own = {self._me.id} if self._me.hub else set()
+        if not told:
+            heard = (one for one in self.live() if one in self._peers)
+            return frozenset(one for one in heard if self._peers[one].member.hub) | own
+        others = (
+            one
+            for one, peer in self._peers.items()
+            if peer.member.hub
+            and (peer.listed or peer.up)
+            and not peer.leaving()
+            and _most_hear(one, told)
+        )
+        return frozenset(others) | own
+
     def gone(self, now: Millis) -> tuple[str, ...]:
         """Return the neighbours that may be hubs and are silent or leave, for a hub to tell."""
         return tuple(
@@ -267,6 +290,11 @@
         peer = self._peers.get(peer_id)
         return peer is not None and peer.picked
 
+    def _told_gone(self) -> list[frozenset[str]]:
+        """Return whom each hub that is heard calls gone."""
+        hubs = [self._peers[one].last for one in self._plan.hubs if self._is_up(one)]
+        return [frozenset(beat.gone) for beat in hubs if beat is not None]
+
     def _is_up(self, peer_id: str) -> bool:
         peer = self._peers.get(peer_id)
         return peer is not None and peer.neighbour() and peer.up
@@ -397,11 +425,14 @@
     if not peer.member.hub:
         return peer.listed
     if told:
-        gone = sum(peer_id in one for one in told)
-        return peer.listed and 2 * gone <= len(told)
+        return peer.listed and _most_hear(peer_id, told)
     return peer.listed and not peer.lost
 
 
+def _most_hear(peer_id: str, told: Sequence[frozenset[str]]) -> bool:
+    return 2 * sum(peer_id in one for one in told) <= len(told)
+
+
 def _redial(peer_id: str, peer: Peer, now: Millis) -> Redial:
     peer.dialled_at = now
     return Redial(peer_id)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -28,7 +28,9 @@
         value = f'["{role}","h",1,"dc","r"]'.encode()
         nodes.on_change(Change(f"papayapier-nodes/{name}", 1, False, value))
     live = [*HUBS[1:], "entry-1"]
-    made = LargeFleet(nodes, lambda: live, lambda: HUBS, lambda: cast(RouteTable, table))
+    made = LargeFleet(
+        nodes, lambda: live, lambda: HUBS, lambda: HUBS[1:], lambda: cast(RouteTable, table)
+    )
     made.on_replicas([Replica("i-1", "lm", "h", 1, "dc"), Replica("i-2", "app", "h", 1, "dc")])
     return made
 
