Let who is next in line take a job that nobody runs

Cause: whoever owns a job follows from who lives, and views of that may differ for longer than any message takes (a hub cut from a keeper, hubs that have just changed, a follower that is behind). An accepted job without a run was seen by nobody.

Change: the first three in line for a job ask its owner after two to eight seconds whether it runs it, then those before themselves, and take it when each has said no or nothing twice. A job that is over is asked for once. Costs in an idle fleet: nothing, no open job, no message.

Ruled out: a claim for each run in the store (a write a job, and none in an outage); taking a job by its age alone (results of a job that runs come late as well).

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -179,6 +179,9 @@
 RUN_RELEASED: Final = Event(
     527, "run_released", Level.INFO, "another instance runs the job's items"
 )
+RUN_ADOPTED: Final = Event(
+    538, "run_adopted", Level.WARNING, "job is run here, because its owner does not run it"
+)
 ITEMS_LOST: Final = Event(523, "items_lost", Level.WARNING, "items ended by a loss")
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "change accepted")
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -20,7 +20,8 @@
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.work import Item, JobWork
-from papayapier.policy.rendezvous import score
+from papayapier.policy.orphans import Answered, OrphanWatch
+from papayapier.policy.ownership import owner
 from papayapier.store.api import Change, Store
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
         # Ended or complete jobs, which may come again from a disk.
         self._over: set[str] = set()
         self._owned: dict[str, JobWork] = {}
+        self._orphans = OrphanWatch(deps.runs.me)
         self._timer: Timer | None = None
         self._soon: Timer | None = None
         self._sharing: Sequence[str] = ()
@@ -112,7 +114,7 @@
 
     def has_closed(self, job_id: str) -> bool:
         """Tell whether a job is this instance's, and every item of it is listed or ended."""
-        mine = self._owner(job_id, self._deps.runs.sharing()) == self._deps.runs.me
+        mine = owner(job_id, self._deps.runs.sharing()) == self._deps.runs.me
         return mine and job_id not in self._open and job_id not in self._owned
 
     def on_change(self, change: Change) -> None:
@@ -148,14 +150,36 @@
         """Work out again which jobs are this instance's."""
         sharing = self._deps.runs.sharing()
         for job_id, record in self._open.items():
-            mine = self._owner(job_id, sharing) == self._deps.runs.me
+            mine = owner(job_id, sharing) == self._deps.runs.me or self._orphans.taken(job_id)
             if mine and job_id not in self._owned and not self._stopping:
                 self._own(job_id, record)
             elif not mine and job_id in self._owned:
                 self._disown(job_id)
 
-    def _owner(self, job_id: str, sharing: Sequence[str]) -> str:
-        return max(sharing, key=lambda one: score(job_id, one))
+    def orphan_asks(self) -> dict[str, list[str]]:
+        """Return which owners to ask now whether they run which jobs."""
+        if self._stopping or not self._open:
+            return {}
+        sharing = self._deps.runs.sharing()
+        owners = {job_id: owner(job_id, sharing) for job_id in self._open}
+        return self._orphans.asks(owners, sharing, self._clock.now())
+
+    def runs_of(self, job_ids: Sequence[str]) -> Answered:
+        """Return which of some jobs this instance runs, and which are over."""
+        runs = frozenset() if self._stopping else frozenset(self._owned).intersection(job_ids)
+        return Answered(runs, frozenset(self._over).intersection(job_ids))
+
+    def on_owner_said(self, owner_id: str, asked: Sequence[str], answer: Answered | None) -> None:
+        """Take what an owner says of jobs, None for nothing, and run those that nobody runs."""
+        now = self._clock.now()
+        if answer is None:
+            taken = self._orphans.on_silence(asked, now)
+        else:
+            taken = self._orphans.on_answer(asked, answer, now)
+        for job_id in taken:
+            reason = "silent" if answer is None else "denied"
+            events.emit(events.RUN_ADOPTED, job=job_id, owner=owner_id, reason=reason)
+        self.review()
 
     def _own(self, job_id: str, record: JobRecord) -> None:
         work = JobWork(job_id, record)
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -27,6 +27,7 @@
 )
 from papayapier.node.job_reading import answer_reads, read_here
 from papayapier.node.keeping import answer_keeping, in_threads
+from papayapier.node.orphans import answer_about_runs, seek_orphans
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
 from papayapier.node.settings import NodeSettings
@@ -130,6 +131,10 @@
     retirement = Retirement(base, runner, vault)
     follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOWLY)
     runner.start()
+    answer_about_runs(base.hub, runner)
+    seeking = Deferred.fromCoroutine(seek_orphans(base.hub, clock, runner))
+    seeking.addErrback(report_failure, "orphans")
+    base.tasks.append(seeking)
     events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value)
     return Ok(Keeper(base, runner, vault))
 
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -299,6 +299,21 @@
     results: tuple[ResultTold, ...] = ()
 
 
+class RunsAsk(NamedTuple):
+    """Ask a keeper which of some jobs, that are its own by the asker's view, it runs."""
+
+    ask_id: int
+    job_ids: tuple[str, ...]
+
+
+class RunsTell(NamedTuple):
+    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended."""
+
+    ask_id: int
+    runs: tuple[str, ...]
+    over: tuple[str, ...]
+
+
 class KeepAsk(NamedTuple):
     """Ask a keeper to hold a job on its disk until it is in the store; value is its record."""
 
@@ -340,6 +355,8 @@
     | ResultsTell
     | LossesTold
     | LossesAsk
+    | RunsAsk
+    | RunsTell
 )
 
 KINDS: Final[dict[int, type[Message]]] = {
@@ -368,4 +385,6 @@
     23: ResultsTell,
     24: LossesTold,
     25: LossesAsk,
+    26: RunsAsk,
+    27: RunsTell,
 }
--- a/papayapier/peer/questions.py
+++ b/papayapier/peer/questions.py
@@ -16,6 +16,7 @@
     Message,
     PlaceTell,
     ResultsTell,
+    RunsTell,
     StoreTell,
 )
 
@@ -23,7 +24,7 @@
 
 MakeAsk = Callable[[int], Message]
 # What settles a question; an instance list is taken from whoever tells it.
-Answer = ConfigTell | ClaimTell | StoreTell | PlaceTell | KeepTell | ResultsTell
+Answer = ConfigTell | ClaimTell | StoreTell | PlaceTell | KeepTell | ResultsTell | RunsTell
 
 
 class PeerError(Enum):
