Ask callers for their team's key, and tell replicas whose a request is

Cause: the shifted deployment's configuration has teams with keys; nothing here read them.

Change: config/keys.py holds digests of keys and compares them in constant time, for the platform's callers and for the product's own (entry/callers.py had its own list); config/teams.py says who asks and whose a job is. One check on the way in for requests, resumed streams and calls on jobs; an item runs for the team of its job, whatever became of the key. Unknown, missing, doubled keys: 401, not run; no configuration yet: 503. The key never goes to a replica, the team's name always does, on each try. A job is its team's: to others it does not exist. A team's rank goes before the route's, teams share the queue fairly, and the same words of two teams are two works to the watch on crashing work.

--- a/papayapier/config/route_table.py
+++ b/papayapier/config/route_table.py
@@ -5,10 +5,15 @@
 """
 
 import random
+from collections.abc import Sequence
 from enum import Enum
 from typing import Final, NamedTuple
 
+from result import Ok, Result
+
 from papayapier.config.profiles import Profile, RetryRule
+from papayapier.config.teams import ANYBODY, Team, Teams
+from papayapier.errors import Refusal
 
 
 class WorkKind(Enum):
@@ -34,7 +39,7 @@
     in which an answer (a stream: its first event; a job: its acceptance) has its full worth;
     rank 0 is the most urgent. resumable streams may go on at another replica. due_ms and
     give_up_ms hold for jobs: when results are due and when an item may be abandoned, both
-    from the job's first send.
+    from the job's first send. public routes ask for no key.
     """
 
     name: str
@@ -50,6 +55,7 @@
     by_prompt: bool
     due_ms: int = 0
     give_up_ms: int = 0
+    public: bool = False
 
     def repeatable(self) -> bool:
         """Tell whether a request may run more than once."""
@@ -66,12 +72,13 @@
 
 
 class RoutingConfig(NamedTuple):
-    """Hold one version of the operator's configuration."""
+    """Hold one version of the operator's configuration; teams None asks nobody for a key."""
 
     version: int
     routes: tuple[Route, ...]
     upstreams: tuple[str, ...]
     limits: Limits
+    teams: Teams | None = None
 
 
 class RouteTable:
@@ -95,21 +102,32 @@
                 return route
         return None
 
-    def has_jobs(self, host: str) -> bool:
-        """Tell whether a host has a route for batch jobs."""
+    def has_public_jobs(self, host: str) -> bool:
+        """Tell whether a host takes batch jobs, and asks for no key on any route for them."""
         name = host.partition(":")[0].lower()
-        return any(route.kind is WorkKind.JOB for route in self._by_host.get(name, ()))
+        jobs = [one for one in self._by_host.get(name, ()) if one.kind is WorkKind.JOB]
+        return bool(jobs) and all(route.public for route in jobs)
+
+    def asker(self, public: bool, authorization: Sequence[bytes]) -> Result[Team | None, Refusal]:
+        """Return which team asks: ANYBODY on public routes, None where there are no teams."""
+        if self.cfg.teams is None:
+            return Ok(None)
+        return Ok(ANYBODY) if public else self.cfg.teams.asker(authorization)
 
 
 URGENT_RANK: Final = 0
 
 
-def pick_profile(route: Route, rand: random.Random) -> Profile:
-    """Return the profile of one request on a route, with its upstream chosen by weight."""
+def pick_profile(route: Route, rand: random.Random, rank: int | None = None) -> Profile:
+    """Return the profile of one request on a route, with its upstream chosen by weight.
+
+    rank is the asking team's, which goes before the route's.
+    """
+    rank = route.rank if rank is None else rank
     return Profile(
         name=route.name,
         upstream=_pick_upstream(route, rand),
-        urgency="urgent" if route.rank == URGENT_RANK else "normal",
+        urgency="urgent" if rank == URGENT_RANK else "normal",
         due_ms=route.timeout_ms,
         idempotent=route.repeatable(),
         retry=RetryRule(route.attempts),
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -65,11 +65,12 @@
     due_ms: int
     last_event: int = NO_EVENT
     arrived_ms: int = 0
+    team: str = ""
 
     def work(self) -> str:
         """Return the name of the work, which is the same when its caller returns."""
         host = self.headers.getRawHeaders(b"Host", [b""])[0].decode("latin-1")
-        return name_work(self.method, host, self.target, self.body)
+        return name_work(self.method, host, self.target, self.body, self.team)
 
 
 class Reader(Protocol):
@@ -203,6 +204,7 @@
         events.REQUEST_ENDED,
         request=req.request_id,
         profile=req.profile.name,
+        team=req.team,
         upstream=req.profile.upstream,
         status=answer.status,
         replicas=progress.replicas,
--- a/papayapier/dispatch/lost_sends.py
+++ b/papayapier/dispatch/lost_sends.py
@@ -17,9 +17,13 @@
 LOST: Final = frozenset({FailureKind.CUT, FailureKind.SILENT, FailureKind.DUE})
 
 
-def name_work(method: str, host: str, target: str, body: bytes) -> str:
-    """Return the name of a work, the same for each return of it."""
-    digest = hashlib.blake2b(f"{method}\n{host}\n{target}\n".encode(), digest_size=DIGEST_BYTES)
+def name_work(method: str, host: str, target: str, body: bytes, team: str = "") -> str:
+    """Return the name of a work, the same for each return of it.
+
+    The same words of two teams are two works: what one of them ends is not held against the other.
+    """
+    place = f"{method}\n{host}\n{target}\n{team}\n"
+    digest = hashlib.blake2b(place.encode(), digest_size=DIGEST_BYTES)
     digest.update(body)
     return digest.hexdigest()
 
--- a/papayapier/entry/callers.py
+++ b/papayapier/entry/callers.py
@@ -1,12 +1,12 @@
 """Tell who is calling, by key or by name."""
 
-import hashlib
-import hmac
 from collections.abc import Callable
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
+from papayapier.config.keys import KeyRing
 from papayapier.errors import ErrorKind, Refusal, not_run
 
 if TYPE_CHECKING:
@@ -17,18 +17,18 @@
 
 ANONYMOUS: Final = "anonymous"
 MAX_NAME: Final = 64
-BEARER: Final = "Bearer "
 
 
 def holder_of(request: "WebRequest", entries: "tuple[KeyEntry, ...]") -> str | None:
     """Return the name of the holder of the request's key."""
-    header = request.getHeader("authorization") or ""
-    if not header.startswith(BEARER):
-        return None
-    digest = hashlib.sha256(header[len(BEARER) :].encode()).hexdigest()
-    # Every entry is compared, each in constant time: the time taken tells nothing about keys.
-    matches = [entry.name for entry in entries if hmac.compare_digest(entry.key_sha256, digest)]
-    return matches[0] if matches else None
+    header = request.getHeader("authorization")
+    return _ring(entries).holder([header.encode()]) if header else None
+
+
+@lru_cache
+def _ring(entries: "tuple[KeyEntry, ...]") -> KeyRing[str]:
+    """Make the ring of a list once; of two entries with one key the first counts."""
+    return KeyRing((bytes.fromhex(one.key_sha256), one.name) for one in reversed(entries))
 
 
 def caller_auth(entries: "tuple[KeyEntry, ...]") -> CallerAuth:
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -11,6 +11,7 @@
 from papayapier import events
 from papayapier.clock import MS_PER_S
 from papayapier.config.route_table import Route, RouteTable, WorkKind, pick_profile
+from papayapier.config.teams import Team, name_of
 from papayapier.dispatch.forwarding import RawRequest, forward
 from papayapier.dispatch.start_queue import Ask, StartQueue
 from papayapier.errors import ANSWERS, ErrorKind, Outcome, Refusal, not_run
@@ -20,7 +21,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
     from twisted.web.http_headers import Headers
 
@@ -35,10 +36,16 @@
 # A caller that does not read its stream: beyond what transport and kernel hold by themselves.
 MAX_UNREAD_BYTES: Final = 256_000
 TEXT: Final = b"text/plain"
+# Those that no return helps against; every other refusal of what has not run is a 503.
+PLAIN_STATUSES: Final = frozenset({400, 401, 404, 409, 413})
 
 
 class Names(NamedTuple):
-    """Name the headers that a request may carry and a refusal states, as the platform does."""
+    """Name the headers that a request may carry and a refusal states, as the platform does.
+
+    shown_keys returns where a caller shows its key, of_team sets the name of its team in place of
+    that.
+    """
 
     request_id: str
     time_left: str
@@ -46,16 +53,19 @@
     last_event: str
     retry_after: bytes
     end_to_end: "Callable[[Headers], Headers]"
+    shown_keys: "Callable[[Headers], Sequence[bytes]]"
+    of_team: "Callable[[Headers, str], Headers]"
 
 
 class JobCalls(NamedTuple):
-    """Serve batch jobs: submit takes a request on a job's route, other one on any path.
+    """Serve batch jobs: submit takes a request on a job's route, of a team.
 
-    other returns None where the path is none of its own.
+    called returns the call on a job that a request on any path makes, or None; perform runs it.
     """
 
-    submit: "Callable[[Any, Route], Awaitable[None]]"
-    other: "Callable[[Any], Awaitable[None] | None]"
+    submit: "Callable[[Any, Route, str], Awaitable[None]]"
+    called: "Callable[[Any], Any | None]"
+    perform: "Callable[[Any, Any, str], Awaitable[None]]"
 
 
 class ForwardRoutes(NamedTuple):
@@ -132,27 +142,38 @@
         reason = "no configuration is known yet"
         refuse_raw(routes, request, "", not_run(ErrorKind.NO_UPSTREAM, reason, MS_PER_S))
         return
-    other = routes.jobs.other(request)
-    if other is not None:
+    host = request.getHeader("host") or ""
+    call = routes.jobs.called(request)
+    if call is not None:
+        asker = table.asker(table.has_public_jobs(host), _shown_keys(routes, request))
+        if isinstance(asker, Err):
+            refuse_raw(routes, request, "", asker.err_value)
+            return
         request.see_through = True
-        await other
+        await routes.jobs.perform(request, call, name_of(asker.ok_value))
         return
-    host = request.getHeader("host") or ""
     route = table.find(host, request.path.decode("latin-1"))
     if route is None:
         reason = f"no route for host {host}, configuration {table.cfg.version}"
         refuse_raw(routes, request, "", not_run(ErrorKind.NOT_FOUND, reason))
         return
-    if route.kind is WorkKind.JOB:
+    asker = table.asker(route.public, _shown_keys(routes, request))
+    if isinstance(asker, Err):
+        refuse_raw(routes, request, route.name, asker.err_value)
+    elif route.kind is WorkKind.JOB:
         request.see_through = True
-        await routes.jobs.submit(request, route)
+        await routes.jobs.submit(request, route, name_of(asker.ok_value))
     else:
-        await _forward(routes, request, route)
+        await _forward(routes, request, route, asker.ok_value)
+
 
+def _shown_keys(routes: ForwardRoutes, request: Any) -> "Sequence[bytes]":
+    return routes.names.shown_keys(request.requestHeaders)
 
-async def _forward(routes: ForwardRoutes, request: Any, route: Route) -> None:
+
+async def _forward(routes: ForwardRoutes, request: Any, route: Route, asker: Team | None) -> None:
     now = routes.clock.now()
-    read = _read_request(routes, request, route, now)
+    read = _read_request(routes, request, route, asker, now)
     if isinstance(read, Err):
         refuse_raw(routes, request, route.name, read.err_value)
         return
@@ -161,7 +182,12 @@
     if held is not None:
         refuse_raw(routes, request, route.name, held, req.due_ms)
         return
-    ask = Ask(req.profile, route.name, min(req.due_ms, now + wait_limit_ms(route.objective_ms)))
+    # Teams share the queue fairly; where there are none, routes do.
+    ask = Ask(
+        req.profile,
+        req.team or route.name,
+        min(req.due_ms, now + wait_limit_ms(route.objective_ms)),
+    )
     reader = _Reader(routes, request, req) if req.stream else None
 
     async def work() -> Result[RawAnswer, Refusal]:
@@ -177,7 +203,7 @@
 
 
 def _read_request(
-    routes: ForwardRoutes, request: Any, route: Route, now: int
+    routes: ForwardRoutes, request: Any, route: Route, asker: Team | None, now: int
 ) -> Result[RawRequest, Refusal]:
     names = routes.names
     request_id = request.getHeader(names.request_id) or ""
@@ -190,19 +216,23 @@
     last = _number(request.getHeader(names.last_event), NO_EVENT)
     if last is None:
         return Err(not_run(ErrorKind.BAD_REQUEST, f"{names.last_event}: not a number"))
+    headers = names.end_to_end(request.requestHeaders)
+    if asker is not None:
+        headers = names.of_team(headers, asker.name)
     return Ok(
         RawRequest(
             request_id=request_id,
-            profile=pick_profile(route, routes.rand),
+            profile=pick_profile(route, routes.rand, asker.rank if asker is not None else None),
             method=request.method.decode("latin-1"),
             target=request.uri.decode("latin-1"),
-            headers=names.end_to_end(request.requestHeaders),
+            headers=headers,
             body=request.content.read(),
             stream=route.kind is WorkKind.STREAM,
             prompt=_shared_prompt(request.getHeader(names.prompt)) if route.by_prompt else "",
             due_ms=now + limit_ms,
             last_event=last,
             arrived_ms=now,
+            team=name_of(asker),
         )
     )
 
@@ -290,25 +320,34 @@
     status = raw_status(refusal)
     request.setResponseCode(status)
     request.setHeader(b"Content-Type", TEXT)
+    if status == 429:
+        # When there is room for this team; returns are spread by whoever says so.
+        _come_again(routes, request, refusal.retry_after_ms)
     if status == 503:
         left_ms = due_ms - routes.clock.now() if due_ms is not None else 0
         after_ms = refusal.retry_after_ms
         # Work that ends replicas is refused again however soon it comes; the rest is spread.
         if refusal.kind is not ErrorKind.ENDS_REPLICAS:
             after_ms = retry_after_ms(after_ms, left_ms, routes.rand)
-        request.setHeader(routes.names.retry_after, f"{after_ms / MS_PER_S:.3f}".encode())
+        _come_again(routes, request, after_ms)
     body = f"{refusal.kind.value}: {refusal.reason}\n".encode()
     request.setHeader(b"Content-Length", str(len(body)).encode())
     request.write(body)
     request.finish()
 
 
+def _come_again(routes: ForwardRoutes, request: Any, after_ms: int) -> None:
+    request.setHeader(routes.names.retry_after, f"{after_ms / MS_PER_S:.3f}".encode())
+
+
 def raw_status(refusal: Refusal) -> int:
     """Return the status of a refusal; 503 promises that the request did not and will not run."""
     status = ANSWERS[refusal.kind].status
     if refusal.outcome is Outcome.UNKNOWN:
         return 504 if refusal.kind is ErrorKind.DEADLINE else 502
-    return status if status in (400, 404, 413) else 503
+    if refusal.kind is ErrorKind.OVER_ALLOWANCE:
+        return status
+    return status if status in PLAIN_STATUSES else 503
 
 
 def _count_refusal(routes: ForwardRoutes, request_id: str, profile: str, refusal: Refusal) -> None:
--- a/papayapier/entry/job_routes.py
+++ b/papayapier/entry/job_routes.py
@@ -33,12 +33,13 @@
 class JobWire(NamedTuple):
     """Group how the platform spells the calls.
 
-    perform runs a call on a job, and returns None where the request is none.
+    called returns the call that a request makes on a job, or None; perform runs one for a team.
     """
 
     request_id: str
     read_items: "Callable[[bytes], Result[tuple[JobItem, ...], str]]"
-    perform: "Callable[[JobDesk, Any, int], Awaitable[Result[Answer, Refusal]] | None]"
+    called: "Callable[[Any], Any | None]"
+    perform: "Callable[[JobDesk, Any, Any, str, int], Awaitable[Result[Answer, Refusal]]]"
 
 
 class JobRoutes(NamedTuple):
@@ -49,8 +50,8 @@
     wire: JobWire
     refuse: "Callable[[Any, str, Refusal], None]"
 
-    async def submit(self, request: Any, route: "Route") -> None:
-        """Take a job."""
+    async def submit(self, request: Any, route: "Route", team: str) -> None:
+        """Take a job of a team."""
         job_id = request.getHeader(self.wire.request_id) or ""
         items = self.wire.read_items(request.content.read())
         if not job_id or isinstance(items, Err):
@@ -61,19 +62,16 @@
         host = request.getHeader("host") or ""
         path = request.path.decode("latin-1")
         done = await self.desk.submit(
-            job_id, host, path, items.ok_value, due_ms, route.objective_ms
+            job_id, host, path, items.ok_value, due_ms, route.objective_ms, team
         )
         if isinstance(done, Err):
             return self.refuse(request, route.name, done.err_value)
         return _write(request, Answer(b"{}", status=ACCEPTED))
 
-    def other(self, request: Any) -> "Awaitable[None] | None":
-        """Take a call on a job, or return None."""
-        work = self.wire.perform(self.desk, request, self.clock.now() + END_MS)
-        return None if work is None else self._perform(request, work)
-
-    async def _perform(self, request: Any, work: "Awaitable[Result[Answer, Refusal]]") -> None:
-        done = await work
+    async def perform(self, request: Any, call: Any, team: str) -> None:
+        """Run a call on a job for a team."""
+        due_ms = self.clock.now() + END_MS
+        done = await self.wire.perform(self.desk, request, call, team, due_ms)
         if isinstance(done, Err):
             return self.refuse(request, "", done.err_value)
         return _write(request, done.ok_value)
--- a/papayapier/errors.py
+++ b/papayapier/errors.py
@@ -29,6 +29,8 @@
     STILL_RUNNING = "still_running"
     OVERLOADED = "overloaded"
     CALLER_LIMIT = "caller_limit"
+    OVER_ALLOWANCE = "over_allowance"
+    NOT_GRANTED = "not_granted"
     DEADLINE = "deadline"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_FAILED = "upstream_failed"
@@ -61,6 +63,8 @@
     ErrorKind.STILL_RUNNING: Answer(409, True, "the request with this key is still running"),
     ErrorKind.OVERLOADED: Answer(429, True, "the wait would pass the due time"),
     ErrorKind.CALLER_LIMIT: Answer(429, True, "the caller is over its limit"),
+    ErrorKind.OVER_ALLOWANCE: Answer(429, True, "the team has used up what it may send"),
+    ErrorKind.NOT_GRANTED: Answer(503, True, "who grants the team's allowance does not answer"),
     ErrorKind.DEADLINE: Answer(504, False, "the due time has passed"),
     ErrorKind.NO_UPSTREAM: Answer(503, True, "no replica of the upstream can take the request"),
     ErrorKind.UPSTREAM_FAILED: Answer(502, True, "the upstream failed"),
--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -14,6 +14,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.config.teams import may_use
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
 from papayapier.jobs.groups import read_groups
 from papayapier.jobs.news import GroupsHeard
@@ -61,7 +62,7 @@
     keep puts a job on keepers' disks. store_away tells whether the store is known not to answer.
     settled tells that what is not in the store is nowhere: after an absence, keepers bring what
     they have accepted meanwhile. elsewhere reads results, from a position on and with a wait,
-    through another instance; None says that they are to be read here.
+    for a team, through another instance; None says that they are to be read here.
     """
 
     clock: Clock
@@ -71,7 +72,7 @@
     keep: Callable[[str, bytes], Awaitable[Copies]]
     store_away: Callable[[], bool]
     settled: Callable[[], bool]
-    elsewhere: Callable[[str, int, int], Awaitable[Page | None]]
+    elsewhere: Callable[[str, int, int, str], Awaitable[Page | None]]
 
 
 class _View:
@@ -115,14 +116,15 @@
         items: tuple[JobItem, ...],
         due_ms: int,
         objective_ms: int = 0,
+        team: str = "",
     ) -> Result[None, Refusal]:
-        """Accept a job once; every repeat is accepted again.
+        """Accept a job once; every repeat by the same team is accepted again.
 
         objective_ms is the time in which an acceptance has its full worth.
         """
         write_id = f"{self._deps.rand.getrandbits(WRITE_ID_BITS):016x}"
         wall = int(self._deps.clock.wall())
-        record = JobRecord(write_id, host, path, wall, items, len(items))
+        record = JobRecord(write_id, host, path, wall, items, len(items), team=team)
         parts = split_items(items)
         if len(parts) > 1:
             stored = await self._store_parts(job_id, parts, due_ms)
@@ -139,11 +141,12 @@
         if not copies.enough:
             created = await creating.end()
             if isinstance(created, Err):
-                return await self._not_created(job_id, created.err_value, copies)
+                return await self._not_created(job_id, team, created.err_value, copies)
         self._keep(job_id, _View(record._replace(items=items)))
         events.emit(
             events.JOB_ACCEPTED,
             job=job_id,
+            team=team,
             items=len(items),
             write_id=write_id,
             on_disks=copies.enough,
@@ -169,13 +172,15 @@
         events.emit(events.JOB_SENT_TO_KEEPERS, job=job_id, **copies._asdict())
         return copies
 
-    async def results(self, job_id: str, after: int, wait_ms: int) -> Result[Page, Refusal]:
+    async def results(
+        self, job_id: str, after: int, wait_ms: int, team: str = ""
+    ) -> Result[Page, Refusal]:
         """Return the results from a position on; wait for one if there is none."""
         due_ms = self._deps.clock.now() + wait_ms
-        page = await self._deps.elsewhere(job_id, after, wait_ms)
+        page = await self._deps.elsewhere(job_id, after, wait_ms, team)
         if page is not None:
             return Ok(page)
-        view = await self._view(job_id)
+        view = await self._view(job_id, team)
         if isinstance(view, Err):
             return view
         one = view.ok_value
@@ -215,9 +220,9 @@
             if timer.active():
                 timer.cancel()
 
-    async def item(self, job_id: str, item_id: str) -> Result[JobItem, Refusal]:
+    async def item(self, job_id: str, item_id: str, team: str = "") -> Result[JobItem, Refusal]:
         """Return an item as it was submitted."""
-        view = await self._view(job_id)
+        view = await self._view(job_id, team)
         if isinstance(view, Err):
             return view
         for item in view.ok_value.record.items:
@@ -225,7 +230,7 @@
                 return Ok(item)
         return Err(not_run(ErrorKind.NOT_FOUND, f"job {job_id} has no item {item_id}"))
 
-    async def end(self, job_id: str, due_ms: int) -> Result[None, Refusal]:
+    async def end(self, job_id: str, due_ms: int, team: str = "") -> Result[None, Refusal]:
         """End a job; what is listed stays listed."""
         settling = Settling(self._deps.store, self._deps.clock, self._deps.rand)
         for _ in range(END_TRIES):
@@ -235,6 +240,8 @@
             record = read_record(found.ok_value.value)
             if isinstance(record, Err):
                 return Err(unknown(ErrorKind.INTERNAL, record.err_value))
+            if not may_use(record.ok_value.team, team):
+                return Err(_not_read(job_id, StoreError.NOT_FOUND))
             if record.ok_value.ended:
                 return Ok(None)
             ended = encode(record.ok_value._replace(ended=True))
@@ -261,7 +268,7 @@
         return Ok(None)
 
     async def _not_created(
-        self, job_id: str, why: StoreError, copies: Copies
+        self, job_id: str, team: str, why: StoreError, copies: Copies
     ) -> Result[None, Refusal]:
         if copies.maybe_held:
             # Too few disks hold it to promise it; one that does creates it later.
@@ -270,12 +277,18 @@
             # LOST may also mean that the record of another try is there: then it is accepted.
             found = await self._deps.store.get(job_key(job_id))
             if isinstance(found, Ok):
-                events.emit(events.JOB_RESENT, job=job_id)
-                return Ok(None)
+                return _sent_before(job_id, team, found.ok_value.value)
             why = StoreError.LOST
         return Err(_not_written(job_id, why))
 
-    async def _view(self, job_id: str) -> Result[_View, Refusal]:
+    async def _view(self, job_id: str, team: str) -> Result[_View, Refusal]:
+        """Return a job as its team may see it; to any other team it does not exist."""
+        found = await self._any_view(job_id)
+        if isinstance(found, Ok) and not may_use(found.ok_value.record.team, team):
+            return Err(_not_read(job_id, StoreError.NOT_FOUND))
+        return found
+
+    async def _any_view(self, job_id: str) -> Result[_View, Refusal]:
         known = self._views.get(job_id)
         if known is not None:
             self._views.move_to_end(job_id)
@@ -359,6 +372,15 @@
     return Ok(record._replace(items=items, parts=0))
 
 
+def _sent_before(job_id: str, team: str, value: bytes) -> Result[None, Refusal]:
+    """Accept the repeat of a job, unless the id is that of another team's."""
+    record = read_record(value)
+    if isinstance(record, Ok) and not may_use(record.ok_value.team, team):
+        return Err(not_run(ErrorKind.KEY_CONFLICT, f"job {job_id} is not this team's"))
+    events.emit(events.JOB_RESENT, job=job_id)
+    return Ok(None)
+
+
 def _not_read(job_id: str, why: StoreError) -> Refusal:
     if why is StoreError.NOT_FOUND:
         return not_run(ErrorKind.NOT_FOUND, f"there is no job {job_id}")
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -29,6 +29,8 @@
 class JobRecord(NamedTuple):
     """Hold one job; accepted_ms is the wall clock of the instance that accepted it.
 
+    team is whose job it is; a key of it that is taken away later ends nothing.
+
     The items of a large job are in parts, objects of their own that are there before the job.
     """
 
@@ -40,6 +42,7 @@
     total: int
     parts: int = 0
     ended: bool = False
+    team: str = ""
 
 
 class ItemEnd(Enum):
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -45,8 +45,8 @@
     """Group what runs work with.
 
     sharing names the live instances that run batch, this one included, hidden those of them
-    that only others hear. head writes the headers for one replica. body decodes the body of an
-    item.
+    that only others hear. head writes the headers for one replica, of_team sets whose an item
+    is. body decodes the body of an item.
     """
 
     clock: Clock
@@ -57,6 +57,7 @@
     crashes: CrashWatch
     send: SendRaw
     head: Callable[[Headers, Replica, int | None, int], Headers]
+    of_team: Callable[[Headers, str], Headers]
     body: Callable[[Any], bytes]
     request_id: bytes
     sharing: Callable[[], Sequence[str]]
@@ -209,11 +210,12 @@
         headers = Headers({name: [value] for name, value in one.item.headers.items()})
         headers.setRawHeaders(b"Host", [work.record.host.encode()])
         headers.setRawHeaders(self._deps.request_id, [one.item.id.encode()])
+        named = self._deps.of_team(headers, work.record.team)
         return RawCall(
             one.item.id,
             "POST",
             one.item.path,
-            self._deps.head(headers, replica, None, one.last_event),
+            self._deps.head(named, replica, None, one.last_event),
             self._deps.body(one.item),
             self._deps.clock.now() + RUN_LIMIT_MS,
             fresh=False,
@@ -224,7 +226,8 @@
         """Return the name of an item's work; each round asks for that of every waiting item."""
         if not one.work:
             body = self._deps.body(one.item)
-            one.work = name_work("POST", work.record.host, one.item.path, body)
+            record = work.record
+            one.work = name_work("POST", record.host, one.item.path, body, record.team)
         return one.work
 
     def _is_held(self, work: JobWork, one: Item) -> bool:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -216,7 +216,9 @@
 
     base.hub.subscribe(JobChanged, on_job)
     base.hub.subscribe(Heartbeat, on_beat)
-    wire = JobWire(headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.perform)
+    wire = JobWire(
+        headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.called, job_calls.perform
+    )
     jobs = JobRoutes(
         base.clock,
         desk,
@@ -234,13 +236,15 @@
             last_event=headers.LAST_EVENT.decode(),
             retry_after=headers.RETRY_AFTER,
             end_to_end=headers.end_to_end,
+            shown_keys=headers.shown_keys,
+            of_team=headers.of_team,
         ),
         table=base.routing.table,
         refusing=readiness.refusing,
         known=readiness.known,
         queue=queue,
         forward=forward,
-        jobs=JobCalls(jobs.submit, jobs.other),
+        jobs=JobCalls(jobs.submit, job_calls.called, jobs.perform),
     )
     return routes
 
--- a/papayapier/node/job_reading.py
+++ b/papayapier/node/job_reading.py
@@ -30,14 +30,14 @@
 # Texts of one answer together, far below the largest frame; a caller comes again for the rest.
 ANSWER_CHARS: Final = 500_000
 
-Read = Callable[[str, int, int], Awaitable[Page | None]]
+Read = Callable[[str, int, int, str], Awaitable[Page | None]]
 
 
 def reading(hub: PeerHub, clock: Clock, keepers: Callable[[], Collection[str]]) -> Read:
     """Make the function that reads results through a live keeper; None where none answers."""
     passed_over: dict[str, int] = {}
 
-    async def read(job_id: str, after: int, wait_ms: int) -> Page | None:
+    async def read(job_id: str, after: int, wait_ms: int, team: str) -> Page | None:
         if hub.plan().full_mesh:
             return None
         now = clock.now()
@@ -47,7 +47,7 @@
         keeper = max(asked, key=lambda one: score(job_id, one))
         told = await hub.ask(
             keeper,
-            lambda ask_id: ResultsAsk(ask_id, job_id, after, wait_ms),
+            lambda ask_id: ResultsAsk(ask_id, job_id, after, wait_ms, team),
             wait_ms + ANSWER_MS,
         )
         if isinstance(told, Err):
@@ -62,7 +62,7 @@
     return read
 
 
-async def read_here(_job_id: str, _after: int, _wait_ms: int) -> Page | None:
+async def read_here(_job_id: str, _after: int, _wait_ms: int, _team: str) -> Page | None:
     """Stand for reading where results are read by the own way only."""
     return None
 
@@ -71,7 +71,7 @@
     """Answer entries that ask for results; what cannot be read here is not told."""
 
     async def answer(peer_id: str, ask: ResultsAsk) -> None:
-        page = await desk.results(ask.job_id, ask.after, ask.wait_ms)
+        page = await desk.results(ask.job_id, ask.after, ask.wait_ms, ask.team)
         if isinstance(page, Ok):
             total, results = page.ok_value
             hub.tell(peer_id, ResultsTell(ask.ask_id, True, total, _told(results)))
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -101,6 +101,7 @@
         crashes=base.crashes,
         send=base.send,
         head=headers.for_replica,
+        of_team=headers.of_team,
         body=job_calls.item_body,
         request_id=headers.REQUEST_ID,
         sharing=sharing,
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -280,6 +280,7 @@
     job_id: str
     after: int
     wait_ms: int
+    team: str = ""
 
 
 class ResultTold(NamedTuple):
--- a/papayapier/platform/configuration.py
+++ b/papayapier/platform/configuration.py
@@ -6,7 +6,9 @@
 from result import Err, Ok, Result
 
 from papayapier.clock import MS_PER_S
+from papayapier.config.keys import digest_of
 from papayapier.config.route_table import Limits, Route, RoutingConfig, Share, WorkKind
+from papayapier.config.teams import Team, Teams
 
 CONFIG_PREFIX: Final = "config/"
 CONFIG_KEY: Final = "config/main"
@@ -43,6 +45,8 @@
     runTargetMs: NotRequired[float]
     # Seconds until an item may be abandoned; nothing waits for it.
     maxWaitS: NotRequired[float]
+    # No key is asked for.
+    public: NotRequired[bool]
 
 
 class _Service(TypedDict):
@@ -56,11 +60,21 @@
     idleTimeoutMs: float
 
 
+class _Team(TypedDict):
+    name: str
+    apiKeys: list[str]
+    priority: NotRequired[int]
+    ratePerS: NotRequired[float]
+    # On top of what the rate gives within any span.
+    burst: NotRequired[float]
+
+
 class _Config(TypedDict):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: NotRequired[list[_Team]]
 
 
 _CONFIG: Final = msgspec.json.Decoder(_Config)
@@ -71,6 +85,7 @@
     try:
         wire = _CONFIG.decode(value)
         routes = tuple(_route(one) for one in wire["routes"])
+        teams = _teams(wire["tenants"]) if "tenants" in wire else None
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(str(exc))
     limits = wire["limits"]
@@ -85,10 +100,30 @@
                 int(limits["headerTimeoutMs"]),
                 int(limits["idleTimeoutMs"]),
             ),
+            teams,
         )
     )
 
 
+def _teams(wire: list[_Team]) -> Teams:
+    """Take the teams; a key that two hold would let one act for the other."""
+    holders: dict[bytes, str] = {}
+    teams = []
+    for one in wire:
+        name = one["name"]
+        digests = [digest_of(key.encode()) for key in one["apiKeys"]]
+        for digest in digests:
+            if holders.setdefault(digest, name) != name:
+                raise ValueError(f"tenants: {name}: apiKeys: a key is also that of another")
+        rate, burst = one.get("ratePerS", 0.0), one.get("burst", 0.0)
+        if rate < 0 or burst < 0:
+            raise ValueError(f"tenants: {name}: ratePerS, burst: below 0")
+        teams.append((Team(name, rate, burst, one.get("priority")), digests))
+    if len({team.name for team, _ in teams}) != len(teams):
+        raise ValueError("tenants: name: two have the same")
+    return Teams(teams)
+
+
 def _route(wire: _Route) -> Route:
     kind = _KINDS.get(wire["kind"])
     if kind is None:
@@ -113,4 +148,5 @@
         by_prompt=wire.get("stickySessions", False),
         due_ms=int(wire.get("runTargetMs", 0)),
         give_up_ms=int(wire.get("maxWaitS", 0) * MS_PER_S),
+        public=wire.get("public", False),
     )
--- a/papayapier/platform/headers.py
+++ b/papayapier/platform/headers.py
@@ -1,5 +1,6 @@
 """Name the platform's headers, and read from them what an answer says."""
 
+from collections.abc import Sequence
 from typing import Final
 
 from twisted.web.http_headers import Headers
@@ -14,6 +15,9 @@
 PROMPT_PARTS: Final = b"X-Prompt-Prefix"
 RETRY_AFTER: Final = b"Retry-After"
 WAIT_MS: Final = b"X-Wait-Ms"
+_KEY: Final = b"Authorization"
+# The name of the team that asks, as this system knows it.
+_TEAM: Final = b"X-Tenant"
 _EXPECT_REPLICA: Final = b"X-Expect-Instance"
 _NOT_RUN: Final = b"X-Not-Executed"
 _LOAD: Final = b"X-Server-Load"
@@ -52,6 +56,21 @@
     return kept
 
 
+def shown_keys(headers: Headers) -> Sequence[bytes]:
+    """Return the values in which a caller shows its key."""
+    return headers.getRawHeaders(_KEY, [])
+
+
+def of_team(headers: Headers, team: str) -> Headers:
+    """Return the headers as a replica may see them: with the team's name and without its key."""
+    out = headers.copy()
+    out.removeHeader(_KEY)
+    out.removeHeader(_TEAM)
+    if team:
+        out.setRawHeaders(_TEAM, [team.encode()])
+    return out
+
+
 def for_replica(
     headers: Headers, replica: Replica, left_ms: int | None, last_event: int
 ) -> Headers:
--- a/papayapier/platform/job_calls.py
+++ b/papayapier/platform/job_calls.py
@@ -125,29 +125,35 @@
     return values[0].decode("latin-1") if values else ""
 
 
-def perform(desk: JobDesk, request: Any, due_ms: int) -> Awaitable[Result[Answer, Refusal]] | None:
-    """Run the call on a job that a request makes; None for any other request."""
+def called(request: Any) -> JobCall | None:
+    """Return the call that a request makes on a job, or None for any other request."""
     method, path = request.method.decode("latin-1"), request.path.decode("latin-1")
-    call = read_call(method, path, request.args)
-    if call is None:
-        return None
+    return read_call(method, path, request.args)
+
+
+def perform(
+    desk: JobDesk, request: Any, call: JobCall, team: str, due_ms: int
+) -> Awaitable[Result[Answer, Refusal]]:
+    """Run a call on a job for a team."""
     if isinstance(call, EndCall):
-        return _end(desk, call, due_ms)
+        return _end(desk, call, team, due_ms)
     if isinstance(call, BodyCall):
-        return _body(desk, call)
+        return _body(desk, call, team)
     wait = request.getHeader(WAIT_MS.decode()) or "0"
-    return _results(desk, call, int(wait) if wait.isdecimal() else 0)
+    return _results(desk, call, team, int(wait) if wait.isdecimal() else 0)
 
 
-async def _end(desk: JobDesk, call: EndCall, due_ms: int) -> Result[Answer, Refusal]:
-    return (await desk.end(call.job_id, due_ms)).map(lambda _: Answer(b"{}"))
+async def _end(desk: JobDesk, call: EndCall, team: str, due_ms: int) -> Result[Answer, Refusal]:
+    return (await desk.end(call.job_id, due_ms, team)).map(lambda _: Answer(b"{}"))
 
 
-async def _body(desk: JobDesk, call: BodyCall) -> Result[Answer, Refusal]:
-    found = await desk.item(call.job_id, call.item_id)
+async def _body(desk: JobDesk, call: BodyCall, team: str) -> Result[Answer, Refusal]:
+    found = await desk.item(call.job_id, call.item_id, team)
     return found.map(lambda item: Answer(item_body(item), b"application/octet-stream"))
 
 
-async def _results(desk: JobDesk, call: ReadCall, wait_ms: int) -> Result[Answer, Refusal]:
-    page = await desk.results(call.job_id, call.after, wait_ms)
+async def _results(
+    desk: JobDesk, call: ReadCall, team: str, wait_ms: int
+) -> Result[Answer, Refusal]:
+    page = await desk.results(call.job_id, call.after, wait_ms, team)
     return page.map(lambda one: Answer(write_page(one, call.after)))
--- a/tests/jobs_run_world.py
+++ b/tests/jobs_run_world.py
@@ -12,6 +12,7 @@
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.work import Item, JobWork
 from papayapier.metrics import make_metrics
+from papayapier.platform.headers import of_team
 from papayapier.policy.batch_room import SPARE_SLOTS
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
@@ -64,6 +65,8 @@
         self.closed: set[str] = set()
         self.crashes = CrashWatch(self.time.clock, make_metrics(), lambda: True)
         self.list_replicas()
+        self.calls: dict[str, RawCall] = {}
+        self.of_team: Any = lambda headers, _team: headers
         self.sends = 0
         self.sent: dict[str, Deferred[Any]] = {}
         self.done: list[str] = []
@@ -77,6 +80,7 @@
             crashes=self.crashes,
             send=self._send,
             head=lambda headers, _replica, _left, _last: headers,
+            of_team=lambda headers, team: self.of_team(headers, team),
             body=lambda _item: b"",
             request_id=b"X-Request-Id",
             sharing=lambda: ["a"],
@@ -96,12 +100,17 @@
         self.replicas.append(Replica(f"{upstream}-{self.sends + 1}", upstream, "h", 1, "dc"))
         self.list_replicas()
 
+    def real_headers(self) -> None:
+        """Set whose an item is as the program does."""
+        self.of_team = of_team
+
     async def _send(
         self, replica: Replica, call: RawCall, _taker: Any
     ) -> Result[RawAnswer, Failure]:
         self.sends += 1
         if replica.id in self.closed:
             return Err(Failure(FailureKind.CONNECT, Sent.NO, "refused", fresh=True))
+        self.calls[call.request_id] = call
         self.sent[call.request_id] = Deferred(lambda _: None)
         try:
             sent: Result[RawAnswer, Failure] = await self.sent[call.request_id]
--- a/tests/scenario/processes.py
+++ b/tests/scenario/processes.py
@@ -25,6 +25,7 @@
         self.exit_code: int | None = None
         self.ended: Deferred[None] = Deferred()
         self.documents: list[dict[str, Any]] = []
+        self.printed = ""
         self.tail: deque[str] = deque(maxlen=KEPT_LINES)
         self._rest = {1: b"", STDERR: b""}
         self._waiters: list[tuple[str, Deferred[dict[str, Any]]]] = []
@@ -73,6 +74,7 @@
 
     def _take(self, line: str) -> None:
         self.tail.append(line)
+        self.printed += line + "\n"
         document = _document(line)
         if document is None:
             return
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -42,6 +42,8 @@
         self.hang = False
         self.shed = False
         self.gone_runs = 0
+        # What each run was asked with: the team's name, and a key if one came.
+        self.asked: list[tuple[str, str | None, str | None]] = []
         self.born = 0
         self.ended: Callable[[], None] | None = None
         self._channels: set[Any] = set()
@@ -95,6 +97,9 @@
         if self.shed:
             return _refuse(request, 503)
         self.runs.append(request_id)
+        self.asked.append(
+            (request_id, request.getHeader("X-Tenant"), request.getHeader("Authorization"))
+        )
         self._channels.add(request.channel)
         if CRASHING in request.path:
             reactor.callLater(CRASH_S, self._crash)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -94,6 +94,10 @@
         self.store.put("config", "main", configuration())
         self.replicas = [StandinReplica(self.store, name) for name in ("lm", "lm", "app", "app")]
         self.children: dict[str, Child] = {}
+        # Settings of the protocol between processes, beside its port.
+        self.peer: dict[str, Any] = {}
+        # The key that callers show, if any.
+        self.key = ""
         self.callers: dict[str, int] = {}
         self.ready: dict[str, int] = {}
         self.agent = _Agent(reactor, connectTimeout=2, pool=_Pool(reactor, persistent=False))
@@ -147,6 +151,11 @@
         else:
             self.children[name] = start(name, "keeper", "--settings", str(path))
 
+    def configure(self, version: int, teams: list[dict[str, Any]], **changes: Any) -> None:
+        """Write a configuration with teams."""
+        document = {**configuration(version, **changes), "tenants": teams}
+        self.store.put("config", "main", document)
+
     async def until_open(self, port: int) -> None:
         """Wait until a port takes connections."""
 
@@ -172,7 +181,7 @@
             "instance": place,
             "store": {"address": self.store.address, "reads_per_s": 2000, "writes_per_s": 400},
             "stop": {"within_s": 8, "balancer_lag_ms": 500},
-            "peer": {"port": _free_port()},
+            "peer": {"port": _free_port(), **self.peer},
             **more,
         }
         path = Path(self._folder.name) / f"{name}.json"
@@ -204,6 +213,8 @@
     ) -> Reply:
         """Send a request as a caller does; the error of a broken answer is raised."""
         sent = {"Host": [HOST], "X-Deadline-Ms": ["4000"], "X-Request-Id": [new_id()]}
+        if self.key:
+            sent["Authorization"] = [f"Bearer {self.key}"]
         sent |= {name.replace("_", "-"): [value] for name, value in headers.items()}
         url = f"http://127.0.0.1:{port}{path}".encode()
         producer = _Body(body) if body else None
