Write down which keepers are gone for good, for whoever starts

Cause: objects of keepers that were replaced for good stayed as they were, and a process that has just started takes every listed keeper for live until it has missed it for two seconds.

Change: the first hub writes a keeper down as lost after five seconds of silence, where it hears most keepers; who starts takes no such keeper for live before it hears it; a keeper that is only cut off reads of itself and writes that it is there. What may be granted still counts it among the listed, so that sides of a cut have no more than the whole.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -109,6 +109,9 @@
 
 REPLICA_EJECTED: Final = Event(301, "replica_ejected", Level.WARNING, "replica taken out of use")
 REPLICA_RETURNED: Final = Event(302, "replica_returned", Level.INFO, "replica back in use")
+KEEPER_LOST: Final = Event(
+    116, "keeper_lost", Level.WARNING, "keeper written down as lost, it has been silent for long"
+)
 REPLICAS_ADDED: Final = Event(
     322, "replicas_added", Level.INFO, "replicas are listed that were not, many at once"
 )
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -132,7 +132,7 @@
     own = cfg.instance
     me = Identity(own.id, boot, own.host, own.data_centre, own.region, role is Role.KEEPER)
     hub = PeerHub(reactor, clock, cfg.peer, me, heartbeat, metrics, rand, concerned)
-    nodes = NodeList(hub.set_members, soon)
+    nodes = NodeList(hub.set_members, soon, own.id, lambda: _write_down(base))
     fleet = LargeFleet(nodes, hub.live, lambda: hub.plan().hubs, hub.vouched, routing.table)
     listening = hub.start()
     if isinstance(listening, Err):
@@ -268,16 +268,21 @@
         follow(base, REPLICAS_PREFIX, base.replicas.on_change, IN_A_SECOND, says_other),
     )
     follow(base, NODES, base.nodes.on_change, SLOWLY)
+    _write_down(base)
+    probe = Deferred.fromCoroutine(_probe_store(base))
+    probe.addErrback(report_failure, "probe")
+    base.tasks.append(probe)
+    return followed
+
+
+def _write_down(base: NodeBase) -> None:
+    """Write this process down, at its start and when others have written it down as lost."""
     own = base.cfg.instance
-    record = NodeRecord(role, own.host, base.cfg.peer.port, own.data_centre, own.region)
+    record = NodeRecord(base.role, own.host, base.cfg.peer.port, own.data_centre, own.region)
     store = base.view(Priority.LEASE)
     task = Deferred.fromCoroutine(write_down(store, base.clock, base.rand, own.id, record))
     task.addErrback(report_failure, "write down")
     base.tasks.append(task)
-    probe = Deferred.fromCoroutine(_probe_store(base))
-    probe.addErrback(report_failure, "probe")
-    base.tasks.append(probe)
-    return followed
 
 
 async def _probe_store(base: NodeBase) -> None:
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -28,6 +28,7 @@
 )
 from papayapier.node.job_reading import answer_reads, read_here
 from papayapier.node.keeping import answer_keeping, in_threads
+from papayapier.node.lost_keepers import write_lost_down
 from papayapier.node.orphans import answer_about_runs, seek_orphans
 from papayapier.node.processes import Role
 from papayapier.node.retirement import Retirement
@@ -135,6 +136,7 @@
     follow(base, RETIREMENTS_PREFIX, retirement.on_change, SLOWLY)
     runner.start()
     _grant(base)
+    _write_lost_down(base)
     answer_about_runs(base.hub, runner)
     seeking = Deferred.fromCoroutine(seek_orphans(base.hub, clock, runner))
     seeking.addErrback(report_failure, "orphans")
@@ -143,6 +145,14 @@
     return Ok(Keeper(base, runner, vault))
 
 
+def _write_lost_down(base: NodeBase) -> None:
+    store, me = base.view(Priority.LEASE), base.cfg.instance.id
+    writing = write_lost_down(base.hub, base.clock, base.nodes, store, me)
+    task = Deferred.fromCoroutine(writing)
+    task.addErrback(report_failure, "lost keepers")
+    base.tasks.append(task)
+
+
 def _grant(base: NodeBase) -> None:
     """Grant the allowances of the teams that fall to this keeper."""
     me, clock = base.cfg.instance.id, base.clock
--- a/papayapier/node/processes.py
+++ b/papayapier/node/processes.py
@@ -1,7 +1,9 @@
 """Let the processes of one deployment find each other through the platform's store.
 
-Each writes one object about itself at its start. Objects of processes that are gone for good
-stay; they cost a silent peer and nothing else, because who lives is told by heartbeats.
+Each writes one object about itself at its start. Who lives is told by heartbeats; but whoever
+starts has heard nobody yet, and would take keepers that are gone for good for owners, hubs and
+granters until it has missed them. So one of the keepers writes down who has been silent for long;
+whoever finds itself written down as lost writes that it is there.
 """
 
 import random
@@ -14,7 +16,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
-from papayapier.store.api import ENTRY, LIVE, Change, Member, Store, StoreError
+from papayapier.store.api import ENTRY, LIVE, LOST, Change, Member, Store, StoreError
 from papayapier.store.watch import Pauses
 
 NODES: Final = "papayapier-nodes/"
@@ -30,13 +32,14 @@
 
 
 class NodeRecord(NamedTuple):
-    """Hold what a process says of itself."""
+    """Hold what a process says of itself; lost is what others say of it."""
 
     role: Role
     host: str
     peer_port: int
     data_centre: str
     region: str
+    lost: bool = False
 
 
 _RECORD: Final = msgspec.json.Decoder(NodeRecord)
@@ -49,16 +52,23 @@
         self,
         changed: Callable[[list[Member]], None],
         soon: Callable[[Callable[[], None]], object] = lambda call: call(),
+        me: str = "",
+        on_lost: Callable[[], object] = lambda: None,
     ) -> None:
         """Make an empty list; soon makes a call after what is under way.
 
+        on_lost is told when this process itself is written down as lost.
+
         A listing tells its objects one by one, and each look at all of them costs time in
         proportion to the fleet: with 195 processes half a second of every start.
         """
         self._changed = changed
         self._soon = soon
         self._telling = False
+        self._me = me
+        self._on_lost = on_lost
         self._nodes: dict[str, NodeRecord] = {}
+        self._versions: dict[str, int] = {}
         # Asked for with each message of a peer, so kept ready.
         self._by_role: dict[Role, frozenset[str]] = {}
 
@@ -67,16 +77,20 @@
         node_id = change.key.removeprefix(NODES)
         if change.deleted:
             self._nodes.pop(node_id, None)
+            self._versions.pop(node_id, None)
         else:
             try:
                 record = _RECORD.decode(change.value)
             except msgspec.MsgspecError as exc:
                 events.emit(events.STORE_ODD_ANSWER, call=change.key, reason=str(exc))
                 return
+            self._versions[node_id] = change.version
             if self._nodes.get(node_id) == record:
                 # A process that has started again says the same of itself.
                 return
             self._nodes[node_id] = record
+            if record.lost and node_id == self._me:
+                self._on_lost()
         for role in Role:
             ids = (key for key, record in self._nodes.items() if record.role is role)
             self._by_role[role] = frozenset(ids)
@@ -88,6 +102,11 @@
         self._telling = False
         self._changed(self.members())
 
+    def stored(self, node_id: str) -> tuple[NodeRecord, int] | None:
+        """Return what is written of a process, and the version of that."""
+        record = self._nodes.get(node_id)
+        return None if record is None else (record, self._versions[node_id])
+
     def members(self) -> list[Member]:
         """Return the processes as peers."""
         return [_member(node_id, record) for node_id, record in self._nodes.items()]
@@ -107,7 +126,7 @@
         peer_port=record.peer_port,
         data_centre=record.data_centre,
         region=record.region,
-        state=LIVE,
+        state=LOST if record.lost else LIVE,
         hub=record.role is Role.KEEPER,
     )
 
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -163,6 +163,10 @@
         """Return the peers that are not heard and have not said that they leave."""
         return self._roster.silent()
 
+    def lost_hubs(self) -> frozenset[str]:
+        """Return the neighbours that may be hubs, are silent and not yet known as lost to all."""
+        return self._roster.lost_hubs()
+
     def vouched(self) -> frozenset[str]:
         """Return whom the hubs of a large fleet take for live, of those that may be hubs."""
         return self._vouched
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -16,7 +16,7 @@
 from papayapier.clock import Millis
 from papayapier.peer.messages import Heartbeat, Hello
 from papayapier.peer.topology import Limits, Place, Plan, make_plan
-from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
+from papayapier.store.api import ENTRY, LEAVING, LIVE, LOST, Member
 
 SILENT_BEATS: Final = 4
 SERVING_STATES: Final = frozenset({LIVE, "serving"})
@@ -98,7 +98,8 @@
         self.picked = False
         self.adopted = False
         self.up = False
-        self.lost = False
+        # Whoever starts anew need not find out again who is gone for good.
+        self.lost = member.state == LOST
         self.boot = 0
         self.known_at = now
         self.heard_at: Millis | None = None
@@ -175,7 +176,15 @@
         return tuple(
             i
             for i, peer in self._neighbours()
-            if peer.member.hub and (peer.leaving() or self._is_silent(peer, now))
+            if peer.member.hub and (peer.leaving() or peer.lost or self._is_silent(peer, now))
+        )
+
+    def lost_hubs(self) -> frozenset[str]:
+        """Return the neighbours that may be hubs, are silent and are not written down as lost."""
+        return frozenset(
+            i
+            for i, peer in self._neighbours()
+            if peer.member.hub and peer.lost and not peer.leaving() and peer.member.state != LOST
         )
 
     def unheard(self, now: Millis) -> tuple[str, ...]:
@@ -323,6 +332,7 @@
         before = peer.member
         was_leaving = peer.leaving()
         peer.member = member
+        peer.lost = peer.lost or (member.state == LOST and not peer.up)
         steps: list[Step] = []
         if peer.leaving() and not was_leaving:
             steps.append(Noted(member.id, Change.LEAVING))
--- a/papayapier/policy/allowances.py
+++ b/papayapier/policy/allowances.py
@@ -34,8 +34,10 @@
 RESERVE_OF_OVERRUN: Final = 0.6
 RESERVE_OF_SLACK: Final = 0.6
 START_OF_SLACK: Final = 0.2
+# Part of the reserve that is there when a process starts, since nothing is known of before.
+RESERVE_AT_START: Final = 0.25
 # Views of who is lost differ by at most about this: a tick, and a heartbeat of a hub.
-SETTLE_MS: Final = 1_500
+SETTLE_MS: Final = 1_000
 # For how long an instance that was given a team, and is not seen here yet, is taken to be there.
 GIVEN_MS: Final = 5_000
 # A team that comes back later than this has nothing left from before that could matter.
@@ -132,12 +134,14 @@
 class _Team:
     """Hold what one team has left here.
 
-    order is who grants by the view numbered seen. given names whom the first place was given to
+    at_start says that the reserve has not been used since this process started. order is who grants
+    by the view numbered seen. given names whom the first place was given to
     that is not seen here yet, until given_ms. next_ms is the return of who was refused last.
     """
 
     __slots__ = (
         "asked_ms",
+        "at_start",
         "bucket",
         "given",
         "given_ms",
@@ -150,6 +154,7 @@
 
     def __init__(self, now: int) -> None:
         self.asked_ms = now
+        self.at_start = False
         self.bucket: _Bucket | None = None
         self.reserve = _Bucket(0.0, now)
         self.order: Sequence[str] = ()
@@ -170,6 +175,7 @@
         self._view = NOBODY
         self._before = NOBODY
         self._number = 0
+        self._born_ms = now
         self._changed_ms = now
         self._swept_ms = now
 
@@ -237,6 +243,9 @@
         team = self._teams.get(name)
         if team is None:
             team = self._teams[name] = _Team(now)
+            # It has filled for as long as nobody else can have had it.
+            team.reserve.at_ms = self._changed_ms
+            team.at_start = now - self._born_ms < self._bound.window_ms
         team.asked_ms = now
         if team.seen != self._number:
             self._follow_view(team, name)
@@ -283,6 +292,9 @@
         window_s = bound.window_ms / MS_PER_S
         over = bound.overrun * (RESERVE_OF_OVERRUN * limit.rate_per_s * window_s + limit.burst)
         whole = (over + RESERVE_OF_SLACK * bound.slack) * part
+        if team.at_start:
+            team.at_start = False
+            team.reserve.tokens += RESERVE_AT_START * whole
         team.reserve.fill(whole / 2 / window_s, whole / 2, now)
 
     def _return_ms(self, team: _Team, rate_per_s: float, now: int) -> int:
--- a/papayapier/store/api.py
+++ b/papayapier/store/api.py
@@ -95,6 +95,8 @@
 REPLICA: Final = "replica"
 LIVE: Final = "live"
 LEAVING: Final = "leaving"
+# Written down by others, who have not heard it for long.
+LOST: Final = "lost"
 
 
 async def _nothing_to_close() -> None:
