Let decisions know nothing of the messages that carry what they decide on

What stood the wrong way round: policy/crashes, loads, totals and witnesses imported the messages between instances. The counts of open calls and the losses are defined where they are decided on, the messages carry them, and witnesses take names in place of a heartbeat. No behaviour changes; no module of policy/ imports peer/ any more.

--- a/misc/policy_sim/batch_run.py
+++ b/misc/policy_sim/batch_run.py
@@ -24,8 +24,8 @@
     quantile,
 )
 from papayapier.config.profiles import BatchRule, Isolation
-from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.batch_share import BatchShare
+from papayapier.policy.loads import ReplicaUse
 from papayapier.policy.routing import RouteRequest, choose
 from papayapier.upstream.api import Replica
 
--- a/misc/policy_sim/fleet.py
+++ b/misc/policy_sim/fleet.py
@@ -10,8 +10,7 @@
 from typing import Final
 
 from misc.policy_sim.engine import Engine, EngineModel, Loop
-from papayapier.peer.messages import ReplicaUse
-from papayapier.policy.loads import LoadBook
+from papayapier.policy.loads import LoadBook, ReplicaUse
 from papayapier.policy.outliers import Outliers
 from papayapier.upstream.api import Load, Replica
 
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -14,8 +14,7 @@
 from papayapier.dispatch.lost_sends import is_lost, note_lost
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.metrics import Metrics
-from papayapier.peer.messages import Loss
-from papayapier.policy.crashes import CrashBook
+from papayapier.policy.crashes import CrashBook, Loss
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
 # Far below the time for which a loss stands; costs nothing while there is none.
--- a/papayapier/jobs/progress.py
+++ b/papayapier/jobs/progress.py
@@ -20,8 +20,8 @@
 from papayapier import events, sealed_files
 from papayapier.clock import Clock
 from papayapier.jobs.records import ItemEnd
-from papayapier.peer.messages import Loss
 from papayapier.pending import Pending
+from papayapier.policy.crashes import Loss
 
 FILES: Final = ("progress-0", "progress-1")
 # A run lasts some five seconds, so that a loss costs a tenth of one on the mean; 25 items of 10 kB
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -121,7 +121,7 @@
     if cfg.jobs.folder:
         await _start_progress(base, runner)
     base.hub.on_change(runner.review)
-    base.hub.subscribe(Heartbeat, witnesses.on_heartbeat)
+    base.hub.subscribe(Heartbeat, lambda peer, beat: witnesses.on_told(peer, beat.unheard))
     # One without open calls makes no slot needed; what it leaves free waits for the next round.
     base.hub.subscribe(Heartbeat, lambda _peer, beat: runner.pump_soon() if beat.uses else None)
     base.hub.subscribe(CallsTold, lambda _peer, _message: runner.pump_soon())
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -27,7 +27,6 @@
     JobChanged,
     Message,
     Prune,
-    ReplicaUse,
 )
 from papayapier.peer.pacing import (
     ByteBudget,
@@ -42,6 +41,7 @@
 from papayapier.peer.seal import NO_SEAL, load_seal
 from papayapier.peer.spread import Spreader, Verdict
 from papayapier.peer.topology import Limits, Place, Plan
+from papayapier.policy.loads import ReplicaUse
 from papayapier.settings import PeerSettings
 from papayapier.store.api import Member
 
--- a/papayapier/peer/loss_news.py
+++ b/papayapier/peer/loss_news.py
@@ -17,7 +17,8 @@
 from papayapier.clock import Clock, Timer
 from papayapier.dispatch.crash_watch import CrashWatch, Hearers
 from papayapier.peer.hub import PeerHub
-from papayapier.peer.messages import Loss, LossesAsk, LossesTold
+from papayapier.peer.messages import LossesAsk, LossesTold
+from papayapier.policy.crashes import Loss
 from papayapier.policy.rendezvous import score
 
 # All calls that a replica takes with it end within some ms and are told together; a tenth of a
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -7,17 +7,11 @@
 
 from typing import Final, NamedTuple
 
+from papayapier.policy.crashes import Loss
+from papayapier.policy.loads import ReplicaUse
 from papayapier.store.api import Member
 
 
-class ReplicaUse(NamedTuple):
-    """Tell how many calls the sender has open at one replica."""
-
-    replica: str
-    online: int
-    batch: int
-
-
 class JobWord(NamedTuple):
     """Tell that a job has so many groups of results; number counts the sender's words."""
 
@@ -219,14 +213,6 @@
     uses: tuple[ReplicaUse, ...]
 
 
-class Loss(NamedTuple):
-    """Tell of a replica that was lost under a work, and how long ago."""
-
-    work: str
-    replica: str
-    age_ms: int
-
-
 class LossesTold(NamedTuple):
     """Tell of lost replicas, and of works answered since a loss."""
 
--- a/papayapier/peer/pacing.py
+++ b/papayapier/peer/pacing.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from papayapier.clock import MS_PER_S, Millis
-from papayapier.peer.messages import ReplicaUse
+from papayapier.policy.loads import ReplicaUse
 
 BUDGET_SECONDS: Final = 10
 MAX_USES: Final = 32
--- a/papayapier/policy/crashes.py
+++ b/papayapier/policy/crashes.py
@@ -12,9 +12,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
-from typing import Final
-
-from papayapier.peer.messages import Loss
+from typing import Final, NamedTuple
 
 # Two ends may be chance: where a third of the replicas end at once, one request in thirty is at two
 # of them with its own tries. At a third end of the same work, chance is the poorer bet.
@@ -47,6 +45,14 @@
 SNAPSHOT_MOST: Final = 500
 
 
+class Loss(NamedTuple):
+    """Say that a replica was lost under a work, and how long ago."""
+
+    work: str
+    replica: str
+    age_ms: int
+
+
 class _Lost:
     """Hold one loss; sure says that a later sign of life is that of another start."""
 
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -13,7 +13,6 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
-from papayapier.peer.messages import ReplicaUse
 from papayapier.upstream.api import Load, Replica
 
 REPORT_LAG_MS: Final = 200
@@ -25,6 +24,14 @@
 NO_SLOTS: Final[Mapping[str, int]] = {}
 
 
+class ReplicaUse(NamedTuple):
+    """Hold how many calls one instance has open at one replica."""
+
+    replica: str
+    online: int
+    batch: int
+
+
 class _Step(NamedTuple):
     """Hold a change of the open calls that happened between two times."""
 
--- a/papayapier/policy/totals.py
+++ b/papayapier/policy/totals.py
@@ -9,8 +9,7 @@
 from functools import lru_cache
 from typing import Final
 
-from papayapier.peer.messages import ReplicaUse
-from papayapier.policy.loads import LoadBook
+from papayapier.policy.loads import LoadBook, ReplicaUse
 from papayapier.policy.rendezvous import score
 
 # Instances that run batch at one replica of a large fleet, and so must know of its online calls
--- a/papayapier/policy/witnesses.py
+++ b/papayapier/policy/witnesses.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Collection
 
-from papayapier.peer.messages import Heartbeat
-
 
 class Witnesses:
     """Keep whom each peer does not hear, from its last heartbeat."""
@@ -17,9 +15,9 @@
     def __init__(self) -> None:
         self._unheard: dict[str, frozenset[str]] = {}
 
-    def on_heartbeat(self, peer_id: str, heartbeat: Heartbeat) -> None:
-        """Take a heartbeat."""
-        self._unheard[peer_id] = frozenset(heartbeat.unheard)
+    def on_told(self, peer_id: str, unheard: Collection[str]) -> None:
+        """Take whom a peer does not hear."""
+        self._unheard[peer_id] = frozenset(unheard)
 
     def heard(self, peer_id: str, live: Collection[str]) -> bool:
         """Tell whether most of the live others hear a peer; nobody to ask says no."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 
 from papayapier.errors import Outcome
-from papayapier.peer.messages import ReplicaUse
+from papayapier.policy.loads import ReplicaUse
 from papayapier.upstream.api import FailureKind, Sent
 from tests.forward_world import Caller, ForwardWorld
 
--- a/tests/test_jobs_progress.py
+++ b/tests/test_jobs_progress.py
@@ -15,7 +15,7 @@
 from papayapier.jobs.progress import ItemProgress, SaverDeps, Snapshot
 from papayapier.jobs.records import ItemEnd
 from papayapier.jobs.work import JobWork
-from papayapier.peer.messages import Loss
+from papayapier.policy.crashes import Loss
 from papayapier.upstream.event_cutter import NO_EVENT
 from tests.jobs_world import JOB, Begun, record
 from tests.log_catcher import LogCatcher
--- a/tests/test_loss_news.py
+++ b/tests/test_loss_news.py
@@ -10,9 +10,9 @@
 from papayapier.dispatch.crash_watch import CrashWatch
 from papayapier.metrics import make_metrics
 from papayapier.peer.loss_news import AGAIN_MS, GATHER_MS, LossNews, LossNewsDeps
-from papayapier.peer.messages import Loss, LossesAsk, LossesTold, Message
+from papayapier.peer.messages import LossesAsk, LossesTold, Message
 from papayapier.peer.topology import Plan
-from papayapier.policy.crashes import LOSSES_MOST
+from papayapier.policy.crashes import LOSSES_MOST, Loss
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
 CUT = Failure(FailureKind.CUT, Sent.MAYBE, "reset", fresh=True)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -28,7 +28,6 @@
     JobChanged,
     MembersTell,
     Message,
-    ReplicaUse,
 )
 from papayapier.peer.pacing import (
     MAX_USES,
@@ -42,6 +41,7 @@
 from papayapier.peer.seal import load_seal, make_seal
 from papayapier.peer.spread import Spreader, Verdict
 from papayapier.peer.topology import Limits, Place, make_plan
+from papayapier.policy.loads import ReplicaUse
 from papayapier.settings import PeerSettings
 from papayapier.store.api import ENTRY, LEAVING, LIVE, Member
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,10 +10,15 @@
 from papayapier.node.calls_heard import TOLD_STANDS_MS, follow_calls, follow_totals
 from papayapier.node.placing import PASSED_OVER_MS, PlacingDeps, asking
 from papayapier.node.processes import NodeList
-from papayapier.peer.messages import CallsTold, Heartbeat, Message, PlaceTell, ReplicaUse
+from papayapier.peer.messages import (
+    CallsTold,
+    Heartbeat,
+    Message,
+    PlaceTell,
+)
 from papayapier.peer.questions import PeerError
 from papayapier.peer.topology import Plan
-from papayapier.policy.loads import LoadBook
+from papayapier.policy.loads import LoadBook, ReplicaUse
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.placers import make_parts, placer_of
 from papayapier.policy.routing import RouteRequest
--- a/tests/test_policy_batch.py
+++ b/tests/test_policy_batch.py
@@ -4,9 +4,8 @@
 from hypothesis import strategies as st
 
 from papayapier.config.profiles import BatchRule, Isolation
-from papayapier.peer.messages import ReplicaUse
 from papayapier.policy.batch_share import POINTS, BatchShare
-from papayapier.policy.loads import LoadBook
+from papayapier.policy.loads import LoadBook, ReplicaUse
 from papayapier.policy.pace import Pace
 from papayapier.upstream.api import Load, Replica
 
--- a/tests/test_policy_crashes.py
+++ b/tests/test_policy_crashes.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from papayapier.peer.messages import Loss
 from papayapier.policy.crashes import (
     FORGET_MS,
     HOLD_MS,
@@ -15,6 +14,7 @@
     SNAPSHOT_MOST,
     WORKS_MOST,
     CrashBook,
+    Loss,
 )
 
 START = 1_000_000
--- a/tests/test_policy_placers.py
+++ b/tests/test_policy_placers.py
@@ -6,8 +6,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from papayapier.peer.messages import ReplicaUse
-from papayapier.policy.loads import PLACED_SEEN_MS, LoadBook
+from papayapier.policy.loads import PLACED_SEEN_MS, LoadBook, ReplicaUse
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.placers import PART_REPLICAS, make_parts, placer_of
 from papayapier.policy.routing import RouteRequest, choose
--- a/tests/test_policy_routing.py
+++ b/tests/test_policy_routing.py
@@ -3,8 +3,7 @@
 import random
 from collections import Counter
 
-from papayapier.peer.messages import ReplicaUse
-from papayapier.policy.loads import LoadBook
+from papayapier.policy.loads import LoadBook, ReplicaUse
 from papayapier.policy.outliers import Outliers
 from papayapier.policy.routing import RouteRequest, choose, free_calls
 from papayapier.policy.subsets import subset
--- a/tests/test_policy_witnesses.py
+++ b/tests/test_policy_witnesses.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from papayapier.peer.messages import Heartbeat
 from papayapier.policy.witnesses import Witnesses
 
 ENTRIES = ["e1", "e2", "e3"]
@@ -11,7 +10,7 @@
 def told(*unheard: tuple[str, ...]) -> Witnesses:
     witnesses = Witnesses()
     for entry, names in zip(ENTRIES, unheard, strict=True):
-        witnesses.on_heartbeat(entry, Heartbeat(entry, 1, "serving", 1, unheard=names))
+        witnesses.on_told(entry, names)
     return witnesses
 
 
