Take what is known of a peer, the kinds of messages and their counts into modules of their own

The state of one peer is in peer_state.py, the numbers of messages in kinds.py, their counters in counts.py, and a job is read whole beside its groups.

--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -17,7 +17,7 @@
 from papayapier.config.teams import may_use
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
 from papayapier.jobs.commits import Written
-from papayapier.jobs.groups import read_groups
+from papayapier.jobs.groups import read_groups, read_whole
 from papayapier.jobs.news import GroupsHeard
 from papayapier.jobs.records import (
     ItemResult,
@@ -27,7 +27,6 @@
     encode,
     job_key,
     part_key,
-    read_items,
     read_record,
     split_items,
 )
@@ -376,21 +375,6 @@
         told.callback(None)
 
 
-async def read_whole(store: Store, job_id: str, record: JobRecord) -> Result[JobRecord, StoreError]:
-    """Return a job with the items that its parts hold."""
-    items: tuple[JobItem, ...] = record.items
-    for number in range(record.parts):
-        found = await store.get(part_key(job_id, number))
-        if isinstance(found, Err):
-            return found
-        part = read_items(found.ok_value.value)
-        if isinstance(part, Err):
-            events.emit(events.INPUT_MISSING, job=job_id, part=number, reason=part.err_value)
-            return Err(StoreError.UNAVAILABLE)
-        items += part.ok_value
-    return Ok(record._replace(items=items, parts=0))
-
-
 def _sent_before(job_id: str, team: str, value: bytes) -> Result[None, Refusal]:
     """Accept the repeat of a job, unless the id is that of another team's."""
     record = read_record(value)
--- a/papayapier/jobs/groups.py
+++ b/papayapier/jobs/groups.py
@@ -1,11 +1,20 @@
-"""Read the groups of results that a job has beyond those that are known."""
+"""Read a job with all its items, and the groups of results beyond those that are known."""
 
 from typing import Final
 
 from result import Err, Ok, Result
 
 from papayapier import events
-from papayapier.jobs.records import ResultGroup, group_key, groups_prefix, read_group
+from papayapier.jobs.records import (
+    JobItem,
+    JobRecord,
+    ResultGroup,
+    group_key,
+    groups_prefix,
+    part_key,
+    read_group,
+    read_items,
+)
 from papayapier.store.api import Store, StoreError
 
 PAGE: Final = 500
@@ -31,3 +40,18 @@
             return Err(StoreError.UNAVAILABLE)
         groups.append(group.ok_value)
     return Ok(groups)
+
+
+async def read_whole(store: Store, job_id: str, record: JobRecord) -> Result[JobRecord, StoreError]:
+    """Return a job with the items that its parts hold."""
+    items: tuple[JobItem, ...] = record.items
+    for number in range(record.parts):
+        found = await store.get(part_key(job_id, number))
+        if isinstance(found, Err):
+            return found
+        part = read_items(found.ok_value.value)
+        if isinstance(part, Err):
+            events.emit(events.INPUT_MISSING, job=job_id, part=number, reason=part.err_value)
+            return Err(StoreError.UNAVAILABLE)
+        items += part.ok_value
+    return Ok(record._replace(items=items, parts=0))
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -14,7 +14,7 @@
 from papayapier import events
 from papayapier.config.route_table import Route, RouteTable
 from papayapier.jobs.commits import CommitDeps, Written, commit, load_groups
-from papayapier.jobs.desk import read_whole
+from papayapier.jobs.groups import read_whole
 from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
--- /dev/null
+++ b/papayapier/peer/counts.py
@@ -0,0 +1,48 @@
+"""Count the messages between instances, and tell of frames that are not understood."""
+
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+from papayapier import events
+from papayapier.metrics import Metrics
+from papayapier.peer.messages import Message
+
+if TYPE_CHECKING:
+    from prometheus_client import Counter as PromCounter
+
+MAX_REFUSALS_KEPT: Final = 256
+
+
+class MessageCounts:
+    """Own the counters of one instance."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        # Looking a counter up by its labels costs more than counting.
+        self._counters: dict[tuple[type[Message], str], tuple[PromCounter, PromCounter]] = {}
+        self._refused: Counter[str] = Counter()
+
+    def count(self, message: Message, direction: str, size: int) -> None:
+        """Count one message and its bytes."""
+        counters = self._counters.get((type(message), direction))
+        if counters is None:
+            kind = type(message).__name__
+            counters = (
+                self._metrics.peer_messages.labels(kind=kind, direction=direction),
+                self._metrics.peer_bytes.labels(direction=direction),
+            )
+            self._counters[type(message), direction] = counters
+        counters[0].inc()
+        counters[1].inc(size)
+
+    def refuse(self, why: str) -> None:
+        """Count a frame that is not understood, and log each reason only once.
+
+        During an upgrade a newer release may send kinds that this one does not know, many a
+        second; a line for each would bury every other event.
+        """
+        self._metrics.peer_messages.labels(kind="refused", direction="received").inc()
+        if why in self._refused or len(self._refused) < MAX_REFUSALS_KEPT:
+            self._refused[why] += 1
+        if self._refused[why] == 1:
+            events.emit(events.PEER_REFUSED, why=why)
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -5,10 +5,10 @@
 bytes of heartbeats are bounded.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Collection, Sequence
 from random import Random
-from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from result import Err, Result
 
@@ -16,6 +16,7 @@
 from papayapier.clock import Clock, Millis, Timer
 from papayapier.metrics import Metrics
 from papayapier.peer import wire
+from papayapier.peer.counts import MessageCounts
 from papayapier.peer.link import Inbox, Outbox, Outgoing, Poller
 from papayapier.peer.links import Address, Links
 from papayapier.peer.messages import (
@@ -36,8 +37,9 @@
     use_distance,
     wire_bytes,
 )
+from papayapier.peer.peer_state import Change, HangUp, Noted, PeerView, Redial, Step
 from papayapier.peer.questions import MakeAsk, PeerError, Questions
-from papayapier.peer.roster import Change, HangUp, Noted, PeerView, Redial, Roster, Step
+from papayapier.peer.roster import Roster
 from papayapier.peer.seal import NO_SEAL, load_seal
 from papayapier.peer.spread import Spreader, Verdict
 from papayapier.peer.topology import Limits, Place, Plan
@@ -45,12 +47,8 @@
 from papayapier.settings import PeerSettings
 from papayapier.store.api import Member
 
-if TYPE_CHECKING:
-    from prometheus_client import Counter as PromCounter
-
 PACE_JITTER: Final = 0.1
 TICKS_PER_SILENCE: Final = 4
-MAX_REFUSALS_KEPT: Final = 256
 
 Handler = Callable[[str, Any], object]
 # Names the peers that must soon know of changed calls at some replicas.
@@ -107,9 +105,7 @@
         # Those that are no neighbours and have been told of open calls.
         self._told_calls: set[str] = set()
         self._early_to = early_to
-        # Looking a counter up by its labels costs more than counting.
-        self._counters: dict[tuple[type[Message], str], tuple[PromCounter, PromCounter]] = {}
-        self._refused: Counter[str] = Counter()
+        self._counts = MessageCounts(metrics)
         self._last_sent: Heartbeat | None = None
         self._last_sent_at = clock.now()
         self._pace_ms = cfg.heartbeat_ms
@@ -328,15 +324,15 @@
         frame = Outgoing(data, replaceable=isinstance(message, Heartbeat))
         if not self._links.send(peer_id, frame, now):
             return False
-        self._count(message, "sent", len(data))
+        self._counts.count(message, "sent", len(data))
         return True
 
     def _receive(self, data: bytes) -> None:
         opened = self._seal.open(data).and_then(wire.decode)
         if isinstance(opened, Err):
-            return self._refuse(opened.err_value)
+            return self._counts.refuse(opened.err_value)
         sender, message = opened.ok_value
-        self._count(message, "received", len(data))
+        self._counts.count(message, "received", len(data))
         self._take(sender, message, self._clock.now())
         if self._questions.settle(sender, message):
             return None
@@ -367,18 +363,6 @@
             return
         self._broadcast(self._spreader.targets(self._links.neighbours(), sender), message)
 
-    def _refuse(self, why: str) -> None:
-        """Count a frame that is not understood, and log each reason only once.
-
-        During an upgrade a newer release may send kinds that this one does not know, many a
-        second; a line for each would bury every other event.
-        """
-        self._metrics.peer_messages.labels(kind="refused", direction="received").inc()
-        if why in self._refused or len(self._refused) < MAX_REFUSALS_KEPT:
-            self._refused[why] += 1
-        if self._refused[why] == 1:
-            events.emit(events.PEER_REFUSED, why=why)
-
     def _apply(self, steps: Sequence[Step]) -> None:
         for step in steps:
             if isinstance(step, Redial):
@@ -437,15 +421,3 @@
         self._metrics.peers_live.set(len(live) - 1)
         for call in self._listeners:
             call()
-
-    def _count(self, message: Message, direction: str, size: int) -> None:
-        counters = self._counters.get((type(message), direction))
-        if counters is None:
-            kind = type(message).__name__
-            counters = (
-                self._metrics.peer_messages.labels(kind=kind, direction=direction),
-                self._metrics.peer_bytes.labels(direction=direction),
-            )
-            self._counters[type(message), direction] = counters
-        counters[0].inc()
-        counters[1].inc(size)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -387,37 +387,3 @@
     | TakeOverAsk
     | TakeOverTell
 )
-
-KINDS: Final[dict[int, type[Message]]] = {
-    1: Heartbeat,
-    2: ConfigPush,
-    3: ConfigAsk,
-    4: ConfigTell,
-    5: ClaimAsk,
-    6: ClaimTell,
-    7: ShardsReleased,
-    8: LoadReports,
-    9: JobChanged,
-    10: Hello,
-    11: Prune,
-    12: MembersAsk,
-    13: MembersTell,
-    14: StoreAsk,
-    15: StoreTell,
-    16: MirrorAsk,
-    17: PlaceAsk,
-    18: PlaceTell,
-    19: KeepAsk,
-    20: KeepTell,
-    21: CallsTold,
-    22: ResultsAsk,
-    23: ResultsTell,
-    24: LossesTold,
-    25: LossesAsk,
-    26: RunsAsk,
-    27: RunsTell,
-    28: AllowAsk,
-    29: AllowTell,
-    30: TakeOverAsk,
-    31: TakeOverTell,
-}
--- a/papayapier/peer/wire.py
+++ b/papayapier/peer/wire.py
@@ -12,7 +12,8 @@
 from result import Err, Ok, Result
 
 from papayapier import codec
-from papayapier.peer.messages import KINDS, Message
+from papayapier.peer.kinds import KINDS
+from papayapier.peer.messages import Message
 
 KIND_NUMBERS: Final[dict[type[Message], int]] = {kind: number for number, kind in KINDS.items()}
 
--- a/papayapier/status.py
+++ b/papayapier/status.py
@@ -9,7 +9,7 @@
     from papayapier.config.book import ProfileBook
     from papayapier.instance import Readiness
     from papayapier.peer.hub import PeerHub
-    from papayapier.peer.roster import PeerView
+    from papayapier.peer.peer_state import PeerView
     from papayapier.settings import InstanceSettings
 
 SERVING: Final = "serving"
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -9,7 +9,8 @@
 
 from papayapier.clock import Millis
 from papayapier.peer.messages import Heartbeat, Hello
-from papayapier.peer.roster import Redial, Roster, Step
+from papayapier.peer.peer_state import Redial, Step
+from papayapier.peer.roster import Roster
 from papayapier.peer.topology import Limits, Place
 from papayapier.store.api import ENTRY, LIVE, Member
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -18,8 +18,8 @@
 from papayapier.metrics import make_metrics
 from papayapier.peer import wire
 from papayapier.peer.hub import Identity, PeerHub
+from papayapier.peer.kinds import KINDS
 from papayapier.peer.messages import (
-    KINDS,
     ClaimAsk,
     ClaimTell,
     ConfigPush,
@@ -36,8 +36,9 @@
     heartbeat_pace,
     use_distance,
 )
+from papayapier.peer.peer_state import Change, HangUp, Noted, Redial
 from papayapier.peer.questions import PeerError, Questions
-from papayapier.peer.roster import Change, HangUp, Noted, Redial, Roster
+from papayapier.peer.roster import Roster
 from papayapier.peer.seal import load_seal, make_seal
 from papayapier.peer.spread import Spreader, Verdict
 from papayapier.peer.topology import Limits, Place, make_plan
