Play keys, withdrawals and an allowance in the soak

Callers use keys of two teams; keys are added and withdrawn during the other faults; one team sends five times its allowance. Checked for any seed: a replica is told a known team and no key; at most (5 x 5 + 5) x 1.1 + 20 requests of that team begin in any 5 s; a key that nobody holds is never served; a withdrawn one is refused at every entry at the end; no process prints a key.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -44,6 +44,7 @@
         self.gone_runs = 0
         # What each run was asked with: the team's name, and a key if one came.
         self.asked: list[tuple[str, str | None, str | None]] = []
+        self.asked_s: list[float] = []
         self.born = 0
         self.ended: Callable[[], None] | None = None
         self._channels: set[Any] = set()
@@ -100,6 +101,7 @@
         self.asked.append(
             (request_id, request.getHeader("X-Tenant"), request.getHeader("Authorization"))
         )
+        self.asked_s.append(reactor.seconds())
         self._channels.add(request.channel)
         if CRASHING in request.path:
             reactor.callLater(CRASH_S, self._crash)
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -5,6 +5,7 @@
 Callers send requests of every kind and jobs, some of them twice and at two entries, while
 processes are killed, paused and replaced, the store goes away and loses answers, and replicas
 hang, break off and leave, and a request that ends the replicas that run it comes again and again.
+Keys are withdrawn and added meanwhile, and one team sends far more than its allowance.
 What is checked holds at any moment and for any seed.
 """
 
@@ -52,6 +53,13 @@
 CRASHING_GAP_S: Final = 0.7
 ENDS_REPLICAS: Final = ErrorKind.ENDS_REPLICAS.value.encode()
 NOT_RUN: Final = (429, 503, 408, 421)
+# A team that may send 5 a second and 5 on top, and in 5 s a tenth and 20 more.
+CAPPED: Final = {"name": "capped", "apiKeys": ["kq-capped"], "ratePerS": 5, "burst": 5}
+CAPPED_MOST: Final = (5 * 5 + 5) * 1.1 + 20
+WINDOW_S: Final = 5.0
+CAPPED_GAP_S: Final = 0.04
+UNKNOWN_KEY: Final = "kq-nobody"
+IN_FORCE_S: Final = 2.0
 
 
 class Report(NamedTuple):
@@ -78,14 +86,16 @@
         # Faults in which an instance may not see or not keep what a send did, or may not be told.
         self.unseen: list[str] = []
         self.version = 1
+        self.withdrawn: list[str] = []
         self.stopping = False
         self._work: list[Any] = []
 
     async def run(self, seconds: float) -> Report:
         """Play, let all settle, and check."""
+        self._write_configuration("kq-0")
         await self.world.start(entries=2, keepers=2)
         self.world.replace_crashed()
-        plays = (self._requests(), self._jobs(), self._faults(), self._crashing())
+        plays = (self._requests(), self._jobs(), self._faults(), self._crashing(), self._capped())
         loops = [begin(loop) for loop in plays]
         await pause(seconds)
         self.stopping = True
@@ -134,6 +144,23 @@
             self._work.append(begin(self._request(path)))
             await pause(CRASHING_GAP_S)
 
+    async def _capped(self) -> None:
+        """Send far more than a team may, and now and then what shows no known key."""
+        while not self.stopping:
+            key = UNKNOWN_KEY if self.rand.random() < 0.05 else "kq-capped"
+            self._work.append(begin(self._send_as(key)))
+            await pause(CAPPED_GAP_S)
+
+    async def _send_as(self, key: str) -> None:
+        try:
+            reply = await self.world.get(self._port(), "/look/1", Authorization=f"Bearer {key}")
+        except Exception as exc:
+            self.answers[f"{key} {type(exc).__name__}"] += 1
+            return
+        self.answers[f"{key} {reply.status}"] += 1
+        if key == UNKNOWN_KEY and reply.status not in (401, 503):
+            self.broken.append(f"a key that nobody holds was answered {reply.status}")
+
     async def _jobs(self) -> None:
         number = 0
         while not self.stopping:
@@ -163,6 +190,7 @@
             self._configure,
             self._replica_restarted,
             self._foreign_entry,
+            self._change_keys,
         ]
         while not self.stopping:
             play = self.rand.choice(plays)
@@ -233,7 +261,25 @@
 
     async def _configure(self) -> None:
         self.version += self.rand.randint(1, 3)
-        self.world.store.put("config", "main", configuration(self.version))
+        self._write_configuration(self.world.key)
+
+    async def _change_keys(self) -> None:
+        """Add a key, let callers use it, and withdraw the one before."""
+        old = self.world.key
+        new = f"kq-{len(self.withdrawn) + 1}"
+        self.version += 1
+        self._write_configuration(old, new)
+        await pause(IN_FORCE_S)
+        self.version += 1
+        self._write_configuration(new)
+        self.withdrawn.append(old)
+
+    def _write_configuration(self, *keys: str) -> None:
+        """Put a configuration in the store; callers use the last key from now on."""
+        self.world.key = keys[-1]
+        teams = [{"name": "yard", "apiKeys": list(keys)}, CAPPED]
+        document = {**configuration(self.version), "tenants": teams}
+        self.world.store.put("config", "main", document)
 
     def _calm(self) -> None:
         self.world.store.away = False
@@ -255,6 +301,32 @@
                 self.broken.append(f"{request_id}: refused as not run, and ran")
         for job_id in self.accepted:
             await self._check_job(job_id)
+        self._check_teams()
+        for port in self.world.callers.values():
+            for key in self.withdrawn:
+                reply = await self.world.get(port, "/look/1", Authorization=f"Bearer {key}")
+                if reply.status != 401:
+                    self.broken.append(f"a withdrawn key was answered {reply.status}")
+
+    def _check_teams(self) -> None:
+        """Check what replicas were told of who asks, and how much one team has sent."""
+        first: dict[str, float] = {}
+        for replica in self.world.replicas:
+            for (request, team, key), at_s in zip(replica.asked, replica.asked_s, strict=True):
+                if key is not None or team not in ("yard", "capped"):
+                    self.broken.append(f"{request}: a replica was told of team {team}, key {key}")
+                if team == "capped":
+                    first[request] = min(at_s, first.get(request, at_s))
+        times = sorted(first.values())
+        most = max(
+            (sum(one <= other < one + WINDOW_S for other in times) for one in times), default=0
+        )
+        if most > CAPPED_MOST:
+            self.broken.append(f"{most} requests of one team in {WINDOW_S} s")
+        self.answers["most of the capped team"] = most
+        for child in self.world.children.values():
+            if any(key in child.printed for key in (*self.withdrawn, "kq-capped", UNKNOWN_KEY)):
+                self.broken.append(f"{child.name} has printed a key")
 
     async def _check_job(self, job_id: str) -> None:
         seen = []
