Hold a team to the lower of two limits while a version spreads

Cause: a granter took the limit from whoever asked. An entry that is behind asks with the limit of an older version, and fills the bucket at that rate for all.

Change: the lower of what the asker and the granter know counts. A raised limit so holds once both know it.

--- a/papayapier/node/allowances.py
+++ b/papayapier/node/allowances.py
@@ -122,7 +122,7 @@
     """Group what granting works with.
 
     granting names those that grant, as seen here, listed all that are written down, and leaving
-    tells whether this instance is about to end.
+    tells whether this instance is about to end. team returns a team as configured here.
     """
 
     hub: PeerHub
@@ -132,6 +132,15 @@
     granting: Callable[[], frozenset[str]]
     listed: Callable[[], Collection[str]]
     leaving: Callable[[], bool]
+    team: Callable[[str], Team | None]
+
+
+def _limit_of(deps: GrantDeps, ask: AllowAsk | TakeOverAsk) -> Limit:
+    """Return the lower of what the asker and this instance know: one of them may be behind."""
+    known = deps.team(ask.team)
+    if known is None or not known.limited():
+        return Limit(ask.rate_per_s, ask.burst)
+    return Limit(min(ask.rate_per_s, known.rate_per_s), min(ask.burst, known.burst))
 
 
 def answer_allowances(deps: GrantDeps) -> None:
@@ -174,7 +183,7 @@
 
     def on_ask(peer_id: str, ask: AllowAsk) -> None:
         follow()
-        limit = Limit(ask.rate_per_s, ask.burst)
+        limit = _limit_of(deps, ask)
         said = deps.grants.ask(ask.team, limit, deps.clock.now())
         if said.said is not Said.TAKE_OVER:
             answer(peer_id, ask, said)
@@ -184,7 +193,7 @@
 
     def on_take_over(peer_id: str, ask: TakeOverAsk) -> None:
         follow()
-        limit = Limit(ask.rate_per_s, ask.burst)
+        limit = _limit_of(deps, ask)
         left = deps.grants.give_up(ask.team, peer_id, limit, deps.clock.now())
         deps.hub.tell(peer_id, TakeOverTell(ask.ask_id, left.was_first, left.tokens))
 
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -9,6 +9,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.config.teams import Team
 from papayapier.jobs import progress
 from papayapier.jobs.commits import Written
 from papayapier.jobs.desk import DeskDeps, JobDesk
@@ -165,6 +166,11 @@
     def listed() -> frozenset[str]:
         return base.nodes.with_role(Role.KEEPER)
 
+    def team(name: str) -> Team | None:
+        table = base.routing.table()
+        teams = table.cfg.teams if table is not None else None
+        return teams.named(name) if teams is not None else None
+
     answer_allowances(
         GrantDeps(
             base.hub,
@@ -174,6 +180,7 @@
             granting=lambda: listed() & base.hub.vouched(),
             listed=listed,
             leaving=lambda: base.drain.state() != "serving",
+            team=team,
         )
     )
 
