Compress long listings, and let many that start at once wait for who lists for all

By reading: 300 processes list over a megabyte each at the store at once, calls end at their limit of 1.2 s and are made again.

Change: answers of over 16 kB go compressed, once for all who ask at one revision (a listing of 3,000 entries shrinks to less than a quarter, by the test). Where more than 150 processes are listed, a process that starts waits up to 2.5 s for a watcher's listing of replicas before it asks the store. Smaller fleets wait for nothing but the list of processes, which is there in some ms.

--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -180,7 +180,7 @@
         send=make_raw_send(send),
         view=lambda priority: relayed(budget.view(priority), relay),
         loss_news=loss_news,
-        through=MirrorDeps(hub, own.id, fleet.hubs, store_return.on_told, clock),
+        through=MirrorDeps(hub, own.id, fleet.hubs, store_return.on_told, clock, nodes.count),
         placing=placing,
         mirrors=mirrors,
         followers=[],
@@ -229,7 +229,8 @@
         haste.gather_ms,
     )
     way = Way()
-    store = through_hubs(base.view(Priority.CONFIG), base.through, way)
+    patient = prefix == REPLICAS_PREFIX
+    store = through_hubs(base.view(Priority.CONFIG), base.through, way, patient)
     if base.role is Role.KEEPER:
         lasting_ms = pace.watch_ms + pace.gather_ms + MIRROR_MARGIN_MS
         mirror = Mirror(base.clock, lasting_ms, matters)
--- a/papayapier/node/mirrors.py
+++ b/papayapier/node/mirrors.py
@@ -42,6 +42,13 @@
 # watches would else be a call to the store, three for each start.
 FIRST_HUB_MS: Final = 400
 LOOK_MS: Final = 20
+# More processes than this that start at once do not all list thousands of replicas at the store:
+# its calls would take longer than they may, end in vain and be made again.
+MANY_PROCESSES: Final = 150
+# Until the list of processes is read, and until a watcher has read the store and answers.
+SIZE_KNOWN_MS: Final = 200
+WATCHER_MS: Final = 2_500
+WHOLE_AGAIN_MS: Final = 150
 
 
 class MirrorDeps(NamedTuple):
@@ -49,7 +56,7 @@
 
     hubs names the live hubs, this process included where it is one. store_back is told that a
     hub has had the store away, and how many ms ago it came back. With a clock, the first watches
-    of a process wait a moment for a hub.
+    of a process wait a moment for a hub. listed tells how many processes are listed.
     """
 
     hub: PeerHub
@@ -57,6 +64,7 @@
     hubs: Callable[[], list[str]]
     store_back: Callable[[int], None]
     clock: Clock | None = None
+    listed: Callable[[], int] = lambda: 0
 
 
 class Way:
@@ -79,13 +87,16 @@
     return sorted(hubs, key=lambda one: score(WATCHERS_KEY, one), reverse=True)[:WATCHERS]
 
 
-def through_hubs(own: Store, deps: MirrorDeps, way: Way) -> Store:
-    """Put the hubs before the listings and watches of a Store, in a large fleet."""
+def through_hubs(own: Store, deps: MirrorDeps, way: Way, patient: bool = False) -> Store:
+    """Put the hubs before the listings and watches of a Store, in a large fleet.
+
+    A patient process waits at its start for a watcher to list, where many start with it.
+    """
     others = _Others(deps)
 
     async def list_(prefix: str, after: str, limit: int) -> Result[Listing, StoreError]:
         if after == WHOLE_FROM_START:
-            told = await others.ask(prefix, WHOLE, 0)
+            told = await (others.ask_first(prefix) if patient else others.ask(prefix, WHOLE, 0))
             if isinstance(told, Ok):
                 way.take(False, prefix)
                 return Ok(told_listing(told.ok_value))
@@ -114,8 +125,27 @@
         self._waiting: dict[str, list[Deferred[Any]]] = {}
         deps.hub.on_change(self._on_peers)
         clock = deps.clock
+        self._born_ms = 0 if clock is None else clock.now()
         self._patient_until = 0 if clock is None else clock.now() + FIRST_HUB_MS
 
+    async def ask_first(self, prefix: str) -> Result[StoreTell, StoreError]:
+        """Return a hub's listing; just after a start among many, wait until one has it."""
+        clock = self._deps.clock
+        while clock is not None and not self._deps.listed():
+            if clock.now() >= self._born_ms + SIZE_KNOWN_MS:
+                break
+            await clock.sleep(LOOK_MS)
+        told = await self.ask(prefix, WHOLE, 0)
+        while clock is not None and isinstance(told, Err) and self._waits_for_watcher(clock.now()):
+            await clock.sleep(WHOLE_AGAIN_MS)
+            told = await self.ask(prefix, WHOLE, 0)
+        return told
+
+    def _waits_for_watcher(self, now: int) -> bool:
+        many = self._deps.listed() > MANY_PROCESSES
+        watches = self._deps.me in watchers(self._deps.hubs())
+        return many and not watches and now < self._born_ms + WATCHER_MS
+
     async def first_hub(self) -> None:
         """Wait, just after the start only, until there is somebody to ask."""
         clock = self._deps.clock
--- a/papayapier/node/processes.py
+++ b/papayapier/node/processes.py
@@ -110,6 +110,10 @@
         record = self._nodes.get(node_id)
         return None if record is None else (record, self._versions[node_id])
 
+    def count(self) -> int:
+        """Return how many processes are listed."""
+        return len(self._nodes)
+
     def members(self) -> list[Member]:
         """Return the processes as peers."""
         return [_member(node_id, record) for node_id, record in self._nodes.items()]
--- a/papayapier/node/store_tells.py
+++ b/papayapier/node/store_tells.py
@@ -1,14 +1,24 @@
 """Write answers of the store as messages between processes, and read them."""
 
-from typing import TypeVar
+import zlib
+from functools import lru_cache
+from typing import Final, TypeVar
 
+import msgspec
 from result import Err, Ok, Result
 
+from papayapier import codec
 from papayapier.peer.messages import StoreChange, StoreTell
 from papayapier.store.api import Change, Changes, Entry, Listing, StoreError
 
 T = TypeVar("T")
 
+# A listing of thousands of replicas goes from a few watchers to everybody that starts. Its entries
+# are much alike: what is longer than this is worth the time to compress it.
+PACKED_FROM_BYTES: Final = 16_000
+PACK_LEVEL: Final = 1
+_CHANGES: Final = msgspec.msgpack.Decoder(tuple[StoreChange, ...])
+
 
 def listing_told(ask_id: int, found: Result[Listing, StoreError]) -> StoreTell:
     """Return the message that carries a listing."""
@@ -16,7 +26,7 @@
         return StoreTell(ask_id, found.err_value.value)
     page = found.ok_value
     objects = tuple(StoreChange(one.key, one.version, False, one.value) for one in page.objects)
-    return StoreTell(ask_id, "", version=page.revision, changes=objects, more=page.more)
+    return _with_changes(StoreTell(ask_id, "", version=page.revision, more=page.more), objects)
 
 
 def changes_told(ask_id: int, found: Result[Changes, StoreError]) -> StoreTell:
@@ -24,7 +34,23 @@
     if isinstance(found, Err):
         return StoreTell(ask_id, found.err_value.value)
     changes = tuple(StoreChange(*one) for one in found.ok_value.changes)
-    return StoreTell(ask_id, "", version=found.ok_value.revision, changes=changes)
+    return _with_changes(StoreTell(ask_id, "", version=found.ok_value.revision), changes)
+
+
+def _with_changes(tell: StoreTell, changes: tuple[StoreChange, ...]) -> StoreTell:
+    if sum(len(one.key) + len(one.value) for one in changes) < PACKED_FROM_BYTES:
+        return tell._replace(changes=changes)
+    return tell._replace(packed=_packed(changes))
+
+
+@lru_cache(4)
+def _packed(changes: tuple[StoreChange, ...]) -> bytes:
+    """Compress once what many ask for at the same revision."""
+    return zlib.compress(codec.pack(changes), PACK_LEVEL)
+
+
+def _changes(told: StoreTell) -> tuple[StoreChange, ...]:
+    return _CHANGES.decode(zlib.decompress(told.packed)) if told.packed else told.changes
 
 
 def read_told(told: StoreTell) -> Result[StoreTell, StoreError]:
@@ -37,10 +63,10 @@
 
 def told_listing(told: StoreTell) -> Listing:
     """Return the listing that a message carries."""
-    found = [Entry(one.key, one.version, one.value) for one in told.changes]
+    found = [Entry(one.key, one.version, one.value) for one in _changes(told)]
     return Listing(found, told.more, told.version)
 
 
 def told_changes(told: StoreTell) -> Changes:
     """Return the changes that a message carries."""
-    return Changes([Change(*one) for one in told.changes], told.version)
+    return Changes([Change(*one) for one in _changes(told)], told.version)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -254,6 +254,8 @@
     changes: tuple[StoreChange, ...] = ()
     more: bool = False
     back_ms_ago: int = -1
+    # The changes of a long answer, compressed, in place of changes.
+    packed: bytes = b""
 
 
 NEVER_AWAY: Final = -1
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -13,16 +13,19 @@
     FIRST_HUB_MS,
     LOOK_MS,
     WATCHERS,
+    WHOLE_AGAIN_MS,
     MirrorDeps,
     Way,
     answer_from,
     through_hubs,
     watchers,
 )
+from papayapier.node.store_tells import listing_told, told_listing
+from papayapier.peer import wire
 from papayapier.peer.messages import NEVER_AWAY, Message, MirrorAsk, StoreTell
 from papayapier.peer.questions import PeerError
 from papayapier.platform.replicas import says_other
-from papayapier.store.api import Change, Entry, StoreError
+from papayapier.store.api import Change, Entry, Listing, StoreError
 from papayapier.store.mirror import KEPT_BYTES, KEPT_CHANGES, Mirror
 from papayapier.store.watch import Follower, FollowPace
 from tests.fake_store import FakePlatform
@@ -217,6 +220,42 @@
     assert (asked, platform.calls["watch"]) == (["entry"], 0) if known_ms < 1_000 else ([], 1)
 
 
+@pytest.mark.parametrize(("listed", "calls"), [(73, 1), (301, 0)])
+def test_among_many_a_start_waits_for_a_watcher(listed: int, calls: int) -> None:
+    # Symptom: 300 processes before 3,000 replicas do not serve for thirty seconds after a kill of
+    # all. Cause, by reading: each lists over a megabyte at the store at once.
+    time = fake_clock()
+    net = Net(time)
+    node, hub = Node(net, "entry"), Node(net, "hub")
+    mirror = Mirror(time.clock, LASTING_MS)
+    answer_from(cast(Any, hub), {PREFIX: mirror}, lambda: NEVER_AWAY)
+    platform = FakePlatform(time.clock)
+    deps = MirrorDeps(
+        cast(Any, node), "entry", lambda: ["hub"], lambda _ms: None, time.clock, lambda: listed
+    )
+    store = through_hubs(platform.store("entry"), deps, Way(), patient=True)
+    found: list[Any] = []
+    Deferred.fromCoroutine(cast(Any, store.list(PREFIX, "", 100))).addCallback(found.append)
+    time.elapse(500)
+    mirror.on_change(Change(f"{PREFIX}a", 7, False, b"v"))
+    mirror.on_reached(7, True)
+    time.elapse(WHOLE_AGAIN_MS + 50)
+    assert platform.calls["list"] == calls
+    assert len(found) == 1
+
+
+def test_a_long_listing_is_told_compressed_and_whole() -> None:
+    value = b'{"service":"lm","address":"10.0.0.%d:8080","zone":"z","slots":8,"state":"ready"}'
+    objects = [Entry(f"servers/i-{n:010x}", n, value % n) for n in range(3_000)]
+    told = listing_told(1, Ok(Listing(objects, False, 9)))
+    assert told_listing(told) == Listing(objects, False, 9)
+    sent = wire.encode("k", told)
+    assert len(sent) < sum(len(one.key) + len(one.value) for one in objects) / 4
+    read = wire.decode(sent).unwrap().message
+    assert isinstance(read, StoreTell)
+    assert told_listing(read).objects == objects
+
+
 def test_a_small_fleet_asks_the_store() -> None:
     fleet = Fleet(hubs=3, entries=2)
     fleet.net.full_mesh = True
