Vouch in a small fleet for those only that are heard

Cause: in a full mesh hubs tell of nobody who is gone, and Roster.vouched took that for hearing all, so that a lost keeper would have been asked for allowances for ever. No deployment of ours has both teams and a full mesh; found by reading the change again. Test: red before, green after.

--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -66,8 +66,9 @@
         hubs would notice that somebody is gone, so the word of most of them goes before what
         this instance hears itself.
         """
-        told = self._told_gone()
-        if self._me.id in self._plan.hubs:
+        # In a full mesh hubs tell of nobody: there everybody hears everybody.
+        told = [] if self._plan.full_mesh else self._told_gone()
+        if not self._plan.full_mesh and self._me.id in self._plan.hubs:
             told.append(frozenset(self.gone(now)))
         own = {self._me.id} if self._me.hub else set()
         if not told:
--- a/tests/test_fleet_owners.py
+++ b/tests/test_fleet_owners.py
@@ -102,3 +102,17 @@
     model.cut = {frozenset({plain, hub}) for hub in hubs[:3]}
     model.run(MISSED_MS)
     assert all(runs in (1, 2) for runs in runners(model).values())
+
+
+def test_a_lost_keeper_of_a_full_mesh_is_vouched_for_by_nobody() -> None:
+    # Symptom: a small fleet asks a dead keeper for allowances for ever. Cause: hubs of a full mesh
+    # tell of nobody, and that was taken for hearing all.
+    model = settled(6, 3)
+    model.lose(["keeper-1"])
+    model.run(MISSED_MS)
+    for roster in model.rosters.values():
+        assert roster.vouched(model.now) == {"keeper-0", "keeper-2"}
+    model.start("keeper-1")
+    model.list_to("keeper-1")
+    model.run(MISSED_MS)
+    assert all("keeper-1" in roster.vouched(model.now) for roster in model.rosters.values())
