--- a/papayapier/jobs/desk.py
+++ b/papayapier/jobs/desk.py
@@ -206,10 +206,7 @@
             view.tell(groups)
 
     def on_written(self, job_id: str, written: Written) -> None:
-        """Take a group that this instance has written: it need not be read, and shows all before.
-
-        Of three looks at the store one was for a group of one's own.
-        """
+        """Take a group that this instance has written; it shows that all before are known."""
         view = self._views.get(job_id)
         if view is None or written.number != view.groups:
             self.on_groups(job_id, written.number + 1)
--- a/papayapier/node/lost_keepers.py
+++ b/papayapier/node/lost_keepers.py
@@ -1,8 +1,8 @@
 """Write down which keepers have been silent for long, so that whoever starts knows it.
 
-The load this answers: all processes start again at once, and two of fourteen keepers are gone for
-good. For two seconds everybody takes these for owners of jobs, hubs, and granters of allowances:
-of 900 requests in those seconds 275 were refused, since nobody granted what the lost ones would.
+The load this answers: all processes start again at once, and some of the listed keepers are gone
+for good. Until they are missed everybody takes these for owners of jobs, hubs, and granters of
+allowances, and whatever falls to them waits or is refused.
 
 The first hub does it, where it hears most keepers; with two that believe to be the first the
 second write fails. A keeper that is only cut off writes that it is there when it reads of itself.
