Say at a request's end whose answer it had, how far a stream came and why it was sent again

What operators could not see: a request that ended with the answer of an earlier try left no line at all; 202 said neither what had failed nor how much had been passed on; 211 did not say whether the replica itself had declared the end of its stream; 209 did not name the request. Change: lines only. 211 is also written for a kept answer, with kept, last_event and declared; 202 has kind, reason and last_event; 209 has the request's id. What a stream's end declares is passed from the exchange to who takes it. Tests: the two new tests in test_forwarding.py fail before (no line 211, no such fields). No logic is changed.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -152,10 +152,10 @@
     while True:
         held = deps.crashes.refusal(req.request_id, req.work)
         if held is not None:
-            return _end(progress, held)
+            return _end(deps, req, progress, held)
         picked = await _pick(deps, req, progress)
         if isinstance(picked, Err):
-            return _end(progress, picked.err_value)
+            return _end(deps, req, progress, picked.err_value)
         replica = picked.ok_value
         sent = await _send_once(deps, req, replica, progress)
         if isinstance(sent, Ok):
@@ -163,15 +163,16 @@
             return sent
         decision = _after_failure(deps, req, replica, sent.err_value, progress)
         if isinstance(decision, GiveUp):
-            return _end(progress, decision.refusal)
+            return _end(deps, req, progress, decision.refusal)
         pause_ms = apart_ms(deps, req.work, sent.err_value, req.due_ms)
-        await _before_retry(deps, req, replica, decision, progress, pause_ms)
+        await _before_retry(deps, req, replica, sent.err_value, decision, progress, pause_ms)
 
 
 def _note_end(deps: ForwardDeps, req: RawRequest, progress: _Progress, answer: RawAnswer) -> None:
     """Log how a request went, in one line that says where its time was spent."""
     now = deps.clock.now()
-    first = progress.stream.began_ms if progress.stream is not None else 0
+    stream = progress.stream
+    first = stream.began_ms if stream is not None else 0
     events.emit(
         events.REQUEST_ENDED,
         request=req.request_id,
@@ -179,6 +180,9 @@
         team=req.team,
         upstream=req.profile.upstream,
         status=answer.status,
+        kept=answer is progress.answer,
+        last_event=stream.last_event() if stream is not None else NO_EVENT,
+        declared=stream is not None and stream.declared,
         replicas=progress.replicas,
         placed=progress.placed,
         held_ms=progress.held_ms,
@@ -188,9 +192,12 @@
     )
 
 
-def _end(progress: _Progress, refusal: Refusal) -> Result[RawAnswer, Refusal]:
+def _end(
+    deps: ForwardDeps, req: RawRequest, progress: _Progress, refusal: Refusal
+) -> Result[RawAnswer, Refusal]:
     """End without a good answer: a replica's own answer says more than any refusal."""
     if progress.answer is not None:
+        _note_end(deps, req, progress, progress.answer)
         return Ok(progress.answer)
     return Err(make_true(refusal, progress.tries.maybe_sent))
 
@@ -355,18 +362,23 @@
     deps: ForwardDeps,
     req: RawRequest,
     replica: Replica,
+    failure: Failure,
     retry: Retry,
     progress: _Progress,
     pause_ms: int,
 ) -> None:
-    if progress.stream is not None:
-        progress.stream.restart()
+    stream = progress.stream
+    if stream is not None:
+        stream.restart()
     events.emit(
         events.REQUEST_RETRIED,
         request=req.request_id,
         profile=req.profile.name,
         replica=replica.id,
         attempt=progress.tries.made,
+        kind=failure.kind.value,
+        reason=failure.reason,
+        last_event=stream.last_event() if stream is not None else NO_EVENT,
         after_ms=retry.after_ms,
         apart_ms=pause_ms,
     )
--- a/papayapier/dispatch/passed_streams.py
+++ b/papayapier/dispatch/passed_streams.py
@@ -23,12 +23,13 @@
 class PassedStream:
     """Hold what a caller has been sent; a replica that goes on begins after the last event."""
 
-    __slots__ = ("_cutter", "_reader", "began_ms", "started")
+    __slots__ = ("_cutter", "_reader", "began_ms", "declared", "started")
 
     def __init__(self, reader: Reader, last_event: int) -> None:
         self._reader = reader
         self._cutter = EventCutter(last_event)
         self.started = False
+        self.declared = False
         self.began_ms = 0
 
     def last_event(self) -> int:
@@ -52,7 +53,8 @@
             self._reader.write(whole)
         return None
 
-    def on_end(self) -> Fault | None:
+    def on_end(self, declared: bool) -> Fault | None:
+        self.declared = declared
         rest = self._cutter.rest()
         if rest:
             self._reader.write(rest)
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -101,6 +101,7 @@
 
     def render(self, request: Any) -> Any:
         """Serve one request; its caller's leaving cancels what is done for it."""
+        request.log_id = request.getHeader(self._routes.names.request_id) or ""
         work = Deferred.fromCoroutine(_serve(self._routes, request))
         request.notifyFinish().addErrback(_caller_gone, request, work)
         work.addErrback(_failed, request)
@@ -126,6 +127,7 @@
         return
     events.emit(
         events.REQUEST_CRASHED,
+        request=request.log_id,
         path=request.path.decode("ascii", "replace"),
         error=repr(failure.value),
         traceback=failure.getTraceback(),
--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -49,6 +49,8 @@
     defaultContentType = None  # noqa: N815
     # The caller has closed its connection; nothing may be written any more.
     gone = False
+    # The id by which log lines name the request, where its route knows one.
+    log_id = ""
     # What is done for the request goes on without its caller.
     see_through = False
     _limit = 0
@@ -130,6 +132,7 @@
         """Answer a request whose route has raised, and log why."""
         events.emit(
             events.REQUEST_CRASHED,
+            request=self.log_id,
             path=self.path.decode("ascii", "replace"),
             error=repr(reason.value),
             traceback=reason.getTraceback(),
--- a/papayapier/jobs/item_run.py
+++ b/papayapier/jobs/item_run.py
@@ -35,7 +35,7 @@
                 return fault
         return None
 
-    def on_end(self) -> Fault | None:
+    def on_end(self, _declared: bool) -> Fault | None:
         """Check that nothing was left over."""
         if self._cutter.rest().strip():
             return Fault(FailureKind.CUT, "the stream ended within an event")
--- a/papayapier/upstream/raw.py
+++ b/papayapier/upstream/raw.py
@@ -75,8 +75,8 @@
     def on_data(self, data: bytes, now_ms: int) -> Fault | None:
         """Take a part of the body."""
 
-    def on_end(self) -> Fault | None:
-        """Take that the body is whole."""
+    def on_end(self, declared: bool) -> Fault | None:
+        """Take the end of the body; declared tells that its length or last chunk says so."""
 
 
 ReadFacts = Callable[[int, Headers, int], AnswerFacts]
@@ -174,9 +174,9 @@
         self._taker.on_head(head)
         return Ok(self._taker.on_data)
 
-    def _on_end(self, _declared: bool) -> Fault | None:
+    def _on_end(self, declared: bool) -> Fault | None:
         assert self._head is not None
         if self.facts is not None and self.facts.not_run:
             reason = f"the replica did not run it, status {self._head.status}"
             return Fault(FailureKind.STATUS, reason, self._head.status)
-        return self._taker.on_end() if self._taking and self._taker is not None else None
+        return self._taker.on_end(declared) if self._taking and self._taker is not None else None
--- a/tests/test_forward_routes.py
+++ b/tests/test_forward_routes.py
@@ -30,6 +30,7 @@
     """Stand for a caller's request; channel is None once the connection has ended."""
 
     path = b"/a"
+    log_id = "id"
 
     def __init__(self, gone: bool, started: bool) -> None:
         self.gone = gone
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,12 +3,14 @@
 import pytest
 from result import Err, Ok
 
+from papayapier import events
 from papayapier.errors import ErrorKind, Outcome
 from papayapier.policy.crashes import LOSSES_MOST
 from papayapier.policy.loads import ReplicaUse
 from papayapier.policy.placers import Placed
 from papayapier.upstream.api import FailureKind, Sent
 from tests.forward_world import Caller, Ended, ForwardWorld
+from tests.log_catcher import LogCatcher
 
 LOST = [
     (FailureKind.CUT, Sent.MAYBE),
@@ -97,6 +99,30 @@
     assert ends[0].unwrap().status == 500
 
 
+def test_the_end_of_a_request_says_whose_answer_it_had() -> None:
+    # Failure: the end of a request that got an earlier replica's answer leaves no line.
+    world = ForwardWorld()
+    with LogCatcher().applicationbound() as logs:
+        world.begin(idempotent=True, attempts=2)
+        world.sends[0].answer(500)
+        world.time.advance(1_000)
+        world.sends[1].fail(FailureKind.CUT, Sent.MAYBE)
+    (ended,) = logs.fields(events.REQUEST_ENDED)
+    assert (ended["status"], ended["kept"]) == (500, True)
+
+
+def test_a_stream_that_is_sent_again_says_why_and_from_where() -> None:
+    # Failure: nobody can tell from the lines how far a stream had come when its replica broke off.
+    world = ForwardWorld()
+    with LogCatcher().applicationbound() as logs:
+        world.begin(idempotent=True, caller=Caller())
+        world.sends[0].events(1, 2)
+        world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+        world.time.advance(100)
+    (again,) = logs.fields(events.REQUEST_RETRIED)
+    assert (again["kind"], again["last_event"]) == ("cut", 2)
+
+
 def test_a_failed_answer_to_a_request_that_may_run_once_is_final() -> None:
     world = ForwardWorld()
     ends = world.begin(idempotent=False)
