--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -29,8 +29,9 @@
 class StandinReplica(_Resource):  # type: ignore[misc]
     """Serve one replica; runs counts what it has begun, by request id, in SLOTS at once.
 
-    cut_after breaks every stream after that many events; hang answers nothing; shed rejects. A
-    request whose path has CRASHING in it ends the replica; ended is called then.
+    cut_after breaks every stream after that many events; hang answers nothing; shed rejects. each
+    request in failing is answered with an error once, by whichever replica has it first. A request
+    whose path has CRASHING in it ends the replica; ended is called then.
     """
 
     isLeaf = True  # noqa: N815
@@ -42,6 +43,7 @@
         self.cut_after = 0
         self.hang = False
         self.shed = False
+        self.failing: set[str] = set()
         self.gone_runs = 0
         # Requests that are open now, and the most there were.
         self.open = 0
@@ -124,6 +126,10 @@
         request.setHeader("X-Request-Id", request_id)
         request.setHeader("X-Server-Stamp", "signed")
         request.setHeader("X-Server-Load", "1,0,4")
+        if request_id in self.failing:
+            self.failing.remove(request_id)
+            request.setResponseCode(500)
+            return b"failed"
         if b"/stream/" not in request.path and b"/job/" not in request.path:
             return b"whole answer"
         after = int(request.getHeader("Last-Event-Id") or 0)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.web.client import PartialDownloadError, ResponseFailed
 
 from papayapier import events
 from papayapier.node.entry import BRINGING_MS
@@ -59,6 +60,32 @@
     def test_a_replica_breaks_off(self) -> Any:
         return Deferred.fromCoroutine(self._replica_lost())
 
+    async def _error_then_cut(self) -> None:
+        # Failure: streams that met an error and are then cut at one replica end as complete.
+        world = self.world
+        world.store.put("config", "main", configuration(maxAttempts=2))
+        request_ids = {new_id(), new_id()}
+        for replica in world.replicas[:2]:
+            replica.failing = request_ids
+            replica.cut_after = 2
+        await world.start(entries=2, keepers=0)
+        sends = [
+            self._is_cut_off(entry, request_id)
+            for entry, request_id in enumerate(sorted(request_ids), 1)
+        ]
+        for cut in [begin(send) for send in sends]:
+            assert await cut
+
+    async def _is_cut_off(self, entry: int, request_id: str) -> bool:
+        try:
+            await self.world.get(self.port(entry), "/stream/again/1", X_Request_Id=request_id)
+        except (PartialDownloadError, ResponseFailed):
+            return True
+        return False
+
+    def test_a_stream_that_met_an_error_and_breaks_off_is_cut(self) -> Any:
+        return Deferred.fromCoroutine(self._error_then_cut())
+
     async def _at_most_once(self) -> None:
         # Symptom: a request that may run once has run twice, or is said not to have run.
         # Events: its replica closes the connection after it has begun.
