Do not end a begun stream with the answer of an earlier try

What callers saw: a resumable stream ends in a last chunk though its last pieces are missing. Cause: an error that a replica answers is kept, for the case that no other one does better. forward returned it also after another replica had begun the stream and broken off, when no further try was allowed (attempts, no usable replica, time or retry budget). The entry got an answer, saw that the stream had begun, and wrote the last chunk. Class: the outcome of one try stands for that of the request, whatever the caller has been given meanwhile. Why it works: whether a kept answer counts is asked at the one place where a request ends without a good answer; a caller that has the head of a stream gets that stream's end or a connection that is broken off.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -139,6 +139,10 @@
         self.answer: RawAnswer | None = None
         self.stream = PassedStream(reader, req.last_event) if reader is not None else None
 
+    def begun(self) -> bool:
+        """Tell whether the caller has been given the head of a stream."""
+        return self.stream is not None and self.stream.started
+
 
 async def forward(
     deps: ForwardDeps, req: RawRequest, reader: Reader | None
@@ -195,8 +199,11 @@
 def _end(
     deps: ForwardDeps, req: RawRequest, progress: _Progress, refusal: Refusal
 ) -> Result[RawAnswer, Refusal]:
-    """End without a good answer: a replica's own answer says more than any refusal."""
-    if progress.answer is not None:
+    """End without a good answer: a replica's own answer says more than any refusal.
+
+    It is no answer to a caller that has a part of another replica's stream.
+    """
+    if progress.answer is not None and not progress.begun():
         _note_end(deps, req, progress, progress.answer)
         return Ok(progress.answer)
     return Err(make_true(refusal, progress.tries.maybe_sent))
@@ -285,7 +292,7 @@
     """Take a replica's failure for the answer, unless another replica may do better."""
     if answer.status < 500 or not req.profile.idempotent:
         return Ok(answer)
-    if progress.stream is None or not progress.stream.started:
+    if not progress.begun():
         progress.answer = answer
     reason = f"the replica answered {answer.status}"
     return Err(Failure(FailureKind.STATUS, Sent.MAYBE, reason, answer.status))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -149,16 +149,24 @@
     assert caller.body == b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3, 4))
 
 
-def test_a_begun_stream_does_not_end_with_an_earlier_answer() -> None:
+@pytest.mark.parametrize("given_up_for", ["attempts", "replicas", "time"])
+def test_a_begun_stream_does_not_end_with_an_earlier_answer(given_up_for: str) -> None:
     # Failure: a stream whose replica breaks off ends as complete, because an error that another
     # replica had answered before it began is taken for its end.
     world = ForwardWorld()
-    ends = world.begin(idempotent=True, caller=Caller(), attempts=2)
+    ends = world.begin(idempotent=True, caller=Caller(), attempts=3)
     world.sends[0].answer(500, b"failed")
     world.time.advance(1_000)
     world.sends[1].events(1, 2)
+    if given_up_for == "replicas":
+        world.replicas.clear()
+        world.list_replicas()
+    if given_up_for == "time":
+        world.time.advance(5_000)
     world.sends[1].fail(FailureKind.CUT, Sent.MAYBE)
     world.time.advance(1_000)
+    if given_up_for == "attempts":
+        world.sends[2].fail(FailureKind.CUT, Sent.MAYBE)
     assert isinstance(ends[0], Err), ends
 
 
