Do not end a begun stream with the error of the replica that is asked to go on

Cause: a status under 500 is final for a request. That of a replica asked to resume a stream (400, 404, 422) was taken for the answer to a request whose caller had a part of the stream already, and its last chunk followed. Evidence: the new test fails before for 400, 404 and 422 (500 was refused already), and the one that goes on at a third replica fails before, too.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -289,10 +289,13 @@
 def _judge_answer(
     req: RawRequest, answer: RawAnswer, progress: _Progress
 ) -> Result[RawAnswer, Failure]:
-    """Take a replica's failure for the answer, unless another replica may do better."""
-    if answer.status < 500 or not req.profile.idempotent:
-        return Ok(answer)
+    """Take a replica's failure for the answer, unless another replica may do better.
+
+    It never is the answer to a stream that has begun: its caller would take that for whole.
+    """
     if not progress.begun():
+        if answer.status < 500 or not req.profile.idempotent:
+            return Ok(answer)
         progress.answer = answer
     reason = f"the replica answered {answer.status}"
     return Err(Failure(FailureKind.STATUS, Sent.MAYBE, reason, answer.status))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -170,6 +170,34 @@
     assert isinstance(ends[0], Err), ends
 
 
+@pytest.mark.parametrize("status", [400, 404, 422, 500])
+def test_a_begun_stream_does_not_end_with_the_error_of_who_resumes_it(status: int) -> None:
+    # Failure: a stream ends as complete where the replica asked to go on answers with an error.
+    world = ForwardWorld()
+    ends = world.begin(idempotent=True, caller=Caller(), attempts=2)
+    world.sends[0].events(1, 2)
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(1_000)
+    world.sends[1].answer(status, b"failed")
+    world.time.advance(1_000)
+    assert isinstance(ends[0], Err), ends
+
+
+def test_a_stream_goes_on_after_an_error_of_who_resumes_it() -> None:
+    world = ForwardWorld()
+    caller = Caller()
+    ends = world.begin(idempotent=True, caller=caller)
+    world.sends[0].events(1)
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(1_000)
+    world.sends[1].answer(404, b"failed")
+    world.time.advance(1_000)
+    world.sends[2].events(2)
+    world.sends[2].answer()
+    assert isinstance(ends[0], Ok), ends
+    assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+
+
 CRASH_MS = 30
 SOUND_MS = 130
 SOUND_GAP_MS = 60
