Tell a stream that was passed on from an answer that is still to be written

What callers saw: the two faults before had one form: forward returned one type for an answer of which nothing had been written and for one that had been passed on whole, and the entry told them apart by whether the stream had begun. Cause and class: one value with two meanings; whoever adds a way to end a request can end a begun stream by mistake. Change: a send that was passed on returns PassedOn, any other answer RawAnswer. Batch items end as done by PassedOn alone, where they went by the status before. Evidence: the new test in test_forward_routes.py fails before: the RawAnswer ended the stream. Why it works: mypy asks for both cases wherever an answer is used. The stand-in sends of tests return what the real ones do; the stand-in answer of items is gone.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -25,7 +25,7 @@
 from papayapier.policy.waiting import start_by_ms, wait_limit_ms
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.event_cutter import NO_EVENT
-from papayapier.upstream.raw import RawAnswer, RawCall
+from papayapier.upstream.raw import Answered, RawAnswer, RawCall
 
 if TYPE_CHECKING:
     import random
@@ -146,10 +146,11 @@
 
 async def forward(
     deps: ForwardDeps, req: RawRequest, reader: Reader | None
-) -> Result[RawAnswer, Refusal]:
+) -> Result[Answered, Refusal]:
     """Return a replica's whole answer, or a refusal that is true about every send made.
 
-    A good answer to a stream has been written to the reader; any other is returned.
+    A good answer to a stream has been written to the reader, which is all that is returned of it.
+    Once the reader has begun, the end is that or a refusal.
     """
     progress = _Progress(req, reader, deps.clock.now())
     deps.budget.on_request(req.profile.upstream, deps.clock.now())
@@ -172,7 +173,7 @@
         await _before_retry(deps, req, replica, sent.err_value, decision, progress, pause_ms)
 
 
-def _note_end(deps: ForwardDeps, req: RawRequest, progress: _Progress, answer: RawAnswer) -> None:
+def _note_end(deps: ForwardDeps, req: RawRequest, progress: _Progress, answer: Answered) -> None:
     """Log how a request went, in one line that says where its time was spent."""
     now = deps.clock.now()
     stream = progress.stream
@@ -198,7 +199,7 @@
 
 def _end(
     deps: ForwardDeps, req: RawRequest, progress: _Progress, refusal: Refusal
-) -> Result[RawAnswer, Refusal]:
+) -> Result[Answered, Refusal]:
     """End without a good answer: a replica's own answer says more than any refusal.
 
     It is no answer to a caller that has a part of another replica's stream.
@@ -263,7 +264,7 @@
 
 async def _send_once(
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress
-) -> Result[RawAnswer, Failure]:
+) -> Result[Answered, Failure]:
     progress.tries.made += 1
     progress.replicas.append(replica.id)
     started = deps.clock.now()
@@ -281,14 +282,14 @@
         if not verdict:
             deps.outliers.on_dropped(replica.id)
     _learn(deps, req, replica, sent, progress, started)
-    if isinstance(sent, Ok) and not sent.ok_value.good():
+    if isinstance(sent, Ok) and isinstance(sent.ok_value, RawAnswer) and not sent.ok_value.good():
         return _judge_answer(req, sent.ok_value, progress)
     return sent
 
 
 def _judge_answer(
     req: RawRequest, answer: RawAnswer, progress: _Progress
-) -> Result[RawAnswer, Failure]:
+) -> Result[Answered, Failure]:
     """Take a replica's failure for the answer, unless another replica may do better.
 
     It never is the answer to a stream that has begun: its caller would take that for whole.
@@ -332,7 +333,7 @@
     deps: ForwardDeps,
     req: RawRequest,
     replica: Replica,
-    sent: Result[RawAnswer, Failure],
+    sent: Result[Answered, Failure],
     progress: _Progress,
     started: int,
 ) -> None:
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -16,9 +16,10 @@
 from papayapier.dispatch.start_queue import Ask, StartQueue
 from papayapier.entry.raw_refusals import count_refusal, refuse_raw
 from papayapier.errors import ErrorKind, Refusal, not_run
+from papayapier.invariants import Promise, check
 from papayapier.policy.waiting import has_returned, wait_limit_ms
 from papayapier.upstream.event_cutter import NO_EVENT
-from papayapier.upstream.raw import RawAnswer
+from papayapier.upstream.raw import Answered, PassedOn, RawAnswer
 
 if TYPE_CHECKING:
     import random
@@ -190,7 +191,7 @@
         return
     reader = _Reader(routes, request, req) if req.stream else None
 
-    async def work() -> Result[RawAnswer, Refusal]:
+    async def work() -> Result[Answered, Refusal]:
         return await forward(routes.forward, req, reader)
 
     try:
@@ -206,8 +207,8 @@
     routes: ForwardRoutes,
     req: RawRequest,
     asker: Team | None,
-    work: "Callable[[], Awaitable[Result[RawAnswer, Refusal]]]",
-) -> Result[RawAnswer, Refusal]:
+    work: "Callable[[], Awaitable[Result[Answered, Refusal]]]",
+) -> Result[Answered, Refusal]:
     """Do the work of a request when its team may send it and its turn has come."""
     allowed = Ok(None) if asker is None else await _allowed(routes, req, asker)
     if isinstance(allowed, Err):
@@ -327,7 +328,7 @@
     routes: ForwardRoutes,
     request: Any,
     req: RawRequest,
-    done: Result[RawAnswer, Refusal],
+    done: Result[Answered, Refusal],
     reader: _Reader | None,
     began: int,
 ) -> None:
@@ -336,20 +337,38 @@
         # Its caller left while the answer's last word was on its way.
         events.emit(events.CALLER_GONE, request=req.request_id, profile=name)
         return
+    begun = reader is not None and reader.started
     if isinstance(done, Ok):
-        routes.metrics.requests.labels(name, "answered").inc()
-        took_s = (routes.clock.now() - began) / MS_PER_S
-        routes.metrics.latency.labels(name).observe(took_s)
-        if reader is None or not reader.started:
-            _write_whole(routes, request, done.ok_value)
-        request.finish()
-        return
-    if reader is not None and reader.started:
+        _finish_answer(routes, request, req, done.ok_value, begun, began)
+    elif begun:
         # A stream cut short must not look whole: no last chunk, the connection ends.
         count_refusal(routes, req.request_id, name, done.err_value)
         request.channel.transport.abortConnection()
+    else:
+        refuse_raw(routes, request, name, done.err_value, req.due_ms)
+
+
+def _finish_answer(
+    routes: ForwardRoutes,
+    request: Any,
+    req: RawRequest,
+    answer: Answered,
+    begun: bool,
+    began_ms: int,
+) -> None:
+    """End an answer whose stream has been passed on, or write one of which nothing has."""
+    fits = isinstance(answer, PassedOn) == begun
+    check(fits, Promise.ANSWER_OWN, request=req.request_id, status=answer.status)
+    if not fits:
+        request.channel.transport.abortConnection()
         return
-    refuse_raw(routes, request, name, done.err_value, req.due_ms)
+    name = req.profile.name
+    routes.metrics.requests.labels(name, "answered").inc()
+    took_s = (routes.clock.now() - began_ms) / MS_PER_S
+    routes.metrics.latency.labels(name).observe(took_s)
+    if isinstance(answer, RawAnswer):
+        _write_whole(routes, request, answer)
+    request.finish()
 
 
 def _write_whole(routes: ForwardRoutes, request: Any, answer: RawAnswer) -> None:
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -30,7 +30,7 @@
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
-from papayapier.upstream.raw import RawAnswer, RawCall, SendRaw
+from papayapier.upstream.raw import Answered, PassedOn, RawCall, SendRaw
 
 # One run is far shorter; a run that goes on this long is resumed elsewhere.
 RUN_LIMIT_MS: Final = 60_000
@@ -188,7 +188,7 @@
     async def _run(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
         taker = ItemTaker(one)
         began_ms = self._deps.clock.now()
-        sent: Result[RawAnswer, Failure] | None = None
+        sent: Result[Answered, Failure] | None = None
         try:
             sent = await self._deps.send(replica, self._call(work, one, replica), taker)
         except CancelledError:
@@ -250,7 +250,7 @@
         route: Route,
         one: Item,
         replica: Replica,
-        sent: Result[RawAnswer, Failure],
+        sent: Result[Answered, Failure],
     ) -> None:
         if one.item.id not in work.items:
             return
@@ -266,7 +266,7 @@
             self._note_held(work, one)
             return
         answer = sent.ok_value
-        if answer.good():
+        if isinstance(answer, PassedOn):
             self._deps.outliers.on_end(replica.id, True, None, now)
             self._times_at(replica.upstream).on_done(len(one.texts), one.ran_ms)
             events.emit(
--- a/papayapier/upstream/raw.py
+++ b/papayapier/upstream/raw.py
@@ -55,7 +55,7 @@
 
 
 class RawAnswer(NamedTuple):
-    """Hold an answer; the body of a streamed one has been passed on already."""
+    """Hold an answer of which nothing has been passed on yet."""
 
     status: int
     headers: Headers
@@ -63,7 +63,21 @@
 
     def good(self) -> bool:
         """Tell whether the replica did what was asked."""
-        return 200 <= self.status < 300
+        return is_good(self.status)
+
+
+class PassedOn(NamedTuple):
+    """Say that a whole good answer has been passed on to its taker."""
+
+    status: int
+
+
+Answered = RawAnswer | PassedOn
+
+
+def is_good(status: int) -> bool:
+    """Tell whether a status says that the replica did what was asked."""
+    return 200 <= status < 300
 
 
 class StreamTaker(Protocol):
@@ -81,7 +95,7 @@
 
 ReadFacts = Callable[[int, Headers, int], AnswerFacts]
 OnLoad = Callable[[str, Load], None]
-SendRaw = Callable[[Replica, RawCall, StreamTaker | None], Awaitable[Result[RawAnswer, Failure]]]
+SendRaw = Callable[[Replica, RawCall, StreamTaker | None], Awaitable[Result[Answered, Failure]]]
 
 
 class RawDeps(NamedTuple):
@@ -103,7 +117,7 @@
 
     async def send(
         replica: Replica, call: RawCall, taker: StreamTaker | None
-    ) -> Result[RawAnswer, Failure]:
+    ) -> Result[Answered, Failure]:
         reader = _Reader(call, taker, deps.read_facts)
         out = Outgoing(
             call.method,
@@ -151,9 +165,11 @@
         """Return the calls that take the answer."""
         return Sink(self._on_head, self._on_end)
 
-    def answer(self) -> RawAnswer:
+    def answer(self) -> Answered:
         """Return the answer, once the exchange has ended well."""
         assert self._head is not None
+        if self._taking:
+            return PassedOn(self._head.status)
         return RawAnswer(self._head.status, self._head.headers, self._body.body())
 
     def _on_head(self, head: Head) -> Result[OnData, Fault]:
@@ -168,7 +184,7 @@
             return Err(Fault(FailureKind.BROKEN, f"status {head.status} without signature"))
         if facts.encoded:
             return Err(Fault(FailureKind.BROKEN, "the body is encoded"))
-        if self._taker is None or not 200 <= head.status < 300:
+        if self._taker is None or not is_good(head.status):
             return Ok(self._body.add)
         self._taking = True
         self._taker.on_head(head)
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -22,9 +22,9 @@
 from papayapier.policy.routing import RouteRequest
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.exchange import Head
-from papayapier.upstream.raw import RawAnswer, RawCall, StreamTaker
+from papayapier.upstream.raw import Answered, PassedOn, RawAnswer, RawCall, StreamTaker, is_good
 
-Ended = Result[RawAnswer, Refusal]
+Ended = Result[Answered, Refusal]
 
 
 class Send:
@@ -34,7 +34,7 @@
         self.replica = replica
         self.call = call
         self.taker = taker
-        self.done: Deferred[Result[RawAnswer, Failure]] = Deferred(lambda _: self._cancel())
+        self.done: Deferred[Result[Answered, Failure]] = Deferred(lambda _: self._cancel())
 
     def events(self, *numbers: int) -> None:
         """Send whole events of a stream."""
@@ -48,6 +48,10 @@
         assert self.taker.on_data(data, 1) is None
 
     def answer(self, status: int = 200, body: bytes = b"whole") -> None:
+        if self.taker is not None and is_good(status):
+            assert self.taker.on_end(True) is None
+            self.done.callback(Ok(PassedOn(status)))
+            return
         self.done.callback(Ok(RawAnswer(status, Headers(), body)))
 
     def fail(self, kind: FailureKind, sent: Sent, status: int = 0) -> None:
@@ -112,7 +116,7 @@
 
     async def _send(
         self, replica: Replica, call: RawCall, taker: StreamTaker | None
-    ) -> Result[RawAnswer, Failure]:
+    ) -> Result[Answered, Failure]:
         send = Send(replica, call, taker)
         self.sends.append(send)
         return await send.done
--- a/tests/jobs_run_world.py
+++ b/tests/jobs_run_world.py
@@ -17,7 +17,7 @@
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
-from papayapier.upstream.raw import RawAnswer, RawCall
+from papayapier.upstream.raw import Answered, PassedOn, RawCall
 
 if TYPE_CHECKING:
     from papayapier.config.route_table import Route
@@ -42,13 +42,6 @@
         self.shares = [Share(upstream)]
 
 
-class Answer:
-    """Stand for a good answer."""
-
-    def good(self) -> bool:
-        return True
-
-
 class World:
     """Hold one instance that runs batch alone, at one replica of each upstream."""
 
@@ -106,14 +99,14 @@
 
     async def _send(
         self, replica: Replica, call: RawCall, _taker: Any
-    ) -> Result[RawAnswer, Failure]:
+    ) -> Result[Answered, Failure]:
         self.sends += 1
         if replica.id in self.closed:
             return Err(Failure(FailureKind.CONNECT, Sent.NO, "refused", fresh=True))
         self.calls[call.request_id] = call
         self.sent[call.request_id] = Deferred(lambda _: None)
         try:
-            sent: Result[RawAnswer, Failure] = await self.sent[call.request_id]
+            sent: Result[Answered, Failure] = await self.sent[call.request_id]
             return sent
         finally:
             del self.sent[call.request_id]
@@ -136,7 +129,7 @@
 
     def end(self, one: Item) -> None:
         one.texts = ["x"] * EVENTS
-        self.sent[one.item.id].callback(Ok(Answer()))
+        self.sent[one.item.id].callback(Ok(PassedOn(200)))
 
     def lose(self, one: Item, kind: FailureKind, sent: Sent) -> None:
         self.sent[one.item.id].callback(Err(Failure(kind, sent, kind.value, fresh=True)))
--- a/tests/test_forward_routes.py
+++ b/tests/test_forward_routes.py
@@ -6,11 +6,14 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
+from twisted.web.http_headers import Headers
 
+from papayapier import invariants
 from papayapier.clock import fake_clock
 from papayapier.config.teams import Team
 from papayapier.entry.forward_routes import GRANT_LOOK_MS, _allowed, _failed, _finish, _run
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
+from papayapier.upstream.raw import Answered, PassedOn, RawAnswer
 from tests.forward_world import ForwardWorld
 
 
@@ -59,6 +62,22 @@
     assert not request.failed
 
 
+@pytest.mark.parametrize(
+    ("begun", "answer"), [(True, RawAnswer(500, Headers(), b"failed")), (False, PassedOn(200))]
+)
+def test_an_answer_that_does_not_fit_what_was_sent_breaks_it_off(
+    begun: bool, answer: Answered
+) -> None:
+    # Failure: a stream gets a last chunk though its end is not what ended the request.
+    before = invariants.broken_count()
+    request = Request(gone=False, started=begun)
+    reader = cast(Any, Reader()) if begun else None
+    _finish(cast(Any, None), request, _req(), Ok(answer), reader, 0)
+    assert request.channel is not None
+    assert request.channel.transport.aborted
+    assert invariants.broken_count() == before + 1
+
+
 def test_a_crash_within_an_answer_breaks_it_off() -> None:
     # Symptom: a stream holds an event that no replica made, and ends as if it were whole.
     # Cause: a crash after the first event was answered like one before it.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import pytest
 from result import Err, Ok
+from twisted.web.http_headers import Headers
 
 from papayapier import events
 from papayapier.errors import ErrorKind, Outcome
@@ -9,6 +10,7 @@
 from papayapier.policy.loads import ReplicaUse
 from papayapier.policy.placers import Placed
 from papayapier.upstream.api import FailureKind, Sent
+from papayapier.upstream.raw import RawAnswer
 from tests.forward_world import Caller, Ended, ForwardWorld
 from tests.log_catcher import LogCatcher
 
@@ -127,7 +129,7 @@
     world = ForwardWorld()
     ends = world.begin(idempotent=False)
     world.sends[0].answer(500, b"failed")
-    assert ends[0].unwrap().body == b"failed"
+    assert ends[0] == Ok(RawAnswer(500, Headers(), b"failed"))
     assert len(world.sends) == 1
 
 
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -10,7 +10,8 @@
 from papayapier.jobs.records import JobRecord, encode, group_key, job_key, read_group
 from papayapier.jobs.runner import RECALL_MS, JobRunner, RunnerDeps
 from papayapier.store.api import Change, StoreError
-from tests.jobs_run_world import EVENTS, Answer, RouteTo, World
+from papayapier.upstream.raw import PassedOn
+from tests.jobs_run_world import EVENTS, RouteTo, World
 from tests.jobs_world import JOB, MemoryStore, group, record
 
 
@@ -50,7 +51,7 @@
     def finish(self, item_id: str) -> None:
         work = self.runner._owned[JOB]
         work.items[item_id].texts = ["x"] * EVENTS
-        self.sent[item_id].callback(Ok(Answer()))
+        self.sent[item_id].callback(Ok(PassedOn(200)))
 
     def listed(self, number: int) -> list[str]:
         read = read_group(self.memory.objects[group_key(JOB, number)][1]).unwrap()
