Take a stream that ends with its connection within an event for cut

A caller would have been given half an event and a last chunk. Cause: where a replica declares neither chunks nor a length, the end of its connection is the end of the stream. Only a reset counted as cut, but a process that is killed closes its connections with a FIN where nothing is unread, and what was left of an event was passed on as the stream's last part. Why it works: an event without its blank line is no event, so such a stream has not come to its end; it is resumed where it may be, after the last whole event, and broken off otherwise. Batch items did this already.

--- a/papayapier/dispatch/passed_streams.py
+++ b/papayapier/dispatch/passed_streams.py
@@ -56,6 +56,9 @@
     def on_end(self, declared: bool) -> Fault | None:
         self.declared = declared
         rest = self._cutter.rest()
+        if not declared and rest.strip():
+            # A process that is killed closes its connections as one that has ended its answer.
+            return Fault(FailureKind.CUT, "the stream ended with its connection, within an event")
         if rest:
             self._reader.write(rest)
         return None
