Break a resumed stream off that goes on at another event than the next

A replica that reads the last event's id otherwise than it was meant would have had its pieces passed on: some twice, or a gap. Cause: who passes a stream on looked at event ids only to know the last one; batch items compare each. Evidence: the new test fails before for a run that begins anew, one that repeats the last event and one that skips one. Why it works: the first event of a run that was asked to go on after n must be n + 1, as the platform's pages say; otherwise nothing of it is passed on, the try has failed, and the next one is asked to go on after n again.

--- a/papayapier/dispatch/passed_streams.py
+++ b/papayapier/dispatch/passed_streams.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from papayapier.upstream.api import FailureKind
-from papayapier.upstream.event_cutter import EventCutter
+from papayapier.upstream.event_cutter import NO_EVENT, EventCutter, first_id
 from papayapier.upstream.phases import Fault
 
 if TYPE_CHECKING:
@@ -23,11 +23,13 @@
 class PassedStream:
     """Hold what a caller has been sent; a replica that goes on begins after the last event."""
 
-    __slots__ = ("_cutter", "_reader", "began_ms", "declared", "started")
+    __slots__ = ("_cutter", "_reader", "_resumed", "began_ms", "declared", "started")
 
     def __init__(self, reader: Reader, last_event: int) -> None:
         self._reader = reader
         self._cutter = EventCutter(last_event)
+        # The next event is the first of a run that was asked to go on after another.
+        self._resumed = last_event != NO_EVENT
         self.started = False
         self.declared = False
         self.began_ms = 0
@@ -37,6 +39,7 @@
 
     def restart(self) -> None:
         self._cutter.restart()
+        self._resumed = self._cutter.last_id != NO_EVENT
         self.began_ms = 0
 
     def on_head(self, head: "Head") -> None:
@@ -46,11 +49,17 @@
 
     def on_data(self, data: bytes, now_ms: int) -> Fault | None:
         self.began_ms = self.began_ms or now_ms
+        last = self._cutter.last_id
         whole = self._cutter.feed(data)
         if whole is None:
             return Fault(FailureKind.BROKEN, "an event is too long")
-        if whole:
-            self._reader.write(whole)
+        if not whole:
+            return None
+        if self._resumed and first_id(whole) not in (NO_EVENT, last + 1):
+            self._cutter.last_id = last
+            return Fault(FailureKind.BROKEN, f"event {first_id(whole)} came after {last}")
+        self._resumed = False
+        self._reader.write(whole)
         return None
 
     def on_end(self, declared: bool) -> Fault | None:
--- a/papayapier/upstream/event_cutter.py
+++ b/papayapier/upstream/event_cutter.py
@@ -8,6 +8,7 @@
 
 MAX_EVENT_BYTES: Final = 1_000_000
 NO_EVENT: Final = -1
+ID_FIELD: Final = b"\nid:"
 
 
 class EventCutter:
@@ -38,14 +39,26 @@
         return self._rest
 
     def _note_id(self, whole: bytes) -> None:
-        at = whole.rfind(b"\nid:")
-        if at < 0 and whole.startswith(b"id:"):
-            at = -1
-        elif at < 0:
+        at = whole.rfind(ID_FIELD)
+        if at < 0 and not whole.startswith(ID_FIELD[1:]):
             return
-        digits = whole[at + 4 :].split(b"\n", 1)[0].strip()
-        if digits.isdigit():
-            self.last_id = int(digits)
+        found = _id_at(whole, at)
+        if found != NO_EVENT:
+            self.last_id = found
+
+
+def first_id(whole: bytes) -> int:
+    """Return the first id that whole events state, or NO_EVENT."""
+    if whole.startswith(ID_FIELD[1:]):
+        return _id_at(whole, -1)
+    at = whole.find(ID_FIELD)
+    return NO_EVENT if at < 0 else _id_at(whole, at)
+
+
+def _id_at(whole: bytes, line_end: int) -> int:
+    """Return the id in the line after a line's end; -1 stands for that before the first line."""
+    digits = whole[line_end + len(ID_FIELD) :].split(b"\n", 1)[0].strip()
+    return int(digits) if digits.isdigit() else NO_EVENT
 
 
 def _end_of_last(data: bytes) -> int:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -200,6 +200,27 @@
     assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
 
 
+@pytest.mark.parametrize("first", [1, 2, 4])
+def test_a_resumed_stream_goes_on_with_the_next_event_or_not_at_all(first: int) -> None:
+    # Failure: pieces come twice or are missing, because a replica goes on at another event than
+    # that after the last one passed on.
+    world = ForwardWorld()
+    caller = Caller()
+    world.begin(idempotent=True, caller=caller)
+    world.sends[0].events(1, 2)
+    world.sends[0].fail(FailureKind.CUT, Sent.MAYBE)
+    world.time.advance(1_000)
+    taker = world.sends[1].taker
+    assert taker is not None
+    event = f"id: {first}\ndata: {first}\n\n".encode()
+    fault = taker.on_data(event[:5], 1) or taker.on_data(event[5:], 1)
+    assert fault is not None
+    world.sends[1].fail(fault.kind, Sent.MAYBE)
+    world.time.advance(1_000)
+    world.sends[2].events(3)
+    assert caller.body == b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
+
+
 CRASH_MS = 30
 SOUND_MS = 130
 SOUND_GAP_MS = 60
