--- /dev/null
+++ b/papayapier/dispatch/forward_state.py
@@ -0,0 +1,122 @@
+"""Hold what forwarding a request works with, and what one request has come to."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from twisted.web.http_headers import Headers
+
+from papayapier.dispatch.again import Tries
+from papayapier.dispatch.lost_sends import name_work
+from papayapier.dispatch.passed_streams import PassedStream, Reader
+from papayapier.upstream.event_cutter import NO_EVENT
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from papayapier.clock import Clock
+    from papayapier.config.profiles import Profile
+    from papayapier.dispatch.crash_watch import CrashWatch
+    from papayapier.metrics import Metrics
+    from papayapier.policy.admission import AdmissionQueue
+    from papayapier.policy.first_byte import FirstByteTimes
+    from papayapier.policy.loads import LoadBook
+    from papayapier.policy.outliers import Outliers
+    from papayapier.policy.placers import Placed, Wanting
+    from papayapier.policy.retries import RetryBudget
+    from papayapier.policy.routing import RouteRequest
+    from papayapier.upstream.api import Replica
+    from papayapier.upstream.raw import RawAnswer, SendRaw
+
+
+class RawRequest(NamedTuple):
+    """Describe a caller's request; due_ms is on the monotonic clock.
+
+    prompt names the parts of the prompt that a replica may have cached; last_event is that
+    after which the caller wants the stream to go on. returned tells that its caller has used up
+    a part of its time elsewhere, may_return whether it may come again when it is refused.
+    """
+
+    request_id: str
+    profile: "Profile"
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    stream: bool
+    prompt: str
+    due_ms: int
+    last_event: int = NO_EVENT
+    arrived_ms: int = 0
+    team: str = ""
+    rank: int = 0
+    objective_ms: int = 0
+    returned: bool = False
+    may_return: bool = True
+
+    def caller(self) -> str:
+        """Return who shares room fairly: teams, or routes where there are none."""
+        return self.team or self.profile.name
+
+    def work(self) -> str:
+        """Return the name of the work, which is the same when its caller returns."""
+        host = self.headers.getRawHeaders(b"Host", [b""])[0].decode("latin-1")
+        return name_work(self.method, host, self.target, self.body, self.team)
+
+
+class ForwardDeps(NamedTuple):
+    """Group what forwarding works with.
+
+    head writes the headers for one replica: the request's, the replica, the ms left and the
+    last event. uses_changed is told whenever the open calls at some replica have changed. place
+    returns what whoever places calls for all has decided; unanswered tells it of a replica that has
+    not answered. fresh tells whether peers tell of their
+    calls within some 50 ms.
+    """
+
+    clock: "Clock"
+    rand: "random.Random"
+    data_centre: str
+    book: "LoadBook"
+    outliers: "Outliers"
+    crashes: "CrashWatch"
+    queue: "AdmissionQueue"
+    budget: "RetryBudget"
+    first_bytes: "FirstByteTimes"
+    send: "SendRaw"
+    head: "Callable[[Headers, Replica, int | None, int], Headers]"
+    metrics: "Metrics"
+    uses_changed: "Callable[[], None]"
+    place: "Callable[[RouteRequest, Wanting], Awaitable[Placed]]"
+    unanswered: "Callable[[Replica], None]"
+    fresh: "Callable[[], bool]"
+
+
+class Progress:
+    """Keep what one request has sent and received over all its attempts."""
+
+    __slots__ = (
+        "answer",
+        "began_ms",
+        "has_place",
+        "held_ms",
+        "placed",
+        "replicas",
+        "stream",
+        "tries",
+    )
+
+    def __init__(self, req: RawRequest, reader: Reader | None, began_ms: int) -> None:
+        self.tries = Tries(fresh=not req.profile.idempotent)
+        self.began_ms = began_ms
+        self.replicas: list[str] = []
+        self.held_ms = 0
+        # The replica of this send had room, by whoever knows the calls of all.
+        self.has_place = False
+        # Sends that a placer chose; the rest were chosen here.
+        self.placed = 0
+        self.answer: RawAnswer | None = None
+        self.stream = PassedStream(reader, req.last_event) if reader is not None else None
+
+    def begun(self) -> bool:
+        """Tell whether the caller has been given the head of a stream."""
+        return self.stream is not None and self.stream.started
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -6,20 +6,19 @@
 replica.
 """
 
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import Final
 
 from result import Err, Ok, Result
-from twisted.web.http_headers import Headers
 
 from papayapier import events
-from papayapier.dispatch.again import Tries, apart_ms, before_again, decide_again
+from papayapier.dispatch.again import apart_ms, before_again, decide_again
 from papayapier.dispatch.blame import blames_replica
-from papayapier.dispatch.lost_sends import name_work
-from papayapier.dispatch.passed_streams import PassedStream, Reader
+from papayapier.dispatch.forward_state import ForwardDeps, Progress, RawRequest
+from papayapier.dispatch.passed_streams import Reader
 from papayapier.dispatch.truth import make_true
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.placers import Placed, Wanting
+from papayapier.policy.placers import Wanting
 from papayapier.policy.retries import GiveUp, Retry
 from papayapier.policy.routing import RouteRequest, pick_replica
 from papayapier.policy.waiting import start_by_ms, wait_limit_ms
@@ -27,21 +26,6 @@
 from papayapier.upstream.event_cutter import NO_EVENT
 from papayapier.upstream.raw import Answered, RawAnswer, RawCall
 
-if TYPE_CHECKING:
-    import random
-    from collections.abc import Awaitable, Callable
-
-    from papayapier.clock import Clock
-    from papayapier.config.profiles import Profile
-    from papayapier.dispatch.crash_watch import CrashWatch
-    from papayapier.metrics import Metrics
-    from papayapier.policy.admission import AdmissionQueue
-    from papayapier.policy.first_byte import FirstByteTimes
-    from papayapier.policy.loads import LoadBook
-    from papayapier.policy.outliers import Outliers
-    from papayapier.policy.retries import RetryBudget
-    from papayapier.upstream.raw import SendRaw
-
 FULL_RETRY_MS: Final = 200
 # What a replica looks like that is dark, gone, or resets each connection and so looks idle.
 UNANSWERED: Final = frozenset({FailureKind.SILENT, FailureKind.CONNECT, FailureKind.CUT})
@@ -50,100 +34,6 @@
 REJECTIONS_MAX: Final = 4
 
 
-class RawRequest(NamedTuple):
-    """Describe a caller's request; due_ms is on the monotonic clock.
-
-    prompt names the parts of the prompt that a replica may have cached; last_event is that
-    after which the caller wants the stream to go on. returned tells that its caller has used up
-    a part of its time elsewhere, may_return whether it may come again when it is refused.
-    """
-
-    request_id: str
-    profile: "Profile"
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    stream: bool
-    prompt: str
-    due_ms: int
-    last_event: int = NO_EVENT
-    arrived_ms: int = 0
-    team: str = ""
-    rank: int = 0
-    objective_ms: int = 0
-    returned: bool = False
-    may_return: bool = True
-
-    def caller(self) -> str:
-        """Return who shares room fairly: teams, or routes where there are none."""
-        return self.team or self.profile.name
-
-    def work(self) -> str:
-        """Return the name of the work, which is the same when its caller returns."""
-        host = self.headers.getRawHeaders(b"Host", [b""])[0].decode("latin-1")
-        return name_work(self.method, host, self.target, self.body, self.team)
-
-
-class ForwardDeps(NamedTuple):
-    """Group what forwarding works with.
-
-    head writes the headers for one replica: the request's, the replica, the ms left and the
-    last event. uses_changed is told whenever the open calls at some replica have changed. place
-    returns what whoever places calls for all has decided; unanswered tells it of a replica that has
-    not answered. fresh tells whether peers tell of their
-    calls within some 50 ms.
-    """
-
-    clock: "Clock"
-    rand: "random.Random"
-    data_centre: str
-    book: "LoadBook"
-    outliers: "Outliers"
-    crashes: "CrashWatch"
-    queue: "AdmissionQueue"
-    budget: "RetryBudget"
-    first_bytes: "FirstByteTimes"
-    send: "SendRaw"
-    head: "Callable[[Headers, Replica, int | None, int], Headers]"
-    metrics: "Metrics"
-    uses_changed: "Callable[[], None]"
-    place: "Callable[[RouteRequest, Wanting], Awaitable[Placed]]"
-    unanswered: "Callable[[Replica], None]"
-    fresh: "Callable[[], bool]"
-
-
-class _Progress:
-    """Keep what one request has sent and received over all its attempts."""
-
-    __slots__ = (
-        "answer",
-        "began_ms",
-        "has_place",
-        "held_ms",
-        "placed",
-        "replicas",
-        "stream",
-        "tries",
-    )
-
-    def __init__(self, req: RawRequest, reader: Reader | None, began_ms: int) -> None:
-        self.tries = Tries(fresh=not req.profile.idempotent)
-        self.began_ms = began_ms
-        self.replicas: list[str] = []
-        self.held_ms = 0
-        # The replica of this send had room, by whoever knows the calls of all.
-        self.has_place = False
-        # Sends that a placer chose; the rest were chosen here.
-        self.placed = 0
-        self.answer: RawAnswer | None = None
-        self.stream = PassedStream(reader, req.last_event) if reader is not None else None
-
-    def begun(self) -> bool:
-        """Tell whether the caller has been given the head of a stream."""
-        return self.stream is not None and self.stream.started
-
-
 async def forward(
     deps: ForwardDeps, req: RawRequest, reader: Reader | None
 ) -> Result[Answered, Refusal]:
@@ -152,7 +42,7 @@
     A good answer to a stream has been written to the reader, which is all that is returned of it.
     Once the reader has begun, the end is that or a refusal.
     """
-    progress = _Progress(req, reader, deps.clock.now())
+    progress = Progress(req, reader, deps.clock.now())
     deps.budget.on_request(req.profile.upstream, deps.clock.now())
     while True:
         held = deps.crashes.refusal(req.request_id, req.work)
@@ -173,7 +63,7 @@
         await _before_retry(deps, req, replica, sent.err_value, decision, progress, pause_ms)
 
 
-def _note_end(deps: ForwardDeps, req: RawRequest, progress: _Progress, answer: Answered) -> None:
+def _note_end(deps: ForwardDeps, req: RawRequest, progress: Progress, answer: Answered) -> None:
     """Log how a request went, in one line that says where its time was spent."""
     now = deps.clock.now()
     stream = progress.stream
@@ -198,7 +88,7 @@
 
 
 def _end(
-    deps: ForwardDeps, req: RawRequest, progress: _Progress, refusal: Refusal
+    deps: ForwardDeps, req: RawRequest, progress: Progress, refusal: Refusal
 ) -> Result[Answered, Refusal]:
     """End without a good answer: a replica's own answer says more than any refusal.
 
@@ -210,9 +100,7 @@
     return Err(make_true(refusal, progress.tries.maybe_sent))
 
 
-async def _pick(
-    deps: ForwardDeps, req: RawRequest, progress: "_Progress"
-) -> Result[Replica, Refusal]:
+async def _pick(deps: ForwardDeps, req: RawRequest, progress: Progress) -> Result[Replica, Refusal]:
     """Return the replica that a placer names, or one chosen by what is known here."""
     upstream = req.profile.upstream
     route = RouteRequest(
@@ -239,7 +127,7 @@
     return Err(_no_replica(req)) if picked is None else Ok(picked)
 
 
-def _wanting(deps: ForwardDeps, req: RawRequest, progress: "_Progress", now: int) -> Wanting:
+def _wanting(deps: ForwardDeps, req: RawRequest, progress: Progress, now: int) -> Wanting:
     """Say what is left of the request's time until it must start.
 
     What has been sent may not be told to return.
@@ -263,7 +151,7 @@
 
 
 async def _send_once(
-    deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress
+    deps: ForwardDeps, req: RawRequest, replica: Replica, progress: Progress
 ) -> Result[Answered, Failure]:
     progress.tries.made += 1
     progress.replicas.append(replica.id)
@@ -288,7 +176,7 @@
 
 
 def _judge_answer(
-    req: RawRequest, answer: RawAnswer, progress: _Progress
+    req: RawRequest, answer: RawAnswer, progress: Progress
 ) -> Result[Answered, Failure]:
     """Take a replica's failure for the answer, unless another replica may do better.
 
@@ -303,7 +191,7 @@
 
 
 def _call(
-    deps: ForwardDeps, req: RawRequest, replica: Replica, progress: _Progress, now: int
+    deps: ForwardDeps, req: RawRequest, replica: Replica, progress: Progress, now: int
 ) -> RawCall:
     left_ms = req.due_ms - now
     attempts_left = req.profile.retry.attempts - progress.tries.made + 1
@@ -334,7 +222,7 @@
     req: RawRequest,
     replica: Replica,
     sent: Result[Answered, Failure],
-    progress: _Progress,
+    progress: Progress,
     started: int,
 ) -> None:
     """Teach the outlier detection and the first-byte timer how the send ended."""
@@ -358,7 +246,7 @@
 
 
 def _after_failure(
-    deps: ForwardDeps, req: RawRequest, replica: Replica, failure: Failure, progress: _Progress
+    deps: ForwardDeps, req: RawRequest, replica: Replica, failure: Failure, progress: Progress
 ) -> Retry | GiveUp:
     tries = progress.tries
     earlier = tries.note(failure)
@@ -375,7 +263,7 @@
     replica: Replica,
     failure: Failure,
     retry: Retry,
-    progress: _Progress,
+    progress: Progress,
     pause_ms: int,
 ) -> None:
     stream = progress.stream
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -12,7 +12,8 @@
 from papayapier.clock import MS_PER_S
 from papayapier.config.route_table import Route, RouteTable, WorkKind, pick_profile
 from papayapier.config.teams import Team, name_of
-from papayapier.dispatch.forwarding import RawRequest, forward
+from papayapier.dispatch.forward_state import RawRequest
+from papayapier.dispatch.forwarding import forward
 from papayapier.dispatch.start_queue import Ask, StartQueue
 from papayapier.entry.raw_refusals import count_refusal, refuse_raw
 from papayapier.errors import ErrorKind, Refusal, not_run
@@ -28,7 +29,7 @@
     from twisted.web.http_headers import Headers
 
     from papayapier.clock import Clock
-    from papayapier.dispatch.forwarding import ForwardDeps
+    from papayapier.dispatch.forward_state import ForwardDeps
     from papayapier.metrics import Metrics
     from papayapier.upstream.exchange import Head
 
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -9,7 +9,7 @@
 from papayapier import events
 from papayapier.clock import Clock
 from papayapier.config.route_table import RouteTable
-from papayapier.dispatch.forwarding import ForwardDeps
+from papayapier.dispatch.forward_state import ForwardDeps
 from papayapier.dispatch.start_queue import StartQueue
 from papayapier.entry.forward_routes import (
     ForwardResource,
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -10,7 +10,8 @@
 from papayapier.clock import fake_clock
 from papayapier.config.profiles import Profile, RetryRule
 from papayapier.dispatch.crash_watch import CrashWatch
-from papayapier.dispatch.forwarding import ForwardDeps, RawRequest, forward
+from papayapier.dispatch.forward_state import ForwardDeps, RawRequest
+from papayapier.dispatch.forwarding import forward
 from papayapier.errors import Refusal
 from papayapier.metrics import make_metrics
 from papayapier.policy.admission import AdmissionQueue
