Let replicas answer streams with errors in the soak, beside cuts, kills and restarts

Now 0.6 of the streams fail at every replica by turns of 0.2 to 1.5 s, drawn from a random source of its own, so that the other plays of a seed are drawn as before. No check is changed. The stand-in takes a function that says which requests fail; the site test uses the same.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -29,9 +29,9 @@
 class StandinReplica(_Resource):  # type: ignore[misc]
     """Serve one replica; runs counts what it has begun, by request id, in SLOTS at once.
 
-    cut_after breaks every stream after that many events; hang answers nothing; shed rejects. each
-    request in failing is answered with an error once, by whichever replica has it first. A request
-    whose path has CRASHING in it ends the replica; ended is called then.
+    cut_after breaks every stream after that many events; hang answers nothing; shed rejects; fails
+    tells which requests are run and answered with an error. A request whose path has CRASHING in it
+    ends the replica; ended is called then.
     """
 
     isLeaf = True  # noqa: N815
@@ -43,7 +43,7 @@
         self.cut_after = 0
         self.hang = False
         self.shed = False
-        self.failing: set[str] = set()
+        self.fails: Callable[[Any], bool] = fails_none
         self.gone_runs = 0
         # Requests that are open now, and the most there were.
         self.open = 0
@@ -126,8 +126,7 @@
         request.setHeader("X-Request-Id", request_id)
         request.setHeader("X-Server-Stamp", "signed")
         request.setHeader("X-Server-Load", "1,0,4")
-        if request_id in self.failing:
-            self.failing.remove(request_id)
+        if self.fails(request):
             request.setResponseCode(500)
             return b"failed"
         if b"/stream/" not in request.path and b"/job/" not in request.path:
@@ -154,6 +153,11 @@
         reactor.callLater(EVENT_S, self._event, request, number + 1, sent + 1)
 
 
+def fails_none(_request: Any) -> bool:
+    """Fail no request."""
+    return False
+
+
 def _refuse(request: Any, status: int) -> bytes:
     request.setResponseCode(status)
     request.setHeader("X-Not-Executed", "1")
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -5,6 +5,7 @@
 Callers send requests of every kind and jobs, some of them twice and at two entries, while
 processes are killed, paused and replaced, the store goes away and loses answers, and replicas
 hang, break off and leave, and a request that ends the replicas that run it comes again and again.
+Streams meet errors of replicas beside all this, so that some are begun after one and then cut.
 Keys are withdrawn and added meanwhile, and one team sends far more than its allowance.
 What is checked holds at any moment and for any seed.
 """
@@ -22,7 +23,7 @@
 
 from papayapier.errors import ErrorKind
 from papayapier.policy.crashes import LOSSES_MOST
-from tests.site.replicas import EVENTS
+from tests.site.replicas import EVENTS, fails_none
 from tests.site.world import SiteWorld, begin, configuration, new_id, pause
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 JOB_GAP_S: Final = 0.7
 FAULT_GAP_S: Final = 1.5
 SETTLE_S: Final = 4.0
+ERROR_SHARE: Final = 0.6
 ITEMS: Final = 3
 # What another writer may leave among the entries of replicas.
 FOREIGN: Final[tuple[object, ...]] = (
@@ -79,6 +81,7 @@
     def __init__(self, world: SiteWorld, seed: int, large: bool = False) -> None:
         self.world = world
         self.large = large
+        self.seed = seed
         self.rand = random.Random(seed)
         self.answers: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
@@ -101,7 +104,14 @@
             self.world.placing = {"queue": True}
         await self.world.start(entries=2, keepers=3 if self.large else 2)
         self.world.replace_crashed()
-        plays = [self._requests(), self._jobs(), self._faults(), self._crashing(), self._capped()]
+        plays = [
+            self._requests(),
+            self._jobs(),
+            self._faults(),
+            self._crashing(),
+            self._capped(),
+            self._errors(),
+        ]
         if self.large:
             plays.append(self._jumps())
         loops = [begin(loop) for loop in plays]
@@ -243,6 +253,22 @@
         await pause(self.rand.uniform(0.2, 1.5))
         replica.cut_after, replica.shed = 0, False
 
+    async def _errors(self) -> None:
+        """Let replicas answer part of their streams with errors for some time."""
+        rand = random.Random(self.seed)
+
+        def fails(request: Any) -> bool:
+            return b"/stream/" in request.path and rand.random() < ERROR_SHARE
+
+        while not self.stopping:
+            await pause(rand.uniform(0.2, FAULT_GAP_S))
+            failing = list(self.world.replicas)
+            for replica in failing:
+                replica.fails = fails
+            await pause(rand.uniform(0.2, FAULT_GAP_S))
+            for replica in failing:
+                replica.fails = fails_none
+
     async def _replica_replaced(self) -> None:
         """Let a replica leave that no request has ended, and another one take its place."""
         old = self.rand.choice([one for one in self.world.replicas if not one.crashed])
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -65,8 +65,16 @@
         world = self.world
         world.store.put("config", "main", configuration(maxAttempts=2))
         request_ids = {new_id(), new_id()}
+        met = set(request_ids)
+
+        def fails(request: Any) -> bool:
+            request_id = request.getHeader("X-Request-Id")
+            first = request_id in met
+            met.discard(request_id)
+            return first
+
         for replica in world.replicas[:2]:
-            replica.failing = request_ids
+            replica.fails = fails
             replica.cut_after = 2
         await world.start(entries=2, keepers=0)
         sends = [
