Look at a socket without reading it in one place

It is papayapier/sockets.py now; the reason why a kept connection is looked at stands where it is used.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -6,7 +6,6 @@
 that a planned stop can wait for each answer to have left this process.
 """
 
-import socket
 import tempfile
 from collections.abc import Callable
 from io import BytesIO
@@ -23,6 +22,7 @@
 from papayapier.entry.answers import refusal_body, refuse, whole_body
 from papayapier.errors import ErrorKind, Refusal, not_run, unknown
 from papayapier.policy.held_bytes import UNBOUNDED, HeldBytes
+from papayapier.sockets import is_quiet
 
 IDLE_TIMEOUT_S: Final = 75
 FLUSH_LIMIT_S: Final = 15
@@ -277,24 +277,13 @@
 
         On a new connection the first request may be a moment behind; it is given some looks.
         """
-        if self.requests or self._buffer or not _is_quiet(self.transport.getHandle()):
+        if self.requests or self._buffer or not is_quiet(self.transport.getHandle()):
             return
         self._looks += 1
         if self._served or self._looks > NEW_CONNECTION_LOOKS:
             self.loseConnection()
 
 
-def _is_quiet(sock: socket.socket) -> bool:
-    """Tell whether nothing has come on a connection that is yet to be read."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 class CountingSite(_Site):  # type: ignore[misc]
     """Hold the open connections of one listening port."""
 
--- a/papayapier/upstream/pool.py
+++ b/papayapier/upstream/pool.py
@@ -21,6 +21,8 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgent
 
+from papayapier.sockets import is_quiet
+
 # Connections in use are never bounded: a bound would let a call wait for another's answer.
 KEPT_MAX: Final = 4_096
 # Shorter than the 5 s after which common servers close an idle connection. A call written
@@ -148,29 +150,15 @@
     def _usable(self, protocol: Any) -> bool:
         if self.alive_ms.get(protocol, 0) <= self.distrusted_ms:
             return False
-        return _is_quiet(protocol.transport.getHandle())
+        # A replica that has closed it shows here before the reactor has come round to it. Bytes
+        # that nobody asked for would be taken as the start of the next answer.
+        return is_quiet(protocol.transport.getHandle())
 
 
 def _make_pool(reactor: Any, persistent: bool) -> Any:
     return _LeasingPool(reactor, persistent)
 
 
-def _is_quiet(sock: socket.socket) -> bool:
-    """Tell whether an idle connection is open and has nothing to read.
-
-    A replica that has closed it shows here before the reactor has come round to it, so that
-    no call is written to it and lost. Bytes that nobody asked for would be taken as the
-    start of the next answer.
-    """
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def _abort(protocol: Any) -> None:
     # abort() alone first sends what is still buffered; abortConnection() alone leaves the
     # protocol looking idle until the next turn of the reactor, and a pool that already
