Play two thousand callers that hardly read or send against one entry as a process

No reader was ended: the kernel takes 420 KB of an answer itself, so that nothing is left unread in the process. No change of the program was needed.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -20,6 +20,9 @@
 EVENT_S: Final = 0.02
 # A request with this in its path ends each replica that begins to run it.
 CRASHING: Final = b"crash"
+# A request of this path is answered with a large body.
+LARGE: Final = b"/look/large"
+LARGE_BYTES: Final = 420_000
 CRASH_S: Final = 0.02
 # The platform's list drops a replica that has ended only after some silence.
 LAPSE_S: Final = 0.5
@@ -129,6 +132,8 @@
         if self.fails(request):
             request.setResponseCode(500)
             return b"failed"
+        if request.path == LARGE:
+            return b"x" * LARGE_BYTES
         if b"/stream/" not in request.path and b"/job/" not in request.path:
             return b"whole answer"
         after = int(request.getHeader("Last-Event-Id") or 0)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -98,6 +98,8 @@
         self.peer: dict[str, Any] = {}
         # Where calls wait that find no room.
         self.placing: dict[str, Any] = {}
+        # What an entry may hold for its callers.
+        self.memory: dict[str, Any] = {}
         # The key that callers show, if any.
         self.key = ""
         self.callers: dict[str, int] = {}
@@ -195,6 +197,7 @@
             "peer": {"port": _free_port(), **self.peer},
             "allowance": {"window_s": 5, "overrun": 0.1, "slack": 20},
             "placing": self.placing,
+            "memory": self.memory,
             **more,
         }
         path = Path(self._folder.name) / f"{name}.json"
