Check where a stream goes on only if it may be resumed

A caller may name a last event also on a route whose streams may not be resumed, and a replica need not heed it there; its own whole answer would have been refused as broken. Cause: the check of the first event, added for runs that are joined here, also held for the first run of any request that names a last event. Evidence: the new test fails before for a stream that may not be resumed. Also: the time of arrival is the request's own, no further argument.

--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -69,8 +69,7 @@
     head writes the headers for one replica: the request's, the replica, the ms left and the
     last event. uses_changed is told whenever the open calls at some replica have changed. place
     returns what whoever places calls for all has decided; unanswered tells it of a replica that has
-    not answered. fresh tells whether peers tell of their
-    calls within some 50 ms.
+    not answered. fresh tells whether peers tell of their calls within some 50 ms.
     """
 
     clock: "Clock"
@@ -115,8 +114,13 @@
         # Sends that a placer chose; the rest were chosen here.
         self.placed = 0
         self.answer: RawAnswer | None = None
-        self.stream = PassedStream(reader, req.last_event) if reader is not None else None
+        self.stream = None if reader is None else _passed_stream(req, reader)
 
     def begun(self) -> bool:
         """Tell whether the caller has been given the head of a stream."""
         return self.stream is not None and self.stream.started
+
+
+def _passed_stream(req: RawRequest, reader: Reader) -> PassedStream:
+    # Of streams only those that may be resumed are idempotent.
+    return PassedStream(reader, req.last_event, resumable=req.profile.idempotent)
--- a/papayapier/dispatch/passed_streams.py
+++ b/papayapier/dispatch/passed_streams.py
@@ -25,11 +25,11 @@
 
     __slots__ = ("_cutter", "_reader", "_resumed", "began_ms", "declared", "started")
 
-    def __init__(self, reader: Reader, last_event: int) -> None:
+    def __init__(self, reader: Reader, last_event: int, resumable: bool) -> None:
         self._reader = reader
         self._cutter = EventCutter(last_event)
         # The next event is the first of a run that was asked to go on after another.
-        self._resumed = last_event != NO_EVENT
+        self._resumed = resumable and last_event != NO_EVENT
         self.started = False
         self.declared = False
         self.began_ms = 0
@@ -55,9 +55,10 @@
             return Fault(FailureKind.BROKEN, "an event is too long")
         if not whole:
             return None
-        if self._resumed and first_id(whole) not in (NO_EVENT, last + 1):
+        first = first_id(whole) if self._resumed else NO_EVENT
+        if first not in (NO_EVENT, last + 1):
             self._cutter.last_id = last
-            return Fault(FailureKind.BROKEN, f"event {first_id(whole)} came after {last}")
+            return Fault(FailureKind.BROKEN, f"event {first} came after {last}")
         self._resumed = False
         self._reader.write(whole)
         return None
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -201,7 +201,7 @@
         routes.metrics.requests.labels(route.name, "gone").inc()
         events.emit(events.CALLER_GONE, request=req.request_id, profile=route.name)
         raise
-    _finish(routes, request, req, done, reader, now)
+    _finish(routes, request, req, done, reader)
 
 
 async def _run(
@@ -331,7 +331,6 @@
     req: RawRequest,
     done: Result[Answered, Refusal],
     reader: _Reader | None,
-    began: int,
 ) -> None:
     name = req.profile.name
     if request.gone:
@@ -340,7 +339,7 @@
         return
     begun = reader is not None and reader.started
     if isinstance(done, Ok):
-        _finish_answer(routes, request, req, done.ok_value, begun, began)
+        _finish_answer(routes, request, req, done.ok_value, begun)
     elif begun:
         # A stream cut short must not look whole: no last chunk, the connection ends.
         count_refusal(routes, req.request_id, name, done.err_value)
@@ -355,7 +354,6 @@
     req: RawRequest,
     answer: Answered,
     begun: bool,
-    began_ms: int,
 ) -> None:
     """End an answer whose stream has been passed on, or write one of which nothing has."""
     fits = isinstance(answer, PassedOn) == begun
@@ -365,7 +363,7 @@
         return
     name = req.profile.name
     routes.metrics.requests.labels(name, "answered").inc()
-    took_s = (routes.clock.now() - began_ms) / MS_PER_S
+    took_s = (routes.clock.now() - req.arrived_ms) / MS_PER_S
     routes.metrics.latency.labels(name).observe(took_s)
     if isinstance(answer, RawAnswer):
         _write_whole(routes, request, answer)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -221,6 +221,19 @@
     assert caller.body == b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2, 3))
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+def test_only_a_stream_that_may_be_resumed_must_go_on_where_its_caller_asked(
+    resumable: bool,
+) -> None:
+    # Failure: a replica's own answer is refused, where it need not heed the caller's last event.
+    world = ForwardWorld()
+    world.begin(idempotent=resumable, caller=Caller(), last_event=4)
+    taker = world.sends[0].taker
+    assert taker is not None
+    assert (taker.on_data(b"id: 1\ndata: 1\n\n", 1) is None) is not resumable
+    assert taker.on_data(b"id: 5\ndata: 5\n\n", 1) is None
+
+
 CRASH_MS = 30
 SOUND_MS = 130
 SOUND_GAP_MS = 60
