--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -32,9 +32,9 @@
 class StandinReplica(_Resource):  # type: ignore[misc]
     """Serve one replica; runs counts what it has begun, by request id, in SLOTS at once.
 
-    cut_after breaks every stream after that many events; hang answers nothing; shed rejects; fails
-    tells which requests are run and answered with an error. A request whose path has CRASHING in it
-    ends the replica; ended is called then.
+    cut_after breaks every stream after that many events, stall_after lets it fall silent there.
+    hang answers nothing; shed rejects; fails tells which requests are run and answered with an
+    error. A request whose path has CRASHING in it ends the replica; ended is called then.
     """
 
     isLeaf = True  # noqa: N815
@@ -44,6 +44,7 @@
         self.id = f"i-{next(_NUMBERS)}"
         self.runs: list[str] = []
         self.cut_after = 0
+        self.stall_after = 0
         self.hang = False
         self.shed = False
         self.fails: Callable[[Any], bool] = fails_none
@@ -150,6 +151,8 @@
         if number > EVENTS:
             request.finish()
             return
+        if self.stall_after and sent > self.stall_after:
+            return
         if self.cut_after and sent > self.cut_after:
             request.write(f"id: {number}\nda".encode())
             reactor.callLater(0, request.transport.abortConnection)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -1,6 +1,6 @@
 """Test the whole path on the users' platform: real processes on loopback around stand-ins."""
 
-from signal import SIGKILL
+from signal import SIGKILL, SIGTERM, Signals
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -94,6 +94,24 @@
     def test_a_stream_that_met_an_error_and_breaks_off_is_cut(self) -> Any:
         return Deferred.fromCoroutine(self._error_then_cut())
 
+    async def _entry_ends(self, signal: Signals) -> None:
+        # Failure: a stream that is open where its entry ends looks whole to its caller.
+        world = self.world
+        for replica in world.replicas[:2]:
+            replica.stall_after = 2
+        await world.start(entries=1, keepers=0)
+        cut = begin(self._is_cut_off(1, new_id()))
+        await world.until(lambda: any(one.open for one in world.replicas[:2]), "a stream is open")
+        await pause(0.1)
+        world.children["entry-1"].signal(signal)
+        assert await cut
+
+    def test_a_stream_is_cut_where_its_entry_is_killed(self) -> Any:
+        return Deferred.fromCoroutine(self._entry_ends(SIGKILL))
+
+    def test_a_stalled_stream_is_cut_in_a_planned_stop(self) -> Any:
+        return Deferred.fromCoroutine(self._entry_ends(SIGTERM))
+
     async def _at_most_once(self) -> None:
         # Symptom: a request that may run once has run twice, or is said not to have run.
         # Events: its replica closes the connection after it has begun.
