--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -153,8 +153,7 @@
 
 @pytest.mark.parametrize("given_up_for", ["attempts", "replicas", "time"])
 def test_a_begun_stream_does_not_end_with_an_earlier_answer(given_up_for: str) -> None:
-    # Failure: a stream whose replica breaks off ends as complete, because an error that another
-    # replica had answered before it began is taken for its end.
+    # Failure: a stream that breaks off ends as complete, by an error met before it began.
     world = ForwardWorld()
     ends = world.begin(idempotent=True, caller=Caller(), attempts=3)
     world.sends[0].answer(500, b"failed")
@@ -202,8 +201,7 @@
 
 @pytest.mark.parametrize("first", [1, 2, 4])
 def test_a_resumed_stream_goes_on_with_the_next_event_or_not_at_all(first: int) -> None:
-    # Failure: pieces come twice or are missing, because a replica goes on at another event than
-    # that after the last one passed on.
+    # Failure: pieces come twice or are missing, since a replica goes on at another event.
     world = ForwardWorld()
     caller = Caller()
     world.begin(idempotent=True, caller=caller)
@@ -269,8 +267,7 @@
 
 
 def test_what_was_answered_lately_is_not_held_where_three_replicas_end_at_once() -> None:
-    # Failure: a request that many ask is refused for minutes, since copies of it were open at three
-    # replicas that copies of another request ended within some ms.
+    # Failure: what many ask is refused for minutes, since it was open beside a crashing request.
     world = ForwardWorld(replicas=3)
     world.begin(idempotent=True, body=b"sound")
     world.sends[0].answer()
--- a/tests/test_policy_crashes.py
+++ b/tests/test_policy_crashes.py
@@ -47,8 +47,7 @@
 
 @pytest.mark.parametrize("count", range(LOSSES_MOST, KEPT_LOSSES))
 def test_work_answered_lately_is_not_held_beside_work_that_ends_replicas(count: int) -> None:
-    # Failure: what many ask in the same words is refused for minutes, because it was open at three
-    # replicas that another request ended at once.
+    # Failure: what many ask is refused for minutes, since it was open beside a crashing request.
     book = CrashBook()
     book.note_answered("sound", START - 1)
     lose(book, count, "sound")
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -131,8 +131,7 @@
 
 
 def test_a_write_that_one_of_two_peers_lost_stays_in_doubt() -> None:
-    # Failure: "not run" for a job that runs: one peer's write lost its answer, the next one's was
-    # turned away, and only the last word counted.
+    # Failure: "not run" for a job that runs, since only the word of the peer asked last counted.
     world = World(peers=2)
     world.own.fault = lambda _call, _key: StoreError.UNAVAILABLE
     faults = [StoreError.LOST, StoreError.UNAVAILABLE]
