--- a/tests/test_jobs_room.py
+++ b/tests/test_jobs_room.py
@@ -55,3 +55,12 @@
     assert found is not None
     assert found.id == "r"
     assert room.take("none", 0) is None
+
+
+def test_every_keeper_of_a_large_fleet_has_a_replica_to_run_items_at() -> None:
+    # Failure: a keeper shares no replica of a service, and the jobs that fall to it lie for good.
+    keepers = [f"keeper-{number}" for number in range(30)]
+    for fleet in range(40):
+        replicas = [f"i-{fleet}-{number}" for number in range(47)]
+        sharing = {one for replica in replicas for one in sharers_of(replica, keepers)}
+        assert sharing == set(keepers), fleet
