Let jobs fall only to keepers that may start their items

Cause: a job falls to a keeper by the job's id, a replica's batch slots to three keepers by the replica's id, and neither hash knows of the other. An owner that shares the slots of no replica of the job's service has no room ever, and its answer to those next in line is that it runs the job. The disks that hold a job while the store is away are chosen in the same order, since nobody else knows of it then. A job that is complete is deleted by whoever completed it: by its id alone another keeper may be the first, which holds the job for open and would never delete it. Why it works: both sides go by the same list of replicas and keepers, so that every owner is among the sharers of one; views that differ for a while are mended by the looks of those next in line, as before. Not mended yet: an owner whose replicas are all dark, cut off from it or full.

--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -1,7 +1,8 @@
 """Run the items of the jobs that this instance owns, in the room that online calls leave.
 
-Who owns a job follows from rendezvous hashing over the instances that run batch and are heard
-from. Two that disagree for a while run some items twice; commits.py keeps results right.
+Who owns a job follows from rendezvous hashing over the instances that run batch, are heard from and
+may use a replica of the job's upstream. Two that disagree for a while run some items twice;
+commits.py keeps results right.
 """
 
 from collections.abc import Callable, Sequence
@@ -16,6 +17,7 @@
 from papayapier.jobs.commits import CommitDeps, Written, commit, load_groups
 from papayapier.jobs.groups import read_whole
 from papayapier.jobs.news import GroupsTold
+from papayapier.jobs.owners import JobOwners
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.runs import RunDeps, Runs
@@ -63,11 +65,14 @@
         self._held: set[str] = set()
         # Ended or complete jobs, which may come again from a disk.
         self._over: set[str] = set()
+        # Jobs that were complete while they were this instance's.
+        self._completed: set[str] = set()
         self._owned: dict[str, JobWork] = {}
         self._orphans = OrphanWatch(deps.runs.me)
         self._timer: Timer | None = None
         self._soon: Timer | None = None
-        self._sharing: Sequence[str] = ()
+        # What the owners were last worked out from.
+        self._reviewed: tuple[object, ...] = ()
         self._stopping = False
         self._pumping = False
         self._pumped_ms = self._clock.now()
@@ -116,9 +121,14 @@
         return self._runs.count()
 
     def has_closed(self, job_id: str) -> bool:
-        """Tell whether a job is this instance's, and every item of it is listed or ended."""
-        mine = owner(job_id, self._deps.runs.sharing()) == self._deps.runs.me
-        return mine and job_id not in self._open and job_id not in self._owned
+        """Tell whether a job is this instance's, and every item of it is listed or ended.
+
+        Nobody owns an ended job; it falls to one of all.
+        """
+        if job_id in self._open or job_id in self._owned:
+            return False
+        ended_here = owner(job_id, self._deps.runs.sharing()) == self._deps.runs.me
+        return job_id in self._completed or ended_here
 
     def record(self, job_id: str) -> JobRecord | None:
         """Return a job's record as the store has it, with all its items."""
@@ -156,9 +166,9 @@
 
     def review(self) -> None:
         """Work out again which jobs are this instance's."""
-        sharing = self._deps.runs.sharing()
-        for job_id, record in self._open.items():
-            mine = owner(job_id, sharing) == self._deps.runs.me or self._orphans.taken(job_id)
+        owners = self._owners()
+        for job_id, record in list(self._open.items()):
+            mine = owners.owner(job_id, record) == self._deps.runs.me or self._orphans.taken(job_id)
             if mine and job_id not in self._owned and not self._stopping:
                 self._own(job_id, record)
             elif not mine and job_id in self._owned:
@@ -168,9 +178,13 @@
         """Return which owners to ask now whether they run which jobs."""
         if self._stopping or not self._open:
             return {}
-        sharing = self._deps.runs.sharing()
-        owners = {job_id: owner(job_id, sharing) for job_id in self._open}
-        return self._orphans.asks(owners, sharing, self._clock.now())
+        owners = self._owners()
+        owned = {job_id: owners.owner(job_id, record) for job_id, record in self._open.items()}
+        return self._orphans.asks(owned, self._deps.runs.sharing(), self._clock.now())
+
+    def _owners(self) -> JobOwners:
+        runs = self._deps.runs
+        return JobOwners(runs.book, self._deps.table(), runs.sharing(), self._clock.now())
 
     def runs_of(self, job_ids: Sequence[str]) -> Answered:
         """Return which of some jobs this instance runs, and which are over."""
@@ -222,6 +236,7 @@
         self._known_ms.pop(job_id, None)
         self._held.discard(job_id)
         self._over.discard(job_id)
+        self._completed.discard(job_id)
         self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if work is not None:
@@ -254,10 +269,11 @@
                 self.pump()
 
     def _review_if_changed(self) -> None:
-        sharing = self._deps.runs.sharing()
-        if sharing != self._sharing:
-            # Also what others say of a silent one changes who shares, and no event tells it.
-            self._sharing = sharing
+        # Also what others say of a silent one changes who shares, and no event tells it.
+        runs = self._deps.runs
+        known = (runs.sharing(), runs.book.usable_changes, self._deps.table())
+        if known != self._reviewed:
+            self._reviewed = known
             self.review()
 
     def pump_soon(self) -> None:
@@ -330,6 +346,7 @@
             del self._owned[work.job_id]
             self._open.pop(work.job_id, None)
             self._over.add(work.job_id)
+            self._completed.add(work.job_id)
             events.emit(events.JOB_ENDED, job=work.job_id, reason="complete", listed=work.listed)
 
     def _spawn(self, work: Any) -> None:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -1,6 +1,7 @@
 """Wire an entry: it forwards callers' requests and serves their calls on batch jobs."""
 
 import random
+from collections.abc import Collection, Sequence
 from functools import partial
 from typing import Any, Final
 
@@ -23,6 +24,8 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.jobs.desk import DeskDeps, JobDesk
 from papayapier.jobs.news import GroupsHeard
+from papayapier.jobs.owners import JobOwners
+from papayapier.jobs.records import JobRecord
 from papayapier.listen import BODY_BYTES, Listening, adopt, listen_resource, make_body_limit
 from papayapier.node.allowances import AskDeps, allowing
 from papayapier.node.base import Followed, NodeBase, close_base, follow_common, make_base
@@ -217,11 +220,11 @@
     def keepers() -> frozenset[str]:
         return base.nodes.with_role(Role.KEEPER) & frozenset(base.hub.live())
 
-    keeping = KeepingDeps(
-        base.hub,
-        keepers,
-        base.cfg.jobs.copies(),
-    )
+    def able(record: JobRecord, running: Sequence[str]) -> Collection[str]:
+        owners = JobOwners(base.book, base.routing.table(), running, base.clock.now())
+        return owners.able(record)
+
+    keeping = KeepingDeps(base.hub, keepers, base.cfg.jobs.copies(), able)
     desk = JobDesk(
         DeskDeps(
             base.clock,
--- a/papayapier/node/keeping.py
+++ b/papayapier/node/keeping.py
@@ -1,6 +1,6 @@
 """Put a job on keepers' disks while the store is away, and answer entries that ask for it."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import Any, Final, NamedTuple
 
 from result import Ok
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from papayapier.jobs.kept_files import KeptJob
+from papayapier.jobs.records import JobRecord, read_record
 from papayapier.jobs.vault import Vault
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import KeepAsk, KeepTell
@@ -22,17 +23,25 @@
 
 
 class KeepingDeps(NamedTuple):
-    """Group what an entry works with; keepers names those that are heard."""
+    """Group what an entry works with.
+
+    keepers names those that are heard, able those of them that may run a job's items.
+    """
 
     hub: PeerHub
     keepers: Callable[[], Collection[str]]
     copies: int
+    able: Callable[[JobRecord, Sequence[str]], Collection[str]]
 
 
 async def keep(deps: KeepingDeps, job_id: str, value: bytes) -> Copies:
     """Ask keepers to hold a job; return as soon as enough have said that they do."""
-    asked = holders(job_id, deps.keepers(), deps.copies)
-    if not asked or len(value) > LARGEST_BYTES:
+    if len(value) > LARGEST_BYTES:
+        return NOT_ASKED
+    keepers = sorted(deps.keepers())
+    able = read_record(value).map(lambda record: deps.able(record, keepers)).unwrap_or(())
+    asked = holders(job_id, keepers, deps.copies, able)
+    if not asked:
         return NOT_ASKED
     count = _Count(deps.copies, len(asked))
     for keeper in asked:
--- a/papayapier/policy/job_keeping.py
+++ b/papayapier/policy/job_keeping.py
@@ -6,7 +6,7 @@
 whoever holds it creates the job once the store is back.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from papayapier.policy.rendezvous import score
@@ -31,9 +31,15 @@
 NOT_ASKED: Final = Copies(enough=False, maybe_held=False)
 
 
-def holders(job_id: str, keepers: Iterable[str], copies: int) -> Sequence[str]:
-    """Return whom to ask for a disk, or nobody where too few are there."""
-    ranked = sorted(keepers, key=lambda one: -score(job_id, one))
+def holders(
+    job_id: str, keepers: Iterable[str], copies: int, able: Collection[str] = ()
+) -> Sequence[str]:
+    """Return whom to ask for a disk, or nobody where too few are there.
+
+    Those able to run its items are asked first: nobody else knows of the job until the store is
+    back.
+    """
+    ranked = sorted(keepers, key=lambda one: (one not in able, -score(job_id, one)))
     return ranked[: copies + SPARE_HOLDERS] if len(ranked) >= copies else ()
 
 
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -90,6 +90,8 @@
         self._slots: Mapping[str, int] = NO_SLOTS
         self._listed: dict[str, list[Replica]] = {}
         self._open: dict[str, list[Replica]] = {}
+        # Grows whenever other replicas may get new work.
+        self.usable_changes = 0
         self._batch_open = 0
         self._batch_since = 0
         self._batch_told: dict[str, int] = {}
@@ -109,12 +111,14 @@
         """
         self._slots = slots
         self._listed = {}
-        self._open = {}
+        open_before, self._open = self._open, {}
         for replica in replicas:
             self._listed.setdefault(replica.upstream, []).append(replica)
             self._open.setdefault(replica.upstream, [])
             if replica.id not in leaving:
                 self._open[replica.upstream].append(replica)
+        if self._open != open_before:
+            self.usable_changes += 1
         self._forget_unlisted({replica.id for replica in replicas})
 
     def on_report(self, replica_id: str, load: Load) -> None:
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -4,7 +4,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -23,6 +23,7 @@
 from papayapier.jobs.vault import Vault, VaultDeps
 from papayapier.node.job_reading import read_here
 from papayapier.node.keeping import KeepingDeps, keep
+from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import KeepAsk, KeepTell, Message
 from papayapier.peer.questions import PeerError
 from papayapier.policy.job_keeping import Copies, holders, patience_ms
@@ -104,7 +105,9 @@
         return Ok(KeepTell(1, await self.vaults[peer_id].keep(KeptJob(ask.job_id, ask.value))))
 
     def desk(self) -> JobDesk:
-        deps = KeepingDeps(self, lambda: list(self.vaults), copies=2)  # type: ignore[arg-type]
+        deps = KeepingDeps(
+            cast(PeerHub, self), lambda: list(self.vaults), 2, lambda _record, keepers: keepers
+        )
 
         async def keep_job(job_id: str, value: bytes) -> Copies:
             return await keep(deps, job_id, value)
@@ -230,6 +233,14 @@
     assert patience_ms(400, store_away=False) == 200
 
 
+def test_one_that_may_run_a_job_is_the_first_to_hold_it() -> None:
+    # Failure: a job that comes while the store is away is held by keepers that share no replica of
+    # its service, and lies until the store is back.
+    keepers = [f"k{n}" for n in range(30)]
+    for able in keepers:
+        assert holders(JOB, keepers, 2, {able})[0] == able
+
+
 def submitted(keepers: Keepers, desk: JobDesk, job_id: str = JOB) -> Result[None, Any]:
     due_ms = keepers.time.clock.now() + 3_000
     begun = begin(desk.submit(job_id, "h.example", "/jobs/j", (item("a"),), due_ms, 400))
