Let a job whose owner's replicas are full run at others that are half empty

Cause: three keepers share a replica's batch slots, since more would fill the same slots before they hear of each other, and each that must hear of online calls at once costs a message for every change. With 47 replicas a keeper of 30 has 4.7 of them, at the least one or none. Change: three still have a part of the slots and hear of each call. A third of all keepers may use a replica at all: who has no part knows of calls by the totals that the hubs' heartbeats bring anyway, starts one stream at most, only where under half of the slots are taken, and only for a job of which nothing else runs. It gives the stream up once the others fill the replica. Evidence: test_a_job_does_not_wait_for_the_replicas_of_its_owner fails without the new starts (both cases) and passes with them. Why it works: a keeper uses none of n replicas with a chance of (2/3)^n, and no message is added: whom a call concerns is as before. Two hubs do not take each other's totals, which would keep calls that have ended in both.

--- a/papayapier/jobs/room.py
+++ b/papayapier/jobs/room.py
@@ -4,10 +4,10 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from papayapier.policy.batch_room import Use, start_limit
+from papayapier.policy.batch_room import NO_PART, Use, start_limit
 from papayapier.policy.loads import LoadBook
 from papayapier.policy.outliers import Outliers
-from papayapier.policy.totals import sharers_of
+from papayapier.policy.totals import parts_among, sharers_of
 from papayapier.upstream.api import Replica
 
 
@@ -33,8 +33,8 @@
     A replica's slots are shared by few instances. What one leaves unused the others may take,
     and with many that would all take it before they hear of each other.
     """
-    sharing = sharers_of(replica_id, deps.sharing)
-    mine = deps.me in sharing
+    may_use = sharers_of(replica_id, deps.sharing)
+    sharing = may_use[: parts_among(len(deps.sharing))]
     own = deps.book.own(replica_id).batch
     slots = deps.book.slots(replica_id)
     batch = deps.book.batch_at(replica_id)
@@ -42,29 +42,35 @@
         # What a hidden one leaves unused cannot be known, so everybody keeps to a fair part.
         batch = own + slots
     return Use(
-        slots if mine else 0,
+        slots if deps.me in may_use else 0,
         deps.book.online_at(replica_id),
         own,
         batch,
-        sharing.index(deps.me) if mine else 0,
+        sharing.index(deps.me) if deps.me in sharing else NO_PART,
         len(sharing),
     )
 
 
 class Room:
-    """Find replicas with room, working out each one's limit once."""
+    """Find replicas with room, looking at the use of each one once."""
 
     def __init__(self, deps: Shared) -> None:
         self._deps = deps
-        self._limits: dict[str, int] = {}
+        self._uses: dict[str, Use] = {}
 
-    def take(self, upstream: str, now: int) -> Replica | None:
-        """Return the replica with the most room, or None."""
+    def take(self, upstream: str, now: int, part: bool = True) -> Replica | None:
+        """Return the replica with the most room, or None.
+
+        With part only replicas of whose slots this instance has a part, without it only others.
+        """
         best: tuple[int, float, Replica] | None = None
         for replica in self._deps.book.usable(upstream, now):
             if self._deps.outliers.ejected(replica.id, now):
                 continue
-            room = self._limit(replica.id) - self._deps.book.own(replica.id).batch
+            use = self._use(replica.id)
+            if (use.place != NO_PART) is not part:
+                continue
+            room = start_limit(use) - self._deps.book.own(replica.id).batch
             if room <= 0:
                 continue
             ranked = (room, self._deps.rand.random(), replica)
@@ -72,7 +78,7 @@
                 best = ranked
         return best[2] if best is not None else None
 
-    def _limit(self, replica_id: str) -> int:
-        if replica_id not in self._limits:
-            self._limits[replica_id] = start_limit(use_of(self._deps, replica_id))
-        return self._limits[replica_id]
+    def _use(self, replica_id: str) -> Use:
+        if replica_id not in self._uses:
+            self._uses[replica_id] = use_of(self._deps, replica_id)
+        return self._uses[replica_id]
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -140,6 +140,19 @@
             upstream = route.shares[0].upstream
             if upstream not in full and not self._start_in(room, work, route, one):
                 full.add(upstream)
+        for work, route in jobs:
+            if route.shares[0].upstream in full and not work.runs():
+                self._start_without_part(room, work, route)
+
+    def _start_without_part(self, room: Room, work: JobWork, route: Route) -> None:
+        """Start one item of a job where others share the slots, so that the job does not lie."""
+        now = self._deps.clock.now()
+        for one in work.waiting(now):
+            if not self._is_held(work, one):
+                replica = room.take(route.shares[0].upstream, now, part=False)
+                if replica is not None:
+                    self._start(work, route, one, replica, part=False)
+                return
 
     def _standing(self, upstream: str, work: JobWork, one: Item, wall: float) -> Standing:
         return standing(self._times_at(upstream), len(one.texts), work.due_ms, wall)
@@ -165,7 +178,9 @@
                 self._cut(run, "late, and another can be in time", 1)
                 return
 
-    def _start(self, work: JobWork, route: Route, one: Item, replica: Replica) -> None:
+    def _start(
+        self, work: JobWork, route: Route, one: Item, replica: Replica, part: bool = True
+    ) -> None:
         one.running = True
         now = self._deps.clock.now()
         self._deps.book.on_sent(replica.id, True, now)
@@ -179,6 +194,7 @@
             left_ms=_left_ms(work, self._deps.clock),
             online=self._deps.book.online_at(replica.id),
             batch=self._deps.book.batch_at(replica.id),
+            part=part,
         )
         task = Deferred.fromCoroutine(self._run(work, route, one, replica))
         if task.called:
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -60,6 +60,10 @@
         """Return the items that may be started."""
         return [one for one in self.items.values() if not one.running and now >= one.held_until_ms]
 
+    def runs(self) -> bool:
+        """Tell whether an item runs."""
+        return any(one.running for one in self.items.values())
+
     def finish(self, item_id: str, end: ItemEnd) -> None:
         """Take the end of an item, to be written."""
         one = self.items.pop(item_id)
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -89,6 +89,8 @@
     through: MirrorDeps
     placing: PlacingDeps
     placer: Placer
+    # Whether batch may run here at a replica of whose calls only totals are heard.
+    uses_by_totals: Callable[[str], bool]
     # What a hub shows others of the store, by prefix; empty elsewhere.
     mirrors: dict[str, Mirror]
     followers: list[Follower]
@@ -195,6 +197,7 @@
         through=MirrorDeps(hub, own.id, fleet.hubs, store_return.on_told, clock, nodes.count),
         placing=placing,
         placer=placer,
+        uses_by_totals=lambda replica: fleet.uses_by_totals(replica, own.id),
         mirrors=mirrors,
         followers=[],
         tasks=[],
@@ -347,6 +350,8 @@
     hub.subscribe(Heartbeat, on_uses)
     if role is Role.ENTRY:
         follow_totals(hub, base.book)
+    else:
+        follow_totals(hub, base.book, base.uses_by_totals)
     base.tasks.append(follow_calls(hub, base.book, base.clock))
     hub.subscribe(Heartbeat, lambda _peer, _beat: base.placer.on_calls())
     hub.subscribe(CallsTold, lambda _peer, _told: base.placer.on_calls())
--- a/papayapier/node/calls_heard.py
+++ b/papayapier/node/calls_heard.py
@@ -4,6 +4,7 @@
 there is told of them by messages of their own, and a sender that is lost says nothing of its end.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from twisted.internet.defer import Deferred
@@ -47,14 +48,19 @@
     return task
 
 
-def follow_totals(hub: PeerHub, book: LoadBook) -> None:
-    """Take the totals that hubs tell, and forget those of an instance that is no hub any more."""
+def follow_totals(
+    hub: PeerHub, book: LoadBook, matters: Callable[[str], bool] = lambda _replica: True
+) -> None:
+    """Take the totals that hubs tell, and forget those of an instance that is no hub any more.
+
+    matters tells of which replicas they are taken.
+    """
     told: set[str] = set()
 
     def on_beat(peer_id: str, beat: Heartbeat) -> None:
         if peer_id in hub.plan().hubs:
             told.add(peer_id)
-            book.on_totals(peer_id, beat.totals)
+            book.on_totals(peer_id, [use for use in beat.totals if matters(use.replica)])
 
     def on_change() -> None:
         for gone in told.difference(hub.plan().hubs):
--- a/papayapier/node/large_fleet.py
+++ b/papayapier/node/large_fleet.py
@@ -5,7 +5,7 @@
 from papayapier.config.route_table import RouteTable
 from papayapier.node.processes import NodeList, Role
 from papayapier.policy.placers import make_parts, placer_of, upstream_of
-from papayapier.policy.totals import sharers_of
+from papayapier.policy.totals import first_sharers, sharers_of
 from papayapier.upstream.api import Replica
 
 
@@ -51,13 +51,25 @@
         found: set[str] = set()
         for replica in replicas:
             if self._may_run_batch(replica):
-                found.update(sharers_of(replica, keepers))
+                found.update(first_sharers(replica, keepers))
             key = self.parts.key_of.get(replica)
             placer = placer_of(key, hubs) if key is not None else None
             if placer is not None:
                 found.add(placer)
         return found
 
+    def uses_by_totals(self, replica: str, keeper: str) -> bool:
+        """Tell whether a keeper may run batch at a replica of whose calls it hears by totals.
+
+        A hub hears of the calls themselves, and two hubs that took each other's totals would tell
+        each other of calls that have ended.
+        """
+        if keeper in self._chosen():
+            return False
+        keepers = self._keepers()
+        may_use = keeper in sharers_of(replica, keepers)
+        return may_use and keeper not in first_sharers(replica, keepers)
+
     def _may_run_batch(self, replica_id: str) -> bool:
         table = self._table()
         upstream = upstream_of(self.parts.key_of.get(replica_id, ""))
--- a/papayapier/policy/batch_room.py
+++ b/papayapier/policy/batch_room.py
@@ -15,13 +15,15 @@
 # Slots of each replica that stay free for the online calls of the next 100 ms or so, the time
 # in which heartbeats tell of a jump: 9 replicas x 2 against about 8 more arrivals.
 SPARE_SLOTS: Final = 2
+# The place of an instance that has no part of a replica's slots.
+NO_PART: Final = -1
 
 
 class Use(NamedTuple):
     """Hold the open calls at a replica.
 
     online and batch are those of all instances, own this instance's part of batch. place is
-    this instance's rank, from 0, among those sharing.
+    this instance's rank, from 0, among those sharing, or NO_PART.
     """
 
     slots: int
@@ -34,6 +36,8 @@
 
 def start_limit(use: Use) -> int:
     """Return up to how many batch streams an instance may start at a replica."""
+    if use.place == NO_PART:
+        return 1 if 2 * _others(use) < use.slots else 0
     return _part(use, use.slots - use.online - SPARE_SLOTS)
 
 
@@ -44,11 +48,17 @@
     difference each online call of less than a second cancels a batch stream of five, which
     begins again as soon as the call has ended.
     """
+    if use.place == NO_PART:
+        return 1 if _others(use) < use.slots else 0
     return _part(use, use.slots - use.online)
 
 
 def _part(use: Use, slots_left: int) -> int:
     left = max(0, slots_left)
     fair = left // use.sharing + (1 if use.place < left % use.sharing else 0)
-    others = max(0, use.batch - use.own)
-    return max(fair, left - others)
+    return max(fair, left - max(0, use.batch - use.own))
+
+
+def _others(use: Use) -> int:
+    """Return the calls at a replica that are not this instance's batch streams."""
+    return use.online + max(0, use.batch - use.own)
--- a/papayapier/policy/job_owners.py
+++ b/papayapier/policy/job_owners.py
@@ -8,7 +8,7 @@
 from functools import lru_cache
 from typing import Final
 
-from papayapier.policy.totals import sharers_of
+from papayapier.policy.totals import first_sharers
 
 # Upstreams with jobs, for a few sets of instances and replicas.
 KEPT: Final = 64
@@ -26,7 +26,7 @@
 def _able(running: tuple[str, ...], replicas: tuple[str, ...]) -> tuple[str, ...]:
     found: set[str] = set()
     for replica_id in replicas:
-        found.update(sharers_of(replica_id, running))
+        found.update(first_sharers(replica_id, running))
         # Of thousands of replicas the first few hundred name everybody.
         if len(found) == len(running):
             break
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.keepers_world import DUE_MS, KeepersWorld
+from papayapier.policy.totals import first_sharers
+from tests.keepers_world import DUE_MS, SLOTS, KeepersWorld
 
 
 def names(rand: random.Random, prefix: str, count: int) -> list[str]:
@@ -54,3 +55,25 @@
         world.run(300)
     world.run(DUE_MS - 11 * 300)
     assert world.undone() == {}
+
+
+def owner_of(world: KeepersWorld, job_id: str) -> str:
+    """Return the keeper that runs a job."""
+    return next(name for name, one in world.keepers.items() if one.runner.runs_of([job_id]).runs)
+
+
+def parts_of(world: KeepersWorld, keeper: str) -> list[str]:
+    """Return the replicas of whose slots a keeper has a part."""
+    return [one for one in world.listed if keeper in first_sharers(one, world.live)]
+
+
+@pytest.mark.parametrize(("keepers", "replicas"), [(12, 15), (30, 47)])
+def test_a_job_does_not_wait_for_the_replicas_of_its_owner(keepers: int, replicas: int) -> None:
+    # Failure: all replicas that an owner shares are full of online calls for long, and its jobs
+    # lie while others have free slots.
+    world = make_world(8, keepers, replicas)
+    world.submit("job", 2)
+    for replica in parts_of(world, owner_of(world, "job")):
+        world.fill(replica, SLOTS)
+    world.run(DUE_MS)
+    assert world.undone() == {}
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -10,7 +10,7 @@
 from papayapier.node.processes import NodeList
 from papayapier.node.store_return import StoreReturn
 from papayapier.peer.messages import NEVER_AWAY
-from papayapier.policy.totals import SHARERS
+from papayapier.policy.totals import SHARERS, sharers_of
 from papayapier.store.api import Change
 from papayapier.upstream.api import Replica
 
@@ -51,6 +51,19 @@
     assert concerned <= set(HUBS[1:])
 
 
+def test_a_keeper_hears_of_calls_or_goes_by_totals() -> None:
+    # Failure: two hubs that take each other's totals tell each other of calls that have ended.
+    keepers = [f"keeper-{n:02}" for n in range(30)]
+    nodes = NodeList(lambda _members: None)
+    for name in keepers:
+        nodes.on_change(Change(f"papayapier-nodes/{name}", 1, False, b'["keeper","h",1,"dc","r"]'))
+    made = LargeFleet(nodes, lambda: keepers, lambda: keepers[:3], lambda: keepers, lambda: None)
+    made.on_replicas([Replica("i-1", "lm", "h", 1, "dc")])
+    by_totals = {one for one in keepers if made.uses_by_totals("i-1", one)}
+    assert by_totals <= set(sharers_of("i-1", keepers)) - set(keepers[:3])
+    assert by_totals.isdisjoint(made.concerned(["i-1"]))
+
+
 def test_a_replica_that_is_not_listed_concerns_no_placer() -> None:
     assert fleet(Table()).concerned(["i-9"]) == set()
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -123,6 +123,15 @@
     assert book.online_at("i-1") == 0
 
 
+def test_totals_are_taken_of_what_matters_only() -> None:
+    hub = Hub()
+    book = LoadBook()
+    follow_totals(cast(Any, hub), book, lambda replica: replica == "i-2")
+    totals = (ReplicaUse("i-1", 3, 0), ReplicaUse("i-2", 4, 0))
+    hub.hear("hub-1", Heartbeat("hub-1", 1, "live", 0, totals=totals))
+    assert (book.online_at("i-1"), book.online_at("i-2")) == (0, 4)
+
+
 def test_a_whole_listing_of_processes_is_told_once() -> None:
     # Before, 195 listed processes were 195 looks at all of them, at each start of each process.
     told: list[int] = []
--- a/tests/test_policy_batch_room.py
+++ b/tests/test_policy_batch_room.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayapier.policy.batch_room import SPARE_SLOTS, Use, keep_limit, start_limit
+from papayapier.policy.batch_room import NO_PART, SPARE_SLOTS, Use, keep_limit, start_limit
 
 SLOTS = 8
 ITEM_MS = 5_000
@@ -39,6 +39,16 @@
     assert start_limit(use(0, 0, 0, place=2, sharing=3)) == SLOTS - SPARE_SLOTS
 
 
+@pytest.mark.parametrize("others", range(SLOTS + 2))
+def test_who_has_no_part_runs_one_where_half_is_free(others: int) -> None:
+    # Failure: instances that hear of calls late fill the slots of those that have a part.
+    for batch in range(others + 1):
+        known = use(others - batch, 0, batch, NO_PART, 3)
+        assert start_limit(known) == (1 if 2 * others < SLOTS else 0)
+        running = use(others - batch, 1, batch + 1, NO_PART, 3)
+        assert keep_limit(running) == (1 if others < SLOTS else 0)
+
+
 def play(keep_spare: bool) -> tuple[int, int]:
     """Play a jump of online calls every six seconds; return items done and streams cut.
 
