Let a keeper that can start no item of a job hand the job on

Cause: asked by those next in line, an owner said that it runs a job whenever it owned it, whether or not anything came of its items. Change: an owner tells which of its jobs have stalled: nothing has come of their items for 1.5 s while none runs, or for 5 s while some do; work that is held because replicas end under it does not count. Whoever is next in line, may use a replica of the job's service and has room there takes the job, as it takes one that nobody runs, and tells the owner with this look and each further one. The owner leaves the job alone until it is given back, the taker is not heard any more, or eight seconds pass without a word. A taker whose job stalls gives it back. Only those look after a job that may start its items. 538 says why a job was taken, 539 that it was left. Why it works: the owner decides, so that of two who want a job one has it, and a job is at the most handed on once in two and a half seconds.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -216,6 +216,9 @@
 RUN_ADOPTED: Final = Event(
     538, "run_adopted", Level.WARNING, "job is run here, because its owner does not run it"
 )
+RUN_HANDED: Final = Event(
+    539, "run_handed", Level.WARNING, "job left to another instance, since nothing of it comes here"
+)
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "change accepted")
 CONFIG_APPLIED: Final = Event(602, "config_applied", Level.INFO, "object in force")
--- a/papayapier/jobs/item_run.py
+++ b/papayapier/jobs/item_run.py
@@ -33,6 +33,7 @@
             fault = self._take(event.id, event.data)
             if fault is not None:
                 return fault
+            self._one.heard_ms = now_ms
         return None
 
     def on_end(self, _declared: bool) -> Fault | None:
--- a/papayapier/jobs/owners.py
+++ b/papayapier/jobs/owners.py
@@ -26,7 +26,7 @@
 
     def able(self, record: JobRecord) -> Sequence[str]:
         """Return the instances that may start a job's items."""
-        upstream = self._upstream_of(record)
+        upstream = self.upstream_of(record)
         if upstream not in self._able:
             replicas = [replica.id for replica in self._book.usable(upstream, self._now)]
             self._able[upstream] = able_to_own(self._running, replicas)
@@ -36,7 +36,7 @@
         """Return the instance that is to run a job's items."""
         return owner(job_id, self.able(record))
 
-    def _upstream_of(self, record: JobRecord) -> str:
+    def upstream_of(self, record: JobRecord) -> str:
         """Return the upstream of a job's items, or an empty name while none is known."""
         route = self._table.find(record.host, record.path) if self._table is not None else None
         return route.shares[0].upstream if route is not None else ""
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -16,13 +16,13 @@
 from papayapier.config.route_table import Route, RouteTable
 from papayapier.jobs.commits import CommitDeps, Written, commit, load_groups
 from papayapier.jobs.groups import read_whole
+from papayapier.jobs.looks import JobLooks, LookDeps
 from papayapier.jobs.news import GroupsTold
 from papayapier.jobs.owners import JobOwners
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JOBS, ItemEnd, JobRecord, read_record
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.work import Item, JobWork
-from papayapier.policy.orphans import Answered, OrphanWatch
 from papayapier.policy.ownership import owner
 from papayapier.store.api import Change, Store
 
@@ -68,7 +68,18 @@
         # Jobs that were complete while they were this instance's.
         self._completed: set[str] = set()
         self._owned: dict[str, JobWork] = {}
-        self._orphans = OrphanWatch(deps.runs.me)
+        self.looks = JobLooks(
+            LookDeps(
+                self._clock,
+                deps.runs.me,
+                self._open,
+                self._owned,
+                self._over,
+                self._owners,
+                self._runs.has_room,
+                self.review,
+            )
+        )
         self._timer: Timer | None = None
         self._soon: Timer | None = None
         # What the owners were last worked out from.
@@ -104,6 +115,7 @@
     def stop(self) -> None:
         """Cancel every run; what was finished is still written."""
         self._stopping = True
+        self.looks.stop()
         self._runs.cancel_all()
 
     def close(self) -> None:
@@ -168,44 +180,20 @@
         """Work out again which jobs are this instance's."""
         owners = self._owners()
         for job_id, record in list(self._open.items()):
-            mine = owners.owner(job_id, record) == self._deps.runs.me or self._orphans.taken(job_id)
+            mine = self.looks.runs_here(job_id, owners.owner(job_id, record))
             if mine and job_id not in self._owned and not self._stopping:
                 self._own(job_id, record)
             elif not mine and job_id in self._owned:
                 self._disown(job_id)
 
-    def orphan_asks(self) -> dict[str, list[str]]:
-        """Return which owners to ask now whether they run which jobs."""
-        if self._stopping or not self._open:
-            return {}
-        owners = self._owners()
-        owned = {job_id: owners.owner(job_id, record) for job_id, record in self._open.items()}
-        return self._orphans.asks(owned, self._deps.runs.sharing(), self._clock.now())
-
     def _owners(self) -> JobOwners:
         runs = self._deps.runs
         return JobOwners(runs.book, self._deps.table(), runs.sharing(), self._clock.now())
 
-    def runs_of(self, job_ids: Sequence[str]) -> Answered:
-        """Return which of some jobs this instance runs, and which are over."""
-        runs = frozenset() if self._stopping else frozenset(self._owned).intersection(job_ids)
-        return Answered(runs, frozenset(self._over).intersection(job_ids))
-
-    def on_owner_said(self, owner_id: str, asked: Sequence[str], answer: Answered | None) -> None:
-        """Take what an owner says of jobs, None for nothing, and run those that nobody runs."""
-        now = self._clock.now()
-        if answer is None:
-            taken = self._orphans.on_silence(asked, now)
-        else:
-            taken = self._orphans.on_answer(asked, answer, now)
-        for job_id in taken:
-            reason = "silent" if answer is None else "denied"
-            events.emit(events.RUN_ADOPTED, job=job_id, owner=owner_id, reason=reason)
-        self.review()
-
     def _own(self, job_id: str, record: JobRecord) -> None:
         work = JobWork(job_id, record)
-        self._known_ms.setdefault(job_id, self._clock.now())
+        work.moved_ms = self._clock.now()
+        self._known_ms.setdefault(job_id, work.moved_ms)
         self._owned[job_id] = work
         events.emit(events.RUN_TAKEN, job=job_id, items=record.total)
         self._spawn(self._load(work))
@@ -223,6 +211,7 @@
     def _end_job(self, job_id: str) -> None:
         self._held.discard(job_id)
         self._over.add(job_id)
+        self.looks.forget(job_id)
         self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if self._open.pop(job_id, None) is not None:
@@ -237,6 +226,7 @@
         self._held.discard(job_id)
         self._over.discard(job_id)
         self._completed.discard(job_id)
+        self.looks.forget(job_id)
         self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if work is not None:
@@ -272,7 +262,8 @@
         # Also what others say of a silent one changes who shares, and no event tells it.
         runs = self._deps.runs
         known = (runs.sharing(), runs.book.usable_changes, self._deps.table())
-        if known != self._reviewed:
+        taken_back = self.looks.expire(runs.sharing())
+        if known != self._reviewed or taken_back:
             self._reviewed = known
             self.review()
 
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -113,6 +113,10 @@
             if run is not None:
                 run.task.cancel()
 
+    def has_room(self, upstream: str) -> bool:
+        """Tell whether an item of an upstream could be started now."""
+        return Room(self._shared()).take(upstream, self._deps.clock.now()) is not None
+
     def give_way_and_start(self, jobs: Sequence[tuple[JobWork, Route]]) -> None:
         """Give back what online calls need, and start what there is room for.
 
@@ -249,9 +253,10 @@
     def _is_held(self, work: JobWork, one: Item) -> bool:
         """Hold an item back while its work is not sent; a replica seen alive may end that soon."""
         hold_ms = self._deps.crashes.item_hold_ms(partial(self._work_of, work, one))
+        one.withheld = hold_ms > 0
         if hold_ms:
             one.held_until_ms = self._deps.clock.now() + min(hold_ms, LOOK_AGAIN_MS)
-        return hold_ms > 0
+        return one.withheld
 
     def _note_held(self, work: JobWork, one: Item) -> None:
         hold_ms = self._deps.crashes.item_hold_ms(partial(self._work_of, work, one))
@@ -294,6 +299,7 @@
                 ran_ms=one.ran_ms,
                 left_ms=_left_ms(work, self._deps.clock),
             )
+            work.moved_ms = now
             work.finish(one.item.id, ItemEnd.DONE)
             self._finished(work)
             return
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -5,6 +5,7 @@
 
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import ItemEnd, ItemResult, JobItem, JobRecord, ResultGroup
+from papayapier.policy.orphans import SILENT_MS, STALLED_MS
 from papayapier.upstream.event_cutter import NO_EVENT
 
 NOT_HELD: Final = 0
@@ -15,12 +16,14 @@
 
     __slots__ = (
         "failures",
+        "heard_ms",
         "held_until_ms",
         "item",
         "last_event",
         "ran_ms",
         "running",
         "texts",
+        "withheld",
         "work",
     )
 
@@ -29,10 +32,14 @@
         self.texts: list[str] = []
         self.last_event = NO_EVENT
         self.failures = 0
+        # When an event of it last came, monotonic.
+        self.heard_ms = 0
         # How long its runs have taken together.
         self.ran_ms = 0
         self.running = False
         self.held_until_ms = NOT_HELD
+        # Held back because replicas ended under its work, here as anywhere.
+        self.withheld = False
         # The name of its work, empty until it is asked for.
         self.work = ""
 
@@ -53,6 +60,8 @@
         self.items: dict[str, Item] = {item.id: Item(item) for item in record.items}
         self.unwritten: dict[str, ItemResult] = {}
         self.listed = 0
+        # When the job was taken or an item was last done here, monotonic.
+        self.moved_ms = 0
         # Wall clock; known once the job's route is.
         self.due_ms = math.inf
 
@@ -64,6 +73,13 @@
         """Tell whether an item runs."""
         return any(one.running for one in self.items.values())
 
+    def stalled(self, now: int) -> bool:
+        """Tell whether nothing has come for long of items that may be sent."""
+        if not self.loaded or all(one.withheld for one in self.items.values()):
+            return False
+        last_ms = max([self.moved_ms, *(one.heard_ms for one in self.items.values())])
+        return now - last_ms >= (SILENT_MS if self.runs() else STALLED_MS)
+
     def finish(self, item_id: str, end: ItemEnd) -> None:
         """Take the end of an item, to be written."""
         one = self.items.pop(item_id)
--- a/papayapier/node/orphans.py
+++ b/papayapier/node/orphans.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import Clock
-from papayapier.jobs.runner import JobRunner
+from papayapier.jobs.looks import JobLooks
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import RunsAsk, RunsTell
 from papayapier.policy.orphans import Answered
@@ -18,29 +18,32 @@
 ANSWER_MS: Final = 400
 
 
-def answer_about_runs(hub: PeerHub, runner: JobRunner) -> None:
+def answer_about_runs(hub: PeerHub, looks: JobLooks) -> None:
     """Tell peers which jobs this instance runs."""
 
     def on_ask(peer_id: str, ask: RunsAsk) -> None:
-        said = runner.runs_of(ask.job_ids)
-        hub.tell(peer_id, RunsTell(ask.ask_id, tuple(said.runs), tuple(said.over)))
+        said = looks.on_asked(peer_id, ask.job_ids, ask.taken)
+        tell = RunsTell(ask.ask_id, tuple(said.runs), tuple(said.over), tuple(said.stalled))
+        hub.tell(peer_id, tell)
 
     hub.subscribe(RunsAsk, on_ask)
 
 
-async def seek_orphans(hub: PeerHub, clock: Clock, runner: JobRunner) -> None:
+async def seek_orphans(hub: PeerHub, clock: Clock, looks: JobLooks) -> None:
     """Look for jobs that nobody runs, for as long as this instance lives."""
     while True:
         await clock.sleep(LOOK_MS)
-        for owner, job_ids in runner.orphan_asks().items():
-            task = Deferred.fromCoroutine(_ask(hub, runner, owner, tuple(job_ids)))
+        for owner, job_ids in looks.asks().items():
+            task = Deferred.fromCoroutine(_ask(hub, looks, owner, tuple(job_ids)))
             task.addErrback(report_failure, "orphans")
 
 
-async def _ask(hub: PeerHub, runner: JobRunner, owner: str, job_ids: Sequence[str]) -> None:
-    told = await hub.ask(owner, lambda ask_id: RunsAsk(ask_id, tuple(job_ids)), ANSWER_MS)
+async def _ask(hub: PeerHub, looks: JobLooks, owner: str, job_ids: Sequence[str]) -> None:
+    taken = tuple(looks.taken_of(job_ids))
+    told = await hub.ask(owner, lambda ask_id: RunsAsk(ask_id, tuple(job_ids), taken), ANSWER_MS)
     if isinstance(told, Ok) and isinstance(told.ok_value, RunsTell):
         tell = told.ok_value
-        runner.on_owner_said(owner, job_ids, Answered(frozenset(tell.runs), frozenset(tell.over)))
+        answer = Answered(frozenset(tell.runs), frozenset(tell.over), frozenset(tell.stalled))
+        looks.on_said(owner, job_ids, answer)
     else:
-        runner.on_owner_said(owner, job_ids, None)
+        looks.on_said(owner, job_ids, None)
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -277,18 +277,26 @@
 
 
 class RunsAsk(NamedTuple):
-    """Ask a keeper which of some jobs, that are its own by the asker's view, it runs."""
+    """Ask a keeper which of some jobs, that are its own by the asker's view, it runs.
+
+    taken are those of them that the asker runs in its place.
+    """
 
     ask_id: int
     job_ids: tuple[str, ...]
+    taken: tuple[str, ...] = ()
 
 
 class RunsTell(NamedTuple):
-    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended."""
+    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended.
+
+    stalled are those of which the keeper can start no item.
+    """
 
     ask_id: int
     runs: tuple[str, ...]
     over: tuple[str, ...]
+    stalled: tuple[str, ...] = ()
 
 
 class AllowAsk(NamedTuple):
--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -179,7 +179,12 @@
     def _look(self) -> None:
         """Ask owners whether they run their jobs, as seek_orphans does over sockets."""
         for one in list(self.keepers.values()):
-            for owner, job_ids in one.runner.orphan_asks().items():
+            for owner, job_ids in one.runner.looks.asks().items():
                 asked = self.keepers.get(owner)
-                answer = asked.runner.runs_of(job_ids) if asked is not None else None
-                one.runner.on_owner_said(owner, job_ids, answer)
+                taken = one.runner.looks.taken_of(job_ids)
+                answer = (
+                    asked.runner.looks.on_asked(one.name, job_ids, taken)
+                    if asked is not None
+                    else None
+                )
+                one.runner.looks.on_said(owner, job_ids, answer)
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from papayapier.policy.job_owners import able_to_own
+from papayapier.policy.ownership import owner
 from papayapier.policy.totals import first_sharers
 from tests.keepers_world import DUE_MS, SLOTS, KeepersWorld
 
@@ -58,8 +60,18 @@
 
 
 def owner_of(world: KeepersWorld, job_id: str) -> str:
-    """Return the keeper that runs a job."""
-    return next(name for name, one in world.keepers.items() if one.runner.runs_of([job_id]).runs)
+    """Return the keeper that a job falls to."""
+    return owner(job_id, able_to_own(world.live, world.listed))
+
+
+def cut_off(world: KeepersWorld, keeper: str) -> None:
+    """Cut a keeper off from all replicas, but from no other keeper."""
+    world.cut = {(keeper, replica) for replica in world.listed}
+
+
+def runs_job(world: KeepersWorld, job_id: str) -> list[str]:
+    """Return the keepers that run a job."""
+    return [name for name, one in world.keepers.items() if job_id in one.runner._owned]
 
 
 def parts_of(world: KeepersWorld, keeper: str) -> list[str]:
@@ -72,8 +84,47 @@
     # Failure: all replicas that an owner shares are full of online calls for long, and its jobs
     # lie while others have free slots.
     world = make_world(8, keepers, replicas)
-    world.submit("job", 2)
     for replica in parts_of(world, owner_of(world, "job")):
         world.fill(replica, SLOTS)
+    world.submit("job", 2)
+    world.run(DUE_MS)
+    assert world.undone() == {}
+
+
+@pytest.mark.parametrize(("keepers", "replicas"), [(2, 3), (12, 15), (30, 47)])
+def test_a_keeper_that_reaches_no_replica_hands_its_jobs_on(keepers: int, replicas: int) -> None:
+    # Failure: a keeper is cut off from the replicas and heard by all others, and its jobs lie.
+    world = make_world(9, keepers, replicas)
+    cut_off(world, owner_of(world, "job"))
+    world.submit("job", 2)
     world.run(DUE_MS)
     assert world.undone() == {}
+    assert set(world.runs.values()) == {1}
+
+
+@pytest.mark.parametrize("back_ms", [1_000, 3_000, 5_000])
+def test_a_job_that_was_handed_on_is_run_by_one(back_ms: int) -> None:
+    # Failure: the owner reaches its replicas again, and both run every item.
+    world = make_world(9, 12, 15)
+    cut_off(world, owner_of(world, "job"))
+    world.submit("job", 2)
+    world.run(back_ms)
+    world.cut = set()
+    world.run(DUE_MS - back_ms)
+    assert world.undone() == {}
+    assert set(world.runs.values()) == {1}
+
+
+def test_a_job_goes_back_where_its_new_keeper_is_lost() -> None:
+    # Failure: a keeper takes a job in its owner's place and is lost, and nobody runs it.
+    world = make_world(10, 12, 15)
+    first = owner_of(world, "job")
+    cut_off(world, first)
+    world.submit("job", 8)
+    world.run(4_000)
+    (second,) = runs_job(world, "job")
+    assert second != first
+    world.cut = set()
+    world.lose(second)
+    world.run(DUE_MS - 4_000)
+    assert world.undone() == {}
--- a/tests/test_policy_orphans.py
+++ b/tests/test_policy_orphans.py
@@ -5,10 +5,20 @@
 """
 
 import random
+from functools import partial
 
 import pytest
 
-from papayapier.policy.orphans import LOOKERS, Answered, OrphanWatch
+from papayapier.policy.orphans import (
+    DENIALS,
+    FIRST_LOOK_MS,
+    HANDED_MS,
+    LOOKERS,
+    STALLED_LOOK_MS,
+    Answered,
+    HandedJobs,
+    OrphanWatch,
+)
 from papayapier.policy.ownership import owner
 from papayapier.policy.rendezvous import score
 
@@ -34,7 +44,7 @@
             self.now += TICK_MS
             for name, watch in self.watches.items():
                 owners = {job: owner(job, self.views[name]) for job in JOBS}
-                for asked, jobs in watch.asks(owners, self.views[name], self.now).items():
+                for asked, jobs in watch.asks(owners, partial(self.line, name), self.now).items():
                     self.asked += 1
                     if asked in self.views:
                         runs = frozenset(job for job in jobs if self.runs(asked, job))
@@ -42,6 +52,9 @@
                     else:
                         watch.on_silence(jobs, self.now)
 
+    def line(self, name: str, _job: str) -> list[str]:
+        return self.views[name]
+
     def runners(self, job: str) -> list[str]:
         return [name for name in self.views if self.runs(name, job)]
 
@@ -85,10 +98,10 @@
     now = 0
     while not watch.taken("job"):
         now += TICK_MS
-        if watch.asks(owners, ["a", "b"], now):
+        if watch.asks(owners, lambda _job: ["a", "b"], now):
             watch.on_silence(["job"], now)
     assert now <= 3_000
-    while not watch.asks(owners, ["a", "b"], now):
+    while not watch.asks(owners, lambda _job: ["a", "b"], now):
         now += TICK_MS
     watch.on_answer(["job"], Answered(frozenset(["job"]), frozenset()), now)
     assert not watch.taken("job")
@@ -98,7 +111,57 @@
     watch = OrphanWatch("a")
     asked = 0
     for now in range(0, 60_000, TICK_MS):
-        if watch.asks({"job": "b"}, ["a", "b"], now):
+        if watch.asks({"job": "b"}, lambda _job: ["a", "b"], now):
             asked += 1
             watch.on_answer(["job"], Answered(frozenset(), frozenset(["job"])), now)
     assert (asked, watch.taken("job")) == (1, False)
+
+
+def look_until_due(watch: OrphanWatch, now: int) -> int:
+    while not watch.asks({"job": "b"}, lambda _job: ["a", "b"], now):
+        now += TICK_MS
+    return now
+
+
+STALLED = Answered(frozenset(), frozenset(), frozenset(["job"]))
+
+
+@pytest.mark.parametrize("can_start", [False, True])
+def test_a_stalled_job_is_taken_by_one_that_can_start_it(can_start: bool) -> None:
+    # Failure: an owner that reaches no replica says that it runs a job, which nobody else takes.
+    watch = OrphanWatch("a")
+    now = 0
+    for _ in range(DENIALS):
+        now = look_until_due(watch, now)
+        watch.on_answer(["job"], STALLED, now, lambda _job: can_start)
+    assert watch.taken("job") is can_start
+    assert now <= FIRST_LOOK_MS + STALLED_LOOK_MS + TICK_MS
+
+
+def test_a_job_that_stalls_here_too_goes_back() -> None:
+    watch = OrphanWatch("a")
+    now = 0
+    while not watch.taken("job"):
+        now = look_until_due(watch, now)
+        watch.on_answer(["job"], STALLED, now)
+    # The owner is told at once that the job is taken, and that it is given back.
+    assert look_until_due(watch, now) == now
+    watch.give_back("job", now)
+    assert not watch.taken("job")
+    assert look_until_due(watch, now) == now
+
+
+def test_what_is_handed_on_comes_back() -> None:
+    handed = HandedJobs()
+    handed.on_taken("job", "a", 0)
+    handed.on_taken("job", "b", 0)
+    assert handed.holder("job") == "a"
+    assert not handed.expire(["a"], HANDED_MS - 1)
+    handed.on_given_back("job", "b")
+    assert handed.holder("job") == "a"
+    assert handed.expire(["b"], 1)
+    handed.on_taken("job", "b", 1)
+    assert handed.expire(["b"], 1 + HANDED_MS)
+    handed.on_taken("job", "b", 0)
+    handed.on_given_back("job", "b")
+    assert handed.holder("job") is None
