Let nothing wake a watch that is being collected

Cause: a watch through a hub that waits and that nobody holds any more is closed by the garbage collector. Its `finally` cancels the question; the question's callback fired what the watch waits for, which resumes the coroutine that is being closed. The red test only ran at that moment: instances of its kind follow no hubs. tests/test_mirrors.py goes before it in the same process, and test_the_first_watch_of_a_process_waits_a_moment_for_a_hub leaves such a watch. Why it works: whoever waits takes itself off the list first, and only those on the list are woken. In service: a coroutine that waits is held by the open question, and the question by the peer hub until it is answered, times out or the process ends, so that no caller has met this. Elsewhere: each other `finally` of the program that cancels something cancels a timer, which calls nothing back (desk, pending, claims, relay, mirror, link, bucket, batch keeper; read one by one).

--- a/papayapier/node/mirrors.py
+++ b/papayapier/node/mirrors.py
@@ -170,11 +170,12 @@
         )
         ended: Deferred[Any] = Deferred()
         self._waiting.setdefault(hub_id, []).append(ended)
-        asking.addBoth(lambda answer: None if ended.called else ended.callback(answer))
+        asking.addBoth(lambda answer: self._end(hub_id, ended, answer))
         try:
             answer = await ended
         finally:
-            self._waiting[hub_id].remove(ended)
+            # Nothing may wake this coroutine from here on: it may be closing.
+            self._stop_waiting(hub_id, ended)
             if not asking.called:
                 asking.cancel()
         if isinstance(answer, Ok) and isinstance(answer.ok_value, StoreTell):
@@ -183,6 +184,18 @@
             return read_told(answer.ok_value)
         return Err(StoreError.UNAVAILABLE)
 
+    def _end(self, hub_id: str, ended: Deferred[Any], answer: Any) -> None:
+        """Wake who waits for an answer, if it still does."""
+        if self._stop_waiting(hub_id, ended):
+            ended.callback(answer)
+
+    def _stop_waiting(self, hub_id: str, ended: Deferred[Any]) -> bool:
+        waiting = self._waiting[hub_id]
+        if ended not in waiting:
+            return False
+        waiting.remove(ended)
+        return True
+
     def _hub(self) -> str | None:
         """Return the watcher that this process asks; None for the store itself."""
         deps = self._deps
@@ -199,8 +212,7 @@
         for hub_id, waiting in self._waiting.items():
             if hub_id not in live:
                 for ended in list(waiting):
-                    if not ended.called:
-                        ended.callback(None)
+                    self._end(hub_id, ended, None)
 
 
 def answer_from(hub: PeerHub, mirrors: dict[str, Mirror], back_ms_ago: Callable[[], int]) -> None:
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -1,12 +1,15 @@
 """Test that a large fleet follows the store through hubs, and that no old copy is believed."""
 
+import gc
 import random
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, cast
 
 import pytest
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.logger import globalLogPublisher
 
 from papayapier.clock import fake_clock
 from papayapier.node.mirrors import (
@@ -429,3 +432,28 @@
 
 def _tell_back(node: Node, peer: str, ask: MirrorAsk) -> None:
     node.tell(peer, StoreTell(ask.ask_id, StoreError.UNAVAILABLE.value, back_ms_ago=70))
+
+
+def test_a_watch_that_nobody_holds_any_more_ends_quietly() -> None:
+    # Failure: a coroutine that waits is collected, ends its question, and is resumed by the answer
+    # while it is being closed ("coroutine already executing", in whatever runs at that moment).
+    errors: list[Any] = []
+    globalLogPublisher.addObserver(cast(Any, errors.append))
+    broken, sys.unraisablehook = sys.unraisablehook, errors.append
+    try:
+        time = fake_clock()
+        net = Net(time)
+        node = Node(net, "entry")
+        Node(net, "hub")
+        deps = MirrorDeps(cast(Any, node), "entry", lambda: ["hub"], lambda _ms: None)
+        store = through_hubs(FakePlatform(time.clock).store("entry"), deps, Way())
+        watch = Deferred.fromCoroutine(cast(Any, store.watch(PREFIX, 0, 1_000)))
+        assert node._open
+        del time, net, node, deps, store, watch
+        # What fails while it is collected is told when its own Deferred is.
+        while gc.collect():
+            pass
+    finally:
+        sys.unraisablehook = broken
+        globalLogPublisher.removeObserver(cast(Any, errors.append))
+    assert errors == []
