Open an instance's ports in a turn of the reactor of their own

An instance that starts in an outage would refuse its callers for good. Cause: the reactor reads the events of a turn before it handles the first. A handler that cancels an attempt to connect frees its descriptor's number while the attempt's event is still to be handled; a port that is opened in the same handler gets the number, is polled at once, and the event closes it. An instance opens its ports right after the store's answer or refusal, that is in such a handler. Why it works: timers run before the next events are read, so that what a turn opens in a timer is polled with events of its own only. Elsewhere: attempts to connect are polled from the next turn on. Entries and keepers open their ports before any attempt.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -22,6 +22,7 @@
 from papayapier.dispatch.online import OnlineDispatch
 from papayapier.fleet_view import FleetListeners, FleetView, Place, Policies, peer_uses_reader
 from papayapier.instance import Instance, Parts, Readiness
+from papayapier.listen import next_turn
 from papayapier.membership import MembershipDeps, make_membership, reach_platform
 from papayapier.metrics import make_metrics
 from papayapier.orders.controller import OrderControl, OrdersDeps, start_orders
@@ -70,6 +71,7 @@
     fleet = _make_fleet(base)
     work = _make_work(base, fleet)
     readiness = Readiness(clock, base.drain, work.config, fleet.view)
+    await next_turn(clock)
     listening = open_surfaces(base, work, make_apps(base, fleet, work, readiness))
     if isinstance(listening, Err):
         await _give_up(base, fleet, work)
--- a/papayapier/listen.py
+++ b/papayapier/listen.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 from twisted.internet.error import CannotListenError
 
+from papayapier.clock import Clock
 from papayapier.entry.site import BodyLimit, CountingSite
 
 BACKLOG: Final = 1024
@@ -28,6 +29,15 @@
     return lambda path: upload_bytes if path == UPLOAD_PATH else body_bytes
 
 
+async def next_turn(clock: Clock) -> None:
+    """Return in the reactor's next turn, in which a port may be opened.
+
+    The events of a turn are read before the first of them is handled. One of a descriptor that was
+    closed meanwhile goes to whatever has its number then, and a port is closed by it.
+    """
+    await clock.sleep(0)
+
+
 def listen_resource(
     reactor: Any, resource: Any, field: str, host: str, port: int, body_limit: BodyLimit
 ) -> Result[Listening, str]:
