Let the owner of a stalled job offer it, a few at a time, to all who may run it

Cause: stalled jobs were handed on by those who look after them, and only the first three in line look. Who has room is known to nobody but those who have it. Change: the owner offers its stalled jobs to three others each half second, beginning after itself in the order of names, until all that may start their items were asked (RunsOffer). One with room asks for the first of them that it could start; the owner decides as before who has it. What the looks did for stalled jobs is taken out, so that policy/orphans.py is again about owners that do not live; policy/handing.py decides about those that do. Why it works: the offer goes round in (number of keepers) / 6 seconds, and whoever has room answers the first. Cost: six messages a second from a keeper with stalled jobs, none from any other, whatever the size of the fleet.

--- a/papayapier/jobs/looks.py
+++ b/papayapier/jobs/looks.py
@@ -1,6 +1,7 @@
 """Look after the jobs of others, and let others take those that cannot be run here.
 
-What is decided on an answer, and by whom a job is looked after, is in policy/orphans.py.
+Who looks after a job, and what follows from an answer, is decided in policy/orphans.py; who is
+offered a job, and who has it, in policy/handing.py.
 """
 
 from collections.abc import Callable, Collection, Mapping, Sequence
@@ -11,7 +12,8 @@
 from papayapier.jobs.owners import JobOwners
 from papayapier.jobs.records import JobRecord
 from papayapier.jobs.work import JobWork
-from papayapier.policy.orphans import Answered, HandedJobs, OrphanWatch
+from papayapier.policy.handing import OFFERED_MOST, HandedJobs, Offers
+from papayapier.policy.orphans import Answered, OrphanWatch
 
 
 class LookDeps(NamedTuple):
@@ -39,6 +41,7 @@
         self._deps = deps
         self._watch = OrphanWatch(deps.me)
         self._handed = HandedJobs()
+        self._offers = Offers(deps.me)
         self._stopping = False
 
     def stop(self) -> None:
@@ -85,9 +88,9 @@
         if answer is None:
             taken = self._watch.on_silence(asked, now)
         else:
-            taken = self._watch.on_answer(asked, answer, now, self._can_start)
+            taken = self._watch.on_answer(asked, answer, now)
+        reason = "silent" if answer is None else "denied"
         for job_id in taken:
-            reason = _why_taken(job_id, answer)
             events.emit(events.RUN_ADOPTED, job=job_id, owner=owner_id, reason=reason)
         self._deps.review()
 
@@ -104,9 +107,38 @@
         self._deps.review()
         elsewhere = {one for one in job_ids if self._handed.holder(one) not in (None, peer_id)}
         here = set() if self._stopping else set(self._deps.owned).intersection(job_ids)
-        stalled = frozenset(job_id for job_id in here if self._stalled(job_id))
         over = frozenset(self._deps.over).intersection(job_ids)
-        return Answered(frozenset(here - stalled | elsewhere), over, stalled)
+        return Answered(frozenset(here | elsewhere), over)
+
+    def offers(self) -> dict[str, list[str]]:
+        """Return whom to offer which of the jobs that have stalled here."""
+        deps = self._deps
+        stalled = [one for one in deps.owned if not self._watch.taken(one) and self._stalled(one)]
+        if self._stopping or not stalled:
+            return {}
+        owners = deps.owners()
+        alike: dict[Sequence[str], list[str]] = {}
+        for job_id in stalled:
+            alike.setdefault(tuple(owners.able(deps.owned[job_id].record)), []).append(job_id)
+        offered: dict[str, list[str]] = {}
+        for able, job_ids in alike.items():
+            for peer_id in self._offers.next(able):
+                offered.setdefault(peer_id, []).extend(job_ids[:OFFERED_MOST])
+        return offered
+
+    def wanted_of(self, job_ids: Sequence[str]) -> str | None:
+        """Return the first of some offered jobs that could be run here."""
+        if self._stopping:
+            return None
+        return next((job_id for job_id in job_ids if self._can_start(job_id)), None)
+
+    def on_claimed(self, owner_id: str, job_id: str, answer: Answered) -> None:
+        """Take what an owner says to the claim of a job that it offered, and run what it leaves."""
+        if job_id in answer.runs or job_id in answer.over or job_id not in self._deps.open:
+            return
+        events.emit(events.RUN_ADOPTED, job=job_id, owner=owner_id, reason="offered")
+        self._watch.take(job_id, owner_id, self._deps.clock.now())
+        self._deps.review()
 
     def _hand_on(self, job_id: str, peer_id: str) -> None:
         if self._handed.holder(job_id) is None:
@@ -126,10 +158,6 @@
 
     def _can_start(self, job_id: str) -> bool:
         record = self._deps.open.get(job_id)
-        return record is not None and self._deps.has_room(self._deps.owners().upstream_of(record))
-
-
-def _why_taken(job_id: str, answer: Answered | None) -> str:
-    if answer is None:
-        return "silent"
-    return "stalled" if job_id in answer.stalled else "denied"
+        if record is None or job_id in self._deps.owned:
+            return False
+        return self._deps.has_room(self._deps.owners().upstream_of(record))
--- a/papayapier/jobs/work.py
+++ b/papayapier/jobs/work.py
@@ -5,7 +5,7 @@
 
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import ItemEnd, ItemResult, JobItem, JobRecord, ResultGroup
-from papayapier.policy.orphans import SILENT_MS, STALLED_MS
+from papayapier.policy.handing import SILENT_MS, STALLED_MS
 from papayapier.upstream.event_cutter import NO_EVENT
 
 NOT_HELD: Final = 0
--- a/papayapier/node/orphans.py
+++ b/papayapier/node/orphans.py
@@ -1,4 +1,4 @@
-"""Ask the owners of jobs whether they run them, and answer those who ask."""
+"""Ask the owners of jobs whether they run them, answer who asks, and offer what has stalled."""
 
 from collections.abc import Sequence
 from typing import Final
@@ -9,7 +9,7 @@
 from papayapier.clock import Clock
 from papayapier.jobs.looks import JobLooks
 from papayapier.peer.hub import PeerHub
-from papayapier.peer.messages import RunsAsk, RunsTell
+from papayapier.peer.messages import RunsAsk, RunsOffer, RunsTell
 from papayapier.policy.orphans import Answered
 from papayapier.store.watch import report_failure
 
@@ -19,14 +19,20 @@
 
 
 def answer_about_runs(hub: PeerHub, looks: JobLooks) -> None:
-    """Tell peers which jobs this instance runs."""
+    """Tell peers which jobs this instance runs, and ask for one of those that they offer."""
 
     def on_ask(peer_id: str, ask: RunsAsk) -> None:
         said = looks.on_asked(peer_id, ask.job_ids, ask.taken)
-        tell = RunsTell(ask.ask_id, tuple(said.runs), tuple(said.over), tuple(said.stalled))
-        hub.tell(peer_id, tell)
+        hub.tell(peer_id, RunsTell(ask.ask_id, tuple(said.runs), tuple(said.over)))
+
+    def on_offer(peer_id: str, offer: RunsOffer) -> None:
+        job_id = looks.wanted_of(offer.job_ids)
+        if job_id is not None:
+            task = Deferred.fromCoroutine(_claim(hub, looks, peer_id, job_id))
+            task.addErrback(report_failure, "offered jobs")
 
     hub.subscribe(RunsAsk, on_ask)
+    hub.subscribe(RunsOffer, on_offer)
 
 
 async def seek_orphans(hub: PeerHub, clock: Clock, looks: JobLooks) -> None:
@@ -36,14 +42,28 @@
         for owner, job_ids in looks.asks().items():
             task = Deferred.fromCoroutine(_ask(hub, looks, owner, tuple(job_ids)))
             task.addErrback(report_failure, "orphans")
+        for peer_id, job_ids in looks.offers().items():
+            hub.tell(peer_id, RunsOffer(tuple(job_ids)))
 
 
 async def _ask(hub: PeerHub, looks: JobLooks, owner: str, job_ids: Sequence[str]) -> None:
-    taken = tuple(looks.taken_of(job_ids))
-    told = await hub.ask(owner, lambda ask_id: RunsAsk(ask_id, tuple(job_ids), taken), ANSWER_MS)
-    if isinstance(told, Ok) and isinstance(told.ok_value, RunsTell):
-        tell = told.ok_value
-        answer = Answered(frozenset(tell.runs), frozenset(tell.over), frozenset(tell.stalled))
-        looks.on_said(owner, job_ids, answer)
-    else:
-        looks.on_said(owner, job_ids, None)
+    answer = await _answer(hub, owner, job_ids, looks.taken_of(job_ids))
+    looks.on_said(owner, job_ids, answer)
+
+
+async def _claim(hub: PeerHub, looks: JobLooks, owner: str, job_id: str) -> None:
+    answer = await _answer(hub, owner, (job_id,), (job_id,))
+    if answer is not None:
+        looks.on_claimed(owner, job_id, answer)
+
+
+async def _answer(
+    hub: PeerHub, owner: str, job_ids: Sequence[str], taken: Sequence[str]
+) -> Answered | None:
+    """Return what an owner says of jobs, or None where it says nothing in time."""
+    told = await hub.ask(
+        owner, lambda ask_id: RunsAsk(ask_id, tuple(job_ids), tuple(taken)), ANSWER_MS
+    )
+    if not isinstance(told, Ok) or not isinstance(told.ok_value, RunsTell):
+        return None
+    return Answered(frozenset(told.ok_value.runs), frozenset(told.ok_value.over))
--- a/papayapier/peer/kinds.py
+++ b/papayapier/peer/kinds.py
@@ -29,6 +29,7 @@
     ResultsAsk,
     ResultsTell,
     RunsAsk,
+    RunsOffer,
     RunsTell,
     ShardsReleased,
     StoreAsk,
@@ -74,4 +75,5 @@
     33: Unanswered,
     34: NoLosses,
     35: LatelyAsk,
+    36: RunsOffer,
 }
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -295,15 +295,17 @@
 
 
 class RunsTell(NamedTuple):
-    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended.
-
-    stalled are those of which the keeper can start no item.
-    """
+    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended."""
 
     ask_id: int
     runs: tuple[str, ...]
     over: tuple[str, ...]
-    stalled: tuple[str, ...] = ()
+
+
+class RunsOffer(NamedTuple):
+    """Offer jobs of which the sender can start no item; whoever can asks for one by RunsAsk."""
+
+    job_ids: tuple[str, ...]
 
 
 class AllowAsk(NamedTuple):
@@ -395,6 +397,7 @@
     | NoLosses
     | RunsAsk
     | RunsTell
+    | RunsOffer
     | AllowAsk
     | AllowTell
     | TakeOverAsk
--- a/papayapier/policy/orphans.py
+++ b/papayapier/policy/orphans.py
@@ -1,4 +1,4 @@
-"""Find accepted jobs that nobody runs or can run on, and decide who takes them.
+"""Find accepted jobs that nobody runs, and decide who takes them.
 
 Who owns a job follows from who lives, and views of that may differ for longer than any message
 takes: each of two takes the other for the owner, and the job is run by neither. So whoever would be
@@ -8,10 +8,6 @@
 
 The first three in line look, each later than the one before: two owners may be lost at once, and
 the real first may take several dead ones for better placed than itself.
-
-An owner that lives may be unable to start items, where its replicas are dark, full or cut off from
-it. It says so, and whoever in line can start some takes the job and tells the owner, which leaves
-it alone until the job is given back or nothing is heard of it.
 """
 
 from collections.abc import Callable, Collection, Mapping, Sequence
@@ -26,15 +22,6 @@
 AGAIN_MS: Final = 500
 LOOKERS: Final = 3
 DENIALS: Final = 2
-# A job has stalled when nothing came of its items for so long while none runs; below the first
-# look, so that it is known by then.
-STALLED_MS: Final = 1_500
-# The same while some run: beyond the longest silence that a run bears.
-SILENT_MS: Final = 5_000
-# Between looks at a stalled job while there is no room here either.
-STALLED_LOOK_MS: Final = 2_000
-# One that took a job says so with each look; after a lost one it is not heard any more.
-HANDED_MS: Final = NEXT_LOOK_MS + FIRST_LOOK_MS
 
 
 class _Look:
@@ -52,13 +39,11 @@
 class Answered(NamedTuple):
     """Hold what an owner says of the jobs that it was asked for.
 
-    over are those of which every result is stored, stalled those that it owns and of which it
-    can start no item.
+    over are those of which every result is stored.
     """
 
     runs: frozenset[str]
     over: frozenset[str]
-    stalled: frozenset[str] = frozenset()
 
 
 class OrphanWatch:
@@ -98,31 +83,27 @@
                 asked.setdefault(look.line[0], []).append(job_id)
         return asked
 
-    def on_answer(
-        self,
-        asked: Collection[str],
-        answer: Answered,
-        now: int,
-        can_start: Callable[[str], bool] = lambda _job_id: True,
-    ) -> frozenset[str]:
-        """Take an answer; return the jobs that this instance takes from now on.
-
-        can_start tells whether this instance could start an item of a job.
-        """
+    def on_answer(self, asked: Collection[str], answer: Answered, now: int) -> frozenset[str]:
+        """Take an answer; return the jobs that this instance takes from now on."""
         self._over.update(answer.over.intersection(asked))
-        left = set()
-        for job_id in answer.stalled.intersection(asked):
-            if job_id not in self._taken and not can_start(job_id):
-                self._look_at(job_id, now + STALLED_LOOK_MS)
-                left.add(job_id)
-        settled = answer.runs | answer.over | left
-        denied = [one for one in asked if one not in settled]
+        denied = [one for one in asked if one not in answer.runs and one not in answer.over]
         for job_id in answer.runs.intersection(asked):
             self._taken.discard(job_id)
             if job_id in self._looks:
                 self._looks[job_id].denials = 0
         return self._denied(denied, now)
 
+    def take(self, job_id: str, owner: str, now: int) -> None:
+        """Take a job that its owner leaves to this instance."""
+        self._looks[job_id] = _Look([owner], now + NEXT_LOOK_MS)
+        self._taken.add(job_id)
+
+    def give_back(self, job_id: str, now: int) -> None:
+        """Leave a job that was taken to its owner, which is told with the next look."""
+        self._taken.discard(job_id)
+        if job_id in self._looks:
+            self._looks[job_id].at_ms = now
+
     def on_silence(self, asked: Collection[str], now: int) -> frozenset[str]:
         """Take that no answer came; return the jobs that this instance takes from now on."""
         return self._denied(asked, now)
@@ -140,21 +121,12 @@
             look.denials = 0
             look.line.append(look.line.pop(0))
             if look.line[0] == look.owner:
-                # Nobody before this instance runs it. Its owner is told with the next look.
-                look.at_ms = now
+                # Nobody before this instance runs it.
+                look.at_ms = now + NEXT_LOOK_MS
                 taken.add(job_id)
         self._taken |= taken
         return frozenset(taken)
 
-    def give_back(self, job_id: str, now: int) -> None:
-        """Leave a job that was taken to its owner, which is told with the next look."""
-        self._taken.discard(job_id)
-        self._look_at(job_id, now)
-
-    def _look_at(self, job_id: str, at_ms: int) -> None:
-        if job_id in self._looks:
-            self._looks[job_id].at_ms = at_ms
-
     def _ahead(self, job_id: str, owner: str, line: Sequence[str]) -> list[str]:
         """Return those before this instance in line for a job, its owner left out."""
         mine = score(job_id, self._me)
@@ -166,47 +138,3 @@
             del self._looks[job_id]
         self._over.intersection_update(open_jobs)
         self._taken.intersection_update(open_jobs)
-
-
-class _Handed(NamedTuple):
-    """Hold who runs a job in its owner's place, and when that was last heard."""
-
-    holder: str
-    heard_ms: int
-
-
-class HandedJobs:
-    """Know which jobs of this instance others run in its place."""
-
-    def __init__(self) -> None:
-        self._handed: dict[str, _Handed] = {}
-
-    def holder(self, job_id: str) -> str | None:
-        """Return who runs a job in this instance's place."""
-        handed = self._handed.get(job_id)
-        return handed.holder if handed is not None else None
-
-    def on_taken(self, job_id: str, peer_id: str, now: int) -> None:
-        """Take that a peer runs a job, unless another one does."""
-        if self.holder(job_id) in (None, peer_id):
-            self._handed[job_id] = _Handed(peer_id, now)
-
-    def on_given_back(self, job_id: str, peer_id: str) -> None:
-        """Take that a peer does not run a job."""
-        if self.holder(job_id) == peer_id:
-            del self._handed[job_id]
-
-    def expire(self, live: Collection[str], now: int) -> bool:
-        """Take back what is held by nobody that is heard; return whether there was some."""
-        gone = [
-            job_id
-            for job_id, one in self._handed.items()
-            if one.holder not in live or now >= one.heard_ms + HANDED_MS
-        ]
-        for job_id in gone:
-            del self._handed[job_id]
-        return bool(gone)
-
-    def forget(self, job_id: str) -> None:
-        """Forget a job that is over."""
-        self._handed.pop(job_id, None)
