Pass refusals what they need, not the routes

entry/raw_refusals.py and entry/forward_routes.py imported each other for a type. A refusal takes five things now (RefusalDeps), which the entry makes once; job routes get the same.

--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -15,7 +15,7 @@
 from papayapier.dispatch.forward_state import RawRequest
 from papayapier.dispatch.forwarding import forward
 from papayapier.dispatch.start_queue import Ask, StartQueue
-from papayapier.entry.raw_refusals import count_refusal, refuse_raw
+from papayapier.entry.raw_refusals import RefusalDeps, count_refusal, refuse_raw
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.invariants import Promise, check
 from papayapier.policy.waiting import has_returned, wait_limit_ms
@@ -43,7 +43,7 @@
 
 
 class Names(NamedTuple):
-    """Name the headers that a request may carry and a refusal states, as the platform does.
+    """Name the headers that a request may carry, as the platform does.
 
     shown_keys returns where a caller shows its key, of_team sets the name of its team in place of
     that.
@@ -53,7 +53,6 @@
     time_left: str
     prompt: str
     last_event: str
-    retry_after: bytes
     end_to_end: "Callable[[Headers], Headers]"
     shown_keys: "Callable[[Headers], Sequence[bytes]]"
     of_team: "Callable[[Headers, str], Headers]"
@@ -81,6 +80,7 @@
     clock: "Clock"
     rand: "random.Random"
     metrics: "Metrics"
+    refusals: RefusalDeps
     names: Names
     table: "Callable[[], RouteTable | None]"
     refusing: "Callable[[], Refusal | None]"
@@ -142,20 +142,20 @@
 async def _serve(routes: ForwardRoutes, request: Any) -> None:
     refusal = routes.refusing()
     if refusal is not None:
-        refuse_raw(routes, request, "", refusal)
+        refuse_raw(routes.refusals, request, "", refusal)
         return
     await routes.known()
     table = routes.table()
     if table is None:
         reason = "no configuration is known yet"
-        refuse_raw(routes, request, "", not_run(ErrorKind.NO_UPSTREAM, reason, MS_PER_S))
+        refuse_raw(routes.refusals, request, "", not_run(ErrorKind.NO_UPSTREAM, reason, MS_PER_S))
         return
     host = request.getHeader("host") or ""
     call = routes.jobs.called(request)
     if call is not None:
         asker = table.asker(table.has_public_jobs(host), _shown_keys(routes, request))
         if isinstance(asker, Err):
-            refuse_raw(routes, request, "", asker.err_value)
+            refuse_raw(routes.refusals, request, "", asker.err_value)
             return
         request.see_through = True
         await routes.jobs.perform(request, call, name_of(asker.ok_value))
@@ -163,11 +163,11 @@
     route = table.find(host, request.path.decode("latin-1"))
     if route is None:
         reason = f"no route for host {host}, configuration {table.cfg.version}"
-        refuse_raw(routes, request, "", not_run(ErrorKind.NOT_FOUND, reason))
+        refuse_raw(routes.refusals, request, "", not_run(ErrorKind.NOT_FOUND, reason))
         return
     asker = table.asker(route.public, _shown_keys(routes, request))
     if isinstance(asker, Err):
-        refuse_raw(routes, request, route.name, asker.err_value)
+        refuse_raw(routes.refusals, request, route.name, asker.err_value)
     elif route.kind is WorkKind.JOB:
         request.see_through = True
         await routes.jobs.submit(request, route, name_of(asker.ok_value))
@@ -183,12 +183,12 @@
     now = routes.clock.now()
     read = _read_request(routes, request, route, asker, now)
     if isinstance(read, Err):
-        refuse_raw(routes, request, route.name, read.err_value)
+        refuse_raw(routes.refusals, request, route.name, read.err_value)
         return
     req = read.ok_value
     held = routes.forward.crashes.refusal(req.request_id, req.work)
     if held is not None:
-        refuse_raw(routes, request, route.name, held, req.due_ms)
+        refuse_raw(routes.refusals, request, route.name, held, req.due_ms)
         return
     reader = _Reader(routes, request, req) if req.stream else None
 
@@ -342,10 +342,10 @@
         _finish_answer(routes, request, req, done.ok_value, begun)
     elif begun:
         # A stream cut short must not look whole: no last chunk, the connection ends.
-        count_refusal(routes, req.request_id, name, done.err_value)
+        count_refusal(routes.refusals, req.request_id, name, done.err_value)
         request.channel.transport.abortConnection()
     else:
-        refuse_raw(routes, request, name, done.err_value, req.due_ms)
+        refuse_raw(routes.refusals, request, name, done.err_value, req.due_ms)
 
 
 def _finish_answer(
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -19,7 +19,7 @@
     Names,
 )
 from papayapier.entry.job_routes import JobRoutes, JobWire
-from papayapier.entry.raw_refusals import refuse_raw
+from papayapier.entry.raw_refusals import RefusalDeps, refuse_raw
 from papayapier.entry.unread import UnreadWatch
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.jobs.desk import DeskDeps, JobDesk
@@ -252,22 +252,24 @@
     wire = JobWire(
         headers.REQUEST_ID.decode(), job_calls.read_items, job_calls.called, job_calls.perform
     )
+    request_id = headers.REQUEST_ID.decode()
+    refusals = RefusalDeps(base.clock, base.rand, base.metrics, request_id, headers.RETRY_AFTER)
     jobs = JobRoutes(
         base.clock,
         desk,
         wire,
-        lambda request, profile, refusal: refuse_raw(routes, request, profile, refusal),
+        partial(refuse_raw, refusals),
     )
-    routes = ForwardRoutes(
+    return ForwardRoutes(
         clock=base.clock,
         rand=base.rand,
         metrics=base.metrics,
+        refusals=refusals,
         names=Names(
-            request_id=headers.REQUEST_ID.decode(),
+            request_id=request_id,
             time_left=headers.TIME_LEFT.decode(),
             prompt=headers.PROMPT_PARTS.decode(),
             last_event=headers.LAST_EVENT.decode(),
-            retry_after=headers.RETRY_AFTER,
             end_to_end=headers.end_to_end,
             shown_keys=headers.shown_keys,
             of_team=headers.of_team,
@@ -287,7 +289,6 @@
         ),
         jobs=JobCalls(jobs.submit, job_calls.called, jobs.perform),
     )
-    return routes
 
 
 def _settled(base: NodeBase, began_ms: int) -> bool:
