--- a/papayapier/node/orphans.py
+++ b/papayapier/node/orphans.py
@@ -9,7 +9,7 @@
 from papayapier.clock import Clock
 from papayapier.jobs.looks import JobLooks
 from papayapier.peer.hub import PeerHub
-from papayapier.peer.messages import RunsAsk, RunsOffer, RunsTell
+from papayapier.peer.run_messages import RunsAsk, RunsOffer, RunsTell
 from papayapier.policy.orphans import Answered
 from papayapier.store.watch import report_failure
 
--- a/papayapier/peer/kinds.py
+++ b/papayapier/peer/kinds.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from papayapier.peer.loss_messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
 from papayapier.peer.messages import (
     AllowAsk,
     AllowTell,
@@ -16,21 +17,14 @@
     JobChanged,
     KeepAsk,
     KeepTell,
-    LatelyAsk,
     LoadReports,
-    LossesAsk,
-    LossesTold,
     MembersAsk,
     MembersTell,
     Message,
     MirrorAsk,
-    NoLosses,
     Prune,
     ResultsAsk,
     ResultsTell,
-    RunsAsk,
-    RunsOffer,
-    RunsTell,
     ShardsReleased,
     StoreAsk,
     StoreTell,
@@ -38,6 +32,7 @@
     TakeOverTell,
 )
 from papayapier.peer.placing_messages import PlaceAsk, PlaceLeft, PlaceTell, Unanswered
+from papayapier.peer.run_messages import RunsAsk, RunsOffer, RunsTell
 
 KINDS: Final[dict[int, type[Message]]] = {
     1: Heartbeat,
--- a/papayapier/peer/loss_news.py
+++ b/papayapier/peer/loss_news.py
@@ -21,7 +21,7 @@
 from papayapier.clock import Clock, Timer
 from papayapier.dispatch.crash_watch import CrashWatch, Hearers
 from papayapier.peer.hub import PeerHub
-from papayapier.peer.messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
+from papayapier.peer.loss_messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
 from papayapier.policy.crashes import Loss
 from papayapier.policy.rendezvous import score
 
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -7,8 +7,9 @@
 
 from typing import Final, NamedTuple
 
+from papayapier.peer.loss_messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
 from papayapier.peer.placing_messages import PlaceAsk, PlaceLeft, PlaceTell, Unanswered
-from papayapier.policy.crashes import Loss
+from papayapier.peer.run_messages import RunsAsk, RunsOffer, RunsTell
 from papayapier.policy.loads import ReplicaUse
 from papayapier.store.api import Member
 
@@ -204,28 +205,6 @@
     uses: tuple[ReplicaUse, ...]
 
 
-class LossesTold(NamedTuple):
-    """Tell of lost replicas, of works answered since a loss, and of some answered before it."""
-
-    losses: tuple[Loss, ...]
-    answered: tuple[str, ...] = ()
-    lately: tuple[str, ...] = ()
-
-
-class LatelyAsk(NamedTuple):
-    """Ask which of some works with losses were answered lately; LossesTold says those only."""
-
-    works: tuple[str, ...]
-
-
-class LossesAsk(NamedTuple):
-    """Ask for all losses that the receiver knows; the answer is a LossesTold or NoLosses."""
-
-
-class NoLosses(NamedTuple):
-    """Tell who has asked that no loss is known."""
-
-
 class StoreChange(NamedTuple):
     """Hold one object or change of a StoreTell."""
 
@@ -283,31 +262,6 @@
     results: tuple[ResultTold, ...] = ()
 
 
-class RunsAsk(NamedTuple):
-    """Ask a keeper which of some jobs, that are its own by the asker's view, it runs.
-
-    taken are those of them that the asker runs in its place.
-    """
-
-    ask_id: int
-    job_ids: tuple[str, ...]
-    taken: tuple[str, ...] = ()
-
-
-class RunsTell(NamedTuple):
-    """Answer RunsAsk; of the jobs that are over every result is stored, or they were ended."""
-
-    ask_id: int
-    runs: tuple[str, ...]
-    over: tuple[str, ...]
-
-
-class RunsOffer(NamedTuple):
-    """Offer jobs of which the sender can start no item; whoever can asks for one by RunsAsk."""
-
-    job_ids: tuple[str, ...]
-
-
 class AllowAsk(NamedTuple):
     """Ask whether one request of a team lies within its allowance, as the asker knows that.
 
--- a/papayapier/peer/questions.py
+++ b/papayapier/peer/questions.py
@@ -16,11 +16,11 @@
     KeepTell,
     Message,
     ResultsTell,
-    RunsTell,
     StoreTell,
     TakeOverTell,
 )
 from papayapier.peer.placing_messages import PlaceTell
+from papayapier.peer.run_messages import RunsTell
 
 ASK_ID_BITS: Final = 32
 
--- a/tests/test_loss_news.py
+++ b/tests/test_loss_news.py
@@ -9,8 +9,11 @@
 from papayapier.clock import FakeClock, fake_clock
 from papayapier.dispatch.crash_watch import CrashWatch
 from papayapier.metrics import make_metrics
+from papayapier.peer.loss_messages import LossesAsk, LossesTold
 from papayapier.peer.loss_news import AGAIN_MS, GATHER_MS, LossNews, LossNewsDeps
-from papayapier.peer.messages import LossesAsk, LossesTold, Message
+from papayapier.peer.messages import (
+    Message,
+)
 from papayapier.peer.topology import Plan
 from papayapier.policy.crashes import ANSWERED_LATELY_MS, LOSSES_MOST, Loss
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
