Keep the owners of jobs until the fleet changes

Change: owners, and which jobs others look after, are kept until keepers, replicas or the configuration change (jobs/owners.py, policy/orphans.py); a question makes the runner review its jobs only where somebody has taken or given back one.

--- a/papayapier/jobs/looks.py
+++ b/papayapier/jobs/looks.py
@@ -20,7 +20,7 @@
     """Group what the looks work with.
 
     open holds the records of the jobs that are not over, owned those that are run here. owners
-    works out who owns them, has_room tells whether an item of an upstream could be started here.
+    knows who owns them, has_room tells whether an item of an upstream could be started here.
     review is called when another instance is to run a job.
     """
 
@@ -29,7 +29,7 @@
     open: Mapping[str, JobRecord]
     owned: Mapping[str, JobWork]
     over: Collection[str]
-    owners: Callable[[], JobOwners]
+    owners: JobOwners
     has_room: Callable[[str], bool]
     review: Callable[[], None]
 
@@ -68,11 +68,13 @@
         if self._stopping or not deps.open:
             return {}
         self._give_back()
-        owners = deps.owners()
+        owners = deps.owners
+        if owners.refresh():
+            deps.review()
         owned = {
             job_id: owners.owner(job_id, record)
             for job_id, record in deps.open.items()
-            if deps.me in owners.able(record)
+            if owners.may_own(deps.me, record)
         }
         return self._watch.asks(
             owned, lambda job_id: owners.able(deps.open[job_id]), deps.clock.now()
@@ -85,6 +87,7 @@
     def on_said(self, owner_id: str, asked: Sequence[str], answer: Answered | None) -> None:
         """Take what an owner says of jobs, None for nothing, and run those that nobody runs."""
         now = self._deps.clock.now()
+        taken_before = self.taken_of(asked)
         if answer is None:
             taken = self._watch.on_silence(asked, now)
         else:
@@ -92,19 +95,22 @@
         reason = "silent" if answer is None else "denied"
         for job_id in taken:
             events.emit(events.RUN_ADOPTED, job=job_id, owner=owner_id, reason=reason)
-        self._deps.review()
+        if self.taken_of(asked) != taken_before:
+            self._deps.review()
 
     def on_asked(self, peer_id: str, job_ids: Sequence[str], taken: Collection[str]) -> Answered:
         """Return what a peer that looks at jobs of this instance is told.
 
         taken are those that the peer runs; it may have what cannot be run on here.
         """
+        changed = False
         for job_id in job_ids:
             if job_id not in taken:
-                self._handed.on_given_back(job_id, peer_id)
+                changed |= self._handed.on_given_back(job_id, peer_id)
             elif job_id not in self._deps.owned or self._stalled(job_id):
-                self._hand_on(job_id, peer_id)
-        self._deps.review()
+                changed |= self._hand_on(job_id, peer_id)
+        if changed:
+            self._deps.review()
         elsewhere = {one for one in job_ids if self._handed.holder(one) not in (None, peer_id)}
         here = set() if self._stopping else set(self._deps.owned).intersection(job_ids)
         over = frozenset(self._deps.over).intersection(job_ids)
@@ -116,10 +122,9 @@
         stalled = [one for one in deps.owned if not self._watch.taken(one) and self._stalled(one)]
         if self._stopping or not stalled:
             return {}
-        owners = deps.owners()
         alike: dict[Sequence[str], list[str]] = {}
         for job_id in stalled:
-            alike.setdefault(tuple(owners.able(deps.owned[job_id].record)), []).append(job_id)
+            alike.setdefault(tuple(deps.owners.able(deps.owned[job_id].record)), []).append(job_id)
         offered: dict[str, list[str]] = {}
         for able, job_ids in alike.items():
             for peer_id in self._offers.next(able):
@@ -140,10 +145,13 @@
         self._watch.take(job_id, owner_id, self._deps.clock.now())
         self._deps.review()
 
-    def _hand_on(self, job_id: str, peer_id: str) -> None:
-        if self._handed.holder(job_id) is None:
+    def _hand_on(self, job_id: str, peer_id: str) -> bool:
+        """Leave a job to a peer; return whether it has it only from now on."""
+        new = self._handed.holder(job_id) is None
+        if new:
             events.emit(events.RUN_HANDED, job=job_id, keeper=peer_id)
         self._handed.on_taken(job_id, peer_id, self._deps.clock.now())
+        return new
 
     def _give_back(self) -> None:
         """Leave to their owners the jobs that were taken and cannot be run here either."""
@@ -160,4 +168,4 @@
         record = self._deps.open.get(job_id)
         if record is None or job_id in self._deps.owned:
             return False
-        return self._deps.has_room(self._deps.owners().upstream_of(record))
+        return self._deps.has_room(self._deps.owners.upstream_of(record))
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -68,6 +68,7 @@
         # Jobs that were complete while they were this instance's.
         self._completed: set[str] = set()
         self._owned: dict[str, JobWork] = {}
+        self._owners = JobOwners(deps.runs.book, deps.table, deps.runs.sharing)
         self.looks = JobLooks(
             LookDeps(
                 self._clock,
@@ -82,8 +83,6 @@
         )
         self._timer: Timer | None = None
         self._soon: Timer | None = None
-        # What the owners were last worked out from.
-        self._reviewed: tuple[object, ...] = ()
         self._stopping = False
         self._pumping = False
         self._pumped_ms = self._clock.now()
@@ -178,18 +177,14 @@
 
     def review(self) -> None:
         """Work out again which jobs are this instance's."""
-        owners = self._owners()
+        self._owners.refresh()
         for job_id, record in list(self._open.items()):
-            mine = self.looks.runs_here(job_id, owners.owner(job_id, record))
+            mine = self.looks.runs_here(job_id, self._owners.owner(job_id, record))
             if mine and job_id not in self._owned and not self._stopping:
                 self._own(job_id, record)
             elif not mine and job_id in self._owned:
                 self._disown(job_id)
 
-    def _owners(self) -> JobOwners:
-        runs = self._deps.runs
-        return JobOwners(runs.book, self._deps.table(), runs.sharing(), self._clock.now())
-
     def _own(self, job_id: str, record: JobRecord) -> None:
         work = JobWork(job_id, record)
         work.moved_ms = self._clock.now()
@@ -212,6 +207,7 @@
         self._held.discard(job_id)
         self._over.add(job_id)
         self.looks.forget(job_id)
+        self._owners.forget(job_id)
         self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if self._open.pop(job_id, None) is not None:
@@ -227,6 +223,7 @@
         self._over.discard(job_id)
         self._completed.discard(job_id)
         self.looks.forget(job_id)
+        self._owners.forget(job_id)
         self._recalled.pop(job_id, None)
         work = self._owned.pop(job_id, None)
         if work is not None:
@@ -260,11 +257,9 @@
 
     def _review_if_changed(self) -> None:
         # Also what others say of a silent one changes who shares, and no event tells it.
-        runs = self._deps.runs
-        known = (runs.sharing(), runs.book.usable_changes, self._deps.table())
-        taken_back = self.looks.expire(runs.sharing())
-        if known != self._reviewed or taken_back:
-            self._reviewed = known
+        changed = self._owners.refresh()
+        taken_back = self.looks.expire(self._deps.runs.sharing())
+        if changed or taken_back:
             self.review()
 
     def pump_soon(self) -> None:
@@ -338,6 +333,7 @@
             self._open.pop(work.job_id, None)
             self._over.add(work.job_id)
             self._completed.add(work.job_id)
+            self._owners.forget(work.job_id)
             events.emit(events.JOB_ENDED, job=work.job_id, reason="complete", listed=work.listed)
 
     def _spawn(self, work: Any) -> None:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -24,7 +24,7 @@
 from papayapier.errors import ErrorKind, Refusal, not_run
 from papayapier.jobs.desk import DeskDeps, JobDesk
 from papayapier.jobs.news import GroupsHeard
-from papayapier.jobs.owners import JobOwners
+from papayapier.jobs.owners import able_now
 from papayapier.jobs.records import JobRecord
 from papayapier.listen import BODY_BYTES, Listening, adopt, listen_resource, make_body_limit
 from papayapier.node.allowances import AskDeps, allowing
@@ -221,8 +221,7 @@
         return base.nodes.with_role(Role.KEEPER) & frozenset(base.hub.live())
 
     def able(record: JobRecord, running: Sequence[str]) -> Collection[str]:
-        owners = JobOwners(base.book, base.routing.table(), running, base.clock.now())
-        return owners.able(record)
+        return able_now(base.book, base.routing.table(), running, record)
 
     keeping = KeepingDeps(base.hub, keepers, base.cfg.jobs.copies(), able)
     desk = JobDesk(
--- a/papayapier/policy/handing.py
+++ b/papayapier/policy/handing.py
@@ -63,10 +63,12 @@
         if self.holder(job_id) in (None, peer_id):
             self._handed[job_id] = _Handed(peer_id, now)
 
-    def on_given_back(self, job_id: str, peer_id: str) -> None:
-        """Take that a peer does not run a job."""
-        if self.holder(job_id) == peer_id:
+    def on_given_back(self, job_id: str, peer_id: str) -> bool:
+        """Take that a peer does not run a job; return whether it had it."""
+        had = self.holder(job_id) == peer_id
+        if had:
             del self._handed[job_id]
+        return had
 
     def expire(self, live: Collection[str], now: int) -> bool:
         """Take back what is held by nobody that is heard; return whether there was some."""
--- a/papayapier/policy/loads.py
+++ b/papayapier/policy/loads.py
@@ -297,6 +297,10 @@
         """Return the replicas of an upstream that may get new work."""
         return self._open.get(upstream, [])
 
+    def usable_ids(self, upstream: str) -> list[str]:
+        """Return the ids of the replicas of an upstream that may get new work."""
+        return [replica.id for replica in self._open.get(upstream, ())]
+
     def uses(self) -> list[ReplicaUse]:
         """Return this instance's open calls for a heartbeat."""
         rows = self._rows.items()
--- a/papayapier/policy/orphans.py
+++ b/papayapier/policy/orphans.py
@@ -52,6 +52,8 @@
     def __init__(self, me: str) -> None:
         self._me = me
         self._looks: dict[str, _Look] = {}
+        # Jobs that others look after, with the owner and line by which they do.
+        self._left: dict[str, tuple[str, Sequence[str]]] = {}
         self._over: set[str] = set()
         self._taken: set[str] = set()
 
@@ -73,16 +75,28 @@
                 continue
             look = self._looks.get(job_id)
             if look is None or look.owner != owner:
-                ahead = self._ahead(job_id, owner, line(job_id))
-                if len(ahead) >= LOOKERS and job_id not in self._taken:
+                look = self._begin(job_id, owner, line(job_id), now)
+                if look is None:
                     continue
-                first_ms = now + FIRST_LOOK_MS * (1 + len(ahead))
-                look = self._looks[job_id] = _Look([owner, *ahead], first_ms)
             if now >= look.at_ms:
                 look.at_ms = now + NEXT_LOOK_MS
                 asked.setdefault(look.line[0], []).append(job_id)
         return asked
 
+    def _begin(self, job_id: str, owner: str, line: Sequence[str], now: int) -> _Look | None:
+        """Begin to look after a job, unless enough others come first."""
+        left = self._left.get(job_id)
+        if left is not None and left[0] == owner and left[1] is line:
+            return None
+        ahead = self._ahead(job_id, owner, line)
+        if len(ahead) >= LOOKERS and job_id not in self._taken:
+            self._left[job_id] = (owner, line)
+            return None
+        self._left.pop(job_id, None)
+        look = _Look([owner, *ahead], now + FIRST_LOOK_MS * (1 + len(ahead)))
+        self._looks[job_id] = look
+        return look
+
     def on_answer(self, asked: Collection[str], answer: Answered, now: int) -> frozenset[str]:
         """Take an answer; return the jobs that this instance takes from now on."""
         self._over.update(answer.over.intersection(asked))
@@ -136,5 +150,7 @@
     def _forget(self, open_jobs: Mapping[str, str]) -> None:
         for job_id in [one for one in self._looks if one not in open_jobs]:
             del self._looks[job_id]
+        for job_id in [one for one in self._left if one not in open_jobs]:
+            del self._left[job_id]
         self._over.intersection_update(open_jobs)
         self._taken.intersection_update(open_jobs)
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -137,3 +137,23 @@
     assert "a" in world.sent
     assert world.runner._owned[JOB].items["a"].last_event == 7
     assert [one.last_event for one in world.runner.progress()] == [7]
+
+
+def test_a_job_that_falls_to_this_keeper_is_run_whoever_notices_first() -> None:
+    # Failure: a look at other keepers' jobs notes that a keeper is lost, and the jobs of that one
+    # are not taken.
+    world = RunnerWorld()
+    live = ["a", "b"]
+    deps = world.deps._replace(sharing=lambda: list(live))
+    table = cast(Any, Table())
+    world.runner.close()
+    world.runner = JobRunner(
+        RunnerDeps(deps, world.memory.store(), lambda: table, lambda _j, _g, _w: None, GroupsTold())
+    )
+    jobs = [f"job-{number}" for number in range(8)]
+    for job_id in jobs:
+        world.runner.on_held(job_id, world.record(f"{job_id}-a"))
+    assert len(world.runner._owned) < len(jobs)
+    live.remove("b")
+    world.runner.looks.asks()
+    assert set(world.runner._owned) == set(jobs)
