Play keepers with the program's own questions and offers, as frames

The world of several keepers had a copy of what node/orphans.py does over sockets. It runs that module now, over hubs that hand each other encoded frames, so that kinds, fields and answers are played as well.

--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -5,11 +5,12 @@
 
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 from typing import Any, Final, cast
 
 from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
 
 from papayapier.clock import fake_clock
 from papayapier.dispatch.crash_watch import CrashWatch
@@ -18,9 +19,13 @@
 from papayapier.jobs.runner import JobRunner, RunnerDeps
 from papayapier.jobs.runs import RunDeps
 from papayapier.metrics import make_metrics
-from papayapier.node.orphans import LOOK_MS
+from papayapier.node.orphans import answer_about_runs, seek_orphans
+from papayapier.peer import wire
+from papayapier.peer.hub import PeerHub
+from papayapier.peer.messages import Message
+from papayapier.peer.questions import PeerError
+from papayapier.peer.run_messages import RunsTell
 from papayapier.policy.loads import LoadBook, ReplicaUse
-from papayapier.policy.orphans import Answered as OwnerAnswer
 from papayapier.policy.outliers import Outliers
 from papayapier.store.api import Change
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
@@ -45,11 +50,50 @@
         return _Route(path.rpartition("/")[2])
 
 
+class OneHub:
+    """Stand for the peer hub of one keeper; messages arrive at once, as they are on the wire."""
+
+    def __init__(self, world: "KeepersWorld", name: str) -> None:
+        self._world = world
+        self._name = name
+        self._handlers: dict[type[Message], Callable[[str, Any], object]] = {}
+        self._asked: dict[int, Deferred[Result[Message, PeerError]]] = {}
+        self._last = 0
+
+    def subscribe(self, kind: type[Message], handler: Callable[[str, Any], object]) -> None:
+        self._handlers[kind] = handler
+
+    def tell(self, peer_id: str, message: Message) -> bool:
+        peer = self._world.keepers.get(peer_id)
+        if peer is not None:
+            peer.hub.take(wire.encode(self._name, message))
+        return peer is not None
+
+    def take(self, data: bytes) -> None:
+        """Take a frame of another keeper."""
+        sender, message = wire.decode(data).unwrap()
+        if isinstance(message, RunsTell):
+            self._asked.pop(message.ask_id).callback(Ok(message))
+        else:
+            self._handlers[type(message)](sender, message)
+
+    async def ask(
+        self, peer_id: str, make_ask: Callable[[int], Message], _timeout_ms: int
+    ) -> Result[Message, PeerError]:
+        self._last += 1
+        answered = self._asked[self._last] = Deferred[Result[Message, PeerError]]()
+        if not self.tell(peer_id, make_ask(self._last)):
+            return Err(PeerError.TIMEOUT)
+        return await answered
+
+
 class OneKeeper:
     """Hold what one keeper knows, and its runner."""
 
     def __init__(self, world: "KeepersWorld", name: str) -> None:
         self.name = name
+        self.hub = OneHub(world, name)
+        self._clock = world.time.clock
         self.book = LoadBook()
         self.outliers = Outliers()
         crashes = CrashWatch(world.time.clock, make_metrics(), lambda: True)
@@ -76,6 +120,19 @@
             )
         )
 
+    def start(self) -> None:
+        """Begin to run, and to look after the others' jobs."""
+        self.runner.start()
+        hub = cast(PeerHub, self.hub)
+        answer_about_runs(hub, self.runner.looks)
+        self._seeking = Deferred.fromCoroutine(seek_orphans(hub, self._clock, self.runner.looks))
+
+    def close(self) -> None:
+        """End without a word."""
+        self.runner.close()
+        self._seeking.addErrback(lambda _cancelled: None)
+        self._seeking.cancel()
+
 
 class KeepersWorld:
     """Hold the keepers, the store, and which replicas are listed, dark or cut off from whom."""
@@ -98,8 +155,7 @@
         self.keepers = {name: OneKeeper(self, name) for name in self.live}
         self.list_replicas(replicas)
         for one in self.keepers.values():
-            one.runner.start()
-        self._looked_ms = 0
+            one.start()
 
     def list_replicas(self, replicas: Sequence[str]) -> None:
         """Show a list of replicas to every keeper."""
@@ -118,7 +174,7 @@
     def lose(self, name: str) -> None:
         """End a keeper without a word."""
         self.live = [one for one in self.live if one != name]
-        self.keepers.pop(name).runner.close()
+        self.keepers.pop(name).close()
         for one in self.keepers.values():
             one.book.on_peer_gone(name)
             one.runner.review()
@@ -136,10 +192,6 @@
         """Let time pass."""
         for _ in range(0, ms, STEP_MS):
             self.time.elapse(STEP_MS)
-            self._looked_ms += STEP_MS
-            if self._looked_ms >= LOOK_MS:
-                self._looked_ms = 0
-                self._look()
 
     def listed_items(self, job_id: str) -> int:
         """Return how many items of a job are listed."""
@@ -176,27 +228,3 @@
         taker._one.texts = ["x"] * EVENTS
         self.runs[call.request_id] += 1
         return Ok(PassedOn(200))
-
-    def _look(self) -> None:
-        """Ask, answer and offer, as node/orphans.py does over sockets."""
-        for one in list(self.keepers.values()):
-            looks = one.runner.looks
-            for owner, job_ids in looks.asks().items():
-                answer = self._answer(one.name, owner, job_ids, looks.taken_of(job_ids))
-                looks.on_said(owner, job_ids, answer)
-            for peer, job_ids in looks.offers().items():
-                self._offer(one.name, peer, job_ids)
-
-    def _answer(
-        self, asker: str, owner: str, job_ids: Sequence[str], taken: Sequence[str]
-    ) -> OwnerAnswer | None:
-        asked = self.keepers.get(owner)
-        return asked.runner.looks.on_asked(asker, job_ids, taken) if asked is not None else None
-
-    def _offer(self, owner: str, peer: str, job_ids: Sequence[str]) -> None:
-        asked = self.keepers.get(peer)
-        wanted = asked.runner.looks.wanted_of(job_ids) if asked is not None else None
-        if asked is not None and wanted is not None:
-            answer = self._answer(peer, owner, [wanted], [wanted])
-            assert answer is not None
-            asked.runner.looks.on_claimed(owner, wanted, answer)
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -137,7 +137,7 @@
     if kind == 0 and len(world.listed) > 1:
         world.list_replicas([one for one in world.listed if one != replica])
     elif kind == 1:
-        world.list_replicas([*world.listed, f"i-{rand.getrandbits(48):012x}"])
+        world.list_replicas([*world.listed, f"i-new-{rand.getrandbits(48):012x}"])
     elif kind == 2:
         world.dark.add(replica)
     elif kind == 3:
