Count what a caller left unread no longer once it has gone

Callers would be refused for want of memory that nobody takes, for up to a quarter of a second. Cause: what callers have not read is counted at looks 250 ms apart. A look that came while 30 refusals of 250 bytes were on their way counted them until the next one, though the callers had gone. Why it works: a connection that ends takes its count back at once; looks count only those that are there.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -203,6 +203,7 @@
         # First the requests are told, so that what they leave is done when this is not counted.
         super().connectionLost(reason)
         self.site.connections.discard(self)
+        self.site.held.on_gone(id(self))
 
     def drop_rest(self, request: BoundedRequest) -> None:
         """Drop what the caller still sends; the answer that follows is the last one.
--- a/papayapier/policy/held_bytes.py
+++ b/papayapier/policy/held_bytes.py
@@ -29,6 +29,8 @@
         self._most = most_bytes
         self._bodies = 0
         self._unread = 0
+        # What each caller had not read at the last look; _unread is their sum.
+        self._unread_by: dict[int, int] = {}
 
     def takes(self, body_bytes: int) -> bool:
         """Tell whether so much more of bodies fits."""
@@ -43,14 +45,19 @@
         """Return how many bytes are held."""
         return self._bodies + self._unread
 
+    def on_gone(self, caller: int) -> None:
+        """Count no longer what a caller has not read, since it has gone."""
+        self._unread -= self._unread_by.pop(caller, 0)
+
     def given_up(self, unread: Iterable[Unread]) -> list[Unread]:
         """Take what all callers have left unread; return those to end, longest unread first."""
         waiting = sorted(unread, key=lambda one: (one.since_ms, -one.held_bytes))
-        self._unread = sum(one.held_bytes for one in waiting)
+        self._unread_by = {one.caller: one.held_bytes for one in waiting}
+        self._unread = sum(self._unread_by.values())
         ended = []
         for one in waiting:
             if not self._most or self.held() <= self._most:
                 break
-            self._unread -= one.held_bytes
+            self.on_gone(one.caller)
             ended.append(one)
         return ended
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -3,6 +3,7 @@
 import time
 from typing import Any, Final
 
+import pytest
 from result import Ok
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
@@ -36,6 +37,16 @@
     assert held.held() == 100
 
 
+@pytest.mark.parametrize("gone", [1, 2, 3, 4])
+def test_what_a_caller_left_unread_counts_until_it_has_gone(gone: int) -> None:
+    held = HeldBytes(200)
+    unread = {1: 60, 2: 30, 3: 40}
+    assert held.given_up(Unread(one, 0, size) for one, size in unread.items()) == []
+    held.on_gone(gone)
+    held.on_gone(gone)
+    assert held.held() == sum(unread.values()) - unread.get(gone, 0)
+
+
 def test_bodies_count_until_they_end() -> None:
     held = HeldBytes(100)
     held.on_body(30)
@@ -181,3 +192,25 @@
             await whole.until(b"400000")
 
         return Deferred.fromCoroutine(run())
+
+    def test_callers_that_have_gone_hold_nothing(self) -> Any:
+        # Failure: bodies are refused for want of memory that callers who have left took before.
+        async def run() -> None:
+            slow = await self._many(SLOW_READERS)
+            for client in slow:
+                client.shrink()
+                client.stop_reading()
+                client.write(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+            while not self.held.held():
+                self.answers.feed()
+                await self.clock.sleep(10)
+            # No look comes after this one.
+            self.watch.close()
+            for client in slow:
+                client.abort()
+            deadline_ms = self.clock.now() + 5_000
+            while self.listening.site.connections and self.clock.now() < deadline_ms:
+                await self.clock.sleep(10)
+            assert self.held.held() == 0
+
+        return Deferred.fromCoroutine(run())
