Name the share of slots up to which others start batch, and say less about values

Found when reading the change as a newcomer: a bare half in a condition, and two comments that told how a value was chosen. No behaviour changes; tests of rooms, runs and keepers pass.

--- a/papayapier/policy/batch_room.py
+++ b/papayapier/policy/batch_room.py
@@ -17,6 +17,8 @@
 SPARE_SLOTS: Final = 2
 # The place of an instance that has no part of a replica's slots.
 NO_PART: Final = -1
+# Such an instance starts nothing where a larger share of the slots is taken.
+NO_PART_SHARE: Final = 0.5
 
 
 class Use(NamedTuple):
@@ -37,7 +39,7 @@
 def start_limit(use: Use) -> int:
     """Return up to how many batch streams an instance may start at a replica."""
     if use.place == NO_PART:
-        return 1 if 2 * _others(use) < use.slots else 0
+        return 1 if _others(use) < use.slots * NO_PART_SHARE else 0
     return _part(use, use.slots - use.online - SPARE_SLOTS)
 
 
--- a/papayapier/policy/crashes.py
+++ b/papayapier/policy/crashes.py
@@ -39,7 +39,7 @@
 # A peer's answer may be told this long before the losses; kept longer, instances would tell it to
 # each other without end.
 WORD_STANDS_MS: Final = 5_000
-# A minute's answers of an instance that gives 160 a second, 1.1 MB measured.
+# Bounds the memory that answered works take.
 ANSWERS_MOST: Final = 10_000
 # How long work is held after its last loss. A start with weights to load takes minutes; at most one
 # replica in that time is the price of learning that a repaired model can run it.
--- a/papayapier/policy/totals.py
+++ b/papayapier/policy/totals.py
@@ -18,8 +18,7 @@
 # its online calls at once: each of them costs a message for every change of those. Three, since one
 # that owns many jobs needs more replicas than its part, and one in three may be lost.
 SHARERS: Final = 3
-# Of all that run batch one in so many may use a replica at all: of twenty replicas an instance then
-# may use none once in three thousand fleets.
+# Of all that run batch one in so many may use a replica, so that each may use some of few replicas.
 MAY_USE_ONE_IN: Final = 3
 # Up to so many all share every replica; where everybody hears everybody (16 instances), a third or
 # so run batch. With three of four at each of five replicas, hashing left one a single replica: of
