--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -50,6 +50,11 @@
         return _Route(path.rpartition("/")[2])
 
 
+def names(rand: random.Random, prefix: str, count: int) -> list[str]:
+    """Draw the names of so many instances."""
+    return [f"{prefix}-{rand.getrandbits(48):012x}" for _ in range(count)]
+
+
 class OneHub:
     """Stand for the peer hub of one keeper; messages arrive at once, as they are on the wire."""
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -7,11 +7,7 @@
 from papayapier.policy.job_owners import able_to_own
 from papayapier.policy.ownership import owner
 from papayapier.policy.totals import first_sharers
-from tests.keepers_world import DUE_MS, SLOTS, KeepersWorld
-
-
-def names(rand: random.Random, prefix: str, count: int) -> list[str]:
-    return [f"{prefix}-{rand.getrandbits(48):012x}" for _ in range(count)]
+from tests.keepers_world import DUE_MS, SLOTS, KeepersWorld, names
 
 
 def make_world(seed: int, keepers: int, replicas: int) -> KeepersWorld:
--- a/tests/test_policy_job_owners.py
+++ b/tests/test_policy_job_owners.py
@@ -9,15 +9,12 @@
 from papayapier.policy.job_owners import able_to_own
 from papayapier.policy.ownership import owner
 from papayapier.policy.totals import sharers_of
+from tests.keepers_world import names
 
 FLEETS = 40
 JOBS = 50
 
 
-def names(rand: random.Random, prefix: str, count: int) -> list[str]:
-    return [f"{prefix}-{rand.getrandbits(48):012x}" for _ in range(count)]
-
-
 def jobs_never_started(keepers: list[str], replicas: list[str]) -> list[str]:
     """Return the jobs that fall to a keeper which may start items at no replica."""
     able = able_to_own(keepers, replicas)
