Send no request whose work was held while it waited for a replica

Callers saw: with numbers of asks for a place waiting at a hub, one request could end more replicas than the three after which its work is held. Cause: a request was checked for held work before it asked for a place, and the answer may take seconds; copies that waited there were sent although the third loss had come meanwhile.

The check is made once more when a replica has been found; a place that is not taken is forgotten by its hub like any other that is not reported open.

test_a_request_whose_work_is_held_while_it_waits_for_a_place_is_not_sent failed before (one send).

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -52,6 +52,10 @@
         if isinstance(picked, Err):
             return _end(deps, req, progress, picked.err_value)
         replica = picked.ok_value
+        # Its work may have been held while it waited for a replica.
+        held = deps.crashes.refusal(req.request_id, req.work)
+        if held is not None:
+            return _end(deps, req, progress, held)
         sent = await _send_once(deps, req, replica, progress)
         if isinstance(sent, Ok):
             _note_end(deps, req, progress, sent.ok_value)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,13 +2,16 @@
 
 import pytest
 from result import Err, Ok
+from twisted.internet.defer import Deferred
 from twisted.web.http_headers import Headers
 
 from papayapier import events
+from papayapier.dispatch.lost_sends import name_work
 from papayapier.errors import ErrorKind, Outcome
-from papayapier.policy.crashes import LOSSES_MOST
+from papayapier.policy.crashes import LOSSES_MOST, Loss
 from papayapier.policy.loads import ReplicaUse
-from papayapier.policy.placers import Placed
+from papayapier.policy.placers import Placed, Wanting
+from papayapier.policy.routing import RouteRequest
 from papayapier.upstream.api import FailureKind, Sent
 from papayapier.upstream.raw import RawAnswer
 from tests.forward_world import Caller, Ended, ForwardWorld
@@ -38,6 +41,28 @@
     assert world.sends[0].replica in world.replicas
 
 
+def test_a_request_whose_work_is_held_while_it_waits_for_a_place_is_not_sent() -> None:
+    # Failure: copies that wait for room end one replica more each, after their work is held.
+    world = ForwardWorld()
+    waiting: Deferred[Placed] = Deferred()
+
+    async def place(_req: RouteRequest, _wanting: Wanting) -> Placed:
+        return await waiting
+
+    world.deps = world.deps._replace(place=place)
+    ends = world.begin(idempotent=True, body=b"crash")
+    work = name_work("POST", "", "/a", b"crash")
+    world.crashes.on_told([Loss(work, f"gone{n}", 0) for n in range(LOSSES_MOST)], ())
+    waiting.callback(Placed("r0"))
+    assert not world.sends
+    ended = ends[0]
+    assert isinstance(ended, Err)
+    assert (ended.err_value.kind, ended.err_value.outcome) == (
+        ErrorKind.ENDS_REPLICAS,
+        Outcome.NOT_RUN,
+    )
+
+
 @pytest.mark.parametrize(("kind", "sent"), LOST)
 def test_a_request_that_may_run_once_is_sent_once(kind: FailureKind, sent: Sent) -> None:
     world = ForwardWorld()
