Say in the greeting who may be a hub

Cause: instances take for hubs whom the list of processes names. By the lines a keeper had started late, two instances knew of two hubs for 1.2 s and longer, two of three; when the placing hub left, one entry asked the second and the other the third, which both gave away the same places (221 at both, with the same ten calls). All had heard the third one 0.7 s before: the greeting did not say that it may be a hub.

The case of tests/test_peer.py has no such greeting before.

--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -365,7 +365,16 @@
 
     def _hello(self, picked: bool) -> Hello:
         me = self._me
-        return Hello(me.instance, me.boot, me.host, self._port, me.data_centre, me.region, picked)
+        return Hello(
+            me.instance,
+            me.boot,
+            me.host,
+            self._port,
+            me.data_centre,
+            me.region,
+            picked,
+            me.hub,
+        )
 
     def _note(self, noted: Noted) -> None:
         if noted.change is Change.GONE:
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -58,7 +58,8 @@
 class Hello(NamedTuple):
     """Introduce the sender on a new connection, so that the receiver can dial it.
 
-    picked tells whether the sender picks the receiver by itself, or only answers its pick.
+    picked tells whether the sender picks the receiver by itself, or only answers its pick; hub
+    whether it may be a hub.
     """
 
     instance: str
@@ -68,6 +69,7 @@
     data_centre: str
     region: str
     picked: bool = True
+    hub: bool = False
 
 
 class ConfigPush(NamedTuple):
--- a/papayapier/peer/roster.py
+++ b/papayapier/peer/roster.py
@@ -150,12 +150,16 @@
             data_centre=hello.data_centre,
             region=hello.region,
             state=LIVE if known is None else known.member.state,
-            hub=known is not None and known.member.hub,
+            hub=hello.hub or (known is not None and known.member.hub),
         )
         if not _is_peer(member, self._me.id):
             return []
+        new_hub = member.hub and (known is None or not known.member.hub)
         steps = self._list(member, now)
-        return [*steps, *self._adopt(member.id, now)] if hello.picked else steps
+        if hello.picked:
+            steps.extend(self._adopt(member.id, now))
+        # Heard of at different moments by list, a hub would be one for some only.
+        return [*steps, *self._follow_plan(now)] if new_hub else steps
 
     def heard(self, sender: str, heartbeat: Heartbeat, now: Millis) -> list[Step]:
         """Take over a heartbeat."""
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -107,7 +107,14 @@
                 place = self._places[name]
                 picked = self.rosters[name].picks(step.peer_id)
                 hello = Hello(
-                    name, self.boots[name], "h", 1, place.data_centre, place.region, picked
+                    name,
+                    self.boots[name],
+                    "h",
+                    1,
+                    place.data_centre,
+                    place.region,
+                    picked,
+                    place.hub,
                 )
                 self._do(step.peer_id, self.rosters[step.peer_id].hello(hello, self.now))
                 self._deliver_beat(name, step.peer_id)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -51,8 +51,8 @@
 SEAL = make_seal([KEY.encode()])
 
 
-def member(name: str, port: int = 9000, state: str = LIVE) -> Member:
-    return Member(name, ENTRY, "", "127.0.0.1", 0, port, "dc-a", "local", state)
+def member(name: str, port: int = 9000, state: str = LIVE, hub: bool = False) -> Member:
+    return Member(name, ENTRY, "", "127.0.0.1", 0, port, "dc-a", "local", state, hub=hub)
 
 
 def beat(name: str, boot: int = 1, state: str = LIVE, unheard: tuple[str, ...] = ()) -> Heartbeat:
@@ -211,6 +211,23 @@
         roster.heard("b", beat("b"), at(10))
         assert roster.live() == ["b", "me"]
 
+    @pytest.mark.parametrize("listed", [(), ("k1", "k2")])
+    def test_who_says_hello_may_be_a_hub_before_the_list_says_so(
+        self, listed: tuple[str, ...]
+    ) -> None:
+        # Failure: instances take different hubs for up to two seconds after a keeper has started,
+        # and two hubs place calls at the same replicas.
+        roster = Roster(Place("me", "dc-a", "local"), Limits(1, 1, 1), SILENT_MS)
+        roster.set_members([member(name, hub=True) for name in listed], at(0))
+        hello = Hello("k3", 1, "127.0.0.1", 9000, "dc-a", "local", picked=True, hub=True)
+        assert Redial("k3") in roster.hello(hello, at(5))
+        assert sorted(roster.plan().hubs) == [*listed, "k3"]
+        assert not roster.hello(hello, at(6))
+        # It stays one by its heartbeats until the list is new enough.
+        roster.heard("k3", beat("k3"), at(7))
+        roster.set_members([member(name, hub=True) for name in listed], at(8))
+        assert sorted(roster.plan().hubs) == [*listed, "k3"]
+
     def test_neighbour_only_by_its_own_pick(self) -> None:
         # Symptom: a large fleet counts living instances as down.
         # Sequence: a peer that picked us picks others now and falls silent.
