--- a/tests/test_crash_turns.py
+++ b/tests/test_crash_turns.py
@@ -16,8 +16,9 @@
 from papayapier.dispatch.crash_watch import CrashWatch, Hearers
 from papayapier.dispatch.lost_sends import name_work
 from papayapier.policy.crash_turns import BEGIN_MS, TURN_MS, TURNS_MOST, ms_to_turn
-from papayapier.policy.crashes import LOSSES_MOST, CrashBook, Loss
+from papayapier.policy.crashes import ITEM_PAUSE_MS, LOSSES_MOST, CrashBook, Loss
 from papayapier.upstream.api import FailureKind, Replica, Sent
+from tests.dispatch_world import BODY, CHAT, World
 from tests.forward_world import Ended, ForwardWorld, Send
 
 STEP_MS = 10
@@ -111,6 +112,39 @@
     assert book.hold_ms("w1", START)
 
 
+def test_an_item_waits_until_those_that_are_asked_have_had_their_turns() -> None:
+    # Failure: an item that ends replicas does so in the turn of a question beside it.
+    book = lost_twice("item", "question")
+    assert book.item_hold_ms("item", START) == ITEM_PAUSE_MS
+    assert not book.item_hold_ms("item", START + ITEM_PAUSE_MS)
+    assert not lost_twice("item").item_hold_ms("item", START)
+
+
+def losses_of(*works: str) -> list[Loss]:
+    return [Loss(work, f"gone{n}", 0) for work in works for n in range(LOSSES_MOST - 1)]
+
+
+def test_the_products_own_requests_take_turns() -> None:
+    world = World(lm=4, slots=4)
+    world.crashes.on_told(losses_of(name_work("POST", "lm", CHAT, BODY), "rival"), ())
+    world.ask()
+    assert not world.sends
+    world.advance(3 * TURN_MS)
+    assert len(world.sends) == 1
+
+
+@pytest.mark.parametrize("due_ms", [100, 600, 5_000])
+def test_a_request_waits_half_its_time_for_a_turn_at_most(due_ms: int) -> None:
+    world = ForwardWorld()
+    world.crashes.on_told(losses_of(name_work("POST", "", "/a", SOUND), "rival"), ())
+    world.begin(idempotent=True, body=SOUND, due_ms=due_ms)
+    waited_ms = 0
+    while not world.sends:
+        world.time.advance(STEP_MS)
+        waited_ms += STEP_MS
+    assert TURN_MS <= waited_ms <= 2 * TURN_MS or waited_ms == due_ms // 2
+
+
 class Fleet:
     """Play entries that tell each other of losses after a while, before the same replicas."""
 
