Keep the turns of works apart from their losses

CrashTurns holds the works that one more loss would hold and says when each is sent; CrashBook tells it who they are. The same plays, the same outcome (tests/test_crash_turns.py).

--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -64,15 +64,15 @@
 
     def turn_ms(self, work: Work) -> int:
         """Return when a request may be sent whose work one more loss would hold, in ms."""
-        return 0 if self._book.empty() else self._book.turn_ms(work(), self._clock.now())
+        return 0 if self._book.empty() else self._book.turns.wait_ms(work(), self._clock.now())
 
     def take_turn(self, work: Work) -> bool:
         """Tell whether a request may be sent now."""
-        return self._book.empty() or self._book.take_turn(work(), self._clock.now())
+        return self._book.empty() or self._book.turns.take(work(), self._clock.now())
 
     def rivals(self, work: Work) -> list[str]:
         """Return the works that a work takes turns with."""
-        return self._book.rivals(work())
+        return self._book.turns.rivals(work())
 
     def item_hold_ms(self, work: Work) -> int:
         """Return for how long an item is not sent, in ms; 0 if it may be."""
--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -365,16 +365,8 @@
 
     def _hello(self, picked: bool) -> Hello:
         me = self._me
-        return Hello(
-            me.instance,
-            me.boot,
-            me.host,
-            self._port,
-            me.data_centre,
-            me.region,
-            picked,
-            me.hub,
-        )
+        place = (me.host, self._port, me.data_centre, me.region)
+        return Hello(me.instance, me.boot, *place, picked, me.hub)
 
     def _note(self, noted: Noted) -> None:
         if noted.change is Change.GONE:
--- a/papayapier/policy/crash_turns.py
+++ b/papayapier/policy/crash_turns.py
@@ -20,14 +20,73 @@
 TURNS_MOST: Final = 8
 
 
+class _Work:
+    """Hold where and when a work was lost, and when its last turn was taken here."""
+
+    __slots__ = ("last_ms", "replicas", "taken_ms")
+
+    def __init__(self) -> None:
+        self.replicas: frozenset[str] = frozenset()
+        self.last_ms = 0
+        self.taken_ms: int | None = None
+
+    def pause_ms(self, now: int) -> int:
+        """Return how long nothing else is sent here after a turn was taken."""
+        return 0 if self.taken_ms is None else max(0, self.taken_ms + TURN_MS - now)
+
+
+class CrashTurns:
+    """Hold the works that one more loss would hold."""
+
+    def __init__(self) -> None:
+        self._works: dict[str, _Work] = {}
+
+    def join(self, work: str, replicas: Collection[str], last_ms: int) -> None:
+        """Take where a work was lost, and when last."""
+        joined = self._works.setdefault(work, _Work())
+        joined.replicas = frozenset(replicas)
+        joined.last_ms = last_ms
+
+    def leave(self, work: str) -> None:
+        """Drop a work that was answered, is held, or forgotten."""
+        self._works.pop(work, None)
+
+    def rivals(self, work: str) -> list[str]:
+        """Return the works that were lost at a replica where this one was lost."""
+        joined = self._works.get(work)
+        if joined is None:
+            return []
+        return [
+            name
+            for name, other in self._works.items()
+            if name != work and not joined.replicas.isdisjoint(other.replicas)
+        ]
+
+    def wait_ms(self, work: str, now: int) -> int:
+        """Return when a work may be sent, in ms; 0 for now, or where it has no rivals."""
+        rivals = self.rivals(work)
+        if not rivals:
+            return 0
+        last_ms = max(self._works[name].last_ms for name in (work, *rivals))
+        pause_ms = self._works[work].pause_ms(now)
+        return pause_ms + ms_to_turn(work, rivals, now + pause_ms - last_ms)
+
+    def take(self, work: str, now: int) -> bool:
+        """Tell whether a work may be sent now, and take its turn if it has rivals."""
+        if self.wait_ms(work, now):
+            return False
+        joined = self._works.get(work)
+        if joined is not None:
+            joined.taken_ms = now
+        return True
+
+
 def ms_to_turn(work: str, rivals: Collection[str], since_ms: int) -> int:
-    """Return when a work's turn begins, in ms from now; 0 within it, or without rivals.
+    """Return when a work's turn begins, in ms from now; 0 within it.
 
     since_ms counts from the last loss of any of them; nothing is sent in the first TURN_MS, as what
     was sent before is still open.
     """
-    if not rivals:
-        return 0
     turns = min(len(rivals) + 1, TURNS_MOST)
     place = sum(other < work for other in rivals) % turns
     first_ms = TURN_MS * (1 + place)
--- a/papayapier/policy/crashes.py
+++ b/papayapier/policy/crashes.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
 
-from papayapier.policy.crash_turns import TURN_MS, ms_to_turn
+from papayapier.policy.crash_turns import CrashTurns
 from papayapier.policy.recent_answers import RecentAnswers
 
 # Two ends may be chance: where a third of the replicas end at once, one request in thirty is at two
@@ -95,17 +95,16 @@
 class _Work:
     """Hold the losses of one work, and how often it was answered since the first.
 
-    most is the number of losses from which on it is held; turn_ms is when its last turn was taken.
+    most is the number of losses from which on it is held.
     """
 
-    __slots__ = ("answered", "last_ms", "losses", "most", "turn_ms")
+    __slots__ = ("answered", "last_ms", "losses", "most")
 
     def __init__(self, most: int) -> None:
         self.most = most
         self.losses: list[_Lost] = []
         self.answered = 0
         self.last_ms = 0
-        self.turn_ms: int | None = None
 
     def count(self) -> int:
         return len(self.losses) - self.answered
@@ -120,11 +119,6 @@
     def lately(self) -> bool:
         return self.most == ANSWERED_LOSSES_MOST
 
-    def shares(self, other: "_Work") -> bool:
-        """Tell whether both were lost at the same replica."""
-        replicas = {lost.replica for lost in self.losses}
-        return any(lost.replica in replicas for lost in other.losses)
-
     def knows(self, replica: str, at_ms: int) -> bool:
         return any(
             lost.replica == replica and abs(lost.at_ms - at_ms) < SAME_END_MS
@@ -144,9 +138,10 @@
         self._unsure: dict[str, set[str]] = {}
         self._listed: frozenset[str] = frozenset()
         self._left: dict[str, None] = {}
-        # Works with as many losses as hold one, and those that one more loss would hold.
+        # Works with as many losses as hold one.
         self._over: set[str] = set()
-        self._nearly: set[str] = set()
+        # When those may be sent that one more loss would hold.
+        self.turns = CrashTurns()
         # Grows with each change of what is known.
         self.changes = 0
 
@@ -181,39 +176,13 @@
             return 0
         return APART_MS if known.count() >= LOSSES_MOST - 1 else 0
 
-    def rivals(self, work: str) -> list[str]:
-        """Return the works that one more loss would hold like this one, lost where it was lost."""
-        known = self._works.get(work)
-        if known is None or work not in self._nearly:
-            return []
-        return [name for name in self._nearly if name != work and self._works[name].shares(known)]
-
-    def turn_ms(self, work: str, now: int) -> int:
-        """Return when work may be sent that has rivals, in ms; 0 for now."""
-        rivals = self.rivals(work)
-        if not rivals:
-            return 0
-        known = self._works[work]
-        last_ms = max(self._works[name].last_ms for name in (work, *rivals))
-        taken_ms = 0 if known.turn_ms is None else max(0, known.turn_ms + TURN_MS - now)
-        return taken_ms + ms_to_turn(work, rivals, now + taken_ms - last_ms)
-
-    def take_turn(self, work: str, now: int) -> bool:
-        """Tell whether work may be sent now; where it has rivals nobody else here sends it then."""
-        if self.turn_ms(work, now):
-            return False
-        known = self._works.get(work)
-        if known is not None:
-            known.turn_ms = now
-        return True
-
     def item_hold_ms(self, work: str, now: int) -> int:
         """Return for how long an item's work is not sent, in ms; 0 if it may be.
 
         One with rivals waits until those that are asked have had their turns.
         """
         known = self._works.get(work)
-        if known is None or (known.count() < LOSSES_MOST and not self.rivals(work)):
+        if known is None or (known.count() < LOSSES_MOST and not self.turns.rivals(work)):
             return 0
         pause_ms = HOLD_MS
         if not self.item_done_for(work):
@@ -380,16 +349,16 @@
         else:
             self._over.discard(work)
         if known.nearly():
-            self._nearly.add(work)
+            self.turns.join(work, self.replicas(work), known.last_ms)
         else:
-            self._nearly.discard(work)
+            self.turns.leave(work)
         if known.count() <= 0:
             self._forget(work)
 
     def _forget(self, work: str) -> None:
         self.changes += 1
         self._over.discard(work)
-        self._nearly.discard(work)
+        self.turns.leave(work)
         for lost in self._works.pop(work).losses:
             self._unlink(work, lost.replica)
 
--- a/tests/test_crash_turns.py
+++ b/tests/test_crash_turns.py
@@ -88,27 +88,29 @@
     book.on_told(
         [Loss("other", "r0", 0), Loss("elsewhere", "r8", 0), Loss("elsewhere", "r9", 0)], START
     )
-    assert [book.turn_ms(work, START) for work in ("w", "other", "elsewhere", "new")] == [0] * 4
+    assert [book.turns.wait_ms(work, START) for work in ("w", "other", "elsewhere", "new")] == [
+        0
+    ] * 4
 
 
 def test_a_turn_is_taken_once() -> None:
     # Failure: all copies that wait for a turn of one instance end a replica each.
     book = lost_twice("w0", "w1")
     now = START + TURN_MS
-    assert [book.take_turn("w0", now), book.take_turn("w0", now)] == [True, False]
-    assert book.take_turn("w0", now + book.turn_ms("w0", now))
+    assert [book.turns.take("w0", now), book.turns.take("w0", now)] == [True, False]
+    assert book.turns.take("w0", now + book.turns.wait_ms("w0", now))
 
 
 def test_an_answer_ends_the_turns() -> None:
     book = lost_twice("w0", "w1")
     book.on_answered("w0")
-    assert [book.turn_ms(work, START) for work in ("w0", "w1")] == [0, 0]
+    assert [book.turns.wait_ms(work, START) for work in ("w0", "w1")] == [0, 0]
 
 
 def test_a_third_loss_ends_the_turns() -> None:
     book = lost_twice("w0", "w1")
     book.on_told([Loss("w1", "r7", 0)], START)
-    assert not book.turn_ms("w0", START)
+    assert not book.turns.wait_ms("w0", START)
     assert book.hold_ms("w1", START)
 
 
