Do not judge two drawn tests by how long an example takes

The limit was no part of any target, and the other drawn tests have none. The same default is taken off the only other test that had it, tests/test_event_cutter.py.

--- a/tests/test_event_cutter.py
+++ b/tests/test_event_cutter.py
@@ -3,7 +3,7 @@
 from itertools import pairwise
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from papayapier.upstream.event_cutter import MAX_EVENT_BYTES, EventCutter, read_events
@@ -11,6 +11,7 @@
 STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 8))
 
 
+@settings(deadline=None)
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
 def test_any_cut_of_the_bytes_gives_the_same_stream(places: list[int]) -> None:
     cutter = EventCutter()
--- a/tests/test_policy_job_owners.py
+++ b/tests/test_policy_job_owners.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from papayapier.policy.job_owners import able_to_own
@@ -35,6 +35,7 @@
         assert jobs_never_started(running, names(rand, "i", replicas)) == []
 
 
+@settings(deadline=None)
 @given(st.integers(0, 2**32), st.integers(1, 40), st.integers(1, 60))
 def test_no_job_is_left_while_replicas_and_keepers_go(
     seed: int, keepers: int, replicas: int
