Send a suspect only while no copy of it is under way

Windows count from the last loss that an instance knows, and calls take longer than a window on a busy machine.

Fix: before a suspect is sent its instance asks all others (the hubs in a large fleet), which object while they have a copy under way, or another request with the same losses at the chosen replica. The question carries the losses, so that nobody sends the request unaware of them afterwards. A silent instance is not waited for. Requests with fewer losses cost no message and do not wait. 227 and 228 say when a suspect left, and when it was refused.

--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -51,6 +51,7 @@
     Message,
     ShardsReleased,
 )
+from papayapier.peer.permit_exchange import PermitExchange, PermitExchangeDeps
 from papayapier.policy.admission import AdmissionQueue
 from papayapier.policy.batch_share import BatchShare
 from papayapier.policy.drain import Drain, DrainPlan
@@ -144,6 +145,11 @@
             base.clock, hub, fleet.crash_watch, cfg.instance.id, lambda: hub.plan().hubs
         )
     )
+    PermitExchange(
+        PermitExchangeDeps(
+            base.clock, hub, fleet.crash_watch, cfg.instance.id, lambda: hub.plan().hubs
+        )
+    )
     dispatch = _make_dispatch(base, fleet, hub)
     item_dispatch = ItemDispatch(dispatch)
     online = OnlineDispatch(dispatch, item_dispatch.preempt_for_online)
--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -15,11 +15,13 @@
 from papayapier.dispatch.failure_attribution import counts_against_replica, rejection
 from papayapier.dispatch.outcome_checks import check_send, correct_outcome
 from papayapier.dispatch.retrying import (
+    Claim,
     SendHistory,
+    claim_send,
     decide_retry,
-    may_send,
     prepare_retry,
     retry_spacing_ms,
+    suspect_refusal,
     wait_for_send_window,
 )
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
@@ -73,9 +75,18 @@
         replica = _pick(deps, req, progress.history.excluded)
         if replica is None:
             return Err(correct_outcome(_no_replica(req), progress.history.maybe_sent))
-        if not may_send(deps, req.fingerprint, progress.history):
+        claim = await claim_send(
+            deps, req.call_id, req.fingerprint, replica, progress.history, req.due_ms
+        )
+        quarantine_refusal = deps.crashes.refusal(req.call_id, req.fingerprint)
+        if quarantine_refusal is not None:
+            return Err(correct_outcome(quarantine_refusal, progress.history.maybe_sent))
+        if claim is Claim.REFUSED:
+            return Err(correct_outcome(suspect_refusal(), progress.history.maybe_sent))
+        if claim is Claim.WAITING:
             continue
-        result = await _send_once(deps, req, replica, progress, on_token, preempt_batch)
+        with deps.crashes.track_send(req.fingerprint, replica):
+            result = await _send_once(deps, req, replica, progress, on_token, preempt_batch)
         if isinstance(result, Ok):
             return Ok(_join_parts(result.ok_value, progress))
         decision = _after_failure(deps, req, replica, result.err_value, progress)
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -5,8 +5,9 @@
 recognised by its fingerprint, a digest of its contents.
 """
 
-from collections.abc import Callable, Collection, Iterable
-from typing import Any, Final, NamedTuple
+from collections.abc import Callable, Collection, Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final, NamedTuple, Protocol
 
 from result import Ok, Result
 
@@ -16,6 +17,7 @@
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.metrics import Metrics
 from papayapier.policy.crash_quarantine import CrashTracker, ReplicaLoss
+from papayapier.policy.open_sends import OpenSends, WantedSend
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
 # Far below the time for which a loss counts. No timer runs while there are no losses.
@@ -25,12 +27,33 @@
 GetFingerprint = Callable[[], str]
 
 
+def ignore_suspect(_fingerprint: str) -> None:
+    """Do nothing; the default of CrashListeners.on_suspect."""
+
+
 class CrashListeners(NamedTuple):
-    """Hold the callbacks for losses and answers observed here and for new quarantines."""
+    """Hold the callbacks for losses and answers observed here and for new quarantines.
+
+    on_suspect is called with a request that one more loss would quarantine.
+    """
 
     on_loss: Callable[[ReplicaLoss], None]
     on_answered: Callable[[str], None]
     on_quarantined: Callable[[str], None]
+    on_suspect: Callable[[str], None] = ignore_suspect
+
+
+class PermitSource(Protocol):
+    """Describe how instances agree on which of them sends a suspect."""
+
+    async def acquire(self, wanted: WantedSend, within_ms: int) -> bool:
+        """Return whether a suspect may be sent now."""
+
+    def on_send_ended(self, get_fingerprint: GetFingerprint) -> None:
+        """Process the end of an online send, or that a permit was not used."""
+
+    def on_suspect(self, fingerprint: str) -> None:
+        """Process that a request has become a suspect."""
 
 
 class CrashWatch:
@@ -46,11 +69,18 @@
         self._reviewed_changes = 0
         self._timer: Timer | None = None
         self._listeners: CrashListeners | None = None
+        self._permits: PermitSource | None = None
+        self._open_sends = OpenSends()
+        self._suspects: frozenset[str] = frozenset()
 
     def connect(self, listeners: CrashListeners) -> None:
         """Set the listeners."""
         self._listeners = listeners
 
+    def connect_permits(self, permits: PermitSource) -> None:
+        """Set how instances agree on which of them sends a suspect."""
+        self._permits = permits
+
     def refusal(self, request_id: str, get_fingerprint: GetFingerprint) -> Refusal | None:
         """Return the refusal of a request that is quarantined, or None."""
         if self._tracker.is_empty():
@@ -81,6 +111,58 @@
         """Return the fingerprints that share replica losses, and send windows, with a request."""
         return self._tracker.send_windows.other_suspects(get_fingerprint())
 
+    def is_suspect(self, get_fingerprint: GetFingerprint) -> bool:
+        """Return whether a request may be sent with a permit only."""
+        return not self._tracker.is_empty() and self._tracker.is_suspect(get_fingerprint())
+
+    async def acquire_permit(
+        self, get_fingerprint: GetFingerprint, replica_id: str, within_ms: int
+    ) -> bool:
+        """Return whether a suspect may be sent to a replica now; the send must begin at once."""
+        fingerprint = get_fingerprint()
+        if self.blocks(self.wanted_send(fingerprint, replica_id)):
+            return False
+        if self._permits is None:
+            return True
+        granted = await self._permits.acquire(self.wanted_send(fingerprint, replica_id), within_ms)
+        if not granted:
+            return False
+        if self._tracker.quarantine_ms(fingerprint, self._clock.now()) or self.blocks(
+            self.wanted_send(fingerprint, replica_id)
+        ):
+            self._permits.on_send_ended(lambda: fingerprint)
+            return False
+        return True
+
+    def wanted_send(self, fingerprint: str, replica_id: str) -> WantedSend:
+        """Return what decides whether a suspect may be sent to a replica."""
+        return WantedSend(
+            fingerprint, frozenset(self._tracker.lost_replicas(fingerprint)), replica_id
+        )
+
+    def blocks(self, wanted: WantedSend) -> bool:
+        """Return whether sends that are under way here forbid a suspect."""
+        return self._open_sends.block(wanted, self._tracker.shares_loss)
+
+    def open_replicas(self, fingerprint: str) -> list[str]:
+        """Return the replicas at which copies of a request are under way from here."""
+        return self._open_sends.replicas_of(fingerprint)
+
+    def ms_since_loss(self, fingerprint: str) -> int:
+        """Return the time since the last loss of a fingerprint, in ms."""
+        return self._tracker.ms_since_loss(fingerprint, self._clock.now())
+
+    @contextmanager
+    def track_send(self, get_fingerprint: GetFingerprint, replica: Replica) -> Iterator[None]:
+        """Record that a send of an online request is under way, until its result is recorded."""
+        send = self._open_sends.add(get_fingerprint, replica.id)
+        try:
+            yield
+        finally:
+            self._open_sends.remove(send)
+            if self._permits is not None:
+                self._permits.on_send_ended(send.fingerprint)
+
     def item_pause_ms(self, get_fingerprint: GetFingerprint) -> int:
         """Return for how long an item may not be sent, in ms; 0 if it may."""
         return (
@@ -208,10 +290,19 @@
                 self._listeners.on_quarantined(fingerprint)
         for fingerprint in sorted(before - self._quarantined):
             events.emit(events.WORK_RELEASED, work=fingerprint)
+        self._notify_of_suspects()
         self._metrics.works_held.set(len(self._quarantined))
         if not self._tracker.is_empty() and (self._timer is None or not self._timer.active()):
             self._timer = self._clock.call_later(SWEEP_MS, self._sweep)
 
+    def _notify_of_suspects(self) -> None:
+        before, self._suspects = self._suspects, self._tracker.suspects()
+        for fingerprint in sorted(self._suspects - before):
+            if self._permits is not None:
+                self._permits.on_suspect(fingerprint)
+            if self._listeners is not None:
+                self._listeners.on_suspect(fingerprint)
+
     def _sweep(self) -> None:
         self._tracker.sweep(self._clock.now(), self._list_is_fresh())
         self._review()
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -15,10 +15,12 @@
 from papayapier.dispatch.outcome_checks import correct_outcome
 from papayapier.dispatch.relayed_stream import CallerStream
 from papayapier.dispatch.retrying import (
+    Claim,
+    claim_send,
     decide_retry,
-    may_send,
     prepare_retry,
     retry_spacing_ms,
+    suspect_refusal,
     wait_for_send_window,
 )
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
@@ -56,7 +58,8 @@
         if isinstance(found, Err):
             return _finish(deps, req, progress, found.err_value)
         replica = found.ok_value
-        result = await _send_once(deps, req, replica, progress)
+        with deps.crashes.track_send(req.fingerprint, replica):
+            result = await _send_once(deps, req, replica, progress)
         if isinstance(result, Ok):
             _log_result(deps, req, progress, result.ok_value)
             return result
@@ -81,11 +84,17 @@
         picked = await _pick(deps, req, progress)
         if isinstance(picked, Err):
             return picked
-        # The request may have been quarantined while it waited for its placement.
+        replica = picked.ok_value
+        claim = await claim_send(
+            deps, req.request_id, req.fingerprint, replica, progress.history, req.due_ms
+        )
+        # The request may have been quarantined while it waited for its placement or permit.
         quarantine_refusal = deps.crashes.refusal(req.request_id, req.fingerprint)
         if quarantine_refusal is not None:
             return Err(quarantine_refusal)
-        if may_send(deps, req.fingerprint, progress.history):
+        if claim is Claim.REFUSED:
+            return Err(suspect_refusal())
+        if claim is Claim.GRANTED:
             return picked
 
 
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -4,9 +4,11 @@
 they relay different answers, but the rules for retries and for the reported outcome are the same.
 """
 
+from enum import Enum
 from typing import TYPE_CHECKING, Final, Protocol
 
 from papayapier import events
+from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.policy.retries import GiveUp, Retry, failed_at, retry_or_refuse
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
@@ -21,6 +23,18 @@
     from papayapier.policy.retries import RetryBudget
 
 NO_EXCLUDED_REPLICAS: Final[frozenset[str]] = frozenset()
+# Pause before a permit is requested again: half of a short call, so that little time is lost.
+PERMIT_RETRY_MS: Final = 40
+# When the caller of a refused suspect may retry: the copy under way has ended by then.
+SUSPECT_RETRY_MS: Final = 1_000
+
+
+class Claim(Enum):
+    """State whether a request may be sent: now, after a new choice of replica, or not."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    REFUSED = "refused"
 
 
 class RetryDeps(Protocol):
@@ -54,13 +68,15 @@
 class SendHistory:
     """Track the sends of one request; maybe_sent says that one of them may have run.
 
-    After window_deadline_ms the request no longer waits for send windows.
+    After window_deadline_ms the request no longer waits for send windows, after permit_deadline_ms
+    not for the end of other copies either.
     """
 
     __slots__ = (
         "excluded",
         "fresh",
         "maybe_sent",
+        "permit_deadline_ms",
         "rejections",
         "send_count",
         "window_deadline_ms",
@@ -76,6 +92,7 @@
         self.fresh = fresh
         self.maybe_sent = False
         self.window_deadline_ms: int | None = None
+        self.permit_deadline_ms: int | None = None
 
     def record_failure(self, failure: Failure) -> Sent:
         """Record a failed send and return whether an earlier one may have run."""
@@ -175,9 +192,57 @@
         wait_ms = deps.crashes.send_window_wait_ms(get_fingerprint)
 
 
-def may_send(deps: RetryDeps, get_fingerprint: "GetFingerprint", history: SendHistory) -> bool:
-    """Return whether a request with a chosen replica may be sent now."""
-    return deps.crashes.take_send_window(get_fingerprint) or _wait_expired(deps, history)
+async def claim_send(
+    deps: RetryDeps,
+    request_id: str,
+    get_fingerprint: "GetFingerprint",
+    replica: Replica,
+    history: SendHistory,
+    due_ms: int,
+) -> Claim:
+    """Return whether a request may be sent to a chosen replica now; a suspect needs a permit.
+
+    It waits until no copy of it is under way at any instance, for at most three quarters of
+    its time; the rest is left for the send itself.
+    """
+    crashes = deps.crashes
+    if not crashes.is_suspect(get_fingerprint):
+        return Claim.GRANTED
+    if crashes.send_window_wait_ms(get_fingerprint) and not _wait_expired(deps, history):
+        return Claim.WAITING
+    now = deps.clock.now()
+    if history.permit_deadline_ms is None:
+        history.permit_deadline_ms = due_ms - max(0, due_ms - now) // 4
+    if await crashes.acquire_permit(get_fingerprint, replica.id, due_ms - now):
+        crashes.take_send_window(get_fingerprint)
+        _log_claim(
+            events.SUSPECT_SENT, request_id, get_fingerprint, replica, deps.clock.now() - now
+        )
+        return Claim.GRANTED
+    left_ms = history.permit_deadline_ms - deps.clock.now()
+    if left_ms <= 0:
+        _log_claim(events.SUSPECT_REFUSED, request_id, get_fingerprint, replica, -left_ms)
+        return Claim.REFUSED
+    await deps.clock.sleep(min(left_ms, round(PERMIT_RETRY_MS * deps.rand.uniform(1, 2))))
+    return Claim.WAITING
+
+
+def suspect_refusal() -> Refusal:
+    """Return the refusal of a suspect of which another copy was under way for too long."""
+    reason = "two replicas were lost while they ran the same request, and a copy of it is running"
+    return not_run_refusal(ErrorKind.NO_ROOM, reason, SUSPECT_RETRY_MS)
+
+
+def _log_claim(
+    event: events.Event,
+    request_id: str,
+    get_fingerprint: "GetFingerprint",
+    replica: Replica,
+    took_ms: int,
+) -> None:
+    events.emit(
+        event, request=request_id, work=get_fingerprint(), replica=replica.id, took_ms=took_ms
+    )
 
 
 def _wait_expired(deps: RetryDeps, history: SendHistory) -> bool:
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -178,6 +178,18 @@
     Level.INFO,
     "request waits for its send window, other requests share its replica losses",
 )
+SUSPECT_SENT: Final = Event(
+    227,
+    "suspect_sent",
+    Level.INFO,
+    "request that one more loss would quarantine is sent, no other copy is under way",
+)
+SUSPECT_REFUSED: Final = Event(
+    228,
+    "suspect_refused",
+    Level.INFO,
+    "request that one more loss would quarantine is refused, another send is under way too long",
+)
 
 REPLICA_EJECTED: Final = Event(
     301, "replica_ejected", Level.WARNING, "replica ejected, it gets no calls for now"
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -37,6 +37,7 @@
 from papayapier.peer.hub import Identity, PeerHub
 from papayapier.peer.loss_exchange import LossExchange, LossExchangeDeps
 from papayapier.peer.messages import CallsTold, ConfigPush, Heartbeat, Message
+from papayapier.peer.permit_exchange import PermitExchange, PermitExchangeDeps
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
 from papayapier.platform.headers import decode_facts
 from papayapier.platform.replicas import REPLICAS_PREFIX, decodes_differently, read_replica
@@ -195,6 +196,7 @@
         )
     )
     loss_exchange = LossExchange(LossExchangeDeps(clock, hub, crashes, own.id, fleet.hubs))
+    PermitExchange(PermitExchangeDeps(clock, hub, crashes, own.id, fleet.hubs))
     mirrors: dict[str, Mirror] = {}
     base = NodeBase(
         reactor=reactor,
--- a/papayapier/peer/kinds.py
+++ b/papayapier/peer/kinds.py
@@ -31,6 +31,12 @@
     TakeOverAsk,
     TakeOverTell,
 )
+from papayapier.peer.permit_messages import (
+    PermitReply,
+    PermitRequest,
+    SuspectEnded,
+    SuspectUnderWay,
+)
 from papayapier.peer.placement_messages import PlaceAsk, PlaceLeft, PlaceTell, Unanswered
 from papayapier.peer.run_messages import RunsAsk, RunsOffer, RunsTell
 
@@ -71,4 +77,8 @@
     34: NoLosses,
     35: LatelyAsk,
     36: RunsOffer,
+    37: PermitRequest,
+    38: PermitReply,
+    39: SuspectUnderWay,
+    40: SuspectEnded,
 }
--- a/papayapier/peer/loss_exchange.py
+++ b/papayapier/peer/loss_exchange.py
@@ -62,13 +62,16 @@
         self._losses: deque[tuple[ReplicaLoss, int]] = deque(maxlen=MAX_QUEUED)
         self._to_resend: deque[tuple[ReplicaLoss, int]] = deque(maxlen=MAX_PER_MESSAGE)
         self._answered: deque[str] = deque(maxlen=MAX_QUEUED)
+        self._suspects: deque[str] = deque(maxlen=MAX_QUEUED)
         self._queried: set[str] = set()
         self._was_hub = False
         self._has_reply = False
         self._timer: Timer | None = None
         self._resend_timer: Timer | None = None
         deps.watch.connect(
-            CrashListeners(self._on_replica_lost, self._on_answered, self._on_quarantined)
+            CrashListeners(
+                self._on_replica_lost, self._on_answered, self._on_quarantined, self._on_suspect
+            )
         )
         deps.hub.subscribe(LossesTold, self._on_losses_told)
         deps.hub.subscribe(LossesAsk, self._on_losses_request)
@@ -115,7 +118,10 @@
         self._query_recent_answers(
             fingerprints.difference(self._deps.watch.recently_answered(fingerprints))
         )
-        if self._losses or self._answered:
+        suspects = _pop_batch(self._suspects)
+        if suspects:
+            self._deps.hub.broadcast(LossesTold(tuple(self._deps.watch.snapshot(suspects))))
+        if self._losses or self._answered or self._suspects:
             self._schedule_send()
         if losses:
             self._to_resend.extend(losses)
@@ -166,6 +172,15 @@
             # An instance that answered it recently can report that only once it has the losses.
             self._schedule_send(0)
 
+    def _on_suspect(self, fingerprint: str) -> None:
+        """Report the losses of a suspect before any instance sends it without a permit."""
+        if self._is_hub():
+            if self._is_responsible(fingerprint):
+                self._suspects.append(fingerprint)
+                self._schedule_send()
+        elif self._losses:
+            self._schedule_send(0)
+
     def _on_losses_told(self, peer_id: str, message: LossesTold) -> None:
         self._has_reply = self._has_reply or peer_id in self._queried
         watch = self._deps.watch
@@ -196,15 +211,15 @@
         """
         if not self._is_hub():
             return
-        hubs = self._deps.hub.plan().hubs
-        own = [
-            fingerprint
-            for fingerprint in fingerprints
-            if max(hubs, key=lambda hub: score(fingerprint, hub)) == self._deps.me
-        ]
+        own = [fingerprint for fingerprint in fingerprints if self._is_responsible(fingerprint)]
         if own:
             self._deps.hub.broadcast(LatelyAsk(tuple(sorted(own))))
 
+    def _is_responsible(self, fingerprint: str) -> bool:
+        """Return whether this hub is the one that notifies everybody of a fingerprint."""
+        hubs = self._deps.hub.plan().hubs
+        return max(hubs, key=lambda hub: score(fingerprint, hub)) == self._deps.me
+
     def _on_recent_query(self, peer_id: str, query: LatelyAsk) -> None:
         recent = self._deps.watch.recently_answered(query.fingerprints)
         if recent:
--- a/papayapier/peer/messages.py
+++ b/papayapier/peer/messages.py
@@ -8,6 +8,12 @@
 from typing import Final, NamedTuple
 
 from papayapier.peer.loss_messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
+from papayapier.peer.permit_messages import (
+    PermitReply,
+    PermitRequest,
+    SuspectEnded,
+    SuspectUnderWay,
+)
 from papayapier.peer.placement_messages import PlaceAsk, PlaceLeft, PlaceTell, Unanswered
 from papayapier.peer.run_messages import RunsAsk, RunsOffer, RunsTell
 from papayapier.policy.loads import ReplicaUse
@@ -364,4 +370,8 @@
     | AllowTell
     | TakeOverAsk
     | TakeOverTell
+    | PermitRequest
+    | PermitReply
+    | SuspectUnderWay
+    | SuspectEnded
 )
--- a/papayapier/peer/open_requests.py
+++ b/papayapier/peer/open_requests.py
@@ -19,6 +19,7 @@
     StoreTell,
     TakeOverTell,
 )
+from papayapier.peer.permit_messages import PermitReply
 from papayapier.peer.placement_messages import PlaceTell
 from papayapier.peer.run_messages import RunsTell
 
@@ -36,6 +37,7 @@
     | RunsTell
     | AllowTell
     | TakeOverTell
+    | PermitReply
 )
 
 
--- a/papayapier/policy/crash_quarantine.py
+++ b/papayapier/policy/crash_quarantine.py
@@ -170,6 +170,27 @@
             return 0
         return max(0, record.last_ms + QUARANTINE_MS - now)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether one more loss would quarantine a request that nobody answered recently."""
+        record = self._records.get(fingerprint)
+        return record is not None and record.is_suspect()
+
+    def suspects(self) -> frozenset[str]:
+        """Return the fingerprints that one more loss would quarantine."""
+        return self.send_windows.suspects()
+
+    def shares_loss(self, fingerprint: str, replicas: Collection[str]) -> bool:
+        """Tell whether a request has an uncleared loss at one of some replicas."""
+        record = self._records.get(fingerprint)
+        if record is None or record.is_answered():
+            return False
+        return any(loss.replica in replicas for loss in record.losses)
+
+    def ms_since_loss(self, fingerprint: str, now: int) -> int:
+        """Return the time since the last loss of a fingerprint, in ms; FORGET_MS without one."""
+        record = self._records.get(fingerprint)
+        return FORGET_MS if record is None else now - record.last_ms
+
     def suspect_pause_ms(self, fingerprint: str) -> int:
         """Return the shortest pause before a request that may soon be quarantined, in ms.
 
--- a/papayapier/policy/send_windows.py
+++ b/papayapier/policy/send_windows.py
@@ -51,6 +51,10 @@
         """Remove a fingerprint that was answered, is quarantined, or was forgotten."""
         self._suspects.pop(fingerprint, None)
 
+    def suspects(self) -> frozenset[str]:
+        """Return all fingerprints that one more loss would quarantine."""
+        return frozenset(self._suspects)
+
     def other_suspects(self, fingerprint: str) -> list[str]:
         """Return the other suspects: fingerprints that share a lost replica with this one."""
         suspect = self._suspects.get(fingerprint)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -556,7 +556,11 @@
 
 @pytest.mark.parametrize(
     "kind",
-    [kind for kind in KINDS.values() if kind.__name__.endswith("Tell") and kind is not MembersTell],
+    [
+        kind
+        for kind in KINDS.values()
+        if kind.__name__.endswith(("Tell", "Reply")) and kind is not MembersTell
+    ],
 )
 def test_each_kind_of_reply_completes_its_request(kind: Any) -> None:
     # Symptom: every read of a job through a keeper waits until its timeout.
