Do not quarantine a request for the silence of slow replicas

Cause, from lines: a send that runs into its first-byte limit ("silent") or its due time ("due") at a replica that is only slow counts as a replica lost, as a cut connection does.

Fix: a silent loss is kept as such, also between instances. Until it is settled (its address refuses connections, another send there is cut, or it is not listed after ten seconds) it makes a request a suspect but does not quarantine it.

--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -113,27 +113,40 @@
 
     def is_suspect(self, get_fingerprint: GetFingerprint) -> bool:
         """Return whether a request may be sent with a permit only."""
-        return not self._tracker.is_empty() and self._tracker.is_suspect(get_fingerprint())
+        if self._tracker.is_empty():
+            return False
+        fingerprint = get_fingerprint()
+        now = self._clock.now()
+        return self._tracker.is_suspect(fingerprint) or self._tracker.is_undecided(fingerprint, now)
 
     async def acquire_permit(
         self, get_fingerprint: GetFingerprint, replica_id: str, within_ms: int
     ) -> bool:
         """Return whether a suspect may be sent to a replica now; the send must begin at once."""
         fingerprint = get_fingerprint()
-        if self.blocks(self.wanted_send(fingerprint, replica_id)):
+        if self._tracker.is_undecided(fingerprint, self._clock.now()) or self.blocks(
+            self.wanted_send(fingerprint, replica_id)
+        ):
             return False
         if self._permits is None:
             return True
         granted = await self._permits.acquire(self.wanted_send(fingerprint, replica_id), within_ms)
         if not granted:
             return False
-        if self._tracker.quarantine_ms(fingerprint, self._clock.now()) or self.blocks(
-            self.wanted_send(fingerprint, replica_id)
-        ):
+        if not self._may_use_permit(fingerprint, replica_id):
             self._permits.on_send_ended(lambda: fingerprint)
             return False
         return True
 
+    def _may_use_permit(self, fingerprint: str, replica_id: str) -> bool:
+        """Return whether what came with the replies of the others still allows a send."""
+        now = self._clock.now()
+        return not (
+            self._tracker.quarantine_ms(fingerprint, now)
+            or self._tracker.is_undecided(fingerprint, now)
+            or self.blocks(self.wanted_send(fingerprint, replica_id))
+        )
+
     def wanted_send(self, fingerprint: str, replica_id: str) -> WantedSend:
         """Return what decides whether a suspect may be sent to a replica."""
         return WantedSend(
@@ -271,9 +284,10 @@
     ) -> None:
         log_lost_send(request_id, fingerprint, replica, failure)
         self._metrics.sends_lost.labels(failure.kind.value).inc()
-        is_new = self._tracker.on_replica_lost(fingerprint, replica.id, self._clock.now())
+        silent = failure.kind is not FailureKind.TRUNCATED
+        is_new = self._tracker.on_replica_lost(fingerprint, replica.id, self._clock.now(), silent)
         if is_new and self._listeners is not None:
-            self._listeners.on_loss(ReplicaLoss(fingerprint, replica.id, 0))
+            self._listeners.on_loss(ReplicaLoss(fingerprint, replica.id, 0, silent=silent))
 
     def _review_if_changed(self) -> None:
         if self._reviewed_changes != self._tracker.change_count:
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -228,8 +228,8 @@
 
 
 def suspect_refusal() -> Refusal:
-    """Return the refusal of a suspect of which another copy was under way for too long."""
-    reason = "two replicas were lost while they ran the same request, and a copy of it is running"
+    """Return the refusal of a suspect that could not be sent alone in time."""
+    reason = "replicas were lost while they ran the same request, and it cannot be sent alone yet"
     return not_run_refusal(ErrorKind.NO_ROOM, reason, SUSPECT_RETRY_MS)
 
 
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -188,7 +188,7 @@
     228,
     "suspect_refused",
     Level.INFO,
-    "request that one more loss would quarantine is refused, another send is under way too long",
+    "request with replica losses is refused, it could not be sent alone in time",
 )
 
 REPLICA_EJECTED: Final = Event(
--- a/papayapier/policy/crash_quarantine.py
+++ b/papayapier/policy/crash_quarantine.py
@@ -16,6 +16,10 @@
 A loss is withdrawn if the replica turns out to be alive: it answers a call sent later, or is still
 listed when its end would long have been noticed. So a reset connection or a late answer quarantines
 nothing.
+
+A send that ended in silence shows less than a connection that was cut: its replica may only be
+slow. Until such a loss is settled it makes a request a suspect, but does not quarantine it. The
+request is undecided then: it is neither sent nor refused for minutes.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -72,30 +76,36 @@
     """Report that a replica was lost while it ran a request, and how long ago.
 
     fingerprint identifies the request. recently_answered says that it had been answered in the
-    minute before its first loss.
+    minute before its first loss, silent that no end of a connection showed the loss.
     """
 
     fingerprint: str
     replica: str
     age_ms: int
     recently_answered: bool = False
+    silent: bool = False
 
 
 class _LossRecord:
     """Record one loss; confirmed says that a later heartbeat or answer is from a restart."""
 
-    __slots__ = ("at_ms", "confirmed", "received_ms", "replica")
+    __slots__ = ("at_ms", "confirmed", "received_ms", "replica", "silent")
 
-    def __init__(self, replica: str, at_ms: int, received_ms: int) -> None:
+    def __init__(self, replica: str, at_ms: int, received_ms: int, silent: bool) -> None:
         self.replica = replica
         self.at_ms = at_ms
         self.received_ms = received_ms
+        self.silent = silent
         self.confirmed = False
 
     def is_settled(self, now: int) -> bool:
         """Tell whether the list of replicas alone can no longer withdraw the loss."""
         return self.confirmed or self.received_ms + LISTED_ALIVE_MS <= now
 
+    def is_doubtful(self, now: int) -> bool:
+        """Tell whether the replica may only be slow."""
+        return self.silent and not self.is_settled(now)
+
 
 class _FingerprintRecord:
     """Record the losses of one fingerprint, and its answers since the first loss.
@@ -117,6 +127,11 @@
     def has_max_losses(self) -> bool:
         return self.net_losses() >= self.max_losses
 
+    def is_undecided(self, now: int) -> bool:
+        """Tell whether only losses of replicas that may be slow would quarantine it."""
+        doubtful = sum(loss.is_doubtful(now) for loss in self.losses)
+        return self.has_max_losses() and self.net_losses() - doubtful < self.max_losses
+
     def is_suspect(self) -> bool:
         """Tell whether one more loss would quarantine it, and no recent answer clears it."""
         return not self.is_answered() and self.net_losses() == MAX_LOSSES - 1
@@ -124,11 +139,12 @@
     def is_answered(self) -> bool:
         return self.max_losses == MAX_LOSSES_ANSWERED
 
-    def has_loss(self, replica: str, at_ms: int) -> bool:
-        return any(
-            record.replica == replica and abs(record.at_ms - at_ms) < SAME_LOSS_MS
-            for record in self.losses
-        )
+    def find_loss(self, replica: str, at_ms: int) -> _LossRecord | None:
+        """Return the recorded loss that a report of a loss is about, if there is one."""
+        for record in self.losses:
+            if record.replica == replica and abs(record.at_ms - at_ms) < SAME_LOSS_MS:
+                return record
+        return None
 
 
 class CrashTracker:
@@ -166,10 +182,15 @@
     def quarantine_ms(self, fingerprint: str, now: int) -> int:
         """Return for how long a request is quarantined, in ms; 0 if it may be sent."""
         record = self._records.get(fingerprint)
-        if record is None or not record.has_max_losses():
+        if record is None or not record.has_max_losses() or record.is_undecided(now):
             return 0
         return max(0, record.last_ms + QUARANTINE_MS - now)
 
+    def is_undecided(self, fingerprint: str, now: int) -> bool:
+        """Tell whether a request may not be sent until the losses of slow replicas are settled."""
+        record = self._records.get(fingerprint)
+        return record is not None and record.is_undecided(now)
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether one more loss would quarantine a request that nobody answered recently."""
         record = self._records.get(fingerprint)
@@ -246,7 +267,9 @@
         """Tell whether a loss has not been withdrawn."""
         return loss.replica in self.lost_replicas(loss.fingerprint)
 
-    def on_replica_lost(self, fingerprint: str, replica: str, now: int) -> bool:
+    def on_replica_lost(
+        self, fingerprint: str, replica: str, now: int, silent: bool = False
+    ) -> bool:
         """Count a replica lost under a fingerprint; return whether the loss is new.
 
         A replica that leaves as planned may cut off calls that are still open at its end, so that
@@ -254,7 +277,7 @@
         """
         if replica in self._leaving:
             return False
-        return self._add(fingerprint, replica, now, now)
+        return self._add(ReplicaLoss(fingerprint, replica, 0, silent=silent), now)
 
     def on_losses_received(self, losses: Iterable[ReplicaLoss], now: int) -> list[ReplicaLoss]:
         """Add losses that other instances report; return those not known before."""
@@ -262,11 +285,7 @@
         self.on_answers_received(
             {loss.fingerprint for loss in losses if loss.recently_answered}, now
         )
-        return [
-            loss
-            for loss in losses
-            if self._add(loss.fingerprint, loss.replica, now - loss.age_ms, now)
-        ]
+        return [loss for loss in losses if self._add(loss, now)]
 
     def record_answer(self, fingerprint: str, now: int) -> None:
         """Record that a fingerprint was answered, also where it has no loss."""
@@ -352,13 +371,20 @@
         ]
         records.sort(key=lambda entry: (-entry[1].net_losses(), -entry[1].last_ms))
         losses = [
-            ReplicaLoss(fingerprint, loss.replica, max(0, now - loss.at_ms), record.is_answered())
+            ReplicaLoss(
+                fingerprint,
+                loss.replica,
+                max(0, now - loss.at_ms),
+                record.is_answered(),
+                loss.is_doubtful(now),
+            )
             for fingerprint, record in records
             for loss in record.losses
         ]
         return losses[:MAX_SNAPSHOT_LOSSES]
 
-    def _add(self, fingerprint: str, replica: str, at_ms: int, received_ms: int) -> bool:
+    def _add(self, loss: ReplicaLoss, now: int) -> bool:
+        fingerprint, replica, at_ms = loss.fingerprint, loss.replica, now - loss.age_ms
         record = self._records.get(fingerprint)
         if record is None:
             self._evict()
@@ -367,12 +393,16 @@
             ) or self._answered_elsewhere.knows(fingerprint, at_ms)
             max_losses = MAX_LOSSES_ANSWERED if answered else MAX_LOSSES
             record = self._records[fingerprint] = _FingerprintRecord(max_losses)
-        if record.has_loss(replica, at_ms):
+        known = record.find_loss(replica, at_ms)
+        if known is not None:
+            if known.silent and not loss.silent:
+                known.silent = False
+                self._on_change(fingerprint)
             return False
         record.last_ms = max(record.last_ms, at_ms)
         if len(record.losses) >= MAX_LOSSES_KEPT:
             return False
-        record.losses.append(_LossRecord(replica, at_ms, received_ms))
+        record.losses.append(_LossRecord(replica, at_ms, now, loss.silent))
         self._unconfirmed.setdefault(replica, set()).add(fingerprint)
         self._on_change(fingerprint)
         return True
--- a/tests/test_policy_crash_quarantine.py
+++ b/tests/test_policy_crash_quarantine.py
@@ -224,3 +224,63 @@
     for number in range(MAX_LOSSES):
         tracker.on_ended(f"r{number}")
     assert tracker.retry_after_ms("w", START + 1) == QUARANTINE_MS - 1
+
+
+def lose_in_silence(tracker: CrashTracker, count: int = MAX_LOSSES) -> None:
+    for number in range(count):
+        tracker.on_replica_lost("w", f"r{number}", START, silent=True)
+
+
+def state(tracker: CrashTracker, now: int = START) -> str:
+    if tracker.quarantine_ms("w", now):
+        return "quarantined"
+    return "undecided" if tracker.is_undecided("w", now) else "allowed"
+
+
+@pytest.mark.parametrize("silent", range(MAX_LOSSES + 1))
+def test_slow_replicas_do_not_quarantine(silent: int) -> None:
+    """Guard against refusing a frequent request for minutes because its replicas are slow."""
+    tracker = CrashTracker()
+    lose_in_silence(tracker, silent)
+    lose(tracker, MAX_LOSSES)
+    assert state(tracker) == "quarantined"
+    tracker = CrashTracker()
+    lose_in_silence(tracker, silent)
+    for number in range(silent, MAX_LOSSES):
+        tracker.on_replica_lost("w", f"r{number}", START)
+    assert state(tracker) == ("undecided" if silent else "quarantined")
+
+
+def test_silent_losses_are_settled() -> None:
+    """Guard against a request that ends replicas in silence and is never quarantined."""
+    tracker = CrashTracker()
+    lose_in_silence(tracker)
+    assert state(tracker, START + LISTED_ALIVE_MS - 1) == "undecided"
+    assert state(tracker, START + LISTED_ALIVE_MS) == "quarantined"
+    for number in range(MAX_LOSSES):
+        tracker.on_ended(f"r{number}")
+    assert state(tracker) == "quarantined"
+
+
+def test_answer_of_a_slow_replica_allows_the_request() -> None:
+    """Guard against a request that waits although one of its replicas was only slow."""
+    tracker = CrashTracker()
+    lose_in_silence(tracker)
+    tracker.on_alive("r0", START + 1)
+    assert state(tracker) == "allowed"
+
+
+def test_cut_connection_settles_a_silent_loss() -> None:
+    """Guard against an end that one instance sees as silence and another as a cut connection."""
+    tracker = CrashTracker()
+    lose_in_silence(tracker)
+    lose(tracker, MAX_LOSSES)
+    assert state(tracker) == "quarantined"
+
+
+def test_reported_losses_stay_silent() -> None:
+    """Guard against a silence that counts as a cut connection at the other instances."""
+    tracker, other = CrashTracker(), CrashTracker()
+    lose_in_silence(tracker)
+    other.on_losses_received(tracker.snapshot(START), START)
+    assert state(other) == "undecided"
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple, cast
 
 import pytest
-from result import Err, Result
+from result import Err, Ok, Result
 
 from papayapier.clock import FakeClock, fake_clock
 from papayapier.dispatch.lost_sends import request_fingerprint
@@ -27,7 +27,7 @@
 from papayapier.policy.crash_quarantine import MAX_LOSSES, ReplicaLoss
 from papayapier.policy.open_sends import OpenSends, WantedSend
 from papayapier.policy.send_permits import SendPermits, conflict
-from papayapier.upstream.api import FailureKind, Sent
+from papayapier.upstream.api import Failure, FailureKind, Sent
 from tests.dispatch_world import BODY, CHAT, DispatchWorld
 from tests.forward_world import ForwardWorld, Send
 
@@ -249,6 +249,24 @@
     assert len(fleet.open_sends(FREQUENT)) == 4
 
 
+def test_request_waits_until_slow_replicas_answer() -> None:
+    """Guard against refusing a request for minutes that three slow replicas did not answer."""
+    fleet = Fleet(1)
+    world = fleet.worlds[0]
+    fingerprint = fingerprint_of(FREQUENT)
+    for replica in world.replicas[:MAX_LOSSES]:
+        silence = Err(Failure(FailureKind.DEADLINE, Sent.MAYBE, "late"))
+        world.crashes.on_send_finished("r", lambda: fingerprint, replica, silence, 0)
+    results = world.start_request(idempotent=True, body=FREQUENT)
+    fleet.run(300)
+    assert not results and not world.sends
+    for replica in world.replicas:
+        now = fleet.time.clock.now()
+        world.crashes.on_send_finished("r", lambda: "other", replica, Ok(None), now)
+    fleet.run(300)
+    assert len(world.sends) == 1
+
+
 def test_lost_report_of_an_end_frees_the_lease() -> None:
     """Guard against a hub that refuses a suspect for good as the report of its end was lost."""
     fleet = Fleet(2, ("keeper-0",))
