Reserve the ports of processes that tests start

What was seen: "cannot listen on 127.0.0.1:46207: the address is in use", "cannot listen for peers", in about one of 15 site tests beside others, and calls that never end within 60 s.

Cause: a test bound port 0, closed the socket, and gave the number to a process that bound it later. Until then the kernel gives it to any other look-up and any outgoing connection. From the lines of a run that was still going at 60 s (test_a_placer_killed_while_calls_are_queued, 16 side by side): entry-2 and keeper-1 ended with "Address in use" for peers, and the test waited for the answers of a stranger on the readiness port of entry-2, 20 s each. No call of papayapier outlived its deadline.

Fix: misc/ports.py keeps a socket bound to the port, without listening, until the test ends. The kernel gives such a port to nobody, and the process that is meant to listens there with SO_REUSEADDR, also when it is started again. Used wherever tests and misc picked a port: the world of the site, the scenarios (which freed a port between a kill and a restart) and misc.fleet.

test_site_world.py::test_no_other_process_gets_the_ports_of_a_process failed before.

--- a/misc/fleet.py
+++ b/misc/fleet.py
@@ -11,7 +11,6 @@
 import argparse
 import json
 import signal
-import socket
 import sys
 import time
 import urllib.error
@@ -23,6 +22,7 @@
 from result import Err, Ok, Result
 
 from misc.fleet_cost import ENTRY_ROLE, add_costs, format_costs
+from misc.ports import PortReservations
 from misc.processes import Process, ProcessGroup
 from papayapier import codec
 
@@ -108,8 +108,9 @@
     params.write_text(json.dumps(plan.standin))
     platform = _start_standins(group, plan, params)
     entries, operators = [], []
+    ports = PortReservations(HOST)
     for number in range(1, plan.instances + 1):
-        settings = _make_settings(plan, platform, number)
+        settings = _make_settings(plan, platform, number, ports)
         path = folder / f"entry-{number}.json"
         path.write_text(json.dumps(settings))
         group.start(f"entry-{number}", ENTRY_ROLE, [*PAPAYAPIER, "serve", "--settings", str(path)])
@@ -117,6 +118,7 @@
         operators.append(f"{HOST}:{settings['operator']['port']}")
     for entry in entries:
         _wait_ready(group, entry)
+    ports.close()
     return Addresses(platform, entries, operators[0])
 
 
@@ -156,9 +158,10 @@
     return json.loads(line)
 
 
-def _make_settings(plan: FleetPlan, platform: str, number: int) -> dict[str, Any]:
-    """Return the settings of one instance, with free ports."""
-    entry, operator, peer = _free_ports(3)
+def _make_settings(
+    plan: FleetPlan, platform: str, number: int, ports: PortReservations
+) -> dict[str, Any]:
+    """Return the settings of one instance, with reserved ports."""
     settings: dict[str, Any] = {
         "instance": {
             "id": f"entry-{number}",
@@ -167,9 +170,9 @@
             "host": HOST,
         },
         "platform": {"host": HOST, "port": int(platform.rpartition(":")[2])},
-        "entry": {"port": entry},
-        "operator": {"port": operator},
-        "peer": {"port": peer},
+        "entry": {"port": ports.reserve()},
+        "operator": {"port": ports.reserve()},
+        "peer": {"port": ports.reserve()},
         "log": {"form": "json", "level": "warning"},
     }
     for section, fields in plan.settings.items():
@@ -177,17 +180,6 @@
     return settings
 
 
-def _free_ports(number: int) -> list[int]:
-    """Return free ports; all are bound at the same time, so that they differ."""
-    sockets = [socket.socket() for _ in range(number)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def _wait_ready(group: ProcessGroup, entry: str) -> None:
     deadline = time.monotonic() + READY_TIMEOUT_S
     reason = "it did not reply"
--- a/tests/scenario/world.py
+++ b/tests/scenario/world.py
@@ -11,6 +11,7 @@
 from result import Err
 from twisted.internet.defer import DeferredList
 
+from misc.ports import PortReservations
 from papayapier.clock import Clock, real_clock
 from papayapier.load.client import Client, make_client
 from papayapier.load.http_calls import http_call, http_call_json
@@ -64,6 +65,7 @@
         self.clock: Clock = real_clock()
         self.rand = random.Random(case_id)
         self.folder = tempfile.TemporaryDirectory()
+        self._ports = PortReservations(HOST)
         self.client: Client = make_client(
             self.clock, expected_text, REQUEST_TIMEOUT_MS, fresh_connections=True
         )
@@ -136,9 +138,9 @@
                 "region": "local",
             },
             "platform": {"host": host, "port": int(port)},
-            "entry": {"port": 0},
-            "operator": {"port": 0},
-            "peer": {"port": 0},
+            "entry": {"port": self._ports.reserve()},
+            "operator": {"port": self._ports.reserve()},
+            "peer": {"port": self._ports.reserve()},
             "batch": {"shards": 8, "lease_ms": 3_000, "renew_ms": 1_000, "chunk_items": 50},
             "drain": {"balancer_lag_ms": 300},
         }
@@ -180,6 +182,7 @@
             child.send_signal(Signals.SIGKILL)
         await DeferredList([child.ended for child in self.children])
         await self.client.close()
+        self._ports.close()
         self.folder.cleanup()
 
 
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -17,6 +17,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
+from misc.ports import PortReservations
 from papayapier import events
 from tests.scenario.processes import ChildProcess, start_process
 from tests.site.replicas import StandinReplica
@@ -90,6 +91,7 @@
 
     def __init__(self) -> None:
         self._folder = TemporaryDirectory()
+        self._ports = PortReservations("127.0.0.1")
         self.store = StandinStore()
         self.store.put("config", "main", make_configuration())
         self.replicas = [StandinReplica(self.store, name) for name in ("lm", "lm", "app", "app")]
@@ -146,7 +148,8 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry."""
-        self.caller_ports[name], self.readiness_ports[name] = _free_port(), _free_port()
+        self.caller_ports[name] = self._ports.reserve()
+        self.readiness_ports[name] = self._ports.reserve()
         listen = {
             "callers": f"127.0.0.1:{self.caller_ports[name]}",
             "readiness": f"127.0.0.1:{self.readiness_ports[name]}",
@@ -197,7 +200,7 @@
             "instance": instance,
             "store": {"address": self.store.address, "reads_per_s": 2000, "writes_per_s": 400},
             "stop": {"within_s": 8, "balancer_lag_ms": 500},
-            "peer": {"port": _free_port(), **self.peer_settings},
+            "peer": {"port": self._ports.reserve(), **self.peer_settings},
             "allowance": {"window_s": 5, "overrun": 0.1, "slack": 20},
             "placing": self.placing_settings,
             "memory": self.memory_settings,
@@ -296,6 +299,7 @@
             await replica.close()
         await self.store.close()
         await sleep(0)
+        self._ports.close()
         self._folder.cleanup()
 
     async def stop(self, name: str) -> int | None:
@@ -345,9 +349,3 @@
 def start_task(coroutine: Any) -> Any:
     """Start a coroutine that runs concurrently with the test."""
     return ensureDeferred(coroutine)
-
-
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
--- a/tests/test_site_world.py
+++ b/tests/test_site_world.py
@@ -1,5 +1,6 @@
 """Test how the stand-ins of the platform count crashed replicas."""
 
+import socket
 from typing import Any, Final
 
 import pytest
@@ -37,6 +38,14 @@
         self.world.add_like(self.world.replicas[0])
         assert self.world.crashed_count() == 0
 
+    def test_no_other_process_gets_the_ports_of_a_process(self) -> None:
+        # Failure: a process finds its port in use, as another test or a connection has got it.
+        self.world.start_entry("entry-1")
+        ports = (self.world.caller_ports["entry-1"], self.world.readiness_ports["entry-1"])
+        for port in ports:
+            with socket.socket() as sock, pytest.raises(OSError):
+                sock.bind(("127.0.0.1", port))
+
     async def _send_crashing(self, number: int) -> Reply | str:
         replica = self.world.replicas[number]
         port = int(replica.address.rpartition(":")[2])
