--- a/papayapier/peer/permit_exchange.py
+++ b/papayapier/peer/permit_exchange.py
@@ -1,9 +1,9 @@
-"""Ask the other instances before a suspect is sent, and answer them.
+"""Request permits from the other instances before a suspect is sent, and answer their requests.
 
-In a small fleet an instance asks all others; each knows what it has under way itself. In a large
-one it asks the hubs, which keep leases for what other instances have under way: the cost of a
-suspect must not grow with the fleet. Both teach who is asked the losses of the suspect, so that
-nobody sends it without a permit afterwards. Sends of other requests cost no message.
+In a small fleet all other instances are asked; each knows its own open sends. In a large one the
+hubs are asked, which keep leases for the open sends of the others, so that the cost of a suspect
+does not grow with the fleet. A permit request carries the losses of the suspect, so that its
+receivers do not send the suspect without a permit either. Other requests cost no message.
 
 An instance that does not reply within the time after which it counts as silent is taken to have
 nothing under way, so that a paused or separated instance does not block a suspect for good.
--- a/papayapier/policy/send_permits.py
+++ b/papayapier/policy/send_permits.py
@@ -1,8 +1,9 @@
 """Decide whether an instance may send a suspect, among instances that ask at the same time.
 
-An instance asks all others that may have a copy under way, and sends only if none objects. Of two
-that ask at the same time the one with the lower id goes first. Hubs of a large fleet also keep
-leases: what other instances have under way, until its end or the end of its time.
+An instance requests a permit from all others that may have a copy under way, and sends only if
+none objects. Of two that request one at the same time, the one with the lower id goes first. Hubs
+of a large fleet also keep leases: the suspects that other instances have under way, until these
+end or their time is over.
 """
 
 from collections.abc import Collection
