--- a/papayapier/batch/api.py
+++ b/papayapier/batch/api.py
@@ -15,6 +15,7 @@
 from papayapier.settings import BatchSettings
 from papayapier.store.api import Store
 from papayapier.upstream.api import Reply
+from papayapier.upstream.engine_calls import ENGINE_PATHS, shared_parts
 
 
 class ItemCall(NamedTuple):
@@ -37,6 +38,10 @@
         """Return the request fingerprint, the same on every instance and for every attempt."""
         return request_fingerprint(self.method, self.profile.upstream, self.path, self.body)
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other prompts may share."""
+        return shared_parts(self.body) if self.path in ENGINE_PATHS else ()
+
 
 class BatchDispatch(NamedTuple):
     """Group the functions through which batch items reach replicas.
--- a/papayapier/dispatch/api.py
+++ b/papayapier/dispatch/api.py
@@ -16,6 +16,7 @@
 from papayapier.policy.outliers import OutlierDetector
 from papayapier.policy.retries import RetryBudget
 from papayapier.upstream.api import Token, UpstreamClient
+from papayapier.upstream.engine_calls import shared_parts
 
 
 class OnlineRequest(NamedTuple):
@@ -41,6 +42,10 @@
         """Return the request fingerprint, which is the same when the caller retries."""
         return request_fingerprint(self.method, self.profile.upstream, self.path, self.body)
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other prompts may share."""
+        return shared_parts(self.body) if self.generates else ()
+
 
 OnToken = Callable[[Token], None]
 
--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -43,12 +43,14 @@
 class _Progress:
     """Hold what one request has sent and received over all its attempts."""
 
-    __slots__ = ("began_ms", "first_token_ms", "history", "parts", "version")
+    __slots__ = ("began_ms", "first_token_ms", "history", "parts", "send_first_ms", "version")
 
     def __init__(self, began_ms: int, fresh: bool) -> None:
         self.history = SendHistory(fresh)
         self.began_ms = began_ms
         self.first_token_ms = 0
+        # When the first token of the current send arrived, 0 before that.
+        self.send_first_ms = 0
         self.parts: list[str] = []
         # The software version that wrote the parts; None if there are none.
         self.version: str | None = None
@@ -136,6 +138,7 @@
     preempt_batch: "Callable[[str], None]",
 ) -> Result[Reply, Failure]:
     progress.history.send_count += 1
+    progress.send_first_ms = 0
     started_ms = deps.clock.now()
     deps.load_tracker.on_sent(replica.id, False, started_ms)
     deps.outliers.on_start(replica.id, started_ms)
@@ -155,7 +158,15 @@
         deps.on_uses_changed()
         if not outlier_reported:
             deps.outliers.on_no_result(replica.id)
-    deps.crashes.on_send_finished(req.call_id, req.fingerprint, replica, result, started_ms)
+    deps.crashes.on_send_finished(
+        req.call_id,
+        req.fingerprint,
+        replica,
+        result,
+        started_ms,
+        req.shared_parts,
+        progress.send_first_ms,
+    )
     _report_result(deps, req, replica, result, deps.clock.now() - started_ms)
     return result
 
@@ -171,6 +182,7 @@
     """Return the callback that receives the tokens of one send."""
 
     def receive(token: Token) -> None:
+        progress.send_first_ms = progress.send_first_ms or deps.clock.now()
         if not progress.parts:
             progress.first_token_ms = deps.clock.now() - progress.began_ms
             progress.version = replica.version
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -13,7 +13,7 @@
 
 from papayapier import events
 from papayapier.clock import MS_PER_S, Clock, Timer
-from papayapier.dispatch.lost_sends import is_lost, log_lost_send
+from papayapier.dispatch.lost_sends import is_lost, log_lost_send, no_parts
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.metrics import Metrics
 from papayapier.policy.crash_quarantine import CrashTracker, ReplicaLoss
@@ -25,6 +25,8 @@
 
 # Returns the request fingerprint; the digest is computed only when it is needed.
 GetFingerprint = Callable[[], str]
+# Returns the parts of a prompt that other prompts may share; decoded only when they are needed.
+GetParts = Callable[[], tuple[str, ...]]
 
 
 def ignore_suspect(_fingerprint: str) -> None:
@@ -214,15 +216,22 @@
         replica: Replica,
         result: "Result[Any, Failure]",
         started_ms: int,
+        get_parts: GetParts = no_parts,
+        first_data_ms: int = 0,
     ) -> None:
-        """Record the result of a send."""
+        """Record the result of a send; first_data_ms is 0 if no part of its answer arrived."""
         if isinstance(result, Ok) or _replica_answered(result.err_value):
             self._tracker.on_alive(replica.id, started_ms)
             self._record_answer(get_fingerprint)
         elif result.err_value.connection_refused:
             self._tracker.on_ended(replica.id)
         elif is_lost(result.err_value):
-            self._record_loss(request_id, get_fingerprint(), replica, result.err_value)
+            fingerprint, failure = get_fingerprint(), result.err_value
+            answering_ms = self._clock.now() - first_data_ms if first_data_ms else None
+            log_lost_send(request_id, fingerprint, replica, failure, get_parts(), answering_ms)
+            if answering_ms is None:
+                self._metrics.sends_lost_unanswered.labels(failure.kind.value).inc()
+            self._record_loss(fingerprint, replica, failure)
         self._review_if_changed()
 
     def on_poll_failed(self, replica: Replica, failure: Failure) -> None:
@@ -279,10 +288,7 @@
         if self._tracker.on_answered(fingerprint) and self._listeners is not None:
             self._listeners.on_answered(fingerprint)
 
-    def _record_loss(
-        self, request_id: str, fingerprint: str, replica: Replica, failure: Failure
-    ) -> None:
-        log_lost_send(request_id, fingerprint, replica, failure)
+    def _record_loss(self, fingerprint: str, replica: Replica, failure: Failure) -> None:
         self._metrics.sends_lost.labels(failure.kind.value).inc()
         silent = failure.kind is not FailureKind.TRUNCATED
         is_new = self._tracker.on_replica_lost(fingerprint, replica.id, self._clock.now(), silent)
--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -4,7 +4,7 @@
 
 from twisted.web.http_headers import Headers
 
-from papayapier.dispatch.lost_sends import request_fingerprint
+from papayapier.dispatch.lost_sends import no_parts, request_fingerprint
 from papayapier.dispatch.relayed_stream import CallerStream, RelayedStream
 from papayapier.dispatch.retrying import SendHistory
 from papayapier.upstream.event_splitter import NO_EVENT
@@ -15,7 +15,7 @@
 
     from papayapier.clock import Clock
     from papayapier.config.profiles import Profile
-    from papayapier.dispatch.crash_watch import CrashWatch
+    from papayapier.dispatch.crash_watch import CrashWatch, GetParts
     from papayapier.metrics import Metrics
     from papayapier.policy.admission import AdmissionQueue
     from papayapier.policy.first_byte import FirstByteTimes
@@ -37,6 +37,7 @@
     the caller's attempt that brought the first event of that stream. stream_version is the software
     version that began it, once it is known. is_retry says that the request is a retry: its caller
     has spent part of its time elsewhere. may_retry says that the caller may retry if it is refused.
+    get_parts returns the parts of the prompt that other prompts may share.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     objective_ms: int = 0
     is_retry: bool = False
     may_retry: bool = True
+    get_parts: "GetParts" = no_parts
 
     def resumes_stream(self) -> bool:
         """Return whether the caller has received a part of the stream already."""
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -349,7 +349,15 @@
     """Report the result of a send to the outlier detection and the first-byte timer."""
     now = deps.clock.now()
     first_byte_ms = progress.stream.first_data_ms if progress.stream is not None else 0
-    deps.crashes.on_send_finished(req.request_id, req.fingerprint, replica, result, started_ms)
+    deps.crashes.on_send_finished(
+        req.request_id,
+        req.fingerprint,
+        replica,
+        result,
+        started_ms,
+        req.get_parts,
+        first_byte_ms,
+    )
     if isinstance(result, Ok):
         waited_ms = (first_byte_ms or now) - started_ms
         deps.outliers.on_end(replica.id, result.ok_value.status < 500, float(waited_ms), now)
--- a/papayapier/dispatch/item_dispatch.py
+++ b/papayapier/dispatch/item_dispatch.py
@@ -212,6 +212,7 @@
         may_run_again = item.call.profile.idempotent or not item.maybe_sent
         check_send(self._deps.load_tracker, replica, item.call.call_id, may_run_again, now)
         item.sends += 1
+        item.send_first_ms = 0
         item.preempted = False
         self._deps.outliers.on_start(replica.id, now)
         call = self._call(item, now)
@@ -219,7 +220,9 @@
         try:
             result = await item.send(
                 lambda: self._deps.upstreams.send(
-                    replica, call, lambda token: item.receive(token, replica.version)
+                    replica,
+                    call,
+                    lambda token: item.receive(token, replica.version, self._deps.clock.now()),
                 )
             )
             outlier_reported = isinstance(result, Ok) or _counts_against_replica(
@@ -231,7 +234,13 @@
         if isinstance(result, Err) and rejection(result.err_value) is None:
             item.maybe_sent = item.maybe_sent or result.err_value.sent is Sent.MAYBE
         self._deps.crashes.on_send_finished(
-            item.call.call_id, item.call.fingerprint, replica, result, now
+            item.call.call_id,
+            item.call.fingerprint,
+            replica,
+            result,
+            now,
+            item.call.shared_parts,
+            item.send_first_ms,
         )
         self._report_result(item, replica, result)
         return result
--- a/papayapier/dispatch/items.py
+++ b/papayapier/dispatch/items.py
@@ -33,6 +33,7 @@
         "maybe_sent",
         "parts",
         "preempted",
+        "send_first_ms",
         "sends",
         "version",
         "version_until_ms",
@@ -48,6 +49,8 @@
         self.version_until_ms = 0
         self.failures = 0
         self.sends = 0
+        # When the first token of the current send arrived, 0 before that.
+        self.send_first_ms = 0
         self.fresh = not call.profile.idempotent
         self.excluded: frozenset[str] = frozenset()
         self.avoid_until_ms = 0
@@ -67,8 +70,9 @@
             return self.call.body
         return streaming_body(self.call.body, "".join(self.parts))
 
-    def receive(self, token: Token, version: str) -> None:
+    def receive(self, token: Token, version: str, now_ms: int) -> None:
         """Store a token that a replica of a software version has written."""
+        self.send_first_ms = self.send_first_ms or now_ms
         self.version = version
         self.parts.append(token.text)
 
--- a/papayapier/dispatch/lost_sends.py
+++ b/papayapier/dispatch/lost_sends.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+from collections.abc import Sequence
 from typing import Final
 
 from papayapier import events
@@ -29,13 +30,28 @@
     return digest.hexdigest()
 
 
+def no_parts() -> tuple[str, ...]:
+    """Return no parts: those of a request whose prompt shares none with others."""
+    return ()
+
+
 def is_lost(failure: Failure) -> bool:
     """Return whether a send may have reached its replica and ended without an answer from it."""
     return failure.sent is Sent.MAYBE and failure.kind in LOSS_KINDS
 
 
-def log_lost_send(request_id: str, fingerprint: str, replica: Replica, failure: Failure) -> None:
-    """Log a lost send, so that the sends of one request can be found across instances."""
+def log_lost_send(
+    request_id: str,
+    fingerprint: str,
+    replica: Replica,
+    failure: Failure,
+    parts: Sequence[str],
+    answering_ms: int | None,
+) -> None:
+    """Log a lost send, so that what lost sends have in common can be found across instances.
+
+    answering_ms is the time since the first data of its answer, or None without any.
+    """
     events.emit(
         events.SEND_LOST,
         request=request_id,
@@ -43,4 +59,6 @@
         replica=replica.id,
         kind=failure.kind.value,
         reason=failure.reason,
+        parts=list(parts),
+        answering_ms=answering_ms,
     )
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -46,8 +46,9 @@
 class HeaderNames(NamedTuple):
     """Define the platform's names of the request headers.
 
-    presented_keys returns the headers in which a caller may send its key; with_team replaces them
-    by the name of the caller's team.
+    shared_parts returns the parts of a prompt that other prompts may share. presented_keys returns
+    the headers in which a caller may send its key; with_team replaces them by the name of the
+    caller's team.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     prompt: str
     last_event: str
     resumed_attempt: str
+    shared_parts: "Callable[[Headers], tuple[str, ...]]"
     end_to_end: "Callable[[Headers], Headers]"
     presented_keys: "Callable[[Headers], Sequence[bytes]]"
     with_team: "Callable[[Headers, str], Headers]"
@@ -302,6 +304,7 @@
             objective_ms=route.objective_ms,
             is_retry=is_retry,
             may_retry=not is_retry and now >= routes.starting_until_ms,
+            get_parts=partial(names.shared_parts, headers),
         )
     )
 
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -54,7 +54,8 @@
 
     sharing returns the live instances that run batch, including this one; unreachable those of
     them that this instance cannot reach but others can. make_headers builds the headers for a
-    replica, with_team sets the team of an item. decode_body decodes the body of an item.
+    replica, with_team sets the team of an item. decode_body decodes the body of an item,
+    shared_parts the parts of its prompt that other prompts may share.
     """
 
     clock: Clock
@@ -67,6 +68,7 @@
     make_headers: Callable[[Headers, Replica, int | None, int], Headers]
     with_team: Callable[[Headers, str], Headers]
     decode_body: Callable[[Any], bytes]
+    shared_parts: Callable[[Headers], tuple[str, ...]]
     request_id: bytes
     sharing: Callable[[], Sequence[str]]
     unreachable: Callable[[], Collection[str]]
@@ -291,13 +293,19 @@
         if sent is not None:
             fingerprint_of = partial(self._fingerprint, job, state)
             self._deps.crashes.on_send_finished(
-                state.item.id, fingerprint_of, replica, sent, began_ms
+                state.item.id,
+                fingerprint_of,
+                replica,
+                sent,
+                began_ms,
+                partial(self._shared_parts, state),
+                receiver.first_ms,
             )
             self._on_run_result(job, route, state, replica, sent)
         self._on_slot_freed()
 
     def _call(self, job: OwnedJob, state: ItemState, replica: Replica) -> ForwardCall:
-        headers = Headers({name: [value] for name, value in state.item.headers.items()})
+        headers = _item_headers(state)
         headers.setRawHeaders(b"Host", [job.record.host.encode()])
         headers.setRawHeaders(self._deps.request_id, [state.item.id.encode()])
         named = self._deps.with_team(headers, job.record.team)
@@ -322,6 +330,9 @@
             )
         return state.fingerprint
 
+    def _shared_parts(self, state: ItemState) -> tuple[str, ...]:
+        return self._deps.shared_parts(_item_headers(state))
+
     def _is_quarantined(self, job: OwnedJob, state: ItemState) -> bool:
         """Return whether an item is quarantined, and delay its next check.
 
@@ -446,6 +457,10 @@
         run.task.cancel()
 
 
+def _item_headers(state: ItemState) -> Headers:
+    return Headers({name: [value] for name, value in state.item.headers.items()})
+
+
 def _counts_against_replica(failure: Failure) -> bool:
     """Return whether a failed run counts against its replica.
 
--- a/papayapier/metrics.py
+++ b/papayapier/metrics.py
@@ -27,6 +27,7 @@
     retries: Counter
     streams_resumed: Counter
     sends_lost: Counter
+    sends_lost_unanswered: Counter
     works_held: Gauge
     upstream_calls: Counter
     loads_unread: Counter
@@ -76,6 +77,12 @@
             registry=reg,
         ),
         sends_lost=Counter(name + "sends_lost", "Sends without any answer", ["kind"], registry=reg),
+        sends_lost_unanswered=Counter(
+            name + "sends_lost_unanswered",
+            "Lost sends before any data of their answer arrived",
+            ["kind"],
+            registry=reg,
+        ),
         works_held=Gauge(name + "works_held", "Quarantined request fingerprints", registry=reg),
         upstream_calls=Counter(
             name + "upstream_calls", "Calls to replicas", ["upstream", "end"], registry=reg
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -294,6 +294,7 @@
             prompt=headers.PROMPT_PARTS.decode(),
             last_event=headers.LAST_EVENT.decode(),
             resumed_attempt=headers.RESUMED_ATTEMPT.decode(),
+            shared_parts=headers.shared_parts,
             end_to_end=headers.end_to_end,
             presented_keys=headers.presented_keys,
             with_team=headers.with_team,
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -113,6 +113,7 @@
         make_headers=headers.with_replica,
         with_team=headers.with_team,
         decode_body=job_calls.item_body,
+        shared_parts=headers.shared_parts,
         request_id=headers.REQUEST_ID,
         sharing=live_keepers,
         unreachable=lambda: base.hub.silent() & base.nodes.with_role(Role.KEEPER),
--- a/papayapier/operate/explain.py
+++ b/papayapier/operate/explain.py
@@ -6,6 +6,7 @@
 
 import argparse
 import sys
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -19,8 +20,11 @@
 SUBJECT_FIELDS: Final = ("request", "call", "job", "item", "work")
 # The field with the request fingerprint, which is the same each time a caller resends a request.
 FINGERPRINT_FIELD: Final = "work"
-# The field of lines about several items at once.
-ITEMS_FIELD: Final = "items"
+# The fields of lines about several items, or several parts of a prompt, at once.
+LIST_FIELDS: Final = ("items", "parts")
+PARTS_FIELD: Final = "parts"
+REPLICA_FIELD: Final = "replica"
+LOST_SEND: Final = "send_lost"
 # The fields that all lines have.
 COMMON_FIELDS: Final = frozenset({"at_ms", "event", "name", "level", "text"})
 WAITED_FIELD: Final = "waited_ms"
@@ -63,12 +67,16 @@
     parser.add_argument(
         "--slowest", type=int, nargs="?", const=DEFAULT_SLOWEST, help="how many requests to show"
     )
+    parser.add_argument(
+        "--lost-parts", action="store_true", help="count the replicas lost per part of the prompts"
+    )
     parser.set_defaults(command=_explain)
 
 
 def _explain(options: argparse.Namespace) -> int:
-    if bool(options.id) == (options.slowest is not None):
-        print("papayapier: explain: give an id, or --slowest", file=sys.stderr)
+    choices = (bool(options.id), options.slowest is not None, options.lost_parts)
+    if sum(choices) != 1:
+        print("papayapier: explain: give an id, --slowest or --lost-parts", file=sys.stderr)
         return EXIT_USAGE
     read = read_logs(options.logs)
     if isinstance(read, Err):
@@ -77,6 +85,10 @@
     if read.ok_value.malformed:
         print(f"papayapier: {read.ok_value.malformed} lines are no log events", file=sys.stderr)
     lines = read.ok_value.lines
+    if options.lost_parts:
+        for text in lost_parts(lines):
+            print(text)
+        return EXIT_OK
     selected = lines_about(lines, options.id) if options.id else slowest(lines, options.slowest)
     if not selected:
         subject = options.id or "any request"
@@ -126,8 +138,22 @@
 def _is_about(line: Line, subject: str) -> bool:
     if any(line.fields.get(key) == subject for key in SUBJECT_FIELDS):
         return True
-    items = line.fields.get(ITEMS_FIELD)
-    return isinstance(items, list) and subject in items
+    lists = (line.fields.get(key) for key in LIST_FIELDS)
+    return any(isinstance(members, list) and subject in members for members in lists)
+
+
+def lost_parts(lines: Iterable[Line]) -> list[str]:
+    """Return a line per part of the prompts of lost sends, that with most lost replicas first."""
+    replicas: dict[str, set[str]] = defaultdict(set)
+    sends: Counter[str] = Counter()
+    for line in lines:
+        if line.name != LOST_SEND:
+            continue
+        for part in line.fields.get(PARTS_FIELD) or ():
+            replicas[part].add(str(line.fields.get(REPLICA_FIELD)))
+            sends[part] += 1
+    ranked = sorted(replicas, key=lambda part: (-len(replicas[part]), -sends[part], part))
+    return [f"{part}  {len(replicas[part])} replicas  {sends[part]} sends" for part in ranked]
 
 
 def slowest(lines: Iterable[Line], count: int) -> list[Line]:
--- a/papayapier/platform/headers.py
+++ b/papayapier/platform/headers.py
@@ -59,6 +59,15 @@
     return forwarded
 
 
+def shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that other prompts may share: all but the last."""
+    listed = ",".join(
+        value.decode("latin-1") for value in headers.getRawHeaders(PROMPT_PARTS, [])
+    ).split(",")
+    ids = (entry.partition(":")[0].strip().lower() for entry in listed[:-1])
+    return tuple(dict.fromkeys(part for part in ids if part))
+
+
 def presented_keys(headers: Headers) -> Sequence[bytes]:
     """Return the values of the header that contains the caller's API key."""
     return headers.getRawHeaders(_KEY, [])
--- a/papayapier/upstream/engine_calls.py
+++ b/papayapier/upstream/engine_calls.py
@@ -4,6 +4,7 @@
 read; every other key is passed on to the engine unchanged.
 """
 
+import hashlib
 from typing import Any, Final, NamedTuple, NotRequired, TypedDict
 
 import msgspec
@@ -11,6 +12,8 @@
 
 ENGINE_PATHS: Final = frozenset({"/v1/chat/completions", "/v1/completions"})
 PREFIX_CHARS: Final = 256
+# 64 bits: among a million parts at once, the probability of a collision is 3 in 10^8.
+PART_ID_BYTES: Final = 8
 
 
 class Generation(NamedTuple):
@@ -76,6 +79,27 @@
     return msgspec.json.encode(keys)
 
 
+def shared_parts(body: bytes) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that other prompts may share.
+
+    These are its messages except the last, or the start of a long prompt of one text.
+    """
+    try:
+        fields = _BODY_DECODER.decode(body)
+    except msgspec.MsgspecError:
+        return ()
+    if "messages" in fields:
+        texts = [f"{message['role']}\n{_content(message)}" for message in fields["messages"][:-1]]
+    else:
+        prefix = _prefix(fields) if "prompt" in fields else ""
+        texts = [prefix] if len(prefix) == PREFIX_CHARS else []
+    return tuple(dict.fromkeys(_part_id(text) for text in texts))
+
+
+def _part_id(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=PART_ID_BYTES).hexdigest()
+
+
 def _prefix(fields: _Body) -> str:
     """Return the start of the prompt; requests with equal prefixes can share an engine's cache."""
     if "messages" in fields:
--- a/tests/jobs_run_world.py
+++ b/tests/jobs_run_world.py
@@ -12,7 +12,7 @@
 from papayapier.jobs.records import JobItem, JobRecord
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.metrics import make_metrics
-from papayapier.platform.headers import with_team
+from papayapier.platform.headers import shared_parts, with_team
 from papayapier.policy.batch_limits import SPARE_SLOTS
 from papayapier.policy.loads import LoadTracker
 from papayapier.policy.outliers import OutlierDetector
@@ -75,6 +75,7 @@
             make_headers=lambda headers, _replica, _left, _last: headers,
             with_team=lambda headers, team: self.with_team(headers, team),
             decode_body=lambda _item: b"",
+            shared_parts=shared_parts,
             request_id=b"X-Request-Id",
             sharing=lambda: ["a"],
             unreachable=lambda: (),
--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -25,6 +25,7 @@
 from papayapier.peer.messages import Message
 from papayapier.peer.open_requests import PeerError
 from papayapier.peer.run_messages import RunsTell
+from papayapier.platform.headers import shared_parts
 from papayapier.policy.loads import LoadTracker, ReplicaUse
 from papayapier.policy.outliers import OutlierDetector
 from papayapier.store.api import Change
@@ -113,6 +114,7 @@
             make_headers=lambda headers, _replica, _left, _last: headers,
             with_team=lambda headers, _team: headers,
             decode_body=lambda _item: b"",
+            shared_parts=shared_parts,
             request_id=b"X-Request-Id",
             sharing=lambda: world.live,
             unreachable=lambda: (),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -115,3 +115,25 @@
     assert main(["explain", "j-1", "--logs", str(path)]) == EXIT_OK
     shown = [text.split()[4] for text in capsys.readouterr().out.splitlines()]
     assert shown == ["item_started", "item_yielded", "item_done", "items_listed"]
+
+
+def test_parts_that_lost_sends_share_are_counted(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against lost sends of different requests whose common part cannot be seen."""
+    path = tmp_path / "entry-1"
+    sends = [("a", ["s", "b"]), ("a", ["s", "c"]), ("d", ["s", "b"]), ("e", ["b"])]
+    path.write_text(
+        "".join(
+            log_line(number, "send_lost", request=f"r{number}", replica=replica, parts=parts) + "\n"
+            for number, (replica, parts) in enumerate(sends)
+        )
+    )
+    assert main(["explain", "--lost-parts", "--logs", str(path)]) == EXIT_OK
+    assert capsys.readouterr().out.splitlines() == [
+        "b  3 replicas  3 sends",
+        "s  2 replicas  3 sends",
+        "c  1 replicas  1 sends",
+    ]
+    assert main(["explain", "b", "--logs", str(path)]) == EXIT_OK
+    assert len(capsys.readouterr().out.splitlines()) == 3
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -181,3 +181,19 @@
     assert named in read.err_value
     assert isinstance(job_calls.read_items(json.dumps({"items": [good]}).encode()), Ok)
     assert isinstance(job_calls.read_items(json.dumps({"items": [good, good]}).encode()), Err)
+
+
+@pytest.mark.parametrize(
+    ("listed", "expected"),
+    [
+        ([], ()),
+        ([b"a1:800"], ()),
+        ([b"a1:800,b2:410,c3:250"], ("a1", "b2")),
+        ([b" A1:800 , a1:800, :3, b2,c3:1"], ("a1", "b2")),
+        ([b"a1:800", b"b2:410"], ("a1",)),
+    ],
+)
+def test_shared_parts_are_all_but_the_last(listed: list[bytes], expected: tuple[str, ...]) -> None:
+    """Guard against taking a request's own part for one that it shares with others."""
+    received = Headers({headers.PROMPT_PARTS: listed} if listed else {})
+    assert headers.shared_parts(received) == expected
--- a/tests/test_upstream_parts.py
+++ b/tests/test_upstream_parts.py
@@ -16,7 +16,12 @@
 from papayapier.clock import fake_clock
 from papayapier.upstream.api import Failure, FailureKind, Load, Replica, Sent, Token
 from papayapier.upstream.connection_pools import FORGET_AFTER_MS, ConnectionPools
-from papayapier.upstream.engine_calls import PREFIX_CHARS, parse_generation, streaming_body
+from papayapier.upstream.engine_calls import (
+    PREFIX_CHARS,
+    parse_generation,
+    shared_parts,
+    streaming_body,
+)
 from papayapier.upstream.engine_control import Order, OrderAnswer, OrderKind, make_engine_control
 from papayapier.upstream.exchange import AnswerHandler, OutgoingRequest
 from papayapier.upstream.load_polls import LoadPollHandlers, make_load_polls
@@ -205,3 +210,30 @@
         self.fake.run_for(CFG.progress_ms)
         failure = (await sending).err_value
         equal(failure.sent, Sent.MAYBE)
+
+
+def chat_body(*contents: str) -> bytes:
+    messages = [{"role": "user", "content": content} for content in contents]
+    return json.dumps({"model": "lm", "messages": messages}).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "count"),
+    [
+        (chat_body("open?"), 0),
+        (chat_body("be brief", "open?"), 1),
+        (chat_body("be brief", "open?", "be brief", "and now?"), 2),
+        (json.dumps({"model": "lm", "prompt": "open?"}).encode(), 0),
+        (json.dumps({"model": "lm", "prompt": "x" * PREFIX_CHARS + "y"}).encode(), 1),
+        (b"no json", 0),
+    ],
+)
+def test_shared_parts_of_a_body(body: bytes, count: int) -> None:
+    """Guard against parts of the OpenAI-style API that no two requests have in common."""
+    assert len(shared_parts(body)) == count
+
+
+def test_requests_share_their_parts_but_not_their_last_message() -> None:
+    """Guard against taking a request's own message for one that it shares with others."""
+    one, other = shared_parts(chat_body("a", "b")), shared_parts(chat_body("a", "c", "b"))
+    assert one == other[:1]
