--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -177,6 +177,7 @@
         call_id: str = "call",
         on_token: OnToken = lambda _: None,
         due_ms: int = 0,
+        body: bytes = BODY,
         claim: "Callable[[], Awaitable[Result[None, Refusal]]] | None" = None,
     ) -> Deferred[RunResult]:
         """Run an online request."""
@@ -184,7 +185,7 @@
         due = self.time.clock.now() + (due_ms or profile.due_ms)
         path = CHAT if generates else "/passes"
         req = OnlineRequest(
-            call_id, "sulina", profile, "POST", path, BODY, "", generates, "open?", due
+            call_id, "sulina", profile, "POST", path, body, "", generates, "open?", due
         )
         return self._started(Deferred.fromCoroutine(self.online.run(req, on_token, claim)))
 
@@ -193,11 +194,12 @@
         profile: Profile = NOTES,
         call_id: str = "item",
         allowed: Callable[[], bool] = lambda: True,
+        body: bytes = BODY,
     ) -> Deferred[RunResult]:
         """Run a batch item."""
         path = CHAT if profile.upstream == "lm" else "/passes"
         due = self.time.clock.wall() + 3_600_000
-        call = ItemCall(call_id, "sulina", profile, "POST", path, BODY, due, allowed)
+        call = ItemCall(call_id, "sulina", profile, "POST", path, body, due, allowed)
         return self._started(Deferred.fromCoroutine(self.item_dispatch.run(call)))
 
     def _started(self, pending: Deferred[RunResult]) -> Deferred[RunResult]:
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -8,10 +8,11 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
+from tests.site.prompts import PROMPT_HEADER, shared_parts
 from tests.site.store import StandinStore
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 reactor: Any = installed
 _Resource: Any = Resource
@@ -38,7 +39,8 @@
     there and keeps the connection open. hang leaves requests unanswered; shed rejects them;
     should_fail selects those that are run and answered with an error. If on_crash is set, a
     request with CRASH_MARKER in its path ends the replica, and on_crash is called then. A replica
-    with a software version lists it, and names it in each event that it writes.
+    with a software version lists it, and names it in each event that it writes. A request whose
+    prompt shares one of crash_parts ends the replica, and on_crash_part is called with that part.
     """
 
     isLeaf = True  # noqa: N815
@@ -63,6 +65,10 @@
         self.received_at_s: list[float] = []
         self.boot_number = 0
         self.on_crash: Callable[[], None] | None = None
+        self.crash_parts: Collection[str] = ()
+        self.on_crash_part: Callable[[str], None] = ignore_part
+        # The prompt header of each started request that has one.
+        self.prompts: dict[str, str] = {}
         self.crashed = False
         self.draining = False
         self._channels: set[Any] = set()
@@ -134,7 +140,13 @@
         self.open_requests += 1
         self.max_open_requests = max(self.max_open_requests, self.open_requests)
         request.notifyFinish().addBoth(self._on_finished)
-        if CRASH_MARKER in request.path:
+        prompt = request.getHeader(PROMPT_HEADER)
+        if prompt is not None:
+            self.prompts[request_id] = prompt
+        crash_parts = [part for part in shared_parts(prompt or "") if part in self.crash_parts]
+        for part in crash_parts:
+            self.on_crash_part(part)
+        if crash_parts or CRASH_MARKER in request.path:
             reactor.callLater(CRASH_DELAY_S, self._crash)
             return NOT_DONE_YET
         if self.hang:
@@ -184,6 +196,10 @@
     return False
 
 
+def ignore_part(_part: str) -> None:
+    """Do nothing; the default of on_crash_part."""
+
+
 def _refuse(request: Any, status: int) -> bytes:
     request.setResponseCode(status)
     request.setHeader("X-Not-Executed", "1")
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
@@ -95,6 +95,12 @@
         self.store = StandinStore()
         self.store.put("config", "main", make_configuration())
         self.replicas = [StandinReplica(self.store, name) for name in ("lm", "lm", "app", "app")]
+        # Parts of prompts that end the replicas, and when which of them reached a replica.
+        self.crash_parts: set[str] = set()
+        self.crash_part_sends: list[tuple[float, str]] = []
+        self.crash_times_s: list[float] = []
+        self._restart_delay_s = 0.0
+        self._restarts: list[Any] = []
         self.children: dict[str, ChildProcess] = {}
         # Settings of the protocol between processes, except its port.
         self.peer_settings: dict[str, Any] = {}
@@ -108,8 +114,9 @@
         self.readiness_ports: dict[str, int] = {}
         self.agent = _Agent(reactor, connectTimeout=2, pool=_Pool(reactor, persistent=False))
 
-    def replace_crashed(self) -> None:
+    def replace_crashed(self, restart_delay_s: float = 0.0) -> None:
         """Start another replica for each that a request crashes; replicas keeps both."""
+        self._restart_delay_s = restart_delay_s
         for replica in self.replicas:
             self._replace_on_crash(replica)
 
@@ -124,9 +131,18 @@
 
     def _replace_on_crash(self, replica: StandinReplica) -> None:
         def replace() -> None:
-            self.add_like(replica)
+            self.crash_times_s.append(reactor.seconds())
+            if not self._restart_delay_s:
+                self.add_like(replica)
+                return
+            self._restarts.append(reactor.callLater(self._restart_delay_s, self.add_like, replica))
 
         replica.on_crash = replace
+        replica.crash_parts = self.crash_parts
+        replica.on_crash_part = self._on_crash_part
+
+    def _on_crash_part(self, part: str) -> None:
+        self.crash_part_sends.append((reactor.seconds(), part))
 
     def crashed_count(self) -> int:
         """Return how many replicas a request has crashed, except those that were draining.
@@ -252,13 +268,15 @@
         read.addTimeout(REPLY_TIMEOUT_S, reactor)
         return Reply(response.code, response.headers, await read)
 
-    async def submit(self, port: int, job_id: str, items: int = 3) -> Reply:
-        """Submit a batch job."""
+    async def submit(
+        self, port: int, job_id: str, items: int = 3, prompts: Sequence[Mapping[str, str]] = ()
+    ) -> Reply:
+        """Submit a batch job; prompts are the headers of its first items."""
         job_items = [
             {
                 "id": f"{job_id}-{number}",
                 "path": f"/job/{number}",
-                "headers": {"X-Model": "m"},
+                "headers": dict(prompts[number]) if number < len(prompts) else {"X-Model": "m"},
                 "body": base64.b64encode(b"ask").decode(),
                 "tokens": 10,
             }
@@ -296,6 +314,9 @@
             child.send_signal(SIGKILL)
         for child in self.children.values():
             await child.ended
+        for restart in self._restarts:
+            if restart.active():
+                restart.cancel()
         for replica in self.replicas:
             await replica.close()
         await self.store.close()
