Quarantine the parts of prompts with which replicas crash

The cause: losses were counted per whole request, and what requests have in common was never a candidate.

Replicas lost while they began to answer a request are counted per part of its prompt, all but the last. A part is quarantined after three occasions, or five replicas and a second, with no complete answer of it between; an answer at any instance ends that. Requests with a quarantined part are refused at once, items wait; one at a time is sent as a probe, with a permit of all instances (of the hubs in a large fleet), after growing pauses. Reports travel with those of whole requests, from hubs to everybody once a part may soon be quarantined, and are kept on the disks of keepers. Nothing is sent, and no part is decoded, while no replica is lost.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -17,6 +17,7 @@
 from papayapier.dispatch.retrying import (
     Claim,
     SendHistory,
+    claim_parts,
     claim_send,
     decide_retry,
     prepare_retry,
@@ -91,7 +92,18 @@
             return Err(correct_outcome(suspect_refusal(), progress.history.maybe_sent))
         if claim is Claim.WAITING:
             continue
-        with deps.crashes.track_send(req.fingerprint, replica):
+        part_refusal = await claim_parts(
+            deps,
+            req.call_id,
+            req.profile.upstream,
+            req.fingerprint,
+            req.shared_parts,
+            replica,
+            req.due_ms,
+        )
+        if part_refusal is not None:
+            return Err(correct_outcome(part_refusal, progress.history.maybe_sent))
+        with deps.crashes.track_send(req.fingerprint, replica, req.call_id):
             result = await _send_once(deps, req, replica, progress, on_token, preempt_batch)
         if isinstance(result, Ok):
             return Ok(_join_parts(result.ok_value, progress))
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager
+from http import HTTPStatus
 from typing import Any, Final, NamedTuple, Protocol
 
 from result import Ok, Result
@@ -14,6 +15,7 @@
 from papayapier import events
 from papayapier.clock import MS_PER_S, Clock, Timer
 from papayapier.dispatch.lost_sends import is_lost, log_lost_send, no_parts
+from papayapier.dispatch.part_watch import PROBE_PREFIX, PartWatch
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.metrics import Metrics
 from papayapier.policy.crash_quarantine import CrashTracker, ReplicaLoss
@@ -67,6 +69,8 @@
         self._metrics = metrics
         self._list_is_fresh = list_is_fresh
         self._tracker = CrashTracker()
+        # The same for the parts of prompts.
+        self.parts = PartWatch(clock, metrics)
         self._quarantined: frozenset[str] = frozenset()
         self._reviewed_changes = 0
         self._timer: Timer | None = None
@@ -82,6 +86,7 @@
     def connect_permits(self, permits: PermitSource) -> None:
         """Set how instances agree on which of them sends a suspect."""
         self._permits = permits
+        self.parts.connect_permits(permits)
 
     def refusal(self, request_id: str, get_fingerprint: GetFingerprint) -> Refusal | None:
         """Return the refusal of a request that is quarantined, or None."""
@@ -140,6 +145,11 @@
             return False
         return True
 
+    def return_permit(self, get_fingerprint: GetFingerprint) -> None:
+        """Process that a request is not sent after all."""
+        if self._permits is not None:
+            self._permits.on_send_ended(get_fingerprint)
+
     def _may_use_permit(self, fingerprint: str, replica_id: str) -> bool:
         """Return whether what came with the replies of the others still allows a send."""
         now = self._clock.now()
@@ -156,25 +166,34 @@
         )
 
     def blocks(self, wanted: WantedSend) -> bool:
-        """Return whether sends that are under way here forbid a suspect."""
+        """Return whether sends that are under way here forbid a suspect or a probe."""
+        if wanted.fingerprint.startswith(PROBE_PREFIX):
+            return self.parts.blocks_probe(wanted.fingerprint)
         return self._open_sends.block(wanted, self._tracker.shares_loss)
 
     def open_replicas(self, fingerprint: str) -> list[str]:
-        """Return the replicas at which copies of a request are under way from here."""
+        """Return the replicas at which copies of a request, or probes, are under way from here."""
+        if fingerprint.startswith(PROBE_PREFIX):
+            return self.parts.open_replicas(fingerprint)
         return self._open_sends.replicas_of(fingerprint)
 
     def ms_since_loss(self, fingerprint: str) -> int:
-        """Return the time since the last loss of a fingerprint, in ms."""
+        """Return the time since the last loss of a fingerprint, or of a probe's part, in ms."""
+        if fingerprint.startswith(PROBE_PREFIX):
+            return self.parts.ms_since_loss(fingerprint)
         return self._tracker.ms_since_loss(fingerprint, self._clock.now())
 
     @contextmanager
-    def track_send(self, get_fingerprint: GetFingerprint, replica: Replica) -> Iterator[None]:
+    def track_send(
+        self, get_fingerprint: GetFingerprint, replica: Replica, request_id: str
+    ) -> Iterator[None]:
         """Record that a send of an online request is under way, until its result is recorded."""
         send = self._open_sends.add(get_fingerprint, replica.id)
         try:
             yield
         finally:
             self._open_sends.remove(send)
+            self.parts.on_send_ended(request_id)
             if self._permits is not None:
                 self._permits.on_send_ended(send.fingerprint)
 
@@ -220,6 +239,8 @@
         first_data_ms: int = 0,
     ) -> None:
         """Record the result of a send; first_data_ms is 0 if no part of its answer arrived."""
+        if isinstance(result, Ok) and is_answer(result.ok_value):
+            self.parts.on_answered(replica.upstream, get_parts)
         if isinstance(result, Ok) or _replica_answered(result.err_value):
             self._tracker.on_alive(replica.id, started_ms)
             self._record_answer(get_fingerprint)
@@ -232,6 +253,8 @@
             if answering_ms is None:
                 self._metrics.sends_lost_unanswered.labels(failure.kind.value).inc()
             self._record_loss(fingerprint, replica, failure)
+            if failure.kind is FailureKind.TRUNCATED and not self._tracker.is_leaving(replica.id):
+                self.parts.on_lost(request_id, replica, get_parts, answering_ms)
         self._review_if_changed()
 
     def on_poll_failed(self, replica: Replica, failure: Failure) -> None:
@@ -281,6 +304,7 @@
         """Stop the timer."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self.parts.close()
 
     def _record_answer(self, get_fingerprint: GetFingerprint) -> None:
         fingerprint = get_fingerprint()
@@ -328,6 +352,12 @@
         self._review()
 
 
+def is_answer(answer: Any) -> bool:
+    """Return whether what a replica sent is the complete answer of a request that succeeded."""
+    status = getattr(answer, "status", 0)
+    return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
+
+
 def _replica_answered(failure: Failure) -> bool:
     """Return whether the replica itself answered that the call failed."""
     return failure.kind is FailureKind.STATUS and failure.sent is Sent.MAYBE
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -5,7 +5,7 @@
 passed on; the caller sees one stream with the head of its first replica.
 """
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
@@ -16,6 +16,7 @@
 from papayapier.dispatch.relayed_stream import CallerStream
 from papayapier.dispatch.retrying import (
     Claim,
+    claim_parts,
     claim_send,
     decide_retry,
     prepare_retry,
@@ -35,6 +36,9 @@
 from papayapier.upstream.event_splitter import NO_EVENT
 from papayapier.upstream.forward_call import ForwardAnswer, ForwardCall, ForwardedAnswer
 
+if TYPE_CHECKING:
+    from papayapier.dispatch.crash_watch import CrashWatch
+
 NO_REPLICA_RETRY_MS: Final = 200
 # Failures of a replica that is unreachable, removed, or resets each connection and so looks idle.
 NO_ANSWER_KINDS: Final = frozenset(
@@ -64,7 +68,7 @@
         if isinstance(found, Err):
             return _finish(deps, req, progress, found.err_value)
         replica = found.ok_value
-        with deps.crashes.track_send(req.fingerprint, replica):
+        with deps.crashes.track_send(req.fingerprint, replica, req.request_id):
             result = await _send_once(deps, req, replica, progress)
         if isinstance(result, Ok):
             _log_result(deps, req, progress, result.ok_value)
@@ -107,7 +111,7 @@
         await wait_for_send_window(
             deps, req.request_id, req.fingerprint, progress.history, req.due_ms
         )
-        quarantine_refusal = deps.crashes.refusal(req.request_id, req.fingerprint)
+        quarantine_refusal = get_quarantine_refusal(deps.crashes, req)
         if quarantine_refusal is not None:
             return Err(quarantine_refusal)
         picked = await _pick(deps, req, progress)
@@ -124,7 +128,23 @@
         if claim is Claim.REFUSED:
             return Err(suspect_refusal())
         if claim is Claim.GRANTED:
-            return picked
+            part_refusal = await claim_parts(
+                deps,
+                req.request_id,
+                req.profile.upstream,
+                req.fingerprint,
+                req.get_parts,
+                replica,
+                req.due_ms,
+            )
+            return picked if part_refusal is None else Err(part_refusal)
+
+
+def get_quarantine_refusal(crashes: "CrashWatch", req: RawRequest) -> Refusal | None:
+    """Return the refusal of a request that is quarantined, or has a quarantined part, or None."""
+    return crashes.refusal(req.request_id, req.fingerprint) or crashes.parts.refusal(
+        req.request_id, req.profile.upstream, req.get_parts
+    )
 
 
 def _log_result(
--- a/papayapier/dispatch/item_dispatch.py
+++ b/papayapier/dispatch/item_dispatch.py
@@ -39,6 +39,8 @@
 # An interrupted item goes on at its own software version if a slot is free there in time; later it
 # costs less to run it again at another version.
 VERSION_WAIT_MS: Final = 2_000
+# Interval between checks whether an item with a quarantined part may be sent.
+PART_CHECK_MS: Final = 500
 
 
 class ItemDispatch:
@@ -86,7 +88,10 @@
             try:
                 if not call.still_allowed():
                     return Err(correct_outcome(_not_allowed_refusal(), item.maybe_sent))
-                result = await self._send(item, replica)
+                # A part may have been quarantined while the item waited for capacity.
+                if not self._may_run(item):
+                    continue
+                result = await self._send_tracked(item, replica)
             finally:
                 self._release(item, replica)
             if isinstance(result, Ok):
@@ -106,8 +111,23 @@
             if refusal is not None:
                 return refusal
             await self._pause(quarantine_ms)
+        call = item.call
+        while not self._may_run(item):
+            refusal = crashes.parts.item_refusal(
+                call.call_id, call.profile.upstream, call.shared_parts
+            )
+            if refusal is not None:
+                return refusal
+            await self._pause(PART_CHECK_MS)
         return None
 
+    def _may_run(self, item: Item) -> bool:
+        """Return whether no part of an item's prompt forbids a send now."""
+        call = item.call
+        return self._deps.crashes.parts.item_may_run(
+            call.call_id, call.profile.upstream, call.shared_parts
+        )
+
     async def _pause(self, delay_ms: int) -> None:
         self._paused_count += 1
         try:
@@ -207,6 +227,14 @@
         usable = self._deps.load_tracker.usable_replicas(upstream, now)
         return [replica for replica in usable if not outliers.is_ejected(replica.id, now)]
 
+    async def _send_tracked(self, item: Item, replica: Replica) -> Result[Reply, Failure]:
+        parts, call_id = self._deps.crashes.parts, item.call.call_id
+        parts.on_item_begun(call_id, replica.id)
+        try:
+            return await self._send(item, replica)
+        finally:
+            parts.on_send_ended(call_id)
+
     async def _send(self, item: Item, replica: Replica) -> Result[Reply, Failure]:
         now = self._deps.clock.now()
         may_run_again = item.call.profile.idempotent or not item.maybe_sent
--- a/papayapier/dispatch/online.py
+++ b/papayapier/dispatch/online.py
@@ -79,7 +79,10 @@
         request unsent.
         """
 
-        quarantine_refusal = self._deps.crashes.refusal(req.call_id, req.fingerprint)
+        crashes = self._deps.crashes
+        quarantine_refusal = crashes.refusal(req.call_id, req.fingerprint) or crashes.parts.refusal(
+            req.call_id, req.profile.upstream, req.shared_parts
+        )
         if quarantine_refusal is not None:
             return Err(quarantine_refusal)
 
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -17,7 +17,7 @@
 
     from papayapier.clock import Clock
     from papayapier.config.profiles import Profile
-    from papayapier.dispatch.crash_watch import CrashWatch, GetFingerprint
+    from papayapier.dispatch.crash_watch import CrashWatch, GetFingerprint, GetParts
     from papayapier.metrics import Metrics
     from papayapier.policy.loads import LoadTracker
     from papayapier.policy.retries import RetryBudget
@@ -227,6 +227,26 @@
     return Claim.WAITING
 
 
+async def claim_parts(
+    deps: RetryDeps,
+    request_id: str,
+    upstream: str,
+    get_fingerprint: "GetFingerprint",
+    get_parts: "GetParts",
+    replica: Replica,
+    due_ms: int,
+) -> Refusal | None:
+    """Return the refusal of a request whose parts forbid a send now, or None.
+
+    A request that is not refused must be sent at once.
+    """
+    within_ms = due_ms - deps.clock.now()
+    refusal = await deps.crashes.parts.claim(request_id, upstream, get_parts, replica.id, within_ms)
+    if refusal is not None:
+        deps.crashes.return_permit(get_fingerprint)
+    return refusal
+
+
 def suspect_refusal() -> Refusal:
     """Return the refusal of a suspect that could not be sent alone in time."""
     reason = "replicas were lost while they ran the same request, and it cannot be sent alone yet"
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -15,7 +15,11 @@
 from papayapier.config.route_table import Route, RouteKind, RouteTable, pick_profile
 from papayapier.config.teams import Team, team_name
 from papayapier.dispatch.forward_state import RawRequest
-from papayapier.dispatch.forwarding import forward, resolve_resumption
+from papayapier.dispatch.forwarding import (
+    forward,
+    get_quarantine_refusal,
+    resolve_resumption,
+)
 from papayapier.dispatch.start_queue import StartQueue, StartRequest
 from papayapier.entry.forward_refusals import RefusalDeps, count_refusal, refuse_forwarded
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
@@ -196,7 +200,7 @@
         refuse_forwarded(routes.refusals, request, route.name, parsed.err_value)
         return
     req = parsed.ok_value
-    quarantine_refusal = routes.forward.crashes.refusal(req.request_id, req.fingerprint)
+    quarantine_refusal = get_quarantine_refusal(routes.forward.crashes, req)
     if quarantine_refusal is not None:
         refuse_forwarded(routes.refusals, request, route.name, quarantine_refusal, req.due_ms)
         return
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -197,6 +197,27 @@
     Level.INFO,
     "batch call runs from its beginning, it cannot go on at the software version that began it",
 )
+PART_HELD: Final = Event(
+    231,
+    "part_held",
+    Level.WARNING,
+    "requests with a part in their prompts are quarantined, replicas were lost with it",
+)
+PART_RELEASED: Final = Event(
+    232, "part_released", Level.INFO, "requests with a part are released from quarantine"
+)
+PART_REFUSED: Final = Event(
+    233,
+    "part_refused",
+    Level.INFO,
+    "request not sent, replicas were lost with a part of its prompt",
+)
+PART_PROBED: Final = Event(
+    234,
+    "part_probed",
+    Level.INFO,
+    "request with a quarantined part is sent, to find out whether it still crashes replicas",
+)
 
 REPLICA_EJECTED: Final = Event(
     301, "replica_ejected", Level.WARNING, "replica ejected, it gets no calls for now"
@@ -341,6 +362,12 @@
     Level.INFO,
     "item runs from its beginning, it cannot go on at the software version that began it",
 )
+ITEM_PART_HELD: Final = Event(
+    541,
+    "item_part_held",
+    Level.WARNING,
+    "item waits, replicas were lost with a part of its prompt",
+)
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "configuration change accepted")
 CONFIG_APPLIED: Final = Event(
--- a/papayapier/jobs/owned_job.py
+++ b/papayapier/jobs/owned_job.py
@@ -21,6 +21,7 @@
         "last_event",
         "last_received_ms",
         "not_before_ms",
+        "parts",
         "quarantined",
         "ran_ms",
         "running",
@@ -45,6 +46,8 @@
         self.quarantined = False
         # Its request fingerprint; empty until first computed.
         self.fingerprint = ""
+        # The parts of its prompt that other prompts may share; None until first decoded.
+        self.parts: tuple[str, ...] | None = None
 
     def discard_texts(self) -> None:
         """Make the next run start from the beginning."""
--- a/papayapier/jobs/progress.py
+++ b/papayapier/jobs/progress.py
@@ -23,6 +23,7 @@
 from papayapier.jobs.records import ItemOutcome
 from papayapier.pending_result import PendingResult
 from papayapier.policy.crash_quarantine import ReplicaLoss
+from papayapier.policy.part_quarantine import NO_REPORTS, PartReports
 
 FILES: Final = ("progress-0", "progress-1")
 # A run takes about five seconds, so a power failure costs a tenth of a run on average. A write of
@@ -59,6 +60,7 @@
     number: int
     items: tuple[ItemProgress, ...]
     losses: tuple[ReplicaLoss, ...] = ()
+    parts: PartReports = NO_REPORTS
 
 
 class SaverDeps(NamedTuple):
@@ -69,6 +71,7 @@
     in_thread: Callable[[Callable[[], Any]], Awaitable[Any]]
     progress: Callable[[], Sequence[ItemProgress]]
     losses: Callable[[], Sequence[ReplicaLoss]]
+    parts: Callable[[], PartReports]
 
 
 _SNAPSHOT: Final = msgspec.msgpack.Decoder(Snapshot)
@@ -99,17 +102,20 @@
 async def save_regularly(deps: SaverDeps, number: int) -> None:
     """Write a snapshot every second in which there are changes; number is that of the last one."""
     is_failing = False
-    saved_loss_keys: set[tuple[str, str]] | None = None
+    saved_loss_keys: set[tuple[str, ...]] | None = None
     while True:
         await deps.clock.sleep(SAVE_MS)
         items = _bounded(deps.progress())
-        losses = tuple(deps.losses())
-        loss_keys = {(loss.fingerprint, loss.replica) for loss in losses}
+        losses, parts = tuple(deps.losses()), deps.parts()
+        loss_keys: set[tuple[str, ...]] = {(loss.fingerprint, loss.replica) for loss in losses}
+        loss_keys |= {(lost.replica, *lost.parts, *lost.probed) for lost in parts.losses}
         if not items and loss_keys == saved_loss_keys:
             continue
         saved_loss_keys = None if items else loss_keys
         number += 1
-        result = await deps.in_thread(_write_call(deps.folder, Snapshot(number, items, losses)))
+        result = await deps.in_thread(
+            _write_call(deps.folder, Snapshot(number, items, losses, parts))
+        )
         reason = result.err_value if isinstance(result, Err) else ""
         # The reason contains the name of one of the two files, so it changes with every write;
         # only the change between success and failure is logged.
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -145,7 +145,7 @@
             for state in job.waiting(self._deps.clock.now()):
                 if upstream in full_upstreams:
                     break
-                if self._is_quarantined(job, state):
+                if self._is_quarantined(job, route, state):
                     continue
                 if self._rank_item(upstream, job, state, wall).late:
                     late.append((job, route, state))
@@ -173,7 +173,7 @@
         now = self._deps.clock.now()
         upstream = route.shares[0].upstream
         for state in job.waiting(now):
-            if self._is_quarantined(job, state):
+            if self._is_quarantined(job, route, state):
                 continue
             self._restart_if_version_gone(upstream, job, state, now)
             replica = finder.find(upstream, now, has_share=False, version=state.version)
@@ -270,6 +270,7 @@
             batch=self._deps.load_tracker.batch_calls(replica.id),
             part=has_share,
         )
+        self._deps.crashes.parts.on_item_begun(state.item.id, replica.id)
         task = Deferred.fromCoroutine(self._run(job, route, state, replica))
         if task.called:
             return
@@ -302,6 +303,7 @@
                 receiver.first_ms,
             )
             self._on_run_result(job, route, state, replica, sent)
+        self._deps.crashes.parts.on_send_ended(state.item.id)
         self._on_slot_freed()
 
     def _call(self, job: OwnedJob, state: ItemState, replica: Replica) -> ForwardCall:
@@ -331,14 +333,24 @@
         return state.fingerprint
 
     def _shared_parts(self, state: ItemState) -> tuple[str, ...]:
-        return self._deps.shared_parts(_item_headers(state))
+        """Return the parts of an item's prompt; cached, as every round needs those of each item."""
+        if state.parts is None:
+            state.parts = self._deps.shared_parts(_item_headers(state))
+        return state.parts
 
-    def _is_quarantined(self, job: OwnedJob, state: ItemState) -> bool:
-        """Return whether an item is quarantined, and delay its next check.
+    def _is_quarantined(self, job: OwnedJob, route: Route, state: ItemState) -> bool:
+        """Return whether an item, or a part of its prompt, is quarantined; delay its next check.
 
         The delay is bounded, because the quarantine ends early if the replica proves to be alive.
         """
-        pause_ms = self._deps.crashes.item_pause_ms(partial(self._fingerprint, job, state))
+        crashes, was_quarantined = self._deps.crashes, state.quarantined
+        pause_ms = crashes.item_pause_ms(partial(self._fingerprint, job, state))
+        if not pause_ms and not crashes.parts.item_may_run(
+            state.item.id, route.shares[0].upstream, partial(self._shared_parts, state)
+        ):
+            pause_ms = QUARANTINE_CHECK_MS
+            if not was_quarantined:
+                events.emit(events.ITEM_PART_HELD, job=job.job_id, item=state.item.id)
         state.quarantined = pause_ms > 0
         if pause_ms:
             state.not_before_ms = self._deps.clock.now() + min(pause_ms, QUARANTINE_CHECK_MS)
--- a/papayapier/metrics.py
+++ b/papayapier/metrics.py
@@ -29,6 +29,7 @@
     sends_lost: Counter
     sends_lost_unanswered: Counter
     works_held: Gauge
+    parts_held: Gauge
     upstream_calls: Counter
     loads_unread: Counter
     replica_in_flight: Gauge
@@ -84,6 +85,7 @@
             registry=reg,
         ),
         works_held=Gauge(name + "works_held", "Quarantined request fingerprints", registry=reg),
+        parts_held=Gauge(name + "parts_held", "Quarantined parts of prompts", registry=reg),
         upstream_calls=Counter(
             name + "upstream_calls", "Calls to replicas", ["upstream", "end"], registry=reg
         ),
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -242,11 +242,16 @@
     """Resume from the progress file of an earlier run, and start to save progress regularly."""
     folder = base.cfg.jobs.folder
     deps = progress.SaverDeps(
-        base.clock, folder, run_in_threads(base.reactor), runner.progress, base.crashes.snapshot
+        base.clock,
+        folder,
+        run_in_threads(base.reactor),
+        runner.progress,
+        base.crashes.snapshot,
+        base.crashes.parts.snapshot,
     )
     snapshot = await progress.load_with_timeout(deps)
     runner.restore_progress(snapshot.items)
-    base.loss_exchange.restore(snapshot.losses)
+    base.loss_exchange.restore(snapshot.losses, snapshot.parts)
     saving = Deferred.fromCoroutine(progress.save_regularly(deps, snapshot.number))
     saving.addErrback(log_failure, "progress")
     base.tasks.append(saving)
--- a/papayapier/peer/loss_exchange.py
+++ b/papayapier/peer/loss_exchange.py
@@ -10,6 +10,11 @@
 An instance that starts requests the known losses; without this, each restart would cost three
 more replicas.
 
+The parts of prompts with which replicas were lost are reported in the same messages, and so is an
+answer that takes such losses back. In a large fleet the hubs notify everybody of a part before it
+is quarantined, so that whoever answers it reports that in time. Nothing is sent while no replica is
+lost.
+
 An instance that answered a fingerprint just before its losses reports that as soon as it receives
 one of the losses. In a large fleet the entries receive no losses, so one hub queries all of them
 when it receives a fingerprint's first loss, and each hub does when a fingerprint is quarantined.
@@ -21,9 +26,16 @@
 
 from papayapier.clock import Clock, Timer
 from papayapier.dispatch.crash_watch import CrashListeners, CrashWatch
+from papayapier.dispatch.part_watch import PartListeners
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.loss_messages import LatelyAsk, LossesAsk, LossesTold, NoLosses
 from papayapier.policy.crash_quarantine import ReplicaLoss
+from papayapier.policy.part_quarantine import (
+    NO_REPORTS,
+    LostReplica,
+    PartAnswer,
+    PartReports,
+)
 from papayapier.policy.rendezvous import score
 
 # All calls of a lost replica fail within a few ms and are reported together; a tenth of a second
@@ -62,7 +74,13 @@
         self._losses: deque[tuple[ReplicaLoss, int]] = deque(maxlen=MAX_QUEUED)
         self._to_resend: deque[tuple[ReplicaLoss, int]] = deque(maxlen=MAX_PER_MESSAGE)
         self._answered: deque[str] = deque(maxlen=MAX_QUEUED)
+        # Losses and answers of parts, with the time at which each was observed.
+        self._part_losses: deque[tuple[LostReplica, int]] = deque(maxlen=MAX_QUEUED)
+        self._parts_to_resend: deque[tuple[LostReplica, int]] = deque(maxlen=MAX_PER_MESSAGE)
+        self._part_answers: deque[tuple[PartAnswer, int]] = deque(maxlen=MAX_QUEUED)
         self._suspects: deque[str] = deque(maxlen=MAX_QUEUED)
+        # Parts that everybody was notified of by this hub, and that were not answered since.
+        self._spread: set[str] = set()
         self._queried: set[str] = set()
         self._was_hub = False
         self._has_reply = False
@@ -73,17 +91,19 @@
                 self._on_replica_lost, self._on_answered, self._on_quarantined, self._on_suspect
             )
         )
+        deps.watch.parts.connect(PartListeners(self._on_part_lost, self._on_part_answered))
         deps.hub.subscribe(LossesTold, self._on_losses_told)
         deps.hub.subscribe(LossesAsk, self._on_losses_request)
         deps.hub.subscribe(NoLosses, self._on_no_losses)
         deps.hub.subscribe(LatelyAsk, self._on_recent_query)
         deps.hub.on_change(self._request_losses)
 
-    def restore(self, losses: Sequence[ReplicaLoss]) -> None:
+    def restore(self, losses: Sequence[ReplicaLoss], parts: PartReports = NO_REPORTS) -> None:
         """Restore losses saved by an earlier run and report them, as all may have restarted."""
         new_losses = self._deps.watch.on_reported(losses, ())
-        if new_losses:
-            self._send_to_recipients(LossesTold(tuple(new_losses)))
+        new_parts = self._deps.watch.parts.on_told(parts)
+        if new_losses or new_parts.losses:
+            self._send_to_recipients(LossesTold(tuple(new_losses), (), (), new_parts))
 
     def has_known_losses(self) -> bool:
         """Return whether a peer has reported the losses known before this process started."""
@@ -104,6 +124,18 @@
         self._answered.append(fingerprint)
         self._schedule_send()
 
+    def _on_part_lost(self, lost: LostReplica, urgent: bool) -> None:
+        self._part_losses.append((lost, self._deps.clock.now()))
+        if urgent:
+            # Before the end of the probe is reported, which permits the next one.
+            self._send_queued()
+        else:
+            self._schedule_send()
+
+    def _on_part_answered(self, answer: PartAnswer) -> None:
+        self._part_answers.append((answer, self._deps.clock.now()))
+        self._schedule_send()
+
     def _schedule_send(self, wait_ms: int = COLLECT_MS) -> None:
         if self._timer is not None and self._timer.active():
             if wait_ms == COLLECT_MS:
@@ -112,8 +144,10 @@
         self._timer = self._deps.clock.call_later(wait_ms, self._send_queued)
 
     def _send_queued(self) -> None:
-        losses = _pop_batch(self._losses)
-        self._send_standing(losses, tuple(_pop_batch(self._answered)))
+        losses, part_losses = _pop_batch(self._losses), _pop_batch(self._part_losses)
+        parts = self._part_reports(part_losses, _pop_batch(self._part_answers))
+        self._send_standing(losses, tuple(_pop_batch(self._answered)), parts)
+        self._spread_parts(parts)
         fingerprints = {loss.fingerprint for loss, _ in losses}
         self._query_recent_answers(
             fingerprints.difference(self._deps.watch.recently_answered(fingerprints))
@@ -121,10 +155,17 @@
         suspects = _pop_batch(self._suspects)
         if suspects:
             self._deps.hub.broadcast(LossesTold(tuple(self._deps.watch.snapshot(suspects))))
-        if self._losses or self._answered or self._suspects:
+        if (
+            self._losses
+            or self._answered
+            or self._suspects
+            or self._part_losses
+            or self._part_answers
+        ):
             self._schedule_send()
-        if losses:
+        if losses or part_losses:
             self._to_resend.extend(losses)
+            self._parts_to_resend.extend(part_losses)
             self._schedule_resend()
 
     def _schedule_resend(self) -> None:
@@ -132,10 +173,23 @@
             self._resend_timer = self._deps.clock.call_later(RESEND_MS, self._resend)
 
     def _resend(self) -> None:
-        self._send_standing(_pop_batch(self._to_resend), ())
+        parts = self._part_reports(_pop_batch(self._parts_to_resend), [])
+        self._send_standing(_pop_batch(self._to_resend), (), parts)
+
+    def _part_reports(
+        self, losses: list[tuple[LostReplica, int]], answers: list[tuple[PartAnswer, int]]
+    ) -> PartReports:
+        now = self._deps.clock.now()
+        return PartReports(
+            tuple(lost._replace(age_ms=now - at) for lost, at in losses),
+            tuple(answer._replace(age_ms=now - at) for answer, at in answers),
+        )
 
     def _send_standing(
-        self, losses: list[tuple[ReplicaLoss, int]], answered: tuple[str, ...]
+        self,
+        losses: list[tuple[ReplicaLoss, int]],
+        answered: tuple[str, ...],
+        parts: PartReports,
     ) -> None:
         """Report losses that still stand; a loss is withdrawn if another attempt was answered."""
         now = self._deps.clock.now()
@@ -146,8 +200,8 @@
             for loss, at in losses
             if watch.still_counts(loss)
         )
-        if standing or answered:
-            self._send_to_recipients(LossesTold(standing, answered))
+        if standing or answered or parts != NO_REPORTS:
+            self._send_to_recipients(LossesTold(standing, answered, (), parts))
 
     def _send_to_recipients(self, message: LossesTold) -> None:
         if not self._has_hubs():
@@ -157,10 +211,33 @@
             if hub_id != self._deps.me:
                 self._deps.hub.send(hub_id, message)
 
+    def _spread_parts(self, news: PartReports) -> None:
+        """Notify everybody, as a hub, of parts that may soon be quarantined, and of answers."""
+        if not self._is_hub():
+            return
+        watch = self._deps.watch.parts
+        lost = {part for loss in news.losses for part in loss.parts}
+        spread = frozenset(
+            part
+            for part in lost
+            if watch.is_quarantined(part) or (watch.is_suspect(part) and self._is_responsible(part))
+        )
+        reports = watch.snapshot(spread) if spread else NO_REPORTS
+        answers = [answer for answer in news.answers if answer.part in self._spread]
+        kept = self._spread if len(self._spread) < MAX_QUEUED else set()
+        self._spread = {*kept, *spread} - {answer.part for answer in answers}
+        reports = reports._replace(answers=(*reports.answers, *answers))
+        if reports != NO_REPORTS:
+            self._deps.hub.broadcast(LossesTold((), (), (), reports))
+
     def _has_hubs(self) -> bool:
         plan = self._deps.hub.plan()
         return not plan.full_mesh and bool(plan.hubs)
 
+    def _forwards_news(self) -> bool:
+        """Return whether instances forward what is new to their neighbours."""
+        return not self._has_hubs() and not self._deps.hub.plan().full_mesh
+
     def _is_hub(self) -> bool:
         return self._has_hubs() and self._deps.me in self._deps.hub.plan().hubs
 
@@ -191,6 +268,7 @@
         quarantined = {
             fingerprint for fingerprint in answered_recently if watch.is_quarantined(fingerprint)
         }
+        self._on_parts_told(message.parts)
         cleared = watch.on_recently_answered(answered_recently, peer_id)
         new_losses = watch.on_reported(message.losses, message.answered)
         # Also for losses that are reported again: the first reply may have been lost.
@@ -204,6 +282,15 @@
         else:
             self._report_recent(tuple(new_losses), tuple(sorted({*cleared, *recent})))
 
+    def _on_parts_told(self, reports: PartReports) -> None:
+        if reports == NO_REPORTS:
+            return
+        news = self._deps.watch.parts.on_told(reports)
+        if self._is_hub():
+            self._spread_parts(news)
+        elif self._forwards_news() and news != NO_REPORTS:
+            self._deps.hub.broadcast(LossesTold((), (), (), news))
+
     def _query_recent_answers(self, fingerprints: Collection[str]) -> None:
         """Query everybody for recent answers to fingerprints with a first loss.
 
@@ -254,8 +341,10 @@
         self._has_reply = True
 
     def _on_losses_request(self, peer_id: str, _request: LossesAsk) -> None:
-        losses = self._deps.watch.snapshot()
-        self._deps.hub.send(peer_id, LossesTold(tuple(losses)) if losses else NoLosses())
+        losses, parts = self._deps.watch.snapshot(), self._deps.watch.parts.snapshot()
+        known = losses or parts != NO_REPORTS
+        reply = LossesTold(tuple(losses), (), (), parts) if known else NoLosses()
+        self._deps.hub.send(peer_id, reply)
 
     def _request_losses(self) -> None:
         """Request the known losses from peers that have become live and may know of others."""
--- a/papayapier/peer/loss_messages.py
+++ b/papayapier/peer/loss_messages.py
@@ -3,18 +3,20 @@
 from typing import NamedTuple
 
 from papayapier.policy.crash_quarantine import ReplicaLoss
+from papayapier.policy.part_quarantine import NO_REPORTS, PartReports
 
 
 class LossesTold(NamedTuple):
     """Report replica losses and the fingerprints of requests that were answered.
 
     answered lists fingerprints answered since a loss, recently_answered those answered recently
-    before it.
+    before it. parts reports the losses and answers of parts of prompts.
     """
 
     losses: tuple[ReplicaLoss, ...]
     answered: tuple[str, ...] = ()
     recently_answered: tuple[str, ...] = ()
+    parts: PartReports = NO_REPORTS
 
 
 class LatelyAsk(NamedTuple):
--- a/papayapier/policy/crash_quarantine.py
+++ b/papayapier/policy/crash_quarantine.py
@@ -342,6 +342,10 @@
             for loss in self._records[fingerprint].losses:
                 loss.confirmed = loss.confirmed or loss.replica == replica
 
+    def is_leaving(self, replica: str) -> bool:
+        """Tell whether a replica leaves, or has left, as planned."""
+        return replica in self._leaving
+
     def on_listed(self, listed: Collection[str], leaving: Collection[str]) -> None:
         """Replace the list of replicas, and add those that leave as planned."""
         self._listed = frozenset(listed)
--- a/tests/test_jobs_progress.py
+++ b/tests/test_jobs_progress.py
@@ -16,6 +16,7 @@
 from papayapier.jobs.progress import ItemProgress, SaverDeps, Snapshot
 from papayapier.jobs.records import ItemOutcome
 from papayapier.policy.crash_quarantine import ReplicaLoss
+from papayapier.policy.part_quarantine import NO_REPORTS
 from papayapier.upstream.event_splitter import NO_EVENT
 from tests.jobs_world import JOB, StartedCoroutine, record
 from tests.log_capture import LogCapture
@@ -82,7 +83,12 @@
         self.hangs = False
         self.writes = 0
         self.deps = SaverDeps(
-            self.time.clock, folder, self._run, lambda: list(self.items), lambda: list(self.losses)
+            self.time.clock,
+            folder,
+            self._run,
+            lambda: list(self.items),
+            lambda: list(self.losses),
+            lambda: NO_REPORTS,
         )
 
     async def _run(self, call: Callable[[], Any]) -> Any:
