Play a crashing part of prompts in the soak, beside its other faults

Requests no two of which are alike share the part; sound requests and items have prompts too, and replicas must receive them unchanged. Sends later than three seconds after the fifth end by entries without a recent fault are counted, and sound requests that are refused.

--- a/tests/site/part_load.py
+++ b/tests/site/part_load.py
@@ -64,7 +64,7 @@
 
     def late_sends(self, part: str) -> int:
         """Return how many sends of a part are counted: those long after its fifth crash."""
-        sends = [at_s for at_s, sent in self.world.crash_part_sends if sent == part]
+        sends = [send.at_s for send in self.world.crash_part_sends if send.part == part]
         if len(sends) < UNCOUNTED_CRASHES:
             return 0
         fifth_s = sends[UNCOUNTED_CRASHES - 1]
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -40,7 +40,8 @@
     should_fail selects those that are run and answered with an error. If on_crash is set, a
     request with CRASH_MARKER in its path ends the replica, and on_crash is called then. A replica
     with a software version lists it, and names it in each event that it writes. A request whose
-    prompt shares one of crash_parts ends the replica, and on_crash_part is called with that part.
+    prompt shares one of crash_parts ends the replica; on_crash_part is called with the part and the
+    request's id.
     """
 
     isLeaf = True  # noqa: N815
@@ -66,10 +67,12 @@
         self.boot_number = 0
         self.on_crash: Callable[[], None] | None = None
         self.crash_parts: Collection[str] = ()
-        self.on_crash_part: Callable[[str], None] = ignore_part
+        self.on_crash_part: Callable[[str, str], None] = ignore_part
         # The prompt header of each started request that has one.
         self.prompts: dict[str, str] = {}
         self.crashed = False
+        # Whether a part of a prompt, and not a whole request, has ended it.
+        self.ended_by_part = False
         self.draining = False
         self._channels: set[Any] = set()
         self._removal: Any = None
@@ -106,10 +109,11 @@
         if not self._port.disconnected:
             await self._port.stopListening()
 
-    def _crash(self) -> None:
+    def _crash(self, by_part: bool) -> None:
         """End, if a request may end this replica, and report it."""
         if self.on_crash is None or self.crashed:
             return
+        self.ended_by_part = by_part
         self.end()
         self.on_crash()
 
@@ -145,9 +149,9 @@
             self.prompts[request_id] = prompt
         crash_parts = [part for part in shared_parts(prompt or "") if part in self.crash_parts]
         for part in crash_parts:
-            self.on_crash_part(part)
+            self.on_crash_part(part, request_id)
         if crash_parts or CRASH_MARKER in request.path:
-            reactor.callLater(CRASH_DELAY_S, self._crash)
+            reactor.callLater(CRASH_DELAY_S, self._crash, bool(crash_parts))
             return NOT_DONE_YET
         if self.hang:
             return NOT_DONE_YET
@@ -196,7 +200,7 @@
     return False
 
 
-def ignore_part(_part: str) -> None:
+def ignore_part(_part: str, _request_id: str) -> None:
     """Do nothing; the default of on_crash_part."""
 
 
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -7,15 +7,16 @@
 leaves writes unanswered, replicas reject requests, cut streams and leave, and a request that
 crashes the replicas that run it is sent repeatedly. Replicas also answer part of the streams with
 errors, so that some streams are started again after an error and are then cut. API keys are
-withdrawn and added, and one team sends far more than its allowance. The checks hold at any moment
-and for any seed.
+withdrawn and added, and one team sends far more than its allowance. With --parts, requests no two
+of which are alike share a part of their prompts that crashes the replicas instead. The checks hold
+at any moment and for any seed.
 """
 
 import argparse
 import random
 import sys
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from signal import SIGCONT, SIGKILL, SIGSTOP
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
@@ -24,6 +25,8 @@
 
 from papayapier.errors import ErrorKind
 from papayapier.policy.crash_quarantine import MAX_LOSSES
+from tests.site.part_load import CONTACT_S, MAX_LATE_SENDS, UNCOUNTED_CRASHES
+from tests.site.prompts import PROMPT_HEADER, prompt_headers
 from tests.site.replicas import EVENTS_PER_STREAM, never_fails
 from tests.site.world import SiteWorld, make_configuration, new_request_id, sleep, start_task
 
@@ -56,6 +59,13 @@
 # The request that crashes replicas is sent far more often than it may crash any.
 CRASHING_PATHS: Final = ("/stream/once/crash", "/stream/again/crash", "/look/crash")
 CRASHING_GAP_S: Final = 0.7
+# The part of a prompt that crashes replicas, and one that all prompts begin with.
+CRASHING_PART: Final = "bad1"
+SYSTEM_PART: Final = "a0"
+CRASHING_PART_GAP_S: Final = 0.25
+SUBJECTS: Final = 5
+# Sound requests of which at most this share is refused beside a crashing part that is contained.
+MAX_HELD_SHARE: Final = 0.1
 QUARANTINED: Final = ErrorKind.ENDS_REPLICAS.value.encode()
 NOT_RUN_STATUSES: Final = (429, 503, 408, 421)
 # A team with an allowance of 5 requests a second and a burst of 5. The limit of what it gets in a
@@ -79,12 +89,31 @@
     violations: list[str]
 
 
+class SoundPrompt(NamedTuple):
+    """Hold when a sound request with a prompt was sent, and whether a quarantine refused it."""
+
+    at_s: float
+    held: bool
+
+
 class Soak:
-    """Run the load and the faults; large means no full mesh between processes, and load bursts."""
+    """Run the load and the faults; large means no full mesh between processes, and load bursts.
 
-    def __init__(self, world: SiteWorld, seed: int, large: bool = False) -> None:
+    With parts, a part of the prompts crashes the replicas, and not one request.
+    """
+
+    def __init__(
+        self, world: SiteWorld, seed: int, large: bool = False, parts: bool = False
+    ) -> None:
         self.world = world
         self.large = large
+        self.parts = parts
+        # The prompt header and the entry of each request, and the faults of each process as
+        # their begin and end.
+        self.prompts: dict[str, str] = {}
+        self.entries: dict[str, str] = {}
+        self.fault_times_s: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.sound_prompts: list[SoundPrompt] = []
         self.seed = seed
         self.rng = random.Random(seed)
         self.answers: Counter[str] = Counter()
@@ -109,11 +138,13 @@
             self.world.placing_settings = {"queue": True}
         await self.world.start(entries=2, keepers=3 if self.large else 2)
         self.world.replace_crashed()
+        if self.parts:
+            self.world.crash_parts.add(CRASHING_PART)
         activities = [
             self._send_requests(),
             self._submit_jobs(),
             self._inject_faults(),
-            self._send_crashing(),
+            self._send_crashing_part() if self.parts else self._send_crashing(),
             self._send_over_allowance(),
             self._fail_streams(),
         ]
@@ -131,8 +162,16 @@
         await self._check()
         return Report(self.answers, self.faults, len(self.accepted_jobs), self.violations)
 
-    def _port(self) -> int:
-        return self.rng.choice(list(self.world.caller_ports.values()))
+    def _port(self, request_id: str = "") -> int:
+        entry = self.rng.choice(list(self.world.caller_ports))
+        self.entries[request_id] = entry
+        return self.world.caller_ports[entry]
+
+    def _prompt(self, request_id: str, *shared: str) -> dict[str, str]:
+        """Return the headers of a request with a prompt, and record them for the check."""
+        prompt = prompt_headers(request_id, SYSTEM_PART, *shared)
+        self.prompts[request_id] = prompt[PROMPT_HEADER]
+        return prompt
 
     async def _send_requests(self) -> None:
         while not self.stopping:
@@ -151,16 +190,24 @@
         request_id = new_request_id()
         if "once" in path:
             self.at_most_once_ids.append(request_id)
+        prompt: dict[str, str] = {}
+        if self.parts and "/stream/" in path:
+            prompt = self._prompt(request_id, f"5e{self.rng.randrange(SUBJECTS)}")
+        at_s = reactor.seconds()
         try:
             target = path if "crash" in path else path + "1"
-            reply = await self.world.get(self._port(), target, X_Request_Id=request_id)
+            port = self._port(request_id)
+            reply = await self.world.get(port, target, X_Request_Id=request_id, **prompt)
         except Exception as exc:
             self.answers[f"{path} {type(exc).__name__}"] += 1
             return
         self.answers[f"{path} {reply.status}"] += 1
         if "crash" in path:
             return
-        if reply.status == 503 and reply.body.startswith(QUARANTINED):
+        held = reply.status == 503 and reply.body.startswith(QUARANTINED)
+        if prompt:
+            self.sound_prompts.append(SoundPrompt(at_s, held))
+        elif held:
             self.violations.append(f"{request_id}: {path}: quarantined, but crashes no replica")
         complete_body = STREAM if "stream" in path else b"whole answer"
         if reply.status == 200 and reply.body != complete_body:
@@ -174,6 +221,24 @@
             self._tasks.append(start_task(self._send_request(path)))
             await sleep(CRASHING_GAP_S)
 
+    async def _send_crashing_part(self) -> None:
+        """Send requests that share a crashing part to all entries; no two are alike."""
+        while not self.stopping:
+            self._tasks.append(start_task(self._send_one_crashing_part()))
+            await sleep(CRASHING_PART_GAP_S)
+
+    async def _send_one_crashing_part(self) -> None:
+        request_id = new_request_id()
+        path = self.rng.choice(["/stream/once/", "/stream/again/"]) + request_id
+        prompt = self._prompt(request_id, CRASHING_PART)
+        try:
+            port = self._port(request_id)
+            reply = await self.world.get(port, path, X_Request_Id=request_id, **prompt)
+        except Exception as exc:
+            self.answers[f"part {type(exc).__name__}"] += 1
+            return
+        self.answers[f"part {reply.status}"] += 1
+
     async def _send_over_allowance(self) -> None:
         """Send far more than a team's allowance, and sometimes use an unknown key."""
         while not self.stopping:
@@ -199,9 +264,13 @@
             await sleep(JOB_GAP_S)
 
     async def _submit_job(self, job_id: str) -> None:
+        prompts = []
+        if self.parts:
+            items = [f"{job_id}-{number}" for number in range(ITEMS_PER_JOB)]
+            prompts = [prompt_headers(item, SYSTEM_PART, "d0") for item in items]
         for _ in range(self.rng.choice([1, 1, 2, 3])):
             try:
-                reply = await self.world.submit(self._port(), job_id, ITEMS_PER_JOB)
+                reply = await self.world.submit(self._port(), job_id, ITEMS_PER_JOB, prompts)
             except Exception as exc:
                 self.answers[f"job {type(exc).__name__}"] += 1
                 continue
@@ -241,15 +310,19 @@
     async def _kill(self) -> None:
         name = self.rng.choice(list(self.world.children))
         child = self.world.children[name]
+        began_s = reactor.seconds()
         child.send_signal(SIGKILL)
         await child.ended
         self.world.restart(name)
+        self.fault_times_s[name].append((began_s, reactor.seconds()))
 
     async def _suspend(self) -> None:
         child = self.rng.choice(list(self.world.children.values()))
+        began_s = reactor.seconds()
         child.send_signal(SIGSTOP)
         await sleep(self.rng.uniform(0.2, 2.5))
         child.send_signal(SIGCONT)
+        self.fault_times_s[child.name].append((began_s, reactor.seconds()))
 
     async def _break_replica(self) -> None:
         replica = self.rng.choice(self.world.replicas)
@@ -348,6 +421,7 @@
                 f"{self.world.crashed_count()} replicas were crashed by one request,"
                 f" {self.uncounted_faults} allowed for"
             )
+        self._check_parts()
         for request_id in self.refused_as_not_run:
             if start_counts[request_id]:
                 self.violations.append(f"{request_id}: refused as not run, but it ran")
@@ -360,6 +434,38 @@
                 if reply.status != 401:
                     self.violations.append(f"a withdrawn key was answered with {reply.status}")
 
+    def _check_parts(self) -> None:
+        """Check that prompts arrive unchanged, and that a crashing part is contained."""
+        for replica in self.world.replicas:
+            for request_id, prompt in replica.prompts.items():
+                if prompt != self.prompts.get(request_id, prompt):
+                    self.violations.append(f"{request_id}: a replica received prompt {prompt}")
+        sends = self.world.crash_part_sends
+        if len(sends) < UNCOUNTED_CRASHES:
+            return
+        fifth_s = sends[UNCOUNTED_CRASHES - 1].at_s
+        late = [
+            send
+            for send in sends
+            if send.at_s > fifth_s + CONTACT_S and self._was_in_touch(send.request_id, send.at_s)
+        ]
+        self.answers["sends of a crashing part"] = len(sends)
+        self.answers["late sends of a crashing part"] = len(late)
+        if len(late) > MAX_LATE_SENDS:
+            self.violations.append(f"{len(late)} late sends of a crashing part: {late}")
+        counted = [sound for sound in self.sound_prompts if sound.at_s > fifth_s + 2 * CONTACT_S]
+        held = sum(sound.held for sound in counted)
+        self.answers["sound prompts held"] = held
+        if held > MAX_HELD_SHARE * len(counted):
+            self.violations.append(f"{held} of {len(counted)} sound prompts were held")
+
+    def _was_in_touch(self, request_id: str, at_s: float) -> bool:
+        """Return whether the entry of a request had no fault for a while when it was sent."""
+        return not any(
+            began_s <= at_s <= ended_s + CONTACT_S
+            for began_s, ended_s in self.fault_times_s[self.entries[request_id]]
+        )
+
     def _check_teams(self) -> None:
         """Check the team and key headers at the replicas, and the rate of the capped team."""
         first_received_s: dict[str, float] = {}
@@ -411,11 +517,11 @@
                 self.violations.append(f"{item}: {state}, {len(text)} characters")
 
 
-async def run_soak(seconds: float, seed: int, large: bool = False) -> Report:
+async def run_soak(seconds: float, seed: int, large: bool = False, parts: bool = False) -> Report:
     """Run one soak with its own stand-ins and processes."""
     world = SiteWorld()
     try:
-        return await Soak(world, seed, large).run(seconds)
+        return await Soak(world, seed, large, parts).run(seconds)
     finally:
         await world.close()
 
@@ -428,6 +534,9 @@
     parser.add_argument(
         "--large", action="store_true", help="more processes than a full mesh connects"
     )
+    parser.add_argument(
+        "--parts", action="store_true", help="crash replicas by a part of different prompts"
+    )
     options = parser.parse_args()
     exit_code = [1]
 
@@ -442,9 +551,8 @@
         reactor.stop()
 
     def start() -> None:
-        Deferred.fromCoroutine(run_soak(options.seconds, options.seed, options.large)).addBoth(
-            on_finished
-        )
+        soak = run_soak(options.seconds, options.seed, options.large, options.parts)
+        Deferred.fromCoroutine(soak).addBoth(on_finished)
 
     reactor.callWhenRunning(start)
     reactor.run()
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -43,6 +43,14 @@
         return json.loads(self.body)
 
 
+class CrashPartSend(NamedTuple):
+    """Hold when a request with a part that ends the replicas reached one of them."""
+
+    at_s: float
+    part: str
+    request_id: str
+
+
 def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return an operator's configuration; changes are applied to every route."""
     limits = {
@@ -97,7 +105,7 @@
         self.replicas = [StandinReplica(self.store, name) for name in ("lm", "lm", "app", "app")]
         # Parts of prompts that end the replicas, and when which of them reached a replica.
         self.crash_parts: set[str] = set()
-        self.crash_part_sends: list[tuple[float, str]] = []
+        self.crash_part_sends: list[CrashPartSend] = []
         self.crash_times_s: list[float] = []
         self._restart_delay_s = 0.0
         self._restarts: list[Any] = []
@@ -141,16 +149,19 @@
         replica.crash_parts = self.crash_parts
         replica.on_crash_part = self._on_crash_part
 
-    def _on_crash_part(self, part: str) -> None:
-        self.crash_part_sends.append((reactor.seconds(), part))
+    def _on_crash_part(self, part: str, request_id: str) -> None:
+        self.crash_part_sends.append(CrashPartSend(reactor.seconds(), part, request_id))
 
     def crashed_count(self) -> int:
-        """Return how many replicas a request has crashed, except those that were draining.
+        """Return how many replicas a whole request has crashed, except those that were draining.
 
         A connection that is cut when a draining replica ends does not show that the request on
         it crashed the replica.
         """
-        return sum(replica.crashed and not replica.draining for replica in self.replicas)
+        return sum(
+            replica.crashed and not replica.draining and not replica.ended_by_part
+            for replica in self.replicas
+        )
 
     async def start(self, entries: int = 2, keepers: int = 1) -> None:
         """Start the processes, and wait until every entry is ready."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -21,6 +21,7 @@
     PartLoad,
 )
 from tests.site.prompts import prompt_headers
+from tests.site.soak import run_soak
 from tests.site.world import sleep, start_task
 
 ENTRIES = 3
@@ -66,13 +67,13 @@
             await self._restart_entry()
         await running
         late = {part: load.late_sends(part) for part in bad}
-        assert max(late.values()) <= MAX_LATE_SENDS, (late, self.world.crashed_count())
+        assert max(late.values()) <= MAX_LATE_SENDS, (late, len(self.world.crash_times_s))
         before, after = load.served_shares()
         assert after >= before / 2, (before, after)
 
     async def _restart_entry(self) -> None:
         world = self.world
-        await world.wait_until(lambda: world.crashed_count() >= 4, "four replicas end")
+        await world.wait_until(lambda: len(world.crash_times_s) >= 4, "four replicas end")
         child = world.children["entry-1"]
         child.send_signal(SIGKILL)
         await child.ended
@@ -118,7 +119,7 @@
             assert reply.status == 202
         await sleep(CRASHING_S)
         load = PartLoad(world, crashing, sound)
-        assert load.late_sends(BAD) <= MAX_LATE_SENDS, world.crashed_count()
+        assert load.late_sends(BAD) <= MAX_LATE_SENDS, len(world.crash_times_s)
         for job_id in ("job-1", "job-2"):
             results = await world.results(self.port(), job_id, 8)
             assert {result["id"] for result in results} == {
@@ -126,6 +127,19 @@
             }
             assert {result["state"] for result in results} == {"completed"}
 
+    async def _check_soak(self, large: bool) -> None:
+        report = await run_soak(14, 1, large, parts=True)
+        assert not report.violations, report.violations
+        assert report.answers["sends of a crashing part"]
+
+    def test_a_short_soak(self) -> Any:
+        """Guard against a crashing part that is not contained under faults."""
+        return Deferred.fromCoroutine(self._check_soak(large=False))
+
+    def test_a_short_soak_with_hubs(self) -> Any:
+        """Guard against a crashing part that is not contained where hubs spread what is known."""
+        return Deferred.fromCoroutine(self._check_soak(large=True))
+
     def test_items_of_jobs(self) -> Any:
         """Guard against items that crash a replica each, and keep sound items from their slots."""
         return Deferred.fromCoroutine(self._check_items())
