--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -149,6 +149,7 @@
         due_ms: int = 5_000,
         last_event: int = NO_EVENT,
         resumed_attempt: str = "",
+        parts: tuple[str, ...] = (),
     ) -> list[ForwardResult]:
         """Forward a request; its result is appended to the returned list."""
         profile = Profile("p", "lm", "urgent", 5_000, idempotent, retry=RetryRule(attempts))
@@ -165,6 +166,7 @@
             due,
             last_event,
             resumed_attempt,
+            get_parts=lambda: parts,
         )
         results: list[ForwardResult] = []
         forwarding: Any = Deferred.fromCoroutine(self._forward(req, caller))
