--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -10,6 +10,9 @@
 
 from papayapier.clock import real_clock
 from papayapier.dispatch.relayed_stream import RelayedStream
+from papayapier.jobs.item_run import ItemReceiver
+from papayapier.jobs.owned_job import ItemState
+from papayapier.jobs.records import JobItem
 from papayapier.metrics import make_metrics
 from papayapier.platform.headers import decode_facts
 from papayapier.settings import UpstreamSettings
@@ -140,3 +143,30 @@
             assert passed == EVENT
 
         return Deferred.fromCoroutine(run())
+
+    async def _item(self, body: bytes) -> tuple[Any, ItemState]:
+        state = ItemState(JobItem("i-1", "/j", {}, "", 10))
+        consumer = ItemReceiver(state, "v1")
+        result = await self._answer(RawConnection.close, body=body, consumer=consumer)
+        return result, state
+
+    def test_item_closed_after_an_event_is_complete(self) -> Any:
+        """A close after a complete event ends the run of an item successfully."""
+
+        async def run() -> None:
+            result, state = await self._item(EVENT)
+            assert isinstance(result, Ok), result
+            assert (state.last_event, state.texts) == (1, ["1"])
+
+        return Deferred.fromCoroutine(run())
+
+    def test_item_closed_within_an_event_is_incomplete(self) -> Any:
+        """An item must go on after its last complete event if its replica ended within one."""
+
+        async def run() -> None:
+            result, state = await self._item(EVENT + b"id: 2\nda")
+            assert isinstance(result, Err), result
+            assert result.err_value.kind is FailureKind.TRUNCATED
+            assert (state.last_event, state.texts) == (1, ["1"])
+
+        return Deferred.fromCoroutine(run())
