Query a peer for its losses when it has restarted unnoticed

A keeper that is killed and back before it counts as silent restores losses from its disk and sends them once, while its links are being replaced. Whoever had queried the process before it did not query again, so that after a start of all processes an entry could send what was quarantined. The test fails without the change. This fits the listed failure of a quarantined request that ran one second after a restart of all; that failure has not been reproduced.

--- a/papayapier/peer/hub.py
+++ b/papayapier/peer/hub.py
@@ -94,6 +94,7 @@
         self._port = 0
         self._handlers: dict[type[Message], list[Handler]] = defaultdict(list)
         self._listeners: list[Callable[[], None]] = []
+        self._restart_listeners: list[Callable[[str], None]] = []
         self._live: list[str] = [me.instance]
         self._hubs: tuple[str, ...] = ()
         self._agreed_live = frozenset({me.instance} if me.hub else ())
@@ -168,6 +169,10 @@
         """Call back whenever live(), agreed_live() or the choice of hubs has changed."""
         self._listeners.append(call)
 
+    def on_restart(self, call: Callable[[str], None]) -> None:
+        """Call back with each peer that has restarted before it counted as silent."""
+        self._restart_listeners.append(call)
+
     def subscribe(self, kind: type[Message], handler: Handler) -> None:
         """Register a handler that is called with the sender and each message of a kind."""
         self._handlers[kind].append(handler)
@@ -379,6 +384,9 @@
             self._links.disconnect(peer_change.peer_id)
         if peer_change.change in (Change.UP, Change.RESTARTED):
             events.emit(events.PEER_UP, peer=peer_change.peer_id, change=peer_change.change.value)
+        if peer_change.change is Change.RESTARTED:
+            for call in self._restart_listeners:
+                call(peer_change.peer_id)
         if peer_change.change in (Change.DOWN, Change.LEAVING):
             events.emit(events.PEER_DOWN, peer=peer_change.peer_id, change=peer_change.change.value)
         if peer_change.change in (Change.DOWN, Change.REMOVED):
--- a/papayapier/peer/loss_exchange.py
+++ b/papayapier/peer/loss_exchange.py
@@ -97,6 +97,7 @@
         deps.hub.subscribe(NoLosses, self._on_no_losses)
         deps.hub.subscribe(LatelyAsk, self._on_recent_query)
         deps.hub.on_change(self._request_losses)
+        deps.hub.on_restart(self._on_peer_restarted)
 
     def restore(self, losses: Sequence[ReplicaLoss], parts: PartReports = NO_REPORTS) -> None:
         """Restore losses saved by an earlier run and report them, as all may have restarted."""
@@ -346,6 +347,11 @@
         reply = LossesTold(tuple(losses), (), (), parts) if known else NoLosses()
         self._deps.hub.send(peer_id, reply)
 
+    def _on_peer_restarted(self, peer_id: str) -> None:
+        """Query a peer again that may have restored losses from its disk."""
+        self._queried.discard(peer_id)
+        self._request_losses()
+
     def _request_losses(self) -> None:
         """Request the known losses from peers that have become live and may know of others."""
         if self._is_hub() and not self._was_hub:
--- a/tests/test_loss_exchange.py
+++ b/tests/test_loss_exchange.py
@@ -61,6 +61,7 @@
         self._net = net
         self._handlers: dict[type[Message], Any] = {}
         self._on_change: list[Any] = []
+        self._on_restart: list[Any] = []
         clock = net.time.clock
         self.watch = CrashWatch(clock, make_metrics(), lambda: True)
         deps = LossExchangeDeps(clock, cast(Any, self), self.watch, name, lambda: net.hubs)
@@ -79,6 +80,13 @@
     def on_change(self, call: Any) -> None:
         self._on_change.append(call)
 
+    def on_restart(self, call: Any) -> None:
+        self._on_restart.append(call)
+
+    def peer_restarted(self, peer_id: str) -> None:
+        for call in self._on_restart:
+            call(peer_id)
+
     def changed(self) -> None:
         for call in self._on_change:
             call()
@@ -231,6 +239,22 @@
     assert net.sent[LossesAsk.__name__] == 2
 
 
+def test_losses_of_a_peer_that_restarts_unnoticed_are_requested() -> None:
+    """Guard against a keeper that is back before it counts as silent, with losses from its disk.
+
+    What it sends while its links are being replaced is lost.
+    """
+    net = Net()
+    _keeper, entry = net.start("k", "e")
+    net.nodes["k"] = keeper = Node("k", net)
+    net.drop_messages = True
+    keeper.exchange.restore([ReplicaLoss("w", f"r{number}", 0) for number in range(MAX_LOSSES)])
+    net.drop_messages = False
+    assert not entry.refuses()
+    entry.peer_restarted("k")
+    assert entry.refuses()
+
+
 @pytest.mark.parametrize("closed", [False, True])
 def test_a_network_cut_quarantines_no_request_for_long(closed: bool) -> None:
     # Symptom: a request that many callers send alike is refused for minutes after a partition.
