--- a/papayapier/dispatch/part_watch.py
+++ b/papayapier/dispatch/part_watch.py
@@ -131,7 +131,7 @@
             return True
         probe = self._probes.get(item_id)
         if probe is not None:
-            return probe.granted
+            return probe.granted and not self._wait_ms(blocked, upstream)
         if self._may_probe(blocked, upstream):
             probe = self._probes[item_id] = _Probe(blocked, upstream, "")
             Deferred.fromCoroutine(self._claim_for_item(item_id, probe))
