--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -103,11 +103,18 @@
     """
 
     def __init__(
-        self, world: SiteWorld, seed: int, large: bool = False, parts: bool = False
+        self,
+        world: SiteWorld,
+        seed: int,
+        large: bool = False,
+        parts: bool = False,
+        alike: bool = False,
     ) -> None:
         self.world = world
         self.large = large
         self.parts = parts
+        # Whether sound requests with prompts have the same path.
+        self.alike = alike
         # The prompt header and the entry of each request, and the faults of each process as
         # their begin and end.
         self.prompts: dict[str, str] = {}
@@ -194,7 +201,7 @@
         target = path if "crash" in path else path + "1"
         if self.parts and "/stream/" in path:
             prompt = self._prompt(request_id, f"5e{self.rng.randrange(SUBJECTS)}")
-            target = path + request_id
+            target = path + ("1" if self.alike else request_id)
         at_s = reactor.seconds()
         try:
             port = self._port(request_id)
