--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -530,11 +530,13 @@
                 self.violations.append(f"{item}: {state}, {len(text)} characters")
 
 
-async def run_soak(seconds: float, seed: int, large: bool = False, parts: bool = False) -> Report:
+async def run_soak(
+    seconds: float, seed: int, large: bool = False, parts: bool = False, alike: bool = False
+) -> Report:
     """Run one soak with its own stand-ins and processes."""
     world = SiteWorld()
     try:
-        return await Soak(world, seed, large, parts).run(seconds)
+        return await Soak(world, seed, large, parts, alike).run(seconds)
     finally:
         await world.close()
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -140,6 +140,14 @@
         """Guard against a crashing part that is not contained where hubs spread what is known."""
         return Deferred.fromCoroutine(self._check_soak(large=True))
 
+    async def _check_alike(self) -> None:
+        report = await run_soak(14, 11, parts=True, alike=True)
+        assert not report.violations, report.violations
+
+    def test_a_short_soak_with_requests_alike(self) -> Any:
+        """Guard against holding equal sound requests because they were beside a crashing part."""
+        return Deferred.fromCoroutine(self._check_alike())
+
     def test_items_of_jobs(self) -> Any:
         """Guard against items that crash a replica each, and keep sound items from their slots."""
         return Deferred.fromCoroutine(self._check_items())
