Name the configuration by which items are given up

A keeper that has no route for a job gives up its items.

The line now has the version and the store's revision of the routes in force here. Together they order configurations as RoutingRegistry does: the version alone does not tell apart two that the operator wrote with the same one.

--- a/papayapier/config/route_table.py
+++ b/papayapier/config/route_table.py
@@ -83,11 +83,26 @@
     teams: Teams | None = None
 
 
+class ConfigPosition(NamedTuple):
+    """Order configurations by the operator's version, then by the store's revision of the object.
+
+    The revision tells apart configurations that the operator wrote with the same version.
+    """
+
+    version: int
+    revision: int
+
+
+# Precedes every configuration.
+NO_POSITION: Final = ConfigPosition(0, 0)
+
+
 class RouteTable:
-    """Look up routes in one version of the configuration."""
+    """Look up routes in one version of the configuration, stored at a revision."""
 
-    def __init__(self, cfg: RoutingConfig) -> None:
+    def __init__(self, cfg: RoutingConfig, revision: int = 0) -> None:
         self.cfg = cfg
+        self.position = ConfigPosition(cfg.version, revision)
         self._by_host: dict[str, list[Route]] = {}
         jobs = (route for route in cfg.routes if route.kind is RouteKind.JOB)
         self.job_upstreams = frozenset(share.upstream for route in jobs for share in route.shares)
--- a/papayapier/config/routing_registry.py
+++ b/papayapier/config/routing_registry.py
@@ -57,7 +57,7 @@
             return False
         self.revision = revision
         self.value = value
-        self._table = RouteTable(read.ok_value)
+        self._table = RouteTable(read.ok_value, revision)
         events.emit(
             events.CONFIG_APPLIED,
             key=self.key,
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -304,21 +304,28 @@
                 continue
             route = table.find(job.record.host, job.record.path)
             if route is None:
-                self._give_up(job, "the job's route was removed")
+                self._give_up(job, table, "the job's route was removed")
                 continue
             # Uses the time for which the job is known here instead of the wall clock, because the
             # wall clock of this or of the accepting machine may jump. An item given up too early is
             # lost, while an item that is tried for too long only costs a run.
             known_ms = self._clock.now() - self._known_ms[job.job_id]
             if route.give_up_ms and known_ms > route.give_up_ms:
-                self._give_up(job, "the time limit for running items has passed")
+                self._give_up(job, table, "the time limit for running items has passed")
                 continue
             job.due_ms = job.record.accepted_ms + route.due_ms
             jobs.append((job.due_ms, job.job_id, job, route))
         return [(entry[2], entry[3]) for entry in sorted(jobs, key=lambda entry: entry[:2])]
 
-    def _give_up(self, job: OwnedJob, reason: str) -> None:
-        events.emit(events.ITEMS_LOST, job=job.job_id, items=len(job.items), reason=reason)
+    def _give_up(self, job: OwnedJob, table: RouteTable, reason: str) -> None:
+        events.emit(
+            events.ITEMS_LOST,
+            job=job.job_id,
+            items=len(job.items),
+            reason=reason,
+            version=table.position.version,
+            revision=table.position.revision,
+        )
         self._runs.cancel_job(job)
         for item_id in list(job.items):
             job.finish(item_id, ItemOutcome.GIVEN_UP)
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Ok
 
+from papayapier.config.route_table import ConfigPosition
 from papayapier.jobs.notifications import SentNotifications
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JobRecord, encode, group_key, job_key, read_group
@@ -22,6 +23,8 @@
 
 
 class Table:
+    position = ConfigPosition(1, 1)
+
     def find(self, _host: str, _path: str) -> Any:
         return TimedRoute("lm")
 
