Judge a job only by routes that are at least as new as the job

Cause: a keeper follows configurations and jobs on separate paths, so after a cut it may read a job before the configuration under which it was accepted. It took "no route here" for "the route was removed", and a job's record did not say which of the two it was. The same table decided on the time limit and on the upstream of a job's items.

Fix: the record names the configuration under which the job was accepted, as part of its write id, since a release reads only records with exactly its fields. By older routes a job is held: it neither runs nor ends, and its upstream is unknown. Before a job is given up for good, the keeper reads the configuration from the store after the reason arose; that also covers records of the release before and a time limit that was raised meanwhile. The order is that of RoutingRegistry, by version and then by revision.

--- a/papayapier/config/routing_registry.py
+++ b/papayapier/config/routing_registry.py
@@ -3,11 +3,16 @@
 from collections.abc import Callable
 from typing import Final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from papayapier import events
-from papayapier.config.route_table import RouteTable, RoutingConfig
-from papayapier.store.api import Change
+from papayapier.config.route_table import (
+    NO_POSITION,
+    ConfigPosition,
+    RouteTable,
+    RoutingConfig,
+)
+from papayapier.store.api import Change, Store
 
 STORE: Final = "store"
 
@@ -31,6 +36,10 @@
         """Return the version of the operator's configuration in force, or 0."""
         return self._table.cfg.version if self._table is not None else 0
 
+    def position(self) -> ConfigPosition:
+        """Return the position of the configuration in force, or NO_POSITION."""
+        return self._table.position if self._table is not None else NO_POSITION
+
     def watch(self, listener: Callable[[RouteTable], None]) -> None:
         """Register a callback for each route table that comes into force."""
         self._listeners.append(listener)
@@ -68,3 +77,23 @@
         for listener in self._listeners:
             listener(self._table)
         return True
+
+    def is_current(self, revision: int, value: bytes) -> bool:
+        """Return whether the routes in force are at least as new as a stored configuration."""
+        if revision <= self.revision:
+            return True
+        read = self._read(value)
+        return isinstance(read, Ok) and read.ok_value.version < self.version()
+
+
+async def read_from_store(store: Store, routing: RoutingRegistry) -> bool:
+    """Read the configuration from the store, and apply it if it is newer.
+
+    Return whether the routes in force are at least as new as the stored ones.
+    """
+    found = await store.get(routing.key)
+    if isinstance(found, Err):
+        return False
+    stored = found.ok_value
+    routing.apply_if_newer(stored.version, stored.value, STORE)
+    return routing.is_current(stored.version, stored.value)
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -368,6 +368,12 @@
     Level.WARNING,
     "item waits, replicas were lost with a part of its prompt",
 )
+JOB_HELD: Final = Event(
+    542,
+    "job_held",
+    Level.WARNING,
+    "job waits, the configuration here is older than the job, or is read again to give it up",
+)
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "configuration change accepted")
 CONFIG_APPLIED: Final = Event(
--- a/papayapier/jobs/job_service.py
+++ b/papayapier/jobs/job_service.py
@@ -15,6 +15,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.config.route_table import ConfigPosition
 from papayapier.config.teams import may_access
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal, unknown_refusal
 from papayapier.jobs.commits import WrittenGroup
@@ -27,6 +28,7 @@
     ResultGroup,
     encode,
     job_key,
+    make_write_id,
     part_key,
     read_record,
     split_items,
@@ -66,7 +68,8 @@
     is_store_complete returns whether a job that is not in the store exists nowhere; after an outage
     this is false until keepers have created the jobs that they accepted meanwhile. read_remote
     reads results through another instance, given a job, a position, a wait time and a team; None
-    means that they must be read here. known_record returns a job's record if this instance follows
+    means that they must be read here. config_position returns which configuration is in force
+    here. known_record returns a job's record if this instance follows
     the job records in the store.
     """
 
@@ -78,6 +81,7 @@
     is_store_unavailable: Callable[[], bool]
     is_store_complete: Callable[[], bool]
     read_remote: Callable[[str, int, int, str], Awaitable[ResultsPage | None]]
+    config_position: Callable[[], ConfigPosition]
     known_record: Callable[[str], JobRecord | None] = lambda _job_id: None
 
 
@@ -136,7 +140,8 @@
 
         objective_ms is the latency objective of an acceptance.
         """
-        write_id = f"{self._deps.rand.getrandbits(WRITE_ID_BITS):016x}"
+        nonce = self._deps.rand.getrandbits(WRITE_ID_BITS)
+        write_id = make_write_id(nonce, self._deps.config_position())
         wall = int(self._deps.clock.wall())
         record = JobRecord(write_id, host, path, wall, items, len(items), team=team)
         parts = split_items(items)
--- a/papayapier/jobs/owned_job.py
+++ b/papayapier/jobs/owned_job.py
@@ -4,7 +4,14 @@
 from typing import Final
 
 from papayapier.jobs.progress import ItemProgress
-from papayapier.jobs.records import ItemOutcome, ItemResult, JobItem, JobRecord, ResultGroup
+from papayapier.jobs.records import (
+    ItemOutcome,
+    ItemResult,
+    JobItem,
+    JobRecord,
+    ResultGroup,
+    accepted_under,
+)
 from papayapier.policy.handover import STALLED_MS, STALLED_RUNNING_MS
 from papayapier.upstream.event_splitter import NO_EVENT
 
@@ -66,6 +73,12 @@
     def __init__(self, job_id: str, record: JobRecord) -> None:
         self.job_id = job_id
         self.record = record
+        # The configuration under which it was accepted.
+        self.accepted_under = accepted_under(record)
+        # Monotonic time since which there is a reason to give it up, None if there is none.
+        self.doubted_ms: int | None = None
+        # Whether it waits for a newer configuration, or for a read that confirms the one in force.
+        self.held = False
         self.groups = 0
         self.loaded = False
         self.committing = False
--- a/papayapier/jobs/owners.py
+++ b/papayapier/jobs/owners.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from papayapier.config.route_table import RouteTable
-from papayapier.jobs.records import JobRecord
+from papayapier.jobs.records import JobRecord, accepted_under
 from papayapier.policy.job_owners import possible_owners
 from papayapier.policy.loads import LoadTracker
 from papayapier.policy.ownership import rendezvous_owner
@@ -74,9 +74,14 @@
         self._owners.pop(job_id, None)
 
     def upstream_of(self, record: JobRecord) -> str:
-        """Return the upstream of a job's items, or an empty string if no route is known."""
+        """Return the upstream of a job's items, or an empty string if it is not known.
+
+        Routes that are older than the job do not tell its upstream.
+        """
         table = self._table()
-        route = table.find(record.host, record.path) if table is not None else None
+        if table is None or table.position < accepted_under(record):
+            return ""
+        route = table.find(record.host, record.path)
         return route.shares[0].upstream if route is not None else ""
 
 
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -6,6 +6,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayapier.config.route_table import NO_POSITION, ConfigPosition
+
 T = TypeVar("T")
 
 JOBS_PREFIX: Final = "papayapier-jobs/"
@@ -14,6 +16,7 @@
 RESULTS_PREFIX: Final = "papayapier-results-"
 # The store accepts values of up to 1 MiB, and escaping makes the stored value larger than its text.
 MAX_PART_BYTES: Final = 800_000
+WRITE_ID_SEPARATOR: Final = "."
 
 
 class JobItem(NamedTuple):
@@ -29,6 +32,8 @@
 class JobRecord(NamedTuple):
     """Hold one job; accepted_ms is the wall clock of the instance that accepted it.
 
+    write_id is made by make_write_id.
+
     team is the team that owns the job; revoking an API key of the team does not end the job.
 
     The items of a large job are stored in parts: separate objects written before the record.
@@ -97,6 +102,26 @@
     return msgspec.json.encode(value)
 
 
+def make_write_id(nonce: int, accepted_under: ConfigPosition) -> str:
+    """Return the unique id of a record's write, with the configuration it was accepted under.
+
+    The id contains the configuration because a release reads only records with exactly its fields.
+    """
+    parts = (f"{nonce:016x}", str(accepted_under.version), str(accepted_under.revision))
+    return WRITE_ID_SEPARATOR.join(parts)
+
+
+def accepted_under(record: JobRecord) -> ConfigPosition:
+    """Return the configuration under which a job was accepted.
+
+    It is NO_POSITION for a record that was written by a release that did not store it.
+    """
+    _, *numbers = record.write_id.split(WRITE_ID_SEPARATOR)
+    if len(numbers) != len(NO_POSITION) or not all(number.isdecimal() for number in numbers):
+        return NO_POSITION
+    return ConfigPosition(*map(int, numbers))
+
+
 def read_record(value: bytes) -> Result[JobRecord, str]:
     """Decode a job's record."""
     return _decode(_RECORD, value)
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -5,7 +5,7 @@
 items run twice; commits.py ensures that their results are still listed once.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from result import Err, Ok
@@ -21,6 +21,7 @@
 from papayapier.jobs.owners import JobOwners
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JOBS_PREFIX, ItemOutcome, JobRecord, read_record
+from papayapier.jobs.route_checks import RouteCheckDeps, RouteChecks
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.takeover import JobTakeover, TakeoverDeps
 from papayapier.policy.ownership import rendezvous_owner
@@ -41,13 +42,15 @@
 class RunnerDeps(NamedTuple):
     """Group the dependencies of JobRunner.
 
-    notify_groups is called with a job's id, its number of groups, and the last group if this
-    instance wrote it.
+    read_configuration reads the routes from the store, and returns whether those in force are at
+    least as new. notify_groups is called with a job's id, its number of groups, and the last group
+    if this instance wrote it.
     """
 
     runs: RunDeps
     store: Store
     table: Callable[[], RouteTable | None]
+    read_configuration: Callable[[], Awaitable[bool]]
     notify_groups: Callable[[str, int, WrittenGroup | None], None]
     notifications: SentNotifications
 
@@ -87,6 +90,11 @@
         self._round_timer: Timer | None = None
         self._stopping = False
         self._in_round = False
+        self._route_checks = RouteChecks(
+            RouteCheckDeps(
+                deps.runs.clock, deps.read_configuration, self.schedule_round, self._give_up
+            )
+        )
         self._last_round_ms = self._clock.now()
         self._commits = CommitDeps(
             deps.runs.clock,
@@ -303,29 +311,14 @@
             if not job.loaded or not job.items:
                 continue
             route = table.find(job.record.host, job.record.path)
-            if route is None:
-                self._give_up(job, table, "the job's route was removed")
-                continue
-            # Uses the time for which the job is known here instead of the wall clock, because the
-            # wall clock of this or of the accepting machine may jump. An item given up too early is
-            # lost, while an item that is tried for too long only costs a run.
             known_ms = self._clock.now() - self._known_ms[job.job_id]
-            if route.give_up_ms and known_ms > route.give_up_ms:
-                self._give_up(job, table, "the time limit for running items has passed")
+            if not self._route_checks.may_run(job, table, route, known_ms) or route is None:
                 continue
             job.due_ms = job.record.accepted_ms + route.due_ms
             jobs.append((job.due_ms, job.job_id, job, route))
         return [(entry[2], entry[3]) for entry in sorted(jobs, key=lambda entry: entry[:2])]
 
-    def _give_up(self, job: OwnedJob, table: RouteTable, reason: str) -> None:
-        events.emit(
-            events.ITEMS_LOST,
-            job=job.job_id,
-            items=len(job.items),
-            reason=reason,
-            version=table.position.version,
-            revision=table.position.revision,
-        )
+    def _give_up(self, job: OwnedJob) -> None:
         self._runs.cancel_job(job)
         for item_id in list(job.items):
             job.finish(item_id, ItemOutcome.GIVEN_UP)
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -9,6 +9,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock
+from papayapier.config import routing_registry
 from papayapier.config.teams import Team
 from papayapier.jobs import progress
 from papayapier.jobs.commits import WrittenGroup
@@ -119,9 +120,16 @@
         unreachable=lambda: base.hub.silent() & base.nodes.with_role(Role.KEEPER),
         on_uses_changed=base.hub.on_uses_changed,
     )
-    store = base.view(Priority.BULK)
+    config_store = base.view(Priority.CONFIG)
     runner = JobRunner(
-        RunnerDeps(runs, store, base.routing.table, publish_groups, base.group_notifications)
+        RunnerDeps(
+            runs,
+            base.view(Priority.BULK),
+            base.routing.table,
+            lambda: routing_registry.read_from_store(config_store, base.routing),
+            publish_groups,
+            base.group_notifications,
+        )
     )
     if cfg.jobs.folder:
         await _start_progress(base, runner)
@@ -233,6 +241,7 @@
             is_store_unavailable=lambda: base.budget.down_since() is not None,
             is_store_complete=lambda: False,
             read_remote=read_from_store,
+            config_position=base.routing.position,
             known_record=known,
         )
     )
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import fake_clock
+from papayapier.config.route_table import NO_POSITION
 from papayapier.jobs.job_service import JobService, JobServiceDeps
 from papayapier.jobs.notifications import ReceivedNotifications
 from papayapier.jobs.records import (
@@ -137,6 +138,7 @@
         self.memory = memory or MemoryStore()
         self.writers: list[str] = []
         self.settled = True
+        self.position = NO_POSITION
         self.copies = NOT_REQUESTED
         self.received = ReceivedNotifications(lambda: self.writers, list)
         self.service = JobService(
@@ -149,6 +151,7 @@
                 is_store_unavailable=lambda: False,
                 is_store_complete=lambda: self.settled,
                 read_remote=read_from_store,
+                config_position=lambda: self.position,
             )
         )
 
--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import fake_clock
+from papayapier.config.route_table import NO_POSITION
 from papayapier.dispatch.crash_watch import CrashWatch
 from papayapier.jobs.notifications import SentNotifications
 from papayapier.jobs.records import encode, group_key, job_key, read_group
@@ -47,6 +48,8 @@
 
 
 class _Table:
+    position = NO_POSITION
+
     def find(self, _host: str, path: str) -> Any:
         return _Route(path.rpartition("/")[2])
 
@@ -56,6 +59,11 @@
     return [f"{prefix}-{rand.getrandbits(48):012x}" for _ in range(count)]
 
 
+async def routes_are_current() -> bool:
+    """Stand in for a read of the configuration that found none newer."""
+    return True
+
+
 class FakeHub:
     """Fake the peer hub of one keeper; messages are encoded and arrive immediately."""
 
@@ -126,6 +134,7 @@
                 deps,
                 world.memory.store(),
                 lambda: table,
+                routes_are_current,
                 lambda _j, _g, _w: None,
                 SentNotifications(),
             )
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -1,11 +1,13 @@
 """Test how a keeper runs jobs that are stored on its own disk and not yet in the store."""
 
+from functools import partial
 from typing import Any, cast
 
 import pytest
 from result import Ok
 
 from papayapier.config.route_table import ConfigPosition
+from papayapier.config.routing_registry import RoutingRegistry, read_from_store
 from papayapier.jobs.notifications import SentNotifications
 from papayapier.jobs.progress import ItemProgress
 from papayapier.jobs.records import JobRecord, encode, group_key, job_key, read_group
@@ -15,6 +17,7 @@
 from papayapier.upstream.forward_call import StreamedAnswer
 from tests.jobs_run_world import EVENTS, RouteTo, World
 from tests.jobs_world import JOB, MemoryStore, group, record
+from tests.keepers_world import routes_are_current
 
 
 class TimedRoute(RouteTo):
@@ -30,17 +33,25 @@
 
 
 class RunnerWorld(World):
-    """Hold one keeper's runner, its replica and a store that may be unavailable."""
+    """Hold one keeper's runner, its replicas and a store that may be unavailable.
 
-    def __init__(self) -> None:
-        super().__init__("lm")
+    Without a registry, one route stands for the whole test.
+    """
+
+    def __init__(self, *upstreams: str, registry: RoutingRegistry | None = None) -> None:
+        super().__init__(*(upstreams or ("lm",)))
         self.memory = MemoryStore()
         table = cast(Any, Table())
         self.runner = JobRunner(
             RunnerDeps(
                 self.deps,
                 self.memory.store(),
-                lambda: table,
+                registry.table if registry else lambda: table,
+                (
+                    partial(read_from_store, self.memory.store(), registry)
+                    if registry
+                    else routes_are_current
+                ),
                 lambda _j, _g, _w: None,
                 SentNotifications(),
             )
@@ -167,7 +178,12 @@
     world.runner.close()
     world.runner = JobRunner(
         RunnerDeps(
-            deps, world.memory.store(), lambda: table, lambda _j, _g, _w: None, SentNotifications()
+            deps,
+            world.memory.store(),
+            lambda: table,
+            routes_are_current,
+            lambda _j, _g, _w: None,
+            SentNotifications(),
         )
     )
     jobs = [f"job-{number}" for number in range(8)]
--- a/tests/test_local_job_store.py
+++ b/tests/test_local_job_store.py
@@ -17,6 +17,7 @@
 from twisted.internet.defer import Deferred
 
 from papayapier.clock import fake_clock
+from papayapier.config.route_table import NO_POSITION
 from papayapier.errors import ErrorKind, Outcome
 from papayapier.jobs import job_files
 from papayapier.jobs.job_files import LocalJob
@@ -128,6 +129,7 @@
                 is_store_unavailable=lambda: False,
                 is_store_complete=lambda: False,
                 read_remote=read_from_store,
+                config_position=lambda: NO_POSITION,
             )
         )
 
