Tell a value that is too large from an outage of the store

A write that the store refuses with 413 can never succeed, but was reported as UNAVAILABLE: the writer repeated it for ever, and after three of them the circuit breaker, which all writes of the process share, took the store for down.

Cause: store/outcomes.py maps every 4xx without an entry of its own to UNAVAILABLE.

Fix: StoreError.TOO_LARGE, a definite refusal: it counts as an answer to the breaker, a lost write followed by it had no effect, and a relayed call needs no second peer.

The stand-in store of the soaks had no bound on an object; it has the platform's now.

--- a/papayapier/batch/store_access.py
+++ b/papayapier/batch/store_access.py
@@ -21,7 +21,10 @@
 T = TypeVar("T")
 E = TypeVar("E")
 
-RETRYABLE_ERRORS: Final = frozenset({StoreError.UNAVAILABLE, StoreError.LIMITED, StoreError.LOST})
+UNCHANGED_ERRORS: Final = frozenset(
+    {StoreError.UNAVAILABLE, StoreError.LIMITED, StoreError.TOO_LARGE}
+)
+RETRYABLE_ERRORS: Final = UNCHANGED_ERRORS | {StoreError.LOST}
 MAX_SETTLE_MS: Final = 5_000
 PAGE_KEYS: Final = 1_000
 
@@ -54,7 +57,7 @@
         outcome = await create(deps, key, value)
     else:
         outcome = await update(deps, key, value, version)
-    if isinstance(outcome, Ok) or outcome.err_value in (StoreError.UNAVAILABLE, StoreError.LIMITED):
+    if isinstance(outcome, Ok) or outcome.err_value in UNCHANGED_ERRORS:
         return outcome
     if outcome.err_value is StoreError.CONFLICT and not maybe_stored:
         return outcome
--- a/papayapier/claims/group.py
+++ b/papayapier/claims/group.py
@@ -133,7 +133,7 @@
 
         An exposed claim is not failed here, because it may still take effect.
         """
-        if error is not StoreError.UNAVAILABLE:
+        if error not in (StoreError.UNAVAILABLE, StoreError.TOO_LARGE):
             return
         for op in list(self._ops):
             if op.kind in (OpKind.CLAIM, OpKind.LOOKUP) and op.exposed_at is None:
--- a/papayapier/platform/store.py
+++ b/papayapier/platform/store.py
@@ -46,6 +46,7 @@
     404: StoreError.NOT_FOUND,
     409: StoreError.CONFLICT,
     410: StoreError.TOO_OLD,
+    413: StoreError.TOO_LARGE,
     429: StoreError.LIMITED,
     503: StoreError.UNAVAILABLE,
 }
--- a/papayapier/store/api.py
+++ b/papayapier/store/api.py
@@ -23,6 +23,7 @@
     LIMITED = "limited"
     LOST = "lost"
     TOO_OLD = "too_old"
+    TOO_LARGE = "too_large"
 
 
 class Stored(NamedTuple):
@@ -110,9 +111,10 @@
     """Group the calls of the object API.
 
     Versions are positive integers that only rise. Each call ends within its own timeout.
-    Errors: create and update return CONFLICT, UNAVAILABLE, LIMITED (nothing was changed) or
-    LOST (unknown); reads return NOT_FOUND, UNAVAILABLE or LIMITED; watch also TOO_OLD. close
-    drops persistent connections when the instance ends.
+    Errors: create and update return CONFLICT, UNAVAILABLE, LIMITED (nothing was changed), TOO_LARGE
+    (nothing was changed, and the same value is always refused) or LOST (unknown); reads return
+    NOT_FOUND, UNAVAILABLE or LIMITED; watch also TOO_OLD. close drops persistent connections when
+    the instance ends.
     """
 
     get: Callable[[str], Awaitable[Result[Stored, StoreError]]]
--- a/papayapier/store/http.py
+++ b/papayapier/store/http.py
@@ -35,6 +35,7 @@
     404: StoreError.NOT_FOUND,
     410: StoreError.TOO_OLD,
     412: StoreError.CONFLICT,
+    413: StoreError.TOO_LARGE,
     429: StoreError.LIMITED,
     503: StoreError.UNAVAILABLE,
 }
--- a/papayapier/store/outcomes.py
+++ b/papayapier/store/outcomes.py
@@ -1,7 +1,7 @@
 """Classify the outcome of a store call, independent of its wire format.
 
 Each call has one of three outcomes, and the rest of the program relies on the distinction.
-Nothing was changed (refused connection, 429, 503, a failed condition): the caller may
+Nothing was changed (refused connection, 413, 429, 503, a failed condition): the caller may
 continue at once. Answered: done. Everything else (connection cut or timeout after the request
 may have been sent, an unexpected status, an incomplete body): a read is UNAVAILABLE, but a
 write is LOST.
--- a/papayapier/store/writes.py
+++ b/papayapier/store/writes.py
@@ -8,10 +8,10 @@
 conditional write is repeated until either is observed. Waiting longer or reading twice
 instead would only make a wrong conclusion rarer.
 
-The result CONFLICT means that the write never took effect and never will. LOST means that
-the outcome could not be determined: no definite answer came by the due time, or the object
-holds another writer's value, which may have replaced the written one. The caller then has to
-decide by the content.
+The results CONFLICT and TOO_LARGE mean that the write never took effect and never will. LOST
+means that the outcome could not be determined: no definite answer came by the due time, or the
+object holds another writer's value, which may have replaced the written one. The caller then has
+to decide by the content.
 
 One limitation: a create has no version, so a late copy of it can restore an object that was
 created and then deleted. Code that deletes objects must not treat an object that reappears
@@ -137,6 +137,9 @@
     answer = await write.attempt()
     if isinstance(answer, Ok):
         return answer
+    if answer.err_value is StoreError.TOO_LARGE:
+        # The store refuses this value at each attempt, so the lost one had no effect either.
+        return answer
     if answer.err_value is not StoreError.CONFLICT:
         return None
     return write.effect(await store.get(write.key))
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -37,6 +37,7 @@
 
     UNAVAILABLE = "unavailable"  # refused, nothing changed
     LIMITED = "limited"  # refused, nothing changed
+    TOO_LARGE = "too_large"  # refused, nothing changed
     LOST_BEFORE = "lost_before"  # never arrives; answered LOST after delay_ms
     LOST_AFTER = "lost_after"  # takes effect at once; answered LOST after delay_ms
     LOST_DELAYED = "lost_delayed"  # answered LOST at once; takes effect delay_ms later
@@ -157,6 +158,8 @@
             return await self._answer(Err(StoreError.UNAVAILABLE), delay_ms)
         if scripted.fault is Fault.LIMITED:
             return await self._answer(Err(StoreError.LIMITED), delay_ms)
+        if scripted.fault is Fault.TOO_LARGE:
+            return await self._answer(Err(StoreError.TOO_LARGE), delay_ms)
         if scripted.fault is Fault.LOST_BEFORE:
             return await self._answer(Err(lost), delay_ms)
         if scripted.fault is Fault.LOST_AFTER:
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -12,13 +12,16 @@
 _Resource: Any = Resource
 
 ROOT: Final = "/v1/objects/"
+# The largest object that the platform's store accepts: metadata, spec and status together.
+VALUE_BYTES: Final = 1_048_576
 
 
 class StandinStore(_Resource):  # type: ignore[misc]
     """Hold objects by kind and name, and notify watches of changes.
 
     While unavailable is set, every request is answered with 503. unanswered_writes is the number
-    of next writes that are carried out and then have their connection aborted.
+    of next writes that are carried out and then have their connection aborted. Objects over
+    VALUE_BYTES are refused with 413; too_large_count counts them.
     """
 
     isLeaf = True  # noqa: N815
@@ -31,6 +34,7 @@
         self.unavailable = False
         self.unanswered_writes = 0
         self.request_count = 0
+        self.too_large_count = 0
         self._open_watches: set[Deferred[None]] = set()
         self._port = reactor.listenTCP(0, Site(self), interface="127.0.0.1")
         self.address = f"127.0.0.1:{self._port.getHost().port}"
@@ -139,6 +143,10 @@
             self.remove(kind, name)
             return _answer(request, 200, {})
         part = part or "spec"
+        proposed = {**(current or {"metadata": {"name": name}}), part: document.get(part)}
+        if len(json.dumps(proposed, ensure_ascii=False).encode()) > VALUE_BYTES:
+            self.too_large_count += 1
+            return _answer(request, 413, {})
         stored = self.put(kind, name, document.get(part), part)
         if self.unanswered_writes:
             self.unanswered_writes -= 1
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -110,6 +110,14 @@
     assert bench.fake.clock.now() <= due + 5
 
 
+def test_a_lost_write_of_a_value_that_is_too_large_had_no_effect(bench: Bench) -> None:
+    """Guard against a value that is repeated as lost although the store always refuses it."""
+    bench.platform.fail(Fault.LOST_BEFORE, "create")
+    bench.platform.fail(Fault.TOO_LARGE, "create", times=1_000)
+    done = bench.run(create_settled(bench.settling, "k", b"id1", bench.due()))
+    assert done == Err(StoreError.TOO_LARGE)
+
+
 def test_replaced_value_is_not_reported_as_a_conflict(bench: Bench) -> None:
     # Symptom: a writer repeats a change that had taken effect, because it got CONFLICT.
     # Sequence: the write takes effect, its answer is lost, another writer replaces the value.
--- a/tests/test_store_follow.py
+++ b/tests/test_store_follow.py
@@ -5,10 +5,11 @@
 
 import logbook
 import pytest
-from result import Err
+from result import Err, Ok
 
 from papayapier.settings import PlatformSettings
 from papayapier.store.api import LEAVING, Change, StoreError
+from papayapier.store.breaker import FAILURES_UNTIL_DOWN
 from papayapier.store.bucket import TokenBucket
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.members import MemberFollower, MemberReporter, MembersChanged
@@ -58,6 +59,18 @@
     assert len(bench.platform.objects) == pytest.approx(42, abs=2)
 
 
+def test_refused_sizes_do_not_stop_other_calls(bench: Bench) -> None:
+    """Guard against values that are too large and make the store look down to all other calls."""
+    (budget,) = make_budgets(bench, 1)
+    bench.platform.fail(Fault.TOO_LARGE, "create", times=FAILURES_UNTIL_DOWN)
+    bulk = budget.view(Priority.BULK)
+    refused = [started(bulk.create(f"k{i}", b"")) for i in range(FAILURES_UNTIL_DOWN)]
+    bench.pass_time(1_000)
+    assert refused == [[Err(StoreError.TOO_LARGE)]] * FAILURES_UNTIL_DOWN
+    assert budget.down_since() is None
+    assert isinstance(bench.run(budget.view(Priority.LEASE).create("lease", b"")), Ok)
+
+
 def test_calls_stop_in_an_outage_and_resume_slowly(bench: Bench) -> None:
     # Symptom: the platform fails again as soon as it recovers.
     # Sequence: an outage; every instance queues calls; the first answer releases all of them.
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -103,6 +103,7 @@
                 [
                     answer("200 OK", headers='ETag: "7"\r\n'),
                     answer("412 Precondition Failed"),
+                    answer("413 Content Too Large"),
                     answer("429 Too Many Requests"),
                     answer("503 Service Unavailable"),
                     answer("502 Bad Gateway"),
@@ -112,6 +113,7 @@
                 [
                     Ok(7),
                     Err(StoreError.CONFLICT),
+                    Err(StoreError.TOO_LARGE),
                     Err(StoreError.LIMITED),
                     Err(StoreError.UNAVAILABLE),
                     Err(StoreError.LOST),
