Measure a group of results as it is stored

Cause: a group was bounded by the letters of its texts. The adapter stores a value as one JSON string, in which letters take up to four bytes and quotes, backslashes and line feeds are escaped twice.

Fix: results are measured in the adapter's own encoding, against the limit that the platform states (store.value_bytes). If the store refuses a group all the same, since it measures an object in its own encoding, the next one is half as large; a single result that is refused waits behind the others. A result of over 600,000 stored bytes is compressed if that is smaller. One that fits into no object is given up and said (544): a read returns 1 MB at most, so nobody could get it, and it must not stop the job's other results.

The stand-in store now pages its listings at 1 MB as the platform does, and its replicas write any letters in items.

--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -374,6 +374,18 @@
     Level.WARNING,
     "job waits, the configuration here is older than the job, or is read again to give it up",
 )
+GROUP_TOO_LARGE: Final = Event(
+    543,
+    "group_too_large",
+    Level.WARNING,
+    "store refused a group of results as too large, the next one is smaller",
+)
+RESULT_TOO_LARGE: Final = Event(
+    544,
+    "result_too_large",
+    Level.ERROR,
+    "item given up, its text fits into no object of the store",
+)
 
 CONFIG_ACCEPTED: Final = Event(601, "config_accepted", Level.INFO, "configuration change accepted")
 CONFIG_APPLIED: Final = Event(
--- a/papayapier/jobs/commits.py
+++ b/papayapier/jobs/commits.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -18,8 +18,15 @@
 from papayapier.jobs.groups import read_groups
 from papayapier.jobs.notifications import SentNotifications
 from papayapier.jobs.owned_job import ItemState, OwnedJob
-from papayapier.jobs.records import ItemResult, ResultGroup, encode, group_key
-from papayapier.store.api import Store, StoreError
+from papayapier.jobs.records import ResultGroup, encode, group_key, unpack
+from papayapier.jobs.result_sizes import (
+    SizedResult,
+    choose_group,
+    fits_alone,
+    group_size,
+    smallest_form,
+)
+from papayapier.store.api import Store, StoreError, ValueBound
 from papayapier.store.writes import SettleDeps, create_settled
 
 WRITE_ID_BITS: Final = 64
@@ -28,8 +35,6 @@
 BATCHING_MS: Final = 250
 SETTLE_MS: Final = 2_000
 RETRY_MS: Final = 200
-# The store accepts values of up to 1 MiB, and escaping makes the stored value larger than its text.
-MAX_GROUP_BYTES: Final = 600_000
 
 
 class WrittenGroup(NamedTuple):
@@ -43,14 +48,15 @@
 class CommitDeps(NamedTuple):
     """Group the dependencies of commits.
 
-    on_listed_elsewhere receives items that other instances have listed. on_written is called for
-    each group that this instance may have created, with the group if the create is confirmed.
-    notifications tracks the writes in progress.
+    bound is that of the store's values. on_listed_elsewhere receives items that other instances
+    have listed. on_written is called for each group that this instance may have created, with the
+    group if the create is confirmed. notifications tracks the writes in progress.
     """
 
     clock: Clock
     rand: random.Random
     store: Store
+    bound: ValueBound
     on_listed_elsewhere: Callable[[list[ItemState]], None]
     on_written: Callable[[OwnedJob, WrittenGroup | None], None]
     notifications: SentNotifications
@@ -88,12 +94,15 @@
 async def _write_group(deps: CommitDeps, job: OwnedJob) -> bool:
     """Try to create the next group; return False if the next attempt must be delayed."""
     number = job.groups
-    group = _gather(deps, job)
+    forms = _choose_forms(deps, job)
+    write_id = f"{deps.rand.getrandbits(WRITE_ID_BITS):016x}"
+    group = ResultGroup(write_id, tuple(unpack(form.stored) for form in forms))
+    value = encode(ResultGroup(write_id, tuple(form.stored for form in forms)))
     settling = SettleDeps(deps.store, deps.clock, deps.rand)
     began_ms = deps.clock.now()
     due_ms = began_ms + SETTLE_MS
     deps.notifications.write_begun(job.job_id, began_ms)
-    created = await create_settled(settling, group_key(job.job_id, number), encode(group), due_ms)
+    created = await create_settled(settling, group_key(job.job_id, number), value, due_ms)
     if isinstance(created, Ok):
         job.apply_group(number, group)
         events.emit(
@@ -110,21 +119,42 @@
             # The group may stem from an earlier attempt of this same write.
             _notify(deps, job, None)
         return known
+    if created.err_value is StoreError.TOO_LARGE:
+        return _on_too_large(job, forms)
     events.emit(events.COMMIT_DELAYED, job=job.job_id, reason=created.err_value.value)
     return False
 
 
+def _on_too_large(job: OwnedJob, forms: Sequence[SizedResult]) -> bool:
+    """Make the next group smaller; return False if the next attempt must be delayed.
+
+    The store measures an object in its own encoding, which may be larger than this one. A single
+    result that should fit is not given up for that: it is written after all others.
+    """
+    size = group_size(forms)
+    events.emit(events.GROUP_TOO_LARGE, job=job.job_id, results=len(forms), bytes=size)
+    if len(forms) == 1:
+        job.postpone(forms[0].stored.id)
+        return False
+    job.max_group_bytes = size // 2
+    return True
+
+
 def _notify(deps: CommitDeps, job: OwnedJob, written: WrittenGroup | None) -> None:
     deps.notifications.write_settled(job.job_id)
     deps.on_written(job, written)
 
 
-def _gather(deps: CommitDeps, job: OwnedJob) -> ResultGroup:
-    results: list[ItemResult] = []
-    size = 0
-    for result in job.unwritten.values():
-        size += len(result.text)
-        if results and size > MAX_GROUP_BYTES:
-            break
-        results.append(result)
-    return ResultGroup(f"{deps.rand.getrandbits(WRITE_ID_BITS):016x}", tuple(results))
+def _choose_forms(deps: CommitDeps, job: OwnedJob) -> list[SizedResult]:
+    """Return the results of the next group as they are stored; give up those that fit nowhere."""
+    limit = min(job.max_group_bytes, deps.bound.max_bytes)
+    return choose_group((_form(deps, job, item_id) for item_id in list(job.unwritten)), limit)
+
+
+def _form(deps: CommitDeps, job: OwnedJob, item_id: str) -> SizedResult:
+    form = smallest_form(job.unwritten[item_id], deps.bound)
+    if not fits_alone(form, deps.bound):
+        events.emit(events.RESULT_TOO_LARGE, job=job.job_id, item=item_id, bytes=form.size)
+        job.discard_text(item_id)
+        form = smallest_form(job.unwritten[item_id], deps.bound)
+    return form
--- a/papayapier/jobs/owned_job.py
+++ b/papayapier/jobs/owned_job.py
@@ -12,6 +12,7 @@
     ResultGroup,
     accepted_under,
 )
+from papayapier.jobs.result_sizes import MAX_GROUP_BYTES
 from papayapier.policy.handover import STALLED_MS, STALLED_RUNNING_MS
 from papayapier.upstream.event_splitter import NO_EVENT
 
@@ -84,6 +85,8 @@
         self.committing = False
         self.items: dict[str, ItemState] = {item.id: ItemState(item) for item in record.items}
         self.unwritten: dict[str, ItemResult] = {}
+        # The maximum size of its groups; lowered where the store refuses one as too large.
+        self.max_group_bytes = MAX_GROUP_BYTES
         self.listed = 0
         # Monotonic time at which this instance took the job, or last completed an item of it.
         self.last_progress_ms = 0
@@ -116,6 +119,14 @@
         state = self.items.pop(item_id)
         self.unwritten[item_id] = ItemResult(item_id, outcome, state.text())
 
+    def discard_text(self, item_id: str) -> None:
+        """Give up a finished item whose text fits into no object of the store."""
+        self.unwritten[item_id] = ItemResult(item_id, ItemOutcome.GIVEN_UP, "")
+
+    def postpone(self, item_id: str) -> None:
+        """Write the result of an item after all others."""
+        self.unwritten[item_id] = self.unwritten.pop(item_id)
+
     def progress(self) -> list[ItemProgress]:
         """Return the progress of items that have begun, or are finished but not yet written."""
         begun = [
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -1,5 +1,7 @@
 """Define the stored records of batch jobs, and encode them as JSON."""
 
+import base64
+import zlib
 from enum import Enum
 from typing import Final, NamedTuple, TypeVar
 
@@ -16,6 +18,8 @@
 RESULTS_PREFIX: Final = "papayapier-results-"
 # The store accepts values of up to 1 MiB, and escaping makes the stored value larger than its text.
 MAX_PART_BYTES: Final = 800_000
+# The fastest: texts compress well, and other work of the process waits meanwhile.
+PACK_LEVEL: Final = 1
 WRITE_ID_SEPARATOR: Final = "."
 
 
@@ -55,6 +59,8 @@
 
     DONE = "done"
     GIVEN_UP = "given_up"
+    # Only in stored groups: done, with a compressed text.
+    PACKED = "packed"
 
 
 class ItemResult(NamedTuple):
@@ -129,7 +135,35 @@
 
 def read_group(value: bytes) -> Result[ResultGroup, str]:
     """Decode a group of results."""
-    return _decode(_GROUP, value)
+    decoded = _decode(_GROUP, value)
+    if isinstance(decoded, Err):
+        return decoded
+    group = decoded.ok_value
+    try:
+        return Ok(group._replace(results=tuple(unpack(result) for result in group.results)))
+    except (ValueError, zlib.error) as exc:
+        return Err(str(exc))
+
+
+def encode_result(result: ItemResult) -> bytes:
+    """Encode a result as it is encoded in its group."""
+    return msgspec.json.encode(result)
+
+
+def pack(result: ItemResult) -> ItemResult:
+    """Return a result as it is stored with a compressed text; one that is given up has no text."""
+    if result.end is not ItemOutcome.DONE:
+        return result._replace(text="")
+    compressed = zlib.compress(result.text.encode(), PACK_LEVEL)
+    return ItemResult(result.id, ItemOutcome.PACKED, base64.b64encode(compressed).decode())
+
+
+def unpack(result: ItemResult) -> ItemResult:
+    """Return a stored result as it is listed."""
+    if result.end is not ItemOutcome.PACKED:
+        return result
+    text = zlib.decompress(base64.b64decode(result.text)).decode()
+    return ItemResult(result.id, ItemOutcome.DONE, text)
 
 
 def read_items(value: bytes) -> Result[tuple[JobItem, ...], str]:
--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -25,7 +25,7 @@
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.takeover import JobTakeover, TakeoverDeps
 from papayapier.policy.ownership import rendezvous_owner
-from papayapier.store.api import Change, Store
+from papayapier.store.api import Change, Store, ValueBound
 
 if TYPE_CHECKING:
     from papayapier.clock import Timer
@@ -42,13 +42,14 @@
 class RunnerDeps(NamedTuple):
     """Group the dependencies of JobRunner.
 
-    read_configuration reads the routes from the store, and returns whether those in force are at
-    least as new. notify_groups is called with a job's id, its number of groups, and the last group
-    if this instance wrote it.
+    bound is that of the store's values. read_configuration reads the routes from the store, and
+    returns whether those in force are at least as new. notify_groups is called with a job's id, its
+    number of groups, and the last group if this instance wrote it.
     """
 
     runs: RunDeps
     store: Store
+    bound: ValueBound
     table: Callable[[], RouteTable | None]
     read_configuration: Callable[[], Awaitable[bool]]
     notify_groups: Callable[[str, int, WrittenGroup | None], None]
@@ -100,6 +101,7 @@
             deps.runs.clock,
             deps.runs.rand,
             deps.store,
+            deps.bound,
             self._runs.cancel_items,
             self._notify_groups,
             deps.notifications,
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -44,13 +44,13 @@
 from papayapier.platform.configuration import CONFIG_KEY, CONFIG_PREFIX, read_configuration
 from papayapier.platform.headers import decode_facts
 from papayapier.platform.replicas import REPLICAS_PREFIX, decodes_differently, read_replica
-from papayapier.platform.store import platform_store
+from papayapier.platform.store import platform_store, value_bound
 from papayapier.policy.batch_sharers import totals_to_report
 from papayapier.policy.drain import Drain, DrainPlan
 from papayapier.policy.loads import LoadTracker
 from papayapier.policy.outliers import OutlierDetector
 from papayapier.policy.stream_versions import stream_life_ms
-from papayapier.store.api import Change, Store
+from papayapier.store.api import Change, Store, ValueBound
 from papayapier.store.budget import Budget, Priority, make_budget
 from papayapier.store.mirror import IsRelevant, Mirror, always_relevant
 from papayapier.store.watch import Follower, FollowIntervals, log_failure
@@ -79,6 +79,8 @@
     role: Role
     metrics: Metrics
     direct_store: Store
+    # Bound of the store's values.
+    value_bound: ValueBound
     budget: Budget
     drain: Drain
     load_tracker: LoadTracker
@@ -229,6 +231,7 @@
         role=role,
         metrics=metrics,
         direct_store=direct_store,
+        value_bound=value_bound(cfg.store.value_bytes),
         budget=budget,
         drain=drain,
         load_tracker=load_tracker,
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -125,6 +125,7 @@
         RunnerDeps(
             runs,
             base.view(Priority.BULK),
+            base.value_bound,
             base.routing.table,
             lambda: routing_registry.read_from_store(config_store, base.routing),
             publish_groups,
--- a/papayapier/node/settings.py
+++ b/papayapier/node/settings.py
@@ -22,6 +22,7 @@
     UpstreamSettings,
     read_text,
 )
+from papayapier.store.api import MAX_VALUE_BYTES
 
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
@@ -43,7 +44,8 @@
 
     timeout_ms bounds one call; the store answers in milliseconds, or in 200 ms when it is slow.
     longest_pause_ms bounds the pauses between retries: a process that the store refused must know
-    within a second of its return which replicas are leaving.
+    within a second of its return which replicas are leaving. value_bytes is the maximum size of an
+    object, with its metadata.
     """
 
     address: Address
@@ -51,6 +53,7 @@
     writes_per_s: Positive
     timeout_ms: PositiveMs = 1_200
     longest_pause_ms: PositiveMs = 500
+    value_bytes: Positive = MAX_VALUE_BYTES
 
     def platform(self) -> PlatformSettings:
         """Return the settings for calls to the store."""
--- a/papayapier/platform/store.py
+++ b/papayapier/platform/store.py
@@ -29,6 +29,7 @@
     Store,
     Stored,
     StoreError,
+    ValueBound,
 )
 from papayapier.store.link import Reply, Request, make_link
 from papayapier.store.outcomes import classify, count_call
@@ -41,6 +42,8 @@
 NO_CONDITION: Final = 0
 UNREADABLE: Final = b""
 ABSENT_OBJECT: Final = msgspec.Raw(b"null")
+# What an object takes beside its value: its names, metadata and status.
+OBJECT_BYTES: Final = 4_000
 
 UNCHANGED_STATUSES: Final = {
     404: StoreError.NOT_FOUND,
@@ -119,6 +122,15 @@
     )
 
 
+def value_bound(object_bytes: int) -> ValueBound:
+    """Return the bound of a value in a store whose objects have a maximum size."""
+    return ValueBound(max(1, object_bytes - OBJECT_BYTES), _text_bytes)
+
+
+def _text_bytes(value: bytes) -> int:
+    return len(msgspec.json.encode(value.decode()))
+
+
 async def _get(client: _Client, key: str) -> Result[Stored, StoreError]:
     found = await _read(client, Request("get", "GET", _path(key)), _OBJECT)
     return found.and_then(lambda obj: _stored(key, obj))
--- a/papayapier/store/api.py
+++ b/papayapier/store/api.py
@@ -26,6 +26,13 @@
     TOO_LARGE = "too_large"
 
 
+class ValueBound(NamedTuple):
+    """Bound the values of a store; size_of returns how much of max_bytes a value takes."""
+
+    max_bytes: int
+    size_of: Callable[[bytes], int]
+
+
 class Stored(NamedTuple):
     """Hold one object as read."""
 
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -22,12 +22,15 @@
     job_key,
 )
 from papayapier.node.job_reading import read_from_store
+from papayapier.platform.store import value_bound
 from papayapier.policy.job_copies import NOT_REQUESTED, Copies
 from papayapier.store.api import Entry, Listing, Store, Stored, StoreError
+from tests.site.store import VALUE_BYTES
 
 T = TypeVar("T")
 
 JOB = "7c41e09b52d6a3f8"
+BOUND = value_bound(VALUE_BYTES)
 
 
 def item(name: str, body: str = "q83v") -> JobItem:
@@ -49,6 +52,7 @@
 class MemoryStore:
     """Store objects in memory; fault returns the error with which a call fails, or None.
 
+    A value that takes more than VALUE_BYTES by size_of is refused; too_large_count counts these.
     While hold is set, get and list calls block until release().
     """
 
@@ -58,6 +62,8 @@
         self.calls: list[str] = []
         self.blocked_calls: list[Deferred[None]] = []
         self.hold = False
+        self.size_of: Callable[[bytes], int] = BOUND.size_of
+        self.too_large_count = 0
         self.fault: Callable[[str, str], StoreError | None] = lambda _call, _key: None
 
     def put(self, key: str, value: bytes) -> int:
@@ -91,6 +97,9 @@
                 self.put(key, value)
             if fault is not None:
                 return Err(fault)
+            if self.size_of(value) > VALUE_BYTES:
+                self.too_large_count += 1
+                return Err(StoreError.TOO_LARGE)
             if key in self.objects:
                 return Err(StoreError.CONFLICT)
             return Ok(self.put(key, value))
--- a/tests/keepers_world.py
+++ b/tests/keepers_world.py
@@ -33,7 +33,7 @@
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 from papayapier.upstream.forward_call import ForwardCall, ForwardedAnswer, StreamedAnswer
 from tests.jobs_run_world import EVENTS, RouteTo
-from tests.jobs_world import MemoryStore, record
+from tests.jobs_world import BOUND, MemoryStore, record
 
 SLOTS: Final = 8
 RUN_MS: Final = 2_000
@@ -133,6 +133,7 @@
             RunnerDeps(
                 deps,
                 world.memory.store(),
+                BOUND,
                 lambda: table,
                 routes_are_current,
                 lambda _j, _g, _w: None,
--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -54,6 +54,8 @@
         self.cut_after_events = 0
         self.stall_after_events = 0
         self.events_per_stream = EVENTS_PER_STREAM
+        # Written at the end of each event of an item.
+        self.item_suffix = ""
         self.hang = False
         self.shed = False
         self.should_fail: Callable[[Any], bool] = never_fails
@@ -186,6 +188,8 @@
             reactor.callLater(0, request.transport.abortConnection)
             return
         text = f"piece {number} {self.version}".strip()
+        if b"/job/" in request.path:
+            text += self.item_suffix
         request.write(f"id: {number}\ndata: {text}\n\n".encode())
         reactor.callLater(EVENT_INTERVAL_S, self._write_event, request, number + 1, written + 1)
 
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -14,6 +14,8 @@
 ROOT: Final = "/v1/objects/"
 # The largest object that the platform's store accepts: metadata, spec and status together.
 VALUE_BYTES: Final = 1_048_576
+PAGE_OBJECTS: Final = 500
+PAGE_BYTES: Final = 1_000_000
 
 
 class StandinStore(_Resource):  # type: ignore[misc]
@@ -84,10 +86,20 @@
             wait_s = int(request.args[b"waitMs"][0]) / 1000
             return self._watch(request, kind, since, wait_s)
         after = request.args.get(b"after", [b""])[0].decode()
-        items = [self.objects[kind, listed] for listed in self.names(kind) if listed > after]
-        return _answer(
-            request, 200, {"items": items, "truncated": False, "currentRev": self.revision}
-        )
+        return _answer(request, 200, self._page(kind, after))
+
+    def _page(self, kind: str, after: str) -> dict[str, Any]:
+        """Return the objects of a kind from a name on, bounded as on the platform."""
+        names = [name for name in self.names(kind) if name > after]
+        items: list[dict[str, Any]] = []
+        size = 0
+        for name in names:
+            size += len(_encode_json(self.objects[kind, name]))
+            if items and (len(items) == PAGE_OBJECTS or size > PAGE_BYTES):
+                break
+            items.append(self.objects[kind, name])
+        truncated = len(items) < len(names)
+        return {"items": items, "truncated": truncated, "currentRev": self.revision}
 
     def _watch(self, request: Any, kind: str, since: int, wait_s: float) -> Any:
         changes = [
@@ -144,7 +156,7 @@
             return _answer(request, 200, {})
         part = part or "spec"
         proposed = {**(current or {"metadata": {"name": name}}), part: document.get(part)}
-        if len(json.dumps(proposed, ensure_ascii=False).encode()) > VALUE_BYTES:
+        if len(_encode_json(proposed)) > VALUE_BYTES:
             self.too_large_count += 1
             return _answer(request, 413, {})
         stored = self.put(kind, name, document.get(part), part)
@@ -167,4 +179,5 @@
 
 
 def _encode_json(value: object) -> bytes:
-    return json.dumps(value).encode()
+    # Foreign entries may contain lone surrogates, which have no other encoding.
+    return json.dumps(value, ensure_ascii=False).encode("utf-8", "backslashreplace")
--- a/tests/test_jobs_commits.py
+++ b/tests/test_jobs_commits.py
@@ -19,7 +19,7 @@
 from papayapier.jobs.owned_job import OwnedJob
 from papayapier.jobs.records import ItemOutcome, groups_prefix, read_group
 from papayapier.store.api import StoreError
-from tests.jobs_world import JOB, MemoryStore, record
+from tests.jobs_world import BOUND, JOB, MemoryStore, record
 
 NAMES = [f"item-{number}" for number in range(6)]
 
@@ -33,6 +33,7 @@
             clock,
             random.Random(seed),
             memory.store(),
+            BOUND,
             lambda _items: None,
             lambda _job, _written: None,
             SentNotifications(),
--- a/tests/test_jobs_runner.py
+++ b/tests/test_jobs_runner.py
@@ -16,7 +16,7 @@
 from papayapier.upstream.event_splitter import NO_EVENT
 from papayapier.upstream.forward_call import StreamedAnswer
 from tests.jobs_run_world import EVENTS, RouteTo, World
-from tests.jobs_world import JOB, MemoryStore, group, record
+from tests.jobs_world import BOUND, JOB, MemoryStore, group, record
 from tests.keepers_world import routes_are_current
 
 
@@ -46,6 +46,7 @@
             RunnerDeps(
                 self.deps,
                 self.memory.store(),
+                BOUND,
                 registry.table if registry else lambda: table,
                 (
                     partial(read_from_store, self.memory.store(), registry)
@@ -180,6 +181,7 @@
         RunnerDeps(
             deps,
             world.memory.store(),
+            BOUND,
             lambda: table,
             routes_are_current,
             lambda _j, _g, _w: None,
