Divide a job's items by their size in the store

What callers would see: a job whose items have many quotes, backslashes or line feeds in their headers is refused with 503 at each attempt, as if the store were away.

The parts of a large job were bounded by their bytes before they become a JSON string in an object.

Fix: parts are also bounded by what the items take in the store; plain items are divided as before, since a resubmission through an instance of the release before must give the same parts. An item that fits into no object is refused at once with 413 instead of 503, and nothing of its job is written.

test_items_are_divided_by_their_size_in_the_store (three of five letters) and test_an_item_larger_than_an_object_is_refused_for_good fail on the code before, against a store that bounds its objects.

--- a/papayapier/jobs/job_service.py
+++ b/papayapier/jobs/job_service.py
@@ -35,7 +35,7 @@
 )
 from papayapier.pending_result import PendingResult
 from papayapier.policy.job_copies import NOT_REQUESTED, Copies, store_wait_ms
-from papayapier.store.api import Store, StoreError
+from papayapier.store.api import Store, StoreError, ValueBound
 from papayapier.store.writes import SettleDeps, create_settled, update_settled
 
 WRITE_ID_BITS: Final = 64
@@ -69,8 +69,8 @@
     this is false until keepers have created the jobs that they accepted meanwhile. read_remote
     reads results through another instance, given a job, a position, a wait time and a team; None
     means that they must be read here. config_position returns which configuration is in force
-    here. known_record returns a job's record if this instance follows
-    the job records in the store.
+    here. bound is that of the store's values. known_record returns a job's record if this instance
+    follows the job records in the store.
     """
 
     clock: Clock
@@ -82,6 +82,7 @@
     is_store_complete: Callable[[], bool]
     read_remote: Callable[[str, int, int, str], Awaitable[ResultsPage | None]]
     config_position: Callable[[], ConfigPosition]
+    bound: ValueBound
     known_record: Callable[[str], JobRecord | None] = lambda _job_id: None
 
 
@@ -144,8 +145,8 @@
         write_id = make_write_id(nonce, self._deps.config_position())
         wall = int(self._deps.clock.wall())
         record = JobRecord(write_id, host, path, wall, items, len(items), team=team)
-        parts = split_items(items)
-        if len(parts) > 1:
+        parts = split_items(items, self._deps.bound)
+        if len(parts) > 1 or not self._fits(encode(record)):
             stored = await self._store_parts(job_id, parts, due_ms)
             if isinstance(stored, Err):
                 return stored
@@ -284,13 +285,20 @@
                 return Err(_write_refusal(job_id, updated.err_value))
         return Err(_write_refusal(job_id, StoreError.LIMITED))
 
+    def _fits(self, value: bytes) -> bool:
+        return self._deps.bound.size_of(value) <= self._deps.bound.max_bytes
+
     async def _store_parts(
         self, job_id: str, parts: list[tuple[JobItem, ...]], due_ms: int
     ) -> Result[None, Refusal]:
         settling = SettleDeps(self._deps.store, self._deps.clock, self._deps.rand)
-        for number, part in enumerate(parts):
-            value = encode(part)
+        values = [encode(part) for part in parts]
+        if not all(self._fits(value) for value in values):
+            return Err(_write_refusal(job_id, StoreError.TOO_LARGE))
+        for number, value in enumerate(values):
             created = await create_settled(settling, part_key(job_id, number), value, due_ms)
+            if created == Err(StoreError.TOO_LARGE):
+                return Err(_write_refusal(job_id, StoreError.TOO_LARGE))
             # On a conflict, an earlier submission of the same job has written the same part.
             if isinstance(created, Err) and created.err_value is not StoreError.CONFLICT:
                 return Err(
@@ -416,6 +424,9 @@
 
 
 def _write_refusal(job_id: str, error: StoreError) -> Refusal:
+    if error is StoreError.TOO_LARGE:
+        reason = f"an item of job {job_id} is larger than an object of the store"
+        return not_run_refusal(ErrorKind.TOO_LARGE, reason)
     if error is StoreError.LOST:
         reason = f"it is unknown whether job {job_id} was written"
         return unknown_refusal(ErrorKind.STORE_UNAVAILABLE, reason)
--- a/papayapier/jobs/local_job_store.py
+++ b/papayapier/jobs/local_job_store.py
@@ -144,6 +144,8 @@
         created = await create_settled(settling, job_key(job.job_id), job.value, due_ms)
         if isinstance(created, Ok) or created == Err(StoreError.CONFLICT):
             return True
+        if created == Err(StoreError.TOO_LARGE):
+            events.emit(events.JOB_NOT_KEPT, job=job.job_id, reason="too large for the store")
         if created != Err(StoreError.LOST):
             return False
         return isinstance(await self._deps.store.get(job_key(job.job_id)), Ok)
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from papayapier.config.route_table import NO_POSITION, ConfigPosition
+from papayapier.store.api import ValueBound
 
 T = TypeVar("T")
 
@@ -16,8 +17,10 @@
 PARTS_PREFIX: Final = "papayapier-parts/"
 # Each job has a prefix of its own, so that one list call returns all groups after a given one.
 RESULTS_PREFIX: Final = "papayapier-results-"
-# The store accepts values of up to 1 MiB, and escaping makes the stored value larger than its text.
+# Before they are escaped. Resubmissions through other instances must give the same parts, so items
+# are also divided by this where more of them would fit into an object.
 MAX_PART_BYTES: Final = 800_000
+SEPARATOR_BYTES: Final = 1
 # The fastest: texts compress well, and other work of the process waits meanwhile.
 PACK_LEVEL: Final = 1
 WRITE_ID_SEPARATOR: Final = "."
@@ -171,17 +174,24 @@
     return _decode(_ITEMS, value)
 
 
-def split_items(items: tuple[JobItem, ...]) -> list[tuple[JobItem, ...]]:
-    """Split items into parts that fit into one object each; the same items give the same parts."""
+def split_items(items: tuple[JobItem, ...], bound: ValueBound) -> list[tuple[JobItem, ...]]:
+    """Split items into parts that fit into one object each; the same items give the same parts.
+
+    An item that fits into no object has a part of its own.
+    """
     parts: list[list[JobItem]] = [[]]
-    size = 0
+    size = stored = 0
     for item in items:
-        item_bytes = len(msgspec.json.encode(item))
-        if parts[-1] and size + item_bytes > MAX_PART_BYTES:
+        encoded = msgspec.json.encode(item)
+        item_stored = bound.size_of(encoded) + SEPARATOR_BYTES
+        if parts[-1] and (
+            size + len(encoded) > MAX_PART_BYTES or stored + item_stored > bound.max_bytes
+        ):
             parts.append([])
-            size = 0
+            size = stored = 0
         parts[-1].append(item)
-        size += item_bytes
+        size += len(encoded)
+        stored += item_stored
     return [tuple(part) for part in parts]
 
 
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -259,6 +259,7 @@
             is_store_complete=partial(_local_jobs_written, base, base.clock.now()),
             read_remote=make_job_reader(base.hub, base.clock, keepers),
             config_position=base.routing.position,
+            bound=base.value_bound,
         )
     )
 
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -243,6 +243,7 @@
             is_store_complete=lambda: False,
             read_remote=read_from_store,
             config_position=base.routing.position,
+            bound=base.value_bound,
             known_record=known,
         )
     )
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -161,6 +161,7 @@
                 is_store_complete=lambda: self.settled,
                 read_remote=read_from_store,
                 config_position=lambda: self.position,
+                bound=BOUND,
             )
         )
 
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -6,9 +6,16 @@
 from papayapier.errors import ErrorKind, Outcome
 from papayapier.jobs.commits import WrittenGroup
 from papayapier.jobs.job_service import READ_VALID_MS
-from papayapier.jobs.records import ItemResult, groups_prefix, job_key, read_record
+from papayapier.jobs.records import (
+    ItemResult,
+    groups_prefix,
+    job_key,
+    read_record,
+    split_items,
+)
 from papayapier.store.api import StoreError
-from tests.jobs_world import JOB, JobServiceWorld, MemoryStore, group, item
+from tests.jobs_world import BOUND, JOB, JobServiceWorld, MemoryStore, group, item
+from tests.site.store import VALUE_BYTES
 
 ITEMS = (item("a"), item("b"))
 
@@ -69,6 +76,32 @@
     assert other.begin(other.service.item(JOB, "i8")).end() == Ok(items[8])
 
 
+@pytest.mark.parametrize("letter", ['"', "\\", "\n", "ค", "\U0001f6e2"])
+def test_items_are_divided_by_their_size_in_the_store(letter: str) -> None:
+    """Guard against jobs that are never accepted as their items are measured unescaped."""
+    world = JobServiceWorld()
+    items = tuple(item(f"i{n}", "A")._replace(headers={"X": letter * 60_000}) for n in range(20))
+    assert world.begin(world.service.submit(JOB, "h", "/j", items, 1_000)).end() == Ok(None)
+    other = JobServiceWorld(world.memory)
+    assert other.begin(other.service.item(JOB, "i19")).end() == Ok(items[19])
+
+
+def test_plain_items_are_divided_as_by_the_release_before() -> None:
+    """Guard against a job of two halves, resubmitted to an instance of another release."""
+    items = tuple(item(f"i{n}", "A" * 200_000) for n in range(9))
+    assert [len(part) for part in split_items(items, BOUND)] == [3, 3, 3]
+
+
+def test_an_item_larger_than_an_object_is_refused_for_good() -> None:
+    """Guard against a job that is refused as if the store were unavailable, and comes again."""
+    world = JobServiceWorld()
+    items = (item("a"), item("b", "A" * (VALUE_BYTES + 4)))
+    ended = world.begin(world.service.submit(JOB, "h", "/j", items, 1_000)).end()
+    assert isinstance(ended, Err)
+    assert (ended.err_value.kind, ended.err_value.outcome) == (ErrorKind.TOO_LARGE, Outcome.NOT_RUN)
+    assert world.memory.objects == {}
+
+
 def test_a_job_is_not_found_only_if_the_store_confirms_it() -> None:
     world = JobServiceWorld()
     missing = world.begin(world.service.results(JOB, 0, 0)).end()
--- a/tests/test_local_job_store.py
+++ b/tests/test_local_job_store.py
@@ -32,7 +32,15 @@
 from papayapier.peer.open_requests import PeerError
 from papayapier.policy.job_copies import Copies, holders, store_wait_ms
 from papayapier.store.api import StoreError
-from tests.jobs_world import JOB, JobServiceWorld, MemoryStore, StartedCoroutine, item, record
+from tests.jobs_world import (
+    BOUND,
+    JOB,
+    JobServiceWorld,
+    MemoryStore,
+    StartedCoroutine,
+    item,
+    record,
+)
 
 KEEP_S = 120
 LONG_MS = 20_000
@@ -130,6 +138,7 @@
                 is_store_complete=lambda: False,
                 read_remote=read_from_store,
                 config_position=lambda: NO_POSITION,
+                bound=BOUND,
             )
         )
 
