--- a/papayapier/jobs/job_service.py
+++ b/papayapier/jobs/job_service.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import sys
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
@@ -381,7 +382,7 @@
     def _add_group(self, view: _View, group: ResultGroup) -> None:
         view.groups += 1
         view.results += group.results
-        size = sum(len(result.text) for result in group.results)
+        size = sum(sys.getsizeof(result.text) for result in group.results)
         view.text_bytes += size
         self._text_bytes += size
         self._evict()
--- a/papayapier/jobs/progress.py
+++ b/papayapier/jobs/progress.py
@@ -20,7 +20,7 @@
 
 from papayapier import checksummed_files, events
 from papayapier.clock import Clock
-from papayapier.jobs.records import ItemOutcome
+from papayapier.jobs.records import ItemOutcome, utf8_size
 from papayapier.pending_result import PendingResult
 from papayapier.policy.crash_quarantine import ReplicaLoss
 from papayapier.policy.part_quarantine import NO_REPORTS, PartReports
@@ -34,7 +34,7 @@
 # About 25 runs of 10 kB are in progress, and in a store outage of one minute 300 results wait. In a
 # longer outage the rest is omitted: writing it every second would overload the disk and the
 # processor.
-MAX_CHARS: Final = 4_000_000
+MAX_BYTES: Final = 4_000_000
 
 
 class ItemProgress(NamedTuple):
@@ -129,14 +129,14 @@
 
 
 def _bounded(items: Sequence[ItemProgress]) -> tuple[ItemProgress, ...]:
-    """Return as many items as fit into a snapshot, finished items first."""
+    """Return the items that fit into a snapshot, finished items first."""
     kept = []
-    chars = 0
+    size = 0
     for progress in sorted(items, key=lambda item: item.end is None):
-        chars += sum(len(text) for text in progress.texts)
-        if chars > MAX_CHARS:
-            break
-        kept.append(progress)
+        item_size = sum(utf8_size(text) for text in progress.texts)
+        if size + item_size <= MAX_BYTES:
+            kept.append(progress)
+            size += item_size
     return tuple(kept)
 
 
--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -148,6 +148,11 @@
         return Err(str(exc))
 
 
+def utf8_size(text: str) -> int:
+    """Return the number of bytes of a text in UTF-8."""
+    return len(text) if text.isascii() else len(text.encode())
+
+
 def encode_result(result: ItemResult) -> bytes:
     """Encode a result as it is encoded in its group."""
     return msgspec.json.encode(result)
--- a/papayapier/node/job_reading.py
+++ b/papayapier/node/job_reading.py
@@ -18,7 +18,7 @@
 
 from papayapier.clock import Clock
 from papayapier.jobs.job_service import JobService, ResultsPage
-from papayapier.jobs.records import ItemOutcome, ItemResult
+from papayapier.jobs.records import ItemOutcome, ItemResult, utf8_size
 from papayapier.peer.hub import PeerHub
 from papayapier.peer.messages import ResultItem, ResultsAsk, ResultsTell
 from papayapier.policy.rendezvous import score
@@ -28,8 +28,8 @@
 ANSWER_MS: Final = 300
 # A keeper that did not answer gets no reads for this long; heartbeats detect its loss by then.
 SKIP_SILENT_MS: Final = 2_000
-# Total length of the texts in one reply, far below the maximum frame; callers read again for more.
-MAX_ANSWER_CHARS: Final = 500_000
+# Size of the texts in one reply, far below the maximum frame; callers read again for more.
+MAX_ANSWER_BYTES: Final = 500_000
 
 Read = Callable[[str, int, int, str], Awaitable[ResultsPage | None]]
 
@@ -97,10 +97,10 @@
 
 def _first_results(results: list[ItemResult]) -> tuple[ResultItem, ...]:
     page: list[ResultItem] = []
-    chars = 0
+    size = 0
     for result in results:
-        chars += len(result.text)
-        if page and chars > MAX_ANSWER_CHARS:
+        size += utf8_size(result.text)
+        if page and size > MAX_ANSWER_BYTES:
             break
         page.append(ResultItem(result.id, result.end.value, result.text))
     return tuple(page)
--- a/papayapier/platform/job_calls.py
+++ b/papayapier/platform/job_calls.py
@@ -14,8 +14,9 @@
 from papayapier.jobs.records import ItemOutcome, ItemResult, JobItem
 from papayapier.platform.headers import WAIT_MS
 
-# At most 1 MB of results in one answer.
+# At most 1 MB of results in one answer, as they are encoded.
 MAX_PAGE_BYTES: Final = 900_000
+SEPARATOR_BYTES: Final = 1
 MAX_ITEMS: Final = 200
 _READ: Final = "/v1/lots/"
 _BODY: Final = "/v1/items/"
@@ -104,13 +105,14 @@
 
 def write_page(page: ResultsPage, after: int) -> bytes:
     """Encode results; a long list is truncated, and the caller requests the rest."""
-    returned: list[dict[str, str]] = []
+    returned: list[msgspec.Raw] = []
     size = 0
     for result in page.results:
-        size += len(result.text) + len(result.id)
+        encoded = msgspec.json.encode(_result(result))
+        size += len(encoded) + SEPARATOR_BYTES
         if returned and size > MAX_PAGE_BYTES:
             break
-        returned.append(_result(result))
+        returned.append(msgspec.Raw(encoded))
     # nextToken is the position to read from next, in spite of its name.
     body = {"total": page.total, "nextToken": after + len(returned), "results": returned}
     return msgspec.json.encode(body)
--- a/tests/test_job_reading.py
+++ b/tests/test_job_reading.py
@@ -9,7 +9,7 @@
 
 from papayapier.jobs.job_service import ResultsPage
 from papayapier.node.job_reading import (
-    MAX_ANSWER_CHARS,
+    MAX_ANSWER_BYTES,
     SKIP_SILENT_MS,
     make_job_reader,
     serve_reads,
@@ -151,7 +151,7 @@
     assert len(entry.read().results) == 3
     replies: list[Message] = []
     net.send = lambda _peer, message: replies.append(message) or True  # type: ignore[method-assign,func-returns-value]
-    long = MAX_ANSWER_CHARS // 2 + 1
+    long = MAX_ANSWER_BYTES // 2 + 1
     name = net.requested[0]
     view = net.desks[name].service._views[JOB]
     view.results = [result._replace(text="x" * long) for result in view.results]
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -7,14 +7,18 @@
 from papayapier.jobs.commits import WrittenGroup
 from papayapier.jobs.job_service import READ_VALID_MS
 from papayapier.jobs.records import (
+    ItemOutcome,
     ItemResult,
+    ResultGroup,
+    encode,
+    group_key,
     groups_prefix,
     job_key,
     read_record,
     split_items,
 )
 from papayapier.store.api import StoreError
-from tests.jobs_world import BOUND, JOB, JobServiceWorld, MemoryStore, group, item
+from tests.jobs_world import BOUND, JOB, JobServiceWorld, MemoryStore, group, item, record
 from tests.site.store import VALUE_BYTES
 
 ITEMS = (item("a"), item("b"))
@@ -102,6 +106,19 @@
     assert world.memory.objects == {}
 
 
+def test_cached_results_are_bounded_by_the_memory_of_their_texts() -> None:
+    """Guard against cached texts of several times the bound, where letters take several bytes."""
+    world = JobServiceWorld()
+    text = "\U0001f6e2" * 4_900_000
+    for number in range(4):
+        job_id = f"job-{number}"
+        world.memory.put(job_key(job_id), encode(record("a")))
+        result = ItemResult("a", ItemOutcome.DONE, text)
+        world.memory.put(group_key(job_id, 0), encode(ResultGroup("w", (result,))))
+        assert isinstance(world.begin(world.service.results(job_id, 0, 0)).end(), Ok)
+    assert len(world.service._views) == 2
+
+
 def test_a_job_is_not_found_only_if_the_store_confirms_it() -> None:
     world = JobServiceWorld()
     missing = world.begin(world.service.results(JOB, 0, 0)).end()
--- a/tests/test_jobs_progress.py
+++ b/tests/test_jobs_progress.py
@@ -113,10 +113,24 @@
     assert disk.writes <= idle + 2
 
 
+def test_a_snapshot_is_bounded_in_bytes() -> None:
+    """Guard against a snapshot of several times the bound, where letters take several bytes."""
+    items = [BEGUN._replace(item_id=str(n), texts=("ค" * 100_000,)) for n in range(40)]
+    kept = progress._bounded(items)
+    assert len(msgspec.msgpack.encode(kept)) <= progress.MAX_BYTES
+    assert len(kept) == 13
+
+
+def test_an_item_over_the_bound_does_not_stop_the_others() -> None:
+    """Guard against items that are not saved beside one that is too large for a snapshot."""
+    huge = DONE._replace(item_id="huge", texts=("x" * (progress.MAX_BYTES + 1),))
+    assert progress._bounded([huge, BEGUN, DONE]) == (DONE, BEGUN)
+
+
 def test_a_snapshot_is_bounded_and_contains_results_first(tmp_path: Path) -> None:
     # Guards against snapshots that grow every second during a store outage of hours.
     disk = Disk(str(tmp_path))
-    half = "x" * (progress.MAX_CHARS // 2)
+    half = "x" * (progress.MAX_BYTES // 2)
     disk.items = [BEGUN._replace(texts=(half,)), DONE._replace(texts=(half,)), DONE]
     Deferred.fromCoroutine(progress.save_regularly(disk.deps, 0))
     disk.time.jump(progress.SAVE_MS)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -165,6 +165,17 @@
     assert page["results"][0]["state"] == "completed"
 
 
+@pytest.mark.parametrize("letter", ["x", "ค", '"', "\n"])
+def test_a_page_of_any_letters_is_at_most_a_megabyte(letter: str) -> None:
+    """Guard against pages that are measured in letters and take several megabytes."""
+    results = [ItemResult(f"i{n}", ItemOutcome.DONE, letter * 40_000) for n in range(30)]
+    encoded = job_calls.write_page(ResultsPage(30, results), 0)
+    assert len(encoded) <= 1_000_000
+    page = json.loads(encoded)
+    assert page["nextToken"] == len(page["results"]) > 5
+    assert {result["text"] for result in page["results"]} == {letter * 40_000}
+
+
 @pytest.mark.parametrize(
     ("item", "named"),
     [
