Cut a keeper off in a soak while routes for jobs are added

Items last three seconds, so that they are open when the keeper is back, and write up to 20,000 letters an event of one to four bytes, or letters that are escaped. The other soaks draw what they drew before. A violation by an item that was given up brings the lines that ended it.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -54,8 +54,9 @@
         self.cut_after_events = 0
         self.stall_after_events = 0
         self.events_per_stream = EVENTS_PER_STREAM
-        # Written at the end of each event of an item.
+        # Written at the end of each event of an item, and the time between two of these.
         self.item_suffix = ""
+        self.item_interval_s = EVENT_INTERVAL_S
         self.hang = False
         self.shed = False
         self.should_fail: Callable[[Any], bool] = never_fails
@@ -188,10 +189,12 @@
             reactor.callLater(0, request.transport.abortConnection)
             return
         text = f"piece {number} {self.version}".strip()
+        interval_s = EVENT_INTERVAL_S
         if b"/job/" in request.path:
             text += self.item_suffix
+            interval_s = self.item_interval_s
         request.write(f"id: {number}\ndata: {text}\n\n".encode())
-        reactor.callLater(EVENT_INTERVAL_S, self._write_event, request, number + 1, written + 1)
+        reactor.callLater(interval_s, self._write_event, request, number + 1, written + 1)
 
 
 def versions_in(received: bytes) -> set[bytes]:
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -8,8 +8,9 @@
 crashes the replicas that run it is sent repeatedly. Replicas also answer part of the streams with
 errors, so that some streams are started again after an error and are then cut. API keys are
 withdrawn and added, and one team sends far more than its allowance. With --parts, requests no two
-of which are alike share a part of their prompts that crashes the replicas instead. The checks hold
-at any moment and for any seed.
+of which are alike share a part of their prompts that crashes the replicas instead. With --cuts, a
+keeper is cut off from the store and all others while a route for jobs is added and used, and items
+write texts of any letters. The checks hold at any moment and for any seed.
 """
 
 import argparse
@@ -28,14 +29,20 @@
 from tests.site.part_load import CONTACT_S, MAX_LATE_SENDS, UNCOUNTED_CRASHES
 from tests.site.prompts import PROMPT_HEADER, prompt_headers
 from tests.site.replicas import EVENTS_PER_STREAM, never_fails
-from tests.site.world import SiteWorld, make_configuration, new_request_id, sleep, start_task
+from tests.site.world import (
+    SiteWorld,
+    added_prefix,
+    make_configuration,
+    new_request_id,
+    sleep,
+    start_task,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 reactor: Any = installed
 
-TEXT: Final = "\n".join(f"piece {n}" for n in range(1, EVENTS_PER_STREAM + 1))
 STREAM: Final = b"".join(
     f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENTS_PER_STREAM + 1)
 )
@@ -80,6 +87,23 @@
 CONFIG_APPLIED_S: Final = 2.0
 
 
+# The keeper that is cut off, and the jobs that are submitted meanwhile.
+CUT_OFF: Final = "keeper-island"
+JOBS_PER_CUT: Final = 5
+# Far longer than a run takes, so that no item may be given up.
+LONG_WAIT_S: Final = 600
+ROUTE_APPLIED_S: Final = 0.3
+# Peers no longer hold messages for a process that was silent for two seconds.
+CUT_BEFORE_CHANGE_S: Final = (0.2, 3.5)
+CUT_AFTER_CHANGE_S: Final = (0.0, 1.5)
+# Items must still be open when the keeper is back.
+ITEM_INTERVAL_S: Final = 0.5
+ADDED_REPLICAS: Final = 6
+# What items write at the end of each event: letters of one to four bytes, and escaped ones.
+LETTERS: Final = ("x", "\u0e04", "\U0001f6e2", '"\\', "\u00e9")
+LETTER_COUNTS: Final = (0, 10, 2_000, 20_000)
+
+
 class Report(NamedTuple):
     """Hold the counts of a run; violations is empty when every guarantee held."""
 
@@ -109,8 +133,12 @@
         large: bool = False,
         parts: bool = False,
         alike: bool = False,
+        cuts: bool = False,
     ) -> None:
         self.world = world
+        self.cuts = cuts
+        self.job_routes = 0
+        self.item_suffix = ""
         self.large = large
         self.parts = parts
         # Whether sound requests with prompts have the same path.
@@ -143,7 +171,16 @@
         if self.large:
             self.world.peer_settings = {"full_mesh": 2, "early_calls": 1, "heartbeat_ms": 200}
             self.world.placing_settings = {"queue": True}
+        if self.cuts:
+            for _ in range(ADDED_REPLICAS):
+                self.world.add_like(self.world.replicas[0])
+            self.item_suffix = self.rng.choice(LETTERS) * self.rng.choice(LETTER_COUNTS)
+            for replica in self.world.replicas:
+                replica.item_suffix = self.item_suffix
+                replica.item_interval_s = ITEM_INTERVAL_S
         await self.world.start(entries=2, keepers=3 if self.large else 2)
+        if self.cuts:
+            await self.world.start_island(CUT_OFF)
         self.world.replace_crashed()
         if self.parts:
             self.world.crash_parts.add(CRASHING_PART)
@@ -271,14 +308,16 @@
             self._tasks.append(start_task(self._submit_job(f"job-{number}")))
             await sleep(JOB_GAP_S)
 
-    async def _submit_job(self, job_id: str) -> None:
+    async def _submit_job(self, job_id: str, prefix: str = "/") -> None:
         prompts = []
         if self.parts:
             items = [f"{job_id}-{number}" for number in range(ITEMS_PER_JOB)]
             prompts = [prompt_headers(item, SYSTEM_PART, "d0") for item in items]
         for _ in range(self.rng.choice([1, 1, 2, 3])):
             try:
-                reply = await self.world.submit(self._port(), job_id, ITEMS_PER_JOB, prompts)
+                reply = await self.world.submit(
+                    self._port(), job_id, ITEMS_PER_JOB, prompts, prefix
+                )
             except Exception as exc:
                 self.answers[f"job {type(exc).__name__}"] += 1
                 continue
@@ -299,10 +338,12 @@
             self._write_invalid_entry,
             self._change_keys,
         ]
+        if self.cuts:
+            injections += [self._cut_off] * len(injections)
         while not self.stopping:
             inject = self.rng.choice(injections)
             self.faults[inject.__name__.strip("_")] += 1
-            if inject in (self._kill, self._suspend):
+            if inject in (self._kill, self._suspend, self._cut_off):
                 self.uncounted_faults.append(inject.__name__)
             await inject()
             await sleep(self.rng.uniform(0.2, FAULT_GAP_S))
@@ -332,6 +373,23 @@
         child.send_signal(SIGCONT)
         self.fault_times_s[child.name].append((began_s, reactor.seconds()))
 
+    async def _cut_off(self) -> None:
+        """Cut a keeper off, add a route for jobs meanwhile, and submit jobs on it."""
+        island = self.world.islands[CUT_OFF]
+        began_s = reactor.seconds()
+        island.cut()
+        await sleep(self.rng.uniform(*CUT_BEFORE_CHANGE_S))
+        self.job_routes += 1
+        await self._change_configuration()
+        await sleep(ROUTE_APPLIED_S)
+        prefix = added_prefix(self.job_routes)
+        jobs = [f"job-{self.job_routes}-{number}" for number in range(JOBS_PER_CUT)]
+        submitted = [start_task(self._submit_job(job_id, prefix)) for job_id in jobs]
+        await sleep(self.rng.uniform(*CUT_AFTER_CHANGE_S))
+        island.heal()
+        await gatherResults(submitted)
+        self.fault_times_s[CUT_OFF].append((began_s, reactor.seconds()))
+
     async def _break_replica(self) -> None:
         replica = self.rng.choice(self.world.replicas)
         fault = self.rng.choice(["cut", "shed"])
@@ -408,7 +466,9 @@
         """Put a configuration in the store; callers use the last key from now on."""
         self.world.api_key = keys[-1]
         teams = [{"name": "yard", "apiKeys": list(keys)}, CAPPED_TEAM]
-        document = {**make_configuration(self.config_version), "tenants": teams}
+        changes = {"maxWaitS": LONG_WAIT_S} if self.cuts else {}
+        routes = make_configuration(self.config_version, self.job_routes, **changes)
+        document = {**routes, "tenants": teams}
         self.world.store.put("config", "main", document)
 
     def _end_faults(self) -> None:
@@ -509,6 +569,16 @@
             ):
                 self.violations.append(f"{child.name} has printed an API key")
 
+    def _lines_of_end(self, job_id: str) -> list[str]:
+        """Return the log lines in which items of a job were given up."""
+        named = [f'"name":"{name}"' for name in ("items_lost", "item_failed", "result_too_large")]
+        return [
+            f"{child.name}: {line}"
+            for child in self.world.children.values()
+            for line in child.printed.splitlines()
+            if f'"job":"{job_id}"' in line and any(name in line for name in named)
+        ]
+
     async def _check_job(self, job_id: str) -> None:
         results_by_entry = []
         for port in self.world.caller_ports.values():
@@ -526,17 +596,28 @@
                 f" {[result[0] for result in results_by_entry[0]]}"
             )
         for item, state, text in results_by_entry[0]:
-            if (state, text) != ("completed", TEXT):
+            if (state, text) != ("completed", item_text(self.item_suffix)):
                 self.violations.append(f"{item}: {state}, {len(text)} characters")
+                self.violations += self._lines_of_end(job_id)
+
+
+def item_text(suffix: str) -> str:
+    """Return the text of an item whose replicas write a suffix at the end of each event."""
+    return "\n".join(f"piece {n}{suffix}" for n in range(1, EVENTS_PER_STREAM + 1))
 
 
 async def run_soak(
-    seconds: float, seed: int, large: bool = False, parts: bool = False, alike: bool = False
+    seconds: float,
+    seed: int,
+    large: bool = False,
+    parts: bool = False,
+    alike: bool = False,
+    cuts: bool = False,
 ) -> Report:
     """Run one soak with its own stand-ins and processes."""
     world = SiteWorld()
     try:
-        return await Soak(world, seed, large, parts, alike).run(seconds)
+        return await Soak(world, seed, large, parts, alike, cuts).run(seconds)
     finally:
         await world.close()
 
@@ -552,6 +633,9 @@
     parser.add_argument(
         "--parts", action="store_true", help="crash replicas by a part of different prompts"
     )
+    parser.add_argument(
+        "--cuts", action="store_true", help="cut a keeper off while routes are added"
+    )
     options = parser.parse_args()
     exit_code = [1]
 
@@ -566,7 +650,9 @@
         reactor.stop()
 
     def start() -> None:
-        soak = run_soak(options.seconds, options.seed, options.large, options.parts)
+        soak = run_soak(
+            options.seconds, options.seed, options.large, options.parts, cuts=options.cuts
+        )
         Deferred.fromCoroutine(soak).addBoth(on_finished)
 
     reactor.callWhenRunning(start)
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -21,6 +21,7 @@
 from misc.ports import PortReservations
 from papayapier import events
 from tests.scenario.processes import ChildProcess, start_process
+from tests.site.network import Island
 from tests.site.replicas import StandinReplica
 from tests.site.store import StandinStore
 
@@ -52,8 +53,13 @@
     request_id: str
 
 
-def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Return an operator's configuration; changes are applied to every route."""
+def make_configuration(
+    version: int = 1, added_job_routes: int = 0, **changes: Any
+) -> dict[str, Any]:
+    """Return an operator's configuration; changes are applied to every route.
+
+    The prefixes of added routes for jobs are those of added_prefix.
+    """
     limits = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 100_000,
@@ -87,6 +93,11 @@
             "maxWaitS": 60,
         },
     ]
+    job = routes[-1]
+    routes += [
+        {**job, "name": f"added-{number}", "pathPrefix": added_prefix(number)}
+        for number in range(1, added_job_routes + 1)
+    ]
     return {
         "version": version,
         "routes": [{**common, **route, **changes} for route in routes],
@@ -95,6 +106,11 @@
     }
 
 
+def added_prefix(number: int) -> str:
+    """Return the prefix of an added route for jobs."""
+    return f"/added-{number}/"
+
+
 class SiteWorld:
     """Own the stand-ins and the processes of one test."""
 
@@ -122,6 +138,9 @@
         self.api_key = ""
         self.caller_ports: dict[str, int] = {}
         self.readiness_ports: dict[str, int] = {}
+        self.peer_ports: dict[str, int] = {}
+        # The proxies around processes that a test may cut off, by name.
+        self.islands: dict[str, Island] = {}
         self.agent = _Agent(reactor, connectTimeout=2, pool=_Pool(reactor, persistent=False))
 
     def replace_crashed(self, restart_delay_s: float = 0.0) -> None:
@@ -134,6 +153,8 @@
         """Start one more replica of the same service, which is also replaced after a crash."""
         other = StandinReplica(self.store, replica.service, replica.version)
         other.events_per_stream = replica.events_per_stream
+        other.item_suffix = replica.item_suffix
+        other.item_interval_s = replica.item_interval_s
         self.replicas.append(other)
         if replica.on_crash is not None:
             self._replace_on_crash(other)
@@ -226,13 +247,26 @@
         disk.mkdir(exist_ok=True)
         self._start(name, "keeper", {"jobs": {"folder": str(disk)}})
 
+    async def start_island(self, name: str) -> None:
+        """Start a keeper behind proxies, after all other processes."""
+        self.peer_ports[name] = self._ports.reserve()
+        others = {other: port for other, port in self.peer_ports.items() if other != name}
+        store_port = int(self.store.address.rpartition(":")[2])
+        island = Island(store_port, self.peer_ports[name], others, self._ports.reserve)
+        self.islands[name] = island
+        self.start_keeper(name)
+        await self.wait_until(partial(_has_started, self.children[name]), f"{name} starts")
+
     def _start(self, name: str, role: str, role_settings: dict[str, Any], *arguments: str) -> None:
+        island = self.islands.get(name)
+        store_address = f"127.0.0.1:{island.store.listen_port}" if island else self.store.address
+        self.peer_ports.setdefault(name, self._ports.reserve())
         instance = {"id": name, "data_centre": "z1", "region": "r1", "host": "127.0.0.1"}
         settings = {
             "instance": instance,
-            "store": {"address": self.store.address, "reads_per_s": 2000, "writes_per_s": 400},
+            "store": {"address": store_address, "reads_per_s": 2000, "writes_per_s": 400},
             "stop": {"within_s": 8, "balancer_lag_ms": 500},
-            "peer": {"port": self._ports.reserve(), **self.peer_settings},
+            "peer": {"port": self.peer_ports[name], **self.peer_settings},
             "allowance": {"window_s": 5, "overrun": 0.1, "slack": 20},
             "placing": self.placing_settings,
             "memory": self.memory_settings,
@@ -284,13 +318,18 @@
         return Reply(response.code, response.headers, await read)
 
     async def submit(
-        self, port: int, job_id: str, items: int = 3, prompts: Sequence[Mapping[str, str]] = ()
+        self,
+        port: int,
+        job_id: str,
+        items: int = 3,
+        prompts: Sequence[Mapping[str, str]] = (),
+        prefix: str = "/",
     ) -> Reply:
-        """Submit a batch job; prompts are the headers of its first items."""
+        """Submit a batch job on the route of a prefix; prompts are headers of its first items."""
         job_items = [
             {
                 "id": f"{job_id}-{number}",
-                "path": f"/job/{number}",
+                "path": f"{prefix}job/{number}",
                 "headers": dict(prompts[number]) if number < len(prompts) else {"X-Model": "m"},
                 "body": base64.b64encode(b"ask").decode(),
                 "tokens": 10,
@@ -298,7 +337,8 @@
             for number in range(items)
         ]
         body = json.dumps({"items": job_items}).encode()
-        return await self.send(port, "POST", f"/job/{job_id}", body, X_Request_Id=job_id)
+        path = f"{prefix}job/{job_id}"
+        return await self.send(port, "POST", path, body, X_Request_Id=job_id)
 
     async def results(self, port: int, job_id: str, wanted: int) -> list[dict[str, str]]:
         """Read the results of a job from the start until there are as many as wanted."""
@@ -332,6 +372,8 @@
         for restart in self._restarts:
             if restart.active():
                 restart.cancel()
+        for island in self.islands.values():
+            island.cut()
         for replica in self.replicas:
             await replica.close()
         await self.store.close()
