--- a/tests/test_site_cuts.py
+++ b/tests/test_site_cuts.py
@@ -22,5 +22,5 @@
         assert report.faults["cut_off"] > 0
 
     def test_a_short_soak_with_routes_added_during_cuts(self) -> Any:
-        """Guard against a keeper that is back and gives up jobs on a route that it does not know."""
+        """Guard against a keeper that gives up jobs on a route added while it was cut off."""
         return Deferred.fromCoroutine(self._soak())
