--- a/tests/site/network.py
+++ b/tests/site/network.py
@@ -19,7 +19,7 @@
 LOOPBACK: Final = "127.0.0.1"
 
 
-class Line(_ProxyFactory):  # type: ignore[misc]
+class PortForward(_ProxyFactory):  # type: ignore[misc]
     """Forward connections of one port to another; there and back are pairs of replaced bytes."""
 
     noisy = False
@@ -32,9 +32,9 @@
         self.back: list[tuple[bytes, bytes]] = []
         self.open: set[Any] = set()
         self._listening: Any = None
-        self.heal()
+        self.restore()
 
-    def heal(self) -> None:
+    def restore(self) -> None:
         """Accept connections."""
         if self._listening is None:
             self._listening = reactor.listenTCP(self.listen_port, self, interface=LOOPBACK)
@@ -68,17 +68,17 @@
     """Forward what the target answers."""
 
     def connectionMade(self) -> None:  # noqa: N802
-        self.line = self.peer.factory
-        self.line.open.add(self)
+        self.forward = self.peer.factory
+        self.forward.open.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        self.line.open.discard(self)
+        self.forward.open.discard(self)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.peer is not None:
-            super().dataReceived(_replace(data, self.line.back))
+            super().dataReceived(_replace(data, self.forward.back))
 
 
 class _TargetFactory(_ProxyClientFactory):  # type: ignore[misc]
@@ -86,7 +86,7 @@
     noisy = False
 
 
-class Island:
+class ProcessProxies:
     """Own the proxies around one process.
 
     own_port is its peer port, others are those of the other processes by name. reserve returns a
@@ -100,31 +100,31 @@
         others: Mapping[str, int],
         reserve: Callable[[], int],
     ) -> None:
-        self.store = Line(reserve(), store_port)
-        inward = Line(reserve(), own_port)
-        outward = [Line(reserve(), port) for port in others.values()]
-        self._lines = [self.store, inward, *outward]
+        self.store = PortForward(reserve(), store_port)
+        inward = PortForward(reserve(), own_port)
+        outward = [PortForward(reserve(), port) for port in others.values()]
+        self._forwards = [self.store, inward, *outward]
         own = [*_forms(own_port, inward.listen_port)]
         own_back = [*_forms(inward.listen_port, own_port)]
         shown = [
             form
-            for port, line in zip(others.values(), outward, strict=True)
-            for form in _forms(port, line.listen_port)
+            for port, forward in zip(others.values(), outward, strict=True)
+            for form in _forms(port, forward.listen_port)
         ]
         self.store.there, self.store.back = own, [*shown, *own_back]
         inward.there, inward.back = [*shown, *own_back], own
-        for line in outward:
-            line.there, line.back = own, [*shown, *own_back]
+        for forward in outward:
+            forward.there, forward.back = own, [*shown, *own_back]
 
     def cut(self) -> None:
         """Cut the process off from the store and from all other processes."""
-        for line in self._lines:
-            line.cut()
+        for forward in self._forwards:
+            forward.cut()
 
-    def heal(self) -> None:
+    def restore(self) -> None:
         """Let the process reach everybody again."""
-        for line in self._lines:
-            line.heal()
+        for forward in self._forwards:
+            forward.restore()
 
 
 def _forms(port: int, replaced_by: int) -> list[tuple[bytes, bytes]]:
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -88,7 +88,7 @@
 
 
 # The keeper that is cut off, and the jobs that are submitted meanwhile.
-CUT_OFF: Final = "keeper-island"
+CUT_OFF: Final = "keeper-cut-off"
 JOBS_PER_CUT: Final = 5
 # Far longer than a run takes, so that no item may be given up.
 LONG_WAIT_S: Final = 600
@@ -180,7 +180,7 @@
                 replica.item_interval_s = ITEM_INTERVAL_S
         await self.world.start(entries=2, keepers=3 if self.large else 2)
         if self.cuts:
-            await self.world.start_island(CUT_OFF)
+            await self.world.start_behind_proxies(CUT_OFF)
         self.world.replace_crashed()
         if self.parts:
             self.world.crash_parts.add(CRASHING_PART)
@@ -375,9 +375,9 @@
 
     async def _cut_off(self) -> None:
         """Cut a keeper off, add a route for jobs meanwhile, and submit jobs on it."""
-        island = self.world.islands[CUT_OFF]
+        proxies = self.world.proxies[CUT_OFF]
         began_s = reactor.seconds()
-        island.cut()
+        proxies.cut()
         await sleep(self.rng.uniform(*CUT_BEFORE_CHANGE_S))
         self.job_routes += 1
         await self._change_configuration()
@@ -386,7 +386,7 @@
         jobs = [f"job-{self.job_routes}-{number}" for number in range(JOBS_PER_CUT)]
         submitted = [start_task(self._submit_job(job_id, prefix)) for job_id in jobs]
         await sleep(self.rng.uniform(*CUT_AFTER_CHANGE_S))
-        island.heal()
+        proxies.restore()
         await gatherResults(submitted)
         self.fault_times_s[CUT_OFF].append((began_s, reactor.seconds()))
 
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -21,7 +21,7 @@
 from misc.ports import PortReservations
 from papayapier import events
 from tests.scenario.processes import ChildProcess, start_process
-from tests.site.network import Island
+from tests.site.network import ProcessProxies
 from tests.site.replicas import StandinReplica
 from tests.site.store import StandinStore
 
@@ -140,7 +140,7 @@
         self.readiness_ports: dict[str, int] = {}
         self.peer_ports: dict[str, int] = {}
         # The proxies around processes that a test may cut off, by name.
-        self.islands: dict[str, Island] = {}
+        self.proxies: dict[str, ProcessProxies] = {}
         self.agent = _Agent(reactor, connectTimeout=2, pool=_Pool(reactor, persistent=False))
 
     def replace_crashed(self, restart_delay_s: float = 0.0) -> None:
@@ -247,19 +247,19 @@
         disk.mkdir(exist_ok=True)
         self._start(name, "keeper", {"jobs": {"folder": str(disk)}})
 
-    async def start_island(self, name: str) -> None:
+    async def start_behind_proxies(self, name: str) -> None:
         """Start a keeper behind proxies, after all other processes."""
         self.peer_ports[name] = self._ports.reserve()
         others = {other: port for other, port in self.peer_ports.items() if other != name}
         store_port = int(self.store.address.rpartition(":")[2])
-        island = Island(store_port, self.peer_ports[name], others, self._ports.reserve)
-        self.islands[name] = island
+        proxies = ProcessProxies(store_port, self.peer_ports[name], others, self._ports.reserve)
+        self.proxies[name] = proxies
         self.start_keeper(name)
         await self.wait_until(partial(_has_started, self.children[name]), f"{name} starts")
 
     def _start(self, name: str, role: str, role_settings: dict[str, Any], *arguments: str) -> None:
-        island = self.islands.get(name)
-        store_address = f"127.0.0.1:{island.store.listen_port}" if island else self.store.address
+        proxies = self.proxies.get(name)
+        store_address = f"127.0.0.1:{proxies.store.listen_port}" if proxies else self.store.address
         self.peer_ports.setdefault(name, self._ports.reserve())
         instance = {"id": name, "data_centre": "z1", "region": "r1", "host": "127.0.0.1"}
         settings = {
@@ -372,8 +372,8 @@
         for restart in self._restarts:
             if restart.active():
                 restart.cancel()
-        for island in self.islands.values():
-            island.cut()
+        for proxies in self.proxies.values():
+            proxies.cut()
         for replica in self.replicas:
             await replica.close()
         await self.store.close()
