Stop the streams of a stand-in replica when it is closed

All its checks had passed; trial found three timers of _write_event, for the items of the job at their fourth event. The processes had just been killed while a keeper ran the items again, which is allowed, and a stream whose process is gone is noticed only at its next event, up to half a second later in the soak of cuts.

Fix: close() cancels the next event of each stream. No check is changed. test_a_closed_replica_writes_no_more_events fails on the stand-in before.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -57,6 +57,8 @@
         # Written at the end of each event of an item, and the time between two of these.
         self.item_suffix = ""
         self.item_interval_s = EVENT_INTERVAL_S
+        # The next event of each open stream.
+        self._next_events: dict[Any, Any] = {}
         self.hang = False
         self.shed = False
         self.should_fail: Callable[[Any], bool] = never_fails
@@ -109,6 +111,9 @@
         """Stop serving."""
         if self._removal is not None and self._removal.active():
             self._removal.cancel()
+        for timer in self._next_events.values():
+            if timer.active():
+                timer.cancel()
         if not self._port.disconnected:
             await self._port.stopListening()
 
@@ -170,13 +175,18 @@
             return b"whole answer"
         last_event = int(request.getHeader("Last-Event-Id") or 0)
         request.setHeader("Content-Type", "text/event-stream")
-        reactor.callLater(EVENT_INTERVAL_S, self._write_event, request, last_event + 1, 1)
+        self._write_later(EVENT_INTERVAL_S, request, last_event + 1, 1)
         return NOT_DONE_YET
 
+    def _write_later(self, delay_s: float, request: Any, number: int, written: int) -> None:
+        timer = reactor.callLater(delay_s, self._write_event, request, number, written)
+        self._next_events[request] = timer
+
     def _on_finished(self, _reason: object) -> None:
         self.open_requests -= 1
 
     def _write_event(self, request: Any, number: int, written: int) -> None:
+        del self._next_events[request]
         if request._disconnected:
             return
         if number > self.events_per_stream:
@@ -194,7 +204,7 @@
             text += self.item_suffix
             interval_s = self.item_interval_s
         request.write(f"id: {number}\ndata: {text}\n\n".encode())
-        reactor.callLater(interval_s, self._write_event, request, number + 1, written + 1)
+        self._write_later(interval_s, request, number + 1, written + 1)
 
 
 def versions_in(received: bytes) -> set[bytes]:
--- a/tests/test_site_world.py
+++ b/tests/test_site_world.py
@@ -101,6 +101,25 @@
         # the crash of its replica, and the replica loss is withdrawn.
         return Deferred.fromCoroutine(self._kept_connection_is_closed())
 
+    async def _closed_during_a_stream(self) -> None:
+        replica = self.world.replicas[0]
+        replica.item_interval_s = 60.0
+        port = int(replica.address.rpartition(":")[2])
+        lines = ["POST /job/1 HTTP/1.1", "Host: h", "X-Request-Id: r", "Content-Length: 0"]
+        lines += [f"X-Expect-Instance: {replica.id}", "", ""]
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.sendall("\r\n".join(lines).encode())
+            while not replica.started_requests:
+                await sleep(CRASH_DELAY_S)
+            await replica.close()
+            pending = [call for call in reactor.getDelayedCalls() if "_write_event" in str(call)]
+        await sleep(CRASH_DELAY_S)
+        assert pending == []
+
+    def test_a_closed_replica_writes_no_more_events(self) -> Any:
+        """Guard against a test that fails as a stream of an ended process was still written."""
+        return Deferred.fromCoroutine(self._closed_during_a_stream())
+
     async def _two_requests_crash_one_replica(self) -> None:
         pending = [start_task(self._send_crashing(0)) for _ in range(2)]
         await sleep(2 * CRASH_DELAY_S)
