Name the request and its silence when an exchange with a replica breaks off

The lines 304 and 305 named the replica and the path only, so that they could not be matched with the request that was cut or refused, and did not say for how long its replica had been silent or whether its answer had begun.

--- a/papayapier/upstream/client.py
+++ b/papayapier/upstream/client.py
@@ -85,6 +85,7 @@
         call.due_ms,
         call.new_connection,
         call.first_byte_ms,
+        call.request_id,
     )
 
 
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -26,7 +26,10 @@
 
 
 class OutgoingRequest(NamedTuple):
-    """Describe a request; due_ms is monotonic, first_byte_ms of 0 means the settings' limit."""
+    """Describe a request; due_ms is monotonic, first_byte_ms of 0 means the settings' limit.
+
+    request_id names it in log lines, if it has one.
+    """
 
     method: str
     path: str
@@ -35,6 +38,7 @@
     due_ms: int
     new_connection: bool
     first_byte_ms: int = 0
+    request_id: str = ""
 
 
 class ResponseHead(NamedTuple):
@@ -255,10 +259,13 @@
         if event is not None:
             events.emit(
                 event,
+                request=self._outgoing.request_id,
                 replica=self._replica.id,
                 path=self._outgoing.path,
                 reason=fault.reason,
                 fresh=self._lease.is_new,
+                silent_ms=self._clock.now() - self._last_progress_ms,
+                begun=self._body_started,
             )
         return Failure(
             fault.kind, self._sent, fault.reason, fault.status, self._lease.is_new, self._refused
--- a/papayapier/upstream/forward_call.py
+++ b/papayapier/upstream/forward_call.py
@@ -131,6 +131,7 @@
             call.due_ms,
             call.fresh,
             call.first_byte_ms,
+            call.request_id,
         )
         result = await pools.run(replica, outgoing, reader.handler())
         if reader.metadata is not None and reader.metadata.load is not None:
