--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -41,7 +41,7 @@
     request with CRASH_MARKER in its path ends the replica, and on_crash is called then. A replica
     with a software version lists it, and names it in each event that it writes. A request whose
     prompt shares one of crash_parts ends the replica; on_crash_part is called with the part and the
-    request's id.
+    request's id. fall_silent stops all work for some time; connections stay open.
     """
 
     isLeaf = True  # noqa: N815
@@ -59,6 +59,9 @@
         self.item_interval_s = EVENT_INTERVAL_S
         # The next event of each open stream.
         self._next_events: dict[Any, Any] = {}
+        self._silent_until_s = 0.0
+        # Requests that arrived during a silence, and when they are looked at.
+        self._unread: dict[Any, Any] = {}
         self.hang = False
         self.shed = False
         self.should_fail: Callable[[Any], bool] = never_fails
@@ -107,8 +110,27 @@
         self.boot_number += 1
         self.register("ready")
 
+    def fall_silent(self, seconds: float) -> None:
+        """Do nothing for some time, then go on where it was; the kernel still accepts bytes."""
+        self._silent_until_s = reactor.seconds() + seconds
+
+    def _silence_left_s(self) -> float:
+        return max(0.0, self._silent_until_s - reactor.seconds())
+
+    def _read_late(self, request: Any) -> None:
+        del self._unread[request]
+        if request._disconnected:
+            return
+        result = self.render(request)
+        if result is not NOT_DONE_YET:
+            request.write(result)
+            request.finish()
+
     async def close(self) -> None:
         """Stop serving."""
+        for timer in self._unread.values():
+            if timer.active():
+                timer.cancel()
         if self._removal is not None and self._removal.active():
             self._removal.cancel()
         for timer in self._next_events.values():
@@ -139,6 +161,10 @@
             request.transport.abortConnection()
             return NOT_DONE_YET
         self._channels.add(request.channel)
+        if self._silence_left_s():
+            timer = reactor.callLater(self._silence_left_s(), self._read_late, request)
+            self._unread[request] = timer
+            return NOT_DONE_YET
         request_id = request.getHeader("X-Request-Id")
         if request.getHeader("X-Expect-Instance") != self.id:
             return _refuse(request, 421)
@@ -189,6 +215,9 @@
         del self._next_events[request]
         if request._disconnected:
             return
+        if self._silence_left_s():
+            self._write_later(self._silence_left_s(), request, number, written)
+            return
         if number > self.events_per_stream:
             request.finish()
             return
