Keep an answer open while its replica is silent, unless another can take it

What callers saw: a stream that may run once was cut 2.1 s after its request when its replica was silent for 2.6 s, and a stream that can be resumed was cut when the move to another replica failed.

Cause: an exchange ended once nothing was received for progress_ms after the first byte of the body, or for first_byte_ms or a learnt limit before it. What was to happen instead was decided afterwards: for a request that may not run twice, without attempts or retries left, or without another replica that has room, nothing was left but to cut or refuse it, although its replica would have gone on.

Change: a silence is reported to the sender, once at the limit and then every half second. The sender looks for another replica with room, at the placer where there is one, and gives up the silent one only when it has found it and bytes have not arrived meanwhile. Otherwise the answer stays open until the request's own time is over. A new connection that is not established is given up as before. The line 235 says what was decided and why, 211 how long the longest silence was, and the metric `silences` counts the decisions. A silence that is waited for counts against its replica in routing and at the placer, as the cut did.

--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -16,6 +16,7 @@
     from papayapier.clock import Clock
     from papayapier.config.profiles import Profile
     from papayapier.dispatch.crash_watch import CrashWatch, GetParts
+    from papayapier.dispatch.silent_sends import SilentSend
     from papayapier.metrics import Metrics
     from papayapier.policy.admission import AdmissionQueue
     from papayapier.policy.first_byte import FirstByteTimes
@@ -112,11 +113,13 @@
     __slots__ = (
         "began_ms",
         "failed_answer",
+        "found",
         "history",
         "placed_sends",
         "placed_with_capacity",
         "placement_ms",
         "replicas",
+        "silent_ms",
         "stream",
         "stream_version",
         "version",
@@ -140,6 +143,10 @@
         # Sends whose replica a placer chose; for the others it was chosen here.
         self.placed_sends = 0
         self.failed_answer: ForwardAnswer | None = None
+        # The replica for which a silent one was given up, until the next send.
+        self.found: Replica | None = None
+        # The longest silence of a replica.
+        self.silent_ms = 0
         # The software version that began the stream, None before its first event.
         self.stream_version = req.stream_version
 
@@ -155,6 +162,11 @@
             else None
         )
 
+    def on_send_ended(self, silent_send: "SilentSend") -> None:
+        """Record what the silence of a replica has led to."""
+        self.found = silent_send.found
+        self.silent_ms = max(self.silent_ms, silent_send.longest_ms)
+
     def last_event(self) -> int:
         """Return the last event that the caller has received, or NO_EVENT."""
         return self.stream.last_event() if self.stream is not None else NO_EVENT
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -11,6 +11,7 @@
 
 from papayapier import events
 from papayapier.dispatch.failure_attribution import counts_against_replica
+from papayapier.dispatch.forward_placement import choose_for_send, track_silence
 from papayapier.dispatch.forward_state import ForwardDeps, ForwardProgress, RawRequest
 from papayapier.dispatch.outcome_checks import correct_outcome
 from papayapier.dispatch.relayed_stream import CallerStream
@@ -27,26 +28,18 @@
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.policy.first_byte import NO_LIMIT
-from papayapier.policy.placers import PlacementNeeds
 from papayapier.policy.retries import GiveUp, Retry
-from papayapier.policy.routing import RouteRequest, pick_replica
-from papayapier.policy.stream_versions import replicas_of_version, version_gone_refusal
-from papayapier.policy.waiting import start_by_ms, wait_limit_ms
-from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent
 from papayapier.upstream.event_splitter import NO_EVENT
 from papayapier.upstream.forward_call import ForwardAnswer, ForwardCall, ForwardedAnswer
 
 if TYPE_CHECKING:
     from papayapier.dispatch.crash_watch import CrashWatch
 
-NO_REPLICA_RETRY_MS: Final = 200
 # Failures of a replica that is unreachable, removed, or resets each connection and so looks idle.
 NO_ANSWER_KINDS: Final = frozenset(
     {FailureKind.TIMED_OUT, FailureKind.CONNECT, FailureKind.TRUNCATED}
 )
-# After an answer that the request did not run, another replica is tried. This many rejections are
-# enough to find a free one among a dozen, and bound the cost of a request.
-MAX_REJECTIONS: Final = 4
 # Labels of the metric of resumed streams.
 SAME_VERSION: Final = "same"
 OTHER_VERSION: Final = "other"
@@ -114,7 +107,7 @@
         quarantine_refusal = get_quarantine_refusal(deps.crashes, req)
         if quarantine_refusal is not None:
             return Err(quarantine_refusal)
-        picked = await _pick(deps, req, progress)
+        picked = await choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
             return picked
         replica = picked.ok_value
@@ -168,6 +161,7 @@
         version=progress.version,
         placed=progress.placed_sends,
         held_ms=progress.placement_ms,
+        silent_ms=progress.silent_ms,
         waited_ms=progress.began_ms - req.arrived_ms,
         first_ms=(first_byte_ms or now) - progress.began_ms,
         run_ms=now - progress.began_ms,
@@ -188,85 +182,6 @@
     return Err(correct_outcome(refusal, progress.history.maybe_sent))
 
 
-async def _pick(
-    deps: ForwardDeps, req: RawRequest, progress: ForwardProgress
-) -> Result[Replica, Refusal]:
-    """Return the replica that a placer chose, or one chosen from local knowledge."""
-    upstream = req.profile.upstream
-    route = RouteRequest(
-        upstream,
-        req.prompt,
-        deps.data_centre,
-        progress.history.excluded,
-        idempotent=req.profile.idempotent,
-        includes_peers=True,
-        fresh=deps.peer_loads_are_fresh(),
-    )
-    progress.placed_with_capacity = False
-    if progress.stream_version is not None:
-        usable = deps.load_tracker.usable_replicas(upstream, deps.clock.now())
-        candidates = replicas_of_version(usable, progress.stream_version)
-        if not candidates:
-            return Err(version_gone_refusal(progress.stream_version))
-        route = route._replace(candidates=candidates)
-        if len(candidates) < len(usable):
-            # A placer would choose among all versions, and queue the stream ahead of new ones.
-            return _pick_locally(deps, req, route, progress)
-    requested_ms = deps.clock.now()
-    placed = await deps.place(route, _placement_times(deps, req, progress, requested_ms))
-    progress.placement_ms += deps.clock.now() - requested_ms
-    if placed.refusal is not None:
-        return Err(placed.refusal)
-    for replica in deps.load_tracker.usable_replicas(upstream, deps.clock.now()):
-        if replica.id == placed.replica and _may_run(progress, replica):
-            progress.placed_sends += 1
-            progress.placed_with_capacity = placed.has_capacity
-            return Ok(replica)
-    return _pick_locally(deps, req, route, progress)
-
-
-def _may_run(progress: ForwardProgress, replica: Replica) -> bool:
-    """Return whether a replica has the software version that began the stream, if it has begun."""
-    return progress.stream_version in (None, replica.version)
-
-
-def _pick_locally(
-    deps: ForwardDeps, req: RawRequest, route: RouteRequest, progress: ForwardProgress
-) -> Result[Replica, Refusal]:
-    picked = pick_replica(deps.load_tracker, deps.outliers, route, deps.rand, deps.clock.now())
-    if picked is None:
-        return Err(_no_replica(req))
-    began = progress.stream_version
-    if began is not None and picked.version != began:
-        return Err(version_gone_refusal(began))
-    return Ok(picked)
-
-
-def _placement_times(
-    deps: ForwardDeps, req: RawRequest, progress: ForwardProgress, now: int
-) -> PlacementNeeds:
-    """Return the remaining times until the request must start or be refused.
-
-    A request that has already been sent may not be refused with a request to retry.
-    """
-    typical_ms = deps.first_bytes.typical_ms(req.profile.upstream)
-    must_start_by_ms = start_by_ms(req.arrived_ms, req.objective_ms, typical_ms)
-    retry_by_ms = req.arrived_ms + wait_limit_ms(req.objective_ms)
-    caller_may_not_retry = not req.may_retry or progress.history.send_count > 0
-    return PlacementNeeds(
-        req.caller(),
-        req.rank,
-        max(1, must_start_by_ms - now),
-        max(1, req.due_ms - now - round(min(typical_ms, req.objective_ms))),
-        0 if caller_may_not_retry else max(0, retry_by_ms - now),
-    )
-
-
-def _no_replica(req: RawRequest) -> Refusal:
-    reason = f"upstream {req.profile.upstream} has no usable replica"
-    return not_run_refusal(ErrorKind.NO_UPSTREAM, reason, NO_REPLICA_RETRY_MS)
-
-
 async def _send_once(
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: ForwardProgress
 ) -> Result[ForwardedAnswer, Failure]:
@@ -279,11 +194,14 @@
     deps.outliers.on_start(replica.id, started_ms)
     deps.on_uses_changed()
     outlier_reported = False
+    silent_send = track_silence(deps, req, replica, progress)
     try:
-        call = _call(deps, req, replica, progress, started_ms)
+        call = _call(deps, req, replica, progress, started_ms, silent_send.on_silence)
         result = await deps.send(replica, call, progress.stream)
         outlier_reported = isinstance(result, Ok) or counts_against_replica(result.err_value)
     finally:
+        silent_send.close()
+        progress.on_send_ended(silent_send)
         deps.load_tracker.on_finished(replica.id, False, deps.clock.now())
         deps.on_uses_changed()
         if not outlier_reported:
@@ -333,7 +251,12 @@
 
 
 def _call(
-    deps: ForwardDeps, req: RawRequest, replica: Replica, progress: ForwardProgress, now: int
+    deps: ForwardDeps,
+    req: RawRequest,
+    replica: Replica,
+    progress: ForwardProgress,
+    now: int,
+    on_silence: OnSilence,
 ) -> ForwardCall:
     left_ms = req.due_ms - now
     attempts_left = req.profile.retry.attempts - progress.history.send_count + 1
@@ -355,6 +278,7 @@
         progress.history.fresh,
         req.stream,
         wait_ms,
+        on_silence,
     )
 
 
@@ -403,10 +327,7 @@
 ) -> Retry | GiveUp:
     history = progress.history
     earlier = history.record_failure(failure)
-    # A send that did not run does not count towards the attempts that the route allows.
-    counted = history.send_count - history.rejections
-    if history.rejections >= MAX_REJECTIONS:
-        counted = req.profile.retry.attempts
+    counted = history.counted_sends(req.profile.retry.attempts)
     return decide_retry(deps, req.profile, req.due_ms, replica, failure, earlier, counted)
 
 
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -9,8 +9,14 @@
 
 from papayapier import events
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
-from papayapier.policy.retries import GiveUp, Retry, failed_at, retry_or_refuse
-from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.policy.retries import (
+    GiveUp,
+    Retry,
+    failed_at,
+    may_retry_silent,
+    retry_or_refuse,
+)
+from papayapier.upstream.api import Failure, FailureKind, Replica, Sent, Silence
 
 if TYPE_CHECKING:
     import random
@@ -29,6 +35,11 @@
 SUSPECT_RETRY_MS: Final = 1_000
 
 
+# After an answer that the request did not run, another replica is tried. This many rejections are
+# enough to find a free one among a dozen, and bound the cost of a request.
+MAX_REJECTIONS: Final = 4
+
+
 class Claim(Enum):
     """State whether a request may be sent: now, after a new choice of replica, or not."""
 
@@ -94,6 +105,12 @@
         self.window_deadline_ms: int | None = None
         self.permit_deadline_ms: int | None = None
 
+    def counted_sends(self, attempts: int) -> int:
+        """Return how many of the allowed attempts are used up; a rejected send is none."""
+        if self.rejections >= MAX_REJECTIONS:
+            return attempts
+        return self.send_count - self.rejections
+
     def record_failure(self, failure: Failure) -> Sent:
         """Record a failed send and return whether an earlier one may have run."""
         earlier = Sent.MAYBE if self.maybe_sent else Sent.NO
@@ -129,6 +146,34 @@
     )
 
 
+def may_move_silent(
+    deps: RetryDeps, profile: "Profile", due_ms: int, replica: Replica, counted: int
+) -> bool:
+    """Return whether a request whose replica is silent could be sent again now.
+
+    counted sends use up the allowed attempts.
+    """
+    return may_retry_silent(
+        profile.idempotent,
+        counted,
+        profile.retry,
+        due_ms,
+        deps.clock.now(),
+        deps.budget,
+        profile.upstream,
+        failed_at(deps.load_tracker, replica),
+    )
+
+
+def excluded_while_silent(
+    history: SendHistory, replica: Replica, silence: Silence
+) -> frozenset[str]:
+    """Return the replicas to avoid; a reused connection may be at fault instead of its replica."""
+    if silence.reused and history.send_count <= 1:
+        return history.excluded
+    return history.excluded | {replica.id}
+
+
 async def prepare_retry(
     deps: RetryDeps,
     profile: "Profile",
--- /dev/null
+++ b/papayapier/dispatch/silent_sends.py
@@ -0,0 +1,112 @@
+"""Move a send away from a silent replica, but only once another replica can take it.
+
+A sound replica may fall silent and go on. Ending its answer helps nobody unless the request may be
+sent again and a replica has room for it, so that is found first: until then, and for requests that
+may not be repeated, the answer stays open until the due time. A replica that does not come back
+costs the wait for that time.
+"""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from papayapier import events
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from papayapier.metrics import Metrics
+    from papayapier.upstream.api import Replica, Silence
+
+# Labels of the metric of silences, and decisions in log lines.
+MOVED = "moved"
+WAITING = "waiting"
+
+
+class SilentSendDeps(NamedTuple):
+    """Group the dependencies of one send.
+
+    may_move returns whether the request may be sent again now. find_other returns another replica
+    with room for it, or None; on_waiting is called once if the answer stays open.
+    """
+
+    request_id: str
+    replica: "Replica"
+    metrics: "Metrics"
+    may_move: "Callable[[], bool]"
+    find_other: "Callable[[Silence], Awaitable[Replica | None]]"
+    on_waiting: "Callable[[Silence], None]"
+
+
+class SilentSend:
+    """Track the silence of one send; found is the replica for which it was given up."""
+
+    __slots__ = ("_deps", "_search", "_searching", "_waits", "found", "longest_ms")
+
+    def __init__(self, deps: SilentSendDeps) -> None:
+        self._deps = deps
+        self._search: Deferred[None] | None = None
+        self._searching = False
+        self._waits = False
+        self.found: Replica | None = None
+        self.longest_ms = 0
+
+    def on_silence(self, silence: "Silence") -> None:
+        """Look for another replica, unless the request may not be moved."""
+        self.longest_ms = max(self.longest_ms, silence.silent_ms)
+        if self._searching:
+            return
+        if not self._deps.may_move():
+            self._wait(silence, "it may not be sent again")
+            return
+        self._searching = True
+        search = Deferred.fromCoroutine(self._move(silence))
+        search.addErrback(_on_failure, self._deps.request_id)
+        if self._searching:
+            self._search = search
+
+    def close(self) -> None:
+        """Stop looking; the send has ended."""
+        search, self._search = self._search, None
+        if search is not None:
+            search.cancel()
+
+    async def _move(self, silence: "Silence") -> None:
+        try:
+            found = await self._deps.find_other(silence)
+        finally:
+            self._searching = False
+        # Ending the send closes this object, which must not cancel this coroutine.
+        self._search = None
+        if found is None:
+            self._wait(silence, "no other replica has room")
+            return
+        # Set first, because ending the send continues the request at once.
+        self.found = found
+        if silence.end():
+            self._log(silence, MOVED, found.id)
+        else:
+            self.found = None
+
+    def _wait(self, silence: "Silence", reason: str) -> None:
+        if not self._waits:
+            self._waits = True
+            self._deps.on_waiting(silence)
+        self._log(silence, WAITING, reason)
+
+    def _log(self, silence: "Silence", decision: str, detail: str) -> None:
+        self._deps.metrics.silences.labels(self._deps.replica.upstream, decision).inc()
+        events.emit(
+            events.SEND_SILENT,
+            request=self._deps.request_id,
+            replica=self._deps.replica.id,
+            silent_ms=silence.silent_ms,
+            decision=decision,
+            detail=detail,
+        )
+
+
+def _on_failure(failure: object, request_id: str) -> None:
+    error = getattr(failure, "value", failure)
+    if not isinstance(error, CancelledError):
+        events.emit(events.SEARCH_FAILED, request=request_id, reason=repr(error))
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -218,6 +218,18 @@
     Level.INFO,
     "request with a quarantined part is sent, to find out whether it still crashes replicas",
 )
+SEND_SILENT: Final = Event(
+    235,
+    "send_silent",
+    Level.INFO,
+    "a replica is silent while its answer is open, the request is moved or waits",
+)
+SEARCH_FAILED: Final = Event(
+    236,
+    "search_failed",
+    Level.ERROR,
+    "looking for another replica ended by an unexpected exception",
+)
 
 REPLICA_EJECTED: Final = Event(
     301, "replica_ejected", Level.WARNING, "replica ejected, it gets no calls for now"
--- a/papayapier/metrics.py
+++ b/papayapier/metrics.py
@@ -28,6 +28,7 @@
     streams_resumed: Counter
     sends_lost: Counter
     sends_lost_unanswered: Counter
+    silences: Counter
     works_held: Gauge
     parts_held: Gauge
     upstream_calls: Counter
@@ -84,6 +85,12 @@
             ["kind"],
             registry=reg,
         ),
+        silences=Counter(
+            name + "silences",
+            "Notifications of a replica's silence under an open answer",
+            ["upstream", "decision"],
+            registry=reg,
+        ),
         works_held=Gauge(name + "works_held", "Quarantined request fingerprints", registry=reg),
         parts_held=Gauge(name + "parts_held", "Quarantined parts of prompts", registry=reg),
         upstream_calls=Counter(
--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -117,16 +117,24 @@
         """Count a request, which adds its share of a retry to the budget."""
         self._window(upstream).add_request(now // self._bucket_ms)
 
-    def try_spend(self, upstream: str, now: int) -> bool:
-        """Take one retry out of the budget if there is one."""
+    def has_retry(self, upstream: str, now: int) -> bool:
+        """Return whether the budget has one more retry."""
         bucket = now // self._bucket_ms
         window = self._window(upstream)
         allowed = max(float(self._floor), self._share * window.requests(bucket))
-        if window.retries(bucket) + 1 > allowed:
+        return window.retries(bucket) + 1 <= allowed
+
+    def try_spend(self, upstream: str, now: int) -> bool:
+        """Take one retry out of the budget if there is one."""
+        if not self.has_retry(upstream, now):
             return False
-        window.add_retry(bucket)
+        self._window(upstream).add_retry(now // self._bucket_ms)
         return True
 
+    def has_retry_for_lost_replica(self, upstream: str, at: FailedAt, now: int) -> bool:
+        """Return whether a call that was open at a crashed replica may be retried."""
+        return self._has_lost_share(upstream, at, now) or self.has_retry(upstream, now)
+
     def spend_for_lost_replica(self, upstream: str, at: FailedAt, now: int) -> bool:
         """Take a retry of a call that was open at a crashed replica, up to as many as it has slots.
 
@@ -134,14 +142,17 @@
         and only its shared budget is left. Without this separate limit, six calls on one of two
         engines left the sixth without a retry, while the other engine had seven free slots.
         """
-        bucket = now // self._bucket_ms
-        window = self._window(upstream)
-        lost = window.lost_by_replica(bucket)
+        if not self._has_lost_share(upstream, at, now):
+            return self.try_spend(upstream, now)
+        self._window(upstream).add_lost(at.replica, now // self._bucket_ms)
+        return True
+
+    def _has_lost_share(self, upstream: str, at: FailedAt, now: int) -> bool:
+        lost = self._window(upstream).lost_by_replica(now // self._bucket_ms)
         replicas_with_losses = len(lost.keys() | {at.replica})
-        if lost.get(at.replica, 0) < at.slots and replicas_with_losses <= max(1, at.replicas // 2):
-            window.add_lost(at.replica, bucket)
-            return True
-        return self.try_spend(upstream, now)
+        return lost.get(at.replica, 0) < at.slots and replicas_with_losses <= max(
+            1, at.replicas // 2
+        )
 
     def _window(self, upstream: str) -> _Window:
         return self._windows.setdefault(upstream, _Window())
@@ -190,6 +201,25 @@
     )
 
 
+def may_retry_silent(
+    idempotent: bool,
+    attempts_made: int,
+    rule: RetryRule,
+    due_ms: int,
+    now: int,
+    budget: RetryBudget,
+    upstream: str,
+    at: FailedAt,
+) -> bool:
+    """Return whether retry_or_refuse would retry a call if its silent replica were given up now.
+
+    attempts_made includes the attempt at the silent replica.
+    """
+    if not idempotent or attempts_made >= rule.attempts or now + MAX_BACKOFF_MS >= due_ms:
+        return False
+    return budget.has_retry_for_lost_replica(upstream, at, now)
+
+
 def _only_connection(failure: Failure, attempts_made: int) -> bool:
     """Tell whether the connection is more likely at fault than the replica.
 
--- a/papayapier/policy/routing.py
+++ b/papayapier/policy/routing.py
@@ -185,6 +185,11 @@
     return None
 
 
+def has_room(load_tracker: LoadTracker, replica: Replica, now: int) -> bool:
+    """Return whether a replica would start one more online call soon."""
+    return not _full(load_tracker, replica, now)
+
+
 def _full(load_tracker: LoadTracker, replica: Replica, now: int) -> bool:
     return _free(load_tracker, replica, now) <= 0.0
 
--- a/papayapier/upstream/api.py
+++ b/papayapier/upstream/api.py
@@ -32,6 +32,22 @@
         return self.announced_name or self.id
 
 
+class Silence(NamedTuple):
+    """Report that a replica has sent nothing for silent_ms after the request was written.
+
+    reused says that the connection was not new, so that it may be at fault instead of the replica.
+    end ends the send as timed out, unless bytes have arrived meanwhile; it returns whether the
+    send has ended by it.
+    """
+
+    silent_ms: int
+    reused: bool
+    end: Callable[[], bool]
+
+
+OnSilence = Callable[[Silence], None]
+
+
 class Call(NamedTuple):
     """Describe one request to a replica; its text fields are sent unchanged.
 
@@ -39,7 +55,8 @@
     monotonic clock. new_connection requires a new connection instead of an idle one from the pool.
     plain_service marks the replica as a plain service even if the path is one of a model engine's;
     the answer of a plain service is passed on unchanged, whatever its status. first_byte_ms of 0
-    applies the limit of the settings.
+    applies the limit of the settings. on_silence is called when the replica is silent beyond a
+    limit, and again while it remains so; without it, silence ends the call.
     """
 
     call_id: str
@@ -53,6 +70,7 @@
     new_connection: bool = False
     plain_service: bool = False
     first_byte_ms: int = 0
+    on_silence: OnSilence | None = None
 
 
 class Sent(Enum):
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -1,8 +1,12 @@
 """Run one HTTP exchange with a replica within its time limits.
 
 An exchange has one timer. Received bytes only update a timestamp; when the timer fires, it
-compares the timestamp with the limit and either ends the exchange or restarts itself. So a
-stream needs no timer per token.
+compares the timestamp with the limit and either acts or restarts itself. So a stream needs no
+timer per token.
+
+A replica may fall silent and go on. A request with on_silence is therefore not ended by silence:
+its sender is notified, and decides whether something better can be done than to wait. A new
+connection that is not established has carried nothing, and is always given up.
 """
 
 from collections.abc import Callable
@@ -20,7 +24,7 @@
 from papayapier.clock import Clock, Timer
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.settings import UpstreamSettings
-from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
+from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent, Silence
 from papayapier.upstream.phases import Fault, make_phases
 from papayapier.upstream.pool import ReplicaPool
 
@@ -28,7 +32,8 @@
 class OutgoingRequest(NamedTuple):
     """Describe a request; due_ms is monotonic, first_byte_ms of 0 means the settings' limit.
 
-    request_id names it in log lines, if it has one.
+    request_id names it in log lines, if it has one. on_silence is called when the replica is
+    silent beyond the limit, and again while it remains so. Without it, silence ends the exchange.
     """
 
     method: str
@@ -39,6 +44,7 @@
     new_connection: bool
     first_byte_ms: int = 0
     request_id: str = ""
+    on_silence: OnSilence | None = None
 
 
 class ResponseHead(NamedTuple):
@@ -66,6 +72,9 @@
 
 ExchangeResult = Result[None, Failure]
 
+# Interval between notifications of one silence.
+SILENCE_REPEAT_MS: Final = 500
+
 # Events that are logged for failures caused by the replica or by the network path to it.
 _FAILURE_EVENTS: Final = {
     FailureKind.TIMED_OUT: events.CONNECTION_CONDEMNED,
@@ -210,10 +219,25 @@
         now_ms = self._clock.now()
         if now_ms >= self._outgoing.due_ms:
             self._finish(Fault(FailureKind.DEADLINE, "the due time has passed"))
-        elif now_ms >= self._last_progress_ms + self._phases.limit_ms():
+        elif now_ms < self._last_progress_ms + self._phases.limit_ms():
+            self._start_timer()
+        elif self._outgoing.on_silence is None or self._sent is Sent.NO:
             self._finish(self._phases.timeout_fault())
         else:
-            self._start_timer()
+            self._notify_of_silence(self._outgoing.on_silence, now_ms)
+
+    def _notify_of_silence(self, on_silence: OnSilence, now_ms: int) -> None:
+        last_progress_ms = self._last_progress_ms
+
+        def end() -> bool:
+            if not self._active or self._last_progress_ms != last_progress_ms:
+                return False
+            self._finish(self._phases.timeout_fault())
+            return True
+
+        self._timer_at_ms = min(now_ms + SILENCE_REPEAT_MS, self._outgoing.due_ms)
+        self._timer = self._clock.start_timeout(self._timer_at_ms - now_ms, self._on_timer)
+        on_silence(Silence(now_ms - last_progress_ms, not self._lease.is_new, end))
 
     def _finish(self, fault: Fault | None) -> None:
         if not self._active:
--- a/papayapier/upstream/forward_call.py
+++ b/papayapier/upstream/forward_call.py
@@ -13,9 +13,14 @@
 
 from papayapier.metrics import Metrics
 from papayapier.upstream.answers import BodyCollector
-from papayapier.upstream.api import Failure, FailureKind, Load, Replica, Sent
+from papayapier.upstream.api import Failure, FailureKind, Load, OnSilence, Replica, Sent
 from papayapier.upstream.connection_pools import ConnectionPools
-from papayapier.upstream.exchange import AnswerHandler, OnData, OutgoingRequest, ResponseHead
+from papayapier.upstream.exchange import (
+    AnswerHandler,
+    OnData,
+    OutgoingRequest,
+    ResponseHead,
+)
 from papayapier.upstream.phases import Fault
 
 # Far above the size of real answers; bounds the memory that one faulty replica can use.
@@ -42,7 +47,10 @@
 
 
 class ForwardCall(NamedTuple):
-    """Describe one request to forward; first_byte_ms of 0 applies the limit of the settings."""
+    """Describe one request to forward; first_byte_ms of 0 applies the limit of the settings.
+
+    on_silence is that of Call.
+    """
 
     request_id: str
     method: str
@@ -53,6 +61,7 @@
     fresh: bool
     stream: bool
     first_byte_ms: int = 0
+    on_silence: OnSilence | None = None
 
 
 class ForwardAnswer(NamedTuple):
@@ -132,6 +141,7 @@
             call.fresh,
             call.first_byte_ms,
             call.request_id,
+            call.on_silence,
         )
         result = await pools.run(replica, outgoing, reader.handler())
         if reader.metadata is not None and reader.metadata.load is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -17,9 +17,10 @@
 from papayapier.metrics import make_metrics
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream import replies, sse
-from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Token
+from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent, Silence, Token
 from papayapier.upstream.cancels import MAX_IN_FLIGHT
 from papayapier.upstream.client import make_upstream_client
+from papayapier.upstream.exchange import SILENCE_REPEAT_MS
 from tests.raw_server import (
     DONE,
     LAST_EVENT,
@@ -240,6 +241,48 @@
         failure = (await sending).err_value
         equal((failure.kind, failure.sent), (FailureKind.TIMED_OUT, Sent.MAYBE))
 
+    async def test_a_notified_call_outlasts_a_silence(self) -> None:
+        """A silence must not end a call whose sender is notified of it, before the due time."""
+        silences: list[Silence] = []
+        self.server.answer_with(chunked(stream_event("a "), end=b""))
+        sending = self.send(on_silence=silences.append)
+        conn = await self.server.next_request()
+        while not self.tokens:
+            await deferLater(reactor, 0)
+        self.fake.run_for(CFG.progress_ms + 2 * SILENCE_REPEAT_MS)
+        equal([silence.reused for silence in silences], [False] * 3)
+        equal(silences[-1].silent_ms, CFG.progress_ms + 2 * SILENCE_REPEAT_MS)
+        equal(sending.called, False)
+        conn.write(chunked(LAST_EVENT, DONE, head=b""))
+        equal((await sending).unwrap().text, "a b")
+        equal(silences[-1].end(), False)
+
+    async def test_a_notified_call_ends_as_silent(self) -> None:
+        """A notified sender must be able to end a silent call, and only while it is silent."""
+        silences: list[Silence] = []
+        self.server.answer_with(chunked(stream_event("a "), end=b""))
+        sending = self.send(on_silence=silences.append)
+        conn = await self.server.next_request()
+        while not self.tokens:
+            await deferLater(reactor, 0)
+        self.fake.run_for(CFG.progress_ms)
+        conn.write(chunked(stream_event("b "), head=b"", end=b""))
+        while len(self.tokens) < 2:
+            await deferLater(reactor, 0)
+        equal(silences[0].end(), False)
+        self.fake.run_for(CFG.progress_ms)
+        equal(silences[1].end(), True)
+        equal((await sending).err_value.kind, FailureKind.TIMED_OUT)
+
+    async def test_a_notified_call_ends_at_its_due_time(self) -> None:
+        """A call to a silent replica must end at its due time."""
+        silences: list[Silence] = []
+        sending = self.send(on_silence=silences.append)
+        await self.server.next_request()
+        self.fake.run_for(60_000)
+        equal((await sending).err_value.kind, FailureKind.DEADLINE)
+        equal(silences[0].silent_ms, CFG.first_byte_ms)
+
     async def test_answer_that_arrived_in_a_pause_is_used(self) -> None:
         """An answer that arrived while the process was paused must be used.
 
