Keep answers of the OpenAI-style API open while their replica is silent

What callers saw: with this interface, too, a generation was cut, and a call that may run once was refused with an unknown outcome, when its replica sent nothing for two seconds.

Cause: the same as of forwarded requests, in the second caller of an exchange. Both use the same decision now (dispatch/silent_sends.py).

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -20,17 +20,29 @@
     claim_parts,
     claim_send,
     decide_retry,
+    excluded_while_silent,
+    may_move_silent,
     prepare_retry,
     retry_spacing_ms,
     suspect_refusal,
     wait_for_send_window,
 )
+from papayapier.dispatch.silent_sends import SilentSend, SilentSendDeps
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.policy.first_byte import NO_LIMIT
 from papayapier.policy.retries import GiveUp, Retry
-from papayapier.policy.routing import RouteRequest, pick_replica
+from papayapier.policy.routing import RouteRequest, has_room, pick_replica
 from papayapier.policy.stream_versions import replicas_of_version, version_gone_refusal
-from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Token
+from papayapier.upstream.api import (
+    Call,
+    Failure,
+    FailureKind,
+    OnSilence,
+    Replica,
+    Reply,
+    Silence,
+    Token,
+)
 from papayapier.upstream.engine_calls import streaming_body
 
 if TYPE_CHECKING:
@@ -44,7 +56,15 @@
 class _Progress:
     """Hold what one request has sent and received over all its attempts."""
 
-    __slots__ = ("began_ms", "first_token_ms", "history", "parts", "send_first_ms", "version")
+    __slots__ = (
+        "began_ms",
+        "first_token_ms",
+        "found",
+        "history",
+        "parts",
+        "send_first_ms",
+        "version",
+    )
 
     def __init__(self, began_ms: int, fresh: bool) -> None:
         self.history = SendHistory(fresh)
@@ -53,6 +73,8 @@
         # When the first token of the current send arrived, 0 before that.
         self.send_first_ms = 0
         self.parts: list[str] = []
+        # The replica for which a silent one was given up, until the next send.
+        self.found: Replica | None = None
         # The software version that wrote the parts; None if there are none.
         self.version: str | None = None
 
@@ -78,7 +100,7 @@
         quarantine_refusal = deps.crashes.refusal(req.call_id, req.fingerprint)
         if quarantine_refusal is not None:
             return Err(correct_outcome(quarantine_refusal, progress.history.maybe_sent))
-        picked = _pick(deps, req, progress)
+        picked = _choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
             return Err(correct_outcome(picked.err_value, progress.history.maybe_sent))
         replica = picked.ok_value
@@ -114,8 +136,22 @@
         await _before_retry(deps, req, replica, decision, progress, pause_ms)
 
 
-def _pick(
+def _choose_for_send(
     deps: "DispatchDeps", req: "OnlineRequest", progress: _Progress
+) -> Result[Replica, Refusal]:
+    """Return the replica for which a silent one was given up if it is usable, or another."""
+    found, progress.found = progress.found, None
+    usable = deps.load_tracker.usable_replicas(req.profile.upstream, deps.clock.now())
+    if found is not None and found in usable:
+        return Ok(found)
+    return _pick(deps, req, progress, progress.history.excluded)
+
+
+def _pick(
+    deps: "DispatchDeps",
+    req: "OnlineRequest",
+    progress: _Progress,
+    excluded: frozenset[str],
 ) -> Result[Replica, Refusal]:
     upstream = req.profile.upstream
     now = deps.clock.now()
@@ -123,7 +159,7 @@
         upstream,
         req.prefix,
         deps.data_centre,
-        progress.history.excluded,
+        excluded,
         idempotent=req.profile.idempotent,
     )
     if progress.version is not None:
@@ -156,16 +192,20 @@
     deps.outliers.on_start(replica.id, started_ms)
     deps.on_uses_changed()
     outlier_reported = False
+    silent_send = _track_silence(deps, req, replica, progress)
     try:
         # Must follow on_sent: the number of batch streams to cancel depends on the counted calls.
         preempt_batch(replica.id)
         may_run_again = req.profile.idempotent or not progress.history.maybe_sent
         check_send(deps.load_tracker, replica, req.call_id, may_run_again, started_ms)
-        call = _call(req, progress, _first_byte_ms(deps, req, progress, started_ms))
+        first_byte_ms = _first_byte_ms(deps, req, progress, started_ms)
+        call = _call(req, progress, first_byte_ms, silent_send.on_silence)
         receive = _receiver(deps, req, call, replica, progress, on_token)
         result = await deps.upstreams.send(replica, call, receive)
         outlier_reported = isinstance(result, Ok) or counts_against_replica(result.err_value)
     finally:
+        silent_send.close()
+        progress.found = silent_send.found
         deps.load_tracker.on_finished(replica.id, False, deps.clock.now())
         deps.on_uses_changed()
         if not outlier_reported:
@@ -183,6 +223,31 @@
     return result
 
 
+def _track_silence(
+    deps: "DispatchDeps", req: "OnlineRequest", replica: Replica, progress: _Progress
+) -> SilentSend:
+    """Return the tracker of the silence of a send that is about to be made."""
+
+    def may_move() -> bool:
+        return may_move_silent(deps, req.profile, req.due_ms, replica, progress.history.send_count)
+
+    async def find_other(silence: Silence) -> Replica | None:
+        excluded = excluded_while_silent(progress.history, replica, silence)
+        picked = _pick(deps, req, progress, excluded)
+        if isinstance(picked, Err) or picked.ok_value.id in excluded:
+            return None
+        other = picked.ok_value
+        return other if has_room(deps.load_tracker, other, deps.clock.now()) else None
+
+    def on_waiting(silence: Silence) -> None:
+        if not silence.reused:
+            deps.outliers.on_end(replica.id, False, None, deps.clock.now())
+
+    return SilentSend(
+        SilentSendDeps(req.call_id, replica, deps.metrics, may_move, find_other, on_waiting)
+    )
+
+
 def _receiver(
     deps: "DispatchDeps",
     req: "OnlineRequest",
@@ -214,7 +279,9 @@
     return deps.first_bytes.limit_ms(req.profile.upstream, req.due_ms - now, attempts_left)
 
 
-def _call(req: "OnlineRequest", progress: _Progress, first_byte_ms: int) -> Call:
+def _call(
+    req: "OnlineRequest", progress: _Progress, first_byte_ms: int, on_silence: OnSilence
+) -> Call:
     body = req.body
     if req.generates:
         body = streaming_body(req.body, progress.text())
@@ -230,6 +297,7 @@
         new_connection=progress.history.fresh,
         plain_service=not req.generates,
         first_byte_ms=first_byte_ms,
+        on_silence=on_silence,
     )
 
 
--- a/papayapier/upstream/client.py
+++ b/papayapier/upstream/client.py
@@ -86,6 +86,7 @@
         call.new_connection,
         call.first_byte_ms,
         call.request_id,
+        call.on_silence,
     )
 
 
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -1,23 +1,32 @@
-"""Test forwarded requests whose replica is silent, on a fake clock."""
+"""Test online requests whose replica is silent, on a fake clock."""
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import pytest
 from result import Err, Ok
 
 from papayapier.upstream.api import FailureKind, Sent, Silence
 from papayapier.upstream.forward_call import ForwardAnswer, StreamedAnswer
+from tests.dispatch_world import GATE, QUESTIONS, WORLDS, DispatchWorld, result
 from tests.forward_world import Caller, ForwardWorld
 
 if TYPE_CHECKING:
+    from tests.dispatch_world import Send as CallSend
     from tests.forward_world import Send
 
 
+@pytest.fixture(autouse=True)
+def close_worlds() -> Any:
+    yield
+    while WORLDS:
+        WORLDS.pop().close()
+
+
 # Far more open calls than a replica has slots.
 MANY_CALLS: Final = 80
 
 
-def notify(send: "Send", silent_ms: int = 2_000, has_bytes: bool = False) -> bool:
+def notify(send: "Send | CallSend", silent_ms: int = 2_000, has_bytes: bool = False) -> bool:
     """Notify the sender of a silence; return whether it has ended the send."""
     ended = []
 
@@ -124,3 +133,36 @@
     assert results == [Ok(StreamedAnswer(200))]
     assert len(world.sends) == 1
     assert not any(isinstance(result, Err) for result in results)
+
+
+def test_a_call_that_may_not_be_repeated_outlasts_a_silence() -> None:
+    """Guard against an unknown outcome because a replica was silent for a while."""
+    world = DispatchWorld(gate=2)
+    pending = world.send_request(GATE)
+    assert not notify(world.sends[0])
+    world.sends[0].answer()
+    assert result(pending).is_ok()
+    assert len(world.sends) == 1
+
+
+def test_a_silent_answer_moves_to_a_replica_with_room() -> None:
+    """Guard against a question that waits although another replica can answer it."""
+    world = DispatchWorld(lm=2)
+    pending = world.send_request(QUESTIONS)
+    world.sends[0].token("a ")
+    assert notify(world.sends[0])
+    assert world.sends[1].replica != world.sends[0].replica
+    world.sends[1].token("b")
+    world.sends[1].answer()
+    assert result(pending).unwrap().text == "a b"
+
+
+def test_a_silent_answer_without_another_replica_stays_open() -> None:
+    """Guard against a refusal while the only replica is silent."""
+    world = DispatchWorld(lm=1)
+    pending = world.send_request(QUESTIONS)
+    world.sends[0].token("a ")
+    assert not notify(world.sends[0])
+    world.sends[0].token("b")
+    world.sends[0].answer()
+    assert result(pending).unwrap().text == "a b"
