Test that a cancellation beside a present caller is answered

Both tests fail on the code as it is: _on_failure and refuse_forwarded take a cancellation, and a lost connection below, for the leaving of the caller.

--- a/tests/test_forward_routes.py
+++ b/tests/test_forward_routes.py
@@ -1,10 +1,12 @@
 """Test what a caller receives when a forwarded request ends abnormally."""
 
+import random
 from typing import Any, cast
 
 import pytest
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
 
@@ -12,6 +14,7 @@
 from papayapier.clock import fake_clock
 from papayapier.config.route_table import Route, RouteKind, UpstreamShare, pick_profile
 from papayapier.config.teams import Team
+from papayapier.entry.forward_refusals import RefusalDeps, refuse_forwarded
 from papayapier.entry.forward_routes import (
     GRANT_RETRY_MS,
     _finish,
@@ -20,9 +23,11 @@
     _run,
     _upstream_rand,
 )
-from papayapier.errors import ErrorKind, Refusal, not_run_refusal, unknown_refusal
+from papayapier.errors import ErrorKind, Outcome, Refusal, not_run_refusal, unknown_refusal
+from papayapier.metrics import make_metrics
 from papayapier.upstream.forward_call import ForwardAnswer, ForwardedAnswer, StreamedAnswer
 from tests.forward_world import ForwardWorld
+from tests.log_capture import LogCapture
 
 
 class Transport:
@@ -107,6 +112,59 @@
     assert len(request.failed) == 1
 
 
+def test_a_cancellation_beside_a_present_caller_is_no_disconnect() -> None:
+    """Guard against a request without an answer when something else than its caller cancels it."""
+    for reason in (CancelledError(), ConnectionDone(), ConnectionLost()):
+        for started in (True, False):
+            request = Request(is_disconnected=False, started=started)
+            _on_failure(Failure(reason), request)
+            assert request.channel is not None
+            aborted = request.channel.transport.aborted
+            assert (len(request.failed), aborted) == (not started, started)
+
+
+@pytest.mark.parametrize("started", [True, False])
+def test_the_cancellation_of_a_caller_that_left_is_no_crash(started: bool) -> None:
+    """Guard against a crash that is logged for each caller that leaves."""
+    request = Request(is_disconnected=True, started=started)
+    logs = LogCapture()
+    with logs.applicationbound():
+        _on_failure(Failure(CancelledError()), request)
+    assert (request.failed, logs.records) == ([], [])
+
+
+class RefusedRequest:
+    """Record the refusal of a request whose caller is present."""
+
+    is_disconnected = False
+    status = 0
+    finished = False
+
+    def getHeader(self, _name: str) -> str:  # noqa: N802
+        return "id"
+
+    def setHeader(self, _name: bytes, _value: bytes) -> None:  # noqa: N802
+        pass
+
+    def setResponseCode(self, status: int) -> None:  # noqa: N802
+        self.status = status
+
+    def write(self, _body: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        self.finished = True
+
+
+def test_a_cancelled_send_is_refused_beside_a_present_caller() -> None:
+    """Guard against a request that is neither answered nor refused when its send is cancelled."""
+    deps = RefusalDeps(fake_clock().clock, random.Random(1), make_metrics(), "X-Id", b"Retry-After")
+    for outcome, status in ((Outcome.NOT_RUN, 503), (Outcome.UNKNOWN, 502)):
+        request = RefusedRequest()
+        refuse_forwarded(deps, request, "p", Refusal(ErrorKind.CANCELLED, outcome, "cancelled"))
+        assert (request.status, request.finished) == (status, True)
+
+
 def _req() -> Any:
     class Profile:
         name = "p"
