Answer a request that something other than its caller cancels

What callers saw: a whole request that got neither an answer nor a refusal, on a channel that stayed open.

Cause: ForwardResource took CancelledError, ConnectionDone and ConnectionLost for the leaving of the caller, whether it had left or not, and dropped every refusal of the kind 'cancelled'. An exchange with a replica that is cancelled from elsewhere (ConnectionPools.close) ends with that refusal.

Of the deferreds that several requests wait for, none is known to do this outside a stop of the process: each waiter has one of its own.

Fix: only request.is_disconnected says that the caller has left. Otherwise the request is answered as after any exception (500, outcome unknown, or an aborted channel within an answer) with line 209, or refused by its outcome (502 or 503) with line 201. Both have the request's id, so no new event is needed.

--- a/papayapier/entry/forward_refusals.py
+++ b/papayapier/entry/forward_refusals.py
@@ -31,7 +31,7 @@
     deps: RefusalDeps, request: Any, profile: str, refusal: Refusal, due_ms: int | None = None
 ) -> None:
     """Write a refusal, with a status that states correctly whether the request may have run."""
-    if refusal.kind is ErrorKind.CANCELLED or request.is_disconnected:
+    if request.is_disconnected:
         return
     request_id = request.getHeader(deps.request_id) or ""
     count_refusal(deps, request_id, profile, refusal)
--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -132,7 +132,7 @@
 
 
 def _on_failure(failure: Any, request: Any) -> None:
-    if failure.check(CancelledError, ConnectionDone, ConnectionLost):
+    if request.is_disconnected and failure.check(CancelledError, ConnectionDone, ConnectionLost):
         return
     if not request.is_disconnected and not request.startedWriting:
         request.processingFailed(failure)
@@ -216,8 +216,9 @@
     try:
         result = await run()
     except CancelledError:
-        routes.metrics.requests.labels(route.name, "gone").inc()
-        events.emit(events.CALLER_GONE, request=req.request_id, profile=route.name)
+        if request.is_disconnected:
+            routes.metrics.requests.labels(route.name, "gone").inc()
+            events.emit(events.CALLER_GONE, request=req.request_id, profile=route.name)
         raise
     _finish(routes, request, req, result, caller_stream)
 
