Serve a request that lies unread when its channel's idle timer fires

What callers saw: a kept channel was reset after a whole request had been sent on it. The caller may repeat the request, on a new channel, which costs it a part of its time.

Cause: the reactor runs timers before it reads sockets. After a busy moment of the process (a configuration being applied, other requests, a suspension) the idle timer of a channel fires although the next request has arrived in time, and a channel that is closed with unread bytes is reset by the kernel.

Fix: the timer starts again if the socket has unread bytes that the reactor is about to read, as close_if_idle does already at a planned stop. A channel that is not read since its caller takes no answer still times out (test_a_channel_that_reads_no_answer_times_out).

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -271,6 +271,18 @@
         else:
             super().loseConnection()
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close the connection, unless the next request has arrived and was not read yet.
+
+        The reactor runs timers before it reads sockets, so a timer that is late because the
+        process was busy fires before a request that arrived in time is read.
+        """
+        may_read = not self._waitingForTransport
+        if may_read and not is_idle(self.transport.getHandle()):
+            self.setTimeout(self.timeOut)
+            return
+        super().timeoutConnection()
+
     def _abort(self) -> None:
         self._abort_timer = None
         self.transport.abortConnection()
--- a/tests/test_entry_channels.py
+++ b/tests/test_entry_channels.py
@@ -1,6 +1,5 @@
 """Test kept channels of callers beside their timeouts and changes of the configured limits."""
 
-import socket
 import time
 from typing import Any
 
@@ -78,8 +77,7 @@
             self.site.set_limits(IDLE_MS, HEADER_BYTES)
             client = await self._kept()
             transport: Any = client.transport
-            sock: socket.socket = transport.getHandle()
-            sock.send(GET)
+            transport.getHandle().send(GET)
             time.sleep(2 * IDLE_MS / 1_000)
             await client.until(b"{0}")
             client.received.clear()
