Apply a raised limit of heads to open channels

What callers saw: 400 and a closed channel for a head that the configuration in force allows, on each channel that was opened under a lower limit, however long after the change.

Cause: a channel took the limit of heads at its opening only.

Evidence: test_a_raised_header_limit_holds_for_open_channels failed before.

Fix: a configuration raises the limit of all open channels. A lowered limit holds for new channels only, as before, so that no head that was under way at the change is refused (test_a_lowered_header_limit_holds_for_new_channels).

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -207,6 +207,10 @@
         self.site.connections.discard(self)
         self.site.buffered_bytes.on_disconnected(id(self))
 
+    def raise_header_limit(self, header_bytes: int) -> None:
+        """Raise the maximum size of a head; a lower one could refuse a head that is under way."""
+        self.totalHeadersSize = max(self.totalHeadersSize, header_bytes)
+
     def discard_rest(self, request: BoundedRequest) -> None:
         """Discard what the caller still sends; the next answer is the last on this connection.
 
@@ -325,9 +329,14 @@
         """Write no access log; events and metrics replace it."""
 
     def set_limits(self, idle_ms: int, header_bytes: int) -> None:
-        """Set the idle timeout of new connections and the maximum size of a request's head."""
+        """Set the idle timeout and the maximum size of a request's head.
+
+        Open connections get higher limits at once, and keep higher ones.
+        """
         self.timeOut = idle_ms / MS_PER_S
         self.header_bytes = header_bytes
+        for connection in self.connections:
+            connection.raise_header_limit(header_bytes)
 
     def open_requests(self) -> int:
         """Return how many requests are being received, run or answered."""
