Apply a raised idle timeout to open channels

What callers saw: a channel was closed while they could rely on it: callers reuse channels that were idle for up to four fifths of the limit in force. A request that crossed the close had to be sent again.

Cause: a channel took its idle timeout at its opening only.

Evidence: test_a_raised_idle_timeout_holds_for_open_channels and test_a_raised_idle_timeout_holds_after_the_answer_under_way failed before.

Fix: a configuration raises the timeout of all open channels: the timer of an idle one starts again, and one with a request under way gets the new timeout after the answer. A lowered one holds for new channels only, as before.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -183,6 +183,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self._savedTimeOut: float | None = None
         self._discarding = False
         self._served = False
         self._idle_checks = 0
@@ -207,9 +208,14 @@
         self.site.connections.discard(self)
         self.site.buffered_bytes.on_disconnected(id(self))
 
-    def raise_header_limit(self, header_bytes: int) -> None:
-        """Raise the maximum size of a head; a lower one could refuse a head that is under way."""
+    def raise_limits(self, idle_s: float, header_bytes: int) -> None:
+        """Apply higher limits; lower ones could affect a request that is on its way."""
         self.totalHeadersSize = max(self.totalHeadersSize, header_bytes)
+        if self.timeOut is None:
+            # A request is under way; the timeout is restored after its answer.
+            self._savedTimeOut = max(self._savedTimeOut or 0.0, idle_s)
+        elif idle_s > self.timeOut:
+            self.setTimeout(idle_s)
 
     def discard_rest(self, request: BoundedRequest) -> None:
         """Discard what the caller still sends; the next answer is the last on this connection.
@@ -336,7 +342,7 @@
         self.timeOut = idle_ms / MS_PER_S
         self.header_bytes = header_bytes
         for connection in self.connections:
-            connection.raise_header_limit(header_bytes)
+            connection.raise_limits(self.timeOut, header_bytes)
 
     def open_requests(self) -> int:
         """Return how many requests are being received, run or answered."""
