--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -196,7 +196,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
-        self.totalHeadersSize = self.site.header_bytes
+        self._allow_heads(self.site.header_bytes)
         self.site.connections.add(self)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
@@ -210,13 +210,22 @@
 
     def raise_limits(self, idle_s: float, header_bytes: int) -> None:
         """Apply higher limits; lower ones could affect a request that is on its way."""
-        self.totalHeadersSize = max(self.totalHeadersSize, header_bytes)
+        self._allow_heads(max(self.totalHeadersSize, header_bytes))
         if self.timeOut is None:
             # A request is under way; the timeout is restored after its answer.
             self._savedTimeOut = max(self._savedTimeOut or 0.0, idle_s)
         elif idle_s > self.timeOut:
             self.setTimeout(idle_s)
 
+    def _allow_heads(self, header_bytes: int) -> None:
+        self.totalHeadersSize = header_bytes
+        # Twisted's limit of a single line.
+        self.MAX_LENGTH = max(header_bytes, MAX_HEADER_BYTES)
+
+    def lineLengthExceeded(self, _line: bytes) -> None:  # noqa: N802
+        """Refuse a head with a line that is too long; twisted would close the connection."""
+        self._respondToBadRequestAndDisconnect()
+
     def discard_rest(self, request: BoundedRequest) -> None:
         """Discard what the caller still sends; the next answer is the last on this connection.
 
