--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -41,7 +41,8 @@
     request with CRASH_MARKER in its path ends the replica, and on_crash is called then. A replica
     with a software version lists it, and names it in each event that it writes. A request whose
     prompt shares one of crash_parts ends the replica; on_crash_part is called with the part and the
-    request's id. fall_silent stops all work for some time; connections stay open.
+    request's id. fall_silent stops all work for some time; connections stay open. Requests beyond
+    max_open are rejected; 0 means no limit.
     """
 
     isLeaf = True  # noqa: N815
@@ -69,6 +70,9 @@
         # Requests that are open now, and their maximum so far.
         self.open_requests = 0
         self.max_open_requests = 0
+        # Those of them that are items of jobs.
+        self.open_items = 0
+        self.max_open = 0
         # Request id, team and Authorization header of each started request.
         self.received: list[tuple[str, str | None, str | None]] = []
         self.received_at_s: list[float] = []
@@ -169,7 +173,7 @@
         request_id = request.getHeader("X-Request-Id")
         if request.getHeader("X-Expect-Instance") != self.id:
             return _refuse(request, 421)
-        if self.shed:
+        if self.shed or (self.max_open and self.open_requests >= self.max_open):
             return _refuse(request, 503)
         self.started_requests.append(request_id)
         self.received.append(
@@ -178,7 +182,9 @@
         self.received_at_s.append(reactor.seconds())
         self.open_requests += 1
         self.max_open_requests = max(self.max_open_requests, self.open_requests)
-        request.notifyFinish().addBoth(self._on_finished)
+        is_item = b"/job/" in request.path
+        self.open_items += is_item
+        request.notifyFinish().addBoth(self._on_finished, is_item)
         prompt = request.getHeader(PROMPT_HEADER)
         if prompt is not None:
             self.prompts[request_id] = prompt
@@ -209,8 +215,9 @@
         timer = reactor.callLater(delay_s, self._write_event, request, number, written)
         self._next_events[request] = timer
 
-    def _on_finished(self, _reason: object) -> None:
+    def _on_finished(self, _reason: object, is_item: bool) -> None:
         self.open_requests -= 1
+        self.open_items -= is_item
 
     def _write_event(self, request: Any, number: int, written: int) -> None:
         del self._next_events[request]
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -155,6 +155,7 @@
         other.events_per_stream = replica.events_per_stream
         other.item_suffix = replica.item_suffix
         other.item_interval_s = replica.item_interval_s
+        other.max_open = replica.max_open
         self.replicas.append(other)
         if replica.on_crash is not None:
             self._replace_on_crash(other)
