--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -4,13 +4,20 @@
 
 import pytest
 from result import Err, Ok
+from twisted.internet.defer import Deferred
 
+from papayapier.dispatch.retrying import MAX_REJECTIONS
+from papayapier.errors import ErrorKind, not_run_refusal
+from papayapier.policy.placers import UNDECIDED, Placement, PlacementNeeds
+from papayapier.policy.retries import failed_at
+from papayapier.policy.routing import RouteRequest
 from papayapier.upstream.api import FailureKind, Sent, Silence
 from papayapier.upstream.forward_call import ForwardAnswer, StreamedAnswer
 from tests.dispatch_world import GATE, QUESTIONS, WORLDS, DispatchWorld, result
 from tests.forward_world import Caller, ForwardWorld
 
 if TYPE_CHECKING:
+    from papayapier.upstream.api import Replica
     from tests.dispatch_world import Send as CallSend
     from tests.forward_world import Send
 
@@ -42,6 +49,14 @@
     return bool(ended)
 
 
+def spend_budget(world: ForwardWorld, replica: "Replica") -> None:
+    """Use up the retries, also those of the calls that were open at a replica."""
+    at = failed_at(world.load_tracker, replica)
+    now = world.time.clock.now()
+    while world.deps.budget.spend_for_lost_replica("lm", at, now):
+        pass
+
+
 def test_a_stream_that_may_not_be_repeated_outlasts_a_silence() -> None:
     """Guard against a stream cut because its replica was silent for a while."""
     world = ForwardWorld()
@@ -166,3 +181,80 @@
     world.sends[0].token("b")
     world.sends[0].answer()
     assert result(pending).unwrap().text == "a b"
+
+
+def test_a_budget_spent_during_the_search_keeps_the_stream_open() -> None:
+    """Guard against a cut because others have used up the retries during the search."""
+    world = ForwardWorld()
+    placed: list[Deferred[Placement]] = []
+
+    async def place(_route: RouteRequest, _needs: PlacementNeeds) -> Placement:
+        if not world.sends:
+            return UNDECIDED
+        placed.append(Deferred())
+        return await placed[-1]
+
+    world.deps = world.deps._replace(place=place)
+    results = world.start_request(True, Caller())
+    send = world.sends[0]
+    send.events(1)
+    assert not notify(send)
+    spend_budget(world, send.replica)
+    other = next(replica for replica in world.replicas if replica != send.replica)
+    placed[0].callback(Placement(other.id, has_capacity=True))
+    assert not results
+    assert len(world.sends) == 1
+    send.events(2)
+    send.answer()
+    assert results == [Ok(StreamedAnswer(200))]
+
+
+def test_a_moved_stream_outlasts_rejections_without_a_budget() -> None:
+    """Guard against a cut because the replicas to which a silent stream moves are full."""
+    world = ForwardWorld()
+    results = world.start_request(True, Caller())
+    world.sends[0].events(1)
+    assert notify(world.sends[0])
+    spend_budget(world, world.sends[0].replica)
+    for _ in range(2 * MAX_REJECTIONS):
+        world.sends[-1].fail(FailureKind.STATUS, Sent.NO, 503)
+        world.time.run_for(600)
+        assert not results
+    world.sends[-1].events(2)
+    world.sends[-1].answer()
+    assert results == [Ok(StreamedAnswer(200))]
+
+
+def test_a_moved_stream_outlasts_a_refusal_of_the_placer() -> None:
+    """Guard against a cut because the placer refuses a stream that has left a silent replica."""
+    world = ForwardWorld()
+    results = world.start_request(True, Caller())
+    world.sends[0].events(1)
+    assert notify(world.sends[0])
+    world.placed = Placement(refusal=not_run_refusal(ErrorKind.OVERLOADED, "full", 100))
+    world.sends[1].fail(FailureKind.STATUS, Sent.NO, 503)
+    world.time.run_for(1_000)
+    assert not results
+    world.placed = UNDECIDED
+    world.time.run_for(600)
+    world.sends[-1].events(2)
+    world.sends[-1].answer()
+    assert results == [Ok(StreamedAnswer(200))]
+
+
+def test_a_second_silence_waits_beside_an_equal_stream() -> None:
+    """Guard against a cut because silences made a request one that is sent alone."""
+    world = ForwardWorld()
+    equal = world.start_request(True, Caller(), due_ms=20_000)
+    world.sends[0].events(1)
+    results = world.start_request(True, Caller())
+    world.sends[1].events(1)
+    assert notify(world.sends[1])
+    world.sends[2].events(2)
+    notify(world.sends[2])
+    world.time.run_for(4_900)
+    assert not results
+    world.sends[-1].events(3)
+    world.sends[-1].answer()
+    assert results == [Ok(StreamedAnswer(200))]
+    assert not equal
