Check again whether a silent request may be moved once a replica is found

What callers saw: a stream that can be resumed was cut although its silent replica would have gone on.

Cause: whether the request may be sent again was checked before another replica was searched for. A placer takes its time, in which other requests may spend the last retry. The silent replica was then given up, and the retry was denied.

The check and the retry now follow each other without a wait in between.

--- a/papayapier/dispatch/silent_sends.py
+++ b/papayapier/dispatch/silent_sends.py
@@ -81,6 +81,9 @@
         if found is None:
             self._wait(silence, "no other replica has room")
             return
+        if not self._deps.may_move():
+            self._wait(silence, "it may no longer be sent again")
+            return
         # Set first, because ending the send continues the request at once.
         self.found = found
         if silence.end():
