Never take a silent replica for its own replacement

What callers saw: a stream on a kept connection was ended and sent again to the replica that was silent, although others were idle; a replica whose only slot the silent run still holds rejects it then, and the stream is cut.

Cause: a silence on a kept connection was taken for the fault of the connection, so that its replica was not excluded from the search. That is so only before anything of the answer has arrived, and it is worth an attempt only where there is no other replica.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -232,7 +232,7 @@
         return may_move_silent(deps, req.profile, req.due_ms, replica, progress.history.send_count)
 
     async def find_other(silence: Silence) -> Replica | None:
-        excluded = excluded_while_silent(progress.history, replica, silence)
+        excluded = excluded_while_silent(deps, replica, silence, progress.history)
         picked = _pick(deps, req, progress, excluded)
         if isinstance(picked, Err) or picked.ok_value.id in excluded:
             return None
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -166,10 +166,16 @@
 
 
 def excluded_while_silent(
-    history: SendHistory, replica: Replica, silence: Silence
+    deps: RetryDeps, replica: Replica, silence: Silence, history: SendHistory
 ) -> frozenset[str]:
-    """Return the replicas to avoid; a reused connection may be at fault instead of its replica."""
-    if silence.reused and history.send_count <= 1:
+    """Return the replicas to avoid: those that failed, and the silent one.
+
+    The silent one is tried again, on a new connection, if a reused connection may be at fault and
+    it is the only replica.
+    """
+    usable = deps.load_tracker.usable_replicas(replica.upstream, deps.clock.now())
+    is_only = all(other.id == replica.id for other in usable)
+    if is_only and silence.reused and not silence.answered and history.send_count <= 1:
         return history.excluded
     return history.excluded | {replica.id}
 
--- a/papayapier/upstream/api.py
+++ b/papayapier/upstream/api.py
@@ -35,13 +35,15 @@
 class Silence(NamedTuple):
     """Report that a replica has sent nothing for silent_ms after the request was written.
 
-    reused says that the connection was not new, so that it may be at fault instead of the replica.
-    end ends the send as timed out, unless bytes have arrived meanwhile; it returns whether the
-    send has ended by it.
+    reused says that the connection was not new, so that it may be at fault instead of the replica,
+    answered that the head of the answer has arrived on it, which speaks against that. end ends the
+    send as timed out, unless bytes have arrived meanwhile; it returns whether the send has ended by
+    it.
     """
 
     silent_ms: int
     reused: bool
+    answered: bool
     end: Callable[[], bool]
 
 
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -237,7 +237,8 @@
 
         self._timer_at_ms = min(now_ms + SILENCE_REPEAT_MS, self._outgoing.due_ms)
         self._timer = self._clock.start_timeout(self._timer_at_ms - now_ms, self._on_timer)
-        on_silence(Silence(now_ms - last_progress_ms, not self._lease.is_new, end))
+        reused = not self._lease.is_new
+        on_silence(Silence(now_ms - last_progress_ms, reused, self._head_received, end))
 
     def _finish(self, fault: Fault | None) -> None:
         if not self._active:
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -150,6 +150,7 @@
         last_event: int = NO_EVENT,
         resumed_attempt: str = "",
         parts: tuple[str, ...] = (),
+        prompt: str = "",
     ) -> list[ForwardResult]:
         """Forward a request; its result is appended to the returned list."""
         profile = Profile("p", "lm", "urgent", 5_000, idempotent, retry=RetryRule(attempts))
@@ -162,7 +163,7 @@
             Headers(),
             body,
             caller is not None,
-            "",
+            prompt,
             due,
             last_event,
             resumed_attempt,
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -33,7 +33,13 @@
 MANY_CALLS: Final = 80
 
 
-def notify(send: "Send | CallSend", silent_ms: int = 2_000, has_bytes: bool = False) -> bool:
+def notify(
+    send: "Send | CallSend",
+    silent_ms: int = 2_000,
+    has_bytes: bool = False,
+    reused: bool = False,
+    answered: bool = True,
+) -> bool:
     """Notify the sender of a silence; return whether it has ended the send."""
     ended = []
 
@@ -45,7 +51,7 @@
         return True
 
     assert send.call.on_silence is not None
-    send.call.on_silence(Silence(silent_ms, False, end))
+    send.call.on_silence(Silence(silent_ms, reused, answered, end))
     return bool(ended)
 
 
@@ -258,3 +264,29 @@
     world.sends[-1].answer()
     assert results == [Ok(StreamedAnswer(200))]
     assert not equal
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_a_silent_replica_is_not_its_own_replacement(answered: bool) -> None:
+    """Guard against a stream that leaves a silent replica only to be sent there once more."""
+    for prompt in ("a0", "a1", "a2", "a3"):
+        world = ForwardWorld()
+        world.start_request(True, Caller(), prompt=prompt)
+        assert notify(world.sends[0], reused=True, answered=answered)
+        assert world.sends[1].replica != world.sends[0].replica
+
+
+def test_an_answer_that_has_begun_stays_with_the_only_replica() -> None:
+    """Guard against a stream that is rejected by the replica that it has just left."""
+    world = ForwardWorld(replicas=1)
+    world.start_request(True, Caller())
+    world.sends[0].events(1)
+    assert not notify(world.sends[0], reused=True)
+
+
+def test_a_kept_connection_to_the_only_replica_is_replaced() -> None:
+    """Guard against a request that waits on a dead connection while its replica is well."""
+    world = ForwardWorld(replicas=1)
+    world.start_request(True, Caller())
+    assert notify(world.sends[0], reused=True, answered=False)
+    assert world.sends[1].replica == world.sends[0].replica
