Keep a request going that has left its silent replica and is then rejected

What callers saw: a stream that can be resumed was cut 2 to 4 s after its request when its replica was silent, although its time was far from over.

Cause: the silent replica is given up once another one seems to have room. When that one rejected the request all the same, for instance because other entries moved their streams at the same moment, a spent retry budget, four rejections or a refusal of the placer ended the request. Its first replica would have gone on.

Change: a request that has left a silent replica is placed again, after a pause of a quarter to half a second, for as long as its sends are rejected and its time lasts. Runs stay limited by the attempts of the route.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -26,6 +26,7 @@
     retry_spacing_ms,
     suspect_refusal,
     wait_for_send_window,
+    wait_to_choose_again,
 )
 from papayapier.dispatch.silent_sends import SilentSend, SilentSendDeps
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
@@ -78,6 +79,11 @@
         # The software version that wrote the parts; None if there are none.
         self.version: str | None = None
 
+    def on_send_ended(self, silent_send: SilentSend) -> None:
+        """Record what the silence of a replica has led to."""
+        self.found = silent_send.found
+        self.history.moved |= silent_send.found is not None
+
     def text(self) -> str:
         return "".join(self.parts)
 
@@ -102,7 +108,10 @@
             return Err(correct_outcome(quarantine_refusal, progress.history.maybe_sent))
         picked = _choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
-            return Err(correct_outcome(picked.err_value, progress.history.maybe_sent))
+            refusal = picked.err_value
+            if await wait_to_choose_again(deps, progress.history, req.due_ms, refusal):
+                continue
+            return Err(correct_outcome(refusal, progress.history.maybe_sent))
         replica = picked.ok_value
         claim = await claim_send(
             deps, req.call_id, req.fingerprint, replica, progress.history, req.due_ms
@@ -205,7 +214,7 @@
         outlier_reported = isinstance(result, Ok) or counts_against_replica(result.err_value)
     finally:
         silent_send.close()
-        progress.found = silent_send.found
+        progress.on_send_ended(silent_send)
         deps.load_tracker.on_finished(replica.id, False, deps.clock.now())
         deps.on_uses_changed()
         if not outlier_reported:
@@ -352,8 +361,17 @@
     if rejected is not None:
         return GiveUp(rejected)
     earlier = progress.history.record_failure(failure)
-    send_count = progress.history.send_count
-    return decide_retry(deps, req.profile, req.due_ms, replica, failure, earlier, send_count)
+    history = progress.history
+    return decide_retry(
+        deps,
+        req.profile,
+        req.due_ms,
+        replica,
+        failure,
+        earlier,
+        history.send_count,
+        history.moved,
+    )
 
 
 async def _before_retry(
--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -165,6 +165,7 @@
     def on_send_ended(self, silent_send: "SilentSend") -> None:
         """Record what the silence of a replica has led to."""
         self.found = silent_send.found
+        self.history.moved |= silent_send.found is not None
         self.silent_ms = max(self.silent_ms, silent_send.longest_ms)
 
     def last_event(self) -> int:
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -24,6 +24,7 @@
     retry_spacing_ms,
     suspect_refusal,
     wait_for_send_window,
+    wait_to_choose_again,
 )
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.invariants import Invariant, check_invariant
@@ -109,6 +110,9 @@
             return Err(quarantine_refusal)
         picked = await choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
+            refusal = picked.err_value
+            if await wait_to_choose_again(deps, progress.history, req.due_ms, refusal):
+                continue
             return picked
         replica = picked.ok_value
         claim = await claim_send(
@@ -328,7 +332,9 @@
     history = progress.history
     earlier = history.record_failure(failure)
     counted = history.counted_sends(req.profile.retry.attempts)
-    return decide_retry(deps, req.profile, req.due_ms, replica, failure, earlier, counted)
+    return decide_retry(
+        deps, req.profile, req.due_ms, replica, failure, earlier, counted, history.moved
+    )
 
 
 async def _before_retry(
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -14,6 +14,8 @@
     Retry,
     failed_at,
     may_retry_silent,
+    moved_pause_ms,
+    retry_moved,
     retry_or_refuse,
 )
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent, Silence
@@ -79,6 +81,7 @@
 class SendHistory:
     """Track the sends of one request; maybe_sent says that one of them may have run.
 
+    moved says that it has left a silent replica, which would have gone on, for another one.
     After window_deadline_ms the request no longer waits for send windows, after permit_deadline_ms
     not for the end of other copies either.
     """
@@ -87,6 +90,7 @@
         "excluded",
         "fresh",
         "maybe_sent",
+        "moved",
         "permit_deadline_ms",
         "rejections",
         "send_count",
@@ -102,6 +106,7 @@
         # safe only for idempotent requests, so all others use a new connection.
         self.fresh = fresh
         self.maybe_sent = False
+        self.moved = False
         self.window_deadline_ms: int | None = None
         self.permit_deadline_ms: int | None = None
 
@@ -129,9 +134,13 @@
     failure: Failure,
     earlier: Sent,
     counted: int,
+    moved: bool,
 ) -> Retry | GiveUp:
-    """Decide what follows a failed send; counted sends use up the allowed attempts."""
-    return retry_or_refuse(
+    """Decide what follows a failed send; counted sends use up the allowed attempts.
+
+    moved says that the request has left a silent replica.
+    """
+    decision = retry_or_refuse(
         failure,
         profile.idempotent,
         counted,
@@ -144,6 +153,28 @@
         earlier,
         failed_at(deps.load_tracker, replica),
     )
+    if not moved or isinstance(decision, Retry):
+        return decision
+    return retry_moved(failure, due_ms, deps.clock.now(), deps.rand) or decision
+
+
+async def wait_to_choose_again(
+    deps: RetryDeps, history: SendHistory, due_ms: int, refusal: Refusal
+) -> bool:
+    """Wait before the replica of a request that has left a silent one is chosen again.
+
+    Return False at once if the refusal of the choice is final.
+    """
+    pause_ms = moved_pause_ms(deps.rand)
+    if (
+        not history.moved
+        or refusal.kind is ErrorKind.CANNOT_RESUME
+        or deps.clock.now() + pause_ms >= due_ms
+    ):
+        return False
+    history.excluded = NO_EXCLUDED_REPLICAS
+    await deps.clock.sleep(pause_ms)
+    return True
 
 
 def may_move_silent(
@@ -190,6 +221,8 @@
 ) -> None:
     """Exclude the failed replica and pause for the longer of the retry delay and spacing_ms."""
     history.fresh = True
+    if retry.any_replica:
+        history.excluded = NO_EXCLUDED_REPLICAS
     if retry.exclude:
         history.excluded |= {replica.id}
     deps.metrics.retries.labels(profile.upstream).inc()
--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -27,13 +27,20 @@
     {FailureKind.CONNECT, FailureKind.TIMED_OUT, FailureKind.TRUNCATED}
 )
 
+# After these, a retry is of no use.
+FINAL_KINDS: Final = frozenset({FailureKind.CANCELLED, FailureKind.DEADLINE})
+
 
 class Retry(NamedTuple):
-    """Retry after a delay; exclude says to use another replica if there is one."""
+    """Retry after a delay; exclude says to use another replica if there is one.
+
+    any_replica says that the replicas excluded before may be used again.
+    """
 
     after_ms: int
     fresh_connection: bool
     exclude: bool
+    any_replica: bool = False
 
 
 class GiveUp(NamedTuple):
@@ -220,6 +227,25 @@
     return budget.has_retry_for_lost_replica(upstream, at, now)
 
 
+def retry_moved(failure: Failure, due_ms: int, now: int, rand: random.Random) -> Retry | None:
+    """Return the retry of a rejected request that has left a silent replica, or None.
+
+    That replica would have gone on, so that neither the attempts nor the budget end the request as
+    long as its sends do not run. The pause bounds what it costs.
+    """
+    if failure.sent is not Sent.NO or failure.kind in FINAL_KINDS:
+        return None
+    after_ms = moved_pause_ms(rand)
+    if now + after_ms >= due_ms:
+        return None
+    return Retry(after_ms, fresh_connection=True, exclude=False, any_replica=True)
+
+
+def moved_pause_ms(rand: random.Random) -> int:
+    """Return the pause of a request that has left a silent replica and finds no other."""
+    return rand.randint(MAX_BACKOFF_MS // 2, MAX_BACKOFF_MS)
+
+
 def _only_connection(failure: Failure, attempts_made: int) -> bool:
     """Tell whether the connection is more likely at fault than the replica.
 
