Let a request wait at a silent replica rather than become a suspect

What callers saw: a stream was cut with "replicas were lost while they ran the same request" when its second replica fell silent, too, while an equal stream was open.

Cause: a silent replica that is given up counts as lost under its request. The second loss makes the request a suspect, which is sent only while no copy of it is under way. The stream had left its replica by then.

Change: a request is moved only if it may still be sent freely after one more loss. Otherwise it waits where it is, as it does without another replica. Losses of replicas that answer again are withdrawn as before.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -238,7 +238,9 @@
     """Return the tracker of the silence of a send that is about to be made."""
 
     def may_move() -> bool:
-        return may_move_silent(deps, req.profile, req.due_ms, replica, progress.history.send_count)
+        return may_move_silent(
+            deps, req.profile, req.fingerprint, req.due_ms, replica, progress.history.send_count
+        )
 
     async def find_other(silence: Silence) -> Replica | None:
         excluded = excluded_while_silent(deps, replica, silence, progress.history)
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -18,7 +18,12 @@
 from papayapier.dispatch.part_watch import PROBE_PREFIX, PartWatch
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.metrics import Metrics
-from papayapier.policy.crash_quarantine import CrashTracker, ReplicaLoss
+from papayapier.policy.crash_quarantine import (
+    MAX_LOSSES,
+    MAX_LOSSES_ANSWERED,
+    CrashTracker,
+    ReplicaLoss,
+)
 from papayapier.policy.open_sends import OpenSends, WantedSend
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
@@ -126,6 +131,15 @@
         now = self._clock.now()
         return self._tracker.is_suspect(fingerprint) or self._tracker.is_undecided(fingerprint, now)
 
+    def is_free_after_loss(self, get_fingerprint: GetFingerprint, replica_id: str) -> bool:
+        """Return whether a request could still be sent without a permit after one more loss."""
+        if self._tracker.is_empty():
+            return True
+        fingerprint = get_fingerprint()
+        lost = {*self._tracker.lost_replicas(fingerprint), replica_id}
+        answered = self._tracker.recently_answered([fingerprint], self._clock.now())
+        return len(lost) < (MAX_LOSSES_ANSWERED if answered else MAX_LOSSES - 1)
+
     async def acquire_permit(
         self, get_fingerprint: GetFingerprint, replica_id: str, within_ms: int
     ) -> bool:
--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -34,7 +34,7 @@
 
     def may_move() -> bool:
         counted = progress.history.counted_sends(req.profile.retry.attempts)
-        return may_move_silent(deps, req.profile, req.due_ms, replica, counted)
+        return may_move_silent(deps, req.profile, req.fingerprint, req.due_ms, replica, counted)
 
     async def find_other(silence: Silence) -> Replica | None:
         excluded = excluded_while_silent(deps, replica, silence, progress.history)
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -178,13 +178,19 @@
 
 
 def may_move_silent(
-    deps: RetryDeps, profile: "Profile", due_ms: int, replica: Replica, counted: int
+    deps: RetryDeps,
+    profile: "Profile",
+    get_fingerprint: "GetFingerprint",
+    due_ms: int,
+    replica: Replica,
+    counted: int,
 ) -> bool:
     """Return whether a request whose replica is silent could be sent again now.
 
-    counted sends use up the allowed attempts.
+    counted sends use up the allowed attempts. Giving up the replica counts as a loss, and a request
+    that may then only be sent alone may have to wait for longer than the silence lasts.
     """
-    return may_retry_silent(
+    return deps.crashes.is_free_after_loss(get_fingerprint, replica.id) and may_retry_silent(
         profile.idempotent,
         counted,
         profile.retry,
