Count only the noticed silence of answers that outlast one

Cause: the time to the first byte was observed in full. Before answers could outlast a silence, only the part up to the limit was.

Evidence: test_answers_that_outlast_a_silence_raise_the_limit_little; the parameter that it uses did not exist before.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -59,6 +59,7 @@
 
     __slots__ = (
         "began_ms",
+        "first_silence_ms",
         "first_token_ms",
         "found",
         "history",
@@ -74,14 +75,17 @@
         # When the first token of the current send arrived, 0 before that.
         self.send_first_ms = 0
         self.parts: list[str] = []
-        # The replica for which a silent one was given up, until the next send.
+        # The replica of the next send, found while the present one was silent.
         self.found: Replica | None = None
+        # How long the first silence of the last send was when it was noticed, 0 without any.
+        self.first_silence_ms = 0
         # The software version that wrote the parts; None if there are none.
         self.version: str | None = None
 
     def on_send_ended(self, silent_send: SilentSend) -> None:
         """Record what the silence of a replica has led to."""
         self.found = silent_send.found
+        self.first_silence_ms = silent_send.first_ms
         self.history.moved |= silent_send.found is not None
 
     def text(self) -> str:
@@ -228,7 +232,8 @@
         req.shared_parts,
         progress.send_first_ms,
     )
-    _report_result(deps, req, replica, result, deps.clock.now() - started_ms)
+    lasted_ms = deps.clock.now() - started_ms
+    _report_result(deps, req, replica, result, lasted_ms, progress.first_silence_ms)
     return result
 
 
@@ -331,18 +336,19 @@
     replica: Replica,
     result: Result[Reply, Failure],
     lasted_ms: int,
+    first_silence_ms: int,
 ) -> None:
     """Report the result of a send to the policies."""
     now = deps.clock.now()
     upstream = req.profile.upstream
     if isinstance(result, Err):
         if result.err_value.kind is FailureKind.TIMED_OUT:
-            deps.first_bytes.observe(upstream, lasted_ms)
+            deps.first_bytes.observe(upstream, lasted_ms, first_silence_ms)
         if counts_against_replica(result.err_value):
             deps.outliers.on_end(replica.id, False, None, now)
         return
     reply = result.ok_value
-    deps.first_bytes.observe(upstream, reply.first_token_ms)
+    deps.first_bytes.observe(upstream, reply.first_token_ms, first_silence_ms)
     deps.outliers.on_end(replica.id, True, float(reply.first_token_ms), now)
     if reply.load is not None:
         deps.load_tracker.on_report(replica.id, reply.load)
--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -113,6 +113,7 @@
     __slots__ = (
         "began_ms",
         "failed_answer",
+        "first_silence_ms",
         "found",
         "history",
         "placed_sends",
@@ -143,8 +144,10 @@
         # Sends whose replica a placer chose; for the others it was chosen here.
         self.placed_sends = 0
         self.failed_answer: ForwardAnswer | None = None
-        # The replica for which a silent one was given up, until the next send.
+        # The replica of the next send, found while the present one was silent.
         self.found: Replica | None = None
+        # How long the first silence of the last send was when it was noticed, 0 without any.
+        self.first_silence_ms = 0
         # The longest silence of a replica.
         self.silent_ms = 0
         # The software version that began the stream, None before its first event.
@@ -166,6 +169,7 @@
         """Record what the silence of a replica has led to."""
         self.found = silent_send.found
         self.history.moved |= silent_send.found is not None
+        self.first_silence_ms = silent_send.first_ms
         self.silent_ms = max(self.silent_ms, silent_send.longest_ms)
 
     def last_event(self) -> int:
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -309,13 +309,14 @@
     if isinstance(result, Ok):
         waited_ms = (first_byte_ms or now) - started_ms
         deps.outliers.on_end(replica.id, result.ok_value.status < 500, float(waited_ms), now)
-        deps.first_bytes.observe(req.profile.upstream, waited_ms)
+        deps.first_bytes.observe(req.profile.upstream, waited_ms, progress.first_silence_ms)
         return
     failure = result.err_value
     if failure.kind in NO_ANSWER_KINDS and not first_byte_ms:
         deps.on_unanswered(replica)
     if failure.kind is FailureKind.TIMED_OUT and not first_byte_ms:
-        deps.first_bytes.observe(req.profile.upstream, now - started_ms)
+        waited_ms = now - started_ms
+        deps.first_bytes.observe(req.profile.upstream, waited_ms, progress.first_silence_ms)
     if failure.sent is Sent.NO and failure.kind is FailureKind.STATUS:
         return
     if counts_against_replica(failure):
--- a/papayapier/dispatch/silent_sends.py
+++ b/papayapier/dispatch/silent_sends.py
@@ -39,9 +39,13 @@
 
 
 class SilentSend:
-    """Track the silence of one send; found is the replica for which it was given up."""
+    """Track the silence of one send.
 
-    __slots__ = ("_deps", "_search", "_searching", "_waits", "found", "longest_ms")
+    found is the replica for which it was given up, first_ms how long the first silence was when it
+    was noticed.
+    """
+
+    __slots__ = ("_deps", "_search", "_searching", "_waits", "first_ms", "found", "longest_ms")
 
     def __init__(self, deps: SilentSendDeps) -> None:
         self._deps = deps
@@ -49,10 +53,12 @@
         self._searching = False
         self._waits = False
         self.found: Replica | None = None
+        self.first_ms = 0
         self.longest_ms = 0
 
     def on_silence(self, silence: "Silence") -> None:
         """Look for another replica, unless the request may not be moved."""
+        self.first_ms = self.first_ms or silence.silent_ms
         self.longest_ms = max(self.longest_ms, silence.silent_ms)
         if self._searching:
             return
--- a/papayapier/policy/first_byte.py
+++ b/papayapier/policy/first_byte.py
@@ -40,8 +40,14 @@
     def __init__(self) -> None:
         self._rows: dict[str, _SmoothedTime] = {}
 
-    def observe(self, upstream: str, waited_ms: float) -> None:
-        """Record how long a request waited, for its first byte or until it timed out."""
+    def observe(self, upstream: str, waited_ms: float, silence_ms: int = 0) -> None:
+        """Record how long a request waited, for its first byte or until it was sent elsewhere.
+
+        Of a wait beyond the limit, only the silence that showed it counts: one replica that goes on
+        after seconds would otherwise raise the limit of all.
+        """
+        if silence_ms:
+            waited_ms = min(waited_ms, silence_ms)
         row = self._rows.get(upstream)
         if row is None:
             self._rows[upstream] = _SmoothedTime(waited_ms)
--- a/tests/test_policy_first_byte.py
+++ b/tests/test_policy_first_byte.py
@@ -40,3 +40,14 @@
     for _ in range(10):
         times.observe("lm", times.limit_ms("lm", 60_000, 3))
     assert times.limit_ms("lm", 60_000, 3) > 2 * before
+
+
+def test_answers_that_outlast_a_silence_raise_the_limit_little() -> None:
+    """Guard against hung replicas that are noticed late after others were silent for a while."""
+    times = FirstByteTimes()
+    for _ in range(20):
+        times.observe("lm", 80)
+    before_ms = times.limit_ms("lm", 60_000, 3)
+    for _ in range(3):
+        times.observe("lm", 3_000, before_ms)
+    assert times.limit_ms("lm", 60_000, 3) < 3 * before_ms
