Log a silence once, and stop searching after a search has failed

What operators saw, as the review showed on a fake clock: 500 silent streams wrote 10,000 lines in 10 s, among which those of moved requests drown, and a search that raises wrote an error per stream and half second without counting the silence against its replica.

Change: a line per send that waits, and one if it is moved after all; a failed search leaves the request where it is for good. A placement counts when it is sent to.

Evidence: test_a_silence_is_logged_when_its_decision_changes and test_a_failed_search_is_not_repeated failed before.

--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -81,7 +81,7 @@
         includes_peers=True,
         fresh=deps.peer_loads_are_fresh(),
     )
-    progress.placed_with_capacity = False
+    progress.placed = progress.placed_with_capacity = False
     if progress.stream_version is not None:
         usable = deps.load_tracker.usable_replicas(upstream, deps.clock.now())
         candidates = replicas_of_version(usable, progress.stream_version)
@@ -98,7 +98,7 @@
         return Err(placed.refusal)
     for replica in deps.load_tracker.usable_replicas(upstream, deps.clock.now()):
         if replica.id == placed.replica and _may_run(progress, replica):
-            progress.placed_sends += 1
+            progress.placed = True
             progress.placed_with_capacity = placed.has_capacity
             return Ok(replica)
     return _pick_locally(deps, req, route, progress)
--- a/papayapier/dispatch/forward_state.py
+++ b/papayapier/dispatch/forward_state.py
@@ -116,6 +116,7 @@
         "first_silence_ms",
         "found",
         "history",
+        "placed",
         "placed_sends",
         "placed_with_capacity",
         "placement_ms",
@@ -141,7 +142,8 @@
         self.placement_ms = 0
         # The placer, which knows all open calls, reported a free slot at the replica of this send.
         self.placed_with_capacity = False
-        # Sends whose replica a placer chose; for the others it was chosen here.
+        # Whether a placer chose the replica, and how many sends it did so for.
+        self.placed = False
         self.placed_sends = 0
         self.failed_answer: ForwardAnswer | None = None
         # The replica of the next send, found while the present one was silent.
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -190,6 +190,7 @@
     deps: ForwardDeps, req: RawRequest, replica: Replica, progress: ForwardProgress
 ) -> Result[ForwardedAnswer, Failure]:
     progress.history.send_count += 1
+    progress.placed_sends += progress.placed
     progress.replicas.append(replica.id)
     _check_version(deps, req, replica, progress)
     progress.version = replica.version
--- a/papayapier/dispatch/silent_sends.py
+++ b/papayapier/dispatch/silent_sends.py
@@ -6,7 +6,7 @@
 costs the wait for that time.
 """
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -45,13 +45,23 @@
     was noticed.
     """
 
-    __slots__ = ("_deps", "_search", "_searching", "_waits", "first_ms", "found", "longest_ms")
+    __slots__ = (
+        "_deps",
+        "_has_failed",
+        "_search",
+        "_searching",
+        "_waits",
+        "first_ms",
+        "found",
+        "longest_ms",
+    )
 
     def __init__(self, deps: SilentSendDeps) -> None:
         self._deps = deps
         self._search: Deferred[None] | None = None
         self._searching = False
         self._waits = False
+        self._has_failed = False
         self.found: Replica | None = None
         self.first_ms = 0
         self.longest_ms = 0
@@ -60,14 +70,14 @@
         """Look for another replica, unless the request may not be moved."""
         self.first_ms = self.first_ms or silence.silent_ms
         self.longest_ms = max(self.longest_ms, silence.silent_ms)
-        if self._searching:
+        if self._searching or self._has_failed:
             return
         if not self._deps.may_move():
             self._wait(silence, "it may not be sent again")
             return
         self._searching = True
         search = Deferred.fromCoroutine(self._move(silence))
-        search.addErrback(_on_failure, self._deps.request_id)
+        search.addErrback(self._on_failure, silence)
         if self._searching:
             self._search = search
 
@@ -98,11 +108,20 @@
             self.found = None
 
     def _wait(self, silence: "Silence", reason: str) -> None:
-        if not self._waits:
-            self._waits = True
-            self._deps.on_waiting(silence)
+        if self._waits:
+            return
+        self._waits = True
+        self._deps.on_waiting(silence)
         self._log(silence, WAITING, reason)
 
+    def _on_failure(self, failure: Any, silence: "Silence") -> None:
+        if failure.check(CancelledError):
+            return
+        self._has_failed = True
+        request_id = self._deps.request_id
+        events.emit(events.SEARCH_FAILED, request=request_id, reason=repr(failure.value))
+        self._wait(silence, "the search failed")
+
     def _log(self, silence: "Silence", decision: str, detail: str) -> None:
         self._deps.metrics.silences.labels(self._deps.replica.upstream, decision).inc()
         events.emit(
@@ -113,9 +132,3 @@
             decision=decision,
             detail=detail,
         )
-
-
-def _on_failure(failure: object, request_id: str) -> None:
-    error = getattr(failure, "value", failure)
-    if not isinstance(error, CancelledError):
-        events.emit(events.SEARCH_FAILED, request=request_id, reason=repr(error))
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
+from papayapier import events
 from papayapier.dispatch.retrying import MAX_REJECTIONS
 from papayapier.errors import ErrorKind, not_run_refusal
 from papayapier.policy.placers import UNDECIDED, Placement, PlacementNeeds
@@ -15,6 +16,7 @@
 from papayapier.upstream.forward_call import ForwardAnswer, StreamedAnswer
 from tests.dispatch_world import GATE, QUESTIONS, WORLDS, DispatchWorld, result
 from tests.forward_world import Caller, ForwardWorld
+from tests.log_capture import LogCapture
 
 if TYPE_CHECKING:
     from papayapier.upstream.api import Replica
@@ -290,3 +292,34 @@
     world.start_request(True, Caller())
     assert notify(world.sends[0], reused=True, answered=False)
     assert world.sends[1].replica == world.sends[0].replica
+
+
+def test_a_silence_is_logged_when_its_decision_changes() -> None:
+    """Guard against a line each half second from every stream of a silent replica."""
+    world = ForwardWorld(replicas=1)
+    world.start_request(True, Caller())
+    world.sends[0].events(1)
+    with LogCapture().applicationbound() as logs:
+        for _ in range(5):
+            notify(world.sends[0])
+    assert len(logs.fields_of(events.SEND_SILENT)) == 1
+
+
+def test_a_failed_search_is_not_repeated() -> None:
+    """Guard against an error each half second, and against a request lost by it."""
+    world = ForwardWorld()
+
+    async def place(_route: RouteRequest, _needs: PlacementNeeds) -> Placement:
+        if world.sends:
+            raise RuntimeError("placer")
+        return UNDECIDED
+
+    world.deps = world.deps._replace(place=place)
+    results = world.start_request(True, Caller())
+    world.sends[0].events(1)
+    with LogCapture().applicationbound() as logs:
+        assert not notify(world.sends[0])
+        assert not notify(world.sends[0])
+    assert len(logs.fields_of(events.SEARCH_FAILED)) == 1
+    world.sends[0].answer()
+    assert results == [Ok(StreamedAnswer(200))]
