--- a/tests/test_entry_channels.py
+++ b/tests/test_entry_channels.py
@@ -161,6 +161,20 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_a_body_may_pause_for_longer_than_a_channel_may_be_idle(self) -> Any:
+        """Guard against closing a channel in the middle of a request by a short idle timeout."""
+
+        async def run() -> None:
+            self.site.set_limits(IDLE_MS, HEADER_BYTES)
+            client = await self._connect()
+            request = post("/a", b"x" * 10, "X-Long: " + "y" * 100)
+            for part in (request[:30], request[30:-8], request[-8:-4], request[-4:]):
+                client.write(part)
+                await real_clock().sleep(2 * IDLE_MS)
+            await client.until(b"{10}")
+
+        return Deferred.fromCoroutine(run())
+
     def test_a_header_line_may_be_as_long_as_the_limit(self) -> Any:
         """Guard against a channel that ends without an answer at one long header."""
 
