Let a caller pause within a request for the configured time

What callers saw: a channel was closed in the middle of a request, with no answer, where the idle timeout is short: a body in two parts 200 ms apart with an idle timeout of 100 ms.

Cause: the timer of idle channels also ran while a head or a body arrived, and the configured time for that (headerTimeoutMs) was read and used nowhere.

Fix: a caller that pauses within a request has the configured time in all; each pause is extended once, so that a request that never ends is given up (test_a_request_that_never_ends_times_out, new). Where the idle timeout is the longer of the two it goes on to hold.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -25,6 +25,8 @@
 from papayapier.sockets import is_idle
 
 IDLE_TIMEOUT_S: Final = 75
+# How long a caller may pause within a request.
+RECEIVE_MS: Final = 3_000
 FLUSH_TIMEOUT_S: Final = 15
 LINGER_S: Final = 5
 NEW_CONNECTION_IDLE_CHECKS: Final = 20
@@ -54,7 +56,7 @@
     # The request runs to completion even if its caller disconnects.
     detached = False
     _limit = 0
-    _received_bytes = 0
+    received_bytes = 0
     _counted_bytes = 0
     _refused = False
     _site: Any = None
@@ -81,8 +83,8 @@
         """Store a part of the body."""
         if self._refused:
             return
-        self._received_bytes += len(data)
-        if self._received_bytes > self._limit:
+        self.received_bytes += len(data)
+        if self.received_bytes > self._limit:
             self._refuse_body(self._too_large())
             return
         if not self._site.buffered_bytes.has_capacity(len(data)):
@@ -181,6 +183,8 @@
 class Connection(_Channel):  # type: ignore[misc]
     """Serve one connection, and detect whether it is idle."""
 
+    timeOut: Any = None  # noqa: N815
+
     def __init__(self) -> None:
         super().__init__()
         self._savedTimeOut: float | None = None
@@ -188,6 +192,8 @@
         self._served = False
         self._idle_checks = 0
         self._abort_timer: Any = None
+        # How much of a request had arrived when its caller was given more time.
+        self._extended_at: tuple[int, ...] = ()
 
     def path(self) -> bytes:
         """Return the path of the request whose head has just arrived."""
@@ -243,6 +249,7 @@
 
     def allContentReceived(self) -> None:  # noqa: N802
         if not self._discarding:
+            self._extended_at = ()
             super().allContentReceived()
 
     def writeHeaders(  # noqa: N802
@@ -300,7 +307,23 @@
         if may_read and not is_idle(self.transport.getHandle()):
             self.setTimeout(self.timeOut)
             return
-        super().timeoutConnection()
+        if not self._extend_pause():
+            super().timeoutConnection()
+
+    def _extend_pause(self) -> bool:
+        """Let the caller pause for longer within a request than between requests, but only once."""
+        if not self.requests and not self._buffer:
+            return False
+        arrived_bytes = self.requests[-1].received_bytes if self.requests else 0
+        received = (self._receivedHeaderSize, len(self._buffer), arrived_bytes)
+        idle_s, extra_s = self.timeOut, self.site.receive_s - self.timeOut
+        if extra_s <= 0 or received == self._extended_at:
+            return False
+        self._extended_at = received
+        self.setTimeout(extra_s)
+        # Bytes that arrive restart the timer with this value.
+        self.timeOut = idle_s
+        return True
 
     def _abort(self) -> None:
         self._abort_timer = None
@@ -338,16 +361,18 @@
         self.buffered_bytes = BufferedBytes(UNBOUNDED)
         self.leaving = False
         self.header_bytes = MAX_HEADER_BYTES
+        self.receive_s = RECEIVE_MS / MS_PER_S
         self.connections: set[Connection] = set()
 
     def log(self, request: object) -> None:
         """Write no access log; events and metrics replace it."""
 
-    def set_limits(self, idle_ms: int, header_bytes: int) -> None:
-        """Set the idle timeout and the maximum size of a request's head.
+    def set_limits(self, idle_ms: int, header_bytes: int, receive_ms: int = RECEIVE_MS) -> None:
+        """Set the idle timeout, the maximum size of a head, and of a pause within a request.
 
         Open connections get higher limits at once, and keep higher ones.
         """
+        self.receive_s = receive_ms / MS_PER_S
         self.timeOut = idle_ms / MS_PER_S
         self.header_bytes = header_bytes
         for connection in self.connections:
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -341,4 +341,5 @@
 
 def _apply_caller_limits(listening: ListeningPort, table: RouteTable) -> None:
     """Apply the configured limits on callers' headers and idle connections."""
-    listening.site.set_limits(table.cfg.limits.idle_ms, table.cfg.limits.header_bytes)
+    limits = table.cfg.limits
+    listening.site.set_limits(limits.idle_ms, limits.header_bytes, limits.header_ms)
--- a/tests/test_entry_channels.py
+++ b/tests/test_entry_channels.py
@@ -175,6 +175,18 @@
 
         return Deferred.fromCoroutine(run())
 
+    def test_a_request_that_never_ends_times_out(self) -> Any:
+        """Guard against channels that stay open for ever since a request never arrives whole."""
+
+        async def run() -> None:
+            self.site.set_limits(IDLE_MS, HEADER_BYTES, 3 * IDLE_MS)
+            for rest in (8, 40):
+                client = await self._connect()
+                client.write(post("/a", b"x" * 10)[:-rest])
+                await client.closed
+
+        return Deferred.fromCoroutine(run())
+
     def test_a_header_line_may_be_as_long_as_the_limit(self) -> Any:
         """Guard against a channel that ends without an answer at one long header."""
 
