Ignore SIGHUP until a process can handle it

What callers saw: a whole request, on a channel that was open, got neither an answer nor a refusal.

Cause: an entry listens before it imports its program, so callers send to it for half a second and more in which SIGHUP, by which the platform says that the settings have changed, still has its default effect and ends the process with no line at all.

Evidence: test_an_entry_survives_a_hangup_while_it_starts failed before (the caller's channel ended without an answer) and passed three times in a row now.

Fix: SIGHUP is ignored from the first statement of the program on until the handler is set; the settings are read in that time anyway. What remains is the start of the interpreter itself, before any channel is accepted.

--- a/papayapier/main.py
+++ b/papayapier/main.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import signal
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -19,6 +20,8 @@
 
 Command = Callable[[argparse.Namespace], int]
 
+SERVING_COMMANDS: Final = frozenset({"serve", *NODE_COMMANDS})
+
 DESCRIPTION: Final = """\
 Serve online and batch inference requests on one fleet of replicas. Operators define named
 profiles (urgency, due time, idempotency); callers choose one for each request or job."""
@@ -31,6 +34,10 @@
 
 def main(args: Sequence[str]) -> int:
     """Run the command that the arguments name; return its exit code."""
+    if args and args[0] in SERVING_COMMANDS:
+        # By default the signal ends the process, until the program is imported and handles it. The
+        # settings have not been read yet.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # An entry has to listen as soon as possible; the other commands take longer to import.
     parser = make_node_parser() if args and args[0] in NODE_COMMANDS else make_parser()
     options = parser.parse_args(args)
