--- a/tests/site/config_soak.py
+++ b/tests/site/config_soak.py
@@ -11,6 +11,7 @@
 
 import argparse
 import random
+import socket
 import sys
 import time
 from collections import Counter
@@ -145,8 +146,10 @@
         while not self.stopping:
             await sleep(HANGUP_GAP_S)
             name = self.rng.choice(list(self.world.caller_ports))
-            self.world.children[name].send_signal(SIGHUP)
-            self.changes["hangups"] += 1
+            # The interpreter cannot handle signals before it has started.
+            if _is_listening(self.world.caller_ports[name]):
+                self.world.children[name].send_signal(SIGHUP)
+                self.changes["hangups"] += 1
 
     async def _stop_in_turn(self) -> None:
         for name in self.world.caller_ports:
@@ -306,6 +309,11 @@
                 self.violations.append(f"{what}: the stream looks complete and is not")
 
 
+def _is_listening(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
+
+
 def _route(cfg: dict[str, Any], path: str) -> dict[str, Any] | None:
     routes: list[dict[str, Any]] = [
         route for route in cfg["routes"] if path.startswith(route["pathPrefix"])
