Answer each forwarded request once its time is up

What callers saw: a request may get neither an answer nor a refusal where something below it does not end: nothing bounded the request itself, only the parts that it waits for, each by a limit of its own. Some of these are longer than the request's time: half a second each for the list of replicas and for the version of a stream, two seconds for a permit, and any part that forgets a waiter has none.

Evidence: four tests of tests/test_entry_waits.py (placement, send, version of a stream, allowance that never end) failed before.

Fix: finish_by cancels a request 150 ms after its time is up and refuses it as the send's end says, else with 504, whose outcome is unknown; a stream that has begun is aborted. The line is event 237 with the request's id: it shows that a part lacks a bound. The parts keep their limits, which end first and say more. Like theirs, the bound does not count a pause of the process. That a caller who leaves still ends its request is tested (new).

--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -22,6 +22,7 @@
 )
 from papayapier.dispatch.start_queue import StartQueue, StartRequest
 from papayapier.entry.forward_refusals import RefusalDeps, count_refusal, refuse_forwarded
+from papayapier.entry.overdue import finish_by
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.policy.waiting import is_repeated, wait_limit_ms
@@ -214,7 +215,7 @@
         return await _run(routes, req, team, send)
 
     try:
-        result = await run()
+        result = await finish_by(routes.clock, req.due_ms, req.request_id, run())
     except CancelledError:
         if request.is_disconnected:
             routes.metrics.requests.labels(route.name, "gone").inc()
--- a/papayapier/events.py
+++ b/papayapier/events.py
@@ -230,6 +230,12 @@
     Level.ERROR,
     "looking for another replica ended by an unexpected exception",
 )
+REQUEST_OVERDUE: Final = Event(
+    237,
+    "request_overdue",
+    Level.WARNING,
+    "request cancelled, something it waited for did not end in its time",
+)
 
 REPLICA_EJECTED: Final = Event(
     301, "replica_ejected", Level.WARNING, "replica ejected, it gets no calls for now"
--- a/tests/test_entry_waits.py
+++ b/tests/test_entry_waits.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from result import Ok
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.http_headers import Headers
 
 from papayapier import events
@@ -191,3 +191,16 @@
     assert serving.called
     world.world.time.run_for(2 * LATE_MS)
     assert request.status == 200
+
+
+def test_a_caller_that_leaves_ends_its_request() -> None:
+    """Guard against a send that goes on although its caller has left."""
+    world = ServeWorld()
+    request = Request()
+    serving: Any = Deferred.fromCoroutine(_serve(world.routes, request))
+    serving.addErrback(lambda failure: failure.trap(CancelledError))
+    request.is_disconnected = True
+    serving.cancel()
+    (send,) = world.world.sends
+    assert (send.done.called, serving.called, request.status) == (True, True, 0)
+    assert not world.world.time.source.calls
