--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -58,8 +58,10 @@
         # Written at the end of each event of an item, and the time between two of these.
         self.item_suffix = ""
         self.item_interval_s = EVENT_INTERVAL_S
-        # The next event of each open stream.
+        # The timer of the next event of each open stream, its number, and how much of it is sent.
         self._next_events: dict[Any, Any] = {}
+        self._next_numbers: dict[Any, int] = {}
+        self._sent_bytes: dict[Any, int] = {}
         self._silent_until_s = 0.0
         # Requests that arrived during a silence, and when they are looked at.
         self._unread: dict[Any, Any] = {}
@@ -114,9 +116,21 @@
         self.boot_number += 1
         self.register("ready")
 
-    def fall_silent(self, seconds: float) -> None:
-        """Do nothing for some time, then go on where it was; the kernel still accepts bytes."""
+    def fall_silent(self, seconds: float, within_events: bool = False) -> None:
+        """Do nothing for some time, then go on where it was; the kernel still accepts bytes.
+
+        within_events says that each stream stops in the middle of its next event.
+        """
         self._silent_until_s = reactor.seconds() + seconds
+        if not within_events:
+            return
+        for request, number in self._next_numbers.items():
+            is_last = number > self.events_per_stream
+            if is_last or request in self._sent_bytes or request._disconnected:
+                continue
+            event = self._event(request, number)
+            request.write(event[: len(event) // 2])
+            self._sent_bytes[request] = len(event) // 2
 
     def _silence_left_s(self) -> float:
         left_s: float = self._silent_until_s - reactor.seconds()
@@ -214,6 +228,7 @@
     def _write_later(self, delay_s: float, request: Any, number: int, written: int) -> None:
         timer = reactor.callLater(delay_s, self._write_event, request, number, written)
         self._next_events[request] = timer
+        self._next_numbers[request] = number
 
     def _on_finished(self, _reason: object, is_item: bool) -> None:
         self.open_requests -= 1
@@ -221,7 +236,9 @@
 
     def _write_event(self, request: Any, number: int, written: int) -> None:
         del self._next_events[request]
+        del self._next_numbers[request]
         if request._disconnected:
+            self._sent_bytes.pop(request, None)
             return
         if self._silence_left_s():
             self._write_later(self._silence_left_s(), request, number, written)
@@ -235,13 +252,15 @@
             request.write(f"id: {number}\nda".encode())
             reactor.callLater(0, request.transport.abortConnection)
             return
+        interval_s = self.item_interval_s if b"/job/" in request.path else EVENT_INTERVAL_S
+        request.write(self._event(request, number)[self._sent_bytes.pop(request, 0) :])
+        self._write_later(interval_s, request, number + 1, written + 1)
+
+    def _event(self, request: Any, number: int) -> bytes:
         text = f"piece {number} {self.version}".strip()
-        interval_s = EVENT_INTERVAL_S
         if b"/job/" in request.path:
             text += self.item_suffix
-            interval_s = self.item_interval_s
-        request.write(f"id: {number}\ndata: {text}\n\n".encode())
-        self._write_later(interval_s, request, number + 1, written + 1)
+        return f"id: {number}\ndata: {text}\n\n".encode()
 
 
 def versions_in(received: bytes) -> set[bytes]:
--- a/tests/site/silence_soak.py
+++ b/tests/site/silence_soak.py
@@ -3,13 +3,13 @@
     python -m tests.site.silence_soak --seconds 14 --seed 1
 
 A replica's silence is no reason to end an answer. Replicas fall silent in turn, sometimes two at
-once and sometimes again after one event, while callers on kept connections send streams, calls and
-jobs, equal ones and different ones. By the seed, an entry is suspended, a keeper restarts, replicas
-join, drain while they are silent, reject requests beyond their queue, or lose their entry in the
-list while they are silent. With --configurations, the configuration changes four times a second;
-with --hubs, there is no full mesh between processes, so that a placer chooses the replicas. An
-answer may only end early because the time of its request is over, and a refusal needs replicas half
-of whose slots are taken.
+once and sometimes again after one event or in the middle of one, while callers on kept connections
+send streams, calls and jobs, equal ones and different ones. By the seed, an entry is suspended, a
+keeper restarts, replicas join, drain while they are silent, reject requests beyond their queue, or
+lose their entry in the list while they are silent. With --configurations, the configuration changes
+four times a second; with --hubs, there is no full mesh between processes, so that a placer chooses
+the replicas. An answer may only end early because the time of its request is over, and a refusal
+needs replicas half of whose slots are taken.
 """
 
 import argparse
@@ -70,6 +70,7 @@
 SILENCE_GAP_S: Final = (0.1, 0.8)
 TWO_AT_ONCE_SHARE: Final = 0.3
 AGAIN_SHARE: Final = 0.4
+WITHIN_EVENTS_SHARE: Final = 0.4
 MAX_ADDED: Final = 3
 QUEUE: Final = 2
 FAULT_GAP_S: Final = (0.5, 2.0)
@@ -330,7 +331,9 @@
     def _fall_silent(self, replica: StandinReplica, seconds: float) -> None:
         until_s = max(reactor.seconds() + seconds, self._silent_until_s.get(replica.id, 0.0))
         self._silent_until_s[replica.id] = until_s
-        replica.fall_silent(until_s - reactor.seconds())
+        within_events = self.rng.random() < WITHIN_EVENTS_SHARE
+        self.faults["within events"] += within_events
+        replica.fall_silent(until_s - reactor.seconds(), within_events)
 
     async def _inject(self, drawn: "Sequence[Callable[[], Awaitable[None]]]") -> None:
         while not self.stopping:
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -268,6 +268,21 @@
     assert not equal
 
 
+def test_a_moved_answer_outlasts_rejections() -> None:
+    """Guard against a generation cut because the replicas to which it moves are full."""
+    world = DispatchWorld(lm=2)
+    pending = world.send_request(QUESTIONS)
+    world.sends[0].token("a ")
+    assert notify(world.sends[0])
+    for _ in range(2 * MAX_REJECTIONS):
+        world.sends[-1].fail(FailureKind.STATUS, Sent.NO, 503)
+        world.time.run_for(600)
+        assert not pending.called
+    world.sends[-1].token("b")
+    world.sends[-1].answer()
+    assert result(pending).unwrap().text == "a b"
+
+
 @pytest.mark.parametrize("answered", [False, True])
 def test_a_silent_replica_is_not_its_own_replacement(answered: bool) -> None:
     """Guard against a stream that leaves a silent replica only to be sent there once more."""
