Count the wait for a start as time of the request

What callers saw: a request that came just after a start could be held for up to a second longer than its own time, and was then sent although its caller had given up.

Cause: an entry waits for its first configuration, replicas and peers before it reads how much time a request has, and counted that time from then.

Fix: the wait ends when the request's time is up, and that time counts from the arrival. The objective still counts from the end of the wait, so the order in which delayed requests are served is the same.

tests/test_node_entry.py: test_first_requests_wait_for_peers_state passes the new argument, a time after the longest wait; its checks are the same.

--- a/papayapier/entry/forward_routes.py
+++ b/papayapier/entry/forward_routes.py
@@ -44,6 +44,8 @@
 
 # Limit of unsent bytes for a caller that does not read, beyond what the kernel buffers.
 MAX_UNREAD_BYTES: Final = 256_000
+# Longest wait for a start by a request that does not say how much time it has.
+MAX_START_WAIT_MS: Final = 1_000
 # Pause between two requests for an allowance; each costs up to two unanswered messages.
 GRANT_RETRY_MS: Final = 50
 
@@ -83,9 +85,9 @@
     """Group the dependencies of the routes; table returns None while there is no configuration.
 
     get_refusal returns the refusal that new requests get, if any. wait_until_routable waits, just
-    after a start, until requests can be routed. allow returns whether a team may send one more
-    request. Until starting_until_ms the granter may not be known yet, and callers may have waited
-    for this start or come from other instances that did not answer.
+    after a start, until requests can be routed or until a time. allow returns whether a team may
+    send one more request. Until starting_until_ms the granter may not be known yet, and callers may
+    have waited for this start or come from other instances that did not answer.
     """
 
     clock: "Clock"
@@ -95,7 +97,7 @@
     names: HeaderNames
     table: "Callable[[], RouteTable | None]"
     get_refusal: "Callable[[], Refusal | None]"
-    wait_until_routable: "Callable[[], Awaitable[None]]"
+    wait_until_routable: "Callable[[int], Awaitable[None]]"
     queue: StartQueue
     forward: "ForwardDeps"
     allow: "Callable[[Team, bool], Awaitable[Result[None, Refusal]]]"
@@ -151,11 +153,13 @@
 
 
 async def _serve(routes: ForwardRouteDeps, request: Any) -> None:
+    arrived_ms = routes.clock.now()
     refusal = routes.get_refusal()
     if refusal is not None:
         refuse_forwarded(routes.refusals, request, "", refusal)
         return
-    await routes.wait_until_routable()
+    left_ms = _number(request.getHeader(routes.names.time_left), MAX_START_WAIT_MS)
+    await routes.wait_until_routable(arrived_ms + (left_ms or 0))
     table = routes.table()
     if table is None:
         reason = "no configuration is known yet"
@@ -187,20 +191,23 @@
         request.detached = True
         await routes.jobs.submit(request, route, team_name(team_result.ok_value))
     else:
-        await _forward(routes, request, route, team_result.ok_value)
+        await _forward(routes, request, route, team_result.ok_value, arrived_ms)
 
 
 def _presented_keys(routes: ForwardRouteDeps, request: Any) -> "Sequence[bytes]":
     return routes.names.presented_keys(request.requestHeaders)
 
 
-async def _forward(routes: ForwardRouteDeps, request: Any, route: Route, team: Team | None) -> None:
+async def _forward(
+    routes: ForwardRouteDeps, request: Any, route: Route, team: Team | None, arrived_ms: int
+) -> None:
     now = routes.clock.now()
     parsed = _read_request(routes, request, route, team, now)
     if isinstance(parsed, Err):
         refuse_forwarded(routes.refusals, request, route.name, parsed.err_value)
         return
-    req = parsed.ok_value
+    # The objective counts from now, the caller's time from the arrival of its request.
+    req = parsed.ok_value._replace(due_ms=parsed.ok_value.due_ms - (now - arrived_ms))
     quarantine_refusal = get_quarantine_refusal(routes.forward.crashes, req)
     if quarantine_refusal is not None:
         refuse_forwarded(routes.refusals, request, route.name, quarantine_refusal, req.due_ms)
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -125,8 +125,8 @@
             return "no replica is known yet"
         return ""
 
-    async def wait_until_routable(self) -> None:
-        """Wait, only just after the start, until requests can be routed.
+    async def wait_until_routable(self, until_ms: int) -> None:
+        """Wait, only just after the start, until requests can be routed or until a time.
 
         Connections that were accepted during the imports deliver requests immediately; refusing
         them would cost their callers a retry. If each entry placed the backlog by itself, the
@@ -135,7 +135,8 @@
         with each start.
         """
         clock = self._base.clock
-        while clock.now() < self._began_ms + MAX_STARTUP_WAIT_MS:
+        until_ms = min(until_ms, self._began_ms + MAX_STARTUP_WAIT_MS)
+        while clock.now() < until_ms:
             if not self._reason() and self._placer_known() and self._losses_known():
                 return
             await clock.sleep(POLL_MS)
--- a/tests/test_node_entry.py
+++ b/tests/test_node_entry.py
@@ -14,6 +14,8 @@
 )
 
 STARTED_MS = 50_000
+# After the longest wait for a start.
+LATER_MS = STARTED_MS + 2 * MAX_STARTUP_WAIT_MS
 
 
 class Outages:
@@ -115,7 +117,7 @@
     base.cfg.peer = Part()
     base.cfg.peer.full_mesh = 16
     finished: list[None] = []
-    waiting = _Readiness(base, cast(Any, None)).wait_until_routable()
+    waiting = _Readiness(base, cast(Any, None)).wait_until_routable(LATER_MS)
     Deferred.fromCoroutine(cast(Any, waiting)).addCallback(finished.append)
     assert bool(finished) is not waits
     time.jump(MAX_STARTUP_WAIT_MS)
