--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -14,6 +14,7 @@
 
 from papayapier.clock import FakeClock, fake_clock
 from papayapier.dispatch.lost_sends import request_fingerprint
+from papayapier.errors import Outcome
 from papayapier.peer.messages import Message
 from papayapier.peer.open_requests import OpenRequests, PeerError
 from papayapier.peer.permit_exchange import (
@@ -236,6 +237,19 @@
     assert not fleet.worlds[1].sends
 
 
+def test_suspect_is_refused_in_its_time_beside_a_silent_entry() -> None:
+    """Guard against a suspect that waits for a permit beyond its own time, or goes without one."""
+    fleet = Fleet(2)
+    fleet.report(losses_of(fingerprint_of(CRASH)))
+    fleet.silent = {"entry-0"}
+    due_ms = REPLY_MS // 2
+    results = fleet.worlds[1].start_request(idempotent=False, body=CRASH, due_ms=due_ms)
+    fleet.run(due_ms)
+    assert isinstance(results[0], Err)
+    assert results[0].err_value.outcome is Outcome.NOT_RUN
+    assert not fleet.worlds[1].sends
+
+
 def test_answer_releases_waiting_copies() -> None:
     """Guard against copies of a frequent request that wait after it was answered."""
     fleet = Fleet(1)
