--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -338,3 +338,26 @@
     assert len(logs.fields_of(events.SEARCH_FAILED)) == 1
     world.sends[0].answer()
     assert results == [Ok(StreamedAnswer(200))]
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_a_placer_is_never_asked_for_none_of_the_replicas(idempotent: bool) -> None:
+    """Guard against a request that waits at the placer for all of its time, as no replica is left.
+
+    Each of its replicas has rejected it or was silent once, and may have room again.
+    """
+    world = ForwardWorld(replicas=2)
+    excluded: list[frozenset[str]] = []
+
+    async def place(route: RouteRequest, _needs: PlacementNeeds) -> Placement:
+        excluded.append(route.exclude)
+        return UNDECIDED
+
+    world.deps = world.deps._replace(place=place)
+    world.start_request(idempotent, Caller())
+    for _ in range(2):
+        world.sends[-1].fail(FailureKind.STATUS, Sent.NO, 503)
+        world.time.run_for(600)
+    assert len(world.sends) == 3
+    assert len(excluded[1]) == 1
+    assert not excluded[2]
