Ask a placer for any replica once a request has failed at all of them

What callers saw: with a placer, a request that each of its few replicas had rejected, or of which one was silent and the others rejected it, got no answer until its time was over; its stream was cut then, although replicas had room again.

Cause: replicas at which a request has failed are excluded. Where an entry chooses by itself, it falls back to all of them if none is left. A placer does not: it holds the request until it can no longer be in time.

A placer's queue, played alone with two free replicas that a request with 8 s left excludes, gave none for 8,000 ms and then refused it.

--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -5,7 +5,11 @@
 from result import Err, Ok, Result
 
 from papayapier.dispatch.forward_state import ForwardDeps, ForwardProgress, RawRequest
-from papayapier.dispatch.retrying import excluded_while_silent, may_move_silent
+from papayapier.dispatch.retrying import (
+    NO_EXCLUDED_REPLICAS,
+    excluded_while_silent,
+    may_move_silent,
+)
 from papayapier.dispatch.silent_sends import SilentSend, SilentSendDeps
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.policy.placers import PlacementNeeds
@@ -24,7 +28,7 @@
     found = _take_found(deps, req, progress)
     if found is not None:
         return Ok(found)
-    return await _pick(deps, req, progress, progress.history.excluded)
+    return await _pick(deps, req, progress, _excluded_for_send(deps, req, progress))
 
 
 def track_silence(
@@ -67,6 +71,20 @@
     return found if found in usable else None
 
 
+def _excluded_for_send(
+    deps: ForwardDeps, req: RawRequest, progress: ForwardProgress
+) -> frozenset[str]:
+    """Return the replicas to avoid; one that failed the request may have recovered if all have.
+
+    A placer would hold a request that excludes all replicas until it is too late.
+    """
+    excluded = progress.history.excluded
+    usable = deps.load_tracker.usable_replicas(req.profile.upstream, deps.clock.now())
+    if all(replica.id in excluded for replica in usable):
+        return NO_EXCLUDED_REPLICAS
+    return excluded
+
+
 async def _pick(
     deps: ForwardDeps, req: RawRequest, progress: ForwardProgress, excluded: frozenset[str]
 ) -> Result[Replica, Refusal]:
