Search no other replica where none is listed

What operators saw: a request at the only replica of its service, silent, queued at the placer with every replica excluded until it could no longer be in time, among requests that wait for a slot.

Evidence: test_a_placer_is_not_asked_where_no_other_replica_is_listed failed before.

--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -42,6 +42,8 @@
 
     async def find_other(silence: Silence) -> Replica | None:
         excluded = excluded_while_silent(deps, replica, silence, progress.history)
+        if not _has_other(deps, req, excluded):
+            return None
         picked = await _pick(deps, req, progress, excluded)
         if isinstance(picked, Err) or picked.ok_value.id in excluded:
             return None
@@ -79,10 +81,12 @@
     A placer would hold a request that excludes all replicas until it is too late.
     """
     excluded = progress.history.excluded
+    return excluded if _has_other(deps, req, excluded) else NO_EXCLUDED_REPLICAS
+
+
+def _has_other(deps: ForwardDeps, req: RawRequest, excluded: frozenset[str]) -> bool:
     usable = deps.load_tracker.usable_replicas(req.profile.upstream, deps.clock.now())
-    if all(replica.id in excluded for replica in usable):
-        return NO_EXCLUDED_REPLICAS
-    return excluded
+    return any(replica.id not in excluded for replica in usable)
 
 
 async def _pick(
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -361,3 +361,12 @@
     assert len(world.sends) == 3
     assert len(excluded[1]) == 1
     assert not excluded[2]
+
+
+def test_a_placer_is_not_asked_where_no_other_replica_is_listed() -> None:
+    """Guard against a search that queues at the placer for all of a request's time."""
+    world = ForwardWorld(replicas=1)
+    world.start_request(True, Caller())
+    world.sends[0].events(1)
+    assert not notify(world.sends[0])
+    assert len(world.placement_requests) == 1
