Count replicas that an entry avoids as excluded at the placer

Evidence: test_a_placer_is_asked_for_more_than_an_ejected_replica failed before, in the run just before the change, and passes.

--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -85,8 +85,15 @@
 
 
 def _has_other(deps: ForwardDeps, req: RawRequest, excluded: frozenset[str]) -> bool:
-    usable = deps.load_tracker.usable_replicas(req.profile.upstream, deps.clock.now())
-    return any(replica.id not in excluded for replica in usable)
+    """Return whether a replica is left that is neither excluded nor avoided by this entry."""
+    now = deps.clock.now()
+    for replica in deps.load_tracker.usable_replicas(req.profile.upstream, now):
+        avoided = deps.outliers.is_ejected(replica.id, now) or (
+            not req.profile.idempotent and deps.outliers.is_returning(replica.id)
+        )
+        if replica.id not in excluded and not avoided:
+            return True
+    return False
 
 
 async def _pick(
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -9,6 +9,7 @@
 from papayapier import events
 from papayapier.dispatch.retrying import MAX_REJECTIONS
 from papayapier.errors import ErrorKind, not_run_refusal
+from papayapier.policy.outliers import CONSECUTIVE_FAILURES
 from papayapier.policy.placers import UNDECIDED, Placement, PlacementNeeds
 from papayapier.policy.retries import failed_at
 from papayapier.policy.routing import RouteRequest
@@ -363,6 +364,27 @@
     assert not excluded[2]
 
 
+def test_a_placer_is_asked_for_more_than_an_ejected_replica() -> None:
+    """Guard against a request that excludes all replicas but those that its entry avoids anyway."""
+    world = ForwardWorld(replicas=3)
+    excluded: list[frozenset[str]] = []
+
+    async def place(route: RouteRequest, _needs: PlacementNeeds) -> Placement:
+        excluded.append(route.exclude)
+        return UNDECIDED
+
+    world.deps = world.deps._replace(place=place)
+    for _ in range(CONSECUTIVE_FAILURES):
+        world.outliers.on_end("r2", False, None, world.time.clock.now())
+    assert world.outliers.is_ejected("r2", world.time.clock.now())
+    world.start_request(True, Caller())
+    for _ in range(2):
+        world.sends[-1].fail(FailureKind.STATUS, Sent.NO, 503)
+        world.time.run_for(40)
+    assert len(excluded[1]) == 1
+    assert not excluded[2]
+
+
 def test_a_placer_is_not_asked_where_no_other_replica_is_listed() -> None:
     """Guard against a search that queues at the placer for all of a request's time."""
     world = ForwardWorld(replicas=1)
