Bound the wait for a permit by the time of the request

What callers saw: a request under whose like replicas were lost could be held for up to two seconds longer than its own time beside an instance that is paused or cut off, and then run out of it.

Cause: the exchange of permits waited two seconds for each peer, the time after which an instance counts as silent, whatever time the request had left.

Evidence: test_suspect_is_refused_in_its_time_beside_a_silent_entry failed before: no result at the end of the request's second.

Fix: the wait ends with the request's time. A peer that has not replied by then may have a copy under way, so the permit is refused and the request with 503; only after the whole two seconds does silence count as no objection, as before.

--- a/papayapier/peer/permit_exchange.py
+++ b/papayapier/peer/permit_exchange.py
@@ -18,6 +18,7 @@
 from papayapier.clock import Clock
 from papayapier.dispatch.crash_watch import CrashWatch, GetFingerprint
 from papayapier.peer.hub import PeerHub
+from papayapier.peer.open_requests import PeerError
 from papayapier.peer.permit_messages import (
     PermitReply,
     PermitRequest,
@@ -121,9 +122,11 @@
                 correlation_id, wanted.fingerprint, wanted.replica, losses, within_ms
             )
 
-        reply: Any = await self._deps.hub.send_request(peer_id, make_request, REPLY_MS)
+        wait_ms = min(REPLY_MS, max(0, within_ms))
+        reply: Any = await self._deps.hub.send_request(peer_id, make_request, wait_ms)
         if isinstance(reply, Err):
-            return False
+            # Before REPLY_MS a peer that has not replied may have the suspect under way.
+            return reply.err_value is PeerError.TIMEOUT and wait_ms < REPLY_MS
         answer: PermitReply = reply.ok_value
         watch.on_reported(answer.losses, ())
         return answer.blocked
