Answer a request on a job once its time is up

What callers saw: reads, bodies and ends of jobs and submissions had no answer for as long as the store and the peers that relay to it took, and a read waited for results for as long as its caller said.

Cause: only the writes of a submission or an end had a bound by time; the reads before and after them had none of the request's own.

Fix: a call is refused with 504 after 2.5 s, a submission at the time limit of its route; both go on meanwhile, so that a record whose write has begun is settled and the caller's next attempt finds it. A wait for results is 2 s at most, and ends with an empty page.

--- a/papayapier/entry/job_routes.py
+++ b/papayapier/entry/job_routes.py
@@ -1,11 +1,12 @@
 """Serve callers' requests on batch jobs, which are stored in the platform's store."""
 
-from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from typing import TYPE_CHECKING, Any, Final, NamedTuple, TypeVar
 
 from result import Err, Ok, Result
 
 from papayapier.entry.answers import JSON_TYPE
-from papayapier.errors import ErrorKind, Refusal, not_run_refusal
+from papayapier.errors import ErrorKind, Refusal, not_run_refusal, unknown_refusal
+from papayapier.pending_result import PendingResult
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -15,6 +16,8 @@
     from papayapier.jobs.job_service import JobService
     from papayapier.jobs.records import JobItem
 
+T = TypeVar("T")
+
 # Time reserved for sending the answer to a submission after its write is settled.
 ANSWER_RESERVE_MS: Final = 200
 DEFAULT_TIMEOUT_MS: Final = 2_000
@@ -61,9 +64,10 @@
         due_ms = self.clock.now() + max(ANSWER_RESERVE_MS, limit_ms - ANSWER_RESERVE_MS)
         host = request.getHeader("host") or ""
         path = request.path.decode("latin-1")
-        result = await self.job_service.submit(
+        submitting = self.job_service.submit(
             job_id, host, path, items.ok_value, due_ms, route.objective_ms, team
         )
+        result = await self._finish_within(limit_ms, submitting)
         if isinstance(result, Err):
             return self.refuse(request, route.name, result.err_value)
         return _write_answer(request, JobAnswer(b"{}", status=ACCEPTED))
@@ -71,11 +75,24 @@
     async def perform(self, request: Any, call: Any, team: str) -> None:
         """Run a call on a job for a team."""
         due_ms = self.clock.now() + CALL_TIMEOUT_MS
-        result = await self.wire.perform(self.job_service, request, call, team, due_ms)
+        performing = self.wire.perform(self.job_service, request, call, team, due_ms)
+        result = await self._finish_within(CALL_TIMEOUT_MS, performing)
         if isinstance(result, Err):
             return self.refuse(request, "", result.err_value)
         return _write_answer(request, result.ok_value)
 
+    async def _finish_within(
+        self, limit_ms: int, running: "Awaitable[Result[T, Refusal]]"
+    ) -> "Result[T, Refusal]":
+        """Return the result of a request, or a refusal if it does not end in time.
+
+        The request goes on then: a record whose write has begun must be settled.
+        """
+        result = await PendingResult(self.clock, running).wait_at_most(limit_ms)
+        if result is not None:
+            return result
+        return Err(unknown_refusal(ErrorKind.DEADLINE, "the request did not end in time"))
+
 
 def _write_answer(request: Any, answer: JobAnswer) -> None:
     if request.is_disconnected:
--- a/papayapier/platform/job_calls.py
+++ b/papayapier/platform/job_calls.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from papayapier.entry.job_routes import JobAnswer
+from papayapier.entry.job_routes import CALL_TIMEOUT_MS, JobAnswer
 from papayapier.errors import Refusal
 from papayapier.jobs.job_service import JobService, ResultsPage
 from papayapier.jobs.records import ItemOutcome, ItemResult, JobItem
@@ -17,6 +17,8 @@
 # At most 1 MB of results in one answer, as they are encoded.
 MAX_PAGE_BYTES: Final = 900_000
 SEPARATOR_BYTES: Final = 1
+# Callers wait for 1,000 ms. Longer waits end without results in time for an answer.
+MAX_WAIT_MS: Final = CALL_TIMEOUT_MS - 500
 MAX_ITEMS: Final = 200
 _READ: Final = "/v1/lots/"
 _BODY: Final = "/v1/items/"
@@ -142,7 +144,8 @@
     if isinstance(call, BodyCall):
         return _body(job_service, call, team)
     wait = request.getHeader(WAIT_MS.decode()) or "0"
-    return _results(job_service, call, team, int(wait) if wait.isdecimal() else 0)
+    wait_ms = min(int(wait), MAX_WAIT_MS) if wait.isdecimal() else 0
+    return _results(job_service, call, team, wait_ms)
 
 
 async def _end(
