--- a/tests/test_entry_channels.py
+++ b/tests/test_entry_channels.py
@@ -1,5 +1,6 @@
 """Test kept channels of callers beside their timeouts and changes of the configured limits."""
 
+import tempfile
 import time
 from typing import Any
 
@@ -9,6 +10,7 @@
 from twisted.web.resource import Resource
 
 from papayapier.clock import real_clock
+from papayapier.entry.site import MAX_MEMORY_BODY_BYTES
 from papayapier.listen import listen_resource, make_body_limit
 from tests.raw_client import RawClient, connect, post
 
@@ -187,6 +189,37 @@
 
         return Deferred.fromCoroutine(run())
 
+    async def _status_of_large_body(self) -> int:
+        """Send a body that is too large for memory, on a machine that has no disk."""
+        self.site.body_limit = make_body_limit(2 * MAX_MEMORY_BODY_BYTES)
+        folder, tempfile.tempdir = tempfile.tempdir, "/nonexistent"
+        half = MAX_MEMORY_BODY_BYTES // 2 + 1
+        body = b"%x\r\n%b\r\n" % (half, b"x" * half) * 2 + b"0\r\n\r\n"
+        client = await self._connect()
+        client.write(b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + body)
+        try:
+            await client.until(b"\r\n\r\n")
+        finally:
+            tempfile.tempdir = folder
+        return client.status()
+
+    def test_a_large_body_is_refused_where_no_file_can_be_written(self) -> Any:
+        """Guard against a channel without an answer where a body cannot be stored."""
+
+        async def run() -> None:
+            assert await self._status_of_large_body() == 503
+
+        return Deferred.fromCoroutine(run())
+
+    def test_a_large_body_needs_no_disk_at_an_entry(self) -> Any:
+        """Guard against refusing bodies within the limit on machines that have no disk."""
+
+        async def run() -> None:
+            self.site.bodies_in_memory = True
+            assert await self._status_of_large_body() == 200
+
+        return Deferred.fromCoroutine(run())
+
     def test_a_header_line_may_be_as_long_as_the_limit(self) -> Any:
         """Guard against a channel that ends without an answer at one long header."""
 
