Keep large bodies in memory at an entry, and refuse what cannot be stored

What callers saw: a request with a body of over 1,000,000 bytes ended with a closed channel and no answer, and 'unhandled error' in the log, on a machine where no file can be written; entries run on machines without a disk. A larger body without a length is affected as soon as it passes that size.

Cause: such bodies are spooled to a temporary file, and the failure to open it was not handled.

Evidence: the two tests of large bodies in tests/test_entry_channels.py failed before. Not shown: that it happened on the users' platform, whose clients are not known to send bodies of this size.

Fix: an entry keeps bodies in memory, into which its routes read them anyway, within the bound of buffered bytes. Elsewhere a body that cannot be stored is refused with 503 as not run.

--- a/papayapier/entry/site.py
+++ b/papayapier/entry/site.py
@@ -74,7 +74,8 @@
             self.requestHeaders.removeHeader(b"Expect")
             self._refuse_body(_no_memory())
             return
-        if length is not None and length <= MAX_MEMORY_BODY_BYTES:
+        is_small = length is not None and length <= MAX_MEMORY_BODY_BYTES
+        if is_small or self._site.bodies_in_memory:
             self.content: IO[bytes] = BytesIO()
         else:
             self.content = tempfile.SpooledTemporaryFile(MAX_MEMORY_BODY_BYTES)  # noqa: SIM115
@@ -91,7 +92,10 @@
             self._refuse_body(_no_memory())
             return
         self._count(len(data))
-        self.content.write(data)
+        try:
+            self.content.write(data)
+        except OSError:
+            self._refuse_body(_no_memory())
 
     def take_body(self) -> bytes:
         """Return the body and release it here; it counts as buffered until the request finishes."""
@@ -176,7 +180,7 @@
 
 
 def _no_memory() -> Refusal:
-    reason = "the instance has reached its limit of buffered bytes"
+    reason = "the instance cannot buffer more bytes"
     return not_run_refusal(ErrorKind.NO_MEMORY, reason, MEMORY_RETRY_MS)
 
 
@@ -359,6 +363,8 @@
         )
         self.body_limit = body_limit
         self.buffered_bytes = BufferedBytes(UNBOUNDED)
+        # Large bodies are kept in memory, too; buffered_bytes bounds them.
+        self.bodies_in_memory = False
         self.leaving = False
         self.header_bytes = MAX_HEADER_BYTES
         self.receive_s = RECEIVE_MS / MS_PER_S
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -206,6 +206,8 @@
             await close_base(base)
             return listening_result
     listening = (callers_listening.unwrap(), readiness_listening.unwrap())
+    # Routes read a whole body into memory in any case, and the machines have no disk.
+    listening[0].site.bodies_in_memory = True
     base.routing.watch(lambda table: _apply_caller_limits(listening[0], table))
     held_bytes = BufferedBytes(cfg.memory.held_bytes())
     unread = UnreadWatch(clock, listening[0].site, held_bytes, base.metrics)
