--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,7 +4,7 @@
 import socket
 
 from result import Err
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.trial.unittest import TestCase
 
 from papayapier import events
@@ -141,6 +141,23 @@
         started: list[bool] = []
         return Deferred.fromCoroutine(run())
 
+    def test_cancellation_below_is_answered_beside_a_present_caller(self) -> Deferred[None]:
+        """Guard against a request without an answer when its caller does not cancel it."""
+
+        async def cancelled(_req: OnlineRequest, _on_token: OnToken) -> RunResult:
+            raise CancelledError
+
+        async def refused(_req: OnlineRequest, _on_token: OnToken) -> RunResult:
+            return Err(unknown_refusal(ErrorKind.CANCELLED, "cancelled"))
+
+        async def run() -> None:
+            for handler, kind in ((cancelled, "internal"), (refused, "cancelled")):
+                self.world.handler = handler
+                _, error = await self.world.refused(post("/services/gate/x", b"", GATE))
+                assert (error["kind"], error["outcome"]) == (kind, "unknown")
+
+        return Deferred.fromCoroutine(run())
+
     def test_stream_has_its_end_mark_only_when_complete(self) -> Deferred[None]:
         """Guard against a truncated stream that looks complete."""
         results: list[RunResult] = [
