Keep items owed however many replicas were lost under them

Callers saw: an item of the OpenAI-style API was refused after three lost sends (its attempts, or the shared retry budget, were used up), or after six losses of its fingerprint; an item of a platform job was not sent for 600 s after its sixth loss, longer than maxWaitS, though replicas had room. An online request with the same text, or with a part of the prompt that replicas were lost with under items only, was refused.

Cause: losses under an item were counted against the item, as if it ended the replicas, and against everything equal to it.

Now an item is never refused for losses: - policy/item_losses.py counts them for each instance. From the third on an item waits 3 s after each loss, goes to the replica with the fewest other calls, and equal items are sent one at a time. - They are not told to peers, not saved, and count neither for online requests nor for parts of their prompts. An equal request that is quarantined only delays the item. An answer to an item ends no quarantine. - A quarantined part sends its items one at a time as probes, with pauses of 3 s at most; item_refusal is gone. - Only answers of replicas use up attempts of an OpenAI-style item; a spent retry budget delays it by a second.

--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -24,6 +24,7 @@
     CrashTracker,
     ReplicaLoss,
 )
+from papayapier.policy.item_losses import ItemLosses
 from papayapier.policy.open_sends import OpenSends, WantedSend
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
 
@@ -74,6 +75,7 @@
         self._metrics = metrics
         self._list_is_fresh = list_is_fresh
         self._tracker = CrashTracker()
+        self._item_losses = ItemLosses()
         # The same for the parts of prompts.
         self.parts = PartWatch(clock, metrics)
         self._quarantined: frozenset[str] = frozenset()
@@ -182,7 +184,7 @@
     def blocks(self, wanted: WantedSend) -> bool:
         """Return whether sends that are under way here forbid a suspect or a probe."""
         if wanted.fingerprint.startswith(PROBE_PREFIX):
-            return self.parts.blocks_probe(wanted.fingerprint)
+            return self.parts.blocks_probe(wanted.fingerprint, wanted.replica)
         return self._open_sends.block(wanted, self._tracker.shares_loss)
 
     def open_replicas(self, fingerprint: str) -> list[str]:
@@ -213,18 +215,28 @@
 
     def item_pause_ms(self, get_fingerprint: GetFingerprint) -> int:
         """Return for how long an item may not be sent, in ms; 0 if it may."""
-        return (
-            0
-            if self._tracker.is_empty()
-            else self._tracker.item_pause_ms(get_fingerprint(), self._clock.now())
+        if self._tracker.is_empty() and self._item_losses.is_empty():
+            return 0
+        fingerprint, now = get_fingerprint(), self._clock.now()
+        return max(
+            self._tracker.item_pause_ms(fingerprint, now),
+            self._item_losses.pause_ms(fingerprint, now),
         )
 
-    def item_refusal(self, item_id: str, get_fingerprint: GetFingerprint) -> Refusal | None:
-        """Return the refusal of a quarantined item without attempts left, or None."""
-        pause_ms = self.item_pause_ms(get_fingerprint)
-        if not pause_ms or not self._tracker.is_item_exhausted(get_fingerprint()):
-            return None
-        return self._refuse(item_id, get_fingerprint())
+    def is_item_suspect(self, get_fingerprint: GetFingerprint) -> bool:
+        """Return whether several replicas were lost under an item."""
+        return not self._item_losses.is_empty() and self._item_losses.is_suspect(get_fingerprint())
+
+    def on_item_begun(self, item_id: str, replica_id: str, get_fingerprint: GetFingerprint) -> None:
+        """Record that an item is sent."""
+        self.parts.on_item_begun(item_id, replica_id)
+        if not self._item_losses.is_empty():
+            self._item_losses.on_begun(item_id, get_fingerprint())
+
+    def on_item_ended(self, item_id: str) -> None:
+        """Record that the send of an item has ended, after its result."""
+        self._item_losses.on_ended(item_id)
+        self.parts.on_send_ended(item_id)
 
     def _refuse(self, request_id: str, fingerprint: str) -> Refusal:
         replicas = self._tracker.lost_replicas(fingerprint)
@@ -255,22 +267,74 @@
         """Record the result of a send; first_data_ms is 0 if no part of its answer arrived."""
         if isinstance(result, Ok) and is_answer(result.ok_value):
             self.parts.on_answered(replica.upstream, get_parts)
-        if isinstance(result, Ok) or _replica_answered(result.err_value):
+        if _is_alive(result):
             self._tracker.on_alive(replica.id, started_ms)
-            self._record_answer(get_fingerprint)
-        elif result.err_value.connection_refused:
-            self._tracker.on_ended(replica.id)
-        elif is_lost(result.err_value):
-            fingerprint, failure = get_fingerprint(), result.err_value
-            answering_ms = self._clock.now() - first_data_ms if first_data_ms else None
-            log_lost_send(request_id, fingerprint, replica, failure, get_parts(), answering_ms)
-            if answering_ms is None:
-                self._metrics.sends_lost_unanswered.labels(failure.kind.value).inc()
-            self._record_loss(fingerprint, replica, failure)
+            self._record_answer(get_fingerprint())
+        elif self._is_loss(replica, result):
+            failure = result.unwrap_err()
+            answering_ms = self._log_loss(
+                request_id, get_fingerprint, replica, failure, get_parts, first_data_ms
+            )
+            self._record_loss(get_fingerprint(), replica, failure)
             if failure.kind is FailureKind.TRUNCATED and not self._tracker.is_leaving(replica.id):
                 self.parts.on_lost(request_id, replica, get_parts, answering_ms)
         self._review_if_changed()
 
+    def on_item_finished(
+        self,
+        item_id: str,
+        get_fingerprint: GetFingerprint,
+        replica: Replica,
+        result: "Result[Any, Failure]",
+        started_ms: int,
+        get_parts: GetParts = no_parts,
+        first_data_ms: int = 0,
+    ) -> None:
+        """Record the result of a send of an item, which says little about online requests."""
+        if isinstance(result, Ok) and is_answer(result.ok_value):
+            self.parts.on_item_answered(replica.upstream, get_parts)
+        if _is_alive(result):
+            self._tracker.on_alive(replica.id, started_ms)
+            fingerprint = get_fingerprint()
+            self._item_losses.on_answered(fingerprint)
+            if not self._tracker.quarantine_ms(fingerprint, self._clock.now()):
+                self._record_answer(fingerprint)
+        elif self._is_loss(replica, result):
+            failure = result.unwrap_err()
+            answering_ms = self._log_loss(
+                item_id, get_fingerprint, replica, failure, get_parts, first_data_ms
+            )
+            if not self._tracker.is_leaving(replica.id):
+                self._item_losses.on_lost(get_fingerprint(), self._clock.now())
+                if failure.kind is FailureKind.TRUNCATED:
+                    self.parts.on_item_lost(item_id, replica, get_parts, answering_ms)
+        self._review_if_changed()
+
+    def _is_loss(self, replica: Replica, result: "Result[Any, Failure]") -> bool:
+        """Return whether a send may have ended its replica; record a replica that has ended."""
+        failure = result.unwrap_err()
+        if failure.connection_refused:
+            self._tracker.on_ended(replica.id)
+            return False
+        return is_lost(failure)
+
+    def _log_loss(
+        self,
+        request_id: str,
+        get_fingerprint: GetFingerprint,
+        replica: Replica,
+        failure: Failure,
+        get_parts: GetParts,
+        first_data_ms: int,
+    ) -> int | None:
+        """Log a lost send; return for how long its answer had been arriving, None if not at all."""
+        answering_ms = self._clock.now() - first_data_ms if first_data_ms else None
+        log_lost_send(request_id, get_fingerprint(), replica, failure, get_parts(), answering_ms)
+        if answering_ms is None:
+            self._metrics.sends_lost_unanswered.labels(failure.kind.value).inc()
+        self._metrics.sends_lost.labels(failure.kind.value).inc()
+        return answering_ms
+
     def on_poll_failed(self, replica: Replica, failure: Failure) -> None:
         """Record the failure of a call other than a send, such as a load poll."""
         if failure.connection_refused:
@@ -320,14 +384,12 @@
             self._timer.cancel()
         self.parts.close()
 
-    def _record_answer(self, get_fingerprint: GetFingerprint) -> None:
-        fingerprint = get_fingerprint()
+    def _record_answer(self, fingerprint: str) -> None:
         self._tracker.record_answer(fingerprint, self._clock.now())
         if self._tracker.on_answered(fingerprint) and self._listeners is not None:
             self._listeners.on_answered(fingerprint)
 
     def _record_loss(self, fingerprint: str, replica: Replica, failure: Failure) -> None:
-        self._metrics.sends_lost.labels(failure.kind.value).inc()
         silent = failure.kind is not FailureKind.TRUNCATED
         is_new = self._tracker.on_replica_lost(fingerprint, replica.id, self._clock.now(), silent)
         if is_new and self._listeners is not None:
@@ -372,6 +434,9 @@
     return HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
 
 
-def _replica_answered(failure: Failure) -> bool:
-    """Return whether the replica itself answered that the call failed."""
+def _is_alive(result: "Result[Any, Failure]") -> bool:
+    """Return whether the replica itself answered, be it that the call failed."""
+    if isinstance(result, Ok):
+        return True
+    failure = result.err_value
     return failure.kind is FailureKind.STATUS and failure.sent is Sent.MAYBE
--- a/papayapier/dispatch/item_dispatch.py
+++ b/papayapier/dispatch/item_dispatch.py
@@ -10,6 +10,7 @@
 replica has capacity and how many streams must be preempted.
 """
 
+import sys
 from collections import deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Final
@@ -18,13 +19,14 @@
 from twisted.internet.defer import Deferred
 
 from papayapier import events
+from papayapier.config.profiles import RetryRule
 from papayapier.dispatch.failure_attribution import counts_against_replica, rejection
 from papayapier.dispatch.items import Item
 from papayapier.dispatch.outcome_checks import check_send, correct_outcome
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
-from papayapier.policy.retries import GiveUp, Retry, retry_or_refuse
+from papayapier.policy.retries import GiveUp, Retry, RetryBudget, retry_or_refuse
 from papayapier.policy.stream_versions import replicas_of_version
-from papayapier.upstream.api import Call, Failure, Replica, Reply, Sent
+from papayapier.upstream.api import Call, Failure, FailureKind, Replica, Reply, Sent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +41,10 @@
 # An interrupted item goes on at its own software version if a slot is free there in time; later it
 # costs less to run it again at another version.
 VERSION_WAIT_MS: Final = 2_000
+# Pause before a retry for which the retry budget has nothing left.
+BUDGET_PAUSE_MS: Final = 1_000
+UNLIMITED: Final = RetryBudget(floor=sys.maxsize)
+ANSWER_KINDS: Final = frozenset({FailureKind.STATUS, FailureKind.INVALID, FailureKind.WRONG_ID})
 # Interval between checks whether an item with a quarantined part may be sent.
 PART_CHECK_MS: Final = 500
 
@@ -81,14 +87,12 @@
         item = Item(call)
         self._deps.budget.on_request(call.profile.upstream, self._deps.clock.now())
         while True:
-            quarantine_refusal = await self._wait_while_quarantined(item)
-            if quarantine_refusal is not None:
-                return Err(correct_outcome(quarantine_refusal, item.maybe_sent))
+            await self._wait_while_quarantined(item)
             replica = await self._wait_for_capacity(item)
             try:
                 if not call.still_allowed():
                     return Err(correct_outcome(_not_allowed_refusal(), item.maybe_sent))
-                # A part may have been quarantined while the item waited for capacity.
+                # An equal item may have been sent, or a part quarantined, while it waited.
                 if not self._may_run(item):
                     continue
                 result = await self._send_tracked(item, replica)
@@ -103,28 +107,16 @@
                 return Err(correct_outcome(decision.refusal, item.maybe_sent))
             await self._before_retry(item, replica, decision)
 
-    async def _wait_while_quarantined(self, item: Item) -> Refusal | None:
-        """Wait while an item is quarantined; return the refusal of one without attempts left."""
-        crashes, get_fingerprint = self._deps.crashes, item.call.fingerprint
-        while quarantine_ms := crashes.item_pause_ms(get_fingerprint):
-            refusal = crashes.item_refusal(item.call.call_id, get_fingerprint)
-            if refusal is not None:
-                return refusal
-            await self._pause(quarantine_ms)
-        call = item.call
+    async def _wait_while_quarantined(self, item: Item) -> None:
+        """Wait while an item is a suspect that may not be sent yet, or has a quarantined part."""
         while not self._may_run(item):
-            refusal = crashes.parts.item_refusal(
-                call.call_id, call.profile.upstream, call.shared_parts
-            )
-            if refusal is not None:
-                return refusal
-            await self._pause(PART_CHECK_MS)
-        return None
+            pause_ms = self._deps.crashes.item_pause_ms(item.call.fingerprint)
+            await self._pause(pause_ms or PART_CHECK_MS)
 
     def _may_run(self, item: Item) -> bool:
-        """Return whether no part of an item's prompt forbids a send now."""
-        call = item.call
-        return self._deps.crashes.parts.item_may_run(
+        """Return whether neither an item's losses nor a part of its prompt forbid a send now."""
+        call, crashes = item.call, self._deps.crashes
+        return not crashes.item_pause_ms(call.fingerprint) and crashes.parts.item_may_run(
             call.call_id, call.profile.upstream, call.shared_parts
         )
 
@@ -195,8 +187,27 @@
         if item.version is not None and not self._waits_for_version(item, usable, now):
             events.emit(events.CALL_RESTARTED, call=item.call.call_id, version=item.version)
             item.discard_parts()
+        if self._deps.crashes.is_item_suspect(item.call.fingerprint):
+            return self._least_used_replica(item)
         return self._most_free_replica(upstream, item.excluded, item.version)
 
+    def _least_used_replica(self, item: Item) -> Replica | None:
+        """Return a replica for a suspect where the fewest other calls are at stake."""
+        deps = self._deps
+        now = deps.clock.now()
+        candidates = [
+            replica
+            for replica in self._usable(item.call.profile.upstream, now)
+            if replica.id not in item.excluded
+            and item.version in (None, replica.version)
+            and deps.share.free_streams(replica.id, deps.load_tracker, now) > 0
+        ]
+        return min(candidates, key=lambda replica: self._open_calls(replica.id), default=None)
+
+    def _open_calls(self, replica_id: str) -> int:
+        load_tracker = self._deps.load_tracker
+        return load_tracker.online_calls(replica_id) + load_tracker.batch_calls(replica_id)
+
     def _waits_for_version(self, item: Item, usable: Sequence[Replica], now: int) -> bool:
         """Return whether an item waits for a slot at the software version that began it."""
         assert item.version is not None
@@ -228,12 +239,12 @@
         return [replica for replica in usable if not outliers.is_ejected(replica.id, now)]
 
     async def _send_tracked(self, item: Item, replica: Replica) -> Result[Reply, Failure]:
-        parts, call_id = self._deps.crashes.parts, item.call.call_id
-        parts.on_item_begun(call_id, replica.id)
+        crashes, call_id = self._deps.crashes, item.call.call_id
+        crashes.on_item_begun(call_id, replica.id, item.call.fingerprint)
         try:
             return await self._send(item, replica)
         finally:
-            parts.on_send_ended(call_id)
+            crashes.on_item_ended(call_id)
 
     async def _send(self, item: Item, replica: Replica) -> Result[Reply, Failure]:
         now = self._deps.clock.now()
@@ -261,7 +272,7 @@
                 self._deps.outliers.on_no_result(replica.id)
         if isinstance(result, Err) and rejection(result.err_value) is None:
             item.maybe_sent = item.maybe_sent or result.err_value.sent is Sent.MAYBE
-        self._deps.crashes.on_send_finished(
+        self._deps.crashes.on_item_finished(
             item.call.call_id,
             item.call.fingerprint,
             replica,
@@ -311,24 +322,36 @@
             self._deps.outliers.on_end(replica.id, False, None, now)
 
     def _after_failure(self, item: Item, failure: Failure) -> Retry | GiveUp:
+        """Decide whether an item is retried; only answers of a replica use up its attempts.
+
+        A spent retry budget delays an item, which has time, but does not end it.
+        """
         item.failures += 1
         rejected = rejection(failure)
         if rejected is not None:
             return GiveUp(rejected)
+        if _replica_answered(failure):
+            item.failed_answers += 1
         call = item.call
         now = self._deps.clock.now()
-        return retry_or_refuse(
+        attempts_left = call.profile.retry.attempts - item.failed_answers
+        decision = retry_or_refuse(
             failure,
             call.profile.idempotent,
             item.failures,
-            call.profile.retry,
+            RetryRule(item.failures + attempts_left),
             now + MIN_ITEM_TIMEOUT_MS,
             now,
-            self._deps.budget,
+            UNLIMITED,
             call.profile.upstream,
             self._deps.rand,
             Sent.MAYBE if item.maybe_sent else Sent.NO,
         )
+        if isinstance(decision, Retry) and not self._deps.budget.try_spend(
+            call.profile.upstream, now
+        ):
+            return decision._replace(after_ms=max(decision.after_ms, BUDGET_PAUSE_MS))
+        return decision
 
     async def _before_retry(self, item: Item, replica: Replica, decision: Retry) -> None:
         self._deps.metrics.retries.labels(item.call.profile.upstream).inc()
@@ -390,5 +413,10 @@
     return not_run_refusal(ErrorKind.CANCELLED, "the item may no longer run")
 
 
+def _replica_answered(failure: Failure) -> bool:
+    """Return whether a replica ran an item and answered that it failed, or with a broken answer."""
+    return failure.sent is Sent.MAYBE and failure.kind in ANSWER_KINDS
+
+
 def _counts_against_replica(item: Item, failure: Failure) -> bool:
     return not item.preempted and counts_against_replica(failure)
--- a/papayapier/dispatch/items.py
+++ b/papayapier/dispatch/items.py
@@ -28,6 +28,7 @@
         "avoid_until_ms",
         "call",
         "excluded",
+        "failed_answers",
         "failures",
         "fresh",
         "maybe_sent",
@@ -48,6 +49,8 @@
         self.version: str | None = None
         self.version_until_ms = 0
         self.failures = 0
+        # How many of the failures a replica has answered.
+        self.failed_answers = 0
         self.sends = 0
         # When the first token of the current send arrived, 0 before that.
         self.send_first_ms = 0
--- a/papayapier/dispatch/part_watch.py
+++ b/papayapier/dispatch/part_watch.py
@@ -3,9 +3,13 @@
 A request with a quarantined part is refused at once, unless it may be sent as a probe. A probe
 needs a permit of the other instances, like a request that one more loss would quarantine, so that
 one is under way in the whole fleet. The parts of a prompt are decoded only while a part has losses.
+
+Items of jobs are never refused, and replicas lost under them say nothing about online requests. So
+items have a tracker of their own, which also counts what was lost under online requests: an item
+with a quarantined part is sent as a probe, after a pause that does not grow.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Final, NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred
@@ -14,6 +18,7 @@
 from papayapier.clock import MS_PER_S, Clock, Timer
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.metrics import Metrics
+from papayapier.policy.item_losses import ITEM_PAUSE_MS
 from papayapier.policy.open_sends import WantedSend
 from papayapier.policy.part_quarantine import LostReplica, PartAnswer, PartReports, PartTracker
 from papayapier.upstream.api import Replica
@@ -29,9 +34,8 @@
 MIN_RETRY_MS: Final = 1_000
 # An item that has a permit and finds no free slot for this long gives it back.
 ITEM_START_MS: Final = 2_000
-# Longest time for which an item of the OpenAI-style API waits for its next probe; it is refused if
-# that is later.
-MAX_ITEM_WAIT_MS: Final = 60_000
+# How long an item may take if it is a probe.
+ITEM_PROBE_MS: Final = 60_000
 # Begins the name under which instances agree on a probe; request fingerprints are hexadecimal.
 PROBE_PREFIX: Final = "part:"
 
@@ -73,6 +77,8 @@
         self._clock = clock
         self._metrics = metrics
         self._tracker = PartTracker()
+        # Counts losses and answers under online requests and under items of this instance.
+        self._item_tracker = PartTracker()
         self._quarantined: frozenset[str] = frozenset()
         self._listeners: PartListeners | None = None
         self._permits: ProbePermits | None = None
@@ -126,24 +132,17 @@
 
     def item_may_run(self, item_id: str, upstream: str, get_parts: "GetParts") -> bool:
         """Return whether an item may be sent now; request a permit if it may be a probe."""
-        blocked = self._blocked(upstream, get_parts)
+        blocked = self._blocked(upstream, get_parts, self._item_tracker)
         if not blocked:
             return True
         probe = self._probes.get(item_id)
         if probe is not None:
-            return probe.granted and not self._wait_ms(blocked, upstream)
-        if self._may_probe(blocked, upstream):
+            return probe.granted and not self._item_wait_ms(blocked, upstream)
+        if not self._has_probe(blocked) and not self._item_wait_ms(blocked, upstream):
             probe = self._probes[item_id] = _Probe(blocked, upstream, "")
             Deferred.fromCoroutine(self._claim_for_item(item_id, probe))
         return False
 
-    def item_refusal(self, item_id: str, upstream: str, get_parts: "GetParts") -> Refusal | None:
-        """Return the refusal of an item that could not be sent for a long time, or None."""
-        blocked = self._blocked(upstream, get_parts)
-        if self._wait_ms(blocked, upstream) <= MAX_ITEM_WAIT_MS:
-            return None
-        return self._refuse(item_id, upstream, blocked)
-
     def on_item_begun(self, item_id: str, replica_id: str) -> None:
         """Record that an item is sent."""
         probe = self._probes.get(item_id)
@@ -160,10 +159,22 @@
 
     def on_answered(self, upstream: str, get_parts: "GetParts") -> None:
         """Record the complete answer to a request."""
-        if self._tracker.is_empty():
+        if self._is_empty():
+            return
+        self._answer(get_parts(), upstream)
+
+    def on_item_answered(self, upstream: str, get_parts: "GetParts") -> None:
+        """Record the complete answer to an item, which ends no quarantine of online requests."""
+        if self._is_empty():
             return
-        cleared = self._tracker.on_answered(get_parts(), upstream, self._clock.now())
-        for part in cleared:
+        parts, now = get_parts(), self._clock.now()
+        self._item_tracker.on_answered(parts, upstream, now)
+        self._answer([part for part in parts if part not in self._quarantined], upstream)
+
+    def _answer(self, parts: Collection[str], upstream: str) -> None:
+        now = self._clock.now()
+        self._item_tracker.on_answered(parts, upstream, now)
+        for part in self._tracker.on_answered(parts, upstream, now):
             if self._listeners is not None:
                 self._listeners.on_answered(PartAnswer(part, upstream, 0))
         self._review()
@@ -172,20 +183,43 @@
         self, request_id: str, replica: Replica, get_parts: "GetParts", answering_ms: int | None
     ) -> None:
         """Record a send that was cut off; answering_ms counts from the first data received."""
-        if answering_ms is not None and answering_ms >= BEGUN_MS:
+        lost = self._lost(request_id, replica, get_parts, answering_ms)
+        if lost is None:
             return
+        now = self._clock.now()
+        self._item_tracker.on_lost(lost, now)
+        new = self._tracker.on_lost(lost, now)
+        if (new is not None or lost.probed) and self._listeners is not None:
+            self._listeners.on_lost(new or lost, bool(lost.probed))
+        self._review()
+
+    def on_item_lost(
+        self, item_id: str, replica: Replica, get_parts: "GetParts", answering_ms: int | None
+    ) -> None:
+        """Record a send of an item that was cut off, which counts for other items only."""
+        lost = self._lost(item_id, replica, get_parts, answering_ms)
+        if lost is not None:
+            self._item_tracker.on_lost(lost, self._clock.now())
+            self._review()
+
+    def _lost(
+        self, request_id: str, replica: Replica, get_parts: "GetParts", answering_ms: int | None
+    ) -> LostReplica | None:
+        """Return the loss of a send, None if its answer had been arriving for long."""
+        if answering_ms is not None and answering_ms >= BEGUN_MS:
+            return None
         probe = self._probes.get(request_id)
         probed = probe.parts if probe is not None and probe.begun else ()
-        lost = LostReplica(replica.id, replica.upstream, 0, get_parts(), probed)
-        new = self._tracker.on_lost(lost, self._clock.now())
-        if (new is not None or probed) and self._listeners is not None:
-            self._listeners.on_lost(new or lost, bool(probed))
-        self._review()
+        return LostReplica(replica.id, replica.upstream, 0, get_parts(), probed)
 
     def on_told(self, reports: PartReports) -> PartReports:
         """Record losses and answers from a peer or a disk; return those not known before."""
         now = self._clock.now()
+        for lost in reports.losses:
+            self._item_tracker.on_lost(lost, now)
         told = [self._tracker.on_lost(lost, now) for lost in reports.losses]
+        for answer in reports.answers:
+            self._item_tracker.on_answered([answer.part], answer.upstream, now - answer.age_ms)
         answers = tuple(
             answer
             for answer in reports.answers
@@ -206,13 +240,18 @@
         """Return whether a part is quarantined."""
         return part in self._quarantined
 
-    def blocks_probe(self, key: str) -> bool:
-        """Return whether what is known here, or under way from here, forbids a peer's probe."""
+    def blocks_probe(self, key: str, replica: str) -> bool:
+        """Return whether what is known here, or under way from here, forbids a peer's probe.
+
+        The probe is an item if its replica is not known yet.
+        """
         if self.open_replicas(key):
             return True
         upstream, part = _split_key(key)
-        blocked = self._tracker.blocked((part,), upstream, self._clock.now())
-        return bool(self._wait_ms(blocked, upstream))
+        if not replica:
+            blocked = self._blocked(upstream, lambda: (part,), self._item_tracker)
+            return bool(self._item_wait_ms(blocked, upstream))
+        return bool(self._wait_ms(self._blocked(upstream, lambda: (part,)), upstream))
 
     def open_replicas(self, key: str) -> list[str]:
         """Return the replicas at which probes of a part are under way from here."""
@@ -229,18 +268,32 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    def _blocked(self, upstream: str, get_parts: "GetParts") -> tuple[str, ...]:
-        if not self._tracker.may_block():
+    def _is_empty(self) -> bool:
+        return self._tracker.is_empty() and self._item_tracker.is_empty()
+
+    def _blocked(
+        self, upstream: str, get_parts: "GetParts", tracker: PartTracker | None = None
+    ) -> tuple[str, ...]:
+        tracker = tracker or self._tracker
+        if not tracker.may_block():
             return ()
-        return self._tracker.blocked(get_parts(), upstream, self._clock.now())
+        return tracker.blocked(get_parts(), upstream, self._clock.now())
 
     def _wait_ms(self, blocked: tuple[str, ...], upstream: str) -> int:
         return self._tracker.probe_wait_ms(blocked, upstream, self._clock.now())
 
+    def _item_wait_ms(self, blocked: tuple[str, ...], upstream: str) -> int:
+        now = self._clock.now()
+        return self._item_tracker.probe_wait_ms(blocked, upstream, now, ITEM_PAUSE_MS)
+
     def _may_probe(self, blocked: tuple[str, ...], upstream: str) -> bool:
         """Return whether a permit for a probe may be requested now."""
+        return not self._has_probe(blocked) and not self._wait_ms(blocked, upstream)
+
+    def _has_probe(self, blocked: tuple[str, ...]) -> bool:
+        """Return whether a probe of one of some parts is under way here, or waits for a permit."""
         pending = {part for probe in self._probes.values() for part in probe.parts}
-        return pending.isdisjoint(blocked) and not self._wait_ms(blocked, upstream)
+        return not pending.isdisjoint(blocked)
 
     async def _acquire(self, request_id: str, probe: _Probe, within_ms: int) -> bool:
         """Return whether a probe got its permit; forget it if not."""
@@ -254,7 +307,7 @@
         return probe.granted
 
     async def _claim_for_item(self, item_id: str, probe: _Probe) -> None:
-        if not await self._acquire(item_id, probe, MAX_ITEM_WAIT_MS):
+        if not await self._acquire(item_id, probe, ITEM_PROBE_MS):
             return
         await self._clock.sleep(ITEM_START_MS)
         if not probe.begun and self._probes.get(item_id) is probe:
@@ -289,11 +342,12 @@
             events.emit(events.PART_RELEASED, parts=[part])
         if before != self._quarantined:
             self._metrics.parts_held.set(len(self._quarantined))
-        if not self._tracker.is_empty() and (self._timer is None or not self._timer.active()):
+        if not self._is_empty() and (self._timer is None or not self._timer.active()):
             self._timer = self._clock.call_later(SWEEP_MS, self._sweep)
 
     def _sweep(self) -> None:
         self._tracker.sweep(self._clock.now())
+        self._item_tracker.sweep(self._clock.now())
         self._review()
 
 
--- a/papayapier/jobs/free_slots.py
+++ b/papayapier/jobs/free_slots.py
@@ -60,9 +60,14 @@
         self._uses: dict[str, SlotUse] = {}
 
     def find(
-        self, upstream: str, now: int, has_share: bool = True, version: str | None = None
+        self,
+        upstream: str,
+        now: int,
+        has_share: bool = True,
+        version: str | None = None,
+        alone: bool = False,
     ) -> Replica | None:
-        """Return the replica with the most free slots, or None.
+        """Return the replica with the most free slots, or None; if alone, with the fewest calls.
 
         Replicas that failed recently rank lower, because failed calls end fast and free their
         slots. With has_share only replicas are considered at which this instance has a share of
@@ -81,7 +86,8 @@
             free_slots = start_limit(use) - self._snapshot.load_tracker.own_calls(replica.id).batch
             if free_slots <= 0:
                 continue
-            score = free_slots - self._snapshot.outliers.penalty(replica.id, now)
+            rank = -(use.online + use.batch) if alone else free_slots
+            score = rank - self._snapshot.outliers.penalty(replica.id, now)
             ranked = (score, self._snapshot.rand.random(), replica)
             if best is None or ranked[:2] > best[:2]:
                 best = ranked
--- a/papayapier/jobs/runs.py
+++ b/papayapier/jobs/runs.py
@@ -176,7 +176,10 @@
             if self._is_quarantined(job, route, state):
                 continue
             self._restart_if_version_gone(upstream, job, state, now)
-            replica = finder.find(upstream, now, has_share=False, version=state.version)
+            alone = self._deps.crashes.is_item_suspect(partial(self._fingerprint, job, state))
+            replica = finder.find(
+                upstream, now, has_share=False, version=state.version, alone=alone
+            )
             if replica is not None:
                 self._start(job, route, state, replica, has_share=False)
                 return True
@@ -197,9 +200,10 @@
         upstream = route.shares[0].upstream
         now = self._deps.clock.now()
         self._restart_if_version_gone(upstream, job, state, now)
-        replica = finder.find(upstream, now, version=state.version)
+        alone = self._deps.crashes.is_item_suspect(partial(self._fingerprint, job, state))
+        replica = finder.find(upstream, now, version=state.version, alone=alone)
         if replica is None and state.version is not None:
-            replica = finder.find(upstream, now)
+            replica = finder.find(upstream, now, alone=alone)
             if replica is None:
                 return False
             if now < state.last_received_ms + VERSION_WAIT_MS:
@@ -270,7 +274,9 @@
             batch=self._deps.load_tracker.batch_calls(replica.id),
             part=has_share,
         )
-        self._deps.crashes.parts.on_item_begun(state.item.id, replica.id)
+        self._deps.crashes.on_item_begun(
+            state.item.id, replica.id, partial(self._fingerprint, job, state)
+        )
         task = Deferred.fromCoroutine(self._run(job, route, state, replica))
         if task.called:
             return
@@ -293,7 +299,7 @@
             self._deps.on_uses_changed()
         if sent is not None:
             fingerprint_of = partial(self._fingerprint, job, state)
-            self._deps.crashes.on_send_finished(
+            self._deps.crashes.on_item_finished(
                 state.item.id,
                 fingerprint_of,
                 replica,
@@ -302,8 +308,9 @@
                 partial(self._shared_parts, state),
                 receiver.first_ms,
             )
+        self._deps.crashes.on_item_ended(state.item.id)
+        if sent is not None:
             self._on_run_result(job, route, state, replica, sent)
-        self._deps.crashes.parts.on_send_ended(state.item.id)
         self._on_slot_freed()
 
     def _call(self, job: OwnedJob, state: ItemState, replica: Replica) -> ForwardCall:
@@ -339,9 +346,9 @@
         return state.parts
 
     def _is_quarantined(self, job: OwnedJob, route: Route, state: ItemState) -> bool:
-        """Return whether an item, or a part of its prompt, is quarantined; delay its next check.
+        """Return whether an item may not be sent for a moment; delay its next check.
 
-        The delay is bounded, because the quarantine ends early if the replica proves to be alive.
+        It is a suspect, equal to a quarantined request, or has a quarantined part in its prompt.
         """
         crashes, was_quarantined = self._deps.crashes, state.quarantined
         pause_ms = crashes.item_pause_ms(partial(self._fingerprint, job, state))
--- a/papayapier/policy/crash_quarantine.py
+++ b/papayapier/policy/crash_quarantine.py
@@ -8,7 +8,8 @@
 requests were open each time. Requests are identified by a fingerprint of method, host, path and
 body. A fingerprint counts a loss for each replica that was lost while it ran the request, and a
 complete answer takes one loss away, so that a request that is sent often and answered is never
-quarantined. A fingerprint that was answered shortly before its first loss has a higher limit:
+quarantined. Losses under items of jobs do not count here; policy/item_losses.py has those. A
+fingerprint that was answered shortly before its first loss has a higher limit:
 beside a crashing request it collects the same losses, and only the earlier answer tells the two
 apart. Any instance may have answered it, so a recent answer counts wherever it was given, for as
 long as the losses are kept.
@@ -25,6 +26,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
 
+from papayapier.policy.item_losses import ITEM_PAUSE_MS
 from papayapier.policy.recent_answers import RecentAnswers
 from papayapier.policy.send_windows import SendWindows
 
@@ -35,12 +37,6 @@
 # A request that replicas have answered recently was most likely only open when they crashed.
 MAX_LOSSES_ANSWERED: Final = 6
 ANSWERED_RECENTLY_MS: Final = 60_000
-# An item of a job is not refused but waits, and runs once at a time, so that it may be tried more
-# often: an item that was open beside a crashing request three times is completed in the end.
-MAX_ITEM_LOSSES: Final = 6
-# Pause before an item with three losses is retried, doubled with each further loss: as long as a
-# replica needs to restart, so that a crashing item does not end a second one meanwhile.
-ITEM_PAUSE_MS: Final = 4_000
 # Pause before a request with two losses is resent: longer than most calls that are open beside it,
 # so that those are answered meanwhile, or are not open beside it the next time.
 SUSPECT_PAUSE_MS: Final = 400
@@ -224,8 +220,9 @@
         return SUSPECT_PAUSE_MS if record.net_losses() >= MAX_LOSSES - 1 else 0
 
     def item_pause_ms(self, fingerprint: str, now: int) -> int:
-        """Return for how long an item is not sent, in ms; 0 if it may be.
+        """Return for how long an item equal to a request is not sent, in ms; 0 if it may be.
 
+        An equal request that is quarantined delays the item, but does not keep it from being sent.
         An item with other suspects waits until the online requests among them have had their send
         windows.
         """
@@ -234,15 +231,7 @@
             record.net_losses() < MAX_LOSSES and not self.send_windows.other_suspects(fingerprint)
         ):
             return 0
-        pause_ms = QUARANTINE_MS
-        if not self.is_item_exhausted(fingerprint):
-            pause_ms = ITEM_PAUSE_MS << max(0, record.net_losses() - MAX_LOSSES)
-        return max(0, record.last_ms + pause_ms - now)
-
-    def is_item_exhausted(self, fingerprint: str) -> bool:
-        """Tell whether an item has been tried as often as it may be."""
-        record = self._records.get(fingerprint)
-        return record is not None and record.net_losses() >= MAX_ITEM_LOSSES
+        return max(0, record.last_ms + ITEM_PAUSE_MS - now)
 
     def quarantined(self, now: int) -> frozenset[str]:
         """Return the fingerprints that are quarantined."""
--- a/papayapier/policy/part_quarantine.py
+++ b/papayapier/policy/part_quarantine.py
@@ -191,10 +191,17 @@
             if part in self._at_limit and is_blamed(self._records[part].standing(upstream), now)
         )
 
-    def probe_wait_ms(self, blocked: Collection[str], upstream: str, now: int) -> int:
-        """Return for how long a request with quarantined parts is not sent, in ms; 0 if it may."""
+    def probe_wait_ms(
+        self, blocked: Collection[str], upstream: str, now: int, max_pause_ms: int = FORGET_MS
+    ) -> int:
+        """Return for how long a request with quarantined parts is not sent, in ms; 0 if it may.
+
+        max_pause_ms bounds the pause after a loss.
+        """
         together = frozenset(blocked)
-        waits = (self._part_wait_ms(part, upstream, together, now) for part in blocked)
+        waits = (
+            self._part_wait_ms(part, upstream, together, now, max_pause_ms) for part in blocked
+        )
         return max(waits, default=0)
 
     def ms_since_loss(self, part: str, now: int) -> int:
@@ -245,14 +252,16 @@
         ]
         return found[:MAX_SNAPSHOT]
 
-    def _part_wait_ms(self, part: str, upstream: str, together: frozenset[str], now: int) -> int:
+    def _part_wait_ms(
+        self, part: str, upstream: str, together: frozenset[str], now: int, max_pause_ms: int
+    ) -> int:
         standing = self._records[part].standing(upstream)
         probes = [loss.probed for loss in standing if loss.probed]
         pause_ms = JOINT_PAUSE_MS if len(together) > 1 else 0
         if len(probes) >= MAX_QUICK_PROBES or any(probe <= together for probe in probes):
             pause_ms = max(pause_ms, _probe_pause_ms(len(probes)))
         last_ms = max((loss.at_ms for loss in standing), default=now - FORGET_MS)
-        return max(0, last_ms + pause_ms - now)
+        return max(0, last_ms + min(pause_ms, max_pause_ms) - now)
 
     def _add(self, part: str, lost: LostReplica, at_ms: int) -> bool:
         record = self._records.get(part)
--- a/tests/test_send_windows.py
+++ b/tests/test_send_windows.py
@@ -15,7 +15,8 @@
 from papayapier.clock import fake_clock
 from papayapier.dispatch.crash_watch import CrashListeners, CrashWatch
 from papayapier.dispatch.lost_sends import request_fingerprint
-from papayapier.policy.crash_quarantine import ITEM_PAUSE_MS, MAX_LOSSES, CrashTracker, ReplicaLoss
+from papayapier.policy.crash_quarantine import MAX_LOSSES, CrashTracker, ReplicaLoss
+from papayapier.policy.item_losses import ITEM_PAUSE_MS
 from papayapier.policy.send_windows import MAX_WINDOWS, SEND_PERIOD_MS, WINDOW_MS, ms_to_window
 from papayapier.upstream.api import FailureKind, Replica, Sent
 from tests.dispatch_world import BODY, CHAT, DispatchWorld
