Let items that may not be repeated outlast a silent replica

Callers saw: an item of the OpenAI-style API that may not be sent twice was ended as unknown after 2 s without bytes, though its replica went on.

Cause: its call was sent without on_silence, so that a silence ended it like a lost replica, and the item can't be sent again.

Such a call now stays open until the due time, or until its replica has been silent for a minute and is not listed any more. Items that may be repeated are moved after a silence as before.

--- a/papayapier/dispatch/item_dispatch.py
+++ b/papayapier/dispatch/item_dispatch.py
@@ -13,6 +13,7 @@
 import sys
 from collections import deque
 from collections.abc import Sequence
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
@@ -34,6 +35,7 @@
     from papayapier.batch.api import ItemCall
     from papayapier.clock import Timer
     from papayapier.dispatch.api import DispatchDeps
+    from papayapier.upstream.api import Silence
 
 TICK_MS: Final = 20
 MIN_ITEM_TIMEOUT_MS: Final = 60_000
@@ -41,6 +43,9 @@
 # An interrupted item goes on at its own software version if a slot is free there in time; later it
 # costs less to run it again at another version.
 VERSION_WAIT_MS: Final = 2_000
+# An item that may not be repeated waits as long as this for a silent replica that is not listed any
+# more, and for a listed one until its due time.
+GONE_SILENCE_MS: Final = 60_000
 # Pause before a retry for which the retry budget has nothing left.
 BUDGET_PAUSE_MS: Final = 1_000
 UNLIMITED: Final = RetryBudget(floor=sys.maxsize)
@@ -254,7 +259,7 @@
         item.send_first_ms = 0
         item.preempted = False
         self._deps.outliers.on_start(replica.id, now)
-        call = self._call(item, now)
+        call = self._call(item, replica, now)
         outlier_reported = False
         try:
             result = await item.send(
@@ -294,7 +299,7 @@
         self._deps.on_uses_changed()
         self._on_capacity_grown()
 
-    def _call(self, item: Item, now: int) -> Call:
+    def _call(self, item: Item, replica: Replica, now: int) -> Call:
         call = item.call
         left_ms = call.due_wall_ms - self._deps.clock.wall()
         return Call(
@@ -309,8 +314,16 @@
             due_ms=now + max(left_ms, MIN_ITEM_TIMEOUT_MS),
             new_connection=item.fresh,
             plain_service=not item.generates(),
+            on_silence=None if call.profile.idempotent else partial(self._wait_silently, replica),
         )
 
+    def _wait_silently(self, replica: Replica, silence: "Silence") -> None:
+        """Keep a call open that may not be repeated, as its replica may go on."""
+        if silence.silent_ms >= GONE_SILENCE_MS and replica.id not in {
+            listed.id for listed in self._deps.load_tracker.replicas(replica.upstream)
+        }:
+            silence.end()
+
     def _report_result(self, item: Item, replica: Replica, result: Result[Reply, Failure]) -> None:
         now = self._deps.clock.now()
         if isinstance(result, Ok):
--- a/tests/test_unlucky_items.py
+++ b/tests/test_unlucky_items.py
@@ -8,9 +8,11 @@
 
 from twisted.internet.defer import Deferred
 
+from papayapier.dispatch.item_dispatch import GONE_SILENCE_MS
+from papayapier.errors import Outcome
 from papayapier.policy.crash_quarantine import MAX_LOSSES_KEPT, CrashTracker
-from papayapier.upstream.api import FailureKind, Sent
-from tests.dispatch_world import DispatchWorld, Send, result
+from papayapier.upstream.api import FailureKind, Sent, Silence
+from tests.dispatch_world import PASSES, DispatchWorld, Send, outcome, result
 from tests.jobs_run_world import World as RunWorld
 from tests.site.case import SiteCase
 from tests.site.world import sleep
@@ -193,3 +195,49 @@
     assert len(mine) == 1
     mine[0].answer()
     assert result(online).is_ok()
+
+
+def be_silent(send: Send, silent_ms: int) -> None:
+    """Do what the client does when a replica is silent while it runs a call."""
+    if send.call.on_silence is None:
+        send.fail(FailureKind.TIMED_OUT)
+        return
+
+    def end() -> bool:
+        send.fail(FailureKind.TIMED_OUT)
+        return True
+
+    send.call.on_silence(Silence(silent_ms, reused=False, answered=False, end=end))
+
+
+def test_an_item_that_may_not_be_repeated_outlasts_a_silence() -> None:
+    """Guard against ending an item as unknown because its replica was silent for a while."""
+    world = DispatchWorld(gate=2)
+    pending = world.run_item(PASSES)
+    for silent_ms in range(2_000, 120_000, 2_000):
+        be_silent(world.sends[0], silent_ms)
+    assert not pending.called
+    world.sends[0].answer()
+    assert result(pending).is_ok()
+
+
+def test_an_item_does_not_wait_for_a_replica_that_is_gone() -> None:
+    """Guard against an item that waits for hours for a replica that has left the list."""
+    world = DispatchWorld(gate=2)
+    pending = world.run_item(PASSES)
+    world.replicas.remove(world.sends[0].replica)
+    world.list_replicas()
+    be_silent(world.sends[0], GONE_SILENCE_MS - 1)
+    assert not pending.called
+    be_silent(world.sends[0], GONE_SILENCE_MS)
+    assert outcome(pending) is Outcome.UNKNOWN
+
+
+def test_an_item_that_may_be_repeated_is_moved_after_a_silence() -> None:
+    """Guard against an item that stays at a silent replica while others have room."""
+    world = DispatchWorld(lm=2)
+    pending = world.run_item()
+    be_silent(world.sends[0], 2_000)
+    world.advance(1_000)
+    world.sends[1].answer()
+    assert result(pending).is_ok()
