Draw a pause only for a request that has left a silent replica

What was seen: test_frequent_request_without_answer_is_not_quarantined [2-5-500] failed with four lost replicas in place of three since the pause was drawn for every request without a replica, as its simulation then ran with other random numbers.

The draw for a request that does not wait was needless and is gone; the test passes again, unchanged.

--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -165,12 +165,10 @@
 
     Return False at once if the refusal of the choice is final.
     """
+    if not history.moved or refusal.kind is ErrorKind.CANNOT_RESUME:
+        return False
     pause_ms = moved_pause_ms(deps.rand)
-    if (
-        not history.moved
-        or refusal.kind is ErrorKind.CANNOT_RESUME
-        or deps.clock.now() + pause_ms >= due_ms
-    ):
+    if deps.clock.now() + pause_ms >= due_ms:
         return False
     history.excluded = NO_EXCLUDED_REPLICAS
     await deps.clock.sleep(pause_ms)
