--- a/tests/site/silence_soak.py
+++ b/tests/site/silence_soak.py
@@ -413,6 +413,12 @@
         for request_id in self.refused_ids:
             if starts[request_id]:
                 self.violations.append(f"{request_id}: refused as not run, but it ran")
+        ended = [child for child in self.world.children.values() if child.exit_code is not None]
+        if ended:
+            self.violations += [
+                f"{child.name} has ended: {child.exit_code} {child.last_lines()}" for child in ended
+            ]
+            return
         for child in self.world.children.values():
             for event in MUST_NOT_LOG:
                 if child.logged_count(event.number):
