Do not wait for a silent replica that has ended

Cause: a silence ended nothing for requests that may not be moved, also where a refused connection or a 421 from the address had shown that the replica is gone.

Change: what such answers show is remembered by the id of the boot, and the next notification of a silence ends the send. Leaving the list alone does not: a silent replica may miss its heartbeats.

Evidence: test_a_request_does_not_wait_for_a_replica_that_has_ended; without the check its send stays open.

--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -7,6 +7,7 @@
 software version after the tokens already received; the caller sees one stream.
 """
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
@@ -260,7 +261,15 @@
             deps.outliers.on_end(replica.id, False, None, deps.clock.now())
 
     return SilentSend(
-        SilentSendDeps(req.call_id, replica, deps.metrics, may_move, find_other, on_waiting)
+        SilentSendDeps(
+            req.call_id,
+            replica,
+            deps.metrics,
+            may_move,
+            find_other,
+            on_waiting,
+            partial(deps.crashes.has_ended, replica.id),
+        )
     )
 
 
--- a/papayapier/dispatch/crash_watch.py
+++ b/papayapier/dispatch/crash_watch.py
@@ -24,6 +24,7 @@
     CrashTracker,
     ReplicaLoss,
 )
+from papayapier.policy.ended_replicas import EndedReplicas
 from papayapier.policy.item_losses import ItemLosses
 from papayapier.policy.open_sends import OpenSends, WantedSend
 from papayapier.upstream.api import Failure, FailureKind, Replica, Sent
@@ -76,6 +77,7 @@
         self._list_is_fresh = list_is_fresh
         self._tracker = CrashTracker()
         self._item_losses = ItemLosses()
+        self._ended = EndedReplicas()
         # The same for the parts of prompts.
         self.parts = PartWatch(clock, metrics)
         self._quarantined: frozenset[str] = frozenset()
@@ -314,7 +316,7 @@
         """Return whether a send may have ended its replica; record a replica that has ended."""
         failure = result.unwrap_err()
         if failure.connection_refused:
-            self._tracker.on_ended(replica.id)
+            self._on_refused(replica.id)
             return False
         return is_lost(failure)
 
@@ -338,7 +340,19 @@
     def on_poll_failed(self, replica: Replica, failure: Failure) -> None:
         """Record the failure of a call other than a send, such as a load poll."""
         if failure.connection_refused:
-            self._tracker.on_ended(replica.id)
+            self._on_refused(replica.id)
+
+    def on_replica_ended(self, replica_id: str) -> None:
+        """Record that nothing listens at a replica's address, or that another replica has it."""
+        self._ended.add(replica_id)
+
+    def _on_refused(self, replica_id: str) -> None:
+        self.on_replica_ended(replica_id)
+        self._tracker.on_ended(replica_id)
+
+    def has_ended(self, replica_id: str) -> bool:
+        """Return whether a replica has certainly ended."""
+        return self._ended.has(replica_id)
 
     def on_reported(
         self, losses: Iterable[ReplicaLoss], answered: Iterable[str]
--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -1,5 +1,6 @@
 """Choose the replica for a forwarded request, also while its present replica is silent."""
 
+from functools import partial
 from typing import Final
 
 from result import Err, Ok, Result
@@ -60,7 +61,15 @@
             deps.outliers.on_end(replica.id, False, None, deps.clock.now())
 
     return SilentSend(
-        SilentSendDeps(req.request_id, replica, deps.metrics, may_move, find_other, on_waiting)
+        SilentSendDeps(
+            req.request_id,
+            replica,
+            deps.metrics,
+            may_move,
+            find_other,
+            on_waiting,
+            partial(deps.crashes.has_ended, replica.id),
+        )
     )
 
 
--- a/papayapier/dispatch/silent_sends.py
+++ b/papayapier/dispatch/silent_sends.py
@@ -21,13 +21,15 @@
 # Labels of the metric of silences, and decisions in log lines.
 MOVED = "moved"
 WAITING = "waiting"
+ENDED = "ended"
 
 
 class SilentSendDeps(NamedTuple):
     """Group the dependencies of one send.
 
     may_move returns whether the request may be sent again now. find_other returns another replica
-    with room for it, or None; on_waiting is called once if the answer stays open.
+    with room for it, or None; on_waiting is called once if the answer stays open. has_ended returns
+    whether the replica has certainly ended.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     may_move: "Callable[[], bool]"
     find_other: "Callable[[Silence], Awaitable[Replica | None]]"
     on_waiting: "Callable[[Silence], None]"
+    has_ended: "Callable[[], bool]"
 
 
 class SilentSend:
@@ -70,6 +73,10 @@
         """Look for another replica, unless the request may not be moved."""
         self.first_ms = self.first_ms or silence.silent_ms
         self.longest_ms = max(self.longest_ms, silence.silent_ms)
+        if self._deps.has_ended():
+            self._log(silence, ENDED, "")
+            silence.end()
+            return
         if self._searching or self._has_failed:
             return
         if not self._deps.may_move():
--- a/papayapier/node/base.py
+++ b/papayapier/node/base.py
@@ -183,7 +183,14 @@
             clock, REPLICAS_PREFIX, read_replica, outage_tracker.last_return_ms, on_replicas, defer
         )
     )
-    send = ForwardCallDeps(pools, decode_facts, load_tracker.on_report, replicas.on_moved, metrics)
+
+    def on_address_reassigned(replica_id: str) -> None:
+        crashes.on_replica_ended(replica_id)
+        replicas.on_moved(replica_id)
+
+    send = ForwardCallDeps(
+        pools, decode_facts, load_tracker.on_report, on_address_reassigned, metrics
+    )
     relay = RelayDeps(clock, rand, hub, lambda: budget.down_since() is not None)
     placement_deps = PlacementDeps(
         clock,
--- a/tests/test_silent_sends.py
+++ b/tests/test_silent_sends.py
@@ -8,7 +8,7 @@
 
 from papayapier import events
 from papayapier.dispatch.retrying import MAX_REJECTIONS
-from papayapier.errors import ErrorKind, not_run_refusal
+from papayapier.errors import ErrorKind, Outcome, not_run_refusal
 from papayapier.policy.outliers import CONSECUTIVE_FAILURES
 from papayapier.policy.placers import UNDECIDED, Placement, PlacementNeeds
 from papayapier.policy.retries import failed_at
@@ -392,3 +392,17 @@
     world.sends[0].events(1)
     assert not notify(world.sends[0])
     assert len(world.placement_requests) == 1
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_a_request_does_not_wait_for_a_replica_that_has_ended(idempotent: bool) -> None:
+    """Guard against callers that are kept waiting for a replica that is known to be gone."""
+    world = ForwardWorld(replicas=1)
+    results = world.start_request(idempotent, Caller(), attempts=1)
+    world.sends[0].events(1)
+    assert not notify(world.sends[0])
+    world.crashes.on_replica_ended(world.sends[0].replica.id)
+    assert notify(world.sends[0])
+    (result,) = results
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.UNKNOWN
