--- a/papayapier/dispatch/attempts.py
+++ b/papayapier/dispatch/attempts.py
@@ -26,8 +26,8 @@
     prepare_retry,
     retry_spacing_ms,
     suspect_refusal,
+    wait_for_next_choice,
     wait_for_send_window,
-    wait_to_choose_again,
 )
 from papayapier.dispatch.silent_sends import SilentSend, SilentSendDeps
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
@@ -114,7 +114,7 @@
         picked = _choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
             refusal = picked.err_value
-            if await wait_to_choose_again(deps, progress.history, req.due_ms, refusal):
+            if await wait_for_next_choice(deps, progress.history, req.due_ms, refusal):
                 continue
             return Err(correct_outcome(refusal, progress.history.maybe_sent))
         replica = picked.ok_value
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -23,8 +23,8 @@
     prepare_retry,
     retry_spacing_ms,
     suspect_refusal,
+    wait_for_next_choice,
     wait_for_send_window,
-    wait_to_choose_again,
 )
 from papayapier.errors import ErrorKind, Refusal, not_run_refusal
 from papayapier.invariants import Invariant, check_invariant
@@ -111,7 +111,7 @@
         picked = await choose_for_send(deps, req, progress)
         if isinstance(picked, Err):
             refusal = picked.err_value
-            if await wait_to_choose_again(deps, progress.history, req.due_ms, refusal):
+            if await wait_for_next_choice(deps, progress.history, req.due_ms, refusal):
                 continue
             return picked
         replica = picked.ok_value
--- a/papayapier/dispatch/retrying.py
+++ b/papayapier/dispatch/retrying.py
@@ -158,7 +158,7 @@
     return retry_moved(failure, due_ms, deps.clock.now(), deps.rand) or decision
 
 
-async def wait_to_choose_again(
+async def wait_for_next_choice(
     deps: RetryDeps, history: SendHistory, due_ms: int, refusal: Refusal
 ) -> bool:
     """Wait before the replica of a request that has left a silent one is chosen again.
