--- a/tests/test_crashing_work.py
+++ b/tests/test_crashing_work.py
@@ -59,8 +59,8 @@
     The first sends may follow each other at once.
     """
     spaced_ms = sent_ms[MAX_ITEM_LOSSES - 1 :]
-    assert most_sends(spaced_ms[1:], ITEM_PAUSE_MS) == 1
-    assert most_sends(spaced_ms[1:], 60_000) <= 60_000 // ITEM_PAUSE_MS
+    assert most_sends(spaced_ms, ITEM_PAUSE_MS) == 1
+    assert most_sends(spaced_ms, 60_000) <= 60_000 // ITEM_PAUSE_MS
     gaps_ms = [later - at for at, later in pairwise([*spaced_ms, until_ms])]
     assert max(gaps_ms) <= ITEM_PAUSE_MS + 2_000
 
@@ -95,7 +95,7 @@
         if running:
             world.replace("lm")
         world.time.jump(500)
-    assert most_sends(sent_ms[2 * len(items) :], ITEM_PAUSE_MS) == 1
+    assert most_sends(sent_ms[len(items) :], ITEM_PAUSE_MS) == 1
 
 
 class CrashingSiteTestCase(TestCase):
