Count as progress only what the reader of an answer can use

What callers saw: beside sound replicas with free slots, requests that may be repeated got 504 at their due time, streams that may be resumed were cut at theirs, and an item of a batch job was held for a minute (MAX_RUN_MS), at a replica that answered with the head of a success and then with a byte each 0.2 s, or with blank lines or comments in a stream.

Cause: every received byte set back the time from which a silence is counted, and only a silence makes an exchange look for another replica. So bytes of which nobody could use anything kept a request where it was.

Why it works: the handler of an answer says how much its reader has got: whole events with data in a stream, each further 256 bytes of a body that is read as a whole. Only that is progress. Before the first progress the limit of the first byte applies, so that such a replica is left as early as one that sends nothing, and by the same rules: only where the request may be repeated and another replica has room. Whether a connection is alive is still judged by its bytes. The learnt time to the first byte counts events, as the limit does now.

The same on related paths: items of jobs and the OpenAI-style interface read streams with the same exchange (shown by the job of the site tests and the test of engines).

tests/test_upstream_parts.py: its handler that does nothing gets the third callback. _call in the site tests now also demands that each answer is whole.

--- a/papayapier/dispatch/forward_placement.py
+++ b/papayapier/dispatch/forward_placement.py
@@ -54,8 +54,8 @@
         return None
 
     def on_waiting(silence: Silence) -> None:
-        has_data = progress.stream is not None and progress.stream.first_data_ms > 0
-        if not has_data:
+        has_begun = progress.stream is not None and progress.stream.first_event_ms > 0
+        if not has_begun:
             deps.on_unanswered(replica)
         if not silence.reused:
             deps.outliers.on_end(replica.id, False, None, deps.clock.now())
--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -150,7 +150,7 @@
     """Log the result of a request and where its time was spent, in one line."""
     now = deps.clock.now()
     stream = progress.stream
-    first_byte_ms = stream.first_data_ms if stream is not None else 0
+    first_event_ms = stream.first_event_ms if stream is not None else 0
     events.emit(
         events.REQUEST_ENDED,
         request=req.request_id,
@@ -167,7 +167,7 @@
         held_ms=progress.placement_ms,
         silent_ms=progress.silent_ms,
         waited_ms=progress.began_ms - req.arrived_ms,
-        first_ms=(first_byte_ms or now) - progress.began_ms,
+        first_ms=(first_event_ms or now) - progress.began_ms,
         run_ms=now - progress.began_ms,
     )
 
@@ -297,7 +297,8 @@
 ) -> None:
     """Report the result of a send to the outlier detection and the first-byte timer."""
     now = deps.clock.now()
-    first_byte_ms = progress.stream.first_data_ms if progress.stream is not None else 0
+    stream = progress.stream
+    first_event_ms = stream.first_event_ms if stream is not None else 0
     deps.crashes.on_send_finished(
         req.request_id,
         req.fingerprint,
@@ -305,17 +306,17 @@
         result,
         started_ms,
         req.get_parts,
-        first_byte_ms,
+        stream.first_data_ms if stream is not None else 0,
     )
     if isinstance(result, Ok):
-        waited_ms = (first_byte_ms or now) - started_ms
+        waited_ms = (first_event_ms or now) - started_ms
         deps.outliers.on_end(replica.id, result.ok_value.status < 500, float(waited_ms), now)
         deps.first_bytes.observe(req.profile.upstream, waited_ms, progress.first_silence_ms)
         return
     failure = result.err_value
-    if failure.kind in NO_ANSWER_KINDS and not first_byte_ms:
+    if failure.kind in NO_ANSWER_KINDS and not first_event_ms:
         deps.on_unanswered(replica)
-    if failure.kind is FailureKind.TIMED_OUT and not first_byte_ms:
+    if failure.kind is FailureKind.TIMED_OUT and not first_event_ms:
         waited_ms = now - started_ms
         deps.first_bytes.observe(req.profile.upstream, waited_ms, progress.first_silence_ms)
     if failure.sent is Sent.NO and failure.kind is FailureKind.STATUS:
--- a/papayapier/dispatch/relayed_stream.py
+++ b/papayapier/dispatch/relayed_stream.py
@@ -25,7 +25,8 @@
 class RelayedStream:
     """Relay one stream; a replica that resumes it must begin after the last event passed on.
 
-    on_first_event is called before the first event of a stream is passed on.
+    on_first_event is called before the first event of a stream is passed on. first_data_ms is when
+    the current replica's first byte arrived, first_event_ms when its first event did.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "_resumed",
         "declared",
         "first_data_ms",
+        "first_event_ms",
         "started",
     )
 
@@ -53,6 +55,7 @@
         self.started = False
         self.declared = False
         self.first_data_ms = 0
+        self.first_event_ms = 0
 
     def last_event(self) -> int:
         return self._cutter.last_id
@@ -61,6 +64,7 @@
         self._cutter.discard_partial()
         self._resumed = self._cutter.last_id != NO_EVENT
         self.first_data_ms = 0
+        self.first_event_ms = 0
 
     def on_head(self, head: "ResponseHead") -> None:
         if not self.started:
@@ -70,11 +74,14 @@
     def on_data(self, data: bytes, now_ms: int) -> Fault | None:
         self.first_data_ms = self.first_data_ms or now_ms
         previous_id = self._cutter.last_id
+        previous_progress = self._cutter.progress
         complete_events = self._cutter.feed(data)
         if complete_events is None:
             return Fault(FailureKind.INVALID, "an event is too long")
         if not complete_events:
             return None
+        if self._cutter.progress > previous_progress:
+            self.first_event_ms = self.first_event_ms or now_ms
         first_event_id = parse_first_id(complete_events) if self._resumed else NO_EVENT
         if first_event_id not in (NO_EVENT, previous_id + 1):
             self._cutter.last_id = previous_id
@@ -85,6 +92,9 @@
         self._caller_stream.write(complete_events)
         return None
 
+    def progress(self) -> int:
+        return self._cutter.progress
+
     def on_end(self, declared: bool) -> Fault | None:
         self.declared = declared
         rest = self._cutter.remainder()
--- a/papayapier/jobs/item_run.py
+++ b/papayapier/jobs/item_run.py
@@ -40,6 +40,10 @@
             self._state.last_received_ms = now_ms
         return None
 
+    def progress(self) -> int:
+        """Return a number that grows with each event that has data."""
+        return self._cutter.progress
+
     def on_end(self, _declared: bool) -> Fault | None:
         """Check that the stream ended after a complete event."""
         if self._cutter.remainder().strip():
--- a/papayapier/upstream/answers.py
+++ b/papayapier/upstream/answers.py
@@ -21,6 +21,9 @@
 # The body of a rejection, after its head. It has a sentence at most.
 MAX_REJECTION_BYTES: Final = 16_384
 MAX_REJECTION_MS: Final = 250
+# What a collected body must grow by to count as progress. Its reader can use none of it before its
+# end, so that its bytes only show whether the rest will come in time.
+PROGRESS_BYTES: Final = 256
 
 
 class Message(TypedDict):
@@ -98,6 +101,10 @@
             return None
         return Fault(FailureKind.TRUNCATED, "answer has no declared length")
 
+    def progress(self) -> int:
+        """Return a number that grows with each PROGRESS_BYTES of the body."""
+        return self._size // PROGRESS_BYTES
+
     def body(self) -> bytes:
         """Return the collected body."""
         return b"".join(self._chunks)
@@ -124,6 +131,10 @@
             return Fault(FailureKind.INVALID, f"rejection takes over {MAX_REJECTION_MS} ms")
         return None
 
+    def progress(self) -> int:
+        """Return the size of the body, which is bounded in size and time."""
+        return self._size
+
 
 def wrong_id_fault(answer_id: str, request_id: str) -> Fault:
     """Return the fault for an answer that belongs to another request."""
--- a/papayapier/upstream/control.py
+++ b/papayapier/upstream/control.py
@@ -55,7 +55,9 @@
         due_ms = int(pools.clock.now()) + pools.cfg.progress_ms
         headers = Headers({"Content-Type": [JSON_TYPE]})
         out = OutgoingRequest(request.method, request.path, headers, request.body, due_ms, False)
-        result = await pools.run(replica, out, AnswerHandler(on_head, collector.end))
+        result = await pools.run(
+            replica, out, AnswerHandler(on_head, collector.end, collector.progress)
+        )
         if isinstance(result, Err):
             return result
         return Ok(ControlAnswer(statuses[0], collector.body()))
--- a/papayapier/upstream/event_splitter.py
+++ b/papayapier/upstream/event_splitter.py
@@ -11,18 +11,23 @@
 MAX_EVENT_BYTES: Final = 1_000_000
 NO_EVENT: Final = -1
 ID_FIELD: Final = b"\nid:"
+DATA_FIELD: Final = b"\ndata:"
 # What ends an event.
 BLANK_LINES: Final = (b"\n\n", b"\r\n\r\n")
 MAX_BLANK_LINE_BYTES: Final = max(map(len, BLANK_LINES))
 
 
 class EventSplitter:
-    """Buffer the bytes of an incomplete event, and track the id of the last complete one."""
+    """Buffer the bytes of an incomplete event, and track the id of the last complete one.
 
-    __slots__ = ("_buffer", "last_id")
+    progress grows with complete events that have data; comments and blank lines have none.
+    """
+
+    __slots__ = ("_buffer", "last_id", "progress")
 
     def __init__(self, last_id: int = NO_EVENT) -> None:
         self.last_id = last_id
+        self.progress = 0
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes | None:
@@ -35,6 +40,7 @@
         del self._buffer[:end]
         if complete:
             self._update_last_id(complete)
+            self.progress += complete.startswith(DATA_FIELD[1:]) or DATA_FIELD in complete
         return None if len(self._buffer) > MAX_EVENT_BYTES else complete
 
     def discard_partial(self) -> None:
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -1,8 +1,10 @@
 """Run one HTTP exchange with a replica within its time limits.
 
-An exchange has one timer. Received bytes only update a timestamp; when the timer fires, it
-compares the timestamp with the limit and either acts or restarts itself. So a stream needs no
-timer per token.
+An exchange has one timer. Progress only updates a timestamp; when the timer fires, it compares the
+timestamp with the limit and either acts or restarts itself. So a stream needs no timer per token.
+
+Progress is what the reader of the answer can use, not each byte: a replica that sends a byte now
+and then is as silent as one that sends none.
 
 A replica may fall silent and go on. A request with on_silence is therefore not ended by silence:
 its sender is notified, and decides whether something better can be done than to wait. A new
@@ -64,11 +66,13 @@
     """Group the callbacks that process a received answer; a Fault ends the exchange.
 
     on_head returns the callback for the body. on_end is called with True if the body had a
-    declared length and is therefore known to be complete.
+    declared length and is therefore known to be complete. progress returns a number that grows as
+    the reader receives what it can use.
     """
 
     on_head: Callable[[ResponseHead], Result[OnData, Fault]]
     on_end: Callable[[bool], Fault | None]
+    progress: Callable[[], int]
 
 
 ExchangeResult = Result[None, Failure]
@@ -113,9 +117,12 @@
         self._refused = False
         self._body_started = False
         self._body_bytes = 0
+        self._progress = 0
+        self._has_progressed = False
         self._sent = Sent.NO
         self._lease = pool.lease(self._before_write)
         self._last_progress_ms = int(clock.now())
+        self._last_received_ms = self._last_progress_ms
         self._on_data: OnData = _ignore_data
         self._timer: Timer | None = None
         self._timer_at_ms = 0
@@ -152,13 +159,17 @@
         if not self._active:
             return
         now_ms = int(self._clock.now())
-        self._last_progress_ms = now_ms
+        self._last_received_ms = now_ms
         if not self._body_started:
             self._start_body()
         self._body_bytes += len(data)
         fault = self._framing_fault() or self._on_data(data, now_ms)
         if fault is not None:
             self._finish(fault)
+            return
+        progress = self._handler.progress()
+        if progress > self._progress and self._active:
+            self._update_progress(progress)
 
     def _framing_fault(self) -> Fault | None:
         """Return a fault if most of the answer is framing, with next to nothing in its chunks."""
@@ -185,7 +196,7 @@
             return False
         self._sent = Sent.MAYBE
         self._phases.request_written()
-        self._last_progress_ms = int(self._clock.now())
+        self._last_progress_ms = self._last_received_ms = int(self._clock.now())
         self._start_timer()
         return True
 
@@ -193,7 +204,7 @@
         if not self._active:
             return
         self._head_received = True
-        self._last_progress_ms = int(self._clock.now())
+        self._last_progress_ms = self._last_received_ms = int(self._clock.now())
         data_handler = self._handler.on_head(
             ResponseHead(response.code, response.headers, self._last_progress_ms)
         )
@@ -207,13 +218,22 @@
         """Apply the progress limit from now on.
 
         An engine may send the head of a stream at once and the first token much later, when a
-        slot becomes free. So the limit between bytes applies only after the first byte of the
+        slot becomes free. So the limit between parts applies only after the first byte of the
         body.
         """
         self._body_started = True
+        self._last_progress_ms = self._last_received_ms
+        self._progress = self._handler.progress()
         self._phases.body_started()
         self._start_timer()
 
+    def _update_progress(self, progress: int) -> None:
+        if not self._has_progressed:
+            self._has_progressed = True
+            self._phases.progressed()
+        self._progress = progress
+        self._last_progress_ms = self._last_received_ms
+
     def _on_request_failed(self, reason: Any) -> None:
         if not self._active:
             return
@@ -273,7 +293,7 @@
             self._timer.cancel()
             self._timer = None
         if fault is None:
-            self._pool.mark_alive(self._lease, self._last_progress_ms)
+            self._pool.mark_alive(self._lease, self._last_received_ms)
             self.done.callback(Ok(None))
             return
         self._close(fault)
@@ -282,13 +302,13 @@
     def _close(self, fault: Fault) -> None:
         """Close the connection, unless the fault is a complete answer with an error status."""
         if fault.kind is FailureKind.STATUS:
-            self._pool.mark_alive(self._lease, self._last_progress_ms)
+            self._pool.mark_alive(self._lease, self._last_received_ms)
             return
         self._lease.abort()
         if self._lease.protocol is None and self._request is not None:
             self._request.cancel()
         if self._sent is Sent.MAYBE and not self._lease.is_new and self._may_be_path_failure(fault):
-            self._pool.mark_dead_before(self._last_progress_ms)
+            self._pool.mark_dead_before(self._last_received_ms)
 
     def _may_be_path_failure(self, fault: Fault) -> bool:
         """Return whether the failure may be caused by the network path to the replica."""
--- a/papayapier/upstream/forward_call.py
+++ b/papayapier/upstream/forward_call.py
@@ -102,6 +102,9 @@
     def on_end(self, declared: bool) -> Fault | None:
         """Handle the end of the body; declared: its length or its last chunk confirmed the end."""
 
+    def progress(self) -> int:
+        """Return a number that grows with each event that has data."""
+
 
 ReadMetadata = Callable[[int, Headers, int], AnswerMetadata]
 OnLoad = Callable[[str, Load], None]
@@ -165,7 +168,16 @@
 class _AnswerReader:
     """Process the parts of one answer as they are received."""
 
-    __slots__ = ("_body", "_call", "_consumer", "_consuming", "_head", "_read_metadata", "metadata")
+    __slots__ = (
+        "_body",
+        "_call",
+        "_consumer",
+        "_consuming",
+        "_head",
+        "_progress",
+        "_read_metadata",
+        "metadata",
+    )
 
     def __init__(
         self, call: ForwardCall, consumer: StreamConsumer | None, read_metadata: ReadMetadata
@@ -175,12 +187,13 @@
         self._read_metadata = read_metadata
         self._head: ResponseHead | None = None
         self._body = BodyCollector(MAX_BODY_BYTES)
+        self._progress: Callable[[], int] = self._body.progress
         self._consuming = False
         self.metadata: AnswerMetadata | None = None
 
     def handler(self) -> AnswerHandler:
         """Return the callbacks that process the answer."""
-        return AnswerHandler(self._on_head, self._on_end)
+        return AnswerHandler(self._on_head, self._on_end, lambda: self._progress())
 
     def answer(self) -> ForwardedAnswer:
         """Return the answer after a successful exchange."""
@@ -198,7 +211,9 @@
             )
         self.metadata = metadata
         if metadata.not_run:
-            return Ok(RejectionBody(head.at_ms).add)
+            rejection = RejectionBody(head.at_ms)
+            self._progress = rejection.progress
+            return Ok(rejection.add)
         if not metadata.signed:
             return Err(
                 Fault(FailureKind.INVALID, f"status {head.status} without replica signature")
@@ -208,6 +223,7 @@
         if self._consumer is None or not is_success(head.status):
             return Ok(self._body.add)
         self._consuming = True
+        self._progress = self._consumer.progress
         self._consumer.on_head(head)
         return Ok(self._consumer.on_data)
 
--- a/papayapier/upstream/phases.py
+++ b/papayapier/upstream/phases.py
@@ -29,11 +29,14 @@
     def body_started(self) -> None:
         """Enter the phase after the first byte of the answer's body."""
 
+    def progressed(self) -> None:
+        """Enter the phase after the first part of the body that its reader can use."""
+
     def finish(self) -> None:
         """Enter the final state."""
 
     def limit_ms(self) -> int:
-        """Return how long the phase may last without a received byte."""
+        """Return how long the phase may last without progress."""
 
     def timeout_fault(self) -> Fault:
         """Return the fault for a phase that exceeded its limit."""
@@ -45,12 +48,14 @@
 _builder = TypeMachineBuilder(Phases, UpstreamSettings)
 _connecting = _builder.state("connecting")
 _waiting = _builder.state("waiting")
+_beginning = _builder.state("beginning")
 _receiving = _builder.state("receiving")
 _ended = _builder.state("ended")
 
 _connecting.upon(Phases.request_written).to(_waiting).returns(None)
-_waiting.upon(Phases.body_started).to(_receiving).returns(None)
-for _state in (_connecting, _waiting, _receiving):
+_waiting.upon(Phases.body_started).to(_beginning).returns(None)
+_beginning.upon(Phases.progressed).to(_receiving).returns(None)
+for _state in (_connecting, _waiting, _beginning, _receiving):
     _state.upon(Phases.finish).to(_ended).returns(None)
 
 _connecting.upon(Phases.timeout_fault).loop().returns(
@@ -59,9 +64,10 @@
 _waiting.upon(Phases.timeout_fault).loop().returns(
     Fault(FailureKind.TIMED_OUT, "timed out waiting for the answer's body")
 )
-_receiving.upon(Phases.timeout_fault).loop().returns(
-    Fault(FailureKind.TIMED_OUT, "timed out waiting for more of the answer's body")
-)
+for _state in (_beginning, _receiving):
+    _state.upon(Phases.timeout_fault).loop().returns(
+        Fault(FailureKind.TIMED_OUT, "timed out waiting for more of the answer's body")
+    )
 
 
 @_connecting.upon(Phases.limit_ms).loop()
@@ -74,6 +80,11 @@
     return cfg.first_byte_ms
 
 
+@_beginning.upon(Phases.limit_ms).loop()
+def _first_part_limit(_: Phases, cfg: UpstreamSettings) -> int:
+    return min(cfg.first_byte_ms, cfg.progress_ms)
+
+
 @_receiving.upon(Phases.limit_ms).loop()
 def _progress_limit(_: Phases, cfg: UpstreamSettings) -> int:
     return cfg.progress_ms
@@ -89,6 +100,7 @@
     return Fault(FailureKind.TRUNCATED, f"connection lost before the answer's body: {reason}")
 
 
+@_beginning.upon(Phases.connection_lost_fault).loop()
 @_receiving.upon(Phases.connection_lost_fault).loop()
 def _progress_lost(_: Phases, __: UpstreamSettings, reason: str) -> Fault:
     return Fault(FailureKind.TRUNCATED, f"answer truncated: {reason}")
--- a/papayapier/upstream/replies.py
+++ b/papayapier/upstream/replies.py
@@ -40,7 +40,7 @@
 
     def handler(self) -> AnswerHandler:
         """Return the callbacks that process the answer."""
-        return AnswerHandler(self._on_head, self._on_end)
+        return AnswerHandler(self._on_head, self._on_end, self._progress)
 
     def reply(self, now_ms: int) -> Reply:
         """Return the complete answer after a successful exchange."""
@@ -88,6 +88,9 @@
         self._parsed = parsed.ok_value
         return None
 
+    def _progress(self) -> int:
+        return self._body.progress() if self._stream is None else self._stream.events
+
     def _is_refusal(self, head: ResponseHead) -> bool:
         """Return whether the status means that the replica did not answer the call.
 
--- a/papayapier/upstream/sse.py
+++ b/papayapier/upstream/sse.py
@@ -58,6 +58,7 @@
         "_on_token",
         "_request_id",
         "_texts",
+        "events",
         "first_ms",
     )
 
@@ -69,6 +70,8 @@
         self._texts: list[str] = []
         self._chars = 0
         self._complete = False
+        # The number of events with data.
+        self.events = 0
         self.first_ms = 0
 
     def parsed(self) -> ParsedAnswer:
@@ -108,6 +111,7 @@
         return None
 
     def _process(self, payload: bytes, now_ms: int) -> Fault | None:
+        self.events += 1
         if self._complete:
             return Fault(FailureKind.INVALID, "stream continues after [DONE]")
         if payload == DONE:
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -20,6 +20,7 @@
         self._server = server
         self._received = b""
         self._begun_s: float | None = None
+        self._timer: Any = None
         self.written_bytes = 0
         self.open_s = 0.0
 
@@ -36,7 +37,7 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         if self._server.pause_s:
-            reactor.callLater(self._server.pause_s, self._write)
+            self._timer = reactor.callLater(self._server.pause_s, self._write)
         else:
             self._write()
 
@@ -51,6 +52,8 @@
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         self._server.open.discard(self)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         if self._begun_s is not None:
             self.open_s = reactor.seconds() - self._begun_s
 
@@ -113,3 +116,11 @@
     "a rejection": (REJECTED + b"\r\n", b"busy"),
     "one event": (CHUNKED + EVENTS + b"\r\n", b"1\r\nx\r\n"),
 }
+
+# The beginning of a successful answer, and a piece that no reader of it can use.
+TRICKLES: Final[dict[str, tuple[bytes, bytes]]] = {
+    "a body": (NAMED + b"Content-Length: 1000000\r\n\r\n", b"x"),
+    "an event": (CHUNKED + EVENTS + b"\r\n", b"1\r\nx\r\n"),
+    "blank lines": (CHUNKED + EVENTS + b"\r\n", b"2\r\n\n\n\r\n"),
+    "comments": (CHUNKED + EVENTS + b"\r\n", b"3\r\n:\n\n\r\n"),
+}
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,17 +9,20 @@
 from twisted.web.http_headers import Headers
 
 from papayapier.clock import real_clock
+from papayapier.dispatch.relayed_stream import CallerStream, RelayedStream
 from papayapier.head_limit import MAX_HEAD_BYTES
 from papayapier.metrics import make_metrics
 from papayapier.platform.headers import decode_facts
 from papayapier.platform.store import platform_store
 from papayapier.settings import PlatformSettings, UpstreamSettings
 from papayapier.store.api import StoreError
-from papayapier.upstream.api import FailureKind, Replica, Sent
+from papayapier.upstream.answers import PROGRESS_BYTES
+from papayapier.upstream.api import FailureKind, OnSilence, Replica, Sent, Silence
 from papayapier.upstream.connection_pools import ConnectionPools
 from papayapier.upstream.control import ControlRequest, make_control_sender
+from papayapier.upstream.event_splitter import NO_EVENT
 from papayapier.upstream.forward_call import ForwardCall, ForwardCallDeps, make_forward_call_sender
-from tests.endless_server import ANSWERS, PIECE_BYTES, REJECTED, EndlessServer
+from tests.endless_server import ANSWERS, PIECE_BYTES, REJECTED, TRICKLES, EndlessServer
 from tests.raw_server import RawServer, with_length
 
 reactor: Any = installed
@@ -28,6 +31,11 @@
 # Far less than the due time, and far more than reading what a connection may send.
 SOON_MS = 3_000
 STORE_MS = 1_200
+FIRST_BYTE_MS = 300
+TRICKLE_PAUSE_S = 0.05
+# Within the progress limit, and more than once until the due time.
+SLOW_PAUSE_S = 1.5
+SLOW_DUE_MS = 4_000
 HEADS = [
     "header lines",
     "short header lines",
@@ -41,6 +49,25 @@
 ]
 
 
+class IgnoredStream:
+    """Ignore what a caller would receive."""
+
+    def begin(self, answer: object) -> None:
+        pass
+
+    def write(self, data: bytes) -> None:
+        pass
+
+
+def resumed_stream() -> RelayedStream:
+    """Return a stream of which another replica has sent an event."""
+    caller_stream: CallerStream = IgnoredStream()
+    stream = RelayedStream(caller_stream, NO_EVENT, True, lambda: None)
+    assert stream.on_data(b"id: 1\ndata: 1\n\n", 1) is None
+    stream.restart()
+    return stream
+
+
 class EndlessTest(TestCase):
     """Call a server whose answers never end."""
 
@@ -64,13 +91,31 @@
 
         return Deferred.fromCoroutine(close())
 
-    async def call(self, fresh: bool = True) -> Any:
+    async def call(
+        self,
+        fresh: bool = True,
+        stream: bool = False,
+        on_silence: OnSilence | None = None,
+        due_ms: int = DUE_MS,
+    ) -> Any:
         deps = ForwardCallDeps(
             self.pools, decode_facts, lambda _i, _l: None, lambda _i: None, make_metrics()
         )
-        due_ms = self.clock.now() + DUE_MS
-        call = ForwardCall("r-1", "GET", "/x", Headers({}), b"", due_ms, fresh, False)
-        return await make_forward_call_sender(deps)(self.replica, call, None)
+        due_ms += self.clock.now()
+        call = ForwardCall(
+            "r-1",
+            "GET",
+            "/x",
+            Headers({}),
+            b"",
+            due_ms,
+            fresh,
+            stream,
+            first_byte_ms=FIRST_BYTE_MS if on_silence else 0,
+            on_silence=on_silence,
+        )
+        relayed = resumed_stream() if stream else None
+        return await make_forward_call_sender(deps)(self.replica, call, relayed)
 
     async def check_closed_soon(self, name: str, began_ms: int) -> None:
         assert self.clock.now() - began_ms < SOON_MS, name
@@ -123,6 +168,46 @@
     def test_a_body_without_end_is_given_up_soon(self) -> Any:
         return Deferred.fromCoroutine(self._bodies())
 
+    async def _trickles(self) -> None:
+        silences: list[Silence] = []
+
+        def end(silence: Silence) -> None:
+            silences.append(silence)
+            assert silence.end()
+
+        for name, (head, piece) in TRICKLES.items():
+            for on_silence in (end, None):
+                self.server.play(head, piece, TRICKLE_PAUSE_S)
+                silences.clear()
+                began_ms = self.clock.now()
+                result = await self.call(stream=name != "a body", on_silence=on_silence)
+                assert isinstance(result, Err), name
+                assert result.err_value.kind is FailureKind.TIMED_OUT, (name, result)
+                assert len(silences) == (on_silence is not None)
+                await self.check_closed_soon(name, began_ms)
+
+    def test_bytes_that_nobody_can_use_count_as_silence(self) -> Any:
+        # Failure: a byte now and then keeps a request at a replica that never answers, until it is
+        # due, beside replicas that would.
+        return Deferred.fromCoroutine(self._trickles())
+
+    async def _slow_answers(self) -> None:
+        slow = {
+            "a body": (b"b" * PROGRESS_BYTES, False),
+            "events": (b"data: 1\n\n", True),
+        }
+        for name, (piece, stream) in slow.items():
+            chunk = b"%x\r\n%s\r\n" % (len(piece), piece)
+            self.server.play(*TRICKLES["an event"], pause_s=SLOW_PAUSE_S)
+            self.server.piece = chunk
+            result = await self.call(stream=stream, due_ms=SLOW_DUE_MS)
+            assert isinstance(result, Err)
+            assert result.err_value.kind is FailureKind.DEADLINE, (name, result)
+
+    def test_a_slow_answer_that_grows_is_no_silence(self) -> Any:
+        # Failure: an answer that a slow replica or link brings in parts is given up.
+        return Deferred.fromCoroutine(self._slow_answers())
+
     async def _control(self) -> None:
         for name in ANSWERS:
             self.server.play(*ANSWERS[name])
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -57,6 +57,24 @@
     assert splitter.last_id == last
 
 
+@pytest.mark.parametrize(
+    ("data", "progress"),
+    [
+        (b"id: 1\ndata: a\n\n", 1),
+        (b"data: a\r\n\r\n", 1),
+        (b"id: 1\ndata: a\n", 0),
+        (b"\n\n\n\n", 0),
+        (b": data: a\n\n", 0),
+        (b"id: 1\n\n", 0),
+    ],
+)
+def test_only_whole_events_with_data_are_progress(data: bytes, progress: int) -> None:
+    """Bytes of which nobody can use anything must not keep a stream at its replica."""
+    splitter = EventSplitter()
+    splitter.feed(data)
+    assert splitter.progress == progress
+
+
 def test_an_endless_event_is_refused() -> None:
     """An event without an end must not exhaust the memory."""
     assert EventSplitter().feed(b"data: " + b"x" * (MAX_EVENT_BYTES + 1)) is None
--- a/tests/test_site_endless_answers.py
+++ b/tests/test_site_endless_answers.py
@@ -7,9 +7,9 @@
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
 
-from tests.endless_server import ANSWERS, REJECTED, STATUS, EndlessServer
+from tests.endless_server import ANSWERS, REJECTED, STATUS, TRICKLES, EndlessServer
 from tests.site.case import SiteCase
-from tests.site.replicas import SLOTS
+from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
 from tests.site.world import sleep, start_task
 
 reactor: Any = installed
@@ -58,7 +58,14 @@
         statuses = []
         while reactor.seconds() < end_s:
             path = "/stream/again/1" if number % 2 else "/look/1"
-            statuses.append((await self.world.get(self.port(), path)).status)
+            reply = await self.world.get(self.port(), path)
+            statuses.append(reply.status)
+            if reply.status != 200:
+                continue
+            if number % 2:
+                assert reply.body.count(b"data: piece") == EVENTS_PER_STREAM
+            else:
+                assert reply.body == b"whole answer"
         return statuses
 
     def test_header_lines_without_end(self) -> Any:
@@ -87,6 +94,23 @@
         # Failure: requests that may be repeated wait for such a replica until they are due.
         return Deferred.fromCoroutine(self._play(STATUS, b"X-Note:\r", pause_s=0.2))
 
+    def test_a_body_that_trickles_without_end(self) -> Any:
+        # Failure: requests that may be repeated wait for such a replica until they are due, and an
+        # item for a minute.
+        return Deferred.fromCoroutine(self._play(*TRICKLES["a body"], pause_s=0.2))
+
+    def test_an_event_that_trickles_without_end(self) -> Any:
+        # Failure: a stream that may be resumed is cut off at its due time.
+        return Deferred.fromCoroutine(self._play(*TRICKLES["an event"], pause_s=0.2))
+
+    def test_blank_lines_that_trickle_without_end(self) -> Any:
+        # Failure: what ends an event is taken for one, though there is nothing before it.
+        return Deferred.fromCoroutine(self._play(*TRICKLES["blank lines"], pause_s=0.2))
+
+    def test_comments_that_trickle_without_end(self) -> Any:
+        # Failure: comments, which nobody reads, keep a stream open until its due time.
+        return Deferred.fromCoroutine(self._play(*TRICKLES["comments"], pause_s=0.2))
+
 
 def peak_memory(pid: int) -> int:
     """Return the largest resident size of a process so far, in bytes."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -241,6 +241,23 @@
         failure = (await sending).err_value
         equal((failure.kind, failure.sent), (FailureKind.TIMED_OUT, Sent.MAYBE))
 
+    async def test_bytes_without_an_event_are_silence(self) -> None:
+        """A stream must end when bytes keep arriving, but no further event is completed."""
+        for piece in (b"x", b":\n\n", b"\n\n"):
+            self.server.answer_with(chunked(stream_event("a "), end=b""))
+            sending = self.send()
+            conn = await self.server.next_request()
+            while not self.tokens:
+                await deferLater(reactor, 0)
+            for _ in range(10):
+                equal(sending.called, False)
+                self.fake.run_for(CFG.progress_ms // 10)
+                conn.write(chunked(piece, head=b"", end=b""))
+                await deferLater(reactor, 0.01)
+            failure = (await sending).err_value
+            equal((failure.kind, failure.sent), (FailureKind.TIMED_OUT, Sent.MAYBE))
+            self.tokens.clear()
+
     async def test_a_notified_call_outlasts_a_silence(self) -> None:
         """A silence must not end a call whose sender is notified of it, before the due time."""
         silences: list[Silence] = []
--- a/tests/test_upstream_parts.py
+++ b/tests/test_upstream_parts.py
@@ -88,7 +88,9 @@
     assert error.startswith(at), error
 
 
-NO_HANDLER = AnswerHandler(lambda head: Ok(lambda data, now_ms: None), lambda declared: None)
+NO_HANDLER = AnswerHandler(
+    lambda head: Ok(lambda data, now_ms: None), lambda declared: None, lambda: 0
+)
 
 
 class _PollRecorder:
