Let streams of silent replicas trickle in the soak of silences

The silences that the soak draws were complete: no byte came, or half an event at their beginning. Half of those within events now go on with a byte each 0.2 s, but not to the end of the event, so that the end of a stream by a limit or a switch between silence and progress is played by both. They are drawn by a generator of their own, so that each seed plays the silences and faults that it played before. The checks are as they were: each answer is whole, and none ends before its time.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -26,6 +26,8 @@
 LARGE_PATH: Final = b"/look/large"
 LARGE_BYTES: Final = 420_000
 CRASH_DELAY_S: Final = 0.02
+# Between two bytes of an event that trickles.
+TRICKLE_GAP_S: Final = 0.2
 # How long the platform's list of replicas still shows a replica that has crashed.
 REMOVAL_DELAY_S: Final = 0.5
 VERSION_OF_EVENT: Final = re.compile(rb"piece \d+ (\S+)")
@@ -62,6 +64,8 @@
         self._next_events: dict[Any, Any] = {}
         self._next_numbers: dict[Any, int] = {}
         self._sent_bytes: dict[Any, int] = {}
+        # The timer of the next byte of each stream that trickles.
+        self._next_bytes: dict[Any, Any] = {}
         self._silent_until_s = 0.0
         # Requests that arrived during a silence, and when they are looked at.
         self._unread: dict[Any, Any] = {}
@@ -118,10 +122,13 @@
         self.boot_number += 1
         self.register("ready")
 
-    def fall_silent(self, seconds: float, within_events: bool = False) -> None:
+    def fall_silent(
+        self, seconds: float, within_events: bool = False, trickles: bool = False
+    ) -> None:
         """Do nothing for some time, then go on where it was; the kernel still accepts bytes.
 
-        within_events says that each stream stops in the middle of its next event.
+        within_events says that each stream stops in the middle of its next event. trickles says
+        that each stream goes on byte by byte, but not to the end of that event.
         """
         self._silent_until_s = reactor.seconds() + seconds
         if not within_events:
@@ -133,6 +140,18 @@
             event = self._event(request, number)
             request.write(event[: len(event) // 2])
             self._sent_bytes[request] = len(event) // 2
+            if trickles:
+                self._write_byte(request, event)
+
+    def _write_byte(self, request: Any, event: bytes) -> None:
+        self._next_bytes.pop(request, None)
+        sent = self._sent_bytes.get(request, len(event))
+        if request._disconnected or not self._silence_left_s() or sent >= len(event) - 1:
+            return
+        request.write(event[sent : sent + 1])
+        self._sent_bytes[request] = sent + 1
+        timer = reactor.callLater(TRICKLE_GAP_S, self._write_byte, request, event)
+        self._next_bytes[request] = timer
 
     def _silence_left_s(self) -> float:
         left_s: float = self._silent_until_s - reactor.seconds()
@@ -154,7 +173,7 @@
                 timer.cancel()
         if self._removal is not None and self._removal.active():
             self._removal.cancel()
-        for timer in self._next_events.values():
+        for timer in (*self._next_events.values(), *self._next_bytes.values()):
             if timer.active():
                 timer.cancel()
         if not self._port.disconnected:
--- a/tests/site/silence_soak.py
+++ b/tests/site/silence_soak.py
@@ -4,7 +4,8 @@
 
 A replica's silence is no reason to end an answer. Replicas fall silent in turn, sometimes two at
 once and sometimes again after one event or in the middle of one, while callers on kept connections
-send streams, calls and jobs, equal ones and different ones. By the seed, an entry is suspended, a
+send streams, calls and jobs, equal ones and different ones. Some streams go on byte by byte all the
+while, without an event in it. By the seed, an entry is suspended, a
 keeper restarts, replicas join, drain while they are silent, reject requests beyond their queue, or
 lose their entry in the list while they are silent. With --configurations, the configuration changes
 four times a second; with --hubs, there is no full mesh between processes, so that a placer chooses
@@ -72,6 +73,7 @@
 TWO_AT_ONCE_SHARE: Final = 0.3
 AGAIN_SHARE: Final = 0.4
 WITHIN_EVENTS_SHARE: Final = 0.4
+TRICKLE_SHARE: Final = 0.5
 MAX_ADDED: Final = 3
 QUEUE: Final = 2
 FAULT_GAP_S: Final = (0.5, 2.0)
@@ -128,6 +130,8 @@
         self.configurations = configurations
         self.hubs = hubs
         self.rng = random.Random(seed)
+        # Another one, so that the draws of a seed are those of a run without trickles.
+        self._trickle_rng = random.Random(f"trickles of {seed}")
         self.answers: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
         self.violations: list[str] = []
@@ -342,7 +346,9 @@
         self._silent_until_s[replica.id] = until_s
         within_events = self.rng.random() < WITHIN_EVENTS_SHARE
         self.faults["within events"] += within_events
-        replica.fall_silent(until_s - reactor.seconds(), within_events)
+        trickles = within_events and self._trickle_rng.random() < TRICKLE_SHARE
+        self.faults["trickles"] += trickles
+        replica.fall_silent(until_s - reactor.seconds(), within_events, trickles)
 
     async def _inject(self, drawn: "Sequence[Callable[[], Awaitable[None]]]") -> None:
         while not self.stopping:
