Stop the trickle of a stand-in's stream before its event is written

The fault was the stand-in's: the timer of the next byte outlived its silence, and a second silence let it write a byte of the event before.

--- a/tests/site/replicas.py
+++ b/tests/site/replicas.py
@@ -153,6 +153,12 @@
         timer = reactor.callLater(TRICKLE_GAP_S, self._write_byte, request, event)
         self._next_bytes[request] = timer
 
+    def _stop_trickle(self, request: Any) -> None:
+        """Write no further byte of an event that is about to be written whole."""
+        timer = self._next_bytes.pop(request, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
     def _silence_left_s(self) -> float:
         left_s: float = self._silent_until_s - reactor.seconds()
         return max(0.0, left_s)
@@ -274,6 +280,7 @@
             reactor.callLater(0, request.transport.abortConnection)
             return
         interval_s = self.item_interval_s if b"/job/" in request.path else EVENT_INTERVAL_S
+        self._stop_trickle(request)
         request.write(self._event(request, number)[self._sent_bytes.pop(request, 0) :])
         self._write_later(interval_s, request, number + 1, written + 1)
 
