Take a configuration of thousands of digits in a job's record for none

What callers saw: nothing yet; read while the places that turn digits into numbers were gone through once more, and shown by a test. A record under papayapier-jobs/ whose write id names a configuration with 5,000 digits raised ValueError wherever the owner of its job is computed, and update_owned_jobs computes the owners of all open jobs in one loop: no job after it was taken by any keeper as long as the record was there.

Why it works: parse_number bounds the digits; such a record counts as one that names no configuration, like those of earlier releases.

test_a_record_with_thousands_of_digits_hides_no_other_job and the new case of test_the_configuration_of_a_record failed before with that ValueError.

--- a/papayapier/jobs/records.py
+++ b/papayapier/jobs/records.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from papayapier.config.route_table import NO_POSITION, ConfigPosition
-from papayapier.decoding import DECODE_ERRORS
+from papayapier.decoding import DECODE_ERRORS, parse_number
 from papayapier.store.api import ValueBound
 
 T = TypeVar("T")
@@ -126,10 +126,11 @@
 
     It is NO_POSITION for a record that was written by a release that did not store it.
     """
-    _, *numbers = record.write_id.split(WRITE_ID_SEPARATOR)
-    if len(numbers) != len(NO_POSITION) or not all(number.isdecimal() for number in numbers):
+    _, *parts = record.write_id.split(WRITE_ID_SEPARATOR)
+    numbers = [number for part in parts if (number := parse_number(part)) is not None]
+    if len(parts) != len(NO_POSITION) or len(numbers) != len(NO_POSITION):
         return NO_POSITION
-    return ConfigPosition(*map(int, numbers))
+    return ConfigPosition(*numbers)
 
 
 def read_record(value: bytes) -> Result[JobRecord, str]:
--- a/tests/test_jobs_routes.py
+++ b/tests/test_jobs_routes.py
@@ -27,6 +27,8 @@
 PREFIX = "/jobs/"
 LIMIT_S = 60
 OLD = ConfigPosition(10, 2)
+# int() refuses more than 4,300 digits.
+MANY_DIGITS = f"00000000000000f3.{'1' * 5_000}.1"
 
 
 def make_document(version: int, service: str, limit_s: int = LIMIT_S) -> dict[str, Any]:
@@ -172,12 +174,24 @@
     assert reads < 20
 
 
+def test_a_record_with_thousands_of_digits_hides_no_other_job() -> None:
+    """Guard against one record that ends the rounds of all jobs."""
+    world = RoutesWorld("lm")
+    world.make_store_unavailable()
+    world.runner.on_stored_locally("bad", world.record("a")._replace(write_id=MANY_DIGITS))
+    world.runner.on_stored_locally(JOB, world.record("a"))
+    for _ in range(10):
+        world.time.jump(200)
+    assert set(world.upstreams()) == {"lm"}
+
+
 @pytest.mark.parametrize(
     ("write_id", "position"),
     [
         (make_write_id(7, ConfigPosition(13, 17)), ConfigPosition(13, 17)),
         ("00000000000000f3", ConfigPosition(0, 0)),
         ("00000000000000f3.x.1", ConfigPosition(0, 0)),
+        (MANY_DIGITS, ConfigPosition(0, 0)),
         ("", ConfigPosition(0, 0)),
     ],
 )
