--- a/papayapier/jobs/runner.py
+++ b/papayapier/jobs/runner.py
@@ -23,7 +23,7 @@
 from papayapier.jobs.route_checks import RouteCheckDeps, RouteChecks
 from papayapier.jobs.runs import RunDeps, Runs
 from papayapier.jobs.takeover import JobTakeover, TakeoverDeps
-from papayapier.lasting_tasks import run_always
+from papayapier.lasting_tasks import call_guarded, run_always
 from papayapier.policy.ownership import rendezvous_owner
 from papayapier.store.api import Change, Store, ValueBound
 
@@ -193,11 +193,15 @@
         """Recompute which jobs this instance is to run, and take or release jobs accordingly."""
         self._owners.refresh()
         for job_id, record in list(self._open.items()):
-            is_mine = self.takeover.runs_here(job_id, self._owners.owner(job_id, record))
-            if is_mine and job_id not in self._owned and not self._stopping:
-                self._own(job_id, record)
-            elif not is_mine and job_id in self._owned:
-                self._disown(job_id)
+            call_guarded("owner of a job", self._update_owned, job_id, record)
+
+    def _update_owned(self, job_id: str, record: JobRecord) -> None:
+        """Take or release one job; an error in it must not keep the others from being taken."""
+        is_mine = self.takeover.runs_here(job_id, self._owners.owner(job_id, record))
+        if is_mine and job_id not in self._owned and not self._stopping:
+            self._own(job_id, record)
+        elif not is_mine and job_id in self._owned:
+            self._disown(job_id)
 
     def _own(self, job_id: str, record: JobRecord) -> None:
         job = OwnedJob(job_id, record)
--- a/tests/test_jobs_routes.py
+++ b/tests/test_jobs_routes.py
@@ -185,6 +185,27 @@
     assert set(world.upstreams()) == {"lm"}
 
 
+def test_an_error_about_one_job_keeps_no_other_from_its_owner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against one job that ends the taking of all jobs after it."""
+    world = RoutesWorld("lm")
+    world.make_store_unavailable()
+    find_owner = world.runner._owners.owner
+
+    def owner(job_id: str, job_record: JobRecord) -> str:
+        if job_id == "bad":
+            raise KeyError(job_id)
+        return find_owner(job_id, job_record)
+
+    monkeypatch.setattr(world.runner._owners, "owner", owner)
+    world.runner.on_stored_locally("bad", world.record("a"))
+    world.runner.on_stored_locally(JOB, world.record("a"))
+    for _ in range(10):
+        world.time.jump(200)
+    assert set(world.upstreams()) == {"lm"}
+
+
 @pytest.mark.parametrize(
     ("write_id", "position"),
     [
