--- a/papayapier/upstream/api.py
+++ b/papayapier/upstream/api.py
@@ -33,11 +33,11 @@
 
 
 class Silence(NamedTuple):
-    """Report that a replica has sent nothing for silent_ms after the request was written.
+    """Report that a replica has sent nothing of use for silent_ms after the request was written.
 
     reused says that the connection was not new, so that it may be at fault instead of the replica,
     answered that the head of the answer has arrived on it, which speaks against that. end ends the
-    send as timed out, unless bytes have arrived meanwhile; it returns whether the send has ended by
+    send as timed out, unless there was progress meanwhile; it returns whether the send has ended by
     it.
     """
 
