--- a/papayapier/head_limit.py
+++ b/papayapier/head_guard.py
@@ -1,4 +1,4 @@
-"""Bound the head of an HTTP answer, with all interim answers before it.
+"""Guard the heads of HTTP answers: bound each with all interim answers before it.
 
 Twisted bounds each line of a head, but not their number: a server that sends header lines without
 end makes its client keep them all, and one that sends interim answers without end makes its client
@@ -13,7 +13,7 @@
 HEAD_STATES: Final = ("STATUS", "HEADER")
 
 
-def bound_heads(protocol: Any) -> Any:
+def guard_head(protocol: Any) -> Any:
     """Close a client connection whose answer has a longer head; return the connection.
 
     Its attribute head_too_long says whether that has happened, answer_bytes how many bytes of the
--- a/papayapier/store/link.py
+++ b/papayapier/store/link.py
@@ -18,7 +18,7 @@
 
 from papayapier import events
 from papayapier.clock import MS_PER_S, Clock
-from papayapier.head_limit import bound_heads
+from papayapier.head_guard import guard_head
 from papayapier.settings import PlatformSettings
 from papayapier.store.api import MAX_VALUE_BYTES
 
@@ -121,7 +121,7 @@
 
     def _newConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:  # noqa: N802
         connected: Deferred[Any] = cast(Any, super())._newConnection(key, endpoint)
-        return connected.addCallback(bound_heads)
+        return connected.addCallback(guard_head)
 
 
 def was_never_sent(exc: BaseException) -> bool:
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -24,7 +24,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock, Timer
-from papayapier.head_limit import MAX_HEAD_BYTES
+from papayapier.head_guard import MAX_HEAD_BYTES
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent, Silence
--- a/papayapier/upstream/pool.py
+++ b/papayapier/upstream/pool.py
@@ -21,7 +21,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgent
 
-from papayapier.head_limit import bound_heads, close_at_once
+from papayapier.head_guard import close_at_once, guard_head
 from papayapier.sockets import is_idle
 
 # Bounds idle connections only. A bound on connections in use would make a call wait until
@@ -193,7 +193,7 @@
     Keepalive probes and the limit on unacknowledged data close it within seconds.
     """
     _record_close(protocol)
-    bound_heads(protocol)
+    guard_head(protocol)
     protocol.transport.setTcpKeepAlive(True)
     sock: socket.socket = protocol.transport.getHandle()
     for name, value in (
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,7 +10,7 @@
 
 from papayapier.clock import real_clock
 from papayapier.dispatch.relayed_stream import CallerStream, RelayedStream
-from papayapier.head_limit import MAX_HEAD_BYTES
+from papayapier.head_guard import MAX_HEAD_BYTES
 from papayapier.metrics import make_metrics
 from papayapier.platform.headers import decode_facts
 from papayapier.platform.store import platform_store
