Refuse an answer whose status line the protocol does not allow

Such a replica was taken for sound and, being quick, drew the load. Items of jobs were dead-lettered after three such answers.

Cause: Twisted's client takes for a status whatever Python's int() takes, and for a version whatever two numbers it finds, and no code of ours looked at either. All that follows relies on a status that the protocol knows: each status under 500 counts as good for a replica, each of no success as a failed run of an item, and each under 500 of the store as a refusal by which nothing was changed.

Why it works: every connection on which answers are read passes head_guard, now also that of the operator's client. It checks each status line, of interim answers too, against one pattern of what RFC 9110 and 9112 allow (head_syntax.py), before the parser reads it. An answer that is refused is invalid, like one whose head is too long: it counts against the replica, a request that may be repeated goes elsewhere, any other gets 502, and an item's attempts are not counted. Nothing of its head is believed, not even that the request was not run.

--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -1,11 +1,22 @@
-"""Guard the heads of HTTP answers: bound each with all interim answers before it.
+"""Guard the heads of HTTP answers: bound and check each, with all interim answers before it.
+
+Every connection on which answers are read is passed to guard_head, whatever reads them.
 
 Twisted bounds each line of a head, but not their number: a server that sends header lines without
 end makes its client keep them all, and one that sends interim answers without end makes its client
-parse them for as long as it waits.
+parse them for as long as it waits. It also accepts heads that the protocol does not allow.
 """
 
-from typing import Any, Final
+from typing import Any, Final, cast
+
+from twisted.internet.defer import Deferred
+from twisted.web._newclient import HTTPClientParser
+from twisted.web.client import HTTPConnectionPool
+
+from papayapier.head_syntax import check_status_line
+
+# Twisted has no type annotations here.
+_Parser: Any = HTTPClientParser
 
 # Per answer, with the interim answers before it.
 MAX_HEAD_BYTES: Final = 16_384
@@ -14,10 +25,11 @@
 
 
 def guard_head(protocol: Any) -> Any:
-    """Close a client connection whose answer has a longer head; return the connection.
+    """Close a client connection whose answer has a head that is too long or not allowed; return it.
 
-    Its attribute head_too_long says whether that has happened, answer_bytes how many bytes of the
-    current answer it has received, with the head and the framing of the body.
+    Its attribute head_too_long says whether a head was too long; a head that is not allowed fails
+    its request with InvalidHeadError. answer_bytes says how many bytes of the current answer it has
+    received, with the head and the framing of the body.
     """
     guard = _HeadGuard(protocol)
     protocol.head_too_long = False
@@ -35,6 +47,14 @@
     protocol.transport.abortConnection()
 
 
+class GuardedPool(HTTPConnectionPool):
+    """Guard the heads of the answers on all connections of a pool."""
+
+    def _newConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:  # noqa: N802
+        connected: Deferred[Any] = cast(Any, super())._newConnection(key, endpoint)
+        return connected.addCallback(guard_head)
+
+
 class _HeadGuard:
     """Count the bytes that a connection received of the head of its current answer."""
 
@@ -53,6 +73,7 @@
             parser = self._protocol._parser
             if parser is not self._parser:
                 self._parser = parser
+                _check_lines(parser)
                 self._left = MAX_HEAD_BYTES
                 self._protocol.answer_bytes = 0
             if not _is_in_head(parser):
@@ -68,5 +89,20 @@
                 close_at_once(self._protocol)
 
 
+class _CheckingParser(_Parser):  # type: ignore[misc]
+    """Check the lines of a head before they are parsed."""
+
+    def statusReceived(self, status: bytes) -> None:  # noqa: N802
+        check_status_line(status)
+        super().statusReceived(status)
+
+
+def _check_lines(parser: Any) -> None:
+    """Make a parser that has received nothing yet check its lines."""
+    if parser is not None:
+        # Twisted's connection creates its parsers itself.
+        parser.__class__ = _CheckingParser
+
+
 def _is_in_head(parser: Any) -> bool:
     return parser is not None and parser.state in HEAD_STATES
--- /dev/null
+++ b/papayapier/head_syntax.py
@@ -0,0 +1,28 @@
+"""Define what HTTP/1.1 allows in the head of an answer (RFC 9110 and RFC 9112).
+
+The client's parser is lenient: it takes any number that Python's int() reads for a status, and any
+version. Everything after the parser, from retries to the writing of an answer to its caller, relies
+on a status from 200 to 599.
+"""
+
+import re
+from typing import Final
+
+# The major version must be 1; a higher minor version is read like the highest that is known. The
+# space before an empty reason may be missing, as some servers leave it out. No request asks for
+# another protocol, so that 101 is no answer to any.
+STATUS_LINE: Final = re.compile(
+    rb"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?", re.DOTALL
+)
+# Of an invalid line, for the log.
+MAX_QUOTED_BYTES: Final = 80
+
+
+class InvalidHeadError(ValueError):
+    """Report a head that the protocol does not allow; nothing in it can be relied on."""
+
+
+def check_status_line(line: bytes) -> None:
+    """Raise InvalidHeadError if a status line, without its line end, is not allowed."""
+    if STATUS_LINE.fullmatch(line) is None:
+        raise InvalidHeadError(f"invalid status line: {line[:MAX_QUOTED_BYTES]!r}")
--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -16,10 +16,10 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import HTTPConnectionPool
 
 from papayapier.decoding import DECODE_ERRORS
 from papayapier.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE
+from papayapier.head_guard import GuardedPool
 from papayapier.operate.output import print_json
 
 DEFAULT_ADDRESS: Final = "127.0.0.1:8081"
@@ -100,7 +100,7 @@
                 headers=all_headers,
                 params=query or {},
                 data=None if body is None else msgspec.json.encode(body),
-                pool=cast(Any, HTTPConnectionPool)(reactor, persistent=False),
+                pool=cast(Any, GuardedPool)(reactor, persistent=False),
                 timeout=TIMEOUT_S,
                 unbuffered=True,
             )
--- a/papayapier/store/link.py
+++ b/papayapier/store/link.py
@@ -18,7 +18,7 @@
 
 from papayapier import events
 from papayapier.clock import MS_PER_S, Clock
-from papayapier.head_guard import guard_head
+from papayapier.head_guard import GuardedPool
 from papayapier.settings import PlatformSettings
 from papayapier.store.api import MAX_VALUE_BYTES
 
@@ -58,7 +58,7 @@
 
 def make_link(reactor: Any, clock: Clock, platform: PlatformSettings) -> Link:
     """Create a pool of connections to the platform; each exchange has a timeout."""
-    pool = cast(Any, _BoundedPool)(reactor, persistent=True)
+    pool = cast(Any, GuardedPool)(reactor, persistent=True)
     pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
     # The pool would retry a GET on a stale connection: a hidden second call, outside the
     # budget and the timeout.
@@ -116,14 +116,6 @@
     return Link(exchange, close)
 
 
-class _BoundedPool(web_client.HTTPConnectionPool):
-    """Bound the heads of answers on all connections."""
-
-    def _newConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:  # noqa: N802
-        connected: Deferred[Any] = cast(Any, super())._newConnection(key, endpoint)
-        return connected.addCallback(guard_head)
-
-
 def was_never_sent(exc: BaseException) -> bool:
     """Return whether the request was certainly not sent, because no connection was made."""
     return isinstance(exc, ConnectError | ConnectingCancelledError)
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -25,6 +25,7 @@
 from papayapier import events
 from papayapier.clock import Clock, Timer
 from papayapier.head_guard import MAX_HEAD_BYTES
+from papayapier.head_syntax import InvalidHeadError
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent, Silence
@@ -237,7 +238,11 @@
     def _on_request_failed(self, reason: Any) -> None:
         if not self._active:
             return
-        self._refused = _innermost(reason).check(ConnectionRefusedError) is not None
+        innermost = _innermost(reason)
+        self._refused = innermost.check(ConnectionRefusedError) is not None
+        if innermost.check(InvalidHeadError):
+            self._finish(Fault(FailureKind.INVALID, innermost.getErrorMessage()))
+            return
         if self._lease.head_was_too_long():
             text = f"the head of the answer is longer than {MAX_HEAD_BYTES} bytes"
             self._finish(Fault(FailureKind.INVALID, text))
--- /dev/null
+++ b/tests/broken_answers.py
@@ -0,0 +1,76 @@
+"""List answers that break the protocol, and build them for a server that sends raw bytes."""
+
+import itertools
+import re
+from collections.abc import Sequence
+from typing import Final
+
+from tests.raw_server import RawConnection, RawServer
+
+STATUS_LINE: Final = b"HTTP/1.1 200 OK"
+FIELDS: Final = b"X-Request-Id: REQUEST\r\nX-Server-Stamp: s\r\nX-Server-Load: 0,0,4\r\n"
+_REQUEST_ID: Final = re.compile(rb"^x-request-id: *(\S+)", re.IGNORECASE | re.MULTILINE)
+
+# Status lines that the protocol does not allow.
+STATUS_LINES: Final = (
+    b"HTTP/1.1 000 Trouble",
+    b"HTTP/1.1 0 Trouble",
+    b"HTTP/1.1 001 Trouble",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 99 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 00200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1 200\t OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 1000 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK",
+    b"HTTP/1.1 0100 Continue\r\n\r\nHTTP/1.1 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/9.9 200 OK",
+    b"HTTP/1.10 200 OK",
+    b"HTTP/01.1 200 OK",
+    b"http/1.1 200 OK",
+    b"ICY/1.1 200 OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1 2OO OK",
+    b"HTTP/1.1",
+    b"HTTP/1.1 OK",
+)
+
+
+def make_answer(
+    body: bytes, status_line: bytes = STATUS_LINE, fields: bytes = b"", framed: bool = True
+) -> bytes:
+    """Return an answer; REQUEST stands for the id of its request, fields end with CR LF."""
+    head = status_line + b"\r\n" + fields + FIELDS
+    if framed:
+        head += b"Content-Length: %d\r\n" % len(body)
+    return head + b"\r\n" + body
+
+
+def answer_all(server: RawServer, answer: bytes) -> None:
+    """Answer each request with these bytes, in which REQUEST becomes its id."""
+    answer_in_turn(server, [answer])
+
+
+def answer_in_turn(server: RawServer, answers: Sequence[bytes]) -> None:
+    """Answer each request with the next of the answers, from the first again after the last."""
+    remaining = itertools.cycle(answers)
+
+    def respond(conn: RawConnection, head: bytes) -> None:
+        conn.write(next(remaining).replace(b"REQUEST", request_id(head)))
+
+    server.respond = respond
+
+
+def request_id(head: bytes) -> bytes:
+    """Return the id of a request, empty if it has none."""
+    found = _REQUEST_ID.search(head)
+    return found[1] if found else b""
