Hold with tests that a name of a field that is not allowed is no answer

The users saw elsewhere that an answer in whose head the name of a field holds a blank or a control byte reached a client, with that line passed on or with a body that was not the replica's.

This was held already: Twisted as pinned takes such a name for an error, and the head for none. No test of ours showed it. 17 header lines (a blank or a control byte in the name, before the colon or at its start, no name, no colon, and the same in the names of Content-Length and Transfer-Encoding), each with and without a length beside it, are now sent to all 15 ways in which the program reads an answer, and on real processes to callers of every kind of route.

--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -44,6 +44,27 @@
     b"HTTP/1.1 OK",
 )
 
+# Header lines whose names the protocol does not allow.
+NAMES: Final = (
+    b"X Note: n",
+    b"X-Note : n",
+    b"X-Note\t: n",
+    b" X-Note: n",
+    b"X-No\x00te: n",
+    b"X-No\x01te: n",
+    b"X-No\x7fte: n",
+    b"X-No\rte: n",
+    b"X-N\xf6te: n",
+    b"X(Note): n",
+    b": n",
+    b"X-Note",
+    b"Content-Length : 3",
+    b"Content Length: 3",
+    b"Content-Length\x00: 3",
+    b"Transfer-Encoding : chunked",
+    b"Transfer\x01Encoding: chunked",
+)
+
 
 def make_answer(
     body: bytes, status_line: bytes = STATUS_LINE, fields: bytes = b"", framed: bool = True
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -32,7 +32,7 @@
     StreamConsumer,
     make_forward_call_sender,
 )
-from tests.broken_answers import STATUS_LINES, answer_all, make_answer
+from tests.broken_answers import NAMES, STATUS_LINES, answer_all, make_answer
 from tests.forward_world import Caller
 from tests.raw_server import DONE, LAST_EVENT, RawServer, complete_body
 
@@ -225,3 +225,19 @@
     def test_each_status_that_the_protocol_knows_is_passed_on(self) -> Any:
         # Failure: a replica's own answer is replaced by a refusal.
         return Deferred.fromCoroutine(self._statuses())
+
+
+class FieldNamesTest(BrokenAnswersCase):
+    """Answer with header lines whose names the protocol does not allow."""
+
+    def _answers(self, reader: Reader) -> list[bytes]:
+        return [
+            make_answer(reader.body, fields=reader.fields + line + b"\r\n", framed=framed)
+            for line in NAMES
+            for framed in (True, False)
+        ]
+
+    def test_a_head_with_an_invalid_name_is_no_answer(self) -> Any:
+        # Failure: the line is passed on to callers, or a length that it states is ignored, so that
+        # a body that is not the replica's reaches them.
+        return Deferred.fromCoroutine(self.check_refused(self._answers))
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
 
-from tests.broken_answers import STATUS_LINES, answer_all, answer_in_turn, make_answer
+from tests.broken_answers import NAMES, STATUS_LINES, answer_all, answer_in_turn, make_answer
 from tests.raw_server import RawServer
 from tests.site.case import SiteCase
 from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
@@ -98,6 +98,11 @@
         answers = [make_answer(BODY, line) for line in STATUS_LINES]
         return Deferred.fromCoroutine(self._call_beside(answers))
 
+    def test_no_caller_gets_a_head_with_an_invalid_name(self) -> Any:
+        # Failure: callers get the invalid line, or a body whose length was ignored.
+        answers = [make_answer(BODY, fields=line + b"\r\n", framed=False) for line in NAMES]
+        return Deferred.fromCoroutine(self._call_beside(answers))
+
     async def _run_job(self) -> None:
         self._list(1)
         await self.world.start(entries=1, keepers=1)
