Refuse an answer with a control byte in the value of a header

What callers saw: NUL, DEL and other control bytes in the value of a header were passed on to callers as a replica had sent them; a carriage return became a blank.

Cause: Twisted's client checks the names of headers, but not their values, and neither did we.

Evidence: test_a_head_with_a_control_byte_in_a_value_is_no_answer sends 11 such header lines to all 15 ways in which the program reads an answer. Before, all 165 pairs were taken for an answer; now none is, and empty values, tabs, letters beyond ASCII, continued lines and bare line feeds are still taken.

Why it works: each value is checked where each status line is.

--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -13,7 +13,7 @@
 from twisted.web._newclient import HTTPClientParser
 from twisted.web.client import HTTPConnectionPool
 
-from papayapier.head_syntax import check_status_line
+from papayapier.head_syntax import check_field_value, check_status_line
 
 # Twisted has no type annotations here.
 _Parser: Any = HTTPClientParser
@@ -96,6 +96,10 @@
         check_status_line(status)
         super().statusReceived(status)
 
+    def headerReceived(self, name: bytes, value: bytes) -> None:  # noqa: N802
+        check_field_value(name, value)
+        super().headerReceived(name, value)
+
 
 def _check_lines(parser: Any) -> None:
     """Make a parser that has received nothing yet check its lines."""
--- a/papayapier/head_syntax.py
+++ b/papayapier/head_syntax.py
@@ -1,8 +1,8 @@
 """Define what HTTP/1.1 allows in the head of an answer (RFC 9110 and RFC 9112).
 
 The client's parser is lenient: it takes any number that Python's int() reads for a status, and any
-version. Everything after the parser, from retries to the writing of an answer to its caller, relies
-on a status from 200 to 599.
+version, and values with any control byte. Everything after the parser, from retries to the writing
+of an answer to its caller, relies on a status from 200 to 599 and on values without such bytes.
 """
 
 import re
@@ -11,9 +11,9 @@
 # The major version must be 1; a higher minor version is read like the highest that is known. The
 # space before an empty reason may be missing, as some servers leave it out. No request asks for
 # another protocol, so that 101 is no answer to any.
-STATUS_LINE: Final = re.compile(
-    rb"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?", re.DOTALL
-)
+STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
+# Whitespace around a value is no part of it. A value that is continued on further lines is joined.
+FIELD_VALUE: Final = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 # Of an invalid line, for the log.
 MAX_QUOTED_BYTES: Final = 80
 
@@ -26,3 +26,10 @@
     """Raise InvalidHeadError if a status line, without its line end, is not allowed."""
     if STATUS_LINE.fullmatch(line) is None:
         raise InvalidHeadError(f"invalid status line: {line[:MAX_QUOTED_BYTES]!r}")
+
+
+def check_field_value(name: bytes, value: bytes) -> None:
+    """Raise InvalidHeadError if the value of a header is not allowed."""
+    if FIELD_VALUE.fullmatch(value) is None:
+        quoted = value[:MAX_QUOTED_BYTES]
+        raise InvalidHeadError(f"invalid value of header {name.decode('latin-1')}: {quoted!r}")
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -65,6 +65,21 @@
     b"Transfer\x01Encoding: chunked",
 )
 
+# Header lines whose values the protocol does not allow.
+VALUES: Final = (
+    b"X-Note: a\x00b",
+    b"X-Note: a\x01b",
+    b"X-Note: a\x0bb",
+    b"X-Note: a\x1bb",
+    b"X-Note: a\x7fb",
+    b"X-Note: a\rb",
+    b"X-Note: a\rSet-Cookie: b",
+    b"X-Note: a\r\n b\x00c",
+    b"X-Server-Load: 0,0,4\x00",
+    b"Content-Type: text/\x08event-stream",
+    b"Connection: cl\x00ose",
+)
+
 
 def make_answer(
     body: bytes, status_line: bytes = STATUS_LINE, fields: bytes = b"", framed: bool = True
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -32,7 +32,7 @@
     StreamConsumer,
     make_forward_call_sender,
 )
-from tests.broken_answers import NAMES, STATUS_LINES, answer_all, make_answer
+from tests.broken_answers import NAMES, STATUS_LINES, VALUES, answer_all, make_answer
 from tests.forward_world import Caller
 from tests.raw_server import DONE, LAST_EVENT, RawServer, complete_body
 
@@ -241,3 +241,31 @@
         # Failure: the line is passed on to callers, or a length that it states is ignored, so that
         # a body that is not the replica's reaches them.
         return Deferred.fromCoroutine(self.check_refused(self._answers))
+
+
+class FieldValuesTest(BrokenAnswersCase):
+    """Answer with header lines whose values hold control bytes."""
+
+    def _answers(self, reader: Reader) -> list[bytes]:
+        return [make_answer(reader.body, fields=reader.fields + line + b"\r\n") for line in VALUES]
+
+    def test_a_head_with_a_control_byte_in_a_value_is_no_answer(self) -> Any:
+        # Failure: control bytes of a replica in trouble are passed on to callers.
+        return Deferred.fromCoroutine(self.check_refused(self._answers))
+
+    async def _sound(self) -> None:
+        lines = (
+            b"X-Note:",
+            b"X-Note: \t a \t b \t ",
+            b'X-Note: \xe7a va, ("quoted")',
+            b"X-Note: a\r\n\tcontinued\r\n again",
+            b"X-Note: a\nX-Other: b",
+        )
+        for name, reader in self.readers().items():
+            for line in lines:
+                fields = reader.fields + line + b"\r\n"
+                await self.check_taken(name, reader, make_answer(reader.body, fields=fields))
+
+    def test_values_that_the_protocol_knows_are_taken(self) -> Any:
+        # Failure: a check of values refuses sound answers.
+        return Deferred.fromCoroutine(self._sound())
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -7,7 +7,14 @@
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
 
-from tests.broken_answers import NAMES, STATUS_LINES, answer_all, answer_in_turn, make_answer
+from tests.broken_answers import (
+    NAMES,
+    STATUS_LINES,
+    VALUES,
+    answer_all,
+    answer_in_turn,
+    make_answer,
+)
 from tests.raw_server import RawServer
 from tests.site.case import SiteCase
 from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
@@ -103,6 +110,11 @@
         answers = [make_answer(BODY, fields=line + b"\r\n", framed=False) for line in NAMES]
         return Deferred.fromCoroutine(self._call_beside(answers))
 
+    def test_no_caller_gets_a_control_byte_in_a_value(self) -> Any:
+        # Failure: control bytes of a replica in trouble are passed on to callers.
+        answers = [make_answer(BODY, fields=line + b"\r\n") for line in VALUES]
+        return Deferred.fromCoroutine(self._call_beside(answers))
+
     async def _run_job(self) -> None:
         self._list(1)
         await self.world.start(entries=1, keepers=1)
