Refuse an answer whose head leaves open where its body ends

What callers saw: a body that was chunked and then encoded once more reached them as it came, without the line that names the encoding; where a head named chunks and a length, or chunks in HTTP/1.0, the chunks were believed.

Cause: Twisted's client reads the first of several Transfer-Encoding lines only, and ignores a length and the version beside it.

Evidence: test_a_head_that_leaves_the_end_of_the_body_open_is_no_answer sends 17 such heads to all 15 ways in which the program reads an answer; 75 of the 255 pairs were taken for an answer before, from five heads. Other lengths and encodings were refused by Twisted already; these cases are kept. One encoding "chunked" in any case and equal lengths in one or more lines are still taken.

Why it works: the encodings of all lines together must be "chunked", once, without a length beside it and not in HTTP/1.0. RFC 9112 6.1 and 6.3 call the rest faulty or an attempt to split answers.

--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -13,7 +13,7 @@
 from twisted.web._newclient import HTTPClientParser
 from twisted.web.client import HTTPConnectionPool
 
-from papayapier.head_syntax import check_field_value, check_status_line
+from papayapier.head_syntax import check_field_value, check_framing, check_status_line
 
 # Twisted has no type annotations here.
 _Parser: Any = HTTPClientParser
@@ -100,6 +100,12 @@
         check_field_value(name, value)
         super().headerReceived(name, value)
 
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        encodings = self.connHeaders.getRawHeaders(b"Transfer-Encoding", [])
+        has_length = self.connHeaders.hasHeader(b"Content-Length")
+        check_framing(self.response.version[2], encodings, has_length)
+        super().allHeadersReceived()
+
 
 def _check_lines(parser: Any) -> None:
     """Make a parser that has received nothing yet check its lines."""
--- a/papayapier/head_syntax.py
+++ b/papayapier/head_syntax.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Sequence
 from typing import Final
 
 # The major version must be 1; a higher minor version is read like the highest that is known. The
@@ -14,6 +15,9 @@
 STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
 # Whitespace around a value is no part of it. A value that is continued on further lines is joined.
 FIELD_VALUE: Final = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+CHUNKED: Final = b"chunked"
+# The minor version from which on an answer may have chunks.
+CHUNKS_SINCE: Final = 1
 # Of an invalid line, for the log.
 MAX_QUOTED_BYTES: Final = 80
 
@@ -33,3 +37,19 @@
     if FIELD_VALUE.fullmatch(value) is None:
         quoted = value[:MAX_QUOTED_BYTES]
         raise InvalidHeadError(f"invalid value of header {name.decode('latin-1')}: {quoted!r}")
+
+
+def check_framing(minor_version: int, encodings: Sequence[bytes], has_length: bool) -> None:
+    """Raise InvalidHeadError if a head does not state clearly where the body of its answer ends.
+
+    encodings are the values of Transfer-Encoding, one for each line.
+    """
+    if not encodings:
+        return
+    stated = b", ".join(encodings)
+    if stated.lower() != CHUNKED:
+        raise InvalidHeadError(f"unknown transfer encoding: {stated[:MAX_QUOTED_BYTES]!r}")
+    if has_length:
+        raise InvalidHeadError("both a transfer encoding and a content length")
+    if minor_version < CHUNKS_SINCE:
+        raise InvalidHeadError(f"a transfer encoding in HTTP/1.{minor_version}")
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -80,6 +80,27 @@
     b"Connection: cl\x00ose",
 )
 
+# Status lines and header lines that leave open where the body ends.
+FRAMINGS: Final = (
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked, chunked"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: gzip, chunked"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: identity"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding:"),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked\r\nContent-Length: 3"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: 3\r\nTransfer-Encoding: chunked"),
+    (b"HTTP/1.0 200 OK", b"Transfer-Encoding: chunked"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: 3\r\nContent-Length: 5"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: 3, 5"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: +3"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: -3"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: 0x3"),
+    (b"HTTP/1.1 200 OK", b"Content-Length: 1_0"),
+    (b"HTTP/1.1 200 OK", b"Content-Length:"),
+)
+
 
 def make_answer(
     body: bytes, status_line: bytes = STATUS_LINE, fields: bytes = b"", framed: bool = True
@@ -91,6 +112,13 @@
     return head + b"\r\n" + body
 
 
+def make_framed(body: bytes, status_line: bytes, fields: bytes) -> bytes:
+    """Return an answer whose body is in one chunk, if its header lines mention chunks."""
+    if b"chunked" in fields.lower():
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    return make_answer(body, status_line, fields, framed=False)
+
+
 def answer_all(server: RawServer, answer: bytes) -> None:
     """Answer each request with these bytes, in which REQUEST becomes its id."""
     answer_in_turn(server, [answer])
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -32,7 +32,15 @@
     StreamConsumer,
     make_forward_call_sender,
 )
-from tests.broken_answers import NAMES, STATUS_LINES, VALUES, answer_all, make_answer
+from tests.broken_answers import (
+    FRAMINGS,
+    NAMES,
+    STATUS_LINES,
+    VALUES,
+    answer_all,
+    make_answer,
+    make_framed,
+)
 from tests.forward_world import Caller
 from tests.raw_server import DONE, LAST_EVENT, RawServer, complete_body
 
@@ -269,3 +277,37 @@
     def test_values_that_the_protocol_knows_are_taken(self) -> Any:
         # Failure: a check of values refuses sound answers.
         return Deferred.fromCoroutine(self._sound())
+
+
+class FramingTest(BrokenAnswersCase):
+    """Answer with heads that leave open where the body ends."""
+
+    def _answers(self, reader: Reader) -> list[bytes]:
+        return [
+            make_framed(reader.body, line, reader.fields + fields + b"\r\n")
+            for line, fields in FRAMINGS
+        ]
+
+    def test_a_head_that_leaves_the_end_of_the_body_open_is_no_answer(self) -> Any:
+        # Failure: callers get a body that is still encoded, or that ends where the replica did not
+        # mean it to.
+        return Deferred.fromCoroutine(self.check_refused(self._answers))
+
+    async def _sound(self) -> None:
+        framings = (
+            b"Transfer-Encoding: chunked",
+            b"transfer-encoding: Chunked",
+            b"Content-Length: LENGTH",
+            b"Content-Length: LENGTH\r\nContent-Length: LENGTH",
+            b"Content-Length: LENGTH, LENGTH",
+        )
+        for name, reader in self.readers().items():
+            length = str(len(reader.body)).encode()
+            for framing in framings:
+                fields = reader.fields + framing.replace(b"LENGTH", length) + b"\r\n"
+                answer = make_framed(reader.body, b"HTTP/1.1 200 OK", fields)
+                await self.check_taken(name, reader, answer)
+
+    def test_framings_that_the_protocol_knows_are_taken(self) -> Any:
+        # Failure: a check of framings refuses sound answers.
+        return Deferred.fromCoroutine(self._sound())
