Take an answer closed during its upload for incomplete

What callers saw: a replica that answered a long upload with a 200 without a length, sent part of its body and whose connection was then closed in order while the upload was still on its way: the part reached the caller as a complete answer, also on non-idempotent routes. Reset instead of closed, as the users told it, was held; that case is kept as a test.

Cause: only a reset made such a body incomplete. But the kernel closes the connection of a process that ends in order if all that has arrived is read, and resets it only when the next bytes of the upload arrive. Twisted reads the close first.

The decision: a body that only the end of its connection delimits is not called complete while its request has not been received. RFC 9112 8 would call it complete. But nothing tells such a close from the end of a process, a server that answers early and means it can state a length, and a wrong answer costs more than none: a request that may be repeated goes elsewhere, any other gets 502. Answers with a length or chunks are passed on however early they come.

Evidence: test_an_answer_closed_during_its_upload_is_incomplete (uploads of 200 kB and 12 MB, new and kept connections, items of jobs) and, on real processes with 3 MB, test_no_caller_gets_an_answer_closed_during_its_upload failed before (one run each); the same with a reset held before and after. Also held, and not tried before: answers that are complete before their uploads, and the requests after them on the same connection (test_requests_after_early_answers_arrive_whole).

Why it works: when the end of the answer is read, the transport's buffer and the kernel's count of unacknowledged bytes say whether all of the request was received; a peer that received it acknowledged it before its end. Bytes that were received but not read make the kernel reset the connection.

--- a/papayapier/sockets.py
+++ b/papayapier/sockets.py
@@ -1,6 +1,12 @@
 """Check the state of a socket without consuming data from it."""
 
+import fcntl
 import socket
+import struct
+import termios
+from typing import Final
+
+_INT: Final = struct.Struct("i")
 
 
 def is_idle(sock: socket.socket) -> bool:
@@ -12,3 +18,12 @@
     except OSError:
         return False
     return False
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes were sent that the peer has not acknowledged; 0 if that is unknown."""
+    try:
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return 0
+    return int(_INT.unpack(answer)[0])
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -186,6 +186,10 @@
             return
         if reason.check(ResponseDone):
             self._finish(self._handler.on_end(True))
+        elif reason.check(PotentialDataLoss) and self._lease.request_was_cut():
+            # What the replica would have answered to the whole request is unknown.
+            text = "the replica closed the connection before it had received the request"
+            self._finish(self._phases.connection_lost_fault(text))
         elif reason.check(PotentialDataLoss) and not self._lease.was_reset():
             self._finish(self._handler.on_end(False))
         else:
--- a/papayapier/upstream/pool.py
+++ b/papayapier/upstream/pool.py
@@ -22,7 +22,7 @@
 from twisted.web.iweb import IAgent
 
 from papayapier.head_guard import close_at_once, guard_head
-from papayapier.sockets import is_idle
+from papayapier.sockets import is_idle, unacknowledged_bytes
 
 # Bounds idle connections only. A bound on connections in use would make a call wait until
 # another one has its answer.
@@ -86,6 +86,10 @@
         """Return whether the connection ended other than by an orderly close of the peer."""
         return self.protocol is not None and bool(self.protocol.was_reset)
 
+    def request_was_cut(self) -> bool:
+        """Return whether the peer closed the connection before it had received the request."""
+        return self.protocol is not None and bool(self.protocol.request_was_cut)
+
     def head_was_too_long(self) -> bool:
         """Return whether the connection was closed because of the length of an answer's head."""
         return self.protocol is not None and bool(self.protocol.head_too_long)
@@ -171,19 +175,29 @@
 
 
 def _record_close(protocol: Any) -> None:
-    """Record whether a connection is closed in order or reset.
+    """Record whether a connection is closed in order or reset, and whether the request arrived.
 
-    Twisted reports the end of a body without a declared length in the same way for both. If a
-    reset counted as the end of the body, a truncated answer would be passed on as complete.
+    Twisted reports the end of a body without a declared length in the same way for all of these. If
+    a reset counted as the end of the body, a truncated answer would be passed on as complete. So it
+    would after an orderly close by a process that ends while its request is still on the way: the
+    reset follows only when more of the request arrives.
     """
     connection_lost = protocol.connectionLost
+    transport = protocol.transport
+    read_connection_lost = transport.readConnectionLost
+
+    def on_read_lost(reason: Any) -> None:
+        unwritten = len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+        protocol.request_was_cut = bool(unwritten or unacknowledged_bytes(transport.getHandle()))
+        read_connection_lost(reason)
 
     def on_lost(reason: Any) -> None:
         protocol.was_reset = not reason.check(ConnectionDone)
         connection_lost(reason)
 
-    protocol.was_reset = False
+    protocol.was_reset = protocol.request_was_cut = False
     protocol.connectionLost = on_lost
+    transport.readConnectionLost = on_read_lost
 
 
 def _set_tcp_options(protocol: Any) -> Any:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NamedTuple, cast
 
-from result import Ok, Result
+from result import Err, Ok, Result
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred
 from twisted.trial.unittest import TestCase
@@ -41,8 +41,9 @@
     make_answer,
     make_framed,
 )
+from tests.early_answers import PARTS, EarlyServer, End
 from tests.forward_world import Caller
-from tests.raw_server import DONE, LAST_EVENT, RawServer, complete_body
+from tests.raw_server import DONE, LAST_EVENT, RawConnection, RawServer, complete_body
 
 reactor: Any = installed
 
@@ -50,6 +51,8 @@
 DUE_MS: Final = 5_000
 CHAT: Final = "/v1/chat/completions"
 EVENT: Final = b"id: 1\ndata: 1\n\n"
+# One that the kernels' buffers hold, and one that they do not.
+UPLOAD_BYTES: Final = (200_000, 12_000_000)
 CFG: Final = UpstreamSettings()
 
 
@@ -311,3 +314,81 @@
     def test_framings_that_the_protocol_knows_are_taken(self) -> Any:
         # Failure: a check of framings refuses sound answers.
         return Deferred.fromCoroutine(self._sound())
+
+
+class EarlyAnswersTest(BrokenAnswersCase):
+    """Answer before the request has arrived, and end the connection."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.early = EarlyServer()
+        self.early_port = self.early.listen()
+        self.replica = self.replica._replace(port=self.early_port.getHost().port)
+
+    def tearDown(self) -> Any:
+        closed = super().tearDown()
+        return closed.addCallback(lambda _: self.early_port.stopListening())
+
+    async def _uploads(self, end: End) -> None:
+        for name, part in PARTS.items():
+            self.early.play(part, end)
+            for size in UPLOAD_BYTES:
+                for fresh in (True, False):
+                    result = await self.forward(fresh, body=b"u" * size)
+                    assert isinstance(result, Err), (name, size, fresh, result)
+                    failure = result.err_value
+                    assert failure.kind is FailureKind.TRUNCATED, (name, size, fresh, failure)
+                    assert failure.sent is Sent.MAYBE
+                item = await self._run_item(b"u" * size)
+                assert isinstance(item, Err), (name, size, item)
+        assert self.early.answered == len(PARTS) * len(UPLOAD_BYTES) * 3
+
+    async def _run_item(self, body: bytes) -> Result[Any, Failure]:
+        state = ItemState(JobItem("i-1", "/j", {}, "", 10))
+        return await self.forward(True, ItemReceiver(state, "v1"), body)
+
+    def test_an_answer_reset_during_its_upload_is_incomplete(self) -> Any:
+        # Failure: a part of an answer without a length is passed on as complete.
+        return Deferred.fromCoroutine(self._uploads(End.RESET))
+
+    def test_an_answer_closed_during_its_upload_is_incomplete(self) -> Any:
+        # Failure: a replica's process ends during an upload, the kernel closes its connection in
+        # order, and a part of an answer without a length is passed on as complete.
+        return Deferred.fromCoroutine(self._uploads(End.CLOSE))
+
+    async def _closed_after_uploads(self) -> None:
+        for size in UPLOAD_BYTES:
+            for fresh in (True, False):
+                answer = make_answer(b"whole", framed=False).replace(b"REQUEST", b"r1")
+
+                def respond(conn: RawConnection, _head: bytes, answer: bytes = answer) -> None:
+                    conn.write(answer)
+                    conn.close()
+
+                self.server.respond = respond
+                self.replica = self.replica._replace(port=self.port.getHost().port)
+                result = await self.forward(fresh, body=b"u" * size)
+                assert isinstance(result, Ok), (size, fresh, result)
+                assert result.ok_value.body == b"whole"
+
+    def test_an_answer_closed_after_its_upload_is_complete(self) -> Any:
+        # Failure: an answer without a length is refused although its request was read.
+        return Deferred.fromCoroutine(self._closed_after_uploads())
+
+    async def _complete(self) -> None:
+        self.early.play(make_answer(b"whole"), End.KEEP)
+        for size in UPLOAD_BYTES:
+            uploads = [bytes([number]) * size for number in range(3)]
+            for upload in uploads:
+                result = await self.forward(False, body=upload)
+                assert isinstance(result, Ok), (size, result)
+                assert result.ok_value.body == b"whole"
+            # The answer to a request without a body comes after all that was sent before it.
+            assert isinstance(await self.forward(False), Ok)
+            await self.clock.sleep(200)
+            assert self.early.bodies == [*uploads, b""]
+            self.early.bodies.clear()
+
+    def test_requests_after_early_answers_arrive_whole(self) -> Any:
+        # Failure: a request is written into the rest of the upload before it.
+        return Deferred.fromCoroutine(self._complete())
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -15,10 +15,11 @@
     answer_in_turn,
     make_answer,
 )
+from tests.early_answers import PARTS, EarlyServer, End
 from tests.raw_server import RawServer
 from tests.site.case import SiteCase
 from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
-from tests.site.world import sleep, start_task
+from tests.site.world import make_configuration, sleep, start_task
 
 reactor: Any = installed
 
@@ -29,6 +30,9 @@
 BOOT_GAP_S: Final = 0.5
 ITEMS: Final = 3
 WITHOUT_SOUND_S: Final = 3.0
+# Most of it is still on its way when the answer begins.
+UPLOAD: Final = b"u" * 3_000_000
+UPLOADS: Final = 12
 BODY: Final = b"id: 1\ndata: broken\n\n"
 WHOLE_STREAM: Final = b"".join(
     f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENTS_PER_STREAM + 1)
@@ -61,9 +65,9 @@
             conn.abort()
         await self.listener.stopListening()
 
-    def _list(self, number: int) -> None:
+    def _list(self, number: int, listener: Any = None) -> None:
         """List the broken replica of each service as one that just started."""
-        address = f"127.0.0.1:{self.listener.getHost().port}"
+        address = f"127.0.0.1:{(listener or self.listener).getHost().port}"
         for service in SERVICES:
             entry = {"address": address, "zone": "z1", "slots": SLOTS, "state": "ready"}
             self.world.store.remove("servers", f"i-broken-{service}-{number - 1}")
@@ -136,3 +140,35 @@
     def test_items_outlast_answers_with_an_unknown_status(self) -> Any:
         # Failure: items are given up after three answers that are none.
         return Deferred.fromCoroutine(self._run_job())
+
+    async def _upload(self, end: End) -> None:
+        configuration = make_configuration()
+        configuration["limits"]["maxBodyBytes"] = 2 * len(UPLOAD)
+        self.world.store.put("config", "main", configuration)
+        server = EarlyServer()
+        server.play(PARTS["no length"], end)
+        listener = server.listen()
+        try:
+            await self.world.start(entries=1, keepers=0)
+            for number in range(1, UPLOADS + 1):
+                self._list(number, listener)
+                await sleep(0.2)
+                paths = ("/look/1", "/once/1", "/look/1")
+                replies = [self.world.send(self.port(), "POST", path, UPLOAD) for path in paths]
+                for path, reply in zip(
+                    paths, await gatherResults(map(start_task, replies)), strict=True
+                ):
+                    is_whole = (reply.status, reply.body) == (200, b"whole answer")
+                    assert is_whole or (reply.status, path) == (502, "/once/1"), (path, reply)
+            assert server.answered
+        finally:
+            await listener.stopListening()
+
+    def test_no_caller_gets_an_answer_reset_during_its_upload(self) -> Any:
+        # Failure: callers get a part of an answer without a length as a complete one.
+        return Deferred.fromCoroutine(self._upload(End.RESET))
+
+    def test_no_caller_gets_an_answer_closed_during_its_upload(self) -> Any:
+        # Failure: the kernel closes the connections of a replica that ends in order, and callers
+        # get a part of an answer without a length as a complete one.
+        return Deferred.fromCoroutine(self._upload(End.CLOSE))
