Take only a 4xx of the store for a refusal that changed nothing

What callers could see: nothing was seen. The store's client took every status under 500 that it did not expect for a refusal by which nothing was changed, so also a 202, a 204 or a redirect as the answer to a write that may have been carried out; the writer would have gone on as if it had not been.

Evidence: test_a_status_that_refuses_nothing_leaves_a_write_unknown failed before (UNAVAILABLE where LOST is due) for creates, updates and deletes.

Why it works: only 4xx counts as the store's own refusal. Any other unexpected status leaves the effect of a write unknown, and the writer reads before it goes on, as after a lost answer.

--- a/papayapier/store/outcomes.py
+++ b/papayapier/store/outcomes.py
@@ -33,8 +33,9 @@
         return Err(unchanged_statuses[reply.status])
     events.emit(events.STORE_ODD_ANSWER, call=req.name, reason=f"status {reply.status}")
     # A 4xx is the platform's own refusal, so nothing was changed. A 5xx may come from a proxy
-    # on the path after the change took effect.
-    return Err(StoreError.UNAVAILABLE if reply.status < 500 else error_if_unknown)
+    # on the path after the change took effect, and no other status says that there was none.
+    is_refusal = 400 <= reply.status < 500
+    return Err(StoreError.UNAVAILABLE if is_refusal else error_if_unknown)
 
 
 def count_call(metrics: Metrics, req: Request, outcome: Result[Reply, StoreError]) -> None:
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -126,6 +126,25 @@
 
         return started(case())
 
+    def test_a_status_that_refuses_nothing_leaves_a_write_unknown(self) -> Any:
+        # Failure: a write that was carried out is taken for one that changed nothing.
+        statuses = ["202 Accepted", "204 No Content", "206 Part", "302 Found", "304 Same"]
+
+        async def case() -> None:
+            replies = [answer(status) for status in statuses]
+            for call, error in (
+                (lambda: self.store.create("k", b"v"), StoreError.LOST),
+                (lambda: self.store.update("k", b"v", 3), StoreError.LOST),
+                (lambda: self.store.delete("k", 3), StoreError.LOST),
+                (lambda: self.store.get("k"), StoreError.UNAVAILABLE),
+            ):
+                await self.check_outcomes(call, replies, [Err(error)] * len(replies))
+            replies = [answer("403 Forbidden"), answer("428 Precondition Required")]
+            unchanged: list[object] = [Err(StoreError.UNAVAILABLE)] * len(replies)
+            await self.check_outcomes(lambda: self.store.create("k", b"v"), replies, unchanged)
+
+        return started(case())
+
     def test_create_and_delete_conditions(self) -> Any:
         async def case() -> None:
             self.server.replies = [answer("201 Created", headers='ETag: "1"\r\n'), answer("200 OK")]
