Take an answer without a length for incomplete in the operator's client

What operators could see: an operator command took the part of an answer that arrived before its connection ended for all of it, also if that was reset. A job's results would have been saved short, with exit code 0.

Cause: treq.collect ends a body without a declared length like any other.

Evidence: an_answer_without_a_length_is_taken_only_from_replicas_on_the_platform sends an answer without a length, closed in order, to all 15 ways in which the program reads an answer. Before, the operator's client took it; the store, load polls, orders, chats and plain services refused it already. Requests, streams and items on the platform take it, as its pages allow, and a chat's stream has an end of its own.

Why it works: the client reads the body itself and fails unless the end was declared. Our own operator address always declares it.

--- a/papayapier/operate/client.py
+++ b/papayapier/operate/client.py
@@ -15,7 +15,10 @@
 import treq
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
 
 from papayapier.decoding import DECODE_ERRORS
 from papayapier.exits import EXIT_FAILED, EXIT_OK, EXIT_USAGE
@@ -105,12 +108,38 @@
                 unbuffered=True,
             )
             ok = response.code == OK_STATUS
-            await treq.collect(response, sink if ok or refused is None else refused)
+            await _read_body(response, sink if ok or refused is None else refused)
             return Ok(response.code)
         except Exception as exc:  # the library's exceptions have no common base class
             return Err(f"{self.address} does not answer: {_error_text(exc)}")
 
 
+def _read_body(response: Any, sink: Callable[[bytes], None]) -> Deferred[None]:
+    """Pass a body to sink; fail unless it ends where its head says that it does."""
+    reader = _BodyReader(sink)
+    response.deliverBody(reader)
+    return reader.done
+
+
+class _BodyReader(Protocol):
+    """Receive a body; one without a declared length may have been cut, which nothing shows."""
+
+    def __init__(self, sink: Callable[[bytes], None]) -> None:
+        self.done: Deferred[None] = Deferred()
+        self._sink = sink
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._sink(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if reason.check(ResponseDone):
+            self.done.callback(None)
+        elif reason.check(PotentialDataLoss):
+            self.done.errback(ConnectionError("the answer has no declared length"))
+        else:
+            self.done.errback(reason)
+
+
 Run = Callable[[Client, argparse.Namespace], Awaitable[int]]
 
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -40,6 +40,7 @@
     answer_all,
     make_answer,
     make_framed,
+    request_id,
 )
 from tests.early_answers import PARTS, EarlyServer, End
 from tests.forward_world import Caller
@@ -59,13 +60,15 @@
 class Reader(NamedTuple):
     """Describe what reads answers: a call, the body of its sound answer, and its header lines.
 
-    error is what a broken answer must become; None allows any error.
+    error is what a broken answer must become; None allows any error. may_end_by_close says that the
+    close of its connection ends a body without a length.
     """
 
     call: Callable[[], Awaitable[Result[Any, Any]]]
     body: bytes
     fields: bytes = b""
     error: object = None
+    may_end_by_close: bool = False
 
 
 class BrokenAnswersCase(TestCase):
@@ -135,10 +138,14 @@
         page = b'{"items":[],"truncated":false,"currentRev":1}'
         lost, unavailable = StoreError.LOST, StoreError.UNAVAILABLE
         return {
-            "a request on a new connection": Reader(lambda: self.forward(True), b"whole"),
-            "a request on a kept connection": Reader(lambda: self.forward(False), b"whole"),
-            "a stream": Reader(self.forward_stream, EVENT),
-            "an item": Reader(self.run_item, EVENT),
+            "a request on a new connection": Reader(
+                lambda: self.forward(True), b"whole", may_end_by_close=True
+            ),
+            "a request on a kept connection": Reader(
+                lambda: self.forward(False), b"whole", may_end_by_close=True
+            ),
+            "a stream": Reader(self.forward_stream, EVENT, may_end_by_close=True),
+            "an item": Reader(self.run_item, EVENT, may_end_by_close=True),
             "a chat": Reader(lambda: self.send(CHAT, False), complete_body()),
             "a chat's stream": Reader(lambda: self.send(CHAT, True), LAST_EVENT + DONE),
             "a plain service": Reader(lambda: self.send("/calls/x", False), b"whole"),
@@ -316,6 +323,32 @@
         return Deferred.fromCoroutine(self._sound())
 
 
+class UnframedAnswersTest(BrokenAnswersCase):
+    """Answer without a length, and close the connection in order."""
+
+    async def _takes(self, reader: Reader) -> bool:
+        answer = make_answer(reader.body, fields=reader.fields, framed=False)
+
+        def respond(conn: RawConnection, head: bytes) -> None:
+            conn.write(answer.replace(b"REQUEST", request_id(head)))
+            conn.close()
+
+        self.server.respond = respond
+        return isinstance(await reader.call(), Ok)
+
+    async def _unframed(self) -> None:
+        readers = self.readers()
+        taken = {name for name, reader in readers.items() if await self._takes(reader)}
+        # Replicas on the platform may end an answer with its connection, and a chat's stream has an
+        # end of its own.
+        forwarded = {name for name, reader in readers.items() if reader.may_end_by_close}
+        assert taken == forwarded | {"a chat's stream"}, taken
+
+    def test_an_answer_without_a_length_is_taken_only_from_replicas_on_the_platform(self) -> Any:
+        # Failure: a part of an answer is taken for all of it.
+        return Deferred.fromCoroutine(self._unframed())
+
+
 class EarlyAnswersTest(BrokenAnswersCase):
     """Answer before the request has arrived, and end the connection."""
 
