Refuse an answer that states the ids of two requests

What callers saw: an answer with the id of its own request and that of another one reached the caller with both.

Cause: of several X-Request-Id lines the platform's adapter read the first and the OpenAI-style interface the last, and nobody the rest.

The same id twice is still taken.

Why it works: all different ids that a head states are read as one, so that more than one is never the id of the request: the answer belongs to another (WRONG_ID), its connection is closed, and nothing else in it is believed.

--- a/papayapier/platform/headers.py
+++ b/papayapier/platform/headers.py
@@ -6,6 +6,7 @@
 from twisted.web.http_headers import Headers
 
 from papayapier.decoding import parse_number
+from papayapier.upstream.answers import stated_ids
 from papayapier.upstream.api import Load, Replica
 from papayapier.upstream.forward_call import AnswerMetadata
 
@@ -105,7 +106,7 @@
     stated_load = _first_value(headers, _LOAD)
     load = _load(stated_load, now_ms)
     return AnswerMetadata(
-        request_id=_first_value(headers, REQUEST_ID),
+        request_id=stated_ids(headers, REQUEST_ID),
         signed=headers.hasHeader(_SIGNATURE),
         not_run=headers.hasHeader(_NOT_RUN) or status == _MISDIRECTED,
         address_reassigned=status == _MISDIRECTED,
--- a/papayapier/upstream/answers.py
+++ b/papayapier/upstream/answers.py
@@ -192,6 +192,12 @@
     return Ok(Load(report["running"], report["waiting"], report["slots"], step_ms, now_ms))
 
 
+def stated_ids(headers: Headers, name: bytes) -> str:
+    """Return the request id that a header states, or all of them if it states several."""
+    values = dict.fromkeys(headers.getRawHeaders(name, []))
+    return b", ".join(values).decode("latin-1")
+
+
 def header_text(headers: Headers, name: bytes) -> str:
     """Return the last value of a header, or an empty string."""
     values = headers.getRawHeaders(name)
--- a/papayapier/upstream/replies.py
+++ b/papayapier/upstream/replies.py
@@ -63,7 +63,7 @@
     def _on_head(self, head: ResponseHead) -> Result[OnData, Fault]:
         self._head = head
         self._load = answers.parse_load_header(head.headers, head.at_ms)
-        answer_id = answers.header_text(head.headers, answers.REQUEST_ID_HEADER)
+        answer_id = answers.stated_ids(head.headers, answers.REQUEST_ID_HEADER)
         is_refusal = self._is_refusal(head)
         if answer_id != self._call.request_id and (answer_id or not is_refusal):
             return Err(answers.wrong_id_fault(answer_id, self._call.request_id))
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -101,6 +101,15 @@
     (b"HTTP/1.1 200 OK", b"Content-Length:"),
 )
 
+# Header lines of an answer that also states the id of its own request.
+OTHER_IDS: Final = (
+    b"X-Request-Id: other",
+    b"x-request-id: other",
+    b"X-Request-Id: REQUEST\r\nX-Request-Id: other",
+    b"X-Request-Id: REQUEST, other",
+    b"X-Request-Id:",
+)
+
 
 def make_answer(
     body: bytes, status_line: bytes = STATUS_LINE, fields: bytes = b"", framed: bool = True
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -33,8 +33,11 @@
     make_forward_call_sender,
 )
 from tests.broken_answers import (
+    FIELDS,
     FRAMINGS,
     NAMES,
+    OTHER_IDS,
+    STATUS_LINE,
     STATUS_LINES,
     VALUES,
     answer_all,
@@ -61,7 +64,8 @@
     """Describe what reads answers: a call, the body of its sound answer, and its header lines.
 
     error is what a broken answer must become; None allows any error. may_end_by_close says that the
-    close of its connection ends a body without a length.
+    close of its connection ends a body without a length, states_id that an answer must name its
+    request.
     """
 
     call: Callable[[], Awaitable[Result[Any, Any]]]
@@ -69,6 +73,7 @@
     fields: bytes = b""
     error: object = None
     may_end_by_close: bool = False
+    states_id: bool = False
 
 
 class BrokenAnswersCase(TestCase):
@@ -139,16 +144,20 @@
         lost, unavailable = StoreError.LOST, StoreError.UNAVAILABLE
         return {
             "a request on a new connection": Reader(
-                lambda: self.forward(True), b"whole", may_end_by_close=True
+                lambda: self.forward(True), b"whole", may_end_by_close=True, states_id=True
             ),
             "a request on a kept connection": Reader(
-                lambda: self.forward(False), b"whole", may_end_by_close=True
+                lambda: self.forward(False), b"whole", may_end_by_close=True, states_id=True
+            ),
+            "a stream": Reader(self.forward_stream, EVENT, may_end_by_close=True, states_id=True),
+            "an item": Reader(self.run_item, EVENT, may_end_by_close=True, states_id=True),
+            "a chat": Reader(lambda: self.send(CHAT, False), complete_body(), states_id=True),
+            "a chat's stream": Reader(
+                lambda: self.send(CHAT, True), LAST_EVENT + DONE, states_id=True
+            ),
+            "a plain service": Reader(
+                lambda: self.send("/calls/x", False), b"whole", states_id=True
             ),
-            "a stream": Reader(self.forward_stream, EVENT, may_end_by_close=True),
-            "an item": Reader(self.run_item, EVENT, may_end_by_close=True),
-            "a chat": Reader(lambda: self.send(CHAT, False), complete_body()),
-            "a chat's stream": Reader(lambda: self.send(CHAT, True), LAST_EVENT + DONE),
-            "a plain service": Reader(lambda: self.send("/calls/x", False), b"whole"),
             "a load poll": Reader(
                 lambda: self.client.load(self.replica), b'{"running":0,"waiting":0,"slots":4}'
             ),
@@ -323,6 +332,45 @@
         return Deferred.fromCoroutine(self._sound())
 
 
+class RequestIdsTest(BrokenAnswersCase):
+    """Answer with the ids of two requests."""
+
+    async def _ids(self, after: bool) -> None:
+        wrong = []
+        for name, reader in self.readers().items():
+            if not reader.states_id:
+                continue
+            for line in OTHER_IDS:
+                # FIELDS has the request's own id.
+                lines = (FIELDS, line + b"\r\n") if after else (line + b"\r\n", FIELDS)
+                length = b"Content-Length: %d\r\n\r\n" % len(reader.body)
+                head = STATUS_LINE + b"\r\n" + b"".join(lines) + reader.fields + length
+                answer_all(self.server, head + reader.body)
+                result = await reader.call()
+                kind = result.err_value.kind if isinstance(result, Err) else None
+                if kind is not FailureKind.WRONG_ID:
+                    wrong.append((name, line, result))
+        assert not wrong, (len(wrong), wrong)
+        assert (self.caller.heads, self.caller.body) == (0, b"")
+
+    def test_an_answer_with_the_id_of_another_request_too_is_no_answer(self) -> Any:
+        # Failure: an answer that may be another request's is passed on.
+        return Deferred.fromCoroutine(self._ids(after=True))
+
+    def test_an_answer_with_the_id_of_another_request_first_is_no_answer(self) -> Any:
+        # Failure: an answer that may be another request's is passed on.
+        return Deferred.fromCoroutine(self._ids(after=False))
+
+    async def _one_id(self) -> None:
+        for name, reader in self.readers().items():
+            fields = reader.fields + b"X-Request-Id: REQUEST\r\n"
+            await self.check_taken(name, reader, make_answer(reader.body, fields=fields))
+
+    def test_an_answer_with_its_id_twice_is_taken(self) -> Any:
+        # Failure: a sound answer that passed a proxy is refused.
+        return Deferred.fromCoroutine(self._one_id())
+
+
 class UnframedAnswersTest(BrokenAnswersCase):
     """Answer without a length, and close the connection in order."""
 
