Draw broken answers in a test of heads and in the soak

Why these faults were missed: the stand-in replicas answer through a server library that cannot write such heads, and the drawn tests drew heads that are well formed.

One check is added to each soak: a status that neither a replica nor an entry sends is a violation.

--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -1,6 +1,7 @@
 """List answers that break the protocol, and build them for a server that sends raw bytes."""
 
 import itertools
+import random
 import re
 from collections.abc import Sequence
 from typing import Final
@@ -143,6 +144,22 @@
     server.respond = respond
 
 
+def draw_answer(rng: random.Random, body: bytes) -> bytes:
+    """Return a whole answer whose head has one fault."""
+    fault = rng.choice(("status line", "name", "value", "framing", "id"))
+    if fault == "status line":
+        return make_answer(body, rng.choice(STATUS_LINES))
+    if fault == "framing":
+        return make_framed(body, *_framing(rng))
+    line = rng.choice({"name": NAMES, "value": VALUES, "id": OTHER_IDS}[fault])
+    return make_answer(body, fields=line + b"\r\n")
+
+
+def _framing(rng: random.Random) -> tuple[bytes, bytes]:
+    status_line, line = rng.choice(FRAMINGS)
+    return status_line, line + b"\r\n"
+
+
 def request_id(head: bytes) -> bytes:
     """Return the id of a request, empty if it has none."""
     found = _REQUEST_ID.search(head)
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -10,7 +10,8 @@
 withdrawn and added, and one team sends far more than its allowance. With --parts, requests no two
 of which are alike share a part of their prompts that crashes the replicas instead. With --cuts, a
 keeper is cut off from the store and all others while a route for jobs is added and used, and items
-write texts of any letters. The checks hold at any moment and for any seed.
+write texts of any letters. With --broken, further replicas answer everything with broken answers.
+The checks hold at any moment and for any seed.
 """
 
 import argparse
@@ -27,6 +28,7 @@
 
 from papayapier.errors import ErrorKind
 from papayapier.policy.crash_quarantine import MAX_LOSSES
+from tests.site.broken_replicas import BrokenReplicas
 from tests.site.part_load import CONTACT_S, MAX_LATE_SENDS, UNCOUNTED_CRASHES
 from tests.site.prompts import PROMPT_HEADER, prompt_headers
 from tests.site.replicas import EVENTS_PER_STREAM, never_fails
@@ -81,6 +83,10 @@
 MAX_HELD_SHARE: Final = 0.1
 QUARANTINED: Final = ErrorKind.ENDS_REPLICAS.value.encode()
 NOT_RUN_STATUSES: Final = (429, 503, 408, 421)
+# All that a sound replica or an entry answers to a request on a known route.
+KNOWN_STATUSES: Final = (200, 401, 500, 502, 504, *NOT_RUN_STATUSES)
+# The time between two listings of the broken replicas.
+BROKEN_GAP_S: Final = 0.8
 # A team with an allowance of 5 requests a second and a burst of 5. The limit of what it gets in a
 # window of 5 s adds the tenth of overrun and the slack of 20 from the settings.
 CAPPED_TEAM: Final = {"name": "capped", "apiKeys": ["kq-capped"], "ratePerS": 5, "burst": 5}
@@ -140,9 +146,11 @@
         parts: bool = False,
         alike: bool = False,
         cuts: bool = False,
+        broken: bool = False,
     ) -> None:
         self.world = world
         self.cuts = cuts
+        self.broken = BrokenReplicas(world.store, seed) if broken else None
         self.job_routes = 0
         self.item_suffix = ""
         self.large = large
@@ -200,6 +208,8 @@
         ]
         if self.large:
             activities.append(self._send_bursts())
+        if self.broken is not None:
+            activities.append(self._list_broken(self.broken))
         loops = [start_task(loop) for loop in activities]
         await sleep(seconds)
         self.stopping = True
@@ -212,6 +222,14 @@
         await self._check()
         return Report(self.answers, self.faults, len(self.accepted_jobs), self.violations)
 
+    async def _list_broken(self, broken: BrokenReplicas) -> None:
+        """List the broken replicas under new names again and again, since each is soon avoided."""
+        while not self.stopping:
+            broken.list_anew()
+            await sleep(BROKEN_GAP_S)
+        broken.withdraw()
+        self.answers["broken answers"] = broken.answered
+
     def _port(self, request_id: str = "") -> int:
         entry = self.rng.choice(list(self.world.caller_ports))
         self.entries[request_id] = entry
@@ -261,6 +279,8 @@
         elif held:
             self.violations.append(f"{request_id}: {path}: quarantined, but crashes no replica")
         complete_body = STREAM if "stream" in path else b"whole answer"
+        if reply.status not in KNOWN_STATUSES:
+            self.violations.append(f"{request_id}: {path}: status {reply.status}")
         if reply.status == 200 and reply.body != complete_body:
             self.violations.append(f"{request_id}: {path}: incomplete answer: {reply.body[:80]!r}")
         if reply.status in NOT_RUN_STATUSES and "once" in path:
@@ -623,13 +643,17 @@
     parts: bool = False,
     alike: bool = False,
     cuts: bool = False,
+    broken: bool = False,
 ) -> Report:
     """Run one soak with its own stand-ins and processes."""
     world = SiteWorld()
+    soak = Soak(world, seed, large, parts, alike, cuts, broken)
     try:
-        return await Soak(world, seed, large, parts, alike, cuts).run(seconds)
+        return await soak.run(seconds)
     finally:
         await world.close()
+        if soak.broken is not None:
+            await soak.broken.close()
 
 
 def main() -> int:
@@ -646,6 +670,9 @@
     parser.add_argument(
         "--cuts", action="store_true", help="cut a keeper off while routes are added"
     )
+    parser.add_argument(
+        "--broken", action="store_true", help="list replicas that send broken answers only"
+    )
     options = parser.parse_args()
     exit_code = [1]
 
@@ -661,7 +688,12 @@
 
     def start() -> None:
         soak = run_soak(
-            options.seconds, options.seed, options.large, options.parts, cuts=options.cuts
+            options.seconds,
+            options.seed,
+            options.large,
+            options.parts,
+            cuts=options.cuts,
+            broken=options.broken,
         )
         Deferred.fromCoroutine(soak).addBoth(on_finished)
 
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import reactor as installed
 from twisted.internet.defer import Deferred, gatherResults
+from twisted.trial.unittest import TestCase
 
 from tests.broken_answers import (
     NAMES,
@@ -19,10 +20,12 @@
 from tests.raw_server import RawServer
 from tests.site.case import SiteCase
 from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
+from tests.site.soak import run_soak
 from tests.site.world import make_configuration, sleep, start_task
 
 reactor: Any = installed
 
+SOAK_S: Final = 12
 CALLERS: Final = 8
 SERVICES: Final = ("app", "lm")
 # How often the broken replicas are listed anew, and the time between.
@@ -46,6 +49,22 @@
 )
 
 
+class BrokenAnswersSoakTest(TestCase):
+    """Run the soak with broken replicas and a fixed seed."""
+
+    timeout = 90
+
+    async def _soak(self) -> None:
+        report = await run_soak(SOAK_S, seed=1, broken=True)
+        assert report.violations == [], report
+        assert report.jobs > 0
+        assert report.answers["broken answers"] > 0
+
+    def test_a_short_soak_beside_broken_replicas(self) -> Any:
+        # Failure: callers get broken answers, or items are given up, beside other faults.
+        return Deferred.fromCoroutine(self._soak())
+
+
 class BrokenAnswersTest(SiteCase):
     """List one more replica of each service, which sends broken answers only."""
 
