Log a head of the store that the protocol does not allow

A call of the store that fails with such a head left no line, so that a write that counts as lost could not be traced to its cause. It is logged as an unexpected answer (405) with the line at fault, as a replica's is as a broken answer (305). test_an_invalid_head_leaves_a_line failed before.

--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -13,7 +13,12 @@
 from twisted.web._newclient import HTTPClientParser
 from twisted.web.client import HTTPConnectionPool
 
-from papayapier.head_syntax import check_field_value, check_framing, check_status_line
+from papayapier.head_syntax import (
+    InvalidHeadError,
+    check_field_value,
+    check_framing,
+    check_status_line,
+)
 
 # Twisted has no type annotations here.
 _Parser: Any = HTTPClientParser
@@ -47,6 +52,16 @@
     protocol.transport.abortConnection()
 
 
+def find_invalid_head(exc: BaseException) -> InvalidHeadError | None:
+    """Return the InvalidHeadError with which a request has failed, or None."""
+    while not isinstance(exc, InvalidHeadError):
+        reasons = getattr(exc, "reasons", None)
+        if not reasons:
+            return None
+        exc = reasons[0].value
+    return exc
+
+
 class GuardedPool(HTTPConnectionPool):
     """Guard the heads of the answers on all connections of a pool."""
 
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -24,8 +24,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock, Timer
-from papayapier.head_guard import MAX_HEAD_BYTES
-from papayapier.head_syntax import InvalidHeadError
+from papayapier.head_guard import MAX_HEAD_BYTES, find_invalid_head
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent, Silence
@@ -242,10 +241,10 @@
     def _on_request_failed(self, reason: Any) -> None:
         if not self._active:
             return
-        innermost = _innermost(reason)
-        self._refused = innermost.check(ConnectionRefusedError) is not None
-        if innermost.check(InvalidHeadError):
-            self._finish(Fault(FailureKind.INVALID, innermost.getErrorMessage()))
+        self._refused = _innermost(reason).check(ConnectionRefusedError) is not None
+        invalid_head = find_invalid_head(reason.value)
+        if invalid_head is not None:
+            self._finish(Fault(FailureKind.INVALID, str(invalid_head)))
             return
         if self._lease.head_was_too_long():
             text = f"the head of the answer is longer than {MAX_HEAD_BYTES} bytes"
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -9,6 +9,7 @@
 from twisted.trial.unittest import TestCase
 from twisted.web.http_headers import Headers
 
+from papayapier import events
 from papayapier.clock import real_clock
 from papayapier.dispatch.relayed_stream import RelayedStream
 from papayapier.jobs.item_run import ItemReceiver
@@ -47,6 +48,7 @@
 )
 from tests.early_answers import PARTS, EarlyServer, End
 from tests.forward_world import Caller
+from tests.log_capture import LogCapture
 from tests.raw_server import DONE, LAST_EVENT, RawConnection, RawServer, complete_body
 
 reactor: Any = installed
@@ -254,6 +256,26 @@
         return Deferred.fromCoroutine(self._statuses())
 
 
+class LogLinesTest(BrokenAnswersCase):
+    """Answer with an invalid head, and read the log."""
+
+    async def _lines(self, log: LogCapture) -> None:
+        answer_all(self.server, make_answer(b"whole", b"HTTP/1.1 000 Trouble"))
+        reason = "invalid status line: b'HTTP/1.1 000 Trouble'"
+        await self.forward(True)
+        (line,) = log.fields_of(events.BROKEN_ANSWER)
+        assert (line["request"], line["replica"], line["reason"]) == (REQUEST, "i-1", reason)
+        await self.platform.create("k/n", b"v")
+        assert log.fields_of(events.STORE_ODD_ANSWER) == [{"call": "create", "reason": reason}]
+
+    def test_an_invalid_head_leaves_a_line(self) -> Any:
+        # Failure: a request fails, or a write counts as lost, and no line says why.
+        log = LogCapture()
+        log.push_application()
+        self.addCleanup(log.pop_application)
+        return Deferred.fromCoroutine(self._lines(log))
+
+
 class FieldNamesTest(BrokenAnswersCase):
     """Answer with header lines whose names the protocol does not allow."""
 
