Keep the values of headers out of logs and refusals

The text of a head that is refused quoted the value of a header with a control byte. It goes into the log and into the refusal, and such a value may be a secret, as in Set-Cookie. Two doc comments are put more plainly.

--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -30,11 +30,11 @@
 
 
 def guard_head(protocol: Any) -> Any:
-    """Close a client connection whose answer has a head that is too long or not allowed; return it.
+    """Close a client connection at a head that is too long or not allowed; return the connection.
 
-    Its attribute head_too_long says whether a head was too long; a head that is not allowed fails
-    its request with InvalidHeadError. answer_bytes says how many bytes of the current answer it has
-    received, with the head and the framing of the body.
+    Its attribute head_too_long says whether a head was too long. A head that is not allowed fails
+    the request with InvalidHeadError. The attribute answer_bytes says how many bytes of the current
+    answer were received, with the head and the framing of the body.
     """
     guard = _HeadGuard(protocol)
     protocol.head_too_long = False
@@ -71,7 +71,7 @@
 
 
 class _HeadGuard:
-    """Count the bytes that a connection received of the head of its current answer."""
+    """Count the bytes of the current answer's head, and have its parser check it."""
 
     __slots__ = ("_left", "_parser", "_protocol", "_receive")
 
--- a/papayapier/head_syntax.py
+++ b/papayapier/head_syntax.py
@@ -1,6 +1,6 @@
 """Define what HTTP/1.1 allows in the head of an answer (RFC 9110 and RFC 9112).
 
-The client's parser is lenient: it takes any number that Python's int() reads for a status, and any
+The client's parser is lenient: it takes any number that Python's int() reads for a status, any
 version, and values with any control byte. Everything after the parser, from retries to the writing
 of an answer to its caller, relies on a status from 200 to 599 and on values without such bytes.
 """
@@ -18,7 +18,7 @@
 CHUNKED: Final = b"chunked"
 # The minor version from which on an answer may have chunks.
 CHUNKS_SINCE: Final = 1
-# Of an invalid line, for the log.
+# Of an invalid line, for logs and refusals.
 MAX_QUOTED_BYTES: Final = 80
 
 
@@ -35,8 +35,8 @@
 def check_field_value(name: bytes, value: bytes) -> None:
     """Raise InvalidHeadError if the value of a header is not allowed."""
     if FIELD_VALUE.fullmatch(value) is None:
-        quoted = value[:MAX_QUOTED_BYTES]
-        raise InvalidHeadError(f"invalid value of header {name.decode('latin-1')}: {quoted!r}")
+        # The value may be a secret, and this text reaches logs and callers.
+        raise InvalidHeadError(f"control byte in the value of header {name[:MAX_QUOTED_BYTES]!r}")
 
 
 def check_framing(minor_version: int, encodings: Sequence[bytes], has_length: bool) -> None:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -267,6 +267,13 @@
         assert (line["request"], line["replica"], line["reason"]) == (REQUEST, "i-1", reason)
         await self.platform.create("k/n", b"v")
         assert log.fields_of(events.STORE_ODD_ANSWER) == [{"call": "create", "reason": reason}]
+        answer_all(self.server, make_answer(b"whole", fields=b"Set-Cookie: sec\x00ret\r\n"))
+        result = await self.forward(True)
+        assert isinstance(result, Err)
+        reason = result.err_value.reason
+        assert log.fields_of(events.BROKEN_ANSWER)[-1]["reason"] == reason
+        assert "Set-Cookie" in reason
+        assert "ret" not in reason
 
     def test_an_invalid_head_leaves_a_line(self) -> Any:
         # Failure: a request fails, or a write counts as lost, and no line says why.
