--- a/tests/answer_readers.py
+++ b/tests/answer_readers.py
@@ -32,9 +32,7 @@
     StreamConsumer,
     make_forward_call_sender,
 )
-from tests.broken_answers import (
-    answer_all,
-)
+from tests.broken_answers import answer_all
 from tests.forward_world import Caller
 from tests.raw_server import DONE, LAST_EVENT, RawServer, complete_body
 
