Tell a broken answer from a lost connection

What callers saw: where several replicas sent heads with an invalid name or length, or invalid chunks, and left the list soon after, the request was refused with 503 as one under which "3 replicas were lost", and not sent to sound replicas either. None had been lost: each had answered.

Cause: what Twisted's parser refuses ends an exchange like a lost connection (TRUNCATED), which counts as a possible end of the replica under that request.

Traced with the two tests test_a_request_is_not_held_for_invalid_heads and _chunks, which play it on real processes with one replica after the other; both failed before in two runs each ("3 replicas were lost while they ran the same request"), both pass.

Why it works: names, lengths and lines without a name are now checked with the rest of the head, and what breaks the protocol, chunks too, is an invalid answer (INVALID), which a request's quarantine has never counted. To keep what such answers had as lost connections, the limit of retries for calls of one failing replica now holds for invalid answers (test_every_call_with_a_broken_answer_is_ retried failed before: 5 of 7), and the placer is told of them before the first event, since a replica that fails at once looks idle (a new case of test_the_placer_is_notified_of_replicas_that_do_not_answer failed before). The names themselves were refused before, and their tests are unchanged.

--- a/papayapier/dispatch/forwarding.py
+++ b/papayapier/dispatch/forwarding.py
@@ -37,9 +37,10 @@
 if TYPE_CHECKING:
     from papayapier.dispatch.crash_watch import CrashWatch
 
-# Failures of a replica that is unreachable, removed, or resets each connection and so looks idle.
+# Failures of a replica that is unreachable, removed, or resets each connection or sends broken
+# answers at once, and so looks idle.
 NO_ANSWER_KINDS: Final = frozenset(
-    {FailureKind.TIMED_OUT, FailureKind.CONNECT, FailureKind.TRUNCATED}
+    {FailureKind.TIMED_OUT, FailureKind.CONNECT, FailureKind.TRUNCATED, FailureKind.INVALID}
 )
 # Labels of the metric of resumed streams.
 SAME_VERSION: Final = "same"
--- a/papayapier/head_guard.py
+++ b/papayapier/head_guard.py
@@ -12,9 +12,11 @@
 from twisted.internet.defer import Deferred
 from twisted.web._newclient import HTTPClientParser
 from twisted.web.client import HTTPConnectionPool
+from twisted.web.http import _MalformedChunkedDataError as MalformedChunksError
 
 from papayapier.head_syntax import (
     InvalidHeadError,
+    check_field_line,
     check_field_value,
     check_framing,
     check_status_line,
@@ -26,7 +28,8 @@
 # Per answer, with the interim answers before it.
 MAX_HEAD_BYTES: Final = 16_384
 # Twisted's names of the states in which a parser reads a head.
-HEAD_STATES: Final = ("STATUS", "HEADER")
+HEADER_STATE: Final = "HEADER"
+HEAD_STATES: Final = ("STATUS", HEADER_STATE)
 
 
 def guard_head(protocol: Any) -> Any:
@@ -52,9 +55,12 @@
     protocol.transport.abortConnection()
 
 
-def find_invalid_head(exc: BaseException) -> InvalidHeadError | None:
-    """Return the InvalidHeadError with which a request has failed, or None."""
-    while not isinstance(exc, InvalidHeadError):
+def find_invalid_answer(exc: BaseException) -> BaseException | None:
+    """Return the error that says how an answer breaks the protocol, or None.
+
+    exc is that with which its request has failed, which is the same for a lost connection.
+    """
+    while not isinstance(exc, InvalidHeadError | MalformedChunksError):
         reasons = getattr(exc, "reasons", None)
         if not reasons:
             return None
@@ -111,14 +117,19 @@
         check_status_line(status)
         super().statusReceived(status)
 
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        if self.state == HEADER_STATE:
+            check_field_line(line.removesuffix(b"\r"), self._partialHeader is None)
+        super().lineReceived(line)
+
     def headerReceived(self, name: bytes, value: bytes) -> None:  # noqa: N802
         check_field_value(name, value)
         super().headerReceived(name, value)
 
     def allHeadersReceived(self) -> None:  # noqa: N802
         encodings = self.connHeaders.getRawHeaders(b"Transfer-Encoding", [])
-        has_length = self.connHeaders.hasHeader(b"Content-Length")
-        check_framing(self.response.version[2], encodings, has_length)
+        lengths = self.connHeaders.getRawHeaders(b"Content-Length", [])
+        check_framing(self.response.version[2], encodings, lengths)
         super().allHeadersReceived()
 
 
--- a/papayapier/head_syntax.py
+++ b/papayapier/head_syntax.py
@@ -3,6 +3,7 @@
 The client's parser is lenient: it takes any number that Python's int() reads for a status, any
 version, and values with any control byte. Everything after the parser, from retries to the writing
 of an answer to its caller, relies on a status from 200 to 599 and on values without such bytes.
+What the parser refuses itself is checked here, too: its errors look like a lost connection.
 """
 
 import re
@@ -13,8 +14,12 @@
 # space before an empty reason may be missing, as some servers leave it out. No request asks for
 # another protocol, so that 101 is no answer to any.
 STATUS_LINE: Final = re.compile(rb"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
+# A token.
+FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # Whitespace around a value is no part of it. A value that is continued on further lines is joined.
 FIELD_VALUE: Final = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+CONTINUATIONS: Final = (b" ", b"\t")
+LENGTH: Final = re.compile(rb"[0-9]+")
 CHUNKED: Final = b"chunked"
 # The minor version from which on an answer may have chunks.
 CHUNKS_SINCE: Final = 1
@@ -32,6 +37,15 @@
         raise InvalidHeadError(f"invalid status line: {line[:MAX_QUOTED_BYTES]!r}")
 
 
+def check_field_line(line: bytes, is_first: bool) -> None:
+    """Raise InvalidHeadError if a header line has no valid name; it may continue the one before."""
+    if not line or (line[:1] in CONTINUATIONS and not is_first):
+        return
+    name, colon, _ = line.partition(b":")
+    if not colon or FIELD_NAME.fullmatch(name) is None:
+        raise InvalidHeadError(f"invalid name of a header: {name[:MAX_QUOTED_BYTES]!r}")
+
+
 def check_field_value(name: bytes, value: bytes) -> None:
     """Raise InvalidHeadError if the value of a header is not allowed."""
     if FIELD_VALUE.fullmatch(value) is None:
@@ -39,17 +53,29 @@
         raise InvalidHeadError(f"control byte in the value of header {name[:MAX_QUOTED_BYTES]!r}")
 
 
-def check_framing(minor_version: int, encodings: Sequence[bytes], has_length: bool) -> None:
+def check_framing(minor_version: int, encodings: Sequence[bytes], lengths: Sequence[bytes]) -> None:
     """Raise InvalidHeadError if a head does not state clearly where the body of its answer ends.
 
-    encodings are the values of Transfer-Encoding, one for each line.
+    encodings and lengths are the values of Transfer-Encoding and Content-Length, one for each line.
     """
+    _check_lengths(lengths)
     if not encodings:
         return
     stated = b", ".join(encodings)
     if stated.lower() != CHUNKED:
         raise InvalidHeadError(f"unknown transfer encoding: {stated[:MAX_QUOTED_BYTES]!r}")
-    if has_length:
+    if lengths:
         raise InvalidHeadError("both a transfer encoding and a content length")
     if minor_version < CHUNKS_SINCE:
         raise InvalidHeadError(f"a transfer encoding in HTTP/1.{minor_version}")
+
+
+def _check_lengths(lengths: Sequence[bytes]) -> None:
+    """Raise InvalidHeadError unless all lengths are the same number."""
+    if not lengths:
+        return
+    stated = b", ".join(lengths)
+    numbers = {number.strip().lstrip(b"0") for number in stated.split(b",")}
+    are_valid = all(LENGTH.fullmatch(number.strip()) for number in stated.split(b","))
+    if not are_valid or len(numbers) > 1:
+        raise InvalidHeadError(f"invalid content length: {stated[:MAX_QUOTED_BYTES]!r}")
--- a/papayapier/policy/retries.py
+++ b/papayapier/policy/retries.py
@@ -22,9 +22,10 @@
 BACKOFF_MS: Final = 10
 MAX_BACKOFF_MS: Final = 500
 BUSY_STATUSES: Final = frozenset({429, 503})
-# How calls fail that were open at a crashed replica, or sent before its crash was noticed.
+# How calls fail that were open at a crashed replica, or sent before its crash was noticed, and at
+# one that sends broken answers.
 REPLICA_LOST_KINDS: Final = frozenset(
-    {FailureKind.CONNECT, FailureKind.TIMED_OUT, FailureKind.TRUNCATED}
+    {FailureKind.CONNECT, FailureKind.TIMED_OUT, FailureKind.TRUNCATED, FailureKind.INVALID}
 )
 
 # After these, a retry is of no use.
--- a/papayapier/store/link.py
+++ b/papayapier/store/link.py
@@ -18,7 +18,7 @@
 
 from papayapier import events
 from papayapier.clock import MS_PER_S, Clock
-from papayapier.head_guard import GuardedPool, find_invalid_head
+from papayapier.head_guard import GuardedPool, find_invalid_answer
 from papayapier.settings import PlatformSettings
 from papayapier.store.api import MAX_VALUE_BYTES
 
@@ -99,9 +99,9 @@
             if not timer.active():
                 events.emit(events.STORE_SILENT, call=req.name)
                 pool.closeCachedConnections()
-            invalid_head = find_invalid_head(exc)
-            if invalid_head is not None:
-                events.emit(events.STORE_ODD_ANSWER, call=req.name, reason=str(invalid_head))
+            invalid = find_invalid_answer(exc)
+            if invalid is not None:
+                events.emit(events.STORE_ODD_ANSWER, call=req.name, reason=str(invalid))
             return Err(exc)
         finally:
             open_calls.discard(call)
--- a/papayapier/upstream/exchange.py
+++ b/papayapier/upstream/exchange.py
@@ -24,7 +24,7 @@
 
 from papayapier import events
 from papayapier.clock import Clock, Timer
-from papayapier.head_guard import MAX_HEAD_BYTES, find_invalid_head
+from papayapier.head_guard import MAX_HEAD_BYTES, find_invalid_answer
 from papayapier.invariants import Invariant, check_invariant
 from papayapier.settings import UpstreamSettings
 from papayapier.upstream.api import Failure, FailureKind, OnSilence, Replica, Sent, Silence
@@ -192,7 +192,14 @@
         elif reason.check(PotentialDataLoss) and not self._lease.was_reset():
             self._finish(self._handler.on_end(False))
         else:
-            self._finish(self._phases.connection_lost_fault(_describe(reason)))
+            self._finish(self._lost_fault(reason))
+
+    def _lost_fault(self, reason: Any) -> Fault:
+        """Return the fault of an answer that has failed; a broken one is no lost connection."""
+        invalid = find_invalid_answer(reason.value)
+        if invalid is not None:
+            return Fault(FailureKind.INVALID, str(invalid))
+        return self._phases.connection_lost_fault(_describe(reason))
 
     def _before_write(self) -> bool:
         """Record that the request is about to be written; from now on the replica may run it."""
@@ -242,15 +249,11 @@
         if not self._active:
             return
         self._refused = _innermost(reason).check(ConnectionRefusedError) is not None
-        invalid_head = find_invalid_head(reason.value)
-        if invalid_head is not None:
-            self._finish(Fault(FailureKind.INVALID, str(invalid_head)))
-            return
         if self._lease.head_was_too_long():
             text = f"the head of the answer is longer than {MAX_HEAD_BYTES} bytes"
             self._finish(Fault(FailureKind.INVALID, text))
             return
-        self._finish(self._phases.connection_lost_fault(_describe(reason)))
+        self._finish(self._lost_fault(reason))
 
     def _on_handler_failed(self, reason: Any) -> None:
         """End the exchange at once; otherwise it would last until its due time."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -401,6 +401,8 @@
         (FailureKind.TIMED_OUT, False, True),
         (FailureKind.CONNECT, False, True),
         (FailureKind.TRUNCATED, False, True),
+        (FailureKind.INVALID, False, True),
+        (FailureKind.INVALID, True, False),
         (FailureKind.TIMED_OUT, True, False),
         (FailureKind.TRUNCATED, True, False),
         (FailureKind.DEADLINE, False, False),
--- a/tests/test_policy_retries.py
+++ b/tests/test_policy_retries.py
@@ -128,9 +128,15 @@
     assert decision.refusal.kind is ErrorKind.UPSTREAM_FAILED
 
 
-def _retries(budget: RetryBudget, calls: int, at: FailedAt, now: int = 0) -> int:
-    """Count the calls that get a retry after all of them were cut at one replica."""
-    cut = Failure(FailureKind.TRUNCATED, Sent.MAYBE, "cut")
+def _retries(
+    budget: RetryBudget,
+    calls: int,
+    at: FailedAt,
+    now: int = 0,
+    kind: FailureKind = FailureKind.TRUNCATED,
+) -> int:
+    """Count the calls that get a retry after all of them failed at one replica."""
+    cut = Failure(kind, Sent.MAYBE, "cut")
     rand = random.Random(1)
     decisions = [
         retry_or_refuse(cut, True, 1, RULE, 60_000, now, budget, "model", rand, Sent.NO, at)
@@ -152,6 +158,14 @@
     assert _retries(budget, 7, FailedAt("e1", 8, 2)) == 7
 
 
+def test_every_call_with_a_broken_answer_is_retried() -> None:
+    """Guard against refusing calls because one replica sends broken answers."""
+    budget = RetryBudget()
+    at = FailedAt("e1", 8, 2)
+    assert _retries(budget, 7, at, kind=FailureKind.INVALID) == 7
+    assert _retries(RetryBudget(), 40, at, kind=FailureKind.INVALID) == 8 + RETRY_FLOOR
+
+
 def test_retries_of_a_crashed_replica_are_bounded() -> None:
     """Guard against more retries than the replica's slots and the floor."""
     assert _retries(RetryBudget(), 40, FailedAt("e1", 8, 9)) == 8 + RETRY_FLOOR
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.trial.unittest import TestCase
 
+from papayapier.errors import ErrorKind
+from papayapier.policy.crash_quarantine import MAX_LOSSES
 from tests.broken_answers import (
     NAMES,
     STATUS_LINES,
@@ -21,16 +23,19 @@
 from tests.site.case import SiteCase
 from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
 from tests.site.soak import run_soak
-from tests.site.world import make_configuration, sleep, start_task
+from tests.site.world import Reply, make_configuration, sleep, start_task
 
 reactor: Any = installed
 
 SOAK_S: Final = 12
 CALLERS: Final = 8
+NO_REPLICA: Final = ErrorKind.NO_UPSTREAM.value.encode()
 SERVICES: Final = ("app", "lm")
 # How often the broken replicas are listed anew, and the time between.
 MAX_BOOTS: Final = 60
 BOOT_GAP_S: Final = 0.5
+# When a change of the list has reached the entry.
+LISTED_S: Final = 1.2
 ITEMS: Final = 3
 WITHOUT_SOUND_S: Final = 3.0
 # Most of it is still on its way when the answer begins.
@@ -160,6 +165,47 @@
         # Failure: items are given up after three answers that are none.
         return Deferred.fromCoroutine(self._run_job())
 
+    async def _hold_nothing(self, answers: Sequence[bytes]) -> None:
+        """Send a request to several broken replicas, and then to sound ones."""
+        sound = [replica for replica in self.world.replicas if replica.service == "app"]
+        for replica in sound:
+            self.world.store.remove("servers", replica.id)
+        await self.world.start(entries=1, keepers=1)
+        answer_in_turn(self.server, answers)
+        for number in range(1, MAX_LOSSES + 3):
+            self._list(number)
+            await sleep(LISTED_S)
+            reply = await self._send_once_listed()
+            assert reply.status == 502, reply
+            assert f"i-broken-app-{number}".encode() in self.server.requests[-1]
+        for replica in sound:
+            replica.register("ready")
+        self.world.store.remove("servers", f"i-broken-app-{number}")
+        await sleep(LISTED_S)
+        reply = await self._send_once_listed()
+        assert (reply.status, reply.body) == (200, b"whole answer"), reply
+
+    async def _send_once_listed(self) -> Reply:
+        """Send a request that may run once, again while there is no replica for it."""
+        for _ in range(MAX_BOOTS):
+            reply = await self.world.get(self.port(), "/once/1")
+            if not reply.body.startswith(NO_REPLICA):
+                break
+            await sleep(0.1)
+        return reply
+
+    def test_a_request_is_not_held_for_invalid_heads(self) -> Any:
+        # Failure: a sound request is refused as one under which several replicas were lost, though
+        # each of them goes on and only sent an invalid head.
+        answers = [make_answer(BODY, fields=line + b"\r\n") for line in NAMES]
+        return Deferred.fromCoroutine(self._hold_nothing(answers))
+
+    def test_a_request_is_not_held_for_invalid_chunks(self) -> Any:
+        # Failure: the same, where the replicas sent invalid chunks.
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        answers = [make_answer(b"no chunk\r\n", fields=chunked, framed=False)]
+        return Deferred.fromCoroutine(self._hold_nothing(answers))
+
     async def _upload(self, end: End) -> None:
         configuration = make_configuration()
         configuration["limits"]["maxBodyBytes"] = 2 * len(UPLOAD)
