--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -1,7 +1,6 @@
 """Test on real processes that no caller gets an answer that breaks the protocol."""
 
 import re
-from collections import Counter
 from collections.abc import Sequence
 from typing import Any, Final
 
@@ -20,37 +19,19 @@
     make_answer,
 )
 from tests.early_answers import PARTS, EarlyServer, End
-from tests.raw_server import RawServer
-from tests.site.case import SiteCase
-from tests.site.replicas import EVENTS_PER_STREAM, SLOTS
+from tests.site.broken_case import BODY, MAX_BOOTS, SERVICES, BrokenReplicasCase
 from tests.site.soak import run_soak
 from tests.site.world import Reply, make_configuration, sleep, start_task
 
 reactor: Any = installed
 
 SOAK_S: Final = 12
-CALLERS: Final = 8
 NO_REPLICA: Final = ErrorKind.NO_UPSTREAM.value.encode()
-SERVICES: Final = ("app", "lm")
-# How often the broken replicas are listed anew, and the time between.
-MAX_BOOTS: Final = 60
-BOOT_GAP_S: Final = 0.5
 ITEMS: Final = 3
 WITHOUT_SOUND_S: Final = 3.0
 # Most of it is still on its way when the answer begins.
 UPLOAD: Final = b"u" * 3_000_000
 UPLOADS: Final = 12
-BODY: Final = b"id: 1\ndata: broken\n\n"
-WHOLE_STREAM: Final = b"".join(
-    f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, EVENTS_PER_STREAM + 1)
-)
-# The paths of the callers, the complete answer on each, and whether a request may be repeated.
-PATHS: Final = (
-    ("/look/1", b"whole answer", True),
-    ("/once/1", b"whole answer", False),
-    ("/stream/again/1", WHOLE_STREAM, True),
-    ("/stream/once/1", WHOLE_STREAM, False),
-)
 
 
 class BrokenAnswersSoakTest(TestCase):
@@ -69,81 +50,28 @@
         return Deferred.fromCoroutine(self._soak())
 
 
-class BrokenAnswersTest(SiteCase):
+class BrokenAnswersTest(BrokenReplicasCase):
     """List one more replica of each service, which sends broken answers only."""
 
     timeout = 120
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.server = RawServer()
-        self.listener = reactor.listenTCP(0, self.server, interface="127.0.0.1")
-
-    def tearDown(self) -> Any:
-        return Deferred.fromCoroutine(self._close())
-
-    async def _close(self) -> None:
-        await self.world.close()
-        for conn in self.server.connections:
-            conn.abort()
-        await self.listener.stopListening()
-
-    def _list(self, number: int, listener: Any = None) -> None:
-        """List the broken replica of each service as one that just started."""
-        address = f"127.0.0.1:{(listener or self.listener).getHost().port}"
-        for service in SERVICES:
-            entry = {"address": address, "zone": "z1", "slots": SLOTS, "state": "ready"}
-            self.world.store.remove("servers", f"i-broken-{service}-{number - 1}")
-            name = f"i-broken-{service}-{number}"
-            self.world.store.put("servers", name, {**entry, "service": service})
-
-    async def _call_beside(self, answers: Sequence[bytes]) -> None:
-        """Send requests of every kind while the broken replica sends one answer after the other.
-
-        It is listed anew again and again, since it is avoided after its first broken answers.
-        """
-        await self.world.start(entries=1, keepers=1)
-        answer_in_turn(self.server, answers)
-        self.stopping = False
-        calls = [start_task(self._call(number)) for number in range(CALLERS)]
-        for number in range(1, MAX_BOOTS + 1):
-            self._list(number)
-            await sleep(BOOT_GAP_S)
-            if len(self.server.requests) >= len(answers):
-                break
-        self.stopping = True
-        wrong = sum(await gatherResults(calls), Counter[str]())
-        assert not wrong, wrong
-        assert len(self.server.requests) >= len(answers), len(self.server.requests)
-
-    async def _call(self, number: int) -> "Counter[str]":
-        """Send requests one after the other; return the answers that no caller may get."""
-        path, body, may_repeat = PATHS[number % len(PATHS)]
-        wrong: Counter[str] = Counter()
-        while not self.stopping:
-            reply = await self.world.get(self.port(), path)
-            is_whole = reply.status == 200 and reply.body == body
-            if not is_whole and (may_repeat or reply.status != 502):
-                wrong[f"{path} {reply.status} {reply.body[:30]!r}"] += 1
-        return wrong
-
     def test_no_caller_gets_a_status_that_the_protocol_does_not_know(self) -> Any:
         # Failure: a replica in trouble answers with the status 000, and callers get it.
         answers = [make_answer(BODY, line) for line in STATUS_LINES]
-        return Deferred.fromCoroutine(self._call_beside(answers))
+        return Deferred.fromCoroutine(self.call_beside(answers))
 
     def test_no_caller_gets_a_head_with_an_invalid_name(self) -> Any:
         # Failure: callers get the invalid line, or a body whose length was ignored.
         answers = [make_answer(BODY, fields=line + b"\r\n", framed=False) for line in NAMES]
-        return Deferred.fromCoroutine(self._call_beside(answers))
+        return Deferred.fromCoroutine(self.call_beside(answers))
 
     def test_no_caller_gets_a_control_byte_in_a_value(self) -> Any:
         # Failure: control bytes of a replica in trouble are passed on to callers.
         answers = [make_answer(BODY, fields=line + b"\r\n") for line in VALUES]
-        return Deferred.fromCoroutine(self._call_beside(answers))
+        return Deferred.fromCoroutine(self.call_beside(answers))
 
     async def _run_job(self) -> None:
-        self._list(1)
+        self.list_anew(1)
         await self.world.start(entries=1, keepers=1)
         sound = [replica for replica in self.world.replicas if replica.service == "lm"]
         answer_all(self.server, make_answer(BODY, b"HTTP/1.1 000 Trouble"))
@@ -172,7 +100,7 @@
         await self.world.start(entries=1, keepers=1)
         answer_in_turn(self.server, answers)
         for number in range(1, MAX_LOSSES + 3):
-            self._list(number)
+            self.list_anew(number)
             await self._wait_for_line("replica_removed", number - 1)
             await self._wait_for_line("replica_added", number)
             reply = await self._send_once_listed()
@@ -223,7 +151,7 @@
         try:
             await self.world.start(entries=1, keepers=0)
             for number in range(1, UPLOADS + 1):
-                self._list(number, listener)
+                self.list_anew(number, listener)
                 await sleep(0.2)
                 paths = ("/look/1", "/once/1", "/look/1")
                 replies = [self.world.send(self.port(), "POST", path, UPLOAD) for path in paths]
