Build the program by contents, not by times

What callers saw: a replica in trouble answered with the status 000, and the caller got "HTTP/1.1 0 Unknown Status" with the replica's body (MIXED), from a landing whose own tests all hold.

Cause: the build command copied the program with "cp -u", which goes by modification times. Over a build folder of an earlier landing that was carried over, or where a landing is unpacked with its own times, the earlier modules look newer and stay, among them those that check heads. The command succeeds, and processes run a mixture of two landings. Modules that a landing removed stayed, too, and a process that started during a build got modules of both.

Evidence: test_deployed_program.py builds a landing that takes 000 for a status, then this one over it, starts entry and keeper by the deploy file's commands, and sends 16 forms of an answer with the status 000 to callers of four routes.

Why it works: each build is a folder of its own, named and checked by a digest of the sources, and complete before a process can use it. A launcher at the path where Python finds the package names the folder; replacing this one file is what puts a build into force, and each process reads it once. A build that fails replaces nothing. Bytecode is compiled with the folder and does not depend on times either, so no start compiles a module. The folder of the build before stays, for processes that still import from it. The launcher's own time is 0, so that the command of an earlier landing replaces it.

--- /dev/null
+++ b/misc/deploy_build.py
@@ -0,0 +1,198 @@
+"""Build the program that deploy/system.toml runs.
+
+    python3 -P misc/deploy_build.py        writes target/
+
+target/programs has a folder for each build: the package as in the checkout, with its bytecode. A
+folder is complete before a process can use it and does not change afterwards. The launcher,
+target/deps/papayapier/__init__.py, names the folder that processes use; replacing that file is what
+puts a build into force.
+
+Whether a folder is up to date follows from contents, never from modification times: archives,
+copies and carried-over folders have any times. Bytecode is not compared with its source at a start,
+for the same reason.
+"""
+
+import compileall
+import fcntl
+import hashlib
+import os
+import py_compile
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable, Iterator
+from importlib.util import cache_from_source
+from pathlib import Path
+from py_compile import PycInvalidationMode
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+PACKAGE: Final = "papayapier"
+LAUNCHER_SOURCE: Final = ROOT / "misc" / "deploy_launcher.py"
+TARGET: Final = ROOT / "target"
+DEPS: Final = TARGET / "deps"
+PROGRAMS: Final = TARGET / "programs"
+LAUNCHER: Final = DEPS / PACKAGE / "__init__.py"
+# In each folder: the digests of what it was made from and of what it contains.
+RECORD: Final = "record.txt"
+BYTECODE: Final = "__pycache__"
+LAUNCHER_CALL: Final = "use_build("
+FOLDER_MODE: Final = 0o755
+# What the roles of deploy/system.toml import.
+IMPORT_ROLES: Final = f"import {PACKAGE}.node.entry, {PACKAGE}.node.keeper"
+
+
+class BuildError(Exception):
+    """Report why there is no new build; the one before stays in force."""
+
+
+def main() -> int:
+    """Bring the build up to date; return the exit code."""
+    PROGRAMS.mkdir(parents=True, exist_ok=True)
+    # Builds in the same checkout take turns.
+    with (TARGET / "build.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        try:
+            put_in_force(provide_program())
+        except (BuildError, OSError) as exc:
+            print(f"deploy_build: {exc}", file=sys.stderr)
+            return 1
+    return 0
+
+
+def provide_program() -> Path:
+    """Return the folder of the program as in the checkout."""
+    sources = digest_sources(ROOT / PACKAGE)
+
+    def make(folder: Path) -> None:
+        package = folder / PACKAGE
+        shutil.copytree(ROOT / PACKAGE, package, ignore=shutil.ignore_patterns(BYTECODE))
+        if digest_sources(package) != sources:
+            raise BuildError("the sources changed during the build")
+        if not compile_folder(folder):
+            raise BuildError("the program cannot be compiled")
+        check_imports(folder)
+
+    return provide_folder(PROGRAMS, sources, make)
+
+
+def provide_folder(parent: Path, inputs: str, make: Callable[[Path], None]) -> Path:
+    """Return a complete folder that was made from these inputs; make one if there is none."""
+    for folder in sorted(parent.iterdir()):
+        if is_complete(folder, inputs):
+            return folder
+    folder = Path(tempfile.mkdtemp(prefix=f"{inputs[:12]}-", dir=parent))
+    try:
+        make(folder)
+    except BuildError:
+        shutil.rmtree(folder)
+        raise
+    folder.chmod(FOLDER_MODE)
+    (folder / RECORD).write_text(make_record(folder, inputs), encoding="utf-8")
+    return folder
+
+
+def is_complete(folder: Path, inputs: str) -> bool:
+    """Return whether a folder was made from these inputs, and nothing of it is lost or changed."""
+    record = folder / RECORD
+    if not record.is_file():
+        return False
+    written = record.read_text(encoding="utf-8", errors="replace")
+    return written.startswith(inputs) and written == make_record(folder, inputs)
+
+
+def make_record(folder: Path, inputs: str) -> str:
+    """Return the record of a folder with its present contents."""
+    files = (path for path in list_files(folder) if path != folder / RECORD)
+    return f"{inputs}\n{digest_files(folder, files)}\n"
+
+
+def digest_sources(package: Path) -> str:
+    """Return a digest of the files of a package, without bytecode."""
+    return digest_files(
+        package, (path for path in list_files(package) if BYTECODE not in path.parts)
+    )
+
+
+def digest_files(folder: Path, paths: Iterator[Path]) -> str:
+    """Return a digest of the names and contents of files in a folder."""
+    digest = hashlib.sha256()
+    for path in paths:
+        content = path.read_bytes()
+        digest.update(f"{path.relative_to(folder).as_posix()}\0{len(content)}\0".encode())
+        digest.update(content)
+    return digest.hexdigest()
+
+
+def list_files(folder: Path) -> Iterator[Path]:
+    """Yield the files of a folder and its subfolders in a fixed order."""
+    return (path for path in sorted(folder.rglob("*")) if path.is_file())
+
+
+def compile_folder(folder: Path) -> bool:
+    """Compile all modules of a folder; return whether all could be compiled."""
+    mode = PycInvalidationMode.UNCHECKED_HASH
+    return bool(compileall.compile_dir(folder, quiet=1, force=True, invalidation_mode=mode))
+
+
+def check_imports(folder: Path) -> None:
+    """Raise BuildError if a process could not import the program of a folder."""
+    env = {**os.environ, "PYTHONPATH": f"{folder}:{DEPS}"}
+    command = [sys.executable, "-P", "-B", "-c", IMPORT_ROLES]
+    if subprocess.run(command, env=env, cwd=folder).returncode != 0:
+        raise BuildError("the program cannot be imported")
+
+
+def put_in_force(program: Path) -> None:
+    """Have processes that start from now on use the program of a folder."""
+    source = LAUNCHER_SOURCE.read_text(encoding="utf-8")
+    text = f"{source}\n\n{LAUNCHER_CALL}{program.name!r})\n"
+    before = LAUNCHER.read_text(encoding="utf-8") if LAUNCHER.exists() else ""
+    if text == before:
+        return
+    replace_launcher(text)
+    remove_unused(before)
+
+
+def replace_launcher(text: str) -> None:
+    """Replace the launcher at once, whatever process is just reading it."""
+    LAUNCHER.parent.mkdir(parents=True, exist_ok=True)
+    new = LAUNCHER.with_suffix(".new")
+    new.write_text(text, encoding="utf-8")
+    # Earlier landings copied the package with "cp -u" to the same path, which replaces older files
+    # only. Their builds must replace the launcher, too.
+    os.utime(new, (0, 0))
+    # Bytecode goes first: Python compares it with the contents of the source.
+    mode = PycInvalidationMode.CHECKED_HASH
+    bytecode = cache_from_source(str(LAUNCHER))
+    py_compile.compile(str(new), bytecode, str(LAUNCHER), doraise=True, invalidation_mode=mode)
+    new.replace(LAUNCHER)
+
+
+def remove_unused(before: str) -> None:
+    """Remove folders that neither the launcher nor the one before it names.
+
+    Processes that started before the launcher was replaced still import from theirs.
+    """
+    named = before + LAUNCHER.read_text(encoding="utf-8")
+    for folder in PROGRAMS.iterdir():
+        if folder.name not in named:
+            shutil.rmtree(folder)
+    if LAUNCHER_CALL in before:
+        remove_earlier_layout()
+
+
+def remove_earlier_layout() -> None:
+    """Remove the modules that earlier landings have left beside the launcher."""
+    for path in LAUNCHER.parent.iterdir():
+        if path.name == BYTECODE or path == LAUNCHER:
+            continue
+        if path.is_dir():
+            shutil.rmtree(path)
+        else:
+            path.unlink()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -45,6 +45,26 @@
     b"HTTP/1.1 OK",
 )
 
+# Answers with the status 000: status line, header lines, and whether the body has a length.
+UNKNOWN_STATUS: Final = (
+    (b"HTTP/1.1 000 Trouble", b"", True),
+    (b"HTTP/1.1 000 Trouble", b"", False),
+    (b"HTTP/1.1 000", b"", True),
+    (b"HTTP/1.1 000 ", b"", True),
+    (b"HTTP/1.0 000 Trouble", b"", True),
+    (b"HTTP/1.1 000 OK", b"", True),
+    (b"\r\nHTTP/1.1 000 Trouble", b"", True),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble", b"", True),
+    (b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 Trouble", b"", True),
+    (b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 000 Trouble", b"", True),
+    (b"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK", b"", True),
+    (b"HTTP/1.1 000 Trouble", b"Transfer-Encoding: chunked\r\n", False),
+    (b"HTTP/1.1 000 Trouble", b"Content-Type: text/event-stream\r\n", True),
+    (b"HTTP/1.1 000 Trouble", b"X-Not-Executed: true\r\n", True),
+    (b"HTTP/1.1 000 Trouble", b"Connection: close\r\n", True),
+    (b"HTTP/1.1 000 Trouble", b"X-Request-Id: other\r\n", True),
+)
+
 # Header lines whose names the protocol does not allow.
 NAMES: Final = (
     b"X Note: n",
@@ -129,6 +149,14 @@
     return make_answer(body, status_line, fields, framed=False)
 
 
+def make_unknown_status(body: bytes, form: tuple[bytes, bytes, bool]) -> bytes:
+    """Return an answer with the status 000 in one of the forms."""
+    status_line, fields, framed = form
+    if framed:
+        return make_answer(body, status_line, fields)
+    return make_framed(body, status_line, fields)
+
+
 def answer_all(server: RawServer, answer: bytes) -> None:
     """Answer each request with these bytes, in which REQUEST becomes its id."""
     answer_in_turn(server, [answer])
--- a/tests/scenario/processes.py
+++ b/tests/scenario/processes.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections import deque
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from signal import Signals
 from typing import Any, Final, cast
@@ -91,12 +92,18 @@
 
 def start_process(name: str, *arguments: str) -> ChildProcess:
     """Run "papayapier ARGUMENTS" as a child process."""
+    return start_command(name, [sys.executable, "-m", "papayapier", *arguments], None, ROOT)
+
+
+def start_command(
+    name: str, words: Sequence[str], env: Mapping[str, str] | None, folder: Path
+) -> ChildProcess:
+    """Run a command as a child process; without an environment it inherits this one."""
     from twisted.internet import reactor
 
     child = ChildProcess(name)
-    command = [sys.executable, "-m", "papayapier", *arguments]
     cast(Any, reactor).spawnProcess(
-        child, sys.executable, args=command, env=None, path=str(ROOT), childFDs={1: "r", 2: "r"}
+        child, words[0], args=words, env=env, path=str(folder), childFDs={1: "r", 2: "r"}
     )
     return child
 
--- a/tests/site/world.py
+++ b/tests/site/world.py
@@ -20,7 +20,8 @@
 
 from misc.ports import PortReservations
 from papayapier import events
-from tests.scenario.processes import ChildProcess, start_process
+from tests.deployed import role_command
+from tests.scenario.processes import ChildProcess, start_command, start_process
 from tests.site.network import ProcessProxies
 from tests.site.replicas import StandinReplica
 from tests.site.store import StandinStore
@@ -134,6 +135,8 @@
         self.placing_settings: dict[str, Any] = {}
         # Settings of how much memory an entry may use for its callers.
         self.memory_settings: dict[str, Any] = {}
+        # Where the program is built and started as on the platform, instead of from its sources.
+        self.checkout: Path | None = None
         # The API key that callers send, if any.
         self.api_key = ""
         self.caller_ports: dict[str, int] = {}
@@ -217,10 +220,9 @@
         path = Path(self._folder.name) / f"{name}.json"
         if name in self.caller_ports:
             address = f"127.0.0.1:{self.caller_ports[name]}"
-            arguments = ("--settings", str(path), "--callers", address)
-            self.children[name] = start_process(name, "entry", *arguments)
+            self._start_child(name, "entry", path, "--callers", address)
         else:
-            self.children[name] = start_process(name, "keeper", "--settings", str(path))
+            self._start_child(name, "keeper", path)
 
     def write_configuration(
         self, version: int, teams: list[dict[str, Any]], **changes: Any
@@ -275,7 +277,15 @@
         }
         path = Path(self._folder.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.children[name] = start_process(name, role, "--settings", str(path), *arguments)
+        self._start_child(name, role, path, *arguments)
+
+    def _start_child(self, name: str, role: str, path: Path, *arguments: str) -> None:
+        if self.checkout is None:
+            child = start_process(name, role, "--settings", str(path), *arguments)
+        else:
+            callers = f"127.0.0.1:{self.caller_ports.get(name, 0)}"
+            child = start_command(name, *role_command(self.checkout, role, path, callers))
+        self.children[name] = child
 
     async def wait_until_ready(self, name: str) -> None:
         """Wait until the readiness check of an entry succeeds."""
