Install libraries by their list and kind of machine, not by times

What users saw or would have: a build skipped the installation of libraries while target/deps/.pins was newer than requirements.txt, whatever the file said. A carried-over folder kept libraries of an earlier list, of another Python or of another kind of machine; libraries that a newer list no longer names could still be imported; and a process that started during an installation found some libraries gone.

Why it works: libraries have folders like the program's, named by a digest of requirements.txt and of the suffix of Python's extension modules, which stands for the version, the processor and the C library. A build installs them beside those in force, and the launcher names both folders, so that a process has the libraries that its program was made for. It refuses a Python that the build was not made for, and says so. What earlier landings have left in target/deps is no longer on Python's path; it is removed with the second build, as processes may still import it during the first.

--- a/misc/deploy_build.py
+++ b/misc/deploy_build.py
@@ -2,10 +2,11 @@
 
     python3 -P misc/deploy_build.py        writes target/
 
-target/programs has a folder for each build: the package as in the checkout, with its bytecode. A
-folder is complete before a process can use it and does not change afterwards. The launcher,
-target/deps/papayapier/__init__.py, names the folder that processes use; replacing that file is what
-puts a build into force.
+target/programs has folders with the package as in the checkout, target/libraries those with the
+libraries of requirements.txt for this Python and machine, both with bytecode. A folder is complete
+before a process can use it and does not change afterwards. The launcher,
+target/deps/papayapier/__init__.py, names the two folders that processes use; replacing that file is
+what puts a build into force.
 
 Whether a folder is up to date follows from contents, never from modification times: archives,
 copies and carried-over folders have any times. Bytecode is not compared with its source at a start,
@@ -21,7 +22,8 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from importlib.machinery import EXTENSION_SUFFIXES
 from importlib.util import cache_from_source
 from pathlib import Path
 from py_compile import PycInvalidationMode
@@ -33,6 +35,10 @@
 TARGET: Final = ROOT / "target"
 DEPS: Final = TARGET / "deps"
 PROGRAMS: Final = TARGET / "programs"
+LIBRARIES: Final = TARGET / "libraries"
+REQUIREMENTS: Final = ROOT / "requirements.txt"
+# Names the version of Python, the processor type and the C library.
+EXTENSIONS: Final = EXTENSION_SUFFIXES[0]
 LAUNCHER: Final = DEPS / PACKAGE / "__init__.py"
 # In each folder: the digests of what it was made from and of what it contains.
 RECORD: Final = "record.txt"
@@ -50,18 +56,35 @@
 def main() -> int:
     """Bring the build up to date; return the exit code."""
     PROGRAMS.mkdir(parents=True, exist_ok=True)
+    LIBRARIES.mkdir(exist_ok=True)
     # Builds in the same checkout take turns.
     with (TARGET / "build.lock").open("w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
         try:
-            put_in_force(provide_program())
+            libraries = provide_libraries()
+            put_in_force(provide_program(libraries), libraries)
         except (BuildError, OSError) as exc:
             print(f"deploy_build: {exc}", file=sys.stderr)
             return 1
     return 0
 
 
-def provide_program() -> Path:
+def provide_libraries() -> Path:
+    """Return the folder of the libraries for this Python and machine."""
+    inputs = hashlib.sha256(EXTENSIONS.encode() + REQUIREMENTS.read_bytes()).hexdigest()
+
+    def make(folder: Path) -> None:
+        pip = [sys.executable, "-P", "-m", "pip", "install", "--quiet", "--no-compile"]
+        pip += ["--target", str(folder), "--requirement", str(REQUIREMENTS)]
+        if subprocess.run(pip, cwd=ROOT).returncode != 0:
+            raise BuildError("the libraries cannot be installed")
+        # Modules that are for other versions of Python cannot be compiled, and are not imported.
+        compile_folder(folder)
+
+    return provide_folder(LIBRARIES, inputs, make)
+
+
+def provide_program(libraries: Path) -> Path:
     """Return the folder of the program as in the checkout."""
     sources = digest_sources(ROOT / PACKAGE)
 
@@ -72,7 +95,7 @@
             raise BuildError("the sources changed during the build")
         if not compile_folder(folder):
             raise BuildError("the program cannot be compiled")
-        check_imports(folder)
+        check_imports(folder, libraries)
 
     return provide_folder(PROGRAMS, sources, make)
 
@@ -104,30 +127,33 @@
 
 def make_record(folder: Path, inputs: str) -> str:
     """Return the record of a folder with its present contents."""
-    files = (path for path in list_files(folder) if path != folder / RECORD)
-    return f"{inputs}\n{digest_files(folder, files)}\n"
+    names = (name for name in list_files(folder) if name != RECORD)
+    return f"{inputs}\n{digest_files(folder, names)}\n"
 
 
 def digest_sources(package: Path) -> str:
     """Return a digest of the files of a package, without bytecode."""
-    return digest_files(
-        package, (path for path in list_files(package) if BYTECODE not in path.parts)
-    )
+    names = (name for name in list_files(package) if BYTECODE not in name.split("/"))
+    return digest_files(package, names)
 
 
-def digest_files(folder: Path, paths: Iterator[Path]) -> str:
+def digest_files(folder: Path, names: Iterable[str]) -> str:
     """Return a digest of the names and contents of files in a folder."""
     digest = hashlib.sha256()
-    for path in paths:
-        content = path.read_bytes()
-        digest.update(f"{path.relative_to(folder).as_posix()}\0{len(content)}\0".encode())
+    for name in names:
+        with open(f"{folder}/{name}", "rb") as file:
+            content = file.read()
+        digest.update(f"{name}\0{len(content)}\0".encode())
         digest.update(content)
     return digest.hexdigest()
 
 
-def list_files(folder: Path) -> Iterator[Path]:
-    """Yield the files of a folder and its subfolders in a fixed order."""
-    return (path for path in sorted(folder.rglob("*")) if path.is_file())
+def list_files(folder: Path) -> Iterator[str]:
+    """Yield the names of the files below a folder, relative to it, in a fixed order."""
+    start = len(f"{folder}/")
+    for path, subfolders, names in os.walk(folder):
+        subfolders.sort()
+        yield from (f"{path}/{name}"[start:] for name in sorted(names))
 
 
 def compile_folder(folder: Path) -> bool:
@@ -136,18 +162,19 @@
     return bool(compileall.compile_dir(folder, quiet=1, force=True, invalidation_mode=mode))
 
 
-def check_imports(folder: Path) -> None:
+def check_imports(folder: Path, libraries: Path) -> None:
     """Raise BuildError if a process could not import the program of a folder."""
-    env = {**os.environ, "PYTHONPATH": f"{folder}:{DEPS}"}
+    env = {**os.environ, "PYTHONPATH": f"{folder}:{libraries}"}
     command = [sys.executable, "-P", "-B", "-c", IMPORT_ROLES]
     if subprocess.run(command, env=env, cwd=folder).returncode != 0:
         raise BuildError("the program cannot be imported")
 
 
-def put_in_force(program: Path) -> None:
-    """Have processes that start from now on use the program of a folder."""
+def put_in_force(program: Path, libraries: Path) -> None:
+    """Have processes that start from now on use these folders."""
     source = LAUNCHER_SOURCE.read_text(encoding="utf-8")
-    text = f"{source}\n\n{LAUNCHER_CALL}{program.name!r})\n"
+    arguments = f"{EXTENSIONS!r}, {program.name!r}, {libraries.name!r}"
+    text = f"{source}\n\n{LAUNCHER_CALL}{arguments})\n"
     before = LAUNCHER.read_text(encoding="utf-8") if LAUNCHER.exists() else ""
     if text == before:
         return
@@ -176,7 +203,7 @@
     Processes that started before the launcher was replaced still import from theirs.
     """
     named = before + LAUNCHER.read_text(encoding="utf-8")
-    for folder in PROGRAMS.iterdir():
+    for folder in (*PROGRAMS.iterdir(), *LIBRARIES.iterdir()):
         if folder.name not in named:
             shutil.rmtree(folder)
     if LAUNCHER_CALL in before:
@@ -184,9 +211,9 @@
 
 
 def remove_earlier_layout() -> None:
-    """Remove the modules that earlier landings have left beside the launcher."""
-    for path in LAUNCHER.parent.iterdir():
-        if path.name == BYTECODE or path == LAUNCHER:
+    """Remove the modules and libraries that earlier landings have left beside the launcher."""
+    for path in (*DEPS.iterdir(), *LAUNCHER.parent.iterdir()):
+        if path in (LAUNCHER.parent, LAUNCHER) or path == LAUNCHER.parent / BYTECODE:
             continue
         if path.is_dir():
             shutil.rmtree(path)
--- a/misc/deploy_launcher.py
+++ b/misc/deploy_launcher.py
@@ -8,12 +8,24 @@
 import importlib
 import os.path
 import sys
+from importlib.machinery import EXTENSION_SUFFIXES
 
 
-def use_build(program: str) -> None:
-    """Replace this package by that of a build; the argument is the name of its folder."""
+def use_build(extensions: str, program: str, libraries: str) -> None:
+    """Replace this package by that of a build, and have Python find the libraries of that build.
+
+    extensions is the suffix of the extension modules of the Python that the build is for; the other
+    arguments are the names of the build's folders. Exits if this is another Python.
+    """
+    if extensions != EXTENSION_SUFFIXES[0]:
+        built_for = f"built for {extensions}, but this Python has {EXTENSION_SUFFIXES[0]}"
+        sys.exit(f"papayapier: {built_for}; run the build command")
     deps = os.path.dirname(os.path.dirname(__file__))
-    programs = os.path.join(os.path.dirname(deps), "programs")
-    sys.path.insert(sys.path.index(deps), os.path.join(programs, program))
+    target = os.path.dirname(deps)
+    index = sys.path.index(deps)
+    sys.path[index : index + 1] = [
+        os.path.join(target, "programs", program),
+        os.path.join(target, "libraries", libraries),
+    ]
     del sys.modules[__name__]
     importlib.import_module(__name__)
