Take bytecode that others have rewritten for no damage of a build

The record of a build covered its bytecode, so that the next build found it damaged, made the program anew and installed all libraries again.

Why it works: the record covers everything but bytecode. Bytecode is checked by its header on each build, and a module without any that Python would use is compiled again, as after a loss on the way or a copy without times. That can't bring an earlier module back, since the sources of a folder never change.

--- a/misc/deploy_build.py
+++ b/misc/deploy_build.py
@@ -24,9 +24,10 @@
 import tempfile
 from collections.abc import Callable, Iterable, Iterator
 from importlib.machinery import EXTENSION_SUFFIXES
-from importlib.util import cache_from_source
+from importlib.util import MAGIC_NUMBER, cache_from_source, source_hash
 from pathlib import Path
 from py_compile import PycInvalidationMode
+from struct import Struct
 from typing import Final
 
 ROOT: Final = Path(__file__).resolve().parent.parent
@@ -43,6 +44,9 @@
 # In each folder: the digests of what it was made from and of what it contains.
 RECORD: Final = "record.txt"
 BYTECODE: Final = "__pycache__"
+# Magic number, flags, and the state of the source: its time and size, or its hash if a flag is set.
+BYTECODE_HEADER: Final = Struct("<4sI8s")
+FILE_STATE: Final = Struct("<II")
 LAUNCHER_CALL: Final = "use_build("
 FOLDER_MODE: Final = 0o755
 # What the roles of deploy/system.toml import.
@@ -86,12 +90,12 @@
 
 def provide_program(libraries: Path) -> Path:
     """Return the folder of the program as in the checkout."""
-    sources = digest_sources(ROOT / PACKAGE)
+    sources = digest_folder(ROOT / PACKAGE)
 
     def make(folder: Path) -> None:
         package = folder / PACKAGE
         shutil.copytree(ROOT / PACKAGE, package, ignore=shutil.ignore_patterns(BYTECODE))
-        if digest_sources(package) != sources:
+        if digest_folder(package) != sources:
             raise BuildError("the sources changed during the build")
         if not compile_folder(folder):
             raise BuildError("the program cannot be compiled")
@@ -104,6 +108,7 @@
     """Return a complete folder that was made from these inputs; make one if there is none."""
     for folder in sorted(parent.iterdir()):
         if is_complete(folder, inputs):
+            compile_folder(folder)
             return folder
     folder = Path(tempfile.mkdtemp(prefix=f"{inputs[:12]}-", dir=parent))
     try:
@@ -127,14 +132,13 @@
 
 def make_record(folder: Path, inputs: str) -> str:
     """Return the record of a folder with its present contents."""
-    names = (name for name in list_files(folder) if name != RECORD)
-    return f"{inputs}\n{digest_files(folder, names)}\n"
+    return f"{inputs}\n{digest_folder(folder)}\n"
 
 
-def digest_sources(package: Path) -> str:
-    """Return a digest of the files of a package, without bytecode."""
-    names = (name for name in list_files(package) if BYTECODE not in name.split("/"))
-    return digest_files(package, names)
+def digest_folder(folder: Path) -> str:
+    """Return a digest of the files of a folder, without bytecode, which others may rewrite."""
+    names = (name for name in list_files(folder) if BYTECODE not in name.split("/"))
+    return digest_files(folder, (name for name in names if name != RECORD))
 
 
 def digest_files(folder: Path, names: Iterable[str]) -> str:
@@ -157,9 +161,35 @@
 
 
 def compile_folder(folder: Path) -> bool:
-    """Compile all modules of a folder; return whether all could be compiled."""
+    """Compile the modules of a folder that lack bytecode; return whether all could be compiled."""
+    sources = (folder / name for name in list_files(folder) if name.endswith(".py"))
+    compiled = [compile_module(source) for source in sources if not has_bytecode(source)]
+    return all(compiled)
+
+
+def compile_module(source: Path) -> bool:
+    """Compile a module; return whether it could be compiled."""
     mode = PycInvalidationMode.UNCHECKED_HASH
-    return bool(compileall.compile_dir(folder, quiet=1, force=True, invalidation_mode=mode))
+    return bool(compileall.compile_file(source, quiet=1, force=True, invalidation_mode=mode))
+
+
+def has_bytecode(source: Path) -> bool:
+    """Return whether Python would use a module's bytecode and it is that of the source."""
+    bytecode = Path(cache_from_source(str(source)))
+    if not bytecode.is_file():
+        return False
+    with bytecode.open("rb") as file:
+        header = file.read(BYTECODE_HEADER.size)
+    if len(header) < BYTECODE_HEADER.size:
+        return False
+    magic, flags, stated = BYTECODE_HEADER.unpack(header)
+    if flags:
+        expected = source_hash(source.read_bytes())
+    else:
+        # Another program has compiled the folder, too.
+        status = source.stat()
+        expected = FILE_STATE.pack(int(status.st_mtime), status.st_size)
+    return bool(magic == MAGIC_NUMBER and stated == expected)
 
 
 def check_imports(folder: Path, libraries: Path) -> None:
@@ -176,10 +206,11 @@
     arguments = f"{EXTENSIONS!r}, {program.name!r}, {libraries.name!r}"
     text = f"{source}\n\n{LAUNCHER_CALL}{arguments})\n"
     before = LAUNCHER.read_text(encoding="utf-8") if LAUNCHER.exists() else ""
-    if text == before:
-        return
-    replace_launcher(text)
-    remove_unused(before)
+    if text != before:
+        replace_launcher(text)
+        remove_unused(before)
+    elif not has_bytecode(LAUNCHER):
+        replace_launcher(text)
 
 
 def replace_launcher(text: str) -> None:
