Give each launcher a modification time of its own

What users would have seen: target/ copied from machine to machine by a program that skips files of the same size and time, as rsync does, keeps the earlier launcher, and with it the earlier program. All launchers had the same size and the time 0.

Evidence: test_a_copy_by_sizes_and_times_gets_the_program failed before.

Why it works: the time follows from the launcher's text, between 1970 and 1978, so that two launchers differ in it, and each is still older than any package that an earlier landing's "cp -u" puts in its place.

--- a/misc/deploy_build.py
+++ b/misc/deploy_build.py
@@ -218,9 +218,8 @@
     LAUNCHER.parent.mkdir(parents=True, exist_ok=True)
     new = LAUNCHER.with_suffix(".new")
     new.write_text(text, encoding="utf-8")
-    # Earlier landings copied the package with "cp -u" to the same path, which replaces older files
-    # only. Their builds must replace the launcher, too.
-    os.utime(new, (0, 0))
+    mtime_s = launcher_mtime_s(text)
+    os.utime(new, (mtime_s, mtime_s))
     # Bytecode goes first: Python compares it with the contents of the source.
     mode = PycInvalidationMode.CHECKED_HASH
     bytecode = cache_from_source(str(LAUNCHER))
@@ -228,6 +227,16 @@
     new.replace(LAUNCHER)
 
 
+def launcher_mtime_s(text: str) -> int:
+    """Return a modification time that is older than any checkout, and another for each text.
+
+    Launchers have the same size, and copies that go by sizes and times must tell them apart.
+    Earlier landings copied their package with "cp -u" to the same path, which replaces older files
+    only; their builds must replace the launcher.
+    """
+    return int(hashlib.sha256(text.encode()).hexdigest()[:7], 16)
+
+
 def remove_unused(before: str) -> None:
     """Remove folders that neither the launcher nor the one before it names.
 
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -31,6 +31,7 @@
     time.sleep({IMPORT_PAUSE_S})
 print(*sorted(landings), "of", library.VERSION)
 """
+LAUNCHER: Final = "target/deps/papayapier/__init__.py"
 EXTENSIONS_LINE: Final = "EXTENSIONS: Final = EXTENSION_SUFFIXES[0]"
 OTHER_EXTENSIONS: Final = ".cpython-310-other-machine.so"
 # The command of earlier landings.
@@ -364,3 +365,13 @@
     assert ended.returncode != 0
     assert "the libraries cannot be installed" in ended.stderr
     check_runs(checkout, FIRST)
+
+
+def test_a_copy_by_sizes_and_times_gets_the_program(checkout: Path) -> None:
+    """Guard against launchers that such a copy cannot tell apart, and leaves the earlier one."""
+    must_build(checkout)
+    first = (checkout / LAUNCHER).stat()
+    lay_program(checkout, 2)
+    must_build(checkout)
+    second = (checkout / LAUNCHER).stat()
+    assert (first.st_size, first.st_mtime) != (second.st_size, second.st_mtime)
