--- a/misc/deploy_build.py
+++ b/misc/deploy_build.py
@@ -49,8 +49,13 @@
 FILE_STATE: Final = Struct("<II")
 LAUNCHER_CALL: Final = "use_build("
 FOLDER_MODE: Final = 0o755
-# What the roles of deploy/system.toml import.
-IMPORT_ROLES: Final = f"import {PACKAGE}.node.entry, {PACKAGE}.node.keeper"
+# The roles of deploy/system.toml, and what they log as their sources.
+IMPORT_PROGRAM: Final = f"""\
+import {PACKAGE}.node.entry, {PACKAGE}.node.keeper
+from {PACKAGE}.sources import digest_sources
+print(digest_sources(), end="")
+"""
+SOURCES_FILE: Final = "sources.txt"
 
 
 class BuildError(Exception):
@@ -99,7 +104,8 @@
             raise BuildError("the sources changed during the build")
         if not compile_folder(folder):
             raise BuildError("the program cannot be compiled")
-        check_imports(folder, libraries)
+        digest = import_program(folder, libraries)
+        (package / SOURCES_FILE).write_text(digest, encoding="ascii")
 
     return provide_folder(PROGRAMS, sources, make)
 
@@ -192,12 +198,17 @@
     return bool(magic == MAGIC_NUMBER and stated == expected)
 
 
-def check_imports(folder: Path, libraries: Path) -> None:
-    """Raise BuildError if a process could not import the program of a folder."""
+def import_program(folder: Path, libraries: Path) -> str:
+    """Import the program of a folder as its processes do; return the digest of its sources.
+
+    Raises BuildError if it cannot be imported.
+    """
     env = {**os.environ, "PYTHONPATH": f"{folder}:{libraries}"}
-    command = [sys.executable, "-P", "-B", "-c", IMPORT_ROLES]
-    if subprocess.run(command, env=env, cwd=folder).returncode != 0:
+    command = [sys.executable, "-P", "-B", "-c", IMPORT_PROGRAM]
+    ended = subprocess.run(command, env=env, cwd=folder, stdout=subprocess.PIPE, text=True)
+    if ended.returncode != 0:
         raise BuildError("the program cannot be imported")
+    return ended.stdout
 
 
 def put_in_force(program: Path, libraries: Path) -> None:
--- a/papayapier/compose.py
+++ b/papayapier/compose.py
@@ -60,6 +60,7 @@
 from papayapier.policy.outliers import OutlierDetector
 from papayapier.policy.retries import RetryBudget
 from papayapier.settings import Settings
+from papayapier.sources import sources_id
 from papayapier.store.budget import Priority, make_budget
 from papayapier.store.http import http_store
 from papayapier.upstream.client import make_upstream_client
@@ -369,6 +370,7 @@
     events.emit(
         events.PROCESS_STARTED,
         instance=base.cfg.instance.id,
+        sources=sources_id(),
         entry_port=opened.ports.entry,
         operator_port=opened.ports.operator,
         peer_port=opened.ports.peer,
--- a/papayapier/main.py
+++ b/papayapier/main.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 from result import Err
 
@@ -27,6 +27,16 @@
 profiles (urgency, due time, idempotency); callers choose one for each request or job."""
 
 
+class _PrintVersion(argparse.Action):
+    """Print the version and the sources, which are only read for this."""
+
+    def __call__(self, parser: argparse.ArgumentParser, *_: Any) -> None:
+        from papayapier.sources import sources_id
+
+        print(f"papayapier {VERSION}, sources {sources_id()}")
+        parser.exit(EXIT_OK)
+
+
 def run() -> None:
     """Run the program with the arguments of the process."""
     sys.exit(main(sys.argv[1:]))
@@ -48,7 +58,7 @@
 def make_parser() -> argparse.ArgumentParser:
     """Build the parser of the whole command line."""
     parser = argparse.ArgumentParser(prog="papayapier", description=DESCRIPTION)
-    parser.add_argument("--version", action="version", version=f"papayapier {VERSION}")
+    parser.add_argument("--version", action=_PrintVersion, nargs=0, help="print the version")
     commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
     _add_serve(commands)
     add_node_commands(commands)
--- a/papayapier/node/entry.py
+++ b/papayapier/node/entry.py
@@ -49,6 +49,7 @@
 from papayapier.policy.buffered_bytes import BufferedBytes
 from papayapier.policy.first_byte import FirstByteTimes
 from papayapier.policy.retries import RetryBudget
+from papayapier.sources import sources_id
 from papayapier.store.budget import Priority
 
 LEAVING_RETRY_MS: Final = 250
@@ -212,7 +213,12 @@
     held_bytes = BufferedBytes(cfg.memory.held_bytes())
     unread = UnreadWatch(clock, listening[0].site, held_bytes, base.metrics)
     unread.start()
-    events.emit(events.PROCESS_STARTED, instance=cfg.instance.id, role=Role.ENTRY.value)
+    events.emit(
+        events.PROCESS_STARTED,
+        instance=cfg.instance.id,
+        role=Role.ENTRY.value,
+        sources=sources_id(),
+    )
     return Ok(Entry(base, followed, queue, listening, unread))
 
 
--- a/papayapier/node/keeper.py
+++ b/papayapier/node/keeper.py
@@ -44,6 +44,7 @@
 from papayapier.policy.allowances import Granter
 from papayapier.policy.job_copies import NOT_REQUESTED, Copies
 from papayapier.policy.reachability import ReachabilityReports
+from papayapier.sources import sources_id
 from papayapier.store.api import Change
 from papayapier.store.budget import Priority
 
@@ -163,7 +164,7 @@
     serve_run_requests(base.hub, runner.takeover)
     recover = partial(recover_orphans, base.hub, clock, runner.takeover)
     base.tasks.append(run_always(clock, "orphans", recover))
-    events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value)
+    events.emit(events.PROCESS_STARTED, instance=me, role=Role.KEEPER.value, sources=sources_id())
     return Ok(Keeper(base, runner, local_jobs))
 
 
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -57,6 +57,7 @@
         "papayapier/__init__.py": "",
         "papayapier/__main__.py": MAIN,
         "papayapier/node/__init__.py": "",
+        "papayapier/sources.py": "def digest_sources():\n    return '0'\n",
         "papayapier/node/entry.py": "import library\n",
         "papayapier/node/keeper.py": "import library\n",
         "requirements.txt": f"library @ file://{wheel}\n",
--- a/tests/test_deployed_program.py
+++ b/tests/test_deployed_program.py
@@ -13,6 +13,8 @@
 import pytest
 from twisted.internet.defer import Deferred
 
+from papayapier import events
+from papayapier.sources import sources_id
 from tests.broken_answers import UNKNOWN_STATUS, make_unknown_status
 from tests.deployed import carry_over, lay_landing, must_build, set_times
 from tests.site.broken_case import BODY, BrokenReplicasCase
@@ -84,14 +86,25 @@
         lay(self.earlier, checkout)
         must_build(checkout)
         self.world.checkout = checkout
-        answers = [make_unknown_status(BODY, form) for form in UNKNOWN_STATUS]
-        return Deferred.fromCoroutine(self.call_beside(answers))
+        return Deferred.fromCoroutine(self._check_answers())
+
+    async def _check_answers(self) -> None:
+        await self.call_beside([make_unknown_status(BODY, form) for form in UNKNOWN_STATUS])
+        assert self._logged_sources() == {sources_id()}
+
+    def _logged_sources(self) -> set[str]:
+        """Return the sources that the processes have logged at their start."""
+        documents = [doc for child in self.world.children.values() for doc in child.documents]
+        started = [doc for doc in documents if doc.get("event") == events.PROCESS_STARTED.number]
+        assert len(started) == len(self.world.children), started
+        return {doc["sources"] for doc in started}
 
     async def _find_the_fault(self) -> None:
         self.world.checkout = self.earlier
         with pytest.raises(AssertionError) as found:
             await self.call_beside([make_unknown_status(BODY, form) for form in UNKNOWN_STATUS])
         assert " 0 b'id: 1" in str(found.value), found.value
+        assert self._logged_sources() != {sources_id()}
 
     def test_the_earlier_landing_has_the_fault(self) -> Any:
         # Failure: the other tests hold although the landing before them is as good.
