Hold with tests that the status 000 in any form is no answer

16 forms (with and without a reason, a length or chunks, HTTP/1.0, after interim answers, as an interim answer, with the field that says it was not run) to each of the 15 readers of answers, and from the sources on real processes.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -15,10 +15,12 @@
     OTHER_IDS,
     STATUS_LINE,
     STATUS_LINES,
+    UNKNOWN_STATUS,
     VALUES,
     answer_all,
     make_answer,
     make_framed,
+    make_unknown_status,
     request_id,
 )
 from tests.log_capture import LogCapture
@@ -41,6 +43,17 @@
             )
         )
 
+    def test_the_status_000_in_any_form_is_no_answer(self) -> Any:
+        # Failure: the same, where the answer has no length, has chunks or follows an interim one.
+        return Deferred.fromCoroutine(
+            self.check_refused(
+                lambda reader: [
+                    make_unknown_status(reader.body, (line, reader.fields + fields, framed))
+                    for line, fields, framed in UNKNOWN_STATUS
+                ]
+            )
+        )
+
     async def _sound(self) -> None:
         lines = (
             b"HTTP/1.1 200 OK",
--- a/tests/test_site_broken_answers.py
+++ b/tests/test_site_broken_answers.py
@@ -13,10 +13,12 @@
 from tests.broken_answers import (
     NAMES,
     STATUS_LINES,
+    UNKNOWN_STATUS,
     VALUES,
     answer_all,
     answer_in_turn,
     make_answer,
+    make_unknown_status,
 )
 from tests.early_answers import PARTS, EarlyServer, End
 from tests.site.broken_case import BODY, MAX_BOOTS, SERVICES, BrokenReplicasCase
@@ -60,6 +62,11 @@
         answers = [make_answer(BODY, line) for line in STATUS_LINES]
         return Deferred.fromCoroutine(self.call_beside(answers))
 
+    def test_no_caller_gets_the_status_000_in_any_form(self) -> Any:
+        # Failure: the same, where the answer has no length, has chunks or follows an interim one.
+        answers = [make_unknown_status(BODY, form) for form in UNKNOWN_STATUS]
+        return Deferred.fromCoroutine(self.call_beside(answers))
+
     def test_no_caller_gets_a_head_with_an_invalid_name(self) -> Any:
         # Failure: callers get the invalid line, or a body whose length was ignored.
         answers = [make_answer(BODY, fields=line + b"\r\n", framed=False) for line in NAMES]
