Let the landings of the test of starts during builds have other libraries, too

It now also finds a program that runs with the libraries of another landing. What two tests of failed builds have in common is one function.

--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -11,7 +11,16 @@
 
 import pytest
 
-from tests.deployed import BUILT, DEPLOY_FILE, ROOT, build, carry_over, must_build, role_command
+from tests.deployed import (
+    BUILT,
+    DEPLOY_FILE,
+    ROOT,
+    Command,
+    build,
+    carry_over,
+    must_build,
+    role_command,
+)
 
 MODULES: Final = 12
 IMPORT_PAUSE_S: Final = 0.02
@@ -89,9 +98,14 @@
 
 def start(checkout: Path, *options: str) -> "subprocess.CompletedProcess[str]":
     """Run the program as the platform starts it, with more options of Python."""
-    words, env, folder = role_command(checkout, "keeper", SETTINGS, "")
-    command = [words[0], *options, *words[1:]]
-    return subprocess.run(command, env=env, cwd=folder, capture_output=True, text=True)
+    return run_command(role_command(checkout, "keeper", SETTINGS, ""), *options)
+
+
+def run_command(command: Command, *options: str) -> "subprocess.CompletedProcess[str]":
+    """Run a command of the deploy file with more options of Python."""
+    words, env, folder = command
+    words = [words[0], *options, *words[1:]]
+    return subprocess.run(words, env=env, cwd=folder, capture_output=True, text=True)
 
 
 def check_runs(checkout: Path, expected: str) -> None:
@@ -154,6 +168,7 @@
 def test_a_process_that_starts_during_builds_gets_one_landing(checkout: Path) -> None:
     """Guard against a start that finds some modules of one landing and some of another, or none."""
     must_build(checkout)
+    command = role_command(checkout, "keeper", SETTINGS, "")
     done = threading.Event()
     failed = []
 
@@ -161,18 +176,18 @@
         landing = 1
         while not done.is_set():
             landing = 3 - landing
-            lay_program(checkout, landing)
+            lay_program(checkout, landing, library=landing)
             failed.extend([ended for ended in [build(checkout)] if ended.returncode])
 
     builder = threading.Thread(target=build_in_turn)
     builder.start()
     try:
-        printed = [start(checkout) for _ in range(STARTS_DURING_BUILDS)]
+        printed = [run_command(command) for _ in range(STARTS_DURING_BUILDS)]
     finally:
         done.set()
         builder.join()
     assert not failed, failed
-    assert {ended.stdout.strip() for ended in printed} <= {FIRST, SECOND}, printed
+    assert {ended.stdout.strip() for ended in printed} <= {FIRST, "2 of 2"}, printed
 
 
 @pytest.mark.parametrize("fault", ["LANDING = = 2\n", "import of_no_library\n"])
@@ -181,9 +196,14 @@
     must_build(checkout)
     lay_program(checkout, 2)
     (checkout / "papayapier/node/keeper.py").write_text(fault, encoding="utf-8")
+    check_build_fails(checkout, "the program cannot be")
+
+
+def check_build_fails(checkout: Path, reason: str) -> None:
+    """Check that a build of a second landing fails and leaves the first in force."""
     ended = build(checkout)
     assert ended.returncode != 0
-    assert "the program cannot be" in ended.stderr
+    assert reason in ended.stderr
     check_runs(checkout, FIRST)
 
 
@@ -362,10 +382,7 @@
     must_build(checkout)
     lay_program(checkout, 2)
     (checkout / "requirements.txt").write_text("library @ file:///none.whl\n", encoding="utf-8")
-    ended = build(checkout)
-    assert ended.returncode != 0
-    assert "the libraries cannot be installed" in ended.stderr
-    check_runs(checkout, FIRST)
+    check_build_fails(checkout, "the libraries cannot be installed")
 
 
 def test_a_copy_by_sizes_and_times_gets_the_program(checkout: Path) -> None:
